--- a/tools/outcomes.py
+++ b/tools/outcomes.py
@@ -15,8 +15,11 @@
         """Note one outcome; a failure is never overwritten."""
         test = event.test
         name = getattr(test, "test_case", test).id()
-        bad = event.outcome in (result.FAIL, result.ERROR) or (
-            event.outcome == result.PASS and not event.expected
+        bad = (
+            event.outcome == result.ERROR
+            or (event.outcome == result.FAIL and not event.expected)
+            or (event.outcome == result.PASS and not event.expected)
+            or (event.outcome == result.SUBTEST and event.exc_info is not None)
         )
         word = "failed" if bad else "passed"
         if event.outcome == result.SKIP:
