--- a/packages/daemon/src/fuchsiahatch_daemon/callers.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/callers.py
@@ -101,7 +101,7 @@
 
     async def ready(request: "Request") -> bytes:
         status = 200 if role.ready else 503
-        answer = {"ready": role.ready, "revision": role.snapshot.revision}
+        answer = {"ready": role.ready, "revision": role.configuration.snapshot.revision}
         return web.write_json(request, answer, status)
 
     async def drain(request: "Request") -> bytes:
--- /dev/null
+++ b/packages/daemon/src/fuchsiahatch_daemon/hostwatch.py
@@ -0,0 +1,100 @@
+"""Keeps the host table: polls the host list and watches the agents."""
+
+import asyncio
+import typing as t
+
+from fuchsiahatch_core.clock import Clock
+from fuchsiahatch_core.defaults import HEARTBEAT_MS
+from fuchsiahatch_daemon.rpc import Channels
+from fuchsiahatch_daemon.tasks import Tasks
+from fuchsiahatch_membership.hosts import HostReport, HostRow, HostTable
+from fuchsiahatch_platform.hostlist import HostListClient, ListedHost
+from fuchsiahatch_wire import attempts_pb2
+from fuchsiahatch_wire.attempts_grpc import AttemptsStub
+
+
+class HostWatch:
+    """Feeds a host table from the host list and from the agents' reports.
+
+    Parameters
+    ----------
+    host, incarnation : str
+        Of the watching process.
+    host_list : HostListClient
+    channels : Channels
+    clock : Clock
+
+    Notes
+    -----
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self,
+        host: str,
+        incarnation: str,
+        host_list: HostListClient,
+        channels: Channels,
+        clock: Clock,
+    ) -> None:
+        self.table = HostTable()
+        self._request = attempts_pb2.WatchRequest(entry=host, incarnation=incarnation)
+        self._host_list = host_list
+        self._channels = channels
+        self._clock = clock
+        self._watches: dict[str, asyncio.Task[t.Any]] = {}
+        self._tasks = Tasks()
+
+    def start(self) -> None:
+        """Begin to poll and to watch."""
+        self._tasks.repeat(self._poll, HEARTBEAT_MS)
+
+    def stop(self) -> None:
+        """End polling and watching."""
+        self._tasks.cancel()
+
+    async def _poll(self) -> None:
+        listed = await self._host_list.read()
+        self.table.replace_rows(map(_host_row, listed))
+        for row in self.table.rows("agent"):
+            watch = self._watches.get(row.host)
+            if watch is None or watch.done():
+                self._watches[row.host] = self._tasks.spawn(self._watch(row))
+
+    async def _watch(self, row: HostRow) -> None:
+        stub = AttemptsStub(self._channels.to(row.rpc_address))
+        try:
+            async with stub.Watch.open() as stream:
+                await stream.send_message(self._request, end=True)
+                async for report in stream:
+                    self.table.note_report(_host_report(report, self._clock.now_ms()))
+        except OSError:
+            pass
+        finally:
+            self.table.forget_report(row.host)
+
+
+def _host_row(listed: ListedHost) -> HostRow:
+    return HostRow(
+        host=listed.host,
+        zone=listed.zone,
+        region=listed.region,
+        role=listed.role,
+        rpc_address=listed.rpc_address,
+        http_address=listed.http_address,
+        offers=listed.offers,
+        leaving=listed.leaving,
+    )
+
+
+def _host_report(report: attempts_pb2.AgentReport, now_ms: int) -> HostReport:
+    return HostReport(
+        host=report.host,
+        incarnation=report.incarnation,
+        leaving=report.leaving,
+        in_flight=report.load.in_flight,
+        queued=report.load.queued,
+        limit=report.load.limit,
+        heard_ms=now_ms,
+        stragglers=tuple(report.stragglers),
+    )
