Fair queue, limits, retry budget, choices and metrics

Cause: the agent refused whatever came above its limit, so a flooding team took all places; the choice knew neither prefixes nor stragglers; a refusal by a leaving upstream taught the entry nothing; retries were free; there were no metrics.

Now: start-time fair queueing over teams by share and by time in a place, with bounded advance for priority classes and push-out of the longest lane; shedding by an estimate of wait and service; deadlines that pass in the queue answered at once; Retry-After from queue and rate; retry budget; rendezvous affinity with bounded load; subsets; stragglers count as fuller; /metrics at both roles with at most 200 team labels.

Ruled out: strict priority between teams (a team that marks all its work urgent starves the rest); counting requests in place of time (long answers held nine tenths of the places); refusing by the estimate while a place is free (nothing then corrects the estimate).

--- a/packages/daemon/src/fuchsiahatch_daemon/agent.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/agent.py
@@ -4,8 +4,10 @@
 
 from klein import Klein
 
+from fuchsiahatch_core.clock import Clock
 from fuchsiahatch_core.identities import new_incarnation
 from fuchsiahatch_daemon import rpc, web
+from fuchsiahatch_daemon.metrics import Metrics, add_route
 from fuchsiahatch_daemon.runner import Runner
 from fuchsiahatch_daemon.settings import Settings
 
@@ -28,6 +30,8 @@
         self.incarnation = new_incarnation()
         self.settings = settings
         self.runner = Runner(settings.host, self.incarnation, settings.upstream)
+        self.metrics = Metrics(Clock())
+        self.runner.admission.note_wait = self.metrics.note_wait
 
     async def start(self) -> None:
         """Serve gRPC and HTTP."""
@@ -62,4 +66,9 @@
         role.runner.leave()
         return web.write_json(request, {"leaving": True}, 202)
 
+    def note_load() -> None:
+        admission = role.runner.admission
+        role.metrics.note_load(admission.in_flight, admission.queued)
+
+    add_route(app, role.metrics, note_load)
     return app
--- a/packages/daemon/src/fuchsiahatch_daemon/dispatch.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/dispatch.py
@@ -3,6 +3,7 @@
 import itertools
 import typing as t
 
+from fuchsiahatch_core.clock import Clock
 from fuchsiahatch_core.codes import Code
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import (
@@ -14,6 +15,7 @@
 from fuchsiahatch_daemon import rpc
 from fuchsiahatch_daemon.callers import CallerRequest
 from fuchsiahatch_daemon.configuration import Configuration
+from fuchsiahatch_daemon.retries import Retries
 from fuchsiahatch_daemon.selection import Selection
 from fuchsiahatch_delivery.answers import AnswerMeter
 from fuchsiahatch_delivery.verdicts import Verdict, may_retry
@@ -56,6 +58,7 @@
         self._selection = selection
         self._channels = channels
         self._counter = itertools.count(1)
+        self.retries = Retries(Clock())
 
     async def serve(self, request: CallerRequest, send: Send) -> None:
         """Serve one request, handing the frames of its answer on as they come.
@@ -69,6 +72,7 @@
             raise RefusedError(
                 "no placement records are known here yet", Code.NOT_FRESH, 1000
             )
+        self.retries.note_request()
         tried: set[str] = set()
         fault: FuchsiahatchError | None = None
         for _ in range(_MAX_ATTEMPTS):
@@ -77,16 +81,19 @@
             )
             if candidate is None:
                 break
-            tried.add(candidate.upstream.home.host)
-            outcome = await self._attempt(request, candidate, send)
+            self.retries.spend(fault)
+            host = candidate.upstream.home.host
+            tried.add(host)
+            with self._selection.outstanding(host):
+                outcome = await self._attempt(request, candidate, send)
             if outcome.fault is None:
                 return
             fault = outcome.fault
+            self._selection.note_refusal(candidate, fault)
             if not may_retry(
                 outcome.verdict, request.idempotent, outcome.first_byte_sent
             ):
                 break
-            log_event(Event.ATTEMPT_RETRIED, code=int(fault.result))
         raise fault or RefusedError(
             "every candidate has refused", Code.OVERLOADED, 1000
         )
--- a/packages/daemon/src/fuchsiahatch_daemon/entry.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/entry.py
@@ -9,6 +9,7 @@
 from fuchsiahatch_daemon.configuration import Configuration
 from fuchsiahatch_daemon.dispatch import Dispatcher, Send
 from fuchsiahatch_daemon.hostwatch import HostWatch
+from fuchsiahatch_daemon.metrics import Metrics, add_route
 from fuchsiahatch_daemon.selection import Selection
 from fuchsiahatch_daemon.settings import Settings
 from fuchsiahatch_membership.hosts import HostRow
@@ -48,12 +49,19 @@
         self.dispatcher = Dispatcher(
             *identity, self.configuration, self.selection, self._channels
         )
+        self.metrics = Metrics(self._clock)
+        self.metrics.knows_team = lambda team: (
+            team in (self.configuration.snapshot.placements)
+        )
+        self.dispatcher.retries.note_retry = self.metrics.note_retry
 
     async def start(self) -> None:
         """Read the platform's word and serve callers."""
         self.hosts.start()
         self.configuration.start()
-        listening = web.listen(make_app(self), self.settings.http_address)
+        app = make_app(self)
+        add_route(app, self.metrics)
+        listening = web.listen(app, self.settings.http_address)
         self._port = await listening.asFuture(asyncio.get_running_loop())
 
     async def stop(self) -> None:
@@ -94,7 +102,8 @@
         self._open_requests += 1
         self._idle.clear()
         try:
-            await self.dispatcher.serve(request, send)
+            with self.metrics.watch(request.team) as watch:
+                await self.dispatcher.serve(request, watch.around(send))
         finally:
             self._open_requests -= 1
             if not self._open_requests:
--- a/packages/daemon/src/fuchsiahatch_daemon/runner.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/runner.py
@@ -35,7 +35,7 @@
     def __init__(self, host: str, incarnation: str, upstream: UpstreamSettings) -> None:
         self._host = host
         self._incarnation = incarnation
-        self.admission = Admission(upstream.limit)
+        self.admission = Admission(upstream.limit, upstream.queue, upstream.queue_limit)
         self._upstream = UpstreamClient(upstream.url)
         self._closing = False
         self._changed = asyncio.Event()
--- a/packages/daemon/src/fuchsiahatch_daemon/settings.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/settings.py
@@ -13,6 +13,8 @@
     url: str
     offers: tuple[str, ...]
     limit: int
+    queue: str = "fair"
+    queue_limit: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,4 +78,6 @@
         url=document["url"],
         offers=tuple(document["offers"]),
         limit=document.get("limit", 32),
+        queue=document.get("queue", "fair"),
+        queue_limit=document.get("queue_limit"),
     )
--- a/packages/routing/src/fuchsiahatch_routing/candidates.py
+++ b/packages/routing/src/fuchsiahatch_routing/candidates.py
@@ -26,6 +26,8 @@
     live, leaving : bool
     in_flight, queued, limit : int
         Load by the agent's last word plus what this entry has outstanding.
+    straggling : bool
+        Whether an agent has lately reported its rank to hold a group back.
     """
 
     home: Home
@@ -37,6 +39,7 @@
     in_flight: int = 0
     queued: int = 0
     limit: int = 1
+    straggling: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/routing/src/fuchsiahatch_routing/choice.py
+++ b/packages/routing/src/fuchsiahatch_routing/choice.py
@@ -1,7 +1,11 @@
-"""Choosing one of the candidates."""
+"""Choosing one of the candidates: closures over one signature."""
 
+import heapq
+import math
 import typing as t
 
+import xxhash
+
 if t.TYPE_CHECKING:
     import random
 
@@ -9,6 +13,33 @@
 
 Choose = t.Callable[[t.Sequence["Candidate"], bytes], "Candidate"]
 
+#: How much above the mean load a prefix's own upstream may be filled.
+LOAD_BOUND = 1.25
+#: How much fuller a straggler counts than it is.
+STRAGGLER_FACTOR = 3.0
+#: Bytes of a request's messages that are taken for its prefix.
+PREFIX_BYTES = 1_024
+
+_MESSAGES_FIELD = b'"messages"'
+
+
+def at_random(rng: "random.Random") -> Choose:
+    """Return a choice that ignores load."""
+
+    def choose(candidates: t.Sequence["Candidate"], prefix: bytes) -> "Candidate":
+        return rng.choice(candidates)
+
+    return choose
+
+
+def least_loaded(rng: "random.Random") -> Choose:
+    """Return a choice that takes the least loaded of all, ties at random."""
+
+    def choose(candidates: t.Sequence["Candidate"], prefix: bytes) -> "Candidate":
+        return min(candidates, key=lambda one: (load_of(one), rng.random()))
+
+    return choose
+
 
 def better_of_two(rng: "random.Random") -> Choose:
     """Return a choice that takes the less loaded of two random candidates."""
@@ -20,7 +51,82 @@
     return choose
 
 
+def prefix_affinity(rng: "random.Random", bound: float = LOAD_BOUND) -> Choose:
+    """Return a choice that keeps a prefix at one upstream while load allows.
+
+    Parameters
+    ----------
+    rng : random.Random
+        For requests without a prefix.
+    bound : float
+        An upstream takes a prefix's work up to this many times the mean load.
+
+    Notes
+    -----
+    The upstreams are ranked for each prefix by rendezvous hash, so that one that
+    comes or goes moves only its own prefixes. The first is taken while it is
+    within the bound, else the less loaded of the next two in rank: a prefix in
+    rush then warms few caches.
+    """
+    without_prefix = better_of_two(rng)
+
+    def choose(candidates: t.Sequence["Candidate"], prefix: bytes) -> "Candidate":
+        if not prefix or len(candidates) == 1:
+            return without_prefix(candidates, prefix)
+        first, *others = heapq.nlargest(3, candidates, key=_ranking(prefix))
+        if _within_bound(first, candidates, bound):
+            return first
+        return min(others, key=load_of)
+
+    return choose
+
+
+def prefix_of(body: bytes) -> bytes:
+    """Return the part of a request that an engine's prefix cache may know.
+
+    Parameters
+    ----------
+    body : bytes
+        A chat completion request, or the body of any other call.
+
+    Returns
+    -------
+    bytes
+        Empty when the body has no messages; the choice then goes by load alone.
+    """
+    start = body.find(_MESSAGES_FIELD)
+    return b"" if start < 0 else body[start : start + PREFIX_BYTES]
+
+
 def load_of(candidate: "Candidate") -> float:
-    """Return how full a candidate is, from 0 for idle."""
+    """Return how full a candidate would be with one request more.
+
+    Notes
+    -----
+    All ranks of a group advance in lock-step, so one straggler slows every
+    request of its group; it counts as fuller than it is. It is never excluded:
+    a wrong report may not leave a request without any candidate.
+    """
+    upstream = candidate.upstream
+    load = (upstream.in_flight + upstream.queued + 1) / max(1, upstream.limit)
+    return load * STRAGGLER_FACTOR if upstream.straggling else load
+
+
+def _ranking(prefix: bytes) -> t.Callable[["Candidate"], int]:
+    def rank(candidate: "Candidate") -> int:
+        host = candidate.upstream.home.host.encode()
+        return xxhash.xxh3_64_intdigest(host + b"\0" + prefix)
+
+    return rank
+
+
+def _within_bound(
+    candidate: "Candidate", candidates: t.Sequence["Candidate"], bound: float
+) -> bool:
     upstream = candidate.upstream
-    return (upstream.in_flight + upstream.queued) / max(1, upstream.limit)
+    if upstream.straggling:
+        return False
+    total = sum(one.upstream.in_flight + one.upstream.queued for one in candidates)
+    # Rounded up: with few requests about, the first of them must fit somewhere.
+    room = math.ceil(bound * (total + 1) / len(candidates))
+    return upstream.in_flight + upstream.queued < room
--- /dev/null
+++ b/tests/routing/test_limits.py
@@ -0,0 +1,123 @@
+import unittest
+
+from fuchsiahatch_core.codes import Code
+from fuchsiahatch_routing.limits import Limiter, Refuse
+from fuchsiahatch_routing.queues import FairQueue, FifoQueue
+from tests.golden import check_golden
+from tests.routing.sessions import Arrival, Session
+
+QUIET = [Arrival(100 + 10 * number, f"quiet-{number}") for number in range(9)]
+FLOOD = [Arrival(0, "flood")] * 40
+
+
+def refusals(session):
+    return [effect for effect in session.effects if isinstance(effect, Refuse)]
+
+
+class TestFlood(unittest.TestCase):
+    def test_quiet_teams_are_not_starved(self):
+        """Nine gyms' replies are late on the night when the tenth floods.
+
+        The flood's 40 requests come first and fill the queue; each gym then asks
+        once. In a first-come queue all nine wait behind the whole flood.
+        """
+        fair = Session(Limiter(2, FairQueue(100))).play(FLOOD + QUIET)
+        fifo = Session(Limiter(2, FifoQueue(100))).play(FLOOD + QUIET)
+        check_golden(__file__, "flood_and_quiet", fair.lines)
+        self.assertLessEqual(max(fair.waits("quiet")), 4 * 50)
+        self.assertGreaterEqual(min(fifo.waits("quiet")), 800)
+
+    def test_full_queue_pushes_the_flood_out(self):
+        """Quiet gyms are told "full" while one gym's requests fill the queue.
+
+        The queue is bounded and the flood came first; whoever comes next is
+        refused, though it has not had anything yet.
+        """
+        session = Session(Limiter(2, FairQueue(20))).play(FLOOD + QUIET)
+        self.assertEqual({effect.team for effect in refusals(session)}, {"flood"})
+        self.assertEqual(len(session.waits("quiet")), len(QUIET))
+
+    def test_unused_share_is_lent(self):
+        """A large gym is slowed to its share while the other gyms sleep."""
+        shares = {"flood": 10.0, "quiet": 90.0}
+        session = Session(Limiter(2, FairQueue(100, shares.__getitem__))).play(FLOOD)
+        self.assertEqual(max(session.waits("flood")), 40 // 2 * 50 - 50)
+
+    def test_long_answers_pay_for_their_time(self):
+        """A team of long answers holds the places that others' short ones need.
+
+        Counted by requests both teams take turns, and the long ones hold nine
+        tenths of the time.
+        """
+        arrivals = [Arrival(0, "long", 450)] * 40 + [Arrival(0, "short", 50)] * 360
+        session = Session(Limiter(2, FairQueue(1_000))).play(arrivals)
+        in_time = [line for line in session.lines if int(line.split()[0]) <= 4_000]
+        long = 450 * sum("long" in line for line in in_time)
+        short = 50 * sum("short" in line for line in in_time)
+        self.assertAlmostEqual(short / (long + short), 0.5, delta=0.15)
+
+
+class TestDeadlines(unittest.TestCase):
+    def test_shed_early(self):
+        """Skippers wait out their whole deadline, only to be told it has passed.
+
+        The queue is longer than the deadline from the start, so all of the wait
+        is for nothing, and what they would do instead starts late.
+        """
+        arrivals = [
+            Arrival(0, "warm"),
+            *[Arrival(60, "boats")] * 8,
+            *[Arrival(70, "late", deadline_ms=120, service_ms=50)] * 6,
+            *[Arrival(75, "boats", deadline_ms=120)] * 2,
+            Arrival(90, "boats", 400),
+            Arrival(300, "boats", deadline_ms=5_000),
+            *[Arrival(310, "late", deadline_ms=260)] * 2,
+        ]
+        session = Session(Limiter(2, FairQueue(100))).play(arrivals)
+        check_golden(__file__, "deadline_shed", session.lines)
+        codes = [effect.code for effect in refusals(session)]
+        self.assertIn(Code.DEADLINE_TOO_NEAR, codes)
+
+    def test_deadline_that_passes_in_the_queue_is_answered_at_once(self):
+        """A request is run for a member who has long given up.
+
+        Its estimate was good when it came; then the ones before it ran slowly.
+        """
+        slow = [Arrival(0, "slow"), Arrival(60, "slow", 2_000)]
+        waiting = Arrival(70, "member", deadline_ms=300)
+        session = Session(Limiter(1, FairQueue(10))).play([*slow, waiting])
+        (refused,) = refusals(session)
+        self.assertIs(refused.code, Code.DEADLINE_PASSED)
+        self.assertIn("   370 ms", session.lines[-1])
+
+    def test_a_slow_spell_does_not_refuse_for_ever(self):
+        """After one slow minute every short deadline is refused, day after day.
+
+        What is refused is not run, so nothing ever corrects the estimate.
+        """
+        limiter = Limiter(1, FairQueue(10))
+        limiter.arrive("slow", 1, 30_000, 0)
+        limiter.finish("slow", 20_000)
+        _, effects = limiter.arrive("member", 1, 500, 20_000)
+        self.assertNotIsInstance(effects[0], Refuse)
+
+    def test_retry_after_grows_with_the_queue(self):
+        limiter = Limiter(1, FairQueue(2))
+        limiter.arrive("warm", 1, 30_000, 0)
+        limiter.finish("warm", 1_000)
+        told = []
+        for _ in range(6):
+            _, effects = limiter.arrive("flood", 1, 30_000, 1_000)
+            told += [one.retry_after_ms for one in effects if isinstance(one, Refuse)]
+        self.assertEqual(told, [3_000] * 3)
+
+
+class TestGivingUp(unittest.TestCase):
+    def test_withdrawn_request_never_has_a_place(self):
+        limiter = Limiter(1, FairQueue(10))
+        limiter.arrive("first", 1, 30_000, 0)
+        ticket, _ = limiter.arrive("gone", 1, 30_000, 0)
+        self.assertTrue(limiter.withdraw(ticket))
+        self.assertFalse(limiter.withdraw(ticket))
+        self.assertEqual(limiter.finish("first", 10), [])
+        self.assertEqual((limiter.in_flight, limiter.queued), (0, 0))
--- /dev/null
+++ b/tests/routing/test_queues.py
@@ -0,0 +1,85 @@
+import collections
+import itertools
+import random
+import unittest
+
+from fuchsiahatch_routing.queues import FairQueue, Waiting
+
+TICKETS = itertools.count(1)
+
+
+def fill(queue, team, count, priority=1):
+    return [
+        queue.push(Waiting(next(TICKETS), team, priority, 0, 1_000))
+        for _ in range(count)
+    ]
+
+
+def served(queue, count):
+    return [queue.pop(10.0) for _ in range(count)]
+
+
+class TestShares(unittest.TestCase):
+    def test_turns_follow_the_shares(self):
+        shares = {"a": 60.0, "b": 30.0, "c": 10.0}
+        queue = FairQueue(1_000, shares.__getitem__)
+        for team in shares:
+            fill(queue, team, 200)
+        turns = collections.Counter(one.team for one in served(queue, 100))
+        for team, share in shares.items():
+            self.assertAlmostEqual(turns[team], share, delta=2)
+
+    def test_team_of_no_share_has_its_turn(self):
+        queue = FairQueue(10, lambda team: 0.0)
+        fill(queue, "a", 1)
+        self.assertEqual(served(queue, 1)[0].team, "a")
+
+    def test_nothing_is_kept_of_teams_that_were_served(self):
+        queue = FairQueue(10_000)
+        for number in range(500):
+            fill(queue, f"team-{number}", 1)
+        served(queue, 500)
+        fill(queue, "last", 2)
+        served(queue, 2)
+        queue.settle()
+        self.assertEqual(len(queue._lanes), 0)
+
+    def test_random_orders_lose_nothing_and_keep_the_bound(self):
+        rng = random.Random(7)
+        queue = FairQueue(30, lambda team: 1.0 + len(team))
+        pushed, out = 0, 0
+        for _ in range(5_000):
+            team = "abcd"[: rng.randint(1, 4)]
+            if rng.random() < 0.55:
+                out += sum(one is not None for one in fill(queue, team, 1))
+                pushed += 1
+            else:
+                out += queue.pop(rng.uniform(1, 50)) is not None
+            queue.correct(team, rng.uniform(-20, 20))
+            self.assertLessEqual(len(queue), 30)
+            self.assertEqual(len(list(queue)), len(queue))
+        self.assertEqual(pushed, out + len(queue))
+
+
+class TestPriorities(unittest.TestCase):
+    def test_rush_goes_before_batch(self):
+        queue = FairQueue(100)
+        fill(queue, "gym", 3, priority=2)
+        fill(queue, "gym", 2, priority=0)
+        classes = [one.priority for one in served(queue, 5)]
+        self.assertEqual(classes, [0, 0, 2, 2, 2])
+
+    def test_batch_is_not_starved_by_its_own_team(self):
+        """A gym's nightly report never runs while its members keep asking."""
+        queue = FairQueue(1_000)
+        fill(queue, "gym", 1, priority=2)
+        fill(queue, "gym", 100, priority=0)
+        self.assertIn(2, [one.priority for one in served(queue, 10)])
+
+    def test_class_gives_no_more_than_the_share(self):
+        """A team that marks all its work urgent would starve the others."""
+        queue = FairQueue(1_000)
+        fill(queue, "urgent", 200, priority=0)
+        fill(queue, "patient", 200, priority=2)
+        turns = collections.Counter(one.team for one in served(queue, 100))
+        self.assertAlmostEqual(turns["patient"], 50, delta=3)
