--- a/packages/daemon/src/fuchsiahatch_daemon/dispatch.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/dispatch.py
@@ -108,7 +108,7 @@
             message = _run_request(
                 request, candidate, attempt, self._configuration.snapshot.revision
             )
-            await self._exchange(candidate.upstream.address, message, outcome)
+            await self._exchange(candidate, message, outcome)
         except FuchsiahatchError as fault:
             outcome.fault = fault
         except Exception as fault:
@@ -117,12 +117,17 @@
         return outcome
 
     async def _exchange(
-        self, address: str, message: attempts_pb2.RunRequest, outcome: "_Outcome"
+        self,
+        candidate: Candidate,
+        message: attempts_pb2.RunRequest,
+        outcome: "_Outcome",
     ) -> None:
-        stub = AttemptsStub(self._channels.to(address))
+        upstream = candidate.upstream
+        stub = AttemptsStub(self._channels.to(upstream.address))
         async with stub.Run.open() as stream:
             await stream.send_message(message, end=True)
             async for frame in stream:
+                self._selection.note_frame(upstream.home.host, frame)
                 outcome.take(frame)
         outcome.finish()
 
--- a/packages/daemon/src/fuchsiahatch_daemon/metrics.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/metrics.py
@@ -77,15 +77,29 @@
             collections.OrderedDict()
         )
         self._histograms = {
-            "latency": self._histogram("request_latency_ms", TIME_BUCKETS_MS),
-            "first_token": self._histogram("first_token_ms", TIME_BUCKETS_MS),
-            "between_tokens": self._histogram("between_tokens_ms", TOKEN_BUCKETS_MS),
-            "queue_wait": self._histogram("queue_wait_ms", TIME_BUCKETS_MS),
+            "latency": self._histogram(
+                "fuchsiahatch_request_latency_ms", TIME_BUCKETS_MS
+            ),
+            "first_token": self._histogram(
+                "fuchsiahatch_first_token_ms", TIME_BUCKETS_MS
+            ),
+            "between_tokens": self._histogram(
+                "fuchsiahatch_between_tokens_ms", TOKEN_BUCKETS_MS
+            ),
+            "queue_wait": self._histogram(
+                "fuchsiahatch_queue_wait_ms", TIME_BUCKETS_MS
+            ),
         }
-        self._results = self._counter("results_total", "Requests by result code")
-        self._retries = self._counter("retries_total", "Attempts after the first")
-        self._in_flight = self._gauge("in_flight", "Requests that run")
-        self._queued = self._gauge("queued", "Requests that wait for a place")
+        self._results = self._counter(
+            "fuchsiahatch_results_total", "Requests by result code"
+        )
+        self._retries = self._counter(
+            "fuchsiahatch_retries_total", "Attempts after the first"
+        )
+        self._in_flight = self._gauge("fuchsiahatch_in_flight", "Requests that run")
+        self._queued = self._gauge(
+            "fuchsiahatch_queued", "Requests that wait for a place"
+        )
         self._in_flight.set({}, 0)
 
     def note_wait(self, team: str, waited_ms: int) -> None:
@@ -154,21 +168,19 @@
     def _histogram(
         self, name: str, buckets_ms: t.Sequence[int]
     ) -> aioprometheus.Histogram:
-        text = name.removesuffix("_ms").replace("_", " ")
+        text = name.removeprefix("fuchsiahatch_").removesuffix("_ms").replace("_", " ")
         return aioprometheus.Histogram(
-            f"fuchsiahatch_{name}",
+            name,
             f"{text} by team, in milliseconds",
             buckets=list(map(float, buckets_ms)),
             registry=self.registry,
         )
 
     def _counter(self, name: str, text: str) -> aioprometheus.Counter:
-        return aioprometheus.Counter(
-            f"fuchsiahatch_{name}", text, registry=self.registry
-        )
+        return aioprometheus.Counter(name, text, registry=self.registry)
 
     def _gauge(self, name: str, text: str) -> aioprometheus.Gauge:
-        return aioprometheus.Gauge(f"fuchsiahatch_{name}", text, registry=self.registry)
+        return aioprometheus.Gauge(name, text, registry=self.registry)
 
 
 class RequestWatch:
--- a/packages/daemon/src/fuchsiahatch_daemon/selection.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/selection.py
@@ -1,6 +1,5 @@
 """Selects an upstream for a request from what this entry knows now."""
 
-import collections
 import contextlib
 import functools
 import itertools
@@ -22,6 +21,10 @@
     find_candidates,
 )
 from fuchsiahatch_routing.choice import Choose, prefix_affinity, prefix_of
+from fuchsiahatch_routing.loads import LoadTable
+
+if t.TYPE_CHECKING:
+    from fuchsiahatch_wire.attempts_pb2 import Frame
 
 _T = t.TypeVar("_T")
 
@@ -53,8 +56,8 @@
         self._hosts = hosts
         self._clock = clock
         self._choose = choose or prefix_affinity(random.Random())
-        self._outstanding: collections.Counter[str] = collections.Counter()
-        self._reported: dict[str, tuple[int, int]] = {}
+        self._loads = LoadTable()
+        self._heard_ms: dict[str, int] = {}
         self._left: dict[str, str] = {}
 
     def upstreams(self) -> list[Upstream]:
@@ -101,23 +104,38 @@
     @contextlib.contextmanager
     def outstanding(self, host: str) -> t.Iterator[None]:
         """Count an attempt as this entry's own load on a host."""
-        self._outstanding[host] += 1
+        self._loads.begin(host)
         try:
             yield
         finally:
-            self._outstanding[host] -= 1
+            self._loads.end(host)
+
+    def note_frame(self, host: str, frame: "Frame") -> None:
+        """Learn an agent's load from the frame that closes an attempt.
+
+        Notes
+        -----
+        It is fresher than the last report; call it while the attempt is counted.
+        """
+        kind = frame.WhichOneof("body")
+        if kind in ("end", "refusal"):
+            load = getattr(frame, kind).load
+            self._loads.note(host, load.in_flight + load.queued)
 
     def _forget_replaced(self, views: t.Sequence[HostView]) -> None:
-        if len(self._reported) <= 2 * len(views):
+        if len(self._heard_ms) <= 2 * len(views):
             return
         hosts = {view.row.host for view in views}
-        self._reported = _only(self._reported, hosts)
+        self._loads.retain(hosts)
+        self._heard_ms = _only(self._heard_ms, hosts)
         self._left = _only(self._left, hosts)
-        self._outstanding = +self._outstanding
 
     def _upstream(self, view: HostView, straggling: bool) -> Upstream:
         report, host = view.report, view.row.host
         incarnation = report.incarnation if report else ""
+        if report:
+            self._note_report(report)
+        queued = report.queued if report else 0
         return Upstream(
             home=Home(host, incarnation),
             zone=view.row.zone,
@@ -125,22 +143,16 @@
             offers=_offers(view.row.offers),
             live=view.live,
             leaving=view.leaving or self._left.get(host) == incarnation,
-            in_flight=self._in_flight(host, report),
-            queued=report.queued if report else 0,
+            in_flight=max(0, round(self._loads.load_of(host)) - queued),
+            queued=queued,
             limit=report.limit if report else 1,
             straggling=straggling,
         )
 
-    def _in_flight(self, host: str, report: HostReport | None) -> int:
-        """Return the reported load with what this entry has sent or got since."""
-        outstanding = self._outstanding[host]
-        if report is None:
-            return outstanding
-        heard_ms, then = self._reported.get(host, (-1, 0))
-        if heard_ms != report.heard_ms:
-            then = outstanding
-            self._reported[host] = (report.heard_ms, then)
-        return max(outstanding, report.in_flight + outstanding - then)
+    def _note_report(self, report: HostReport) -> None:
+        if self._heard_ms.get(report.host) != report.heard_ms:
+            self._heard_ms[report.host] = report.heard_ms
+            self._loads.note(report.host, report.in_flight + report.queued)
 
 
 @functools.lru_cache
--- a/tests/daemon/test_selection.py
+++ b/tests/daemon/test_selection.py
@@ -128,5 +128,5 @@
             self.report(number)
             with self.selection.outstanding(f"engine-{number}"):
                 self.selection.upstreams()
-        self.assertLessEqual(len(self.selection._reported), 3)
-        self.assertLessEqual(len(self.selection._outstanding), 3)
+        self.assertLessEqual(len(self.selection._heard_ms), 3)
+        self.assertLessEqual(len(self.selection._loads), 3)
