--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 python ?= python3
 
-.PHONY: install demo test check
+.PHONY: install demo test check bench-path bench-routing
 install: .venv/installed
 
 .venv/installed: requirements.txt $(wildcard packages/*/pyproject.toml)
@@ -20,3 +20,9 @@
 	.venv/bin/ruff format --check .
 	.venv/bin/ruff check .
 	.venv/bin/lint-imports --no-cache
+
+bench-path: install
+	packages/bench/path.sh
+
+bench-routing: install
+	.venv/bin/python -m fuchsiahatch_bench.routing_bench
