--- a/packages/core/src/fuchsiahatch_core/codes.py
+++ b/packages/core/src/fuchsiahatch_core/codes.py
@@ -57,6 +57,7 @@
     REVERT_REFUSED = 406
     SCHEMA_UNKNOWN = 407
     CALL_BUDGET_SPENT = 408
+    DOCUMENT_TOO_LARGE = 409
 
     # Steps of a rank group.
     OLD_TERM = 500
