--- a/packages/placement/src/fuchsiahatch_placement/documents.py
+++ b/packages/placement/src/fuchsiahatch_placement/documents.py
@@ -126,6 +126,15 @@
 ) -> Document:
     """Return the document that follows a base with other records.
 
+    Parameters
+    ----------
+    base : Document
+    expected_revision : int
+        Revision that the operator read.
+    change : Change
+        Its revision is set here.
+    records : iterable of str
+
     Raises
     ------
     ConflictError
@@ -136,8 +145,45 @@
             f"revision {expected_revision} was read, but {base.revision} is current; "
             "read it and decide anew"
         )
-    kept = (*base.history, change)[-HISTORY_LENGTH:]
-    return Document(base.revision + 1, kept, tuple(records))
+    return _follow(base.revision, base.history, change, records)
+
+
+def republish(base: Document, held: Document, change: Change) -> Document:
+    """Return a document that puts back what an entry still holds.
+
+    After a restored backup the service holds less than is in force. The next
+    revision is above everything that was ever in force, so every entry takes it.
+
+    Parameters
+    ----------
+    base : Document
+        What the service holds.
+    held : Document
+        What an entry holds in memory.
+    change : Change
+        Its revision is set here.
+    """
+    last = max(base.revision, held.revision)
+    return _follow(last, held.history, change, held.records)
+
+
+def check_no_revert(base: Document, held_revision: int) -> None:
+    """Refuse to write on top of a document older than what is in force.
+
+    The numbers that follow a restored backup were used before: entries that
+    hold them would take the new change for the old one and never apply it.
+
+    Raises
+    ------
+    ConflictError
+        With `Code.REVERT_REFUSED`.
+    """
+    if base.revision < held_revision:
+        detail = (
+            f"the service holds revision {base.revision}, but {held_revision} is in "
+            "force here; republish it first"
+        )
+        raise ConflictError(detail, Code.REVERT_REFUSED)
 
 
 def change_id_at(history: t.Iterable[Change], revision: int) -> str | None:
@@ -151,6 +197,16 @@
     return next((one for one in history if one.change_id == change_id), None)
 
 
+def _follow(
+    revision: int,
+    history: t.Iterable[Change],
+    change: Change,
+    records: t.Iterable[str],
+) -> Document:
+    made = dataclasses.replace(change, revision=revision + 1)
+    return Document(revision + 1, (*history, made)[-HISTORY_LENGTH:], tuple(records))
+
+
 def _record_texts(text: str) -> t.Iterator[str]:
     """Yield the records' texts out of a document that is known to be JSON.
 
--- a/packages/placement/src/fuchsiahatch_placement/rosters.py
+++ b/packages/placement/src/fuchsiahatch_placement/rosters.py
@@ -1,4 +1,4 @@
-"""The roster: which entries' acknowledgements count, region by region."""
+"""The roster: which entries are counted in majorities, region by region."""
 
 import collections
 import dataclasses
@@ -7,36 +7,54 @@
 
 from fuchsiahatch_core.codes import Code
 from fuchsiahatch_core.exceptions import SettingsError
-from fuchsiahatch_placement.documents import Change, Document, next_document
-from fuchsiahatch_placement.documents import read_document as _read_document
+from fuchsiahatch_placement.documents import (
+    Change,
+    Document,
+    next_document,
+    read_document,
+)
 
 #: Fewest roster hosts of a region that may confirm each other without the service.
 FEWEST_CONFIRMING = 2
 
 
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Voter:
+    """An entry host that is counted in its region's majority."""
+
+    region: str
+    zone: str
+    host: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Roster:
-    """Entries by region, as of one revision of the roster segment.
+    """The voters as of one revision of the roster segment.
 
     Attributes
     ----------
     revision : int
         0 while no roster was ever written.
-    regions : dict of str to frozenset of str
-        Names of the entry hosts in each region.
-    previous : dict of str to frozenset of str
-        The same of the revision before.
+    voters, previous : frozenset of Voter
+        Of this revision, and of the one before.
     change_id : str
         The change that made this revision.
+    document : bytes
+        The bytes as they are in the key-value service.
     """
 
     revision: int
-    regions: t.Mapping[str, frozenset[str]]
-    previous: t.Mapping[str, frozenset[str]]
+    voters: frozenset[Voter]
+    previous: frozenset[Voter]
     change_id: str = ""
+    document: bytes = b""
+
+    def hosts_in(self, region: str) -> frozenset[str]:
+        """Return the names of a region's voters."""
+        return frozenset(one.host for one in self.voters if one.region == region)
 
 
-EMPTY_ROSTER = Roster(0, {}, {})
+EMPTY_ROSTER = Roster(0, frozenset(), frozenset())
 
 
 def decode_roster(value: bytes) -> Roster:
@@ -47,16 +65,16 @@
     SettingsError
         When they can't be read.
     """
-    document = _read_document(value)
+    document = read_document(value)
     try:
-        rows = [json.loads(text) for text in document.records]
-        regions = _by_region(row for row in rows if row["listed"])
-        previous = _by_region(row for row in rows if row["was_listed"])
+        rows = list(map(json.loads, document.records))
+        voters = frozenset(_voter(row) for row in rows if row["listed"])
+        previous = frozenset(_voter(row) for row in rows if row["was_listed"])
     except (KeyError, TypeError) as fault:
         raise SettingsError(
             "records", type(fault).__name__, "rows of a roster", Code.RECORD_INVALID
         ) from fault
-    return Roster(document.revision, regions, previous, document.change_id)
+    return Roster(document.revision, voters, previous, document.change_id, value)
 
 
 def change_roster(
@@ -64,7 +82,7 @@
     expected_revision: int,
     change: Change,
     host: str,
-    region: str | None,
+    added: Voter | None,
 ) -> Document:
     """Return the roster's next document with one host added or removed.
 
@@ -75,8 +93,9 @@
         Revision that the operator read.
     change : Change
     host : str
-    region : str or None
-        Where the host is added; None removes it.
+        Whom the change is about.
+    added : Voter or None
+        None removes the host.
 
     Raises
     ------
@@ -87,37 +106,35 @@
 
     Notes
     -----
-    Majorities of two rosters meet only when they differ by one host, so a
-    revision moves no more than one. The revision before must have been
-    acknowledged first; `writing.Write` sees to that.
+    Majorities of two rosters are sure to meet only when the rosters differ by
+    one host, so a revision moves no more than one, and the revision before must
+    have been acknowledged first; `writing.Write` sees to that.
     """
-    listed = {
-        row["host"]: row["region"]
-        for row in map(json.loads, base.records)
-        if row["listed"]
-    }
-    if (host in listed) == (region is not None):
-        state = "on the roster already" if region else "not on the roster"
-        raise SettingsError("host", host, f"this host is {state}", Code.RECORD_INVALID)
-    rows = [_row(name, place, name != host, True) for name, place in listed.items()]
-    if region is not None:
-        rows.append(_row(host, region, True, False))
-    return next_document(base, expected_revision, change, sorted(rows))
-
-
-def missing_by_region(
-    regions: t.Mapping[str, frozenset[str]], heard: t.Container[str]
-) -> dict[str, tuple[str, ...]]:
-    """Return the hosts not heard from, for each region that lacks a majority."""
-    missing = {
-        region: tuple(sorted(host for host in hosts if host not in heard))
-        for region, hosts in regions.items()
-    }
-    return {
-        region: hosts
-        for region, hosts in sorted(missing.items())
-        if not is_majority(len(regions[region]) - len(hosts), len(regions[region]))
-    }
+    rows = map(json.loads, base.records)
+    before = [_voter(row) for row in rows if row["listed"]]
+    known = any(voter.host == host for voter in before)
+    if known == (added is not None):
+        state = "is on the roster already" if known else "isn't on the roster"
+        raise SettingsError("host", host, f"this host {state}", Code.RECORD_INVALID)
+    kept = [_row_text(voter, voter.host != host, True) for voter in before]
+    new = [] if added is None else [_row_text(added, True, False)]
+    return next_document(base, expected_revision, change, sorted(kept + new))
+
+
+def missing_voters(
+    voters: t.Iterable[Voter], heard: t.Container[str]
+) -> tuple[Voter, ...]:
+    """Return the voters not heard from, of each region that lacks a majority."""
+    by_region: dict[str, list[Voter]] = collections.defaultdict(list)
+    for voter in sorted(voters):
+        by_region[voter.region].append(voter)
+    return tuple(
+        voter
+        for region in by_region.values()
+        if not is_majority(sum(one.host in heard for one in region), len(region))
+        for voter in region
+        if voter.host not in heard
+    )
 
 
 def is_majority(count: int, of: int) -> bool:
@@ -125,13 +142,10 @@
     return 2 * count > of
 
 
-def _by_region(rows: t.Iterable[dict[str, t.Any]]) -> dict[str, frozenset[str]]:
-    regions: dict[str, set[str]] = collections.defaultdict(set)
-    for row in rows:
-        regions[row["region"]].add(row["host"])
-    return {region: frozenset(hosts) for region, hosts in regions.items()}
+def _voter(row: dict[str, t.Any]) -> Voter:
+    return Voter(row["region"], row["zone"], row["host"])
 
 
-def _row(host: str, region: str, listed: bool, was_listed: bool) -> str:
-    row = {"host": host, "region": region, "listed": listed, "was_listed": was_listed}
-    return json.dumps(row)
+def _row_text(voter: Voter, listed: bool, was_listed: bool) -> str:
+    row = dataclasses.asdict(voter)
+    return json.dumps({**row, "listed": listed, "was_listed": was_listed})
