--- a/packages/placement/src/fuchsiahatch_placement/acceptance.py
+++ b/packages/placement/src/fuchsiahatch_placement/acceptance.py
@@ -140,7 +140,18 @@
     """A watch on the roster fired: read both segments, in their order."""
 
 
-Event = Tick | ServiceAnswer | PeerAnswer | WatchEvent | RosterHint
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeersListed:
+    """The host list names these entries of the region, itself among them or not.
+
+    An entry that starts during an outage of the service has no roster yet and
+    finds the others by this alone.
+    """
+
+    hosts: frozenset[str]
+
+
+Event = Tick | ServiceAnswer | PeerAnswer | WatchEvent | RosterHint | PeersListed
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -251,6 +262,7 @@
         "_fresh_ms",
         "_host",
         "_incarnation",
+        "_listed",
         "_number",
         "_open",
         "_region",
@@ -279,6 +291,7 @@
         self._region = region
         self._zone = zone
         self._fresh_ms = fresh_ms
+        self._listed: frozenset[str] = frozenset()
         self._number = 0
         self._open: dict[int, _OpenQuestion] = {}
         self._settled = False
@@ -300,6 +313,9 @@
                 effects = self._take_peer(event)
             case WatchEvent():
                 effects = self._take_watch(event, now_ms)
+            case PeersListed():
+                self._listed = event.hosts
+                effects = []
         return effects + self._freshness_change(now_ms)
 
     def is_fresh(self, now_ms: int) -> bool:
@@ -363,11 +379,15 @@
         self._open[self._number] = _OpenQuestion(question, now_ms, set())
         self._open.pop(self._number - MAX_OPEN_QUESTIONS, None)
         effects: list[Effect] = [AskService(question)]
-        peers = self.roster.hosts_in(self._region) - {self._host}
+        peers = self._peers()
         if peers and self._service_is_silent(now_ms):
             effects.append(AskPeers(question, tuple(sorted(peers))))
         return effects
 
+    def _peers(self) -> frozenset[str]:
+        known = self._listed | self.roster.hosts_in(self._region)
+        return known - {self._host}
+
     def _service_is_silent(self, now_ms: int) -> bool:
         silent_since = self._service_ms
         return silent_since is None or now_ms - silent_since > SERVICE_SILENT_MS
@@ -483,6 +503,8 @@
     def _take_placement(
         self, value: bytes, source: str
     ) -> "tuple[_Seen | None, list[Effect]]":
+        if value and value == self.snapshot.document:
+            return self._held(_PLACEMENT), []
         try:
             snapshot = decode_document(value)
         except SettingsError as fault:
@@ -498,6 +520,8 @@
     def _take_roster(
         self, value: bytes, source: str
     ) -> "tuple[_Seen | None, list[Effect]]":
+        if value and value == self.roster.document:
+            return self._held(_ROSTER), []
         try:
             roster = decode_roster(value)
         except SettingsError as fault:
