--- a/packages/bench/src/fuchsiahatch_bench/placement_model.py
+++ b/packages/bench/src/fuchsiahatch_bench/placement_model.py
@@ -13,6 +13,8 @@
     Change,
     Document,
     next_document,
+    read_document,
+    republish,
     write_document,
 )
 from fuchsiahatch_placement.rosters import Voter, change_roster
@@ -143,6 +145,14 @@
         change = self._change()
         return self._begin(ROSTER, change.change_id, propose)
 
+    def begin_republish(self, host: str) -> Writer:
+        """Begin to put back what an entry holds."""
+        held = read_document(self.entries[host].snapshot.document)
+        change = self._change()
+        return self._begin(
+            PLACEMENT, change.change_id, lambda base: republish(base, held, change)
+        )
+
     def send_watch(self, host: str, value: bytes) -> None:
         """Put a watch event on its way."""
         self.messages.append(Message(SERVICE, host, acceptance.WatchEvent(value)))
@@ -162,7 +172,8 @@
     def lose(self, message: Message) -> None:
         """Lose a message; a writer's call to the service fails by its timeout."""
         self.messages.remove(message)
-        self.note(f"lost: {describe(message)}")
+        if self.service_up:
+            self.note(f"lost: {describe(message)}")
         ends = (message.source, message.target)
         caller = next((self.writers[end] for end in ends if end in self.writers), None)
         if caller is not None and SERVICE in ends:
