--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 python ?= python3
 
-.PHONY: install demo test check
+.PHONY: install demo test check settings-page capacity bench-slopes
 install: .venv/installed
 
 .venv/installed: requirements.txt $(wildcard packages/*/pyproject.toml)
@@ -20,3 +20,14 @@
 	.venv/bin/ruff format --check .
 	.venv/bin/ruff check .
 	.venv/bin/lint-imports --no-cache
+	.venv/bin/python tools/check_docs.py --warn-missing
+	.venv/bin/python tools/check_links.py
+
+settings-page: install
+	.venv/bin/python tools/make_settings_page.py
+
+bench-slopes: install
+	.venv/bin/python -m fuchsiahatch_bench.slopes
+
+capacity: install
+	.venv/bin/python -m fuchsiahatch_bench.capacity
--- /dev/null
+++ b/packages/bench/src/fuchsiahatch_bench/agents_host.py
@@ -0,0 +1,94 @@
+"""Runs many agents in one process and tells what their reports cost.
+
+A line on standard input is answered by a line of JSON on standard output:
+processor time of the process, and bytes and segments on its gRPC connections.
+"""
+
+import asyncio
+import json
+import pathlib
+import socket
+import struct
+import sys
+import time
+import typing as t
+
+import fire
+from twisted.internet import asyncioreactor
+
+# linux/tcp.h, struct tcp_info: tcpi_bytes_acked, tcpi_bytes_received,
+# tcpi_segs_out and tcpi_segs_in stand one after the other.
+_TCP_INFO_OFFSET = 120
+_TCP_INFO_FORMAT = "=QQII"
+_NS_PER_MS = 1_000_000
+
+
+def main(folder: str, prefix: str) -> None:
+    """Run an agent for each settings file until standard input ends.
+
+    Parameters
+    ----------
+    folder : str
+        Where the settings files are.
+    prefix : str
+        How the names of the files begin.
+    """
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    asyncioreactor.install(loop)
+    from twisted.internet import reactor
+
+    sockets = _collect_sockets()
+    paths = sorted(pathlib.Path(folder).glob(f"{prefix}*.json"))
+    reactor.callWhenRunning(lambda: asyncio.ensure_future(_start(paths)))
+    loop.add_reader(sys.stdin, _answer, sockets, reactor.stop)
+    reactor.run()
+
+
+async def _start(paths: t.Sequence[pathlib.Path]) -> None:
+    from fuchsiahatch_daemon.agent import AgentRole
+    from fuchsiahatch_daemon.settings import read_settings
+
+    for path in paths:
+        await AgentRole(read_settings(str(path))).start()
+
+
+def _collect_sockets() -> list[socket.socket]:
+    from grpclib.protocol import H2Protocol
+
+    sockets: list[socket.socket] = []
+    connection_made = H2Protocol.connection_made
+
+    def noted(self: H2Protocol, transport: asyncio.BaseTransport) -> None:
+        sockets.append(transport.get_extra_info("socket"))
+        connection_made(self, transport)
+
+    H2Protocol.connection_made = noted
+    return sockets
+
+
+def _answer(sockets: list[socket.socket], stop: t.Callable[[], None]) -> None:
+    if not sys.stdin.readline():
+        stop()
+        return
+    counts = [sum(column) for column in zip(*map(_traffic, sockets), strict=True)]
+    bytes_out, bytes_in, segments_out, segments_in = counts or (0, 0, 0, 0)
+    answer = {
+        "cpu_ms": time.process_time_ns() / _NS_PER_MS,
+        "connections": len(sockets),
+        "bytes_out": bytes_out,
+        "bytes_in": bytes_in,
+        "segments_out": segments_out,
+        "segments_in": segments_in,
+    }
+    print(json.dumps(answer), flush=True)
+
+
+def _traffic(connection: socket.socket) -> tuple[int, int, int, int]:
+    size = _TCP_INFO_OFFSET + struct.calcsize(_TCP_INFO_FORMAT)
+    info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
+    return struct.unpack_from(_TCP_INFO_FORMAT, info, _TCP_INFO_OFFSET)
+
+
+if __name__ == "__main__":
+    fire.Fire(main, name="agents_host")
