--- a/packages/bench/src/fuchsiahatch_bench/agents_host.py
+++ b/packages/bench/src/fuchsiahatch_bench/agents_host.py
@@ -8,7 +8,6 @@
 import json
 import pathlib
 import socket
-import struct
 import sys
 import time
 import typing as t
@@ -16,10 +15,8 @@
 import fire
 from twisted.internet import asyncioreactor
 
-# linux/tcp.h, struct tcp_info: tcpi_bytes_acked, tcpi_bytes_received,
-# tcpi_segs_out and tcpi_segs_in stand one after the other.
-_TCP_INFO_OFFSET = 120
-_TCP_INFO_FORMAT = "=QQII"
+from fuchsiahatch_bench.traffic import Traffic, read_traffic
+
 _NS_PER_MS = 1_000_000
 
 
@@ -71,24 +68,14 @@
     if not sys.stdin.readline():
         stop()
         return
-    counts = [sum(column) for column in zip(*map(_traffic, sockets), strict=True)]
-    bytes_out, bytes_in, segments_out, segments_in = counts or (0, 0, 0, 0)
+    traffic = sum(map(read_traffic, sockets), Traffic())
     answer = {
         "cpu_ms": time.process_time_ns() / _NS_PER_MS,
         "connections": len(sockets),
-        "bytes_out": bytes_out,
-        "bytes_in": bytes_in,
-        "segments_out": segments_out,
-        "segments_in": segments_in,
+        "wire_bytes": traffic.wire_bytes,
     }
     print(json.dumps(answer), flush=True)
 
 
-def _traffic(connection: socket.socket) -> tuple[int, int, int, int]:
-    size = _TCP_INFO_OFFSET + struct.calcsize(_TCP_INFO_FORMAT)
-    info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
-    return struct.unpack_from(_TCP_INFO_FORMAT, info, _TCP_INFO_OFFSET)
-
-
 if __name__ == "__main__":
     fire.Fire(main, name="agents_host")
--- a/packages/standins/src/fuchsiahatch_standins/engine.py
+++ b/packages/standins/src/fuchsiahatch_standins/engine.py
@@ -1,6 +1,7 @@
 """Stand-in of a model engine, over the published OpenAI chat interface."""
 
 import asyncio
+import itertools
 import json
 import typing as t
 
@@ -31,7 +32,8 @@
     tokens : int
         Tokens an answer, where the request doesn't say ``max_tokens``.
     token_ms : int
-        Time between tokens.
+        Time between tokens. A request may ask for several tokens a write by
+        ``tokens_per_write``; each write then waits for all of them.
     """
     app = Klein()
     counter = RunCounter()
@@ -43,31 +45,32 @@
         body = json.loads(request.content.read())
         request.setHeader("Fuchsiahatch-Place", f"{zone}/{host}")
         words = _answer_words(body, body.get("max_tokens", tokens))
+        batches = _batch(words, body.get("tokens_per_write", 1))
         write = _stream if body.get("stream") else _whole
-        work = write(request, words, token_ms, body["model"])
+        work = write(request, batches, token_ms, body["model"])
         return Deferred.fromFuture(asyncio.ensure_future(work))
 
     return app
 
 
 async def _stream(
-    request: "Request", words: list[str], token_ms: int, model: str
+    request: "Request", batches: list[list[str]], token_ms: int, model: str
 ) -> bytes:
     gone = asyncio.Event()
     request.notifyFinish().addBoth(lambda _: gone.set())
     request.setHeader("Content-Type", "text/event-stream")
-    for word in words:
-        await _pause(token_ms)
+    for batch in batches:
+        await _pause(token_ms * len(batch))
         if gone.is_set():
             return b""
-        choice = {"index": 0, "delta": {"content": word + " "}}
-        request.write(_event(json.dumps({"model": model, "choices": [choice]})))
+        request.write(b"".join(_token_event(word, model) for word in batch))
     return _event("[DONE]")
 
 
 async def _whole(
-    request: "Request", words: list[str], token_ms: int, model: str
+    request: "Request", batches: list[list[str]], token_ms: int, model: str
 ) -> bytes:
+    words = list(itertools.chain.from_iterable(batches))
     await _pause(token_ms * len(words))
     request.setHeader("Content-Type", "application/json")
     message = {"role": "assistant", "content": " ".join(words)}
@@ -87,5 +90,14 @@
     return [_WORDS[seed % len(_WORDS)] for seed in seeds]
 
 
+def _batch(words: list[str], size: int) -> list[list[str]]:
+    return [words[start : start + size] for start in range(0, len(words), size)]
+
+
+def _token_event(word: str, model: str) -> bytes:
+    choice = {"index": 0, "delta": {"content": word + " "}}
+    return _event(json.dumps({"model": model, "choices": [choice]}))
+
+
 def _event(data: str) -> bytes:
     return f"data: {data}\n\n".encode()
