--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 python ?= python3
 
-.PHONY: install demo test check settings-page capacity bench-slopes
+.PHONY: install demo demo-keep test check settings-page capacity bench-slopes
 install: .venv/installed
 
 .venv/installed: requirements.txt $(wildcard packages/*/pyproject.toml)
@@ -13,6 +13,9 @@
 demo: install
 	demo/demo.sh
 
+demo-keep: install
+	demo/demo.sh --keep
+
 test: install
 	.venv/bin/python tools/run_tests.py
 
@@ -22,6 +25,8 @@
 	.venv/bin/lint-imports --no-cache
 	.venv/bin/python tools/check_docs.py --warn-missing
 	.venv/bin/python tools/check_links.py
+	.venv/bin/python tools/check_dependencies.py
+	.venv/bin/python -m fuchsiahatch_bench.capacity --check
 
 settings-page: install
 	.venv/bin/python tools/make_settings_page.py
--- a/demo/demo.sh
+++ b/demo/demo.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Starts the whole path as separate processes, sends both deployments' requests,
-# drains an agent and an entry under load, and ends everything by its id.
+# drains an agent and an entry under load, and ends everything by its id. With
+# --keep it only starts the path and leaves it running until Ctrl-C.
 set -eu
 cd "$(dirname "$0")/.."
 python=.venv/bin/python
@@ -47,6 +48,12 @@
 for offset in 0 1 2 3 4 5 6 7 8; do wait_ready "127.0.0.1:$((base + offset))"; done
 sleep 1.5 # a heartbeat, so that every entry has heard of every agent
 
+if [ "${1:-}" = --keep ]; then
+    echo "== ready: ask 127.0.0.1:$base; Ctrl-C ends it"
+    trap 'exit 0' INT TERM
+    wait
+fi
+
 echo "== both deployments' requests"
 $python -m fuchsiahatch_standins.demo_calls --entry "127.0.0.1:$base"
 
--- /dev/null
+++ b/packages/bench/src/fuchsiahatch_bench/capacity.py
@@ -0,0 +1,90 @@
+"""Puts the tables of docs/CAPACITY.md in place, computed from the results."""
+
+import json
+import pathlib
+import re
+import sys
+import typing as t
+
+import fire
+
+from fuchsiahatch_bench import (
+    capacity_agent,
+    capacity_entry,
+    capacity_failures,
+    capacity_path,
+    capacity_service,
+)
+from fuchsiahatch_bench.projection import Line, Slopes
+
+PAGE = pathlib.Path("docs/CAPACITY.md")
+SLOPES = pathlib.Path("docs/results/slopes.json")
+
+_TABLES: dict[str, t.Callable[[Slopes], str]] = {
+    "entry-today": capacity_entry.entry_today,
+    "entry-planned": capacity_entry.entry_planned,
+    "entry-levers": capacity_entry.entry_levers,
+    "entry-grid": capacity_entry.entry_grid,
+    "agent": capacity_agent.agent_table,
+    "command": capacity_agent.command_table,
+    "service": capacity_service.service_table,
+    "nodes": capacity_path.nodes_table,
+    "share": capacity_path.share_table,
+    "failures": capacity_failures.failures_table,
+    "rates": capacity_failures.rates_table,
+}
+_PLACE = re.compile(r"(<!-- table: ([\w-]+) -->\n).*?(<!-- end -->)", re.DOTALL)
+
+
+def main(check: bool = False) -> None:
+    """Write the page's tables, or only compare them.
+
+    Parameters
+    ----------
+    check : bool
+        Whether to leave the page and exit with 1 when it is out of date.
+    """
+    slopes = read_slopes(SLOPES)
+    old = PAGE.read_text("utf-8")
+    new = fill(old, slopes)
+    if check:
+        _compare(old, new)
+        return
+    PAGE.write_text(new, "utf-8")
+    for name, make in _TABLES.items():
+        print(f"{name}\n{make(slopes)}")
+
+
+def read_slopes(path: pathlib.Path) -> Slopes:
+    """Read a results file of the slopes bench."""
+    content = json.loads(path.read_text("utf-8"))
+    lines = {
+        name: Line(line["slope"], line["intercept"])
+        for name, line in content["lines"].items()
+    }
+    return Slopes(lines, content["values"], content["message_bytes"])
+
+
+def fill(page: str, slopes: Slopes) -> str:
+    """Return the page with every marked table made anew.
+
+    Raises
+    ------
+    KeyError
+        For a mark whose table is not known.
+    """
+
+    def replace(found: re.Match[str]) -> str:
+        return f"{found[1]}{_TABLES[found[2]](slopes)}{found[3]}"
+
+    return _PLACE.sub(replace, page)
+
+
+def _compare(old: str, new: str) -> None:
+    if old != new:
+        print("fault: docs/CAPACITY.md differs from its results; `make capacity`")
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    fire.Fire(main, name="capacity")
