--- a/packages/placement/src/fuchsiahatch_placement/documents.py
+++ b/packages/placement/src/fuchsiahatch_placement/documents.py
@@ -15,6 +15,7 @@
 
 _DECODER = json.JSONDecoder()
 _BLANK = re.compile(r"[ \t\r\n]*")
+_RECORDS = "records"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,12 +83,10 @@
     if not value:
         return EMPTY_DOCUMENT
     try:
-        text = value.decode()
-        content = json.loads(text)
+        content = _read_members(value.decode())
         history = tuple(Change(**change) for change in content["history"])
-        records = tuple(_record_texts(text))
-        return Document(int(content["revision"]), history, records)
-    except (ValueError, KeyError, TypeError, IndexError, AttributeError) as fault:
+        return Document(int(content["revision"]), history, content["records"])
+    except (ValueError, KeyError, TypeError, IndexError) as fault:
         raise SettingsError(
             "(document)", type(fault).__name__, "a segment's JSON document"
         ) from fault
@@ -207,31 +206,51 @@
     return Document(revision + 1, (*history, made)[-HISTORY_LENGTH:], tuple(records))
 
 
-def _record_texts(text: str) -> t.Iterator[str]:
-    """Yield the records' texts out of a document that is known to be JSON.
+def _read_members(text: str) -> dict[str, t.Any]:
+    """Read a document's members, its records as their texts.
 
     Loading and dumping a record of an unknown schema would rewrite its numbers
     and drop repeated names, so the texts are cut out of the document.
     """
-    at = _skip_blank(text, 0) + 1
-    while True:
-        name, at = _DECODER.raw_decode(text, _skip_blank(text, at))
-        at = _skip_blank(text, _skip_blank(text, at) + 1)
-        if name == "records":
-            break
-        _, at = _DECODER.raw_decode(text, at)
-        at = _skip_blank(text, at) + 1
-    yield from _item_texts(text, at)
-
-
-def _item_texts(text: str, start: int) -> t.Iterator[str]:
-    at = _skip_blank(text, start + 1)
+    members: dict[str, t.Any] = {}
+    at = _skip(text, _skip_blank(text, 0), "{")
+    while text[at] != "}":
+        name, at = _DECODER.raw_decode(text, at)
+        at = _skip(text, _skip_blank(text, at), ":")
+        if name == _RECORDS:
+            members[name], at = _item_texts(text, at)
+        else:
+            members[name], at = _DECODER.raw_decode(text, at)
+        at = _next_item(text, at)
+    if _skip_blank(text, at + 1) != len(text):
+        raise ValueError("there is more after the document")
+    return members
+
+
+def _item_texts(text: str, start: int) -> tuple[tuple[str, ...], int]:
+    items: list[str] = []
+    at = _skip(text, start, "[")
     while text[at] != "]":
         _, end = _DECODER.raw_decode(text, at)
-        yield text[at:end]
-        at = _skip_blank(text, end)
-        if text[at] == ",":
-            at = _skip_blank(text, at + 1)
+        items.append(text[at:end])
+        at = _next_item(text, end)
+    return tuple(items), at + 1
+
+
+def _next_item(text: str, end: int) -> int:
+    at = _skip_blank(text, end)
+    if text[at] in "]}":
+        return at
+    at = _skip(text, at, ",")
+    if text[at] in "]}":
+        raise ValueError(f"an item is missing at {at}")
+    return at
+
+
+def _skip(text: str, at: int, mark: str) -> int:
+    if text[at] != mark:
+        raise ValueError(f"{mark} is missing at {at}")
+    return _skip_blank(text, at + 1)
 
 
 def _skip_blank(text: str, at: int) -> int:
--- a/packages/placement/src/fuchsiahatch_placement/records.py
+++ b/packages/placement/src/fuchsiahatch_placement/records.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import functools
 import json
 import typing as t
 
@@ -11,6 +12,8 @@
 from fuchsiahatch_core.settings import check_document, load_schema
 from fuchsiahatch_placement.documents import read_document
 
+_KEPT_RECORDS = 8_192
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Place:
@@ -115,9 +118,13 @@
     return Snapshot(content.revision, placements, document, content.change_id)
 
 
+@functools.lru_cache(_KEPT_RECORDS)
 def decode_or_close(text: str) -> Placement | None:
     """Decode a record's text; a closed team when it can't be read.
 
+    A change replaces few of a document's records, so decoded ones are kept by
+    their text: thousands of teams decoded anew would hold up the one loop.
+
     Returns
     -------
     Placement or None
--- a/tests/placement/test_documents.py
+++ b/tests/placement/test_documents.py
@@ -17,6 +17,8 @@
 
     def test_broken_documents_are_coded(self):
         broken = (b"\xff", b"{", b"[]", b'{"revision": 1}', b'{"revision": 1, "x": 2}')
+        more = (b'{"revision":1,"history":[],"records":[1,]}', b"{} {}", b'{"a" 1}')
+        broken = (*broken, *more)
         wrong = b'{"revision": 1, "history": [], "records": 7}'
         for value in (*broken, wrong, b'{"revision":1,"history":[{}],"records":[]}'):
             with self.subTest(value), self.assertRaises(SettingsError):
