--- a/packages/core/src/fuchsiahatch_core/codes.py
+++ b/packages/core/src/fuchsiahatch_core/codes.py
@@ -35,6 +35,8 @@
     STALE_REVISION = 206
     TEAM_CLOSED = 207
     RETRY_BUDGET_SPENT = 208
+    # The home has no memory left for another key of this team.
+    LEDGER_FULL = 209
 
     # What became of an attempt.
     NOT_RUN = 300
@@ -46,6 +48,10 @@
     FENCED = 306
     WRONG_HOME = 307
     IN_PROGRESS = 308
+    # The ticket is so old that the home may have forgotten the key.
+    TICKET_EXPIRED = 309
+    # The key ran; its answer was too long to keep.
+    ANSWER_NOT_KEPT = 310
 
     # Configuration and the platform's services.
     SETTINGS_INVALID = 400
--- a/packages/core/src/fuchsiahatch_core/defaults.py
+++ b/packages/core/src/fuchsiahatch_core/defaults.py
@@ -18,3 +18,15 @@
 FRESH_MS = 3_000
 #: Prefix of every key that fuchsiahatch writes in the key-value service.
 KEY_PREFIX = "fuchsiahatch/"
+#: A home keeps keys and answers for this time after their last change.
+RETENTION_MS = 900_000
+#: Time from a ticket's making or a binding in which a caller may retry its key.
+RETRY_WINDOW_MS = 600_000
+#: Homes that a ticket names.
+TICKET_HOMES = 3
+#: Memory of a home for one team's keys and kept answers.
+TEAM_LEDGER_BYTES = 16_777_216
+#: Bindings that one entry writes to the key-value service in a second.
+BINDING_WRITES_PER_S = 20
+#: How long a stopping entry goes on telling callers to use another one.
+LEAVE_LINGER_MS = 1_500
--- /dev/null
+++ b/packages/delivery/src/fuchsiahatch_delivery/bindings.py
@@ -0,0 +1,137 @@
+"""Binding a key to homes in the key-value service, for callers without a ticket."""
+
+import dataclasses
+import hashlib
+import typing as t
+
+from fuchsiahatch_core.codes import Code
+from fuchsiahatch_core.defaults import KEY_PREFIX, RETRY_AFTER_MS
+from fuchsiahatch_core.exceptions import RefusedError, RequestError
+from fuchsiahatch_delivery.tickets import Ticket, decode_ticket, encode_ticket
+
+_MAX_CREATES = 2
+_DIGEST_BYTES = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Create:
+    """Write the value if the key is absent; the reply is a `Write`."""
+
+    key: str
+    value: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Read:
+    """Read the key; the reply is a `Found`."""
+
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Write:
+    """What came of a create; None when its answer was lost."""
+
+    created: bool | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Found:
+    """What a read gave; None when the service gave no answer."""
+
+    value: bytes | None
+
+
+Binding = t.Generator[Create | Read, Write | Found, Ticket]
+
+
+def binding_key(team: str, key: str) -> str:
+    """Return the service's key for a caller's key."""
+    name = f"{len(team)}/{team}/{key}".encode()
+    digest = hashlib.blake2b(name, digest_size=_DIGEST_BYTES).hexdigest()
+    return f"{KEY_PREFIX}bindings/{digest}"
+
+
+def bind(team: str, key: str, ticket: Ticket) -> Binding:
+    """Bind a key to a ticket's homes, or learn which it is bound to.
+
+    Parameters
+    ----------
+    team, key : str
+    ticket : Ticket
+        Made now; taken if the key is not bound yet.
+
+    Yields
+    ------
+    Create or Read
+
+    Returns
+    -------
+    Ticket
+        The same for every try of the key.
+
+    Raises
+    ------
+    RefusedError
+        When the service gives no answer; this try started nothing.
+    """
+    name = binding_key(team, key)
+    for _ in range(_MAX_CREATES):
+        write = yield Create(name, encode_ticket(ticket).encode())
+        if write.created:
+            return ticket
+        # A create whose answer was lost may have taken effect, for this try or for
+        # another one: to go on with the own ticket could name a second home. What
+        # the service holds decides, and it binds the key to homes, not to a try.
+        found = yield Read(name)
+        if found.value:
+            return _bound(found.value, ticket)
+        if found.value is None:
+            break
+    detail = "the key-value service can't bind the key now; come back, or use a ticket"
+    raise RefusedError(detail, Code.SERVICE_UNAVAILABLE, RETRY_AFTER_MS)
+
+
+def _bound(value: bytes, own: Ticket) -> Ticket:
+    ticket = decode_ticket(value.decode("ascii", "replace"))
+    if ticket.target != own.target:
+        detail = f"the key began with a request to {ticket.target!r}"
+        raise RequestError(detail, Code.KEY_REUSED)
+    return ticket
+
+
+class SharedLease:
+    """Says when the lease that new bindings share must be granted anew.
+
+    Parameters
+    ----------
+    ttl_ms : int
+        Time that each lease is granted for.
+    life_ms : int
+        Time that each binding must live.
+
+    Notes
+    -----
+    One lease serves the bindings of several minutes, so that a binding costs the
+    service one write and not two.
+
+    .. versionadded:: 0.1
+    """
+
+    __slots__ = ("_asked_ms", "_lease_id", "_spare_ms")
+
+    def __init__(self, ttl_ms: int, life_ms: int) -> None:
+        self._spare_ms = ttl_ms - life_ms
+        self._lease_id: int | None = None
+        self._asked_ms = 0
+
+    def current(self, now_ms: int) -> int | None:
+        """Return the lease to use, or None when a new one is needed."""
+        if self._lease_id is None or now_ms - self._asked_ms >= self._spare_ms:
+            return None
+        return self._lease_id
+
+    def granted(self, lease_id: int, asked_ms: int) -> None:
+        """Take a new lease; its life counts from when it was asked for."""
+        self._lease_id = lease_id
+        self._asked_ms = asked_ms
--- /dev/null
+++ b/packages/delivery/src/fuchsiahatch_delivery/ledger.py
@@ -0,0 +1,384 @@
+"""A home's ledger: what became of each key, so that none runs twice here."""
+
+import collections
+import dataclasses
+import itertools
+import typing as t
+
+from automat import TypeMachineBuilder
+
+from fuchsiahatch_core.codes import Code
+from fuchsiahatch_core.defaults import (
+    RETENTION_MS,
+    RETRY_AFTER_MS,
+    TEAM_LEDGER_BYTES,
+)
+from fuchsiahatch_core.exceptions import AttemptError, RefusedError, RequestError
+from fuchsiahatch_core.identities import AttemptId
+from fuchsiahatch_delivery.keys import LedgerKey
+from fuchsiahatch_delivery.verdicts import Verdict
+
+#: What a row costs beside its answer, with room to spare.
+_ROW_BYTES = 1_024
+_MAX_FENCED_ATTEMPTS = 65_536
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeptAnswer:
+    """A finished answer, kept for retries.
+
+    Attributes
+    ----------
+    status : int
+    headers : tuple of (str, str)
+    pieces : tuple of bytes
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    pieces: tuple[bytes, ...]
+
+    @property
+    def size_bytes(self) -> int:
+        """Memory that the answer takes, near enough."""
+        named = sum(len(name) + len(value) for name, value in self.headers)
+        return named + sum(map(len, self.pieces))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunOrder:
+    """An entry's order to run a key.
+
+    Attributes
+    ----------
+    key : LedgerKey
+    attempt : AttemptId
+    fingerprint : bytes
+    issued_ms : int
+        Reading of this home's clock that the entry's ticket holds.
+    """
+
+    key: LedgerKey
+    attempt: AttemptId
+    fingerprint: bytes
+    issued_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """The key is new here: queue it, then ask `Ledger.dispatch`."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Follow:
+    """The key is queued or running: hand on the answer as it comes."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replay:
+    """The key is done: hand on the kept answer."""
+
+    answer: KeptAnswer
+
+
+Step = Start | Follow | Replay
+
+
+class KeyLife(t.Protocol):
+    """What may happen to a key."""
+
+    def dispatch(self) -> bool:
+        """Give it to the upstream, unless that is forbidden."""
+
+    def finish(self) -> None:
+        """Note the whole answer."""
+
+    def lose(self) -> None:
+        """Note that the answer is not to be had."""
+
+    def fence(self) -> bool:
+        """Forbid the upstream, unless it has been given the key."""
+
+    def verdict(self) -> Verdict:
+        """Return what became of the key."""
+
+
+class _Nothing:
+    """The machine's core; the row keeps the data."""
+
+
+def _build_life() -> t.Callable[[_Nothing], KeyLife]:
+    builder = TypeMachineBuilder(KeyLife, _Nothing)
+    queued = builder.state("queued")
+    dispatched = builder.state("dispatched")
+    done = builder.state("done")
+    lost = builder.state("lost")
+    fenced = builder.state("fenced")
+    queued.upon(KeyLife.dispatch).to(dispatched).returns(True)
+    queued.upon(KeyLife.fence).to(fenced).returns(True)
+    fenced.upon(KeyLife.fence).loop().returns(True)
+    dispatched.upon(KeyLife.finish).to(done).returns(None)
+    dispatched.upon(KeyLife.lose).to(lost).returns(None)
+    for state in (dispatched, done, lost, fenced):
+        state.upon(KeyLife.dispatch).loop().returns(False)
+    for state in (dispatched, done, lost):
+        state.upon(KeyLife.fence).loop().returns(False)
+    verdicts = (
+        (queued, Verdict.NOT_RUN),
+        (dispatched, Verdict.RUNNING),
+        (done, Verdict.DONE),
+        (lost, Verdict.UNKNOWN),
+        (fenced, Verdict.NOT_RUN),
+    )
+    for state, verdict in verdicts:
+        state.upon(KeyLife.verdict).loop().returns(verdict)
+    return builder.build()
+
+
+_begin_life = _build_life()
+
+
+@dataclasses.dataclass(slots=True)
+class _Row:
+    life: KeyLife
+    fingerprint: bytes
+    attempt: AttemptId | None
+    settled_ms: int | None = None
+    fenced: bool = False
+    answer: KeptAnswer | None = None
+
+    @property
+    def size_bytes(self) -> int:
+        return _ROW_BYTES + (self.answer.size_bytes if self.answer else 0)
+
+
+class Ledger:
+    """Remembers keys and fenced attempts for one life of a home.
+
+    Parameters
+    ----------
+    incarnation : str
+        This life of the home.
+    team_bytes : int, optional
+        Memory for one team's keys and answers.
+    retention_ms : int, optional
+        How long a key that is neither queued nor running is kept.
+
+    Notes
+    -----
+    .. versionadded:: 0.1
+    """
+
+    __slots__ = (
+        "_fenced_attempts",
+        "_incarnation",
+        "_retention_ms",
+        "_rows",
+        "_settled",
+        "_team_bytes",
+        "_used_bytes",
+    )
+
+    def __init__(
+        self,
+        incarnation: str,
+        team_bytes: int = TEAM_LEDGER_BYTES,
+        retention_ms: int = RETENTION_MS,
+    ) -> None:
+        self._incarnation = incarnation
+        self._team_bytes = team_bytes
+        self._retention_ms = retention_ms
+        self._rows: dict[LedgerKey, _Row] = {}
+        self._settled: collections.deque[tuple[int, LedgerKey]] = collections.deque()
+        self._fenced_attempts: dict[AttemptId, int] = {}
+        self._used_bytes: collections.Counter[str] = collections.Counter()
+
+    def check_home(self, incarnation: str) -> None:
+        """Check that a question is meant for this life of the home.
+
+        Raises
+        ------
+        RefusedError
+            When it is meant for another.
+        """
+        # A restarted home has forgotten what ran: a retry would look new to it, and
+        # a fence set by it would say nothing of the life before.
+        if incarnation != self._incarnation:
+            detail = "this home was restarted since the key was bound to it"
+            raise RefusedError(detail, Code.WRONG_HOME, 0)
+
+    def begin(self, order: RunOrder, now_ms: int) -> Step:
+        """Take an order to run a key.
+
+        Raises
+        ------
+        RequestError
+            When the key began with another request.
+        RefusedError
+            When the key or the attempt is fenced, or there is no memory for it.
+        AttemptError
+            When the key ran and its answer is not to be had, or it may have been
+            forgotten.
+        """
+        self._expire(now_ms)
+        if order.attempt in self._fenced_attempts:
+            # An order that was held up on its way comes after its entry was told
+            # NOT_RUN; to run it now would run a request that was said not to be.
+            raise RefusedError("this attempt was resolved as not run", Code.NOT_RUN, 0)
+        row = self._rows.get(order.key)
+        if row is not None:
+            return self._step(row, order.fingerprint)
+        if now_ms - order.issued_ms >= self._retention_ms:
+            # A retry that was held up for longer than keys are kept finds no row
+            # and looks new; to run it could be the second run. The ticket was made
+            # before any row, so a row can only be gone when the ticket is as old.
+            detail = "the ticket is older than this home remembers keys"
+            raise AttemptError(detail, Code.TICKET_EXPIRED)
+        self._reserve(order.key.team)
+        life = _begin_life(_Nothing())
+        self._rows[order.key] = _Row(life, order.fingerprint, order.attempt)
+        return Start()
+
+    def dispatch(self, key: LedgerKey, attempt: AttemptId) -> bool:
+        """Ask, as the last step before the upstream, whether an attempt may run."""
+        row = self._rows.get(key)
+        # A key that was resolved while queued may be queued anew by a later attempt:
+        # the earlier one, said not to have run, must not run on the later one's row.
+        return row is not None and row.attempt == attempt and row.life.dispatch()
+
+    def release(self, key: LedgerKey, attempt: AttemptId) -> None:
+        """Forget a key that was refused before it was dispatched."""
+        row = self._rows.get(key)
+        if row is not None and row.attempt == attempt and not row.fenced:
+            self._drop(key)
+
+    def finish(self, key: LedgerKey, answer: KeptAnswer, now_ms: int) -> None:
+        """Keep the whole answer of a key, if there is room for it."""
+        row = self._rows[key]
+        row.life.finish()
+        self._settle(key, row, now_ms)
+        team = key.team
+        if self._used_bytes[team] + answer.size_bytes <= self._team_bytes:
+            row.answer = answer
+            self._used_bytes[team] += answer.size_bytes
+
+    def lose(self, key: LedgerKey, now_ms: int) -> None:
+        """Note that a dispatched key brought no whole answer."""
+        row = self._rows[key]
+        row.life.lose()
+        self._settle(key, row, now_ms)
+
+    def resolve(self, key: LedgerKey, attempt: AttemptId, now_ms: int) -> Verdict:
+        """Say what became of an attempt, and fence it when it hasn't run.
+
+        Returns
+        -------
+        Verdict
+            NOT_RUN holds for ever: the attempt is refused when it comes later.
+        """
+        self._expire(now_ms)
+        row = self._rows.get(key)
+        if row is not None and not row.fenced and row.attempt != attempt:
+            # Another attempt under the same key is queued or has run.
+            verdict = row.life.verdict()
+            return Verdict.RUNNING if verdict is Verdict.NOT_RUN else verdict
+        if row is not None and row.life.verdict() is not Verdict.NOT_RUN:
+            return row.life.verdict()
+        if len(self._fenced_attempts) >= _MAX_FENCED_ATTEMPTS:
+            return Verdict.UNKNOWN
+        self._fenced_attempts[attempt] = now_ms
+        if row is not None and not row.fenced:
+            # It is taken out of the queue: `dispatch` finds no row.
+            self._drop(key)
+        return Verdict.NOT_RUN
+
+    def fence(self, key: LedgerKey, now_ms: int) -> Verdict:
+        """Forbid a key in this life of the home, unless it has been dispatched.
+
+        Returns
+        -------
+        Verdict
+            NOT_RUN when it is fenced, else what became of it.
+        """
+        self._expire(now_ms)
+        row = self._rows.get(key)
+        if row is None:
+            self._reserve(key.team)
+            row = _Row(_begin_life(_Nothing()), b"", None)
+            self._rows[key] = row
+        if row.life.fence() and not row.fenced:
+            row.fenced = True
+            self._settle(key, row, now_ms)
+        return row.life.verdict()
+
+    def find(self, key: LedgerKey, fingerprint: bytes, now_ms: int) -> Step | None:
+        """Look for a key without running it.
+
+        Returns
+        -------
+        Follow, Replay or None
+            None when no run of it is known here.
+
+        Raises
+        ------
+        RequestError
+            When the key began with another request.
+        AttemptError
+            When it ran and its answer is not to be had.
+        """
+        self._expire(now_ms)
+        row = self._rows.get(key)
+        if row is None or row.fenced:
+            return None
+        return self._step(row, fingerprint)
+
+    def used_bytes(self, team: str) -> int:
+        """Return the memory that a team's keys take."""
+        return self._used_bytes[team]
+
+    def _step(self, row: _Row, fingerprint: bytes) -> Step:
+        if row.fenced:
+            raise RefusedError("this key is fenced at this home", Code.FENCED, 0)
+        if row.fingerprint != fingerprint:
+            detail = "the key began with another request; use a new key for a new one"
+            raise RequestError(detail, Code.KEY_REUSED)
+        verdict = row.life.verdict()
+        if verdict is Verdict.DONE and row.answer is not None:
+            return Replay(row.answer)
+        if verdict is Verdict.DONE:
+            detail = "the request ran; its answer was too long to keep"
+            raise AttemptError(detail, Code.ANSWER_NOT_KEPT)
+        if verdict is Verdict.UNKNOWN:
+            detail = "the request may have run; its upstream gave no whole answer"
+            raise AttemptError(detail, Code.UNKNOWN)
+        return Follow()
+
+    def _reserve(self, team: str) -> None:
+        if self._used_bytes[team] + _ROW_BYTES > self._team_bytes:
+            # To evict a key in place of refusing would let a retry of it run again.
+            detail = f"this home remembers no more keys of team {team!r} for now"
+            raise RefusedError(detail, Code.LEDGER_FULL, RETRY_AFTER_MS)
+        self._used_bytes[team] += _ROW_BYTES
+
+    def _drop(self, key: LedgerKey) -> None:
+        row = self._rows.pop(key)
+        self._used_bytes[key.team] -= row.size_bytes
+        if not self._used_bytes[key.team]:
+            del self._used_bytes[key.team]
+
+    def _settle(self, key: LedgerKey, row: _Row, now_ms: int) -> None:
+        row.settled_ms = now_ms
+        self._settled.append((now_ms, key))
+
+    def _expire(self, now_ms: int) -> None:
+        oldest_ms = now_ms - self._retention_ms
+        while self._settled and self._settled[0][0] <= oldest_ms:
+            settled_ms, key = self._settled.popleft()
+            row = self._rows.get(key)
+            if row is not None and row.settled_ms == settled_ms:
+                self._drop(key)
+        fenced = itertools.takewhile(
+            lambda item: item[1] <= oldest_ms, self._fenced_attempts.items()
+        )
+        for attempt, _ in list(fenced):
+            del self._fenced_attempts[attempt]
--- /dev/null
+++ b/packages/delivery/src/fuchsiahatch_delivery/limits.py
@@ -0,0 +1,32 @@
+"""A token bucket on the clock of its caller."""
+
+
+class TokenBucket:
+    """Lets a rate through, and bursts of one second's worth.
+
+    Parameters
+    ----------
+    rate_per_s : int
+    now_ms : int
+
+    Notes
+    -----
+    .. versionadded:: 0.1
+    """
+
+    __slots__ = ("_filled_ms", "_rate_per_s", "_tokens")
+
+    def __init__(self, rate_per_s: int, now_ms: int) -> None:
+        self._rate_per_s = rate_per_s
+        self._tokens = float(rate_per_s)
+        self._filled_ms = now_ms
+
+    def take(self, now_ms: int) -> bool:
+        """Take one token, if there is one."""
+        gained = (now_ms - self._filled_ms) * self._rate_per_s / 1000
+        self._tokens = min(float(self._rate_per_s), self._tokens + gained)
+        self._filled_ms = now_ms
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
--- /dev/null
+++ b/packages/delivery/src/fuchsiahatch_delivery/moves.py
@@ -0,0 +1,117 @@
+"""What an entry's walk asks for, what comes back, and the word it ends with."""
+
+import dataclasses
+import enum
+import typing as t
+
+from fuchsiahatch_core.codes import Code
+from fuchsiahatch_core.identities import Home
+from fuchsiahatch_delivery.verdicts import Verdict
+
+
+class Standing(enum.Enum):
+    """How an entry sees a home.
+
+    Attributes
+    ----------
+    SERVING
+        It may be given the request.
+    LEAVING
+        It is leaving, or the placement records allow it no more.
+    GONE
+        It is silent for too long, replaced or off the list.
+    """
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+class Ask(enum.Enum):
+    """What the walk asks of a home.
+
+    Attributes
+    ----------
+    RUN
+        Run the request, or hand on what its key came to.
+    RESOLVE
+        Say what became of the last attempt, and fence it if it hasn't run.
+    FENCE
+        Forbid the key, unless it has run.
+    FIND
+        Hand on what the key came to, without running it.
+    """
+
+    RUN = "run"
+    RESOLVE = "resolve"
+    FENCE = "fence"
+    FIND = "find"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Move:
+    """One question to one home."""
+
+    ask: Ask
+    home: Home
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """The whole answer has gone to the caller."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The home refused, or had no answer to give."""
+
+    verdict: Verdict
+    code: Code
+    detail: str
+    retry_after_ms: int | None = None
+    first_byte_sent: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Broken:
+    """The hop to the home broke, or there was none."""
+
+    detail: str
+    first_byte_sent: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Told:
+    """The home's word on an attempt or a key."""
+
+    verdict: Verdict
+
+
+Reply = Answered | Refused | Broken | Told
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Word:
+    """The final word on a request.
+
+    Attributes
+    ----------
+    verdict : Verdict
+        NOT_RUN, UNKNOWN or DONE.
+    code : Code
+    detail : str
+    retry_after_ms : int or None
+    whole_key : bool
+        Whether NOT_RUN holds for every try under the key, not for this one alone.
+    """
+
+    verdict: Verdict
+    code: Code = Code.OK
+    detail: str = ""
+    retry_after_ms: int | None = None
+    whole_key: bool = False
+
+
+DONE = Word(Verdict.DONE)
+
+Walk = t.Generator[Move, Reply, Word]
--- /dev/null
+++ b/packages/delivery/src/fuchsiahatch_delivery/walks.py
@@ -0,0 +1,205 @@
+"""The entry's walk from home to home, as generators of moves."""
+
+import typing as t
+
+from fuchsiahatch_core.codes import Code
+from fuchsiahatch_core.defaults import RETRY_AFTER_MS
+from fuchsiahatch_core.identities import Home
+from fuchsiahatch_delivery.moves import (
+    DONE,
+    Answered,
+    Ask,
+    Broken,
+    Move,
+    Refused,
+    Reply,
+    Standing,
+    Told,
+    Walk,
+    Word,
+)
+from fuchsiahatch_delivery.verdicts import Verdict
+
+_MAX_RUNS_AT_HOME = 2
+_MAX_HOMES_WITHOUT_KEY = 3
+_ENDED = (Verdict.RUNNING, Verdict.DONE)
+#: Refusals after which the key is fenced at the home and goes on to the next.
+_MOVING_ON = frozenset((Code.LEAVING, Code.FENCED, Code.NO_ALLOWED_PLACE))
+
+
+def walk_key(
+    order: t.Sequence[Home], standing_of: t.Callable[[Home], Standing]
+) -> Walk:
+    """Take a key along its homes.
+
+    Parameters
+    ----------
+    order : sequence of Home
+        In the key's rendezvous order; every try takes the same.
+    standing_of : callable
+        How the entry sees a home at that moment.
+
+    Yields
+    ------
+    Move
+        To be answered by a reply.
+
+    Returns
+    -------
+    Word
+    """
+    for number, home in enumerate(order):
+        end = yield from _try_home(home, standing_of(home))
+        if end is Standing.GONE:
+            return (yield from _ask_rest(order[number + 1 :]))
+        if isinstance(end, Word):
+            return end
+    detail = "every home of the key is leaving and has fenced it; take a new ticket"
+    return Word(Verdict.NOT_RUN, Code.LEAVING, detail, RETRY_AFTER_MS, whole_key=True)
+
+
+def walk_without_key(
+    choose: t.Callable[[frozenset[str]], Home | None],
+    may_retry: t.Callable[[], bool],
+    idempotent: bool,
+) -> Walk:
+    """Take a request without a key to upstreams.
+
+    Parameters
+    ----------
+    choose : callable
+        Returns a home on none of the given hosts, or None when none is left.
+    may_retry : callable
+        Asks the retry budget and the deadline.
+    idempotent : bool
+        Whether the request may run more than once.
+
+    Yields
+    ------
+    Move
+
+    Returns
+    -------
+    Word
+    """
+    tried: set[str] = set()
+    word = Word(
+        Verdict.NOT_RUN, Code.OVERLOADED, "every candidate has refused", RETRY_AFTER_MS
+    )
+    while len(tried) < _MAX_HOMES_WITHOUT_KEY:
+        home = choose(frozenset(tried))
+        if home is None or (tried and not may_retry()):
+            break
+        tried.add(home.host)
+        end = yield from _try_once(home, idempotent)
+        if end.verdict is Verdict.DONE or not _may_go_on(end, idempotent):
+            return end
+        word = end
+    return word
+
+
+def _try_home(home: Home, standing: Standing) -> t.Generator[Move, Reply, t.Any]:
+    """Return a word, or LEAVING to go on to the next home, or GONE."""
+    if standing is Standing.GONE:
+        return Standing.GONE
+    if standing is Standing.LEAVING:
+        return (yield from _fence(home))
+    for _ in range(_MAX_RUNS_AT_HOME):
+        reply = yield Move(Ask.RUN, home)
+        if isinstance(reply, Broken) and not reply.first_byte_sent:
+            reply = yield Move(Ask.RESOLVE, home)
+            if isinstance(reply, Broken):
+                return Standing.GONE
+        if isinstance(reply, Told) and reply.verdict in _ENDED:
+            return (yield from _find(home))
+        if isinstance(reply, Refused) and reply.code is Code.WRONG_HOME:
+            return Standing.GONE
+        if isinstance(reply, Refused) and reply.code in _MOVING_ON:
+            return (yield from _fence(home))
+        if not _is_not_run(reply):
+            break
+    return _word_of(reply)
+
+
+def _fence(home: Home) -> t.Generator[Move, Reply, t.Any]:
+    # To go on without the home's own word would let a late order of an earlier try
+    # run the key here while the next home runs it too: two holds for one member.
+    reply = yield Move(Ask.FENCE, home)
+    if isinstance(reply, Told) and reply.verdict is Verdict.NOT_RUN:
+        return Standing.LEAVING
+    if isinstance(reply, Told) and reply.verdict in _ENDED:
+        return (yield from _find(home))
+    if isinstance(reply, Broken) or getattr(reply, "code", None) is Code.WRONG_HOME:
+        return Standing.GONE
+    return _word_of(reply)
+
+
+def _find(home: Home) -> t.Generator[Move, Reply, Word]:
+    reply = yield Move(Ask.FIND, home)
+    if isinstance(reply, Refused) and reply.code is Code.NOT_FOUND:
+        return _unknown("the key's answer is no longer at its home")
+    return _word_of(reply)
+
+
+def _ask_rest(rest: t.Sequence[Home]) -> Walk:
+    # A home that has died took its memory along: whether it ran the key, nobody
+    # knows. An earlier try may have found it leaving, fenced the key there and gone
+    # on, so the rest is asked; but to run the key there could be the second run.
+    for home in rest:
+        reply = yield Move(Ask.FIND, home)
+        if isinstance(reply, Answered):
+            return DONE
+        if isinstance(reply, Broken) and reply.first_byte_sent:
+            return _word_of(reply)
+        if isinstance(reply, Refused) and reply.code is Code.KEY_REUSED:
+            return _word_of(reply)
+    return _unknown("the home of the key is gone; whether it ran is not known")
+
+
+def _try_once(home: Home, idempotent: bool) -> Walk:
+    reply = yield Move(Ask.RUN, home)
+    broken = isinstance(reply, Broken) and not reply.first_byte_sent
+    if not broken or idempotent:
+        return _word_of(reply)
+    reply = yield Move(Ask.RESOLVE, home)
+    if isinstance(reply, Told) and reply.verdict in _ENDED:
+        return (yield from _find(home))
+    return _word_of(reply)
+
+
+def _may_go_on(word: Word, idempotent: bool) -> bool:
+    if word.code is Code.TRUNCATED:
+        return False
+    if word.verdict is Verdict.NOT_RUN:
+        return int(word.code) >= Code.NO_ALLOWED_PLACE
+    return idempotent
+
+
+def _is_not_run(reply: Reply) -> bool:
+    if isinstance(reply, Told):
+        return reply.verdict is Verdict.NOT_RUN
+    return isinstance(reply, Refused) and reply.code is Code.NOT_RUN
+
+
+def _word_of(reply: Reply) -> Word:
+    if isinstance(reply, Answered):
+        return DONE
+    if isinstance(reply, Broken) and reply.first_byte_sent:
+        return Word(Verdict.UNKNOWN, Code.TRUNCATED, reply.detail, RETRY_AFTER_MS)
+    if isinstance(reply, Refused):
+        return _word_of_refusal(reply)
+    if isinstance(reply, Told) and reply.verdict is Verdict.NOT_RUN:
+        detail = "the home was asked again and again, and ran nothing"
+        return Word(Verdict.NOT_RUN, Code.NOT_RUN, detail, RETRY_AFTER_MS)
+    return _unknown("the hop to the upstream broke; whether it ran is not known")
+
+
+def _word_of_refusal(reply: Refused) -> Word:
+    if reply.first_byte_sent:
+        return Word(Verdict.UNKNOWN, Code.TRUNCATED, reply.detail, RETRY_AFTER_MS)
+    verdict = reply.verdict if reply.verdict is Verdict.NOT_RUN else Verdict.UNKNOWN
+    return Word(verdict, reply.code, reply.detail, reply.retry_after_ms)
+
+
+def _unknown(detail: str) -> Word:
+    return Word(Verdict.UNKNOWN, Code.UNKNOWN, detail, RETRY_AFTER_MS)
