--- a/packages/daemon/src/fuchsiahatch_daemon/web.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/web.py
@@ -122,7 +122,9 @@
     except FuchsiahatchError as fault:
         if request.startedWriting:
             _break_off(request, fault)
-            return b""
+            # To return would let klein write the last chunk behind the error, and
+            # half an answer would look whole. The lost connection cancels the wait.
+            await asyncio.get_running_loop().create_future()
         return write_error(request, fault)
     except Exception as fault:
         log_event(Event.INTERNAL_ERROR, detail=repr(fault))
