Bad input is coded, bodies stay in memory, an unreachable upstream is not run

Cause, each seen in a run against a real entry: a key with a byte beyond ASCII answered 500 INTERNAL (event 1004) in place of 400; unknown paths answered HTML. By reading: twisted spools a body over 100,000 bytes into a file, on hosts without disks; a decoded path could carry "?" or a line end into the upstream's request.

A connection that never came about is now NOT_RUN: the ledger withdraws the key and the walk fences it there and goes on. Ruled out: treating every failed send so (a lost answer may have run).

--- a/packages/daemon/src/fuchsiahatch_daemon/callers.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/callers.py
@@ -35,6 +35,7 @@
 _REPEATABLE_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
 _PASSED_HEADERS = ("Content-Type", "Accept", KEY_HEADER)
 _MAX_KEY_CHARACTERS = 255
+_SEGMENTS_BEFORE_PATH = 3
 _LOOKUP_ARGUMENTS = ("team", "model", "service")
 
 
@@ -77,6 +78,7 @@
 def make_app(role: "EntryRole") -> Klein:
     """Make the klein application of one entry."""
     app = Klein()
+    web.answer_unrouted(app)
 
     async def lookup(request: "Request") -> bytes:
         rows = role.entry_rows()
@@ -104,9 +106,9 @@
         await role.serve(checked, _forward(request))
         return b""
 
-    async def call_service(request: "Request", name: str, path: str = "") -> bytes:
+    async def call_service(request: "Request", name: str, path: str) -> bytes:
         close_when_leaving(request)
-        checked = read_service_call(request, name, path)
+        checked = read_service_call(request, name)
         say_retry_window(request, checked)
         await role.serve(checked, _forward(request))
         return b""
@@ -171,7 +173,7 @@
     body = _read_body(request)
     try:
         document = json.loads(body)
-    except ValueError as fault:
+    except (ValueError, RecursionError) as fault:
         raise RequestError(f"the body is not JSON: {fault}", Code.BAD_BODY) from fault
     model = document.get("model") if isinstance(document, dict) else None
     if not isinstance(model, str) or not model:
@@ -183,7 +185,7 @@
     )
 
 
-def read_service_call(request: "Request", name: str, path: str) -> CallerRequest:
+def read_service_call(request: "Request", name: str) -> CallerRequest:
     """Check a call to a plain service.
 
     Raises
@@ -192,14 +194,12 @@
         Saying what to change.
     """
     body = _read_body(request)
-    _, mark, query = request.uri.decode("ascii").partition("?")
     repeatable = request.method.decode() in _REPEATABLE_METHODS
     name, _, version = name.partition("@")
     # A repeatable call needs no home: its key is only passed on.
     key = "" if repeatable else _read_key(request)
-    return _caller_request(
-        request, Target(name, version), f"/{path}{mark}{query}", body, key, repeatable
-    )
+    path = _read_path(request)
+    return _caller_request(request, Target(name, version), path, body, key, repeatable)
 
 
 def _caller_request(
@@ -220,7 +220,7 @@
         key=key,
         deadline_ms=_read_deadline(request),
         idempotent=idempotent,
-        ticket=request.getHeader(TICKET_HEADER) or "",
+        ticket=_read_header(request, TICKET_HEADER) or "",
     )
 
 
@@ -237,15 +237,36 @@
     return body
 
 
+def _read_header(request: "Request", name: str) -> str | None:
+    raw = request.getHeader(name.encode())
+    if raw is None:
+        return None
+    text = raw.decode("latin-1")
+    if not text.isascii() or not text.isprintable():
+        detail = f"header {name} may hold only printable ASCII"
+        raise RequestError(detail, Code.BAD_HEADER)
+    return text
+
+
+def _read_path(request: "Request") -> str:
+    # As it was sent: decoded, an escaped "?" or line end would become a real one in
+    # the upstream's request line.
+    uri = request.uri.decode("latin-1")
+    if not uri.isascii() or not uri.isprintable() or " " in uri:
+        detail = "the path may hold only printable ASCII; escape the rest with %"
+        raise RequestError(detail, Code.BAD_REQUEST)
+    return "/" + uri.split("/", _SEGMENTS_BEFORE_PATH)[-1]
+
+
 def _read_team(request: "Request") -> str:
-    team = request.getHeader(TEAM_HEADER)
+    team = _read_header(request, TEAM_HEADER)
     if not team:
         raise RequestError(f"header {TEAM_HEADER} is missing", Code.BAD_HEADER)
     return team
 
 
 def _read_key(request: "Request") -> str:
-    key = request.getHeader(KEY_HEADER) or ""
+    key = _read_header(request, KEY_HEADER) or ""
     if len(key) > _MAX_KEY_CHARACTERS:
         detail = f"{KEY_HEADER} is longer than {_MAX_KEY_CHARACTERS} characters"
         raise RequestError(detail, Code.BAD_HEADER)
@@ -253,7 +274,7 @@
 
 
 def _read_deadline(request: "Request") -> int:
-    text = request.getHeader(DEADLINE_HEADER)
+    text = _read_header(request, DEADLINE_HEADER)
     if text is None:
         return DEADLINE_MS
     if not text.isascii() or not text.isdigit() or not 0 < int(text) <= MAX_DEADLINE_MS:
@@ -263,7 +284,7 @@
 
 
 def _passed_headers(request: "Request") -> tuple[tuple[str, str], ...]:
-    found = ((name, request.getHeader(name)) for name in _PASSED_HEADERS)
+    found = ((name, _read_header(request, name)) for name in _PASSED_HEADERS)
     return tuple((name, value) for name, value in found if value is not None)
 
 
--- a/packages/daemon/src/fuchsiahatch_daemon/keyedruns.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/keyedruns.py
@@ -147,6 +147,10 @@
             return
         try:
             answer = await self._record(request, recording)
+        except RefusedError as fault:
+            self._ledger.withdraw(order.key, order.attempt)
+            self._end(order.key, recording, fault)
+            return
         except Exception as fault:
             self._ledger.lose(order.key, self._clock.now_ms())
             self._end(order.key, recording, _as_attempt_error(fault))
--- a/packages/daemon/src/fuchsiahatch_daemon/standings.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/standings.py
@@ -1,6 +1,5 @@
 """How this entry sees the homes: who may be given a key, and which a ticket names."""
 
-import dataclasses
 import random
 import typing as t
 
@@ -10,6 +9,7 @@
 from fuchsiahatch_core.identities import Home, Offer
 from fuchsiahatch_delivery.moves import Standing
 from fuchsiahatch_delivery.tickets import Ticket, TicketHome
+from fuchsiahatch_placement.records import parse_offer
 from fuchsiahatch_routing.candidates import Target, Upstream, find_candidates, judge
 
 if t.TYPE_CHECKING:
@@ -52,40 +52,48 @@
 
     def standing(self, home: Home, team: str, target: Target) -> Standing:
         """Return how a home stands for a team's request."""
-        view = self._view(home.host)
+        view = self._view(home)
         if view is None or _is_gone(view, home):
             return Standing.GONE
-        upstream = self._upstream(home.host)
-        if upstream is None or upstream.leaving:
-            return Standing.LEAVING
-        if self.offer(home, team, target) is None:
+        if view.leaving or self.offer(home, team, target) is None:
             return Standing.LEAVING
         return Standing.SERVING
 
     def is_silent(self, home: Home) -> bool:
         """Return whether nothing is heard of a home in this life."""
-        view = self._view(home.host)
-        if view is None or view.report is None:
-            return True
-        return not view.live or view.report.incarnation != home.incarnation
+        view = self._view(home)
+        return view is None or view.report is None or _is_gone(view, home)
 
     def offer(self, home: Home, team: str, target: Target) -> Offer | None:
-        """Return what a home may serve a request with, None when not allowed."""
-        upstream = self._upstream(home.host)
-        if upstream is None:
+        """Return what a home may serve a request with, None when not allowed.
+
+        Raises
+        ------
+        FuchsiahatchError
+            When the team is unknown or closed.
+        """
+        view = self._view(home)
+        if view is None:
             return None
-        # A home that has just been heard of, or no more, may still hold the key.
-        seen = dataclasses.replace(upstream, live=True, leaving=False)
-        return judge(self._configuration.snapshot, [seen], team, target)[0].offer
+        # Whether it is live or leaving is no matter here: it may hold the key.
+        upstream = Upstream(
+            home=home,
+            zone=view.row.zone,
+            address=view.row.rpc_address,
+            offers=frozenset(map(parse_offer, view.row.offers)),
+            live=True,
+            leaving=False,
+        )
+        return judge(self._configuration.snapshot, [upstream], team, target)[0].offer
 
     def address(self, home: Home) -> str | None:
         """Return the ``ip:port`` of a home's host, None when it is off the list."""
-        view = self._view(home.host)
+        view = self._view(home)
         return view.row.rpc_address if view is not None else None
 
     def read_clock_ms(self, home: Home) -> int:
         """Return the last reading of a home's own clock."""
-        view = self._view(home.host)
+        view = self._view(home)
         return view.report.clock_ms if view and view.report else 0
 
     def make_ticket(self, team: str, target: Target) -> Ticket:
@@ -107,13 +115,8 @@
             raise RefusedError(detail, Code.NO_LIVE_UPSTREAM, RETRY_AFTER_MS)
         return Ticket(team, target.name, rows)
 
-    def _upstream(self, host: str) -> Upstream | None:
-        found = (one for one in self._selection.upstreams() if one.home.host == host)
-        return next(found, None)
-
-    def _view(self, host: str) -> "HostView | None":
-        views = self._hosts.table.views("agent", self._clock.now_ms())
-        return next((view for view in views if view.row.host == host), None)
+    def _view(self, home: Home) -> "HostView | None":
+        return self._hosts.table.view(home.host, self._clock.now_ms())
 
 
 def _is_gone(view: "HostView", home: Home) -> bool:
--- a/packages/daemon/src/fuchsiahatch_daemon/web.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/web.py
@@ -2,18 +2,25 @@
 
 import asyncio
 import functools
+import io
 import json
 import math
 import typing as t
 
 from twisted.internet import endpoints, reactor
 from twisted.internet.defer import Deferred
+from twisted.web.server import Request as ServerRequest
 from twisted.web.server import Site
+from werkzeug.exceptions import HTTPException
 
 from fuchsiahatch_core.codes import Code
-from fuchsiahatch_core.defaults import RETRY_AFTER_MS
+from fuchsiahatch_core.defaults import MAX_BODY_BYTES, RETRY_AFTER_MS
 from fuchsiahatch_core.events import Event, log_event
-from fuchsiahatch_core.exceptions import FuchsiahatchError, RefusedError
+from fuchsiahatch_core.exceptions import (
+    FuchsiahatchError,
+    RefusedError,
+    RequestError,
+)
 from fuchsiahatch_daemon.settings import split_address
 
 if t.TYPE_CHECKING:
@@ -44,12 +51,47 @@
     Code.IN_PROGRESS: 409,
     Code.INTERNAL: 500,
 }
+_METHOD_NOT_ALLOWED = 405
 _CALLER_FAULTS = range(100, 200)
 _RECORD_FAULTS = range(400, 404)
 _BAD_REQUEST = 400
 _UNAVAILABLE = 503
 
 
+class MemoryRequest(ServerRequest):
+    """Keeps a request's body in memory, up to one byte beyond the limit.
+
+    Notes
+    -----
+    twisted spools a long body into a file; the hosts have no disks, and a caller
+    that sends without end would fill whatever stands in for one.
+
+    .. versionadded:: 0.1
+    """
+
+    def gotLength(self, length: int | None) -> None:
+        """Make room for the body."""
+        self.content = io.BytesIO()
+
+    def handleContentChunk(self, data: bytes) -> None:
+        """Keep a piece of the body, as far as it fits."""
+        room = MAX_BODY_BYTES + 1 - self.content.tell()
+        self.content.write(data[:room])
+
+
+def answer_unrouted(app: "Klein") -> None:
+    """Answer paths and methods that an application doesn't know with coded errors."""
+
+    @app.handle_errors(HTTPException)
+    def answer(request: "Request", failure: t.Any) -> bytes:
+        method, path = request.method.decode("latin-1"), request.path.decode("latin-1")
+        detail = f"there is no {method} {path}"
+        body = write_error(request, RequestError(detail, Code.NOT_FOUND))
+        if failure.value.code == _METHOD_NOT_ALLOWED:
+            request.setResponseCode(_METHOD_NOT_ALLOWED)
+        return body
+
+
 def status_of(code: Code) -> int:
     """Return the HTTP status that goes with a result code."""
     if code in _STATUS_BY_CODE:
@@ -109,7 +151,7 @@
     """Serve a klein application at ``ip:port``."""
     ip, port = split_address(address)
     endpoint = endpoints.TCP4ServerEndpoint(reactor, port, interface=ip)
-    return endpoint.listen(Site(app.resource()))
+    return endpoint.listen(Site(app.resource(), requestFactory=MemoryRequest))
 
 
 async def _guarded(
--- a/packages/delivery/src/fuchsiahatch_delivery/ledger.py
+++ b/packages/delivery/src/fuchsiahatch_delivery/ledger.py
@@ -96,6 +96,9 @@
     def lose(self) -> None:
         """Note that the answer is not to be had."""
 
+    def withdraw(self) -> bool:
+        """Take it back, unless its end is known."""
+
     def fence(self) -> bool:
         """Forbid the upstream, unless it has been given the key."""
 
@@ -111,6 +114,7 @@
     builder = TypeMachineBuilder(KeyLife, _Nothing)
     queued = builder.state("queued")
     dispatched = builder.state("dispatched")
+    withdrawn = builder.state("withdrawn")
     done = builder.state("done")
     lost = builder.state("lost")
     fenced = builder.state("fenced")
@@ -119,8 +123,11 @@
     fenced.upon(KeyLife.fence).loop().returns(True)
     dispatched.upon(KeyLife.finish).to(done).returns(None)
     dispatched.upon(KeyLife.lose).to(lost).returns(None)
+    dispatched.upon(KeyLife.withdraw).to(withdrawn).returns(True)
     for state in (dispatched, done, lost, fenced):
         state.upon(KeyLife.dispatch).loop().returns(False)
+    for state in (queued, done, lost, fenced):
+        state.upon(KeyLife.withdraw).loop().returns(False)
     for state in (dispatched, done, lost):
         state.upon(KeyLife.fence).loop().returns(False)
     verdicts = (
@@ -252,6 +259,12 @@
         if row is not None and row.attempt == attempt and not row.fenced:
             self._drop(key)
 
+    def withdraw(self, key: LedgerKey, attempt: AttemptId) -> None:
+        """Forget a key whose order surely never reached the upstream."""
+        row = self._rows.get(key)
+        if row is not None and row.attempt == attempt and row.life.withdraw():
+            self._drop(key)
+
     def finish(self, key: LedgerKey, answer: KeptAnswer, now_ms: int) -> None:
         """Keep the whole answer of a key, if there is room for it."""
         row = self._rows[key]
--- a/packages/delivery/src/fuchsiahatch_delivery/walks.py
+++ b/packages/delivery/src/fuchsiahatch_delivery/walks.py
@@ -24,7 +24,9 @@
 _MAX_HOMES_WITHOUT_KEY = 3
 _ENDED = (Verdict.RUNNING, Verdict.DONE)
 #: Refusals after which the key is fenced at the home and goes on to the next.
-_MOVING_ON = frozenset((Code.LEAVING, Code.FENCED, Code.NO_ALLOWED_PLACE))
+_MOVING_ON = frozenset(
+    (Code.LEAVING, Code.FENCED, Code.NO_ALLOWED_PLACE, Code.NO_LIVE_UPSTREAM)
+)
 
 
 def walk_key(
--- a/packages/membership/src/fuchsiahatch_membership/hosts.py
+++ b/packages/membership/src/fuchsiahatch_membership/hosts.py
@@ -113,6 +113,11 @@
         """Return the hosts of a role with liveness judged at a time."""
         return [self._view(row, now_ms) for row in self.rows(role)]
 
+    def view(self, host: str, now_ms: int) -> HostView | None:
+        """Return one host with liveness judged at a time, None when off the list."""
+        row = self._rows.get(host)
+        return None if row is None else self._view(row, now_ms)
+
     def _view(self, row: HostRow, now_ms: int) -> HostView:
         report = self._reports.get(row.host)
         if report is None:
--- a/packages/platform/src/fuchsiahatch_platform/upstream.py
+++ b/packages/platform/src/fuchsiahatch_platform/upstream.py
@@ -6,10 +6,12 @@
 
 import treq
 from twisted.internet import protocol, reactor
+from twisted.internet.error import ConnectError
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
 
 from fuchsiahatch_core.codes import Code
-from fuchsiahatch_core.exceptions import AttemptError
+from fuchsiahatch_core.defaults import RETRY_AFTER_MS
+from fuchsiahatch_core.exceptions import AttemptError, RefusedError
 
 _HOP_BY_HOP = frozenset(
     ("connection", "keep-alive", "transfer-encoding", "content-length", "te", "upgrade")
@@ -93,6 +95,8 @@
         ------
         AttemptError
             When no head arrives; the request may have run.
+        RefusedError
+            When no connection comes about, so that nothing was sent.
         """
         loop = asyncio.get_running_loop()
         sent = treq.request(
@@ -105,6 +109,9 @@
         )
         try:
             response = await sent.asFuture(loop)
+        except ConnectError as fault:
+            detail = f"the upstream can't be reached: {type(fault).__name__}"
+            raise RefusedError(detail, Code.NO_LIVE_UPSTREAM, RETRY_AFTER_MS) from fault
         except Exception as fault:
             detail = f"no answer from the upstream: {type(fault).__name__}"
             raise AttemptError(detail, Code.UPSTREAM_FAILED) from fault
--- a/packages/standins/src/fuchsiahatch_standins/engine.py
+++ b/packages/standins/src/fuchsiahatch_standins/engine.py
@@ -43,6 +43,7 @@
         body = json.loads(request.content.read())
         request.setHeader("Fuchsiahatch-Place", f"{zone}/{host}")
         words = _answer_words(body, body.get("max_tokens", tokens))
+        request.notifyFinish().addErrback(lambda _: counter.note_cancelled())
         write = _stream if body.get("stream") else _whole
         work = write(request, words, token_ms, body["model"])
         return Deferred.fromFuture(asyncio.ensure_future(work))
--- a/packages/standins/src/fuchsiahatch_standins/runs.py
+++ b/packages/standins/src/fuchsiahatch_standins/runs.py
@@ -19,11 +19,12 @@
     .. versionadded:: 0.1
     """
 
-    __slots__ = ("by_key", "total")
+    __slots__ = ("by_key", "cancelled", "total")
 
     def __init__(self) -> None:
         self.by_key: collections.Counter[str] = collections.Counter()
         self.total = 0
+        self.cancelled = 0
 
     def note(self, request: "Request") -> None:
         """Count one run."""
@@ -32,6 +33,10 @@
         if key:
             self.by_key[key] += 1
 
+    def note_cancelled(self) -> None:
+        """Count one run whose caller went away before its end."""
+        self.cancelled += 1
+
 
 def add_routes(app: "Klein", counter: RunCounter) -> None:
     """Let tests read the counts at ``/runs``."""
@@ -39,5 +44,9 @@
     @app.route("/runs")
     def runs(request: "Request") -> bytes:
         request.setHeader("Content-Type", "application/json")
-        answer = {"total": counter.total, "by_key": counter.by_key}
+        answer = {
+            "total": counter.total,
+            "cancelled": counter.cancelled,
+            "by_key": counter.by_key,
+        }
         return json.dumps(answer).encode()
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -87,12 +87,12 @@
 
     def runs(self):
         """Return the runs of each key at each engine, as the engines count them."""
-        return {
-            host: json.loads(
-                ask(self.settings[host]["upstream"]["url"][7:], "GET", "/runs")[1]
-            )["by_key"]
-            for host in HOSTS[2:]
-        }
+        return {host: self.counts(host)["by_key"] for host in HOSTS[2:]}
+
+    def counts(self, host):
+        address = self.settings[host]["upstream"]["url"].removeprefix("http://")
+        status, content = ask(address, "GET", "/runs")
+        return json.loads(content) if status else {"by_key": {}}
 
     def total_runs(self, key):
         return sum(by_key.get(key, 0) for by_key in self.runs().values())
--- a/tests/processes/test_signals.py
+++ b/tests/processes/test_signals.py
@@ -1,8 +1,10 @@
 import concurrent.futures
+import itertools
 import json
 import signal
 import unittest
 
+from fuchsiahatch_delivery.tickets import decode_ticket
 from tests.processes.fleet import Fleet, wait_until
 
 FIRST, SECOND = "entry-kl-a", "entry-kl-b"
@@ -68,6 +70,17 @@
             "the answer is to be had again",
         )
         self.assertEqual(self.fleet.total_runs("k1"), 1)
+        self.check_upstream_gone(home)
+
+    def check_upstream_gone(self, home):
+        """Kill the engine beside a living agent; its keys go on, once."""
+        self.fleet.signal(f"upstream-{home}", signal.SIGKILL)
+        self.fleet.wait_exit(f"upstream-{home}")
+        ticket = decode_ticket(self.ticket)
+        names = (f"n{number}" for number in itertools.count())
+        key = next(one for one in names if ticket.rank(one)[0].home.host == home)
+        self.assertEqual(self.fleet.send(SECOND, key, self.ticket)[0], 200)
+        self.assertEqual(self.fleet.total_runs(key), 1)
 
 
 class TestStop(SignalCase):
