--- a/packages/daemon/src/fuchsiahatch_daemon/dispatch.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/dispatch.py
@@ -15,6 +15,7 @@
 from fuchsiahatch_core.identities import Home
 from fuchsiahatch_daemon.binder import Binder
 from fuchsiahatch_daemon.hops import Errand, Hops, Send
+from fuchsiahatch_daemon.retries import Retries
 from fuchsiahatch_daemon.standings import Standings
 from fuchsiahatch_delivery.keys import fingerprint_of
 from fuchsiahatch_delivery.moves import Reply, Standing, Walk, Word
@@ -27,6 +28,7 @@
     from fuchsiahatch_daemon.callers import CallerRequest
     from fuchsiahatch_daemon.configuration import Configuration
     from fuchsiahatch_daemon.selection import Selection
+    from fuchsiahatch_routing.candidates import Candidate
 
 _LAST_CALLER_CODE = 199
 
@@ -63,6 +65,7 @@
         self._hops = hops
         self._binder = binder
         self._clock = clock
+        self.retries = Retries(clock)
 
     async def serve(self, request: "CallerRequest", send: Send) -> None:
         """Serve one request, handing the frames of its answer on as they come.
@@ -75,6 +78,7 @@
         if not self._configuration.fresh:
             detail = "no placement records are known here yet"
             raise RefusedError(detail, Code.NOT_FRESH, RETRY_AFTER_MS)
+        self.retries.note_request()
         errand = self._make_errand(request, send)
         try:
             async with asyncio.timeout(request.deadline_ms / 1000):
@@ -117,13 +121,25 @@
         return walk_key([one.home for one in order], standing_of)
 
     def _walk_without_key(self, request: "CallerRequest") -> Walk:
+        chosen: list[Candidate] = []
+
         def choose(tried: frozenset[str]) -> Home | None:
             candidate = self._selection.select(
                 request.team, request.target, request.body, tried
             )
-            return candidate.upstream.home if candidate else None
+            if candidate is None:
+                return None
+            chosen.append(candidate)
+            return candidate.upstream.home
+
+        def spend(word: Word | None) -> None:
+            if word is None:
+                return
+            fault = _fault_of(word)
+            self._selection.note_refusal(chosen[-2], fault)
+            self.retries.spend(fault)
 
-        return walk_without_key(choose, _note_retry, request.idempotent)
+        return walk_without_key(choose, spend, request.idempotent)
 
     def _make_errand(self, request: "CallerRequest", send: Send) -> Errand:
         end_ms = self._clock.now_ms() + request.deadline_ms
@@ -139,11 +155,6 @@
         )
 
 
-def _note_retry(word: Word | None) -> None:
-    if word is not None:
-        log_event(Event.ATTEMPT_RETRIED, code=int(word.code))
-
-
 def _deadline_passed(errand: Errand) -> FuchsiahatchError:
     if not errand.sent:
         detail = "the deadline passed before any upstream was asked"
--- a/packages/daemon/src/fuchsiahatch_daemon/entry.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/entry.py
@@ -14,6 +14,7 @@
 from fuchsiahatch_daemon.dispatch import Dispatcher
 from fuchsiahatch_daemon.hops import Hops, Send
 from fuchsiahatch_daemon.hostwatch import HostWatch
+from fuchsiahatch_daemon.metrics import Metrics, add_route
 from fuchsiahatch_daemon.openwork import OpenWork
 from fuchsiahatch_daemon.selection import Selection
 from fuchsiahatch_daemon.settings import Settings
@@ -63,16 +64,24 @@
                 self._channels,
                 self.standings,
                 lambda: self.configuration.snapshot.revision,
+                self.selection.note_frame,
             ),
             Binder(key_value, self._clock),
             self._clock,
         )
+        self.metrics = Metrics(self._clock)
+        self.metrics.knows_team = lambda team: (
+            team in (self.configuration.snapshot.placements)
+        )
+        self.dispatcher.retries.note_retry = self.metrics.note_retry
 
     async def start(self) -> None:
         """Read the platform's word and serve callers."""
         self.hosts.start()
         self.configuration.start()
-        listening = web.listen(make_app(self), self.settings.http_address)
+        app = make_app(self)
+        add_route(app, self.metrics)
+        listening = web.listen(app, self.settings.http_address)
         self._port = await listening.asFuture(asyncio.get_running_loop())
 
     async def stop(self) -> None:
@@ -117,5 +126,5 @@
         if self._stopping:
             detail = "this entry is stopping; look up another one"
             raise RefusedError(detail, Code.LEAVING, RETRY_AFTER_MS)
-        with self._requests.one():
-            await self.dispatcher.serve(request, send)
+        with self._requests.one(), self.metrics.watch(request.team) as watch:
+            await self.dispatcher.serve(request, watch.around(send))
--- a/packages/daemon/src/fuchsiahatch_daemon/hops.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/hops.py
@@ -82,6 +82,8 @@
     standings : Standings
     read_revision : callable
         The placement revision that this entry decides on.
+    note_frame : callable
+        Given the host and each frame, to learn the agent's load.
 
     Notes
     -----
@@ -93,6 +95,7 @@
         "_counter",
         "_host",
         "_incarnation",
+        "_note_frame",
         "_read_revision",
         "_standings",
     )
@@ -104,12 +107,14 @@
         channels: rpc.Channels,
         standings: "Standings",
         read_revision: t.Callable[[], int],
+        note_frame: t.Callable[[str, attempts_pb2.Frame], None],
     ) -> None:
         self._host = host
         self._incarnation = incarnation
         self._channels = channels
         self._standings = standings
         self._read_revision = read_revision
+        self._note_frame = note_frame
         self._counter = itertools.count(1)
 
     async def ask(self, move: Move, errand: Errand) -> Reply:
@@ -179,13 +184,21 @@
         try:
             async with self._while_heard_of(home), opened as stream:
                 await stream.send_message(message, end=True)
-                return await _take_frames(stream, intake, errand.send)
+                frames = self._noted(stream, home)
+                return await _take_frames(frames, intake, errand.send)
         except AttemptError as fault:
             return Broken(fault.detail, intake.first_byte_sent)
         except Exception as fault:
             detail = f"the hop to {home.host} broke: {type(fault).__name__}"
             return Broken(detail, intake.first_byte_sent)
 
+    async def _noted(
+        self, stream: "Stream[t.Any, t.Any]", home: Home
+    ) -> t.AsyncIterator[attempts_pb2.Frame]:
+        async for frame in stream:
+            self._note_frame(home.host, frame)
+            yield frame
+
     @contextlib.asynccontextmanager
     async def _while_heard_of(self, home: Home) -> t.AsyncIterator[None]:
         # A paused agent keeps its connection open: without this a caller would wait
@@ -217,9 +230,9 @@
 
 
 async def _take_frames(
-    stream: "Stream[t.Any, t.Any]", intake: Intake, send: Send
+    frames: t.AsyncIterator[attempts_pb2.Frame], intake: Intake, send: Send
 ) -> Reply:
-    async for frame in stream:
+    async for frame in frames:
         if not intake.accepts(rpc.from_wire_attempt(frame.attempt), frame.sequence):
             log_event(Event.STRANGER_DROPPED, counter=frame.attempt.counter)
             continue
