--- a/packages/delivery/src/fuchsiahatch_delivery/verdicts.py
+++ b/packages/delivery/src/fuchsiahatch_delivery/verdicts.py
@@ -1,4 +1,4 @@
-"""The final words on an attempt, and what may follow each."""
+"""The final words on an attempt."""
 
 import enum
 
@@ -22,20 +22,3 @@
     UNKNOWN = 2
     DONE = 3
     RUNNING = 4
-
-
-def may_retry(verdict: Verdict, idempotent: bool, first_byte_sent: bool) -> bool:
-    """Return whether a request may be tried at another upstream.
-
-    Parameters
-    ----------
-    verdict : Verdict
-        Of the last attempt.
-    idempotent : bool
-        Whether the request may run more than once.
-    first_byte_sent : bool
-        Whether the caller has had a byte of the last attempt's answer.
-    """
-    if first_byte_sent:
-        return False
-    return verdict is Verdict.NOT_RUN or idempotent
