--- a/packages/core/src/fuchsiahatch_core/exceptions.py
+++ b/packages/core/src/fuchsiahatch_core/exceptions.py
@@ -87,6 +87,10 @@
     code = Code.SERVICE_UNAVAILABLE
 
 
+class UnsentError(PlatformError):
+    """A call never reached its service, so it had no effect."""
+
+
 class AmbiguousWriteError(PlatformError):
     """A write's answer was lost: it may have taken effect."""
 
--- a/packages/platform/src/fuchsiahatch_platform/http.py
+++ b/packages/platform/src/fuchsiahatch_platform/http.py
@@ -1,16 +1,53 @@
 """JSON calls to platform services, with time limits and typed errors."""
 
 import asyncio
+import contextlib
 import json
 import typing as t
 
 import treq
-from twisted.internet import reactor
+from twisted.internet import endpoints, error, protocol, reactor
+from twisted.protocols import basic
 from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.iweb import IAgentEndpointFactory
+from zope.interface import implementer
 
-from fuchsiahatch_core.exceptions import PlatformError
+from fuchsiahatch_core.exceptions import PlatformError, UnsentError
+
+if t.TYPE_CHECKING:
+    from twisted.python.failure import Failure
+    from twisted.web.client import URI
+    from twisted.web.iweb import IResponse
 
 _STATUS_CLIENT_FAULT = 400
+# A value of a megabyte, in base64 and with its JSON around it.
+_MAX_LINE_BYTES = 2_097_152
+_NEVER_CONNECTED = (error.ConnectError, error.TimeoutError)
+
+
+@implementer(IAgentEndpointFactory)
+class NumberedEndpoints:
+    """Connects to IP numbers without a resolver, which would start threads.
+
+    Parameters
+    ----------
+    timeout_ms : int
+        Time that connecting may take.
+
+    Notes
+    -----
+    .. versionadded:: 0.2
+    """
+
+    __slots__ = ("_timeout_s",)
+
+    def __init__(self, timeout_ms: int) -> None:
+        self._timeout_s = timeout_ms / 1000
+
+    def endpointForURI(self, uri: "URI") -> endpoints.TCP4ClientEndpoint:
+        """Return the endpoint of a URI whose host is an IP number."""
+        host = uri.host.decode()
+        return endpoints.TCP4ClientEndpoint(reactor, host, uri.port, self._timeout_s)
 
 
 class HttpCaller:
@@ -21,12 +58,17 @@
     timeout_ms : int
         Time that one call may take.
 
+    Attributes
+    ----------
+    sent_bytes, received_bytes : int
+        Bodies so far, without HTTP's own heads.
+
     Notes
     -----
     .. versionadded:: 0.1
     """
 
-    __slots__ = ("_agent", "_pool", "_timeout_ms")
+    __slots__ = ("_agent", "_pool", "_timeout_ms", "received_bytes", "sent_bytes")
 
     def __init__(self, timeout_ms: int = 1_000) -> None:
         self._timeout_ms = timeout_ms
@@ -34,7 +76,10 @@
         self._pool.maxPersistentPerHost = 8
         # A retry inside the pool would repeat a write whose answer was lost.
         self._pool.retryAutomatically = False
-        self._agent = Agent(reactor, pool=self._pool, connectTimeout=timeout_ms / 1000)
+        factory = NumberedEndpoints(timeout_ms)
+        self._agent = Agent.usingEndpointFactory(reactor, factory, self._pool)
+        self.sent_bytes = 0
+        self.received_bytes = 0
 
     async def call(
         self,
@@ -47,6 +92,8 @@
 
         Raises
         ------
+        UnsentError
+            When no connection came about, so the call had no effect.
         PlatformError
             When there is no answer in time, or not a usable one.
         """
@@ -58,23 +105,99 @@
         except PlatformError:
             raise
         except Exception as fault:
-            raise PlatformError(f"{method} {url}: {type(fault).__name__}") from fault
+            raise _platform_error(method, url, fault) from fault
+
+    async def lines(
+        self, method: str, url: str, body: t.Any = None
+    ) -> t.AsyncIterator[t.Any]:
+        """Make one call and yield its answer's JSON lines until it ends or breaks.
+
+        Raises
+        ------
+        PlatformError
+            When there is no usable answer.
+        """
+        try:
+            response = await asyncio.wait_for(
+                self._request(method, url, body), self._timeout_ms / 1000
+            )
+            if response.code >= _STATUS_CLIENT_FAULT:
+                await self._read_whole(method, url, response)
+            async with contextlib.aclosing(self._lines_of(response)) as lines:
+                async for line in lines:
+                    yield json.loads(line)
+        except PlatformError:
+            raise
+        except Exception as fault:
+            raise _platform_error(method, url, fault) from fault
+
+    async def close(self) -> None:
+        """Close the kept connections."""
+        closing = self._pool.closeCachedConnections()
+        await closing.asFuture(asyncio.get_running_loop())
 
     async def _call(self, method: str, url: str, body: t.Any) -> t.Any:
-        loop = asyncio.get_running_loop()
+        response = await self._request(method, url, body)
+        return await self._read_whole(method, url, response)
+
+    async def _request(self, method: str, url: str, body: t.Any) -> "IResponse":
         data = None if body is None else json.dumps(body).encode()
+        self.sent_bytes += len(data or b"")
         headers = {"Content-Type": "application/json"}
         requested = treq.request(
-            method, url, data=data, headers=headers, agent=self._agent
+            method,
+            url,
+            data=data,
+            headers=headers,
+            agent=self._agent,
+            unbuffered=True,
         )
-        response = await requested.asFuture(loop)
+        return await requested.asFuture(asyncio.get_running_loop())
+
+    async def _read_whole(self, method: str, url: str, response: "IResponse") -> t.Any:
+        loop = asyncio.get_running_loop()
         content = await treq.content(response).asFuture(loop)
+        self.received_bytes += len(content)
         if response.code >= _STATUS_CLIENT_FAULT:
-            detail = content[:200].decode("utf-8", "replace")
+            detail = content[:500].decode("utf-8", "replace")
             raise PlatformError(f"{method} {url}: status {response.code}: {detail}")
         return json.loads(content) if content else None
 
-    async def close(self) -> None:
-        """Close the kept connections."""
-        closing = self._pool.closeCachedConnections()
-        await closing.asFuture(asyncio.get_running_loop())
+    async def _lines_of(self, response: "IResponse") -> t.AsyncIterator[bytes]:
+        lines = _Lines()
+        response.deliverBody(lines)
+        try:
+            while (line := await lines.queue.get()) is not None:
+                self.received_bytes += len(line)
+                yield line
+        finally:
+            # Without this a watch that nobody reads stays open at the service
+            # and is counted there for ever.
+            lines.abort()
+
+
+class _Lines(basic.LineOnlyReceiver):
+    """Puts the lines of an answer on a queue; None ends it, however it ended."""
+
+    delimiter = b"\n"
+    MAX_LENGTH = _MAX_LINE_BYTES
+
+    def __init__(self) -> None:
+        self.queue: asyncio.Queue[bytes | None] = asyncio.Queue()
+
+    def lineReceived(self, line: bytes) -> None:
+        self.queue.put_nowait(line)
+
+    def connectionLost(self, reason: "Failure" = protocol.connectionDone) -> None:
+        self.queue.put_nowait(None)
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.loseConnection()
+
+
+def _platform_error(method: str, url: str, fault: Exception) -> PlatformError:
+    detail = f"{method} {url}: {type(fault).__name__}"
+    if isinstance(fault, _NEVER_CONNECTED):
+        return UnsentError(detail)
+    return PlatformError(detail)
