Heartbeats among entries by gossip; messages between entries

Cause: entries did not hear of each other at all: lookup on one entry named a leaving one until the host list changed.

--- a/packages/wire/src/fuchsiahatch_wire/peers_grpc.py
+++ b/packages/wire/src/fuchsiahatch_wire/peers_grpc.py
@@ -38,3 +38,63 @@
             fuchsiahatch_wire.peers_pb2.PullRequest,
             fuchsiahatch_wire.peers_pb2.PullReply,
         )
+
+
+class PeersBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Exchange(self, stream: 'grpclib.server.Stream[fuchsiahatch_wire.peers_pb2.Beats, fuchsiahatch_wire.peers_pb2.Beats]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Ask(self, stream: 'grpclib.server.Stream[fuchsiahatch_wire.peers_pb2.Question, fuchsiahatch_wire.peers_pb2.Answer]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Tell(self, stream: 'grpclib.server.Stream[fuchsiahatch_wire.peers_pb2.ReportRequest, fuchsiahatch_wire.peers_pb2.Report]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/fuchsiahatch.wire.Peers/Exchange': grpclib.const.Handler(
+                self.Exchange,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                fuchsiahatch_wire.peers_pb2.Beats,
+                fuchsiahatch_wire.peers_pb2.Beats,
+            ),
+            '/fuchsiahatch.wire.Peers/Ask': grpclib.const.Handler(
+                self.Ask,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                fuchsiahatch_wire.peers_pb2.Question,
+                fuchsiahatch_wire.peers_pb2.Answer,
+            ),
+            '/fuchsiahatch.wire.Peers/Tell': grpclib.const.Handler(
+                self.Tell,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                fuchsiahatch_wire.peers_pb2.ReportRequest,
+                fuchsiahatch_wire.peers_pb2.Report,
+            ),
+        }
+
+
+class PeersStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Exchange = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/fuchsiahatch.wire.Peers/Exchange',
+            fuchsiahatch_wire.peers_pb2.Beats,
+            fuchsiahatch_wire.peers_pb2.Beats,
+        )
+        self.Ask = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/fuchsiahatch.wire.Peers/Ask',
+            fuchsiahatch_wire.peers_pb2.Question,
+            fuchsiahatch_wire.peers_pb2.Answer,
+        )
+        self.Tell = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/fuchsiahatch.wire.Peers/Tell',
+            fuchsiahatch_wire.peers_pb2.ReportRequest,
+            fuchsiahatch_wire.peers_pb2.Report,
+        )
