Entries under the acceptance rules: service, peers, heartbeats, few watches

Cause: an entry was taken for fresh as soon as it had read any revision, knew no other entry, and lookup named a leaving entry until the host list changed. Now the daemon does what EntryConfiguration says: one conditional read of both segments a second, questions to the region's voters when the service is silent, a watch at two voters a region, news by heartbeats, pulls from whoever has more. Ruled out: reading the changed documents from the service at every entry on each news (it would cost the service a read for each entry and change at once).

--- a/demo/demo.sh
+++ b/demo/demo.sh
@@ -34,7 +34,8 @@
 
 standin="$python -m fuchsiahatch_standins"
 $standin layout "$run" --base-port "$base"
-start key-value $standin key-value "127.0.0.1:$((base + 300))" --placement "$run/placement.json"
+start key-value $standin key-value "127.0.0.1:$((base + 300))" \
+    --placement "$run/placement.json" --roster "$run/roster.json"
 start host-list $standin host-list "127.0.0.1:$((base + 301))" --hosts "$run/hosts.json"
 for file in "$run"/engine-*.json "$run"/hold-*.json "$run"/map-*.json; do
     name=$(basename "$file" .json)
--- a/packages/daemon/src/fuchsiahatch_daemon/entry.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/entry.py
@@ -9,9 +9,14 @@
 from fuchsiahatch_daemon.configuration import Configuration
 from fuchsiahatch_daemon.dispatch import Dispatcher, Send
 from fuchsiahatch_daemon.hostwatch import HostWatch
+from fuchsiahatch_daemon.peercalls import PeerCalls
+from fuchsiahatch_daemon.peers import Peers
 from fuchsiahatch_daemon.selection import Selection
 from fuchsiahatch_daemon.settings import Settings
+from fuchsiahatch_membership.heartbeats import ENTRY_SUSPECT_AFTER_MS
 from fuchsiahatch_membership.hosts import HostRow
+from fuchsiahatch_placement.acceptance import EntryConfiguration
+from fuchsiahatch_platform.budget import CallBudget
 from fuchsiahatch_platform.hostlist import HostListClient
 from fuchsiahatch_platform.http import HttpCaller
 from fuchsiahatch_platform.keyvalue import KeyValueClient
@@ -39,11 +44,28 @@
         self._clock = Clock()
         self._channels = rpc.Channels()
         caller = HttpCaller(settings.platform_timeout_ms)
-        key_value = KeyValueClient(settings.key_value_url, caller)
+        budget = CallBudget(self._clock)
+        key_value = KeyValueClient(settings.key_value_url, caller, budget)
         host_list = HostListClient(settings.host_list_url, caller)
         identity = (settings.host, self.incarnation)
-        self.configuration = Configuration(settings.segment, key_value)
         self.hosts = HostWatch(*identity, host_list, self._channels, self._clock)
+        calls = PeerCalls(self.hosts.table, self._channels)
+        self.configuration = Configuration(
+            EntryConfiguration(*identity, settings.region, settings.zone),
+            settings.segment,
+            key_value,
+            calls,
+            self._clock,
+        )
+        self.peers = Peers(
+            *identity,
+            settings.region,
+            self.hosts.table,
+            calls,
+            self.configuration,
+            self._clock,
+        )
+        self.peers.open_requests = lambda: self._open_requests
         self.selection = Selection(self.configuration, self.hosts, self._clock)
         self.dispatcher = Dispatcher(
             *identity, self.configuration, self.selection, self._channels
@@ -51,8 +73,10 @@
 
     async def start(self) -> None:
         """Read the platform's word and serve callers."""
+        self._server = await rpc.serve([self.peers], self.settings.rpc_address)
         self.hosts.start()
         self.configuration.start()
+        self.peers.start()
         listening = web.listen(make_app(self), self.settings.http_address)
         self._port = await listening.asFuture(asyncio.get_running_loop())
 
@@ -61,13 +85,17 @@
         self.leave()
         await self._idle.wait()
         self._port.stopListening()
+        self._server.close()
+        self.peers.stop()
         self.hosts.stop()
         self.configuration.stop()
         self._channels.close()
 
     def leave(self) -> None:
-        """Be named by lookup no more; open requests go on."""
-        self.leaving = True
+        """Be named by lookup no more, on any entry; open requests go on."""
+        if not self.leaving:
+            self.leaving = True
+            self.peers.leave()
 
     @property
     def ready(self) -> bool:
@@ -76,12 +104,13 @@
 
     def entry_rows(self) -> list[HostRow]:
         """Return the entries that callers may be sent to."""
-        own = self.settings.host
-        return [
-            row
-            for row in self.hosts.table.rows("entry")
-            if not row.leaving and not (row.host == own and self.leaving)
-        ]
+        views = self.hosts.table.views(
+            "entry", self._clock.now_ms(), ENTRY_SUSPECT_AFTER_MS
+        )
+        staying = [view for view in views if not view.leaving]
+        # One that was never heard of may be new; the list's word is all there is.
+        heard = [view for view in staying if view.live or view.report is None]
+        return [view.row for view in heard or staying]
 
     async def serve(self, request: CallerRequest, send: Send) -> None:
         """Serve one request, and count it as open until its end.
--- a/packages/daemon/src/fuchsiahatch_daemon/hostwatch.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/hostwatch.py
@@ -4,7 +4,10 @@
 import typing as t
 
 from fuchsiahatch_core.clock import Clock
-from fuchsiahatch_core.defaults import HEARTBEAT_MS
+from fuchsiahatch_core.defaults import HEARTBEAT_MS, SUSPECT_AFTER_MS
+from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_core.exceptions import PlatformError
+from fuchsiahatch_daemon.peercalls import CONNECTION_FAULTS
 from fuchsiahatch_daemon.rpc import Channels
 from fuchsiahatch_daemon.tasks import Tasks
 from fuchsiahatch_membership.hosts import HostReport, HostRow, HostTable
@@ -12,6 +15,9 @@
 from fuchsiahatch_wire import attempts_pb2
 from fuchsiahatch_wire.attempts_grpc import AttemptsStub
 
+if t.TYPE_CHECKING:
+    from grpclib.client import Stream
+
 
 class HostWatch:
     """Feeds a host table from the host list and from the agents' reports.
@@ -48,14 +54,25 @@
     def start(self) -> None:
         """Begin to poll and to watch."""
         self._tasks.repeat(self._poll, HEARTBEAT_MS)
+        self._tasks.repeat(self._watch_all, HEARTBEAT_MS)
 
     def stop(self) -> None:
         """End polling and watching."""
         self._tasks.cancel()
 
     async def _poll(self) -> None:
-        listed = await self._host_list.read()
+        try:
+            listed = await self._host_list.read()
+        except PlatformError as fault:
+            # The last reading stays: without rows no request could be placed
+            # while the list is away.
+            log_event(Event.HOST_LIST_FAILED, detail=fault.detail)
+            return
         self.table.replace_rows(map(_host_row, listed))
+        await self._watch_all()
+
+    async def _watch_all(self) -> None:
+        """Watch each listed agent that isn't watched, also one that came back."""
         for row in self.table.rows("agent"):
             watch = self._watches.get(row.host)
             if watch is None or watch.done():
@@ -66,14 +83,23 @@
         try:
             async with stub.Watch.open() as stream:
                 await stream.send_message(self._request, end=True)
-                async for report in stream:
+                while (report := await _next(stream)) is not None:
                     self.table.note_report(_host_report(report, self._clock.now_ms()))
-        except OSError:
+        except CONNECTION_FAULTS:
             pass
         finally:
             self.table.forget_report(row.host)
 
 
+async def _next(
+    stream: "Stream[attempts_pb2.WatchRequest, attempts_pb2.AgentReport]",
+) -> attempts_pb2.AgentReport | None:
+    # An agent's host that lost its power ends no connection: without a time
+    # limit the watch would wait on it for ever and miss the host's next life.
+    async with asyncio.timeout(SUSPECT_AFTER_MS / 1000):
+        return await stream.recv_message()
+
+
 def _host_row(listed: ListedHost) -> HostRow:
     return HostRow(
         host=listed.host,
--- a/packages/membership/src/fuchsiahatch_membership/hosts.py
+++ b/packages/membership/src/fuchsiahatch_membership/hosts.py
@@ -101,18 +101,25 @@
         """Drop a host's report, as when its connection broke."""
         self._reports.pop(host, None)
 
+    def row(self, host: str) -> HostRow | None:
+        """Return the listed host of a name."""
+        return self._rows.get(host)
+
     def rows(self, role: str) -> list[HostRow]:
         """Return the listed hosts of a role, by name."""
         chosen = (row for row in self._rows.values() if row.role == role)
         return sorted(chosen, key=lambda row: row.host)
 
-    def views(self, role: str, now_ms: int) -> list[HostView]:
+    def views(
+        self, role: str, now_ms: int, suspect_after_ms: int | None = None
+    ) -> list[HostView]:
         """Return the hosts of a role with liveness judged at a time."""
-        return [self._view(row, now_ms) for row in self.rows(role)]
+        limit_ms = suspect_after_ms or self._suspect_after_ms
+        return [self._view(row, now_ms, limit_ms) for row in self.rows(role)]
 
-    def _view(self, row: HostRow, now_ms: int) -> HostView:
+    def _view(self, row: HostRow, now_ms: int, suspect_after_ms: int) -> HostView:
         report = self._reports.get(row.host)
         if report is None:
             return HostView(row, None, live=False, leaving=row.leaving)
-        live = now_ms - report.heard_ms <= self._suspect_after_ms
+        live = now_ms - report.heard_ms <= suspect_after_ms
         return HostView(row, report, live, row.leaving or report.leaving)
--- a/packages/standins/src/fuchsiahatch_standins/__main__.py
+++ b/packages/standins/src/fuchsiahatch_standins/__main__.py
@@ -9,20 +9,22 @@
 from fuchsiahatch_standins.serving import serve
 
 _PLACEMENT_KEY = "fuchsiahatch/placement/main"
+_ROSTER_KEY = "fuchsiahatch/roster"
 
 
-def key_value(address: str, placement: str | None = None) -> None:
-    """Run the key-value service, with a first placement document where given."""
+def key_value(
+    address: str, placement: str | None = None, roster: str | None = None
+) -> None:
+    """Run the key-value service, with first documents where given."""
 
     def make_app():
         from fuchsiahatch_standins import keyvalue
 
         store = keyvalue.Store()
-        if placement is not None:
-            value = keyvalue.encode_key(pathlib.Path(placement).read_text("utf-8"))
-            store.transact(
-                [], [{"key": keyvalue.encode_key(_PLACEMENT_KEY), "value": value}]
-            )
+        for key, path in ((_PLACEMENT_KEY, placement), (_ROSTER_KEY, roster)):
+            if path is not None:
+                value = keyvalue.encode_key(pathlib.Path(path).read_text("utf-8"))
+                store.restore(keyvalue.encode_key(key), value)
         return keyvalue.make_app(store)
 
     serve(make_app, address)
--- a/packages/standins/src/fuchsiahatch_standins/layout.py
+++ b/packages/standins/src/fuchsiahatch_standins/layout.py
@@ -28,7 +28,8 @@
     Parameters
     ----------
     directory : str
-        Where the files go: ``<host>.json`` each, ``hosts.json`` and ``placement.json``.
+        Where the files go: ``<host>.json`` each, ``hosts.json``, ``placement.json`` and
+        ``roster.json``.
     base_port : int
         First of the loopback ports; the 400 from there on are used.
     """
@@ -39,6 +40,7 @@
         _write(folder / f"{settings['host']}.json", settings)
     _write(folder / "hosts.json", list(map(list_row, all_settings)))
     _write(folder / "placement.json", _placement())
+    _write(folder / "roster.json", roster_of(all_settings))
 
 
 def _all_settings(base_port: int) -> list[dict[str, t.Any]]:
@@ -94,6 +96,17 @@
     return {"revision": 1, "history": [], "records": gyms + skippers}
 
 
+def roster_of(all_settings: t.Iterable[dict[str, t.Any]]) -> dict[str, t.Any]:
+    """Return a first roster document with every entry as a voter."""
+    voters = [
+        {"region": one["region"], "zone": one["zone"], "host": one["host"]}
+        for one in all_settings
+        if one["role"] == "entry"
+    ]
+    rows = [{**voter, "listed": True, "was_listed": False} for voter in voters]
+    return {"revision": 1, "history": [], "records": rows}
+
+
 def _record(
     team: str, zones: t.Sequence[str], offers: t.Sequence[str], share_percent: int
 ) -> dict[str, t.Any]:
