Agents follow an entry's revisions and check each request's place again

Cause: an agent knew no placement at all, so a stale or faulty entry could have a request answered in a place that was just forbidden. Ruled out: agents reading the key-value service (5,600 of them would use up its reads); a second check only at the entry.

--- a/packages/daemon/src/fuchsiahatch_daemon/agent.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/agent.py
@@ -6,8 +6,11 @@
 
 from fuchsiahatch_core.identities import new_incarnation
 from fuchsiahatch_daemon import rpc, web
+from fuchsiahatch_daemon.following import Follower
 from fuchsiahatch_daemon.runner import Runner
 from fuchsiahatch_daemon.settings import Settings
+from fuchsiahatch_platform.hostlist import HostListClient
+from fuchsiahatch_platform.http import HttpCaller
 
 
 class AgentRole:
@@ -28,9 +31,17 @@
         self.incarnation = new_incarnation()
         self.settings = settings
         self.runner = Runner(settings.host, self.incarnation, settings.upstream)
+        self._channels = rpc.Channels()
+        caller = HttpCaller(settings.platform_timeout_ms)
+        host_list = HostListClient(settings.host_list_url, caller)
+        self.follower = Follower(
+            settings.zone, settings.segment, host_list, self._channels
+        )
+        self.runner.check = self.follower.check
 
     async def start(self) -> None:
-        """Serve gRPC and HTTP."""
+        """Follow the entries' configuration; serve gRPC and HTTP."""
+        self.follower.start()
         self._server = await rpc.serve([self.runner], self.settings.rpc_address)
         listening = web.listen(make_app(self), self.settings.http_address)
         self._port = await listening.asFuture(asyncio.get_running_loop())
@@ -42,6 +53,8 @@
         self._server.close()
         await self._server.wait_closed()
         self._port.stopListening()
+        self.follower.stop()
+        self._channels.close()
 
 
 def make_app(role: AgentRole) -> Klein:
--- a/packages/daemon/src/fuchsiahatch_daemon/entry.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/entry.py
@@ -11,6 +11,7 @@
 from fuchsiahatch_daemon.hostwatch import HostWatch
 from fuchsiahatch_daemon.peercalls import PeerCalls
 from fuchsiahatch_daemon.peers import Peers
+from fuchsiahatch_daemon.pulls import Pulls
 from fuchsiahatch_daemon.selection import Selection
 from fuchsiahatch_daemon.settings import Settings
 from fuchsiahatch_membership.heartbeats import ENTRY_SUSPECT_AFTER_MS
@@ -73,7 +74,8 @@
 
     async def start(self) -> None:
         """Read the platform's word and serve callers."""
-        self._server = await rpc.serve([self.peers], self.settings.rpc_address)
+        pulls = Pulls(self.configuration)
+        self._server = await rpc.serve([self.peers, pulls], self.settings.rpc_address)
         self.hosts.start()
         self.configuration.start()
         self.peers.start()
--- a/packages/daemon/src/fuchsiahatch_daemon/hostwatch.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/hostwatch.py
@@ -62,13 +62,13 @@
 
     async def _poll(self) -> None:
         try:
-            listed = await self._host_list.read()
+            rows = await read_rows(self._host_list)
         except PlatformError as fault:
             # The last reading stays: without rows no request could be placed
             # while the list is away.
             log_event(Event.HOST_LIST_FAILED, detail=fault.detail)
             return
-        self.table.replace_rows(map(_host_row, listed))
+        self.table.replace_rows(rows)
         await self._watch_all()
 
     async def _watch_all(self) -> None:
@@ -100,6 +100,17 @@
         return await stream.recv_message()
 
 
+async def read_rows(host_list: HostListClient) -> list[HostRow]:
+    """Read the host list in the words of membership.
+
+    Raises
+    ------
+    PlatformError
+        When the list can't be read.
+    """
+    return list(map(_host_row, await host_list.read()))
+
+
 def _host_row(listed: ListedHost) -> HostRow:
     return HostRow(
         host=listed.host,
--- a/packages/daemon/src/fuchsiahatch_daemon/runner.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/runner.py
@@ -18,6 +18,9 @@
     from grpclib.server import Stream
 
 
+Check = t.Callable[[attempts_pb2.RunRequest], t.Awaitable[None]]
+
+
 class Runner(AttemptsBase):
     """Admits attempts, runs them and streams their answers.
 
@@ -27,6 +30,11 @@
         Of this agent.
     upstream : UpstreamSettings
 
+    Attributes
+    ----------
+    check : callable
+        Refuses a request whose place is not allowed here; nothing by default.
+
     Notes
     -----
     .. versionadded:: 0.1
@@ -37,6 +45,7 @@
         self._incarnation = incarnation
         self.admission = Admission(upstream.limit)
         self._upstream = UpstreamClient(upstream.url)
+        self.check: Check = _allow
         self._closing = False
         self._changed = asyncio.Event()
 
@@ -59,6 +68,7 @@
         assert request is not None
         admission = self.admission
         try:
+            await self.check(request)
             await admission.enter(request.team, request.priority, request.deadline_ms)
         except FuchsiahatchError as fault:
             await stream.send_message(self._refusal(request, fault, Verdict.NOT_RUN))
@@ -169,5 +179,9 @@
         return attempts_pb2.Frame(attempt=request.attempt, refusal=refusal)
 
 
+async def _allow(request: attempts_pb2.RunRequest) -> None:
+    """Allow every place, as long as nobody knows better."""
+
+
 def _header(name: str, value: str) -> attempts_pb2.Header:
     return attempts_pb2.Header(name=name, value=value)
--- /dev/null
+++ b/tests/daemon/test_following.py
@@ -0,0 +1,96 @@
+import json
+import unittest
+
+from fuchsiahatch_core.codes import Code
+from fuchsiahatch_core.exceptions import RefusedError
+from fuchsiahatch_standins.keyvalue import encode_key
+from fuchsiahatch_standins.running import PLACEMENT_KEY, Running
+from fuchsiahatch_wire import attempts_pb2
+from tests.loopback import run
+
+ENTRIES = {"entry-a": "kl-a", "entry-b": "kl-b"}
+AGENTS = {"engine-a": "kl-a"}
+
+
+def record(*zones):
+    return {
+        "schema": 1,
+        "team": "gym-bangsar",
+        "zones": list(zones),
+        "offers": ["booking-assistant@2"],
+        "share_percent": 30,
+    }
+
+
+def request(revision, entry="entry-b", version="2"):
+    return attempts_pb2.RunRequest(
+        attempt=attempts_pb2.AttemptId(entry=entry, incarnation="1", counter=1),
+        team="gym-bangsar",
+        offer_name="booking-assistant",
+        offer_version=version,
+        revision=revision,
+    )
+
+
+class TestSecondCheck(unittest.TestCase):
+    def session(self, work):
+        async def go():
+            async with Running(ENTRIES, AGENTS, records=[record("kl-a")]) as running:
+                follower = running.agents["engine-a"].follower
+                await running.until(lambda: follower.snapshot.revision == 1)
+                await work(running, follower)
+
+        run(go())
+
+    def replace(self, running, revision, *zones):
+        document = {"revision": revision, "history": [], "records": [record(*zones)]}
+        value = encode_key(json.dumps(document))
+        running.store.restore(encode_key(PLACEMENT_KEY), value)
+
+    async def refusal(self, follower, asked):
+        with self.assertRaises(RefusedError) as seen:
+            await follower.check(asked)
+        return seen.exception.result
+
+    def test_a_stale_entry_is_refused(self):
+        """An operator forbids a zone; one entry hasn't heard of it and sends work.
+
+        The agent in that zone has heard of it from another entry. Without its own
+        check it would answer in a place that was just forbidden.
+        """
+
+        async def work(running, follower):
+            await follower.check(request(revision=1))
+            self.replace(running, 2, "kl-b")
+            await running.until(lambda: follower.snapshot.revision == 2)
+            stale = await self.refusal(follower, request(revision=1))
+            self.assertIs(stale, Code.STALE_REVISION)
+
+        self.session(work)
+
+    def test_a_faulty_entry_is_refused(self):
+        async def work(running, follower):
+            wrong = await self.refusal(follower, request(revision=1, version="3"))
+            self.assertIs(wrong, Code.NO_ALLOWED_PLACE)
+
+        self.session(work)
+
+    def test_learns_a_newer_revision_from_the_entry_that_has_it(self):
+        async def work(running, follower):
+            follower.stop()
+            self.replace(running, 2, "kl-a", "kl-b")
+            entry = running.entries["entry-b"].configuration
+            await running.until(lambda: entry.snapshot.revision == 2)
+            await follower.check(request(revision=2))
+            self.assertEqual(follower.snapshot.revision, 2)
+            unheard = await self.refusal(follower, request(revision=3))
+            self.assertIs(unheard, Code.STALE_REVISION)
+
+        self.session(work)
+
+    def test_knows_its_zone_s_shares(self):
+        async def work(running, follower):
+            self.assertEqual(follower.share_of("gym-bangsar"), 30)
+            self.assertEqual(follower.share_of("nobody"), 0)
+
+        self.session(work)
