Operators' command: apply, get, history, status, explain, check, roster, republish

Cause: operators could only look up, drain and see one line of status; records were written by hand into the service. apply shows the difference, swaps on the revision that was read (a whole document carries its own), shows who has acknowledged by region and zone, and ends accepted 0, refused 1, invalid 2, pending 3, conflict 4, undecided 5.

--- a/demo/demo.sh
+++ b/demo/demo.sh
@@ -51,6 +51,11 @@
 echo "== both deployments' requests"
 $python -m fuchsiahatch_standins.demo_calls --entry "127.0.0.1:$base"
 
+echo "== an operator moves a team into schema 2, and asks why requests go where they go"
+operate=".venv/bin/fuchsiahatch --entry 127.0.0.1:$base"
+$operate apply "$run/change.json" --summary "gym-subang in kl-b only"
+$operate explain gym-subang booking-assistant | grep -e host -e reason
+
 echo "== an agent and an entry leave under load"
 $python -m fuchsiahatch_standins.demo_calls --entry "127.0.0.1:$((base + 1))" --rounds 20 >"$run/load.txt" &
 load=$!
--- a/packages/daemon/src/fuchsiahatch_daemon/entry.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/entry.py
@@ -4,8 +4,9 @@
 
 from fuchsiahatch_core.clock import Clock
 from fuchsiahatch_core.identities import new_incarnation
-from fuchsiahatch_daemon import rpc, web
+from fuchsiahatch_daemon import operators, rpc, web
 from fuchsiahatch_daemon.callers import CallerRequest, make_app
+from fuchsiahatch_daemon.changes import Changes
 from fuchsiahatch_daemon.configuration import Configuration
 from fuchsiahatch_daemon.dispatch import Dispatcher, Send
 from fuchsiahatch_daemon.hostwatch import HostWatch
@@ -42,21 +43,21 @@
         self._open_requests = 0
         self._idle = asyncio.Event()
         self._idle.set()
-        self._clock = Clock()
+        self.clock = Clock()
         self._channels = rpc.Channels()
         caller = HttpCaller(settings.platform_timeout_ms)
-        budget = CallBudget(self._clock)
-        key_value = KeyValueClient(settings.key_value_url, caller, budget)
+        budget = CallBudget(self.clock)
+        self.key_value = KeyValueClient(settings.key_value_url, caller, budget)
         host_list = HostListClient(settings.host_list_url, caller)
         identity = (settings.host, self.incarnation)
-        self.hosts = HostWatch(*identity, host_list, self._channels, self._clock)
+        self.hosts = HostWatch(*identity, host_list, self._channels, self.clock)
         calls = PeerCalls(self.hosts.table, self._channels)
         self.configuration = Configuration(
             EntryConfiguration(*identity, settings.region, settings.zone),
             settings.segment,
-            key_value,
+            self.key_value,
             calls,
-            self._clock,
+            self.clock,
         )
         self.peers = Peers(
             *identity,
@@ -64,10 +65,11 @@
             self.hosts.table,
             calls,
             self.configuration,
-            self._clock,
+            self.clock,
         )
+        self.changes = Changes(self.configuration, self.key_value, calls, self.clock)
         self.peers.open_requests = lambda: self._open_requests
-        self.selection = Selection(self.configuration, self.hosts, self._clock)
+        self.selection = Selection(self.configuration, self.hosts, self.clock)
         self.dispatcher = Dispatcher(
             *identity, self.configuration, self.selection, self._channels
         )
@@ -79,7 +81,9 @@
         self.hosts.start()
         self.configuration.start()
         self.peers.start()
-        listening = web.listen(make_app(self), self.settings.http_address)
+        app = make_app(self)
+        operators.add_routes(app, self)
+        listening = web.listen(app, self.settings.http_address)
         self._port = await listening.asFuture(asyncio.get_running_loop())
 
     async def stop(self) -> None:
@@ -107,7 +111,7 @@
     def entry_rows(self) -> list[HostRow]:
         """Return the entries that callers may be sent to."""
         views = self.hosts.table.views(
-            "entry", self._clock.now_ms(), ENTRY_SUSPECT_AFTER_MS
+            "entry", self.clock.now_ms(), ENTRY_SUSPECT_AFTER_MS
         )
         staying = [view for view in views if not view.leaving]
         # One that was never heard of may be new; the list's word is all there is.
--- a/packages/standins/src/fuchsiahatch_standins/layout.py
+++ b/packages/standins/src/fuchsiahatch_standins/layout.py
@@ -28,8 +28,8 @@
     Parameters
     ----------
     directory : str
-        Where the files go: ``<host>.json`` each, ``hosts.json``, ``placement.json`` and
-        ``roster.json``.
+        Where the files go: ``<host>.json`` each, ``hosts.json``, ``placement.json``,
+        ``roster.json``, and a record that changes a team's places, ``change.json``.
     base_port : int
         First of the loopback ports; the 400 from there on are used.
     """
@@ -41,6 +41,7 @@
     _write(folder / "hosts.json", list(map(list_row, all_settings)))
     _write(folder / "placement.json", _placement())
     _write(folder / "roster.json", roster_of(all_settings))
+    _write(folder / "change.json", _change())
 
 
 def _all_settings(base_port: int) -> list[dict[str, t.Any]]:
@@ -96,6 +97,12 @@
     return {"revision": 1, "history": [], "records": gyms + skippers}
 
 
+def _change() -> dict[str, t.Any]:
+    offers = ["booking-assistant@2", "hold-and-cancel@1"]
+    place = {"zone": "kl-b", "offers": offers, "share_percent": 40}
+    return {"schema": 2, "team": GYM_TEAMS[1], "places": [place]}
+
+
 def roster_of(all_settings: t.Iterable[dict[str, t.Any]]) -> dict[str, t.Any]:
     """Return a first roster document with every entry as a voter."""
     voters = [
