--- a/packages/daemon/src/fuchsiahatch_daemon/entry.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/entry.py
@@ -3,18 +3,25 @@
 import asyncio
 
 from fuchsiahatch_core.clock import Clock
+from fuchsiahatch_core.codes import Code
+from fuchsiahatch_core.defaults import LEAVE_LINGER_MS, RETRY_AFTER_MS
+from fuchsiahatch_core.exceptions import RefusedError
 from fuchsiahatch_core.identities import new_incarnation
 from fuchsiahatch_daemon import operators, rpc, web
+from fuchsiahatch_daemon.binder import Binder
 from fuchsiahatch_daemon.callers import CallerRequest, make_app
 from fuchsiahatch_daemon.changes import Changes
 from fuchsiahatch_daemon.configuration import Configuration
-from fuchsiahatch_daemon.dispatch import Dispatcher, Send
+from fuchsiahatch_daemon.dispatch import Dispatcher
+from fuchsiahatch_daemon.hops import Hops, Send
 from fuchsiahatch_daemon.hostwatch import HostWatch
+from fuchsiahatch_daemon.openwork import OpenWork
 from fuchsiahatch_daemon.peercalls import PeerCalls
 from fuchsiahatch_daemon.peers import Peers
 from fuchsiahatch_daemon.pulls import Pulls
 from fuchsiahatch_daemon.selection import Selection
 from fuchsiahatch_daemon.settings import Settings
+from fuchsiahatch_daemon.standings import Standings
 from fuchsiahatch_membership.heartbeats import ENTRY_SUSPECT_AFTER_MS
 from fuchsiahatch_membership.hosts import HostRow
 from fuchsiahatch_placement.acceptance import EntryConfiguration
@@ -40,9 +47,8 @@
         self.incarnation = new_incarnation()
         self.settings = settings
         self.leaving = False
-        self._open_requests = 0
-        self._idle = asyncio.Event()
-        self._idle.set()
+        self._stopping = False
+        self._requests = OpenWork()
         self.clock = Clock()
         self._channels = rpc.Channels()
         caller = HttpCaller(settings.platform_timeout_ms)
@@ -68,10 +74,23 @@
             self.clock,
         )
         self.changes = Changes(self.configuration, self.key_value, calls, self.clock)
-        self.peers.open_requests = lambda: self._open_requests
+        self.peers.open_requests = lambda: self._requests.count
         self.selection = Selection(self.configuration, self.hosts, self.clock)
+        self.standings = Standings(
+            self.configuration, self.hosts, self.selection, self.clock
+        )
         self.dispatcher = Dispatcher(
-            *identity, self.configuration, self.selection, self._channels
+            self.configuration,
+            self.selection,
+            self.standings,
+            Hops(
+                *identity,
+                self._channels,
+                self.standings,
+                lambda: self.configuration.snapshot.revision,
+            ),
+            Binder(self.key_value, self.clock),
+            self.clock,
         )
 
     async def start(self) -> None:
@@ -89,7 +108,11 @@
     async def stop(self) -> None:
         """Leave the lookup's answers, finish open requests, then close."""
         self.leave()
-        await self._idle.wait()
+        self._stopping = True
+        # Callers keep a lookup answer for a while. For some time they are told to
+        # use another entry; after that they find the port closed.
+        await asyncio.sleep(LEAVE_LINGER_MS / 1000)
+        await self._requests.wait_idle()
         self._port.stopListening()
         self._server.close()
         self.peers.stop()
@@ -126,11 +149,8 @@
         FuchsiahatchError
             With the final word on the request.
         """
-        self._open_requests += 1
-        self._idle.clear()
-        try:
+        if self._stopping:
+            detail = "this entry is stopping; look up another one"
+            raise RefusedError(detail, Code.LEAVING, RETRY_AFTER_MS)
+        with self._requests.one():
             await self.dispatcher.serve(request, send)
-        finally:
-            self._open_requests -= 1
-            if not self._open_requests:
-                self._idle.set()
--- a/packages/daemon/src/fuchsiahatch_daemon/following.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/following.py
@@ -81,25 +81,39 @@
         place = placement.places.get(self._zone) if placement else None
         return place.share_percent if place else 0.0
 
-    async def check(self, request: attempts_pb2.RunRequest) -> None:
+    async def check(self, request: attempts_pb2.RunRequest, waited: bool) -> None:
         """Check a request's place, after its entry has.
 
+        Parameters
+        ----------
+        request : RunRequest
+        waited : bool
+            Whether it passed before and has waited in the queue since: then its
+            entry's revision may be old by now, but the place must be allowed still.
+
         Raises
         ------
         RefusedError
             When it may not run here; nothing was run.
         """
-        ruling = self._rule(request)
-        if ruling.step is Step.LEARN:
-            await self._learn(request.attempt.entry)
-            ruling = self._rule(request)
+        if waited:
+            ruling = self._rule(request, self.snapshot.revision)
+        else:
+            ruling = await self._rule_or_learn(request)
         if ruling.step is not Step.RUN:
             raise RefusedError(ruling.detail, ruling.code, RETRY_AFTER_MS)
 
-    def _rule(self, request: attempts_pb2.RunRequest) -> Ruling:
+    async def _rule_or_learn(self, request: attempts_pb2.RunRequest) -> Ruling:
+        ruling = self._rule(request, request.revision)
+        if ruling.step is not Step.LEARN:
+            return ruling
+        await self._learn(request.attempt.entry)
+        return self._rule(request, request.revision)
+
+    def _rule(self, request: attempts_pb2.RunRequest, entry_revision: int) -> Ruling:
         offer = Offer(request.offer_name, request.offer_version)
         return check_request(
-            self.snapshot, request.revision, request.team, self._zone, offer
+            self.snapshot, entry_revision, request.team, self._zone, offer
         )
 
     async def _read_list(self) -> None:
--- a/tests/daemon/test_following.py
+++ b/tests/daemon/test_following.py
@@ -47,9 +47,9 @@
         value = encode_key(json.dumps(document))
         running.store.restore(encode_key(PLACEMENT_KEY), value)
 
-    async def refusal(self, follower, asked):
+    async def refusal(self, follower, asked, waited=False):
         with self.assertRaises(RefusedError) as seen:
-            await follower.check(asked)
+            await follower.check(asked, waited)
         return seen.exception.result
 
     def test_a_stale_entry_is_refused(self):
@@ -60,7 +60,7 @@
         """
 
         async def work(running, follower):
-            await follower.check(request(revision=1))
+            await follower.check(request(revision=1), False)
             self.replace(running, 2, "kl-b")
             await running.until(lambda: follower.snapshot.revision == 2)
             stale = await self.refusal(follower, request(revision=1))
@@ -68,6 +68,18 @@
 
         self.session(work)
 
+    def test_a_place_that_was_forbidden_during_the_wait_is_refused(self):
+        async def work(running, follower):
+            self.replace(running, 2, "kl-a", "kl-b")
+            await running.until(lambda: follower.snapshot.revision == 2)
+            await follower.check(request(revision=1), True)
+            self.replace(running, 3, "kl-b")
+            await running.until(lambda: follower.snapshot.revision == 3)
+            late = await self.refusal(follower, request(revision=1), waited=True)
+            self.assertIs(late, Code.NO_ALLOWED_PLACE)
+
+        self.session(work)
+
     def test_a_faulty_entry_is_refused(self):
         async def work(running, follower):
             wrong = await self.refusal(follower, request(revision=1, version="3"))
@@ -81,7 +93,7 @@
             self.replace(running, 2, "kl-a", "kl-b")
             entry = running.entries["entry-b"].configuration
             await running.until(lambda: entry.snapshot.revision == 2)
-            await follower.check(request(revision=2))
+            await follower.check(request(revision=2), False)
             self.assertEqual(follower.snapshot.revision, 2)
             unheard = await self.refusal(follower, request(revision=3))
             self.assertIs(unheard, Code.STALE_REVISION)
--- a/tests/membership/test_heartbeats.py
+++ b/tests/membership/test_heartbeats.py
@@ -160,7 +160,7 @@
 
         def tell(now_ms, event):
             lines.append(f"{now_ms} {event}")
-            lines.extend(f"  -> {effect}" for effect in part.handle(event, now_ms))
+            lines.extend(f"  -> {show(one)}" for one in part.handle(event, now_ms))
 
         tell(1_000, Tick(("entry-b", "entry-c")))
         tell(1_200, Described(False, 7, 1, 0))
@@ -177,3 +177,12 @@
         again = part.handle(BeatsHeard((Beat("entry-b", "1", 2, revision=4),)), 0)
         self.assertIn(RevisionHeard(4, 0), first)
         self.assertNotIn(RevisionHeard(4, 0), again)
+
+
+def show(effect):
+    if not isinstance(effect, HostReported):
+        return effect
+    report = effect.report
+    state = "leaving" if report.leaving else "staying"
+    who = f"{report.host}/{report.incarnation}"
+    return f"{who} {state}, {report.in_flight} open, heard at {report.heard_ms} ms"
