--- a/packages/daemon/src/fuchsiahatch_daemon/agent.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/agent.py
@@ -4,9 +4,11 @@
 
 from klein import Klein
 
+from fuchsiahatch_core.clock import Clock
 from fuchsiahatch_core.identities import new_incarnation
 from fuchsiahatch_daemon import rpc, web
 from fuchsiahatch_daemon.following import Follower
+from fuchsiahatch_daemon.metrics import Metrics, add_route
 from fuchsiahatch_daemon.runner import Runner
 from fuchsiahatch_daemon.settings import Settings
 from fuchsiahatch_platform.hostlist import HostListClient
@@ -38,6 +40,9 @@
             settings.zone, settings.segment, host_list, self._channels
         )
         self.runner.check = self.follower.check
+        self.runner.admission.share_of = self.follower.share_of
+        self.metrics = Metrics(Clock())
+        self.runner.admission.note_wait = self.metrics.note_wait
 
     async def start(self) -> None:
         """Follow the entries' configuration; serve gRPC and HTTP."""
@@ -75,4 +80,9 @@
         role.runner.leave()
         return web.write_json(request, {"leaving": True}, 202)
 
+    def note_load() -> None:
+        admission = role.runner.admission
+        role.metrics.note_load(admission.in_flight, admission.queued)
+
+    add_route(app, role.metrics, note_load)
     return app
--- a/packages/daemon/src/fuchsiahatch_daemon/runner.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/runner.py
@@ -54,7 +54,7 @@
         self._host = host
         self._incarnation = incarnation
         self._clock = Clock()
-        self.admission = Admission(upstream.limit)
+        self.admission = Admission(upstream.limit, upstream.queue, upstream.queue_limit)
         self._upstream = UpstreamClient(upstream.url)
         self.check: Check = _allow
         self._ledger = Ledger(incarnation)
--- a/packages/membership/src/fuchsiahatch_membership/hosts.py
+++ b/packages/membership/src/fuchsiahatch_membership/hosts.py
@@ -120,6 +120,13 @@
         limit_ms = suspect_after_ms or self._suspect_after_ms
         return [self._view(row, now_ms, limit_ms) for row in self.rows(role)]
 
+    def view(self, host: str, now_ms: int) -> HostView | None:
+        """Return one host with liveness judged at a time, None when off the list."""
+        row = self._rows.get(host)
+        if row is None:
+            return None
+        return self._view(row, now_ms, self._suspect_after_ms)
+
     def _view(self, row: HostRow, now_ms: int, suspect_after_ms: int) -> HostView:
         report = self._reports.get(row.host)
         if report is None:
