--- a/packages/daemon/src/fuchsiahatch_daemon/entry.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/entry.py
@@ -12,6 +12,7 @@
 from fuchsiahatch_daemon.callers import CallerRequest, make_app
 from fuchsiahatch_daemon.changes import Changes
 from fuchsiahatch_daemon.configuration import Configuration
+from fuchsiahatch_daemon.controlmetrics import ControlMetrics
 from fuchsiahatch_daemon.dispatch import Dispatcher
 from fuchsiahatch_daemon.hops import Hops, Send
 from fuchsiahatch_daemon.hostwatch import HostWatch
@@ -109,7 +110,10 @@
         self.peers.start()
         app = make_app(self)
         operators.add_routes(app, self)
-        add_route(app, self.metrics)
+        control = ControlMetrics(
+            self.metrics.registry, self.configuration, self.key_value.budget
+        )
+        add_route(app, self.metrics, control.refresh)
         listening = web.listen(app, self.settings.http_address)
         self._port = await listening.asFuture(asyncio.get_running_loop())
 
--- a/tools/check_docs.py
+++ b/tools/check_docs.py
@@ -19,7 +19,10 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DOCS = ROOT / "docs"
-METRICS_MODULE = ROOT / "packages/daemon/src/fuchsiahatch_daemon/metrics.py"
+METRICS_MODULES = [
+    ROOT / "packages/daemon/src/fuchsiahatch_daemon" / name
+    for name in ("metrics.py", "controlmetrics.py")
+]
 WARN_FLAG = "--warn-missing"
 
 _NUMBERED_ROW = re.compile(r"^\| (\d+) \| `(\w+)` \|", re.MULTILINE)
@@ -75,7 +78,7 @@
 
 def compare_all() -> dict[str, Comparison]:
     """Compare every page with its source, by the page's name."""
-    metrics = METRICS_MODULE.read_text("utf-8") if METRICS_MODULE.exists() else ""
+    metrics = "\n".join(path.read_text("utf-8") for path in METRICS_MODULES)
     return {
         "CODES.md": compare(enum_names(Code), numbered_rows(_read("CODES.md"))),
         "EVENTS.md": compare(enum_names(Event), numbered_rows(_read("EVENTS.md"))),
