--- a/packages/daemon/src/fuchsiahatch_daemon/dispatch.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/dispatch.py
@@ -28,7 +28,6 @@
     from fuchsiahatch_daemon.callers import CallerRequest
     from fuchsiahatch_daemon.configuration import Configuration
     from fuchsiahatch_daemon.selection import Selection
-    from fuchsiahatch_routing.candidates import Candidate
 
 _LAST_CALLER_CODE = 199
 
@@ -121,25 +120,16 @@
         return walk_key([one.home for one in order], standing_of)
 
     def _walk_without_key(self, request: "CallerRequest") -> Walk:
-        chosen: list[Candidate] = []
-
         def choose(tried: frozenset[str]) -> Home | None:
             candidate = self._selection.select(
                 request.team, request.target, request.body, tried
             )
-            if candidate is None:
-                return None
-            chosen.append(candidate)
-            return candidate.upstream.home
-
-        def spend(word: Word | None) -> None:
-            if word is None:
-                return
-            fault = _fault_of(word)
-            self._selection.note_refusal(chosen[-2], fault)
-            self.retries.spend(fault)
-
-        return walk_without_key(choose, spend, request.idempotent)
+            return candidate.upstream.home if candidate else None
+
+        return walk_without_key(choose, self._spend, request.idempotent)
+
+    def _spend(self, word: Word | None) -> None:
+        self.retries.spend(_fault_of(word) if word is not None else None)
 
     def _make_errand(self, request: "CallerRequest", send: Send) -> Errand:
         end_ms = self._clock.now_ms() + request.deadline_ms
--- a/packages/daemon/src/fuchsiahatch_daemon/hops.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/hops.py
@@ -32,6 +32,7 @@
     from grpclib.client import Stream
 
     from fuchsiahatch_daemon.callers import CallerRequest
+    from fuchsiahatch_daemon.selection import Selection
     from fuchsiahatch_daemon.standings import Standings
 
 Send = t.Callable[[attempts_pb2.Frame], None]
@@ -80,10 +81,10 @@
         Of this entry.
     channels : Channels
     standings : Standings
+    selection : Selection
+        Told of the load and the leaving that frames carry.
     read_revision : callable
         The placement revision that this entry decides on.
-    note_frame : callable
-        Given the host and each frame, to learn the agent's load.
 
     Notes
     -----
@@ -95,8 +96,8 @@
         "_counter",
         "_host",
         "_incarnation",
-        "_note_frame",
         "_read_revision",
+        "_selection",
         "_standings",
     )
 
@@ -106,15 +107,15 @@
         incarnation: str,
         channels: rpc.Channels,
         standings: "Standings",
+        selection: "Selection",
         read_revision: t.Callable[[], int],
-        note_frame: t.Callable[[str, attempts_pb2.Frame], None],
     ) -> None:
         self._host = host
         self._incarnation = incarnation
         self._channels = channels
         self._standings = standings
+        self._selection = selection
         self._read_revision = read_revision
-        self._note_frame = note_frame
         self._counter = itertools.count(1)
 
     async def ask(self, move: Move, errand: Errand) -> Reply:
@@ -184,21 +185,13 @@
         try:
             async with self._while_heard_of(home), opened as stream:
                 await stream.send_message(message, end=True)
-                frames = self._noted(stream, home)
-                return await _take_frames(frames, intake, errand.send)
+                return await self._take_frames(stream, intake, home, errand.send)
         except AttemptError as fault:
             return Broken(fault.detail, intake.first_byte_sent)
         except Exception as fault:
             detail = f"the hop to {home.host} broke: {type(fault).__name__}"
             return Broken(detail, intake.first_byte_sent)
 
-    async def _noted(
-        self, stream: "Stream[t.Any, t.Any]", home: Home
-    ) -> t.AsyncIterator[attempts_pb2.Frame]:
-        async for frame in stream:
-            self._note_frame(home.host, frame)
-            yield frame
-
     @contextlib.asynccontextmanager
     async def _while_heard_of(self, home: Home) -> t.AsyncIterator[None]:
         # A paused agent keeps its connection open: without this a caller would wait
@@ -220,6 +213,28 @@
             finally:
                 timer.cancel()
 
+    async def _take_frames(
+        self, stream: "Stream[t.Any, t.Any]", intake: Intake, home: Home, send: Send
+    ) -> Reply:
+        async for frame in stream:
+            if not intake.accepts(rpc.from_wire_attempt(frame.attempt), frame.sequence):
+                log_event(Event.STRANGER_DROPPED, counter=frame.attempt.counter)
+                continue
+            kind = frame.WhichOneof("body")
+            self._selection.note_frame(home, frame)
+            if kind == "refusal":
+                return _refused(frame.refusal, intake)
+            if kind == "end":
+                intake.end(frame.end.length_bytes, frame.end.digest)
+                continue
+            if kind == "head":
+                intake.head()
+            else:
+                intake.chunk(frame.chunk)
+            send(frame)
+        intake.finish()
+        return Answered()
+
     def _next_attempt(self) -> AttemptId:
         return AttemptId(self._host, self._incarnation, next(self._counter))
 
@@ -229,28 +244,6 @@
         return self._standings.read_clock_ms(home)
 
 
-async def _take_frames(
-    frames: t.AsyncIterator[attempts_pb2.Frame], intake: Intake, send: Send
-) -> Reply:
-    async for frame in frames:
-        if not intake.accepts(rpc.from_wire_attempt(frame.attempt), frame.sequence):
-            log_event(Event.STRANGER_DROPPED, counter=frame.attempt.counter)
-            continue
-        kind = frame.WhichOneof("body")
-        if kind == "refusal":
-            return _refused(frame.refusal, intake)
-        if kind == "end":
-            intake.end(frame.end.length_bytes, frame.end.digest)
-            continue
-        if kind == "head":
-            intake.head()
-        else:
-            intake.chunk(frame.chunk)
-        send(frame)
-    intake.finish()
-    return Answered()
-
-
 def _refused(refusal: attempts_pb2.Refusal, intake: Intake) -> Refused:
     return Refused(
         Verdict(refusal.verdict),
--- a/tests/daemon/test_selection.py
+++ b/tests/daemon/test_selection.py
@@ -4,7 +4,6 @@
 
 from fuchsiahatch_core.clock import ManualClock
 from fuchsiahatch_core.codes import Code
-from fuchsiahatch_core.exceptions import RefusedError
 from fuchsiahatch_core.identities import Offer
 from fuchsiahatch_daemon.selection import Selection
 from fuchsiahatch_membership.hosts import HostReport, HostRow, HostTable
@@ -69,8 +68,7 @@
             word = "answers"
             if home.host == "engine-1" and home.incarnation == "a":
                 word = "refuses: leaving"
-                fault = RefusedError("this upstream is leaving", Code.LEAVING, 0)
-                self.selection.note_refusal(chosen, fault)
+                self.selection.note_refusal(home, Code.LEAVING)
             lines.append(
                 f"{self.clock.now_ms():>5} ms  {label}: {home.host}"
                 f" life {home.incarnation} {word}"
@@ -94,7 +92,7 @@
 
     def test_other_refusals_do_not_mark_it(self):
         chosen = self.select()
-        self.selection.note_refusal(chosen, RefusedError("full", Code.OVERLOADED, 10))
+        self.selection.note_refusal(chosen.upstream.home, Code.OVERLOADED)
         self.assertFalse(any(one.leaving for one in self.selection.upstreams()))
 
 
