--- a/packages/daemon/src/fuchsiahatch_daemon/runner.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/runner.py
@@ -27,6 +27,9 @@
     from grpclib.server import Stream
 
 
+Check = t.Callable[[attempts_pb2.RunRequest, bool], t.Awaitable[None]]
+
+
 class Runner(AttemptsBase):
     """Admits attempts, runs them and streams their answers.
 
@@ -36,6 +39,12 @@
         Of this agent.
     upstream : UpstreamSettings
 
+    Attributes
+    ----------
+    check : callable
+        Refuses a request whose place is not allowed here, and again after it has
+        waited; nothing by default.
+
     Notes
     -----
     .. versionadded:: 0.1
@@ -47,10 +56,9 @@
         self._clock = Clock()
         self.admission = Admission(upstream.limit, upstream.queue, upstream.queue_limit)
         self._upstream = UpstreamClient(upstream.url)
+        self.check: Check = _allow
         self._ledger = Ledger(incarnation)
-        self._keyed = KeyedRuns(
-            self._ledger, self.admission, self._upstream, self._clock
-        )
+        self._keyed = KeyedRuns(self._ledger, self._admit, self._upstream, self._clock)
         self._answers = OpenWork()
         self._closing = False
         self._changed = asyncio.Event()
@@ -157,9 +165,7 @@
         return maker.end(self._load())
 
     async def _run_repeatable(self, request: attempts_pb2.RunRequest) -> Parts:
-        admission = self.admission
-        await admission.enter(request.team, request.priority, request.deadline_ms)
-        try:
+        async with self._admit(request):
             headers = [(header.name, header.value) for header in request.headers]
             answer = await self._upstream.send(
                 request.method, request.path, headers, request.body
@@ -171,8 +177,24 @@
             except (asyncio.CancelledError, GeneratorExit):
                 answer.abort()
                 raise
+
+    @contextlib.asynccontextmanager
+    async def _admit(self, request: attempts_pb2.RunRequest) -> t.AsyncIterator[None]:
+        """Hold a place for a request that may run here.
+
+        Raises
+        ------
+        RefusedError
+            When it may not; nothing was run.
+        """
+        await self.check(request, False)
+        await self.admission.enter(request.team, request.priority, request.deadline_ms)
+        try:
+            # Its place may have been forbidden while it waited in the queue.
+            await self.check(request, True)
+            yield
         finally:
-            admission.exit(request.team)
+            self.admission.exit(request.team)
 
     def _told(self, incarnation: str, ask: t.Callable[[], Verdict]) -> Verdict:
         """Return the ledger's word, or none when it has none to give."""
@@ -200,6 +222,10 @@
         )
 
 
+async def _allow(request: attempts_pb2.RunRequest, waited: bool) -> None:
+    """Allow every place, as long as nobody knows better."""
+
+
 def _key_of(
     request: attempts_pb2.ResolveRequest | attempts_pb2.FenceRequest,
 ) -> LedgerKey:
