--- /dev/null
+++ b/packages/experts/src/fuchsiahatch_experts/grants.py
@@ -0,0 +1,223 @@
+"""Typed messages of step grants: between leader and ranks, and to the engines."""
+
+import dataclasses
+import typing as t
+
+from fuchsiahatch_core.codes import Code
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Window:
+    """Steps ``[start, end)`` that all ranks run under one expert map."""
+
+    start: int
+    end: int
+    map_version: int
+
+    def __str__(self) -> str:
+        return f"[{self.start}, {self.end}) map {self.map_version}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proposal:
+    """A window as a rank accepted it, with the term it was proposed in."""
+
+    term: int
+    window: Window
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineState:
+    """What an engine says of itself.
+
+    Attributes
+    ----------
+    epoch : int
+        Group epoch that it was started for; 0 for a new engine.
+    step : int
+        Next step that it will run.
+    granted : Window or None
+        The last window it was granted in this epoch.
+    weights : frozenset of int
+        Map versions whose weights are in place.
+    compute_ms : float
+        Its own compute time per step, smoothed, without waiting for others.
+    """
+
+    epoch: int = 0
+    step: int = 0
+    granted: Window | None = None
+    weights: frozenset[int] = frozenset()
+    compute_ms: float = 0.0
+
+    @property
+    def granted_end(self) -> int:
+        """Return the first step that is not granted."""
+        return 0 if self.granted is None else self.granted.end
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """An order to an engine; it answers each with its `EngineState`.
+
+    Attributes
+    ----------
+    term : int
+        The fencing number.
+    epoch : int
+        The group epoch that the order belongs to.
+    begin : bool
+        Whether an engine of an earlier epoch shall start this one at step 0.
+    window : Window or None
+        A window to grant; None only raises the fencing number and reads.
+    """
+
+    term: int
+    epoch: int
+    begin: bool = False
+    window: Window | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ask:
+    """Leader to rank: promise this term and tell your state; also the heartbeat."""
+
+    term: int
+    epoch: int
+    number: int
+    begin: bool
+    wanted_map: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Told:
+    """Answer to `Ask`; ``number`` is that of the question."""
+
+    rank: int
+    incarnation: str
+    term: int
+    number: int
+    engine: EngineState
+    accepted: Proposal | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Propose:
+    """Leader to one incarnation of a rank: will you run this window?"""
+
+    term: int
+    epoch: int
+    incarnation: str
+    window: Window
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """Answer to `Propose`."""
+
+    rank: int
+    incarnation: str
+    term: int
+    window: Window
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Commit:
+    """Leader to one incarnation of a rank: all have accepted, grant it."""
+
+    term: int
+    epoch: int
+    incarnation: str
+    window: Window
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Committed:
+    """Answer to `Commit`: the engine holds the window."""
+
+    rank: int
+    incarnation: str
+    term: int
+    window: Window
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """Answer to any of them: why not, with the rank's own term and incarnation.
+
+    Attributes
+    ----------
+    asked_term : int
+        The term of the message that is refused.
+    """
+
+    rank: int
+    incarnation: str
+    term: int
+    asked_term: int
+    code: Code
+
+
+Request: t.TypeAlias = Ask | Propose | Commit
+Answer: t.TypeAlias = Told | Accepted | Committed | Refused
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """Effect of a rank: answer the leader."""
+
+    answer: Answer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GiveOrder:
+    """Effect of a rank: give its engine an order and bring back the answer."""
+
+    order: Order
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadWeights:
+    """Effect of a rank: have its engine fetch a map's weights."""
+
+    map_version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Starved:
+    """Effect of a rank: its engine has run all it was granted and stands still."""
+
+    step: int
+    code: Code = Code.NO_GRANT
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """Effect of a leader: send a request to a rank."""
+
+    rank: int
+    request: Request
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TakeTerm:
+    """Effect of a leader: this term can't go on, take a new one.
+
+    Attributes
+    ----------
+    new_epoch : bool
+        Whether the group starts anew, as after a lost host.
+    """
+
+    new_epoch: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StepDown:
+    """Effect of a leader: a rank has promised a higher term."""
+
+    term: int
+
+
+RankEffect: t.TypeAlias = Reply | GiveOrder | LoadWeights | Starved
+LeaderEffect: t.TypeAlias = Send | TakeTerm | StepDown
--- /dev/null
+++ b/packages/experts/src/fuchsiahatch_experts/ranks.py
@@ -0,0 +1,219 @@
+"""One rank's part in step grants: it promises, accepts and grants to its engine."""
+
+import typing as t
+
+from fuchsiahatch_core.codes import Code
+from fuchsiahatch_experts.grants import (
+    Accepted,
+    Answer,
+    Ask,
+    Commit,
+    Committed,
+    EngineState,
+    GiveOrder,
+    LoadWeights,
+    Order,
+    Proposal,
+    Propose,
+    RankEffect,
+    Refused,
+    Reply,
+    Request,
+    Starved,
+    Told,
+)
+
+if t.TYPE_CHECKING:
+    from fuchsiahatch_experts.orders import OrderGate
+
+_Wish: t.TypeAlias = Propose | Commit
+
+
+class Rank:
+    """State of one life of a rank's agent.
+
+    Parameters
+    ----------
+    rank : int
+        Its number in the group.
+    incarnation : str
+        This life of the agent.
+    gate : OrderGate
+        Passes the orders to the engine.
+
+    Notes
+    -----
+    A new life knows no term and no accepted window: the engine's state, read
+    at the first `Ask`, stands in for both.
+
+    .. versionadded:: 0.1
+    """
+
+    __slots__ = (
+        "_gate",
+        "_pending",
+        "accepted",
+        "engine",
+        "incarnation",
+        "rank",
+        "starved",
+        "term",
+    )
+
+    def __init__(self, rank: int, incarnation: str, gate: "OrderGate") -> None:
+        self.rank = rank
+        self.incarnation = incarnation
+        self.term = 0
+        self.accepted: Proposal | None = None
+        self.engine: EngineState | None = None
+        self.starved = False
+        self._gate = gate
+        self._pending: Ask | Commit | None = None
+
+    def receive(self, request: Request, now_ms: int) -> list[RankEffect]:
+        """Take a leader's request."""
+        if request.term < self.term:
+            return [self._refuse(request, Code.OLD_TERM)]
+        if isinstance(request, Ask):
+            return self._promise(request, now_ms)
+        fault = self._fault_of(request)
+        if fault is not None:
+            return [self._refuse(request, fault)]
+        self.term = request.term
+        if isinstance(request, Propose):
+            return self._accept(request)
+        return self._commit(request, now_ms)
+
+    def look(self, now_ms: int) -> list[RankEffect]:
+        """Read the engine while no leader asks, to see it run out of steps."""
+        epoch = 0 if self.engine is None else self.engine.epoch
+        order = Order(self.term, epoch)
+        if not self._gate.may_pass(order, now_ms):
+            return []
+        return self._give(None, order)
+
+    def engine_answered(self, state: EngineState) -> list[RankEffect]:
+        """Take the engine's answer to the order that is out."""
+        self._gate.answered()
+        starved = self._starvation(state)
+        if self.engine is not None and state.epoch != self.engine.epoch:
+            self.accepted = None
+        self.engine = state
+        request, self._pending = self._pending, None
+        return starved + self._answer(request, state)
+
+    def engine_refused(self) -> list[RankEffect]:
+        """Take the engine's word that the order's fencing number is old."""
+        self._gate.answered()
+        request, self._pending = self._pending, None
+        return self._refuse_pending(request, Code.OLD_TERM)
+
+    def engine_lost(self, now_ms: int) -> list[RankEffect]:
+        """Take that the engine gave no answer; what it holds is unknown now."""
+        self._gate.lost(now_ms)
+        self.engine = None
+        request, self._pending = self._pending, None
+        return self._refuse_pending(request, Code.UPSTREAM_FAILED)
+
+    def _answer(
+        self, request: Ask | Commit | None, state: EngineState
+    ) -> list[RankEffect]:
+        if request is None:
+            return []
+        if isinstance(request, Ask):
+            return self._tell(request)
+        if state.granted != request.window:
+            return [self._refuse(request, Code.NO_GRANT)]
+        return [Reply(self._committed(request))]
+
+    def _starvation(self, state: EngineState) -> list[RankEffect]:
+        was_starved = self.starved
+        self.starved = state.granted is not None and state.step >= state.granted_end
+        return [Starved(state.step)] if self.starved and not was_starved else []
+
+    def _promise(self, ask: Ask, now_ms: int) -> list[RankEffect]:
+        order = Order(ask.term, ask.epoch, ask.begin)
+        if not self._gate.may_pass(order, now_ms):
+            return [self._refuse(ask, Code.IN_PROGRESS)]
+        self.term = ask.term
+        return self._give(ask, order)
+
+    def _tell(self, ask: Ask) -> list[RankEffect]:
+        assert self.engine is not None
+        told = Told(
+            self.rank,
+            self.incarnation,
+            ask.term,
+            ask.number,
+            self._known_engine(),
+            self.accepted,
+        )
+        missing = ask.wanted_map not in self.engine.weights
+        return [Reply(told), *[LoadWeights(ask.wanted_map)] * missing]
+
+    def _known_engine(self) -> EngineState:
+        # Guards against an agent that restarts after its engine was granted a
+        # window: it would call the window free, the next leader would grant
+        # the same steps under another map to the others, and two ranks would
+        # run one step differently. The engine's own window is told as taken.
+        assert self.engine is not None
+        return self.engine
+
+    def _accept(self, propose: Propose) -> list[RankEffect]:
+        assert self.engine is not None
+        window = propose.window
+        known = self._known_engine()
+        if window != known.granted and window.start != known.granted_end:
+            return [self._refuse(propose, Code.NO_GRANT)]
+        if window.map_version not in self.engine.weights:
+            load = LoadWeights(window.map_version)
+            return [self._refuse(propose, Code.WEIGHTS_MISSING), load]
+        self.accepted = Proposal(propose.term, window)
+        accepted = Accepted(self.rank, self.incarnation, propose.term, window)
+        return [Reply(accepted)]
+
+    def _commit(self, commit: Commit, now_ms: int) -> list[RankEffect]:
+        assert self.engine is not None
+        if commit.window == self.engine.granted:
+            return [Reply(self._committed(commit))]
+        if self.accepted != Proposal(commit.term, commit.window):
+            return [self._refuse(commit, Code.NO_GRANT)]
+        order = Order(commit.term, commit.epoch, window=commit.window)
+        if not self._gate.may_pass(order, now_ms):
+            return [self._refuse(commit, Code.IN_PROGRESS)]
+        return self._give(commit, order)
+
+    def _give(self, request: Ask | Commit | None, order: Order) -> list[RankEffect]:
+        self._pending = request
+        self._gate.given(order)
+        return [GiveOrder(order)]
+
+    def _fault_of(self, request: _Wish) -> Code | None:
+        if not self._is_for_this_life(request):
+            return Code.OLD_INCARNATION
+        if self.engine is None:
+            return Code.UPSTREAM_FAILED
+        if request.epoch != self.engine.epoch:
+            return Code.OLD_EPOCH
+        return None
+
+    def _is_for_this_life(self, request: _Wish) -> bool:
+        # Guards against a message that outlives the agent it was meant for: a
+        # restarted rank has forgotten the higher term that it promised, would
+        # take an old leader's window, and run it under the old map while the
+        # others follow the new leader. The old message names the old life.
+        return request.incarnation == self.incarnation
+
+    def _committed(self, commit: Commit) -> Committed:
+        return Committed(self.rank, self.incarnation, commit.term, commit.window)
+
+    def _refuse_pending(
+        self, request: Ask | Commit | None, code: Code
+    ) -> list[RankEffect]:
+        return [] if request is None else [self._refuse(request, code)]
+
+    def _refuse(self, request: Request, code: Code) -> Reply:
+        answer: Answer = Refused(
+            self.rank, self.incarnation, self.term, request.term, code
+        )
+        return Reply(answer)
--- /dev/null
+++ b/tests/experts/test_orders.py
@@ -0,0 +1,47 @@
+import unittest
+
+from fuchsiahatch_experts.grants import Order
+from fuchsiahatch_experts.orders import OrderGate
+
+SETTLE_MS = 500
+
+
+class TestEngineThatChecks(unittest.TestCase):
+    def test_orders_pass_at_once_and_one_at_a_time(self):
+        gate = OrderGate(True, SETTLE_MS, now_ms=0)
+        order = Order(term=2, epoch=1)
+        self.assertTrue(gate.may_pass(order, 0))
+        gate.given(order)
+        self.assertFalse(gate.may_pass(order, 1))
+        gate.answered()
+        self.assertTrue(gate.may_pass(order, 1))
+        gate.given(order)
+        gate.lost(2)
+        self.assertTrue(gate.may_pass(order, 2))
+
+
+class TestEngineThatIgnoresFencing(unittest.TestCase):
+    def setUp(self):
+        self.gate = OrderGate(False, SETTLE_MS, now_ms=1_000)
+
+    def test_a_new_life_waits_for_orders_of_the_one_before(self):
+        """A rank runs an old window that was told to be free.
+
+        The agent dies with an order on its way. Its next life reads the engine
+        before the order arrives and tells the leader what it read.
+        """
+        order = Order(term=1, epoch=1)
+        self.assertFalse(self.gate.may_pass(order, 1_499))
+        self.assertTrue(self.gate.may_pass(order, 1_500))
+
+    def test_a_lost_order_is_waited_for(self):
+        order = Order(term=1, epoch=1)
+        self.gate.given(order)
+        self.gate.lost(2_000)
+        self.assertFalse(self.gate.may_pass(order, 2_499))
+        self.assertTrue(self.gate.may_pass(order, 2_500))
+
+    def test_an_order_of_an_old_term_is_stopped(self):
+        self.gate.given(Order(term=2, epoch=1))
+        self.gate.answered()
+        self.assertFalse(self.gate.may_pass(Order(term=1, epoch=1), 3_000))
--- /dev/null
+++ b/tests/experts/test_terms.py
@@ -0,0 +1,102 @@
+import unittest
+
+from fuchsiahatch_experts.terms import (
+    Candidate,
+    Follow,
+    Lead,
+    ReadTerm,
+    SwapTerm,
+    TermRecord,
+)
+
+SILENCE_MS = 2_000
+OTHER = TermRecord(4, 2, 1, "life-b")
+OWN = TermRecord(5, 2, 0, "life-a")
+
+
+class CampaignCase(unittest.TestCase):
+    def setUp(self):
+        self.campaign = Candidate(0, "life-a", SILENCE_MS, now_ms=0)
+
+    def start(self):
+        return self.campaign.tick(SILENCE_MS)
+
+    def swap(self):
+        self.start()
+        return self.campaign.record_read(OTHER, 17, 2_050)
+
+
+class TestWinning(CampaignCase):
+    def test_a_leader_that_speaks_is_followed(self):
+        self.campaign.heard(1_500)
+        self.assertEqual(self.campaign.tick(3_000), [])
+
+    def test_silence_starts_a_campaign(self):
+        self.assertEqual(self.start(), [Follow(), ReadTerm()])
+        self.assertEqual(
+            self.campaign.record_read(OTHER, 17, 2_050), [SwapTerm(OWN, 17)]
+        )
+        self.assertEqual(self.campaign.swapped(True, 2_100), [Lead(5, 2, False)])
+
+    def test_the_first_term_begins_an_epoch(self):
+        self.start()
+        wanted = TermRecord(1, 1, 0, "life-a")
+        swap = self.campaign.record_read(TermRecord(), 0, 2_050)
+        self.assertEqual(swap, [SwapTerm(wanted, 0)])
+        self.assertEqual(self.campaign.swapped(True, 2_100), [Lead(1, 1, True)])
+
+    def test_a_lost_race_waits_out_another_silence(self):
+        self.swap()
+        self.assertEqual(self.campaign.swapped(False, 2_100), [Follow()])
+        self.assertEqual(self.campaign.tick(4_000), [])
+        self.assertEqual(self.campaign.tick(4_100), [Follow(), ReadTerm()])
+
+
+class TestLeading(CampaignCase):
+    def setUp(self):
+        super().setUp()
+        self.swap()
+        self.campaign.swapped(True, 2_100)
+
+    def test_a_new_epoch_raises_term_and_epoch(self):
+        self.assertEqual(self.campaign.take_term(True, 3_000), [Follow(), ReadTerm()])
+        wanted = TermRecord(6, 3, 0, "life-a")
+        self.assertEqual(
+            self.campaign.record_read(OWN, 18, 2_100), [SwapTerm(wanted, 18)]
+        )
+        self.assertEqual(self.campaign.swapped(True, 3_100), [Lead(6, 3, True)])
+
+    def test_stepping_down_waits_out_a_silence(self):
+        self.assertEqual(self.campaign.step_down(3_000), [Follow()])
+        self.assertEqual(self.campaign.tick(4_000), [])
+        self.assertEqual(self.campaign.step_down(4_500), [])
+
+
+class TestService(CampaignCase):
+    def test_a_lost_answer_is_settled_by_reading_back(self):
+        """Steps stop for seconds after a leader was lost.
+
+        The next agent's swap lands but its answer is lost. If it gave up, the
+        record would name a leader that does not lead, and every rank would
+        wait out another silence.
+        """
+        self.swap()
+        self.assertEqual(self.campaign.swap_lost(), [ReadTerm()])
+        self.assertEqual(self.campaign.record_read(OWN, 18, 2_100), [Lead(5, 2, False)])
+
+    def test_a_lost_answer_of_a_lost_race(self):
+        self.swap()
+        self.campaign.swap_lost()
+        winner = TermRecord(5, 2, 2, "life-c")
+        self.assertEqual(self.campaign.record_read(winner, 18, 2_100), [Follow()])
+
+    def test_an_outage_is_tried_again_after_a_silence(self):
+        self.start()
+        self.assertEqual(self.campaign.step_down(2_050), [Follow()])
+        self.assertEqual(self.campaign.tick(3_000), [])
+        self.assertEqual(self.campaign.tick(4_050), [Follow(), ReadTerm()])
+
+    def test_nothing_starts_twice(self):
+        self.start()
+        self.assertEqual(self.campaign.tick(9_000), [])
+        self.assertEqual(self.campaign.take_term(False, 9_000), [])
