Bench of rebalancing policies on drifting popularity

Ruled out: four simulated layers (the run would take about 400 s); two, each standing for 16, keep the ratio of the price of a move to what it saves. Before: no bench.

--- a/Makefile
+++ b/Makefile
@@ -20,3 +20,11 @@
 	.venv/bin/ruff format --check .
 	.venv/bin/ruff check .
 	.venv/bin/lint-imports --no-cache
+
+# Policies are tuned on their own seeds by `make tune-experts`, which takes minutes.
+.PHONY: bench-experts tune-experts
+bench-experts: install
+	OPENBLAS_NUM_THREADS=1 .venv/bin/python -m fuchsiahatch_bench.experts run
+
+tune-experts: install
+	OPENBLAS_NUM_THREADS=1 .venv/bin/python -m fuchsiahatch_bench.experts tune
--- a/packages/experts/src/fuchsiahatch_experts/packing.py
+++ b/packages/experts/src/fuchsiahatch_experts/packing.py
@@ -233,10 +233,14 @@
     return max(found, key=lambda change: change.score)
 
 
+def _cells(chosen: "Bools") -> "tuple[Ints, Ints]":
+    return np.divmod(np.flatnonzero(chosen), chosen.shape[1])
+
+
 def _find_slots(layer: _Layer, slots: int) -> _Slots:
     """List the slots that are free or held by a replica that isn't the last."""
     surplus = layer.replicas > 1
-    experts, ranks = np.nonzero(layer.placed & surplus[:, np.newaxis])
+    experts, ranks = _cells(layer.placed & surplus[:, np.newaxis])
     free = np.flatnonzero(layer.placed.sum(axis=0) < slots)
     rise = layer.shares / np.maximum(layer.replicas - 1, 1) - layer.unit
     # The leaving rank itself is counted in, which only makes the search shy of
@@ -285,7 +289,7 @@
 
 def _find_swap(layer: _Layer) -> _Change:
     """Find the best swap of an expert of the most loaded rank for another's."""
-    experts, ranks = np.nonzero(layer.placed & ~layer.placed[:, [layer.hot]])
+    experts, ranks = _cells(layer.placed & ~layer.placed[:, [layer.hot]])
     if not len(ranks):
         return _Change(-np.inf)
     relief = layer.unit[layer.hot_experts][:, np.newaxis] - layer.unit[experts]
