--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 python ?= python3
 
-.PHONY: install demo test check
+.PHONY: install demo demo-keep test check settings-page capacity bench-slopes
 install: .venv/installed
 
 .venv/installed: requirements.txt $(wildcard packages/*/pyproject.toml)
@@ -13,6 +13,9 @@
 demo: install
 	demo/demo.sh
 
+demo-keep: install
+	demo/demo.sh --keep
+
 test: install
 	.venv/bin/python tools/run_tests.py
 
@@ -20,6 +23,19 @@
 	.venv/bin/ruff format --check .
 	.venv/bin/ruff check .
 	.venv/bin/lint-imports --no-cache
+	.venv/bin/python tools/check_docs.py --warn-missing
+	.venv/bin/python tools/check_links.py
+	.venv/bin/python tools/check_dependencies.py
+	.venv/bin/python -m fuchsiahatch_bench.capacity --check
+
+settings-page: install
+	.venv/bin/python tools/make_settings_page.py
+
+bench-slopes: install
+	.venv/bin/python -m fuchsiahatch_bench.slopes
+
+capacity: install
+	.venv/bin/python -m fuchsiahatch_bench.capacity
 
 # Policies are tuned on their own seeds by `make tune-experts`, which takes minutes.
 .PHONY: bench-experts tune-experts
--- a/packages/daemon/src/fuchsiahatch_daemon/callers.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/callers.py
@@ -12,9 +12,11 @@
     LOOKUP_KEEP_MS,
     MAX_BODY_BYTES,
     MAX_DEADLINE_MS,
+    RETRY_WINDOW_MS,
 )
 from fuchsiahatch_core.exceptions import RequestError
 from fuchsiahatch_daemon import web
+from fuchsiahatch_delivery.tickets import encode_ticket
 from fuchsiahatch_routing.candidates import Target
 
 if t.TYPE_CHECKING:
@@ -26,11 +28,15 @@
 TEAM_HEADER = "Fuchsiahatch-Team"
 DEADLINE_HEADER = "Fuchsiahatch-Deadline-Ms"
 KEY_HEADER = "Idempotency-Key"
+TICKET_HEADER = "Fuchsiahatch-Ticket"
+RETRY_WINDOW_HEADER = "Fuchsiahatch-Retry-Window-Ms"
 PLACE_HEADER = "Fuchsiahatch-Place"
 
 _REPEATABLE_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
 _PASSED_HEADERS = ("Content-Type", "Accept", KEY_HEADER)
 _MAX_KEY_CHARACTERS = 255
+_SEGMENTS_BEFORE_PATH = 3
+_LOOKUP_ARGUMENTS = ("team", "model", "service")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,6 +59,8 @@
         Time that the caller gives it from now.
     idempotent : bool
         Whether it may run more than once.
+    ticket : str
+        The ticket that the key began with, empty without one.
     """
 
     team: str
@@ -64,18 +72,25 @@
     key: str
     deadline_ms: int
     idempotent: bool
+    ticket: str = ""
 
 
 def make_app(role: "EntryRole") -> Klein:
     """Make the klein application of one entry."""
     app = Klein()
+    web.answer_unrouted(app)
 
     async def lookup(request: "Request") -> bytes:
         rows = role.entry_rows()
-        answer = {
+        answer: dict[str, t.Any] = {
             "addresses": [row.http_address for row in rows],
             "keep_ms": LOOKUP_KEEP_MS,
         }
+        asked = read_lookup(request)
+        if asked is not None:
+            ticket = role.standings.make_ticket(*asked)
+            answer["ticket"] = encode_ticket(ticket)
+            answer["retry_window_ms"] = RETRY_WINDOW_MS
         return web.write_json(request, answer)
 
     def close_when_leaving(request: "Request") -> None:
@@ -87,12 +102,14 @@
     async def complete(request: "Request") -> bytes:
         close_when_leaving(request)
         checked = read_completion(request)
+        say_retry_window(request, checked)
         await role.serve(checked, _forward(request))
         return b""
 
-    async def call_service(request: "Request", name: str, path: str = "") -> bytes:
+    async def call_service(request: "Request", name: str, path: str) -> bytes:
         close_when_leaving(request)
-        checked = read_service_call(request, name, path)
+        checked = read_service_call(request, name)
+        say_retry_window(request, checked)
         await role.serve(checked, _forward(request))
         return b""
 
@@ -101,7 +118,7 @@
 
     async def ready(request: "Request") -> bytes:
         status = 200 if role.ready else 503
-        answer = {"ready": role.ready, "revision": role.snapshot.revision}
+        answer = {"ready": role.ready, "revision": role.configuration.snapshot.revision}
         return web.write_json(request, answer, status)
 
     async def drain(request: "Request") -> bytes:
@@ -120,6 +137,31 @@
     return app
 
 
+def say_retry_window(request: "Request", checked: CallerRequest) -> None:
+    """Say for how long the key may be retried."""
+    if checked.key:
+        request.setHeader(RETRY_WINDOW_HEADER, str(RETRY_WINDOW_MS))
+
+
+def read_lookup(request: "Request") -> tuple[str, Target] | None:
+    """Check what a lookup asks a ticket for; None when it asks for none.
+
+    Raises
+    ------
+    RequestError
+        Saying what to change.
+    """
+    arguments = {name: _argument(request, name) for name in _LOOKUP_ARGUMENTS}
+    if not any(arguments.values()):
+        return None
+    asked = arguments["model"] or arguments["service"]
+    if not arguments["team"] or not asked:
+        detail = "for a ticket, lookup needs `team` and one of `model` and `service`"
+        raise RequestError(detail, Code.BAD_REQUEST)
+    name, _, version = asked.partition("@")
+    return arguments["team"], Target(name, version)
+
+
 def read_completion(request: "Request") -> CallerRequest:
     """Check a chat completion request.
 
@@ -131,7 +173,7 @@
     body = _read_body(request)
     try:
         document = json.loads(body)
-    except ValueError as fault:
+    except (ValueError, RecursionError) as fault:
         raise RequestError(f"the body is not JSON: {fault}", Code.BAD_BODY) from fault
     model = document.get("model") if isinstance(document, dict) else None
     if not isinstance(model, str) or not model:
@@ -143,7 +185,7 @@
     )
 
 
-def read_service_call(request: "Request", name: str, path: str) -> CallerRequest:
+def read_service_call(request: "Request", name: str) -> CallerRequest:
     """Check a call to a plain service.
 
     Raises
@@ -152,13 +194,12 @@
         Saying what to change.
     """
     body = _read_body(request)
-    _, mark, query = request.uri.decode("ascii").partition("?")
     repeatable = request.method.decode() in _REPEATABLE_METHODS
     name, _, version = name.partition("@")
-    key = _read_key(request)
-    return _caller_request(
-        request, Target(name, version), f"/{path}{mark}{query}", body, key, repeatable
-    )
+    # A repeatable call needs no home: its key is only passed on.
+    key = "" if repeatable else _read_key(request)
+    path = _read_path(request)
+    return _caller_request(request, Target(name, version), path, body, key, repeatable)
 
 
 def _caller_request(
@@ -179,9 +220,15 @@
         key=key,
         deadline_ms=_read_deadline(request),
         idempotent=idempotent,
+        ticket=_read_header(request, TICKET_HEADER) or "",
     )
 
 
+def _argument(request: "Request", name: str) -> str:
+    values = request.args.get(name.encode(), [b""])
+    return values[0].decode("utf-8", "replace")
+
+
 def _read_body(request: "Request") -> bytes:
     body = request.content.read(MAX_BODY_BYTES + 1)
     if len(body) > MAX_BODY_BYTES:
@@ -190,15 +237,36 @@
     return body
 
 
+def _read_header(request: "Request", name: str) -> str | None:
+    raw = request.getHeader(name.encode())
+    if raw is None:
+        return None
+    text = raw.decode("latin-1")
+    if not text.isascii() or not text.isprintable():
+        detail = f"header {name} may hold only printable ASCII"
+        raise RequestError(detail, Code.BAD_HEADER)
+    return text
+
+
+def _read_path(request: "Request") -> str:
+    # As it was sent: decoded, an escaped "?" or line end would become a real one in
+    # the upstream's request line.
+    uri = request.uri.decode("latin-1")
+    if not uri.isascii() or not uri.isprintable() or " " in uri:
+        detail = "the path may hold only printable ASCII; escape the rest with %"
+        raise RequestError(detail, Code.BAD_REQUEST)
+    return "/" + uri.split("/", _SEGMENTS_BEFORE_PATH)[-1]
+
+
 def _read_team(request: "Request") -> str:
-    team = request.getHeader(TEAM_HEADER)
+    team = _read_header(request, TEAM_HEADER)
     if not team:
         raise RequestError(f"header {TEAM_HEADER} is missing", Code.BAD_HEADER)
     return team
 
 
 def _read_key(request: "Request") -> str:
-    key = request.getHeader(KEY_HEADER) or ""
+    key = _read_header(request, KEY_HEADER) or ""
     if len(key) > _MAX_KEY_CHARACTERS:
         detail = f"{KEY_HEADER} is longer than {_MAX_KEY_CHARACTERS} characters"
         raise RequestError(detail, Code.BAD_HEADER)
@@ -206,7 +274,7 @@
 
 
 def _read_deadline(request: "Request") -> int:
-    text = request.getHeader(DEADLINE_HEADER)
+    text = _read_header(request, DEADLINE_HEADER)
     if text is None:
         return DEADLINE_MS
     if not text.isascii() or not text.isdigit() or not 0 < int(text) <= MAX_DEADLINE_MS:
@@ -216,7 +284,7 @@
 
 
 def _passed_headers(request: "Request") -> tuple[tuple[str, str], ...]:
-    found = ((name, request.getHeader(name)) for name in _PASSED_HEADERS)
+    found = ((name, _read_header(request, name)) for name in _PASSED_HEADERS)
     return tuple((name, value) for name, value in found if value is not None)
 
 
