A gone home is told apart from a lost one; one bound over all teams' keys

Cause: a caller whose ticket names a replaced home heard UNKNOWN on a key's very first try, although nothing had been sent. The walk knows whether it sent: the word is now UNKNOWN with code HOME_GONE when this try was not sent, so that a caller who sent no other may begin the key with a new ticket. Ruled out: NOT_RUN there (an earlier try may have run).

Cause: 16 MB a team had no bound over the teams; 64 MB now.

--- a/packages/core/src/fuchsiahatch_core/codes.py
+++ b/packages/core/src/fuchsiahatch_core/codes.py
@@ -52,6 +52,8 @@
     TICKET_EXPIRED = 309
     # The key ran; its answer was too long to keep.
     ANSWER_NOT_KEPT = 310
+    # The key's home is gone and this try was not sent; earlier tries may have been.
+    HOME_GONE = 311
 
     # Configuration and the platform's services.
     SETTINGS_INVALID = 400
--- a/packages/core/src/fuchsiahatch_core/defaults.py
+++ b/packages/core/src/fuchsiahatch_core/defaults.py
@@ -26,6 +26,8 @@
 TICKET_HOMES = 3
 #: Memory of a home for one team's keys and kept answers.
 TEAM_LEDGER_BYTES = 16_777_216
+#: Memory of a home for the keys and kept answers of all teams.
+LEDGER_BYTES = 67_108_864
 #: Bindings that one entry writes to the key-value service in a second.
 BINDING_WRITES_PER_S = 20
 #: How long a stopping entry goes on telling callers to use another one.
--- a/packages/delivery/src/fuchsiahatch_delivery/ledger.py
+++ b/packages/delivery/src/fuchsiahatch_delivery/ledger.py
@@ -9,6 +9,7 @@
 
 from fuchsiahatch_core.codes import Code
 from fuchsiahatch_core.defaults import (
+    LEDGER_BYTES,
     RETENTION_MS,
     RETRY_AFTER_MS,
     TEAM_LEDGER_BYTES,
@@ -166,8 +167,8 @@
     ----------
     incarnation : str
         This life of the home.
-    team_bytes : int, optional
-        Memory for one team's keys and answers.
+    team_bytes, total_bytes : int, optional
+        Memory for one team's keys and answers, and for those of all teams.
     retention_ms : int, optional
         How long a key that is neither queued nor running is kept.
 
@@ -178,6 +179,7 @@
 
     __slots__ = (
         "_fenced_attempts",
+        "_free_bytes",
         "_incarnation",
         "_retention_ms",
         "_rows",
@@ -190,10 +192,12 @@
         self,
         incarnation: str,
         team_bytes: int = TEAM_LEDGER_BYTES,
+        total_bytes: int = LEDGER_BYTES,
         retention_ms: int = RETENTION_MS,
     ) -> None:
         self._incarnation = incarnation
         self._team_bytes = team_bytes
+        self._free_bytes = total_bytes
         self._retention_ms = retention_ms
         self._rows: dict[LedgerKey, _Row] = {}
         self._settled: collections.deque[tuple[int, LedgerKey]] = collections.deque()
@@ -271,9 +275,9 @@
         row.life.finish()
         self._settle(key, row, now_ms)
         team = key.team
-        if self._used_bytes[team] + answer.size_bytes <= self._team_bytes:
+        if self._has_room(team, answer.size_bytes):
             row.answer = answer
-            self._used_bytes[team] += answer.size_bytes
+            self._take_room(team, answer.size_bytes)
 
     def lose(self, key: LedgerKey, now_ms: int) -> None:
         """Note that a dispatched key brought no whole answer."""
@@ -367,15 +371,23 @@
         return Follow()
 
     def _reserve(self, team: str) -> None:
-        if self._used_bytes[team] + _ROW_BYTES > self._team_bytes:
+        if not self._has_room(team, _ROW_BYTES):
             # To evict a key in place of refusing would let a retry of it run again.
             detail = f"this home remembers no more keys of team {team!r} for now"
             raise RefusedError(detail, Code.LEDGER_FULL, RETRY_AFTER_MS)
-        self._used_bytes[team] += _ROW_BYTES
+        self._take_room(team, _ROW_BYTES)
+
+    def _has_room(self, team: str, size_bytes: int) -> bool:
+        used_bytes = self._used_bytes[team] + size_bytes
+        return used_bytes <= self._team_bytes and size_bytes <= self._free_bytes
+
+    def _take_room(self, team: str, size_bytes: int) -> None:
+        self._used_bytes[team] += size_bytes
+        self._free_bytes -= size_bytes
 
     def _drop(self, key: LedgerKey) -> None:
         row = self._rows.pop(key)
-        self._used_bytes[key.team] -= row.size_bytes
+        self._take_room(key.team, -row.size_bytes)
         if not self._used_bytes[key.team]:
             del self._used_bytes[key.team]
 
--- a/packages/delivery/src/fuchsiahatch_delivery/walks.py
+++ b/packages/delivery/src/fuchsiahatch_delivery/walks.py
@@ -1,5 +1,6 @@
 """The entry's walk from home to home, as generators of moves."""
 
+import enum
 import typing as t
 
 from fuchsiahatch_core.codes import Code
@@ -23,12 +24,32 @@
 _MAX_RUNS_AT_HOME = 2
 _MAX_HOMES_WITHOUT_KEY = 3
 _ENDED = (Verdict.RUNNING, Verdict.DONE)
+_HOME_GONE = Word(
+    Verdict.UNKNOWN,
+    Code.HOME_GONE,
+    "the key's home is gone, and this try was not sent; if it was the first, take a"
+    " new ticket, else whether the key ran is not known",
+    RETRY_AFTER_MS,
+)
+_HOME_LOST = Word(
+    Verdict.UNKNOWN,
+    Code.UNKNOWN,
+    "the key's home was lost while it was asked; whether it ran is not known",
+    RETRY_AFTER_MS,
+)
 #: Refusals after which the key is fenced at the home and goes on to the next.
 _MOVING_ON = frozenset(
     (Code.LEAVING, Code.FENCED, Code.NO_ALLOWED_PLACE, Code.NO_LIVE_UPSTREAM)
 )
 
 
+class _Lost(enum.Enum):
+    """How a home is lost: before or after this walk sent it the request."""
+
+    UNSENT = "unsent"
+    SENT = "sent"
+
+
 def walk_key(
     order: t.Sequence[Home], standing_of: t.Callable[[Home], Standing]
 ) -> Walk:
@@ -52,8 +73,10 @@
     """
     for number, home in enumerate(order):
         end = yield from _try_home(home, standing_of(home))
-        if end is Standing.GONE:
-            return (yield from _ask_rest(order[number + 1 :]))
+        if end is _Lost.UNSENT:
+            return (yield from _ask_rest(order[number + 1 :], _HOME_GONE))
+        if end is _Lost.SENT:
+            return (yield from _ask_rest(order[number + 1 :], _HOME_LOST))
         if isinstance(end, Word):
             return end
     detail = "every home of the key is leaving and has fenced it; take a new ticket"
@@ -102,10 +125,12 @@
     return word
 
 
-def _try_home(home: Home, standing: Standing) -> t.Generator[Move, Reply, t.Any]:
-    """Return a word, or LEAVING to go on to the next home, or GONE."""
+def _try_home(
+    home: Home, standing: Standing
+) -> t.Generator[Move, Reply, "Word | _Lost | None"]:
+    """Return a word, or how the home is lost, or None to go on to the next."""
     if standing is Standing.GONE:
-        return Standing.GONE
+        return _Lost.UNSENT
     if standing is Standing.LEAVING:
         return (yield from _fence(home))
     for _ in range(_MAX_RUNS_AT_HOME):
@@ -113,11 +138,11 @@
         if isinstance(reply, Broken) and not reply.first_byte_sent:
             reply = yield Move(Ask.RESOLVE, home)
             if isinstance(reply, Broken):
-                return Standing.GONE
+                return _Lost.SENT
         if isinstance(reply, Told) and reply.verdict in _ENDED:
             return (yield from _find(home))
         if isinstance(reply, Refused) and reply.code is Code.WRONG_HOME:
-            return Standing.GONE
+            return _Lost.UNSENT
         if isinstance(reply, Refused) and reply.code in _MOVING_ON:
             return (yield from _fence(home))
         if not _is_not_run(reply):
@@ -125,16 +150,16 @@
     return _word_of(reply)
 
 
-def _fence(home: Home) -> t.Generator[Move, Reply, t.Any]:
+def _fence(home: Home) -> t.Generator[Move, Reply, "Word | _Lost | None"]:
     # To go on without the home's own word would let a late order of an earlier try
     # run the key here while the next home runs it too: two holds for one member.
     reply = yield Move(Ask.FENCE, home)
     if isinstance(reply, Told) and reply.verdict is Verdict.NOT_RUN:
-        return Standing.LEAVING
+        return None
     if isinstance(reply, Told) and reply.verdict in _ENDED:
         return (yield from _find(home))
     if isinstance(reply, Broken) or getattr(reply, "code", None) is Code.WRONG_HOME:
-        return Standing.GONE
+        return _Lost.UNSENT
     return _word_of(reply)
 
 
@@ -145,7 +170,7 @@
     return _word_of(reply)
 
 
-def _ask_rest(rest: t.Sequence[Home]) -> Walk:
+def _ask_rest(rest: t.Sequence[Home], word: Word) -> Walk:
     # A home that has died took its memory along: whether it ran the key, nobody
     # knows. An earlier try may have found it leaving, fenced the key there and gone
     # on, so the rest is asked; but to run the key there could be the second run.
@@ -157,7 +182,7 @@
             return _word_of(reply)
         if isinstance(reply, Refused) and reply.code is Code.KEY_REUSED:
             return _word_of(reply)
-    return _unknown("the home of the key is gone; whether it ran is not known")
+    return word
 
 
 def _try_once(home: Home, idempotent: bool) -> Walk:
