--- a/packages/core/src/fuchsiahatch_core/defaults.py
+++ b/packages/core/src/fuchsiahatch_core/defaults.py
@@ -30,5 +30,5 @@
 LEDGER_BYTES = 67_108_864
 #: Bindings that one entry writes to the key-value service in a second.
 BINDING_WRITES_PER_S = 20
-#: How long a stopping entry goes on telling callers to use another one.
+#: How long a stopping process goes on telling others to use another one.
 LEAVE_LINGER_MS = 1_500
--- a/packages/daemon/src/fuchsiahatch_daemon/agent.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/agent.py
@@ -5,6 +5,7 @@
 from klein import Klein
 
 from fuchsiahatch_core.clock import Clock
+from fuchsiahatch_core.defaults import LEAVE_LINGER_MS
 from fuchsiahatch_core.identities import new_incarnation
 from fuchsiahatch_daemon import rpc, web
 from fuchsiahatch_daemon.metrics import Metrics, add_route
@@ -42,6 +43,9 @@
     async def stop(self) -> None:
         """Refuse new work, finish what runs, then close."""
         self.runner.leave()
+        # An order that an entry sent before it heard of the leaving comes now. With
+        # the port closed its key would be lost with this home; refused, it goes on.
+        await asyncio.sleep(LEAVE_LINGER_MS / 1000)
         await self.runner.finish()
         self._server.close()
         await self._server.wait_closed()
--- a/packages/platform/src/fuchsiahatch_platform/upstream.py
+++ b/packages/platform/src/fuchsiahatch_platform/upstream.py
@@ -121,7 +121,8 @@
             (name.decode(), value.decode())
             for name, values in response.headers.getAllRawHeaders()
             for value in values
-            if name.decode().lower() not in _HOP_BY_HOP
+            # treq decodes a packed body and leaves the header behind, empty.
+            if value and name.decode().lower() not in _HOP_BY_HOP
         )
         return UpstreamAnswer(response.code, kept, _iterate(pieces), pieces.abort)
 
