--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 python ?= python3
 
-.PHONY: install demo test check bench-path bench-routing
+.PHONY: install demo demo-keep test check settings-page capacity bench-slopes bench-placement bench-path bench-routing
 install: .venv/installed
 
 .venv/installed: requirements.txt $(wildcard packages/*/pyproject.toml)
@@ -13,6 +13,9 @@
 demo: install
 	demo/demo.sh
 
+demo-keep: install
+	demo/demo.sh --keep
+
 test: install
 	.venv/bin/python tools/run_tests.py
 
@@ -20,6 +23,30 @@
 	.venv/bin/ruff format --check .
 	.venv/bin/ruff check .
 	.venv/bin/lint-imports --no-cache
+	.venv/bin/python tools/check_docs.py --warn-missing
+	.venv/bin/python tools/check_links.py
+	.venv/bin/python tools/check_dependencies.py
+	.venv/bin/python -m fuchsiahatch_bench.capacity --check
+
+settings-page: install
+	.venv/bin/python tools/make_settings_page.py
+
+bench-slopes: install
+	.venv/bin/python -m fuchsiahatch_bench.slopes
+
+capacity: install
+	.venv/bin/python -m fuchsiahatch_bench.capacity
+
+bench-placement: install
+	.venv/bin/python -m fuchsiahatch_bench.bench_placement
+
+# Policies are tuned on their own seeds by `make tune-experts`, which takes minutes.
+.PHONY: bench-experts tune-experts
+bench-experts: install
+	OPENBLAS_NUM_THREADS=1 .venv/bin/python -m fuchsiahatch_bench.experts run
+
+tune-experts: install
+	OPENBLAS_NUM_THREADS=1 .venv/bin/python -m fuchsiahatch_bench.experts tune
 
 bench-path: install
 	packages/bench/path.sh
--- a/packages/daemon/src/fuchsiahatch_daemon/selection.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/selection.py
@@ -8,7 +8,6 @@
 
 from fuchsiahatch_core.clock import Clock
 from fuchsiahatch_core.codes import Code
-from fuchsiahatch_core.exceptions import FuchsiahatchError
 from fuchsiahatch_core.identities import Home, Offer
 from fuchsiahatch_daemon.configuration import Configuration
 from fuchsiahatch_daemon.hostwatch import HostWatch
@@ -88,19 +87,6 @@
         left = [one for one in found if one.upstream.home.host not in tried]
         return self._choose(left, prefix_of(prefix)) if left else None
 
-    def note_refusal(self, candidate: Candidate, fault: FuchsiahatchError) -> None:
-        """Learn from an agent's refusal that it is leaving.
-
-        Notes
-        -----
-        Guards against a lagging host list: a leaving upstream would be chosen,
-        and refuse, until the list or its report says so. Its own refusal is the
-        first word of it, and holds for that life of the agent.
-        """
-        if fault.result is Code.LEAVING:
-            home = candidate.upstream.home
-            self._left[home.host] = home.incarnation
-
     @contextlib.contextmanager
     def outstanding(self, host: str) -> t.Iterator[None]:
         """Count an attempt as this entry's own load on a host."""
@@ -110,17 +96,33 @@
         finally:
             self._loads.end(host)
 
-    def note_frame(self, host: str, frame: "Frame") -> None:
-        """Learn an agent's load from the frame that closes an attempt.
+    def note_refusal(self, home: Home, code: int) -> None:
+        """Learn from a home's refusal that it is leaving.
 
         Notes
         -----
-        It is fresher than the last report; call it while the attempt is counted.
+        Guards against a lagging host list: a leaving upstream would be chosen,
+        and refuse, until the list or its report says so. Its own refusal is the
+        first word of it, and holds for that life of the agent.
+        """
+        if code == Code.LEAVING:
+            self._left[home.host] = home.incarnation
+
+    def note_frame(self, home: Home, frame: "Frame") -> None:
+        """Learn from the frame that closes an attempt.
+
+        Notes
+        -----
+        Its load is fresher than the last report; call it while the attempt is
+        counted.
         """
         kind = frame.WhichOneof("body")
-        if kind in ("end", "refusal"):
-            load = getattr(frame, kind).load
-            self._loads.note(host, load.in_flight + load.queued)
+        if kind not in ("end", "refusal"):
+            return
+        load = getattr(frame, kind).load
+        self._loads.note(home.host, load.in_flight + load.queued)
+        if kind == "refusal":
+            self.note_refusal(home, frame.refusal.code)
 
     def _forget_replaced(self, views: t.Sequence[HostView]) -> None:
         if len(self._heard_ms) <= 2 * len(views):
--- a/packages/daemon/src/fuchsiahatch_daemon/web.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/web.py
@@ -2,17 +2,25 @@
 
 import asyncio
 import functools
+import io
 import json
 import math
 import typing as t
 
 from twisted.internet import endpoints, reactor
 from twisted.internet.defer import Deferred
+from twisted.web.server import Request as ServerRequest
 from twisted.web.server import Site
+from werkzeug.exceptions import HTTPException
 
 from fuchsiahatch_core.codes import Code
+from fuchsiahatch_core.defaults import MAX_BODY_BYTES, RETRY_AFTER_MS
 from fuchsiahatch_core.events import Event, log_event
-from fuchsiahatch_core.exceptions import FuchsiahatchError
+from fuchsiahatch_core.exceptions import (
+    FuchsiahatchError,
+    RefusedError,
+    RequestError,
+)
 from fuchsiahatch_daemon.settings import split_address
 
 if t.TYPE_CHECKING:
@@ -20,6 +28,8 @@
     from twisted.internet.interfaces import IListeningPort
     from twisted.web.server import Request
 
+VERDICT_HEADER = "Fuchsiahatch-Verdict"
+
 _STATUS_BY_CODE = {
     Code.BODY_TOO_LARGE: 413,
     Code.UNKNOWN_TEAM: 403,
@@ -31,17 +41,58 @@
     Code.DEADLINE_PASSED: 504,
     Code.UNKNOWN: 502,
     Code.TRUNCATED: 502,
+    Code.TICKET_EXPIRED: 502,
+    Code.ANSWER_NOT_KEPT: 502,
+    Code.WRONG_HOME: 502,
+    Code.HOME_GONE: 502,
+    Code.LEDGER_FULL: 429,
+    Code.CALL_BUDGET_SPENT: 429,
     Code.UPSTREAM_FAILED: 502,
     Code.CONFLICT: 409,
     Code.IN_PROGRESS: 409,
     Code.INTERNAL: 500,
 }
+_METHOD_NOT_ALLOWED = 405
 _CALLER_FAULTS = range(100, 200)
 _RECORD_FAULTS = range(400, 404)
 _BAD_REQUEST = 400
 _UNAVAILABLE = 503
 
 
+class MemoryRequest(ServerRequest):
+    """Keeps a request's body in memory, up to one byte beyond the limit.
+
+    Notes
+    -----
+    twisted spools a long body into a file; the hosts have no disks, and a caller
+    that sends without end would fill whatever stands in for one.
+
+    .. versionadded:: 0.1
+    """
+
+    def gotLength(self, length: int | None) -> None:
+        """Make room for the body."""
+        self.content = io.BytesIO()
+
+    def handleContentChunk(self, data: bytes) -> None:
+        """Keep a piece of the body, as far as it fits."""
+        room = MAX_BODY_BYTES + 1 - self.content.tell()
+        self.content.write(data[:room])
+
+
+def answer_unrouted(app: "Klein") -> None:
+    """Answer paths and methods that an application doesn't know with coded errors."""
+
+    @app.handle_errors(HTTPException)
+    def answer(request: "Request", failure: t.Any) -> bytes:
+        method, path = request.method.decode("latin-1"), request.path.decode("latin-1")
+        detail = f"there is no {method} {path}"
+        body = write_error(request, RequestError(detail, Code.NOT_FOUND))
+        if failure.value.code == _METHOD_NOT_ALLOWED:
+            request.setResponseCode(_METHOD_NOT_ALLOWED)
+        return body
+
+
 def status_of(code: Code) -> int:
     """Return the HTTP status that goes with a result code."""
     if code in _STATUS_BY_CODE:
@@ -83,9 +134,16 @@
         "name": fault.result.name,
         "detail": fault.detail,
     }
-    if fault.retry_after_ms is not None:
-        body["retry_after_ms"] = fault.retry_after_ms
-        seconds = max(1, math.ceil(fault.retry_after_ms / 1000))
+    if fault.verdict:
+        body["verdict"] = fault.verdict
+        body["scope"] = "key" if fault.whole_key else "attempt"
+        request.setHeader(VERDICT_HEADER, fault.verdict)
+    retry_after_ms = fault.retry_after_ms
+    if retry_after_ms is None and isinstance(fault, RefusedError):
+        retry_after_ms = RETRY_AFTER_MS
+    if retry_after_ms is not None:
+        body["retry_after_ms"] = retry_after_ms
+        seconds = max(1, math.ceil(retry_after_ms / 1000))
         request.setHeader("Retry-After", str(seconds))
     return write_json(request, {"error": body}, status_of(fault.result))
 
@@ -94,7 +152,7 @@
     """Serve a klein application at ``ip:port``."""
     ip, port = split_address(address)
     endpoint = endpoints.TCP4ServerEndpoint(reactor, port, interface=ip)
-    return endpoint.listen(Site(app.resource()))
+    return endpoint.listen(Site(app.resource(), requestFactory=MemoryRequest))
 
 
 async def _guarded(
@@ -106,9 +164,10 @@
         return await handle(request, **arguments)
     except FuchsiahatchError as fault:
         if request.startedWriting:
-            # The head is out: only a broken connection still says "not whole".
-            request.transport.abortConnection()
-            return b""
+            _break_off(request, fault)
+            # To return would let klein write the last chunk behind the error, and
+            # half an answer would look whole. The lost connection cancels the wait.
+            await asyncio.get_running_loop().create_future()
         return write_error(request, fault)
     except Exception as fault:
         log_event(Event.INTERNAL_ERROR, detail=repr(fault))
@@ -116,5 +175,18 @@
         return write_error(request, hidden)
 
 
+def _break_off(request: "Request", fault: FuchsiahatchError) -> None:
+    # The head is out: only a connection that ends without the last chunk still says
+    # "not whole". A reader of events is told why as well.
+    kind = request.responseHeaders.getRawHeaders("Content-Type", [""])[0]
+    if not kind.startswith("text/event-stream"):
+        request.transport.abortConnection()
+        return
+    error = {"code": int(fault.result), "name": fault.result.name}
+    event = f"event: error\ndata: {json.dumps({'error': error})}\n\n"
+    request.write(event.encode())
+    request.transport.loseConnection()
+
+
 def _hand_over(done: asyncio.Task[bytes], answered: Deferred[bytes]) -> None:
     answered.callback(b"" if done.cancelled() else done.result())
