--- a/packages/daemon/src/fuchsiahatch_daemon/callers.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/callers.py
@@ -18,6 +18,7 @@
 from fuchsiahatch_daemon import web
 from fuchsiahatch_delivery.tickets import encode_ticket
 from fuchsiahatch_routing.candidates import Target
+from fuchsiahatch_routing.queues import DEFAULT_PRIORITY, PRIORITY_CLASSES
 
 if t.TYPE_CHECKING:
     from twisted.web.server import Request
@@ -29,10 +30,12 @@
 DEADLINE_HEADER = "Fuchsiahatch-Deadline-Ms"
 KEY_HEADER = "Idempotency-Key"
 TICKET_HEADER = "Fuchsiahatch-Ticket"
+PRIORITY_HEADER = "Fuchsiahatch-Priority"
 RETRY_WINDOW_HEADER = "Fuchsiahatch-Retry-Window-Ms"
 PLACE_HEADER = "Fuchsiahatch-Place"
 
 _REPEATABLE_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
+_PRIORITIES = tuple(map(str, range(PRIORITY_CLASSES)))
 _PASSED_HEADERS = ("Content-Type", "Accept", KEY_HEADER)
 _MAX_KEY_CHARACTERS = 255
 _SEGMENTS_BEFORE_PATH = 3
@@ -61,6 +64,8 @@
         Whether it may run more than once.
     ticket : str
         The ticket that the key began with, empty without one.
+    priority : int
+        Class among the team's own requests; smaller goes first.
     """
 
     team: str
@@ -73,6 +78,7 @@
     deadline_ms: int
     idempotent: bool
     ticket: str = ""
+    priority: int = DEFAULT_PRIORITY
 
 
 def make_app(role: "EntryRole") -> Klein:
@@ -221,6 +227,7 @@
         deadline_ms=_read_deadline(request),
         idempotent=idempotent,
         ticket=_read_header(request, TICKET_HEADER) or "",
+        priority=_read_priority(request),
     )
 
 
@@ -283,6 +290,17 @@
     return int(text)
 
 
+def _read_priority(request: "Request") -> int:
+    text = _read_header(request, PRIORITY_HEADER)
+    if text is None:
+        return DEFAULT_PRIORITY
+    if text not in _PRIORITIES:
+        allowed = ", ".join(_PRIORITIES)
+        detail = f"{PRIORITY_HEADER} must be one of {allowed}; 0 goes first"
+        raise RequestError(detail, Code.BAD_HEADER)
+    return int(text)
+
+
 def _passed_headers(request: "Request") -> tuple[tuple[str, str], ...]:
     found = ((name, _read_header(request, name)) for name in _PASSED_HEADERS)
     return tuple((name, value) for name, value in found if value is not None)
--- a/packages/daemon/src/fuchsiahatch_daemon/hops.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/hops.py
@@ -159,6 +159,7 @@
             body=request.body,
             key=errand.key_text,
             fingerprint=errand.fingerprint,
+            priority=request.priority,
             deadline_ms=errand.left_ms(),
             revision=self._read_revision(),
             home_incarnation=home.incarnation,
--- a/packages/routing/src/fuchsiahatch_routing/queues.py
+++ b/packages/routing/src/fuchsiahatch_routing/queues.py
@@ -9,6 +9,8 @@
 
 #: Classes of priority that are told apart; a larger number counts as the last.
 PRIORITY_CLASSES = 3
+#: Class of a request that names none.
+DEFAULT_PRIORITY = 1
 #: Requests of work that a better class may be ahead of its team's turn.
 CLASS_ADVANCE = (2.0, 0.0, -2.0)
 #: Times that a team's better class may overtake its oldest request in a row.
--- a/tests/processes/test_callers.py
+++ b/tests/processes/test_callers.py
@@ -33,6 +33,10 @@
         "POST", CHAT, GOOD, TEAM_HEADER | {"Fuchsiahatch-Deadline-Ms": "soon"}, 400,
         Code.BAD_HEADER,
     ),
+    (
+        "POST", CHAT, GOOD, TEAM_HEADER | {"Fuchsiahatch-Priority": "first"}, 400,
+        Code.BAD_HEADER,
+    ),
     ("POST", CHAT, GOOD, KEYED | {"Fuchsiahatch-Ticket": "x"}, 400, Code.BAD_TICKET),
 )  # fmt: skip
 
