A closing HTTP port sends its readers what is still written

A request counts as ended when its answer is written, not when it is sent; the entry then stopped the reactor, and what waited in the transport was lost with the process. A second cause of the same kind: loseConnection alone never ends a connection whose channel paused itself as producer. Ruled out: the agent's side by reading (its frames are in the socket when the stream ends); a longer linger (a slow reader takes any time). Conclusion: Listener.close flushes; readers that take nothing for 30 s are given up.

--- a/packages/daemon/src/fuchsiahatch_daemon/agent.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/agent.py
@@ -49,8 +49,7 @@
         """Follow the entries' configuration; serve gRPC and HTTP."""
         self.follower.start()
         self._server = await rpc.serve([self.runner], self.settings.rpc_address)
-        listening = web.listen(make_app(self), self.settings.http_address)
-        self._port = await listening.asFuture(asyncio.get_running_loop())
+        self._listener = await web.listen(make_app(self), self.settings.http_address)
 
     async def stop(self) -> None:
         """Refuse new work, finish what runs, then close."""
@@ -61,7 +60,7 @@
         await self.runner.finish()
         self._server.close()
         await self._server.wait_closed()
-        self._port.stopListening()
+        await self._listener.close()
         self.follower.stop()
         self._channels.close()
 
--- a/packages/daemon/src/fuchsiahatch_daemon/entry.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/entry.py
@@ -114,8 +114,7 @@
             self.metrics.registry, self.configuration, self.key_value.budget
         )
         add_route(app, self.metrics, control.refresh)
-        listening = web.listen(app, self.settings.http_address)
-        self._port = await listening.asFuture(asyncio.get_running_loop())
+        self._listener = await web.listen(app, self.settings.http_address)
 
     async def stop(self) -> None:
         """Leave the lookup's answers, finish open requests, then close."""
@@ -125,7 +124,7 @@
         # use another entry; after that they find the port closed.
         await asyncio.sleep(LEAVE_LINGER_MS / 1000)
         await self._requests.wait_idle()
-        self._port.stopListening()
+        await self._listener.close()
         self._server.close()
         self.peers.stop()
         self.hosts.stop()
--- a/packages/daemon/src/fuchsiahatch_daemon/web.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/web.py
@@ -21,11 +21,11 @@
     RefusedError,
     RequestError,
 )
+from fuchsiahatch_daemon.listening import Connections, Listener
 from fuchsiahatch_daemon.settings import split_address
 
 if t.TYPE_CHECKING:
     from klein import Klein
-    from twisted.internet.interfaces import IListeningPort
     from twisted.web.server import Request
 
 VERDICT_HEADER = "Fuchsiahatch-Verdict"
@@ -148,11 +148,14 @@
     return write_json(request, {"error": body}, status_of(fault.result))
 
 
-def listen(app: "Klein", address: str) -> "Deferred[IListeningPort]":
+async def listen(app: "Klein", address: str) -> Listener:
     """Serve a klein application at ``ip:port``."""
     ip, port = split_address(address)
+    site = Site(app.resource(), requestFactory=MemoryRequest)
+    connections = Connections(site)
     endpoint = endpoints.TCP4ServerEndpoint(reactor, port, interface=ip)
-    return endpoint.listen(Site(app.resource(), requestFactory=MemoryRequest))
+    listening = endpoint.listen(connections)
+    return Listener(await listening.asFuture(asyncio.get_running_loop()), connections)
 
 
 async def _guarded(
