Roster writes keep time for their swap; unreadable documents told once

Cause: a roster write that waited long for its base sent its swap just before its time was up and could not resolve a lost answer. Ruled out: more time in all; the end is promised after 16 s. A peer's unreadable document made an event each second; now one for each fault. Conclusion: an end that can't be told is rarer; it can't be ruled out.

--- a/packages/placement/src/fuchsiahatch_placement/acceptance.py
+++ b/packages/placement/src/fuchsiahatch_placement/acceptance.py
@@ -204,7 +204,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unreadable:
-    """A document could not be taken over; the node stays on what it holds."""
+    """A document could not be taken over; the node stays on what it holds.
+
+    Told once for each source and fault.
+    """
 
     source: str
     detail: str
@@ -258,6 +261,7 @@
 
     __slots__ = (
         "_alarmed",
+        "_complaints",
         "_confirmed_ms",
         "_fresh_ms",
         "_host",
@@ -299,6 +303,7 @@
         self._confirmed_ms: int | None = None
         self._service_ms: int | None = None
         self._service_seen: dict[str, _Seen | None] = {}
+        self._complaints: dict[str, str] = {}
         self._alarmed: dict[tuple[str, str], _Seen] = {}
         self._was_fresh = False
 
@@ -508,7 +513,7 @@
         try:
             snapshot = decode_document(value)
         except SettingsError as fault:
-            return None, [Unreadable(source, str(fault))]
+            return None, self._complain(source, str(fault))
         seen = _Seen(snapshot.revision, snapshot.change_id)
         # Only upwards: a late watch event or a restored backup would otherwise
         # bring back a placement that an accepted change has replaced.
@@ -525,7 +530,7 @@
         try:
             roster = decode_roster(value)
         except SettingsError as fault:
-            return None, [Unreadable(source, str(fault))]
+            return None, self._complain(source, str(fault))
         seen = _Seen(roster.revision, roster.change_id)
         if roster.revision <= self.roster.revision:
             return seen, []
@@ -535,6 +540,13 @@
             found.heard.clear()
         return seen, [RosterApplied(roster)]
 
+    def _complain(self, source: str, detail: str) -> list[Effect]:
+        # A peer sends its newer document with every answer, once a second.
+        if self._complaints.get(source) == detail:
+            return []
+        self._complaints[source] = detail
+        return [Unreadable(source, detail)]
+
     def _held(self, segment: str) -> "_Seen":
         if segment == _ROSTER:
             return _Seen(self.roster.revision, self.roster.change_id)
--- a/packages/placement/src/fuchsiahatch_placement/writing.py
+++ b/packages/placement/src/fuchsiahatch_placement/writing.py
@@ -28,6 +28,9 @@
 #: Added to the wait for old freshness, for clocks that run at unequal rates.
 DRIFT_MARGIN_MS = 100
 
+#: Time kept back for a compare-and-swap whose answer may be lost.
+RESOLVE_MS = 3_000
+
 #: Makes the next document of a base, or raises a coded error.
 Propose = t.Callable[[Document], Document]
 
@@ -468,8 +471,8 @@
 
 @_awaiting_base.upon(_Inputs.tick).loop()
 def _awaiting_tick(inputs: _Inputs, core: _Core) -> None:
-    # Late with all majorities there, too: a swap sent now could not be resolved.
-    if core.late:
+    # With all majorities there, too: a swap sent now could not be resolved in time.
+    if core.now_ms >= core.give_up_at_ms - RESOLVE_MS:
         revision = core.wanted[0]
         detail = f"roster revision {revision} isn't accepted yet; nothing was written"
         core.end(Outcome.REFUSED, Code.PENDING, revision, detail)
--- a/tests/placement/test_acceptance.py
+++ b/tests/placement/test_acceptance.py
@@ -244,6 +244,7 @@
         answer = acceptance.ServiceAnswer(asked.question, b"", b"{broken")
         effects = entry.handle(answer, 2_100)
         self.assertIsInstance(effects[0], acceptance.Unreadable)
+        self.assertEqual(entry.handle(answer, 2_200), [])
         self.assertEqual(entry.fresh_until_ms(), 3_000)
         self.assertEqual(entry.snapshot.revision, 1)
 
