--- a/demo/demo.sh
+++ b/demo/demo.sh
@@ -35,7 +35,8 @@
 
 standin="$python -m fuchsiahatch_standins"
 $standin layout "$run" --base-port "$base"
-start key-value $standin key-value "127.0.0.1:$((base + 300))" --placement "$run/placement.json"
+start key-value $standin key-value "127.0.0.1:$((base + 300))" \
+    --placement "$run/placement.json" --roster "$run/roster.json"
 start host-list $standin host-list "127.0.0.1:$((base + 301))" --hosts "$run/hosts.json"
 for file in "$run"/engine-*.json "$run"/hold-*.json "$run"/map-*.json; do
     name=$(basename "$file" .json)
@@ -57,6 +58,11 @@
 echo "== both deployments' requests"
 $python -m fuchsiahatch_standins.demo_calls --entry "127.0.0.1:$base"
 
+echo "== an operator moves a team into schema 2, and asks why requests go where they go"
+operate=".venv/bin/fuchsiahatch --entry 127.0.0.1:$base"
+$operate apply "$run/change.json" --summary "gym-subang in kl-b only"
+$operate explain gym-subang booking-assistant | grep -e host -e reason
+
 echo "== an agent and an entry leave under load"
 $python -m fuchsiahatch_standins.demo_calls --entry "127.0.0.1:$((base + 1))" --rounds 20 >"$run/load.txt" &
 load=$!
