--- a/packages/bench/src/fuchsiahatch_bench/processes.py
+++ b/packages/bench/src/fuchsiahatch_bench/processes.py
@@ -9,6 +9,8 @@
 
 _NS_PER_MS = 1_000_000
 _STOP_TIMEOUT_S = 20
+#: The one module that answers on its standard output.
+ROLES_HOST = "fuchsiahatch_bench.roles_host"
 _TREE = pathlib.Path(sys.executable).parent
 
 
@@ -76,7 +78,7 @@
             self._by_name[name] = subprocess.Popen(
                 command,
                 stdin=subprocess.PIPE,
-                stdout=subprocess.PIPE if "agents_host" in command[2] else errors,
+                stdout=subprocess.PIPE if ROLES_HOST in command else errors,
                 stderr=errors,
                 text=True,
             )
--- a/packages/bench/src/fuchsiahatch_bench/agents_host.py
+++ b/packages/bench/src/fuchsiahatch_bench/roles_host.py
@@ -1,4 +1,4 @@
-"""Runs many agents in one process and tells what their reports cost.
+"""Runs many agents or entries in one process and tells what they use.
 
 A line on standard input is answered by a line of JSON on standard output:
 processor time of the process, and bytes and segments on its gRPC connections.
@@ -21,7 +21,7 @@
 
 
 def main(folder: str, prefix: str) -> None:
-    """Run an agent for each settings file until standard input ends.
+    """Run the role of each settings file until standard input ends.
 
     Parameters
     ----------
@@ -44,10 +44,13 @@
 
 async def _start(paths: t.Sequence[pathlib.Path]) -> None:
     from fuchsiahatch_daemon.agent import AgentRole
+    from fuchsiahatch_daemon.entry import EntryRole
     from fuchsiahatch_daemon.settings import read_settings
 
+    roles = {"agent": AgentRole, "entry": EntryRole}
     for path in paths:
-        await AgentRole(read_settings(str(path))).start()
+        settings = read_settings(str(path))
+        await roles[settings.role](settings).start()
 
 
 def _collect_sockets() -> list[socket.socket]:
@@ -78,4 +81,4 @@
 
 
 if __name__ == "__main__":
-    fire.Fire(main, name="agents_host")
+    fire.Fire(main, name="roles_host")
--- a/packages/bench/src/fuchsiahatch_bench/watch_costs.py
+++ b/packages/bench/src/fuchsiahatch_bench/watch_costs.py
@@ -13,7 +13,7 @@
 
 from fuchsiahatch_bench.fits import Line, Point, fit_line
 from fuchsiahatch_bench.path_costs import start_platform, wait_ready
-from fuchsiahatch_bench.processes import ProcessGroup
+from fuchsiahatch_bench.processes import ROLES_HOST, ProcessGroup
 from fuchsiahatch_standins.layout import list_row, write_layout
 
 WATCHED = (5, 20, 80)
@@ -75,9 +75,7 @@
         processes = -(-agents // AGENTS_A_PROCESS)
         hosts = [f"agents-{number}" for number in range(processes)]
         for host in hosts:
-            group.start_module(
-                host, "fuchsiahatch_bench.agents_host", str(folder), f"{host}-"
-            )
+            group.start_module(host, ROLES_HOST, str(folder), f"{host}-")
         group.start_daemon("entry", folder / "entry.json")
         await wait_ready(entry)
         await asyncio.sleep(_SETTLE_S)
