--- a/packages/daemon/src/fuchsiahatch_daemon/entry.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/entry.py
@@ -7,19 +7,27 @@
 from fuchsiahatch_core.defaults import LEAVE_LINGER_MS, RETRY_AFTER_MS
 from fuchsiahatch_core.exceptions import RefusedError
 from fuchsiahatch_core.identities import new_incarnation
-from fuchsiahatch_daemon import rpc, web
+from fuchsiahatch_daemon import operators, rpc, web
 from fuchsiahatch_daemon.binder import Binder
 from fuchsiahatch_daemon.callers import CallerRequest, make_app
+from fuchsiahatch_daemon.changes import Changes
 from fuchsiahatch_daemon.configuration import Configuration
+from fuchsiahatch_daemon.controlmetrics import ControlMetrics
 from fuchsiahatch_daemon.dispatch import Dispatcher
 from fuchsiahatch_daemon.hops import Hops, Send
 from fuchsiahatch_daemon.hostwatch import HostWatch
 from fuchsiahatch_daemon.metrics import Metrics, add_route
 from fuchsiahatch_daemon.openwork import OpenWork
+from fuchsiahatch_daemon.peercalls import PeerCalls
+from fuchsiahatch_daemon.peers import Peers
+from fuchsiahatch_daemon.pulls import Pulls
 from fuchsiahatch_daemon.selection import Selection
 from fuchsiahatch_daemon.settings import Settings
 from fuchsiahatch_daemon.standings import Standings
+from fuchsiahatch_membership.heartbeats import ENTRY_SUSPECT_AFTER_MS
 from fuchsiahatch_membership.hosts import HostRow
+from fuchsiahatch_placement.acceptance import EntryConfiguration
+from fuchsiahatch_platform.budget import CallBudget
 from fuchsiahatch_platform.hostlist import HostListClient
 from fuchsiahatch_platform.http import HttpCaller
 from fuchsiahatch_platform.keyvalue import KeyValueClient
@@ -43,17 +51,35 @@
         self.leaving = False
         self._stopping = False
         self._requests = OpenWork()
-        self._clock = Clock()
+        self.clock = Clock()
         self._channels = rpc.Channels()
         caller = HttpCaller(settings.platform_timeout_ms)
-        key_value = KeyValueClient(settings.key_value_url, caller)
+        budget = CallBudget(self.clock)
+        self.key_value = KeyValueClient(settings.key_value_url, caller, budget)
         host_list = HostListClient(settings.host_list_url, caller)
         identity = (settings.host, self.incarnation)
-        self.configuration = Configuration(settings.segment, key_value)
-        self.hosts = HostWatch(*identity, host_list, self._channels, self._clock)
-        self.selection = Selection(self.configuration, self.hosts, self._clock)
+        self.hosts = HostWatch(*identity, host_list, self._channels, self.clock)
+        calls = PeerCalls(self.hosts.table, self._channels)
+        self.configuration = Configuration(
+            EntryConfiguration(*identity, settings.region, settings.zone),
+            settings.segment,
+            self.key_value,
+            calls,
+            self.clock,
+        )
+        self.peers = Peers(
+            *identity,
+            settings.region,
+            self.hosts.table,
+            calls,
+            self.configuration,
+            self.clock,
+        )
+        self.changes = Changes(self.configuration, self.key_value, calls, self.clock)
+        self.peers.open_requests = lambda: self._requests.count
+        self.selection = Selection(self.configuration, self.hosts, self.clock)
         self.standings = Standings(
-            self.configuration, self.hosts, self.selection, self._clock
+            self.configuration, self.hosts, self.selection, self.clock
         )
         self.dispatcher = Dispatcher(
             self.configuration,
@@ -66,10 +92,10 @@
                 self.selection,
                 lambda: self.configuration.snapshot.revision,
             ),
-            Binder(key_value, self._clock),
-            self._clock,
+            Binder(self.key_value, self.clock),
+            self.clock,
         )
-        self.metrics = Metrics(self._clock)
+        self.metrics = Metrics(self.clock)
         self.metrics.knows_team = lambda team: (
             team in (self.configuration.snapshot.placements)
         )
@@ -77,10 +103,17 @@
 
     async def start(self) -> None:
         """Read the platform's word and serve callers."""
+        pulls = Pulls(self.configuration)
+        self._server = await rpc.serve([self.peers, pulls], self.settings.rpc_address)
         self.hosts.start()
         self.configuration.start()
+        self.peers.start()
         app = make_app(self)
-        add_route(app, self.metrics)
+        operators.add_routes(app, self)
+        control = ControlMetrics(
+            self.metrics.registry, self.configuration, self.key_value.budget
+        )
+        add_route(app, self.metrics, control.refresh)
         listening = web.listen(app, self.settings.http_address)
         self._port = await listening.asFuture(asyncio.get_running_loop())
 
@@ -93,13 +126,17 @@
         await asyncio.sleep(LEAVE_LINGER_MS / 1000)
         await self._requests.wait_idle()
         self._port.stopListening()
+        self._server.close()
+        self.peers.stop()
         self.hosts.stop()
         self.configuration.stop()
         self._channels.close()
 
     def leave(self) -> None:
-        """Be named by lookup no more; open requests go on."""
-        self.leaving = True
+        """Be named by lookup no more, on any entry; open requests go on."""
+        if not self.leaving:
+            self.leaving = True
+            self.peers.leave()
 
     @property
     def ready(self) -> bool:
@@ -108,12 +145,13 @@
 
     def entry_rows(self) -> list[HostRow]:
         """Return the entries that callers may be sent to."""
-        own = self.settings.host
-        return [
-            row
-            for row in self.hosts.table.rows("entry")
-            if not row.leaving and not (row.host == own and self.leaving)
-        ]
+        views = self.hosts.table.views(
+            "entry", self.clock.now_ms(), ENTRY_SUSPECT_AFTER_MS
+        )
+        staying = [view for view in views if not view.leaving]
+        # One that was never heard of may be new; the list's word is all there is.
+        heard = [view for view in staying if view.live or view.report is None]
+        return [view.row for view in heard or staying]
 
     async def serve(self, request: CallerRequest, send: Send) -> None:
         """Serve one request, and count it as open until its end.
