--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -16,7 +16,11 @@
 
 HOSTS = ("entry-kl-a", "entry-kl-b", "engine-kl-a", "engine-kl-b")
 TEAM, MODEL = "gym-bangsar", "booking-assistant"
-_BASE_PORTS = range(24_400, 32_000, 400)
+_BASE_PORTS = tuple(
+    base + offset for base in (24_400, 23_400, 22_400) for offset in range(0, 100, 10)
+)
+_GUARD_OFFSET = 9
+_USED_OFFSETS = (0, 1, 3, 4, 100, 101, 103, 104, 203, 204, 300, 301)
 _BOUND_S = 20
 
 
@@ -26,7 +30,7 @@
     def __init__(self):
         self._folder = tempfile.TemporaryDirectory()
         self.path = pathlib.Path(self._folder.name)
-        self.base_port = _free_base()
+        self.base_port, self._guard = _reserve_base()
         write_layout(str(self.path), self.base_port)
         self.settings = {
             host: json.loads((self.path / f"{host}.json").read_text("utf-8"))
@@ -60,6 +64,7 @@
                 process.kill()
         for process in self.processes.values():
             process.wait()
+        self._guard.close()
         self._folder.cleanup()
 
     def signal(self, name, number):
@@ -148,19 +153,33 @@
     raise AssertionError(f"{what}: not so within {_BOUND_S} s")
 
 
-def _free_base():
-    # Runs side by side begin at different bases: two that probe the same one at the
-    # same moment would both find it free.
+def _reserve_base():
+    """Return a base port and the socket that keeps other runs off it.
+
+    Two runs that probe the same ports at the same moment both find them free, and
+    one's callers reach the other's engines. Of two that bind one port, one fails.
+    """
     start = os.getpid() % len(_BASE_PORTS)
-    bases = (*_BASE_PORTS[start:], *_BASE_PORTS[:start])
-    return next(base for base in bases if _is_free(base))
+    for base in (*_BASE_PORTS[start:], *_BASE_PORTS[:start]):
+        guard = socket.socket()
+        try:
+            guard.bind(("127.0.0.1", base + _GUARD_OFFSET))
+        except OSError:
+            guard.close()
+            continue
+        if _is_free(base):
+            return base, guard
+        guard.close()
+    raise AssertionError("no free ports for a fleet")
 
 
 def _is_free(base):
     try:
-        for port in (base, base + 1, base + 3, base + 103, base + 203, base + 300):
+        for offset in _USED_OFFSETS:
             with socket.socket() as probe:
-                probe.bind(("127.0.0.1", port))
+                # As the servers do: a port is free when only closed calls are left.
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                probe.bind(("127.0.0.1", base + offset))
     except OSError:
         return False
     return True
