Step grants through real agents, against engines that check themselves

Cause: the state machines of step grants were tested on a manual clock only. Agents now speak steps.proto among each other, take terms by KeyValueClient.swap, give their engine its orders over HTTP, and the leader's agent names stragglers in AgentReport. The stand-in (rank-group) runs all ranks in lock-step, compares their maps at each step and counts violations; it can check or ignore fencing numbers.

Two faults that the first runs of this showed, each with a session that failed first: - A leader that waits for weights hears only refusals; the other agents took it for silent and took the next term. first_map_waits_for_weights had "2600 agent 1 leads term 2" before, one leader now. - While a window is proposed nobody asked for the engine's state, so weights that had come were never seen and the group stood still. The same session never ran a step before; a proposal whose weights are missing now has the engine read again.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 python ?= python3
 
-.PHONY: install demo demo-keep test check settings-page capacity bench-slopes
+.PHONY: install demo demo-keep test check settings-page capacity bench-slopes \
+    search-grants
 install: .venv/installed
 
 .venv/installed: requirements.txt $(wildcard packages/*/pyproject.toml)
@@ -36,3 +37,6 @@
 
 capacity: install
 	.venv/bin/python -m fuchsiahatch_bench.capacity
+
+search-grants: install
+	.venv/bin/python -m fuchsiahatch_bench.search_grants
--- a/packages/bench/src/fuchsiahatch_bench/grant_model.py
+++ b/packages/bench/src/fuchsiahatch_bench/grant_model.py
@@ -13,134 +13,101 @@
 
 from fuchsiahatch_experts.grants import (
     Answer,
-    EngineState,
+    Commit,
     GiveOrder,
     LoadWeights,
     Order,
+    Propose,
     RankEffect,
     Reply,
     Request,
     Send,
     StepDown,
-    Window,
 )
-from fuchsiahatch_experts.leaders import Leader, Pace, Phase
+from fuchsiahatch_experts.leaders import Leader, Pace
 from fuchsiahatch_experts.orders import OrderGate
 from fuchsiahatch_experts.ranks import Rank
+from fuchsiahatch_standins.lockstep import RankEngine
 
-SETTLE_MS = 12
 _PACE = Pace(window_steps=2, ahead_steps=1)
 _LOSS = 0.03
-_SWARM = (0, 1, 1, 3)
+_SWARM = (0, 1, 1, 5)
 _FAULT_SHARE = (0.03, 0.3)
 _LATE_KEPT = 8
+_LATE_KINDS = ((object,), (Propose, Commit))
+_CRASH_SHARES = (0.0, 0.3, 0.6)
+_PROMPT_SHARES = (0.0, 0.8, 1.0)
 _MOST_LATE = 0.2
-_MOST_REPEAT = 0.4
+_MOST_REPEAT = 0.6
+_LANDS = 0.5
 _WEIGHTS_READY = 0.7
 _TERM_TAKEN = 0.8
 
 
-class EngineModel:
-    """An engine that runs whatever steps it was granted, without waiting.
-
-    Parameters
-    ----------
-    fences : bool
-        Whether it refuses old fencing numbers and windows that don't fit. One
-        that doesn't puts any window in place of what it was going to run.
-    """
-
-    __slots__ = ("epoch", "fence", "fences", "last", "step", "weights", "windows")
-
-    def __init__(self, fences: bool) -> None:
-        self.fences = fences
-        self.fence = 0
-        self.epoch = 0
-        self.step = 0
-        self.windows: list[Window] = []
-        self.last: Window | None = None
-        self.weights: set[int] = set()
-
-    def state(self) -> EngineState:
-        """Return what the engine says of itself."""
-        return EngineState(self.epoch, self.step, self.last, frozenset(self.weights))
-
-    def take(self, order: Order) -> EngineState | None:
-        """Carry out an order; None refuses it."""
-        if self.fences and order.term < self.fence:
-            return None
-        self.fence = max(self.fence, order.term)
-        if order.begin and order.epoch > self.epoch:
-            self.epoch = order.epoch
-            self.step = 0
-            self.windows = []
-            self.last = None
-        if order.window is not None and order.epoch == self.epoch:
-            self._plan(order.window)
-        return self.state()
-
-    def run_step(self) -> tuple[int, int, int] | None:
-        """Run one step where granted; return epoch, step and map version."""
-        for window in self.windows:
-            if window.start <= self.step < window.end:
-                ran = (self.epoch, self.step, window.map_version)
-                self.step += 1
-                return ran
-        return None
-
-    def _plan(self, window: Window) -> None:
-        end = 0 if self.last is None else self.last.end
-        if self.fences and window.start != end:
-            return
-        kept = [one for one in self.windows if one.end <= window.start]
-        self.windows = [*kept, window]
-        self.last = window
-
-
-_Item = t.TypeVar("_Item")
+_Item = t.TypeVar("_Item", bound=tuple)
 
 
 class Mail(t.Generic[_Item]):
     """Messages under way: most come in order, some late, lost or twice."""
 
-    __slots__ = ("_fresh", "_late", "_late_share", "_random", "_repeat_share")
-
-    def __init__(self, chance: random.Random) -> None:
+    __slots__ = (
+        "_fresh",
+        "_in_order",
+        "_late",
+        "_late_kinds",
+        "_late_share",
+        "_random",
+        "_repeat_share",
+    )
+
+    def __init__(self, chance: random.Random, late_kinds: tuple[type, ...]) -> None:
         self._random = chance
+        self._late_kinds = late_kinds
+        self._in_order = chance.random() < 0.5
         self._late_share = chance.uniform(0, _MOST_LATE)
         self._repeat_share = chance.uniform(0, _MOST_REPEAT)
         self._fresh: collections.deque[_Item] = collections.deque()
         self._late: collections.deque[_Item] = collections.deque(maxlen=_LATE_KEPT)
 
     def put(self, item: _Item) -> None:
-        """Send a message."""
+        """Send a message; its last part says of what kind it is."""
         self._fresh.append(item)
 
     def take(self) -> _Item | None:
         """Return the next message to arrive, if one does."""
         if not self._fresh:
             return None
-        item = self._fresh.popleft()
+        index = 0 if self._in_order else self._random.randrange(len(self._fresh))
+        item = self._fresh[index]
+        del self._fresh[index]
         fate = self._random.random()
         if fate < _LOSS:
             return None
-        if fate < _LOSS + self._late_share:
-            self._late.append(item)
-            return None
+        if not isinstance(item[-1], self._late_kinds):
+            return item
         if fate < _LOSS + self._late_share + self._repeat_share:
             self._late.append(item)
-        return item
+        return None if fate < _LOSS + self._late_share else item
+
+    def put_late(self, item: _Item) -> None:
+        """Send a message that comes late."""
+        self._late.append(item)
 
     @property
     def waiting(self) -> bool:
         """Whether a message is under way that is not late."""
         return bool(self._fresh)
 
-    def take_late(self) -> _Item | None:
+    @property
+    def late_count(self) -> int:
+        """How many late messages and copies there are."""
+        return len(self._late)
+
+    def take_late(self, in_order: bool = False) -> _Item | None:
         """Return one of the late messages and copies."""
         if not self._late:
             return None
-        index = self._random.randrange(len(self._late))
+        index = 0 if in_order else self._random.randrange(len(self._late))
         item = self._late[index]
         del self._late[index]
         return item
@@ -153,7 +120,6 @@
     order: Order
     incarnation: str
     number: int
-    due_ms: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -162,9 +128,8 @@
 
     make_rank: t.Callable[[int, str, OrderGate], Rank] = Rank
     make_leader: t.Callable[..., Leader] = Leader
-    settle_ms: int = SETTLE_MS
     engine_fences: bool = True
-    agent_thinks_it_fences: bool | None = None
+    agent_settles: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -205,22 +170,28 @@
         self._numbers = itertools.count(1)
         self._group = range(ranks)
         self._outstanding: dict[int, int] = {}
-        self._requests: Mail[tuple[int, int, Request]] = Mail(self.random)
-        self._answers: Mail[tuple[int, Answer]] = Mail(self.random)
+        late_kinds = self.random.choice(_LATE_KINDS)
+        self._requests: Mail[tuple[int, int, Request]] = Mail(self.random, late_kinds)
+        self._answers: Mail[tuple[int, Answer]] = Mail(self.random, (object,))
+        self._late_weight = self.random.choice((0, 1, 4))
+        # Faults strike most where a window has just been agreed or granted.
+        self._crash_share = self.random.choice(_CRASH_SHARES)
+        self._prompt_share = self.random.choice(_PROMPT_SHARES)
         self._flights: dict[int, list[_Flight]] = {rank: [] for rank in self._group}
         self._leaders: dict[int, Leader] = {}
         self._engines = {rank: self._new_engine() for rank in self._group}
+        for engine in self._engines.values():
+            engine.epoch = self.epoch
         self._ranks = {rank: self._new_rank(rank) for rank in self._group}
         self._fault_share = self.random.uniform(*_FAULT_SHARE)
         self._faults = self._list_faults()
         self._idle = [self._tick, self._look, self._run_step]
-        self._take_term(0, True)
+        self._take_term(0, False)
 
     def run(self, actions: int) -> Violation | None:
         """Do so many random actions, or fewer up to the first violation."""
         for _ in range(actions):
             self.now_ms += 1
-            self._drain_due()
             self._choose()()
             if self.violation is not None:
                 return self.violation
@@ -234,6 +205,9 @@
             faults, weights = zip(*self._faults, strict=True)
             return self.random.choices(faults, weights)[0]
         work = [
+            *[self._deliver_late_request]
+            * self._late_weight
+            * bool(self._requests.late_count),
             *[self._deliver_request] * 3 * self._requests.waiting,
             *[self._deliver_answer] * 3 * self._answers.waiting,
             *[self._deliver_order] * 3 * any(self._flights.values()),
@@ -248,7 +222,8 @@
             self._deliver_late_request: 4,
             self._deliver_late_answer: 2,
             self._look: 2,
-            self._restart: 2,
+            self._heal: 2,
+            self._restart: 3,
             self._restart_all: 1,
             self._wish: 1.5,
             self._campaign: 1,
@@ -266,6 +241,11 @@
     def _deliver_late_request(self) -> None:
         self._hand_request(self._requests.take_late())
 
+    def _heal(self) -> None:
+        """Let all late requests arrive in order, as after a broken link."""
+        for _ in range(self._requests.late_count):
+            self._hand_request(self._requests.take_late(in_order=True))
+
     def _hand_request(self, sent: tuple[int, int, Request] | None) -> None:
         if sent is None:
             return
@@ -303,6 +283,10 @@
         state = self._engines[rank].take(flight.order)
         self._note(f"engine {rank} gets {flight.order}: {state}")
         machine = self._ranks[rank]
+        granted = state is not None and flight.order.window is not None
+        if granted and self.random.random() < self._crash_share:
+            self._restart_agent(self.random.choice(self._group))
+            self._heal()
         if self._outstanding.get(rank) != flight.number:
             return
         leader = self._order_leaders.pop(rank)
@@ -314,14 +298,6 @@
         )
         self._do_rank(rank, effects, leader)
 
-    def _drain_due(self) -> None:
-        for rank, flights in self._flights.items():
-            due = [flight for flight in flights if flight.due_ms <= self.now_ms]
-            for flight in due:
-                flights.remove(flight)
-                if self.random.random() < 0.5:
-                    self._land(rank, flight)
-
     def _run_step(self) -> None:
         self._run_step_of(self.random.choice(self._group))
 
@@ -359,7 +335,7 @@
         self._note(f"agent {rank} restarts")
         self._leaders.pop(rank, None)
         self._forget_order(rank)
-        self._ranks[rank] = self._new_rank(rank)
+        self._start_rank(rank)
 
     def _campaign(self) -> None:
         self._wish()
@@ -390,15 +366,23 @@
     def _restart_on(self, rank: int) -> None:
         self._leaders.pop(rank, None)
         self._outstanding.pop(rank, None)
-        self._ranks[rank] = self._new_rank(rank)
+        self._start_rank(rank)
+
+    def _start_rank(self, rank: int) -> None:
+        machine = self._new_rank(rank)
+        self._ranks[rank] = machine
+        self._do_rank(rank, machine.look(self.now_ms), rank)
 
     def _forget_order(self, rank: int) -> None:
-        # What is on its way still arrives: before the gate opens at an engine
-        # that ignores fencing numbers, at any time at one that checks them.
+        # What is on its way may still arrive: at an engine that checks fencing
+        # numbers at any time, at another one before the agent's gate opens.
         self._outstanding.pop(rank, None)
-        if not self.parts.engine_fences:
-            for flight in self._flights[rank]:
-                flight.due_ms = min(flight.due_ms, self.now_ms + SETTLE_MS)
+        if self.parts.engine_fences or not self.parts.agent_settles:
+            return
+        flights, self._flights[rank] = self._flights[rank], []
+        for flight in flights:
+            if self.random.random() < _LANDS:
+                self._land(rank, flight)
 
     def _do_rank(self, rank: int, effects: list[RankEffect], leader: int) -> None:
         for effect in effects:
@@ -414,17 +398,31 @@
         incarnation = self._ranks[rank].incarnation
         self._outstanding[rank] = number
         self._order_leaders[rank] = leader
-        flight = _Flight(order, incarnation, number, float("inf"))
+        flight = _Flight(order, incarnation, number)
         self._flights[rank].append(flight)
+        if order.window is not None and self.random.random() < self._crash_share:
+            self._restart_all()
+        elif self.random.random() < self._prompt_share:
+            self._flights[rank].pop()
+            self._land(rank, flight)
 
     def _do_leader(self, agent: int, effects: list) -> None:
+        commits = any(
+            isinstance(effect, Send) and isinstance(effect.request, Commit)
+            for effect in effects
+        )
+        strikes = commits and self.random.random() < self._crash_share
         for effect in effects:
             if isinstance(effect, Send):
-                self._requests.put((agent, effect.rank, effect.request))
+                put = self._requests.put_late if strikes else self._requests.put
+                put((agent, effect.rank, effect.request))
             elif isinstance(effect, StepDown):
                 self._leaders.pop(agent, None)
             elif self.random.random() < _TERM_TAKEN:
                 self._take_term(agent, effect.new_epoch)
+        if strikes:
+            self._wish()
+            self.random.choice((self._restart_all, self._restart, self._heal))()
 
     def _take_term(self, agent: int, begin: bool) -> None:
         self.term += 1
@@ -436,13 +434,14 @@
         self._leaders[agent] = leader
         self._do_leader(agent, leader.tick())
 
-    def _new_engine(self) -> EngineModel:
-        return EngineModel(self.parts.engine_fences)
+    def _new_engine(self) -> RankEngine:
+        engine = RankEngine(self.parts.engine_fences)
+        engine.weights.add(self.wanted_map)
+        return engine
 
     def _new_rank(self, rank: int) -> Rank:
-        thinks = self.parts.agent_thinks_it_fences
-        fences = self.parts.engine_fences if thinks is None else thinks
-        gate = OrderGate(fences, self.parts.settle_ms, self.now_ms)
+        # The time that the gate waits passes at once, see `_forget_order`.
+        gate = OrderGate(self.parts.engine_fences, 0, self.now_ms)
         return self.parts.make_rank(rank, f"life-{next(self._lives)}", gate)
 
     @functools.cached_property
@@ -451,8 +450,3 @@
 
     def _note(self, line: str) -> None:
         self.trace.append(f"{self.now_ms:4d} {line}")
-
-
-def is_settled(leader: Leader) -> bool:
-    """Say whether a leader has nothing under way."""
-    return leader.phase is Phase.READY
--- a/packages/core/src/fuchsiahatch_core/events.py
+++ b/packages/core/src/fuchsiahatch_core/events.py
@@ -38,6 +38,13 @@
     ATTEMPT_UNKNOWN = 1303
     STRANGER_DROPPED = 1304
 
+    TERM_WON = 1500
+    TERM_LOST = 1501
+    STEPS_STARVED = 1502
+    ORDER_LOST = 1503
+    ORDER_REFUSED = 1504
+    STRAGGLERS_CHANGED = 1505
+
 
 def log_event(event: Event, **fields: t.Any) -> None:
     """Write one numbered event.
--- a/packages/daemon/src/fuchsiahatch_daemon/agent.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/agent.py
@@ -10,6 +10,10 @@
 from fuchsiahatch_daemon.metrics import Metrics, add_route
 from fuchsiahatch_daemon.runner import Runner
 from fuchsiahatch_daemon.settings import Settings
+from fuchsiahatch_daemon.stepengine import StepEngine
+from fuchsiahatch_daemon.steps import StepService
+from fuchsiahatch_platform.http import HttpCaller
+from fuchsiahatch_platform.keyvalue import KeyValueClient
 
 
 class AgentRole:
@@ -32,10 +36,16 @@
         self.runner = Runner(settings.host, self.incarnation, settings.upstream)
         self.metrics = Metrics(Clock())
         self.runner.admission.note_wait = self.metrics.note_wait
+        self.steps = _make_steps(settings, self.incarnation)
+        if self.steps is not None:
+            self.runner.find_stragglers = lambda: self.steps.stragglers
 
     async def start(self) -> None:
         """Serve gRPC and HTTP."""
-        self._server = await rpc.serve([self.runner], self.settings.rpc_address)
+        services = [self.runner] if self.steps is None else [self.runner, self.steps]
+        self._server = await rpc.serve(services, self.settings.rpc_address)
+        if self.steps is not None:
+            self.steps.start()
         listening = web.listen(make_app(self), self.settings.http_address)
         self._port = await listening.asFuture(asyncio.get_running_loop())
 
@@ -43,11 +53,23 @@
         """Refuse new work, finish what runs, then close."""
         self.runner.leave()
         await self.runner.finish()
+        if self.steps is not None:
+            self.steps.stop()
         self._server.close()
         await self._server.wait_closed()
         self._port.stopListening()
 
 
+def _make_steps(settings: Settings, incarnation: str) -> StepService | None:
+    if settings.group is None:
+        return None
+    assert settings.upstream is not None
+    caller = HttpCaller(settings.platform_timeout_ms)
+    engine = StepEngine(settings.upstream.url, caller)
+    key_value = KeyValueClient(settings.key_value_url, caller)
+    return StepService(settings.group, incarnation, engine, key_value)
+
+
 def make_app(role: AgentRole) -> Klein:
     """Make the klein application of one agent."""
     app = Klein()
--- a/packages/daemon/src/fuchsiahatch_daemon/runner.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/runner.py
@@ -52,6 +52,7 @@
             self._ledger, self.admission, self._upstream, self._clock
         )
         self._answers = OpenWork()
+        self.find_stragglers: t.Callable[[], t.Sequence[str]] = tuple
         self._closing = False
         self._changed = asyncio.Event()
 
@@ -197,6 +198,7 @@
             leaving=self.admission.leaving,
             load=self._load(),
             clock_ms=self._clock.now_ms(),
+            stragglers=self.find_stragglers(),
         )
 
 
--- a/packages/daemon/src/fuchsiahatch_daemon/settings.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/settings.py
@@ -17,6 +17,30 @@
     queue_limit: int | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupMember:
+    """One rank of a group: its host and where its agent is called."""
+
+    host: str
+    rpc_address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupSettings:
+    """The rank group that an agent's engine belongs to."""
+
+    name: str
+    rank: int
+    members: tuple[GroupMember, ...]
+    engine_fences: bool
+    window_steps: int
+    ahead_steps: int
+    heartbeat_ms: int
+    call_ms: int
+    silence_ms: int
+    settle_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
     """Settings of one process; docs/SETTINGS.md says what each means."""
@@ -33,6 +57,7 @@
     segment: str
     upstream: UpstreamSettings | None
     log_path: str | None
+    group: GroupSettings | None = None
 
 
 def read_settings(path: str) -> Settings:
@@ -68,6 +93,7 @@
         segment=document.get("segment", "main"),
         upstream=_typed_upstream(document.get("upstream")),
         log_path=document.get("log_path"),
+        group=_typed_group(document.get("group")),
     )
 
 
@@ -81,3 +107,20 @@
         queue=document.get("queue", "fair"),
         queue_limit=document.get("queue_limit"),
     )
+
+
+def _typed_group(document: dict[str, t.Any] | None) -> GroupSettings | None:
+    if document is None:
+        return None
+    return GroupSettings(
+        name=document["name"],
+        rank=document["rank"],
+        members=tuple(GroupMember(**member) for member in document["members"]),
+        engine_fences=document["engine_fences"],
+        window_steps=document.get("window_steps", 256),
+        ahead_steps=document.get("ahead_steps", 1_024),
+        heartbeat_ms=document.get("heartbeat_ms", 200),
+        call_ms=document.get("call_ms", 500),
+        silence_ms=document.get("silence_ms", 2_000),
+        settle_ms=document.get("settle_ms", 2_000),
+    )
--- a/packages/experts/src/fuchsiahatch_experts/grants.py
+++ b/packages/experts/src/fuchsiahatch_experts/grants.py
@@ -63,7 +63,7 @@
     Attributes
     ----------
     term : int
-        The fencing number.
+        The fencing number; 0 only reads, whatever the engine has seen.
     epoch : int
         The group epoch that the order belongs to.
     begin : bool
--- a/packages/experts/src/fuchsiahatch_experts/orders.py
+++ b/packages/experts/src/fuchsiahatch_experts/orders.py
@@ -45,11 +45,11 @@
         that never falls keeps them in order at the one process that gives any.
         """
         free = not self._outstanding and now_ms >= self._opens_ms
-        return free and order.term >= self._term
+        return free and (order.term == 0 or order.term >= self._term)
 
     def given(self, order: "Order") -> None:
         """Note that an order has gone out."""
-        self._term = order.term
+        self._term = max(self._term, order.term)
         self._outstanding = True
 
     def answered(self) -> None:
--- a/packages/experts/src/fuchsiahatch_experts/ranks.py
+++ b/packages/experts/src/fuchsiahatch_experts/ranks.py
@@ -21,6 +21,7 @@
     Request,
     Starved,
     Told,
+    Window,
 )
 
 if t.TYPE_CHECKING:
@@ -68,7 +69,7 @@
         self.engine: EngineState | None = None
         self.starved = False
         self._gate = gate
-        self._pending: Ask | Commit | None = None
+        self._pending: Request | None = None
 
     def receive(self, request: Request, now_ms: int) -> list[RankEffect]:
         """Take a leader's request."""
@@ -81,13 +82,12 @@
             return [self._refuse(request, fault)]
         self.term = request.term
         if isinstance(request, Propose):
-            return self._accept(request)
+            return self._accept(request, now_ms)
         return self._commit(request, now_ms)
 
     def look(self, now_ms: int) -> list[RankEffect]:
-        """Read the engine while no leader asks, to see it run out of steps."""
-        epoch = 0 if self.engine is None else self.engine.epoch
-        order = Order(self.term, epoch)
+        """Read the engine: when a life starts, and while no leader asks."""
+        order = Order(term=0, epoch=0)
         if not self._gate.may_pass(order, now_ms):
             return []
         return self._give(None, order)
@@ -115,13 +115,13 @@
         request, self._pending = self._pending, None
         return self._refuse_pending(request, Code.UPSTREAM_FAILED)
 
-    def _answer(
-        self, request: Ask | Commit | None, state: EngineState
-    ) -> list[RankEffect]:
+    def _answer(self, request: Request | None, state: EngineState) -> list[RankEffect]:
         if request is None:
             return []
         if isinstance(request, Ask):
             return self._tell(request)
+        if isinstance(request, Propose):
+            return self._accept_known(request)
         if state.granted != request.window:
             return [self._refuse(request, Code.NO_GRANT)]
         return [Reply(self._committed(request))]
@@ -159,19 +159,31 @@
         assert self.engine is not None
         return self.engine
 
-    def _accept(self, propose: Propose) -> list[RankEffect]:
-        assert self.engine is not None
-        window = propose.window
+    def _accept(self, propose: Propose, now_ms: int) -> list[RankEffect]:
         known = self._known_engine()
+        window = propose.window
         if window != known.granted and window.start != known.granted_end:
             return [self._refuse(propose, Code.NO_GRANT)]
-        if window.map_version not in self.engine.weights:
+        order = Order(term=0, epoch=0)
+        if self._has_weights(window) or not self._gate.may_pass(order, now_ms):
+            return self._accept_known(propose)
+        # Guards against a group that stands still although its weights have
+        # come: while a window is proposed nobody asks for the engine's state.
+        return self._give(propose, order)
+
+    def _accept_known(self, propose: Propose) -> list[RankEffect]:
+        window = propose.window
+        if not self._has_weights(window):
             load = LoadWeights(window.map_version)
             return [self._refuse(propose, Code.WEIGHTS_MISSING), load]
         self.accepted = Proposal(propose.term, window)
         accepted = Accepted(self.rank, self.incarnation, propose.term, window)
         return [Reply(accepted)]
 
+    def _has_weights(self, window: Window) -> bool:
+        assert self.engine is not None
+        return window.map_version in self.engine.weights
+
     def _commit(self, commit: Commit, now_ms: int) -> list[RankEffect]:
         assert self.engine is not None
         if commit.window == self.engine.granted:
@@ -183,7 +195,7 @@
             return [self._refuse(commit, Code.IN_PROGRESS)]
         return self._give(commit, order)
 
-    def _give(self, request: Ask | Commit | None, order: Order) -> list[RankEffect]:
+    def _give(self, request: Request | None, order: Order) -> list[RankEffect]:
         self._pending = request
         self._gate.given(order)
         return [GiveOrder(order)]
@@ -207,9 +219,7 @@
     def _committed(self, commit: Commit) -> Committed:
         return Committed(self.rank, self.incarnation, commit.term, commit.window)
 
-    def _refuse_pending(
-        self, request: Ask | Commit | None, code: Code
-    ) -> list[RankEffect]:
+    def _refuse_pending(self, request: Request | None, code: Code) -> list[RankEffect]:
         return [] if request is None else [self._refuse(request, code)]
 
     def _refuse(self, request: Request, code: Code) -> Reply:
--- a/packages/experts/src/fuchsiahatch_experts/terms.py
+++ b/packages/experts/src/fuchsiahatch_experts/terms.py
@@ -182,7 +182,14 @@
         return self._campaign.begin(False, now_ms)
 
     def heard(self, now_ms: int) -> None:
-        """Take a leader's request that the own rank did not refuse."""
+        """Take a leader's request whose term the own rank did not refuse.
+
+        Notes
+        -----
+        A refusal for any other cause counts too. A leader that waits a minute
+        for weights hears nothing but refusals, and were it taken for silent,
+        the agents would depose each other until the weights are there.
+        """
         self._data.heard_ms = now_ms
 
     def take_term(self, new_epoch: bool, now_ms: int) -> _Effects:
--- a/packages/standins/src/fuchsiahatch_standins/__main__.py
+++ b/packages/standins/src/fuchsiahatch_standins/__main__.py
@@ -57,12 +57,37 @@
     serve(make_app, address)
 
 
+def rank_group(addresses: str, fences: bool = True, compute_ms: float = 5.0) -> None:
+    """Run the engines of a rank group, at one of the addresses each."""
+    first, *others = addresses.split(" ")
+
+    def make_app():
+        import asyncio
+
+        from twisted.internet import endpoints, reactor
+        from twisted.web.server import Site
+
+        from fuchsiahatch_standins import lockstep, rankengine
+
+        ranks = 1 + len(others)
+        group = lockstep.LockStepGroup(ranks, fences, [compute_ms] * ranks)
+        for rank, address in enumerate(others, 1):
+            ip, _, port = address.rpartition(":")
+            endpoint = endpoints.TCP4ServerEndpoint(reactor, int(port), interface=ip)
+            endpoint.listen(Site(rankengine.make_app(group, rank).resource()))
+        reactor.callWhenRunning(asyncio.ensure_future, rankengine.run_steps(group))
+        return rankengine.make_app(group, 0)
+
+    serve(make_app, first)
+
+
 if __name__ == "__main__":
     fire.Fire(
         {
             "key-value": key_value,
             "host-list": host_list,
             "upstream": upstream,
+            "rank-group": rank_group,
             "layout": layout.write_layout,
         },
         name="fuchsiahatch_standins",
--- a/tests/daemon/test_settings.py
+++ b/tests/daemon/test_settings.py
@@ -19,7 +19,7 @@
 }
 
 
-class TestReadSettings(unittest.TestCase):
+class SettingsCase(unittest.TestCase):
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
@@ -29,6 +29,8 @@
         self.path.write_text(json.dumps(document), "utf-8")
         return read_settings(str(self.path))
 
+
+class TestReadSettings(SettingsCase):
     def test_good_settings_are_typed(self):
         settings = self.read(GOOD)
         self.assertEqual(settings.segment, "main")
@@ -48,3 +50,25 @@
         self.path.write_text("role: entry", "utf-8")
         with self.assertRaises(SettingsError):
             read_settings(str(self.path))
+
+
+class TestGroup(SettingsCase):
+    GROUP = {
+        "name": "ranks-1",
+        "rank": 0,
+        "members": [{"host": "engine-1", "rpc_address": "127.0.0.1:18101"}],
+        "engine_fences": False,
+    }
+
+    def test_a_group_is_typed_with_its_defaults(self):
+        settings = self.read({**GOOD, "group": self.GROUP})
+        self.assertEqual(settings.group.members[0].host, "engine-1")
+        self.assertEqual(settings.group.silence_ms, 2_000)
+
+    def test_whether_the_engine_fences_has_to_be_said(self):
+        group = {
+            name: value for name, value in self.GROUP.items() if name != "engine_fences"
+        }
+        with self.assertRaises(SettingsError) as seen:
+            self.read({**GOOD, "group": group})
+        self.assertEqual(seen.exception.path, "group")
--- a/tests/experts/sessions.py
+++ b/tests/experts/sessions.py
@@ -2,8 +2,8 @@
 
 import collections
 
-from fuchsiahatch_bench.grant_model import EngineModel
 from fuchsiahatch_core.clock import ManualClock
+from fuchsiahatch_core.codes import Code
 from fuchsiahatch_experts.grants import (
     Ask,
     Commit,
@@ -28,6 +28,7 @@
     SwapTerm,
     TermRecord,
 )
+from fuchsiahatch_standins.lockstep import RankEngine
 
 PACE = Pace(window_steps=4, ahead_steps=2)
 SILENCE_MS = 1_000
@@ -52,7 +53,7 @@
         self.paused = set()
         self.leaders = {}
         self.lives = collections.Counter()
-        self.engines = [EngineModel(fences) for _ in range(ranks)]
+        self.engines = [RankEngine(fences) for _ in range(ranks)]
         for engine in self.engines:
             engine.weights.add(self.wanted_map)
         self.ranks, self.candidates = {}, {}
@@ -81,7 +82,7 @@
 
     def replace_host(self, rank):
         self.log(f"host of rank {rank} is lost and replaced")
-        self.engines[rank] = EngineModel(self.fences)
+        self.engines[rank] = RankEngine(self.fences)
         self.start(rank)
 
     def log(self, line):
@@ -122,9 +123,7 @@
     def ask_rank(self, rank, request, sender):
         machine, now_ms = self.ranks[rank], self.clock.now_ms()
         effects = machine.receive(request, now_ms)
-        if not any(
-            isinstance(getattr(one, "answer", None), Refused) for one in effects
-        ):
+        if not any(map(is_old_term, effects)):
             self.candidates[rank].heard(now_ms)
         self.log(f"leader {sender} to rank {rank}: {show(request)}")
         self.do_rank(rank, effects, sender)
@@ -201,7 +200,7 @@
     def run_steps(self, count):
         """Run steps in lock-step, as far as all engines are granted them."""
         for _ in range(count):
-            if not all(self.may_step(engine) for engine in self.engines):
+            if not all(engine.may_run() for engine in self.engines):
                 break
             ran = [engine.run_step() for engine in self.engines]
             maps = {version for _, _, version in ran}
@@ -210,9 +209,10 @@
         for rank, machine in self.ranks.items():
             self.do_rank(rank, machine.look(self.clock.now_ms()))
 
-    @staticmethod
-    def may_step(engine):
-        return any(one.start <= engine.step < one.end for one in engine.windows)
+
+def is_old_term(effect):
+    answer = getattr(effect, "answer", None)
+    return isinstance(answer, Refused) and answer.code is Code.OLD_TERM
 
 
 def show(message):
--- a/tests/experts/test_leaders.py
+++ b/tests/experts/test_leaders.py
@@ -196,6 +196,25 @@
         group.run_steps(4)
         self.check("new_map_waits_for_weights")
 
+    def test_a_leader_that_waits_for_them_is_not_taken_for_silent(self):
+        """A group changes its leader every second and never runs a step.
+
+        The weights of the first map take long. The leader's proposals are all
+        refused meanwhile, and the other agents hear nothing else from it.
+        """
+        group = Session()
+        for engine in group.engines:
+            engine.weights.clear()
+        group.slow_store = True
+        for step_ms in (1_000, 400, 400, 400, 400):
+            group.after(step_ms)
+        group.slow_store = False
+        for _ in range(3):
+            group.after(200)
+        group.run_steps(2)
+        self.group = group
+        self.check("first_map_waits_for_weights")
+
 
 class TestService(SessionCase):
     def test_it_is_down_through_a_change_of_leader(self):
--- a/tests/experts/test_ranks.py
+++ b/tests/experts/test_ranks.py
@@ -18,6 +18,7 @@
 from fuchsiahatch_experts.orders import OrderGate
 from fuchsiahatch_experts.ranks import Rank
 
+READ = Order(term=0, epoch=0)
 FIRST = Window(0, 4, 1)
 BLANK = EngineState(epoch=1, weights=frozenset({1}))
 HOLDING = EngineState(epoch=1, step=1, granted=FIRST, weights=frozenset({1}))
@@ -60,9 +61,24 @@
         """
         self.join()
         missing = self.refused(Code.WEIGHTS_MISSING)
-        self.assertEqual(self.propose(Window(0, 4, 2)), [missing, LoadWeights(2)])
+        self.assertEqual(self.propose(Window(0, 4, 2)), [GiveOrder(READ)])
+        refused = self.rank.engine_answered(BLANK)
+        self.assertEqual(refused, [missing, LoadWeights(2)])
         self.assertIsNone(self.rank.accepted)
 
+    def test_weights_that_have_come_are_seen(self):
+        """A group stands still for good although its weights are in place.
+
+        They came after the rank last read its engine, and while a window is
+        proposed the leader asks for no state.
+        """
+        window = Window(0, 4, 2)
+        self.join()
+        self.propose(window)
+        state = EngineState(epoch=1, weights=frozenset({1, 2}))
+        accepted = Reply(Accepted(0, "life-1", 3, window))
+        self.assertEqual(self.rank.engine_answered(state), [accepted])
+
     def test_another_epoch_is_refused(self):
         self.join(EngineState(epoch=2, weights=frozenset({1})))
         self.assertEqual(self.propose(FIRST), [self.refused(Code.OLD_EPOCH)])
