--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 python ?= python3
 
-.PHONY: install demo demo-keep test check settings-page capacity bench-slopes bench-placement \
-    bench-path bench-routing bench-experts tune-experts
+.PHONY: install demo demo-keep test check settings-page capacity bench-slopes \
+    bench-placement bench-path bench-routing bench-experts tune-experts search-grants
 
 install: .venv/installed
 
@@ -49,9 +49,11 @@
 tune-experts: install
 	OPENBLAS_NUM_THREADS=1 .venv/bin/python -m fuchsiahatch_bench.experts tune
 
-
 bench-path: install
 	packages/bench/path.sh
 
 bench-routing: install
 	.venv/bin/python -m fuchsiahatch_bench.routing_bench
+
+search-grants: install
+	.venv/bin/python -m fuchsiahatch_bench.search_grants
--- a/packages/daemon/src/fuchsiahatch_daemon/runner.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/runner.py
@@ -60,6 +60,7 @@
         self._ledger = Ledger(incarnation)
         self._keyed = KeyedRuns(self._ledger, self._admit, self._upstream, self._clock)
         self._answers = OpenWork()
+        self.find_stragglers: t.Callable[[], t.Sequence[str]] = tuple
         self._closing = False
         self._changed = asyncio.Event()
 
@@ -219,6 +220,7 @@
             leaving=self.admission.leaving,
             load=self._load(),
             clock_ms=self._clock.now_ms(),
+            stragglers=self.find_stragglers(),
         )
 
 
