--- a/packages/daemon/src/fuchsiahatch_daemon/agent.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/agent.py
@@ -12,8 +12,11 @@
 from fuchsiahatch_daemon.metrics import Metrics, add_route
 from fuchsiahatch_daemon.runner import Runner
 from fuchsiahatch_daemon.settings import Settings
+from fuchsiahatch_daemon.stepengine import StepEngine
+from fuchsiahatch_daemon.steps import StepService
 from fuchsiahatch_platform.hostlist import HostListClient
 from fuchsiahatch_platform.http import HttpCaller
+from fuchsiahatch_platform.keyvalue import KeyValueClient
 
 
 class AgentRole:
@@ -44,11 +47,17 @@
         self.runner.admission.share_of = self.follower.share_of
         self.metrics = Metrics(Clock())
         self.runner.admission.note_wait = self.metrics.note_wait
+        self.steps = _make_steps(settings, self.incarnation)
+        if self.steps is not None:
+            self.runner.find_stragglers = lambda: self.steps.stragglers
 
     async def start(self) -> None:
         """Follow the entries' configuration; serve gRPC and HTTP."""
         self.follower.start()
-        self._server = await rpc.serve([self.runner], self.settings.rpc_address)
+        services = [self.runner] if self.steps is None else [self.runner, self.steps]
+        self._server = await rpc.serve(services, self.settings.rpc_address)
+        if self.steps is not None:
+            self.steps.start()
         self._listener = await web.listen(make_app(self), self.settings.http_address)
 
     async def stop(self) -> None:
@@ -58,6 +67,8 @@
         # the port closed its key would be lost with this home; refused, it goes on.
         await asyncio.sleep(LEAVE_LINGER_MS / 1000)
         await self.runner.finish()
+        if self.steps is not None:
+            self.steps.stop()
         self._server.close()
         await self._server.wait_closed()
         await self._listener.close()
@@ -65,6 +76,16 @@
         self._channels.close()
 
 
+def _make_steps(settings: Settings, incarnation: str) -> StepService | None:
+    if settings.group is None:
+        return None
+    assert settings.upstream is not None
+    caller = HttpCaller(settings.platform_timeout_ms)
+    engine = StepEngine(settings.upstream.url, caller)
+    key_value = KeyValueClient(settings.key_value_url, caller)
+    return StepService(settings.group, incarnation, engine, key_value)
+
+
 def make_app(role: AgentRole) -> Klein:
     """Make the klein application of one agent."""
     app = Klein()
