--- a/packages/experts/src/fuchsiahatch_experts/packing.py
+++ b/packages/experts/src/fuchsiahatch_experts/packing.py
@@ -145,12 +145,15 @@
         Of the rank without the expert that gives way.
     peaks : ndarray
         Highest load among ranks that take over from a replica that gives way.
+    room : ndarray of bool, shape (hot experts, slots)
+        Whether the rank lacks the expert.
     """
 
     experts: "Ints"
     ranks: "Ints"
     loads: "Floats"
     peaks: "Floats"
+    room: "Bools"
 
 
 def _pack_layer(popularity: "Floats", ranks: int, slots: int) -> "Bools":
@@ -184,27 +187,24 @@
         return current
     shares = popularity * (current.shape[1] / total)
     placed = current.copy()
-    first_peak = _highest_load(placed, shares)
-    best, best_value = current, SMALLEST_GAIN
+    layer = _survey(placed, shares)
+    first_peak = layer.loads[layer.hot]
+    best, best_value, moves = current, SMALLEST_GAIN, 0
     for _ in range(CHANGES_PER_RANK * current.shape[1]):
-        moves = int((placed & ~current).sum())
         if first_peak - 1.0 - least_gain * (moves + 1) <= best_value:
             break
-        change = _find_change(_survey(placed, shares), slots, least_gain)
+        change = _find_change(layer, slots, least_gain)
         if change.score <= SMALLEST_GAIN:
             break
         _apply(placed, change)
+        layer = _survey(placed, shares)
         moves = int((placed & ~current).sum())
-        value = first_peak - _highest_load(placed, shares) - least_gain * moves
+        value = first_peak - layer.loads[layer.hot] - least_gain * moves
         if value > best_value:
             best, best_value = placed.copy(), value
     return best
 
 
-def _highest_load(placed: "Bools", shares: "Floats") -> float:
-    return float(((shares / placed.sum(axis=1)) @ placed).max())
-
-
 def _apply(placed: "Bools", change: _Change) -> None:
     for cell in change.dropped:
         placed[cell] = False
@@ -246,11 +246,14 @@
     # The leaving rank itself is counted in, which only makes the search shy of
     # taking a replica from a rank that is nearly the most loaded.
     peaks = (layer.placed * layer.loads).max(axis=1) + rise
+    left = layer.loads[ranks] - layer.unit[experts]
+    all_ranks = np.concatenate([ranks, free])
     return _Slots(
-        np.concatenate([experts, np.full(len(free), -1)]),
-        np.concatenate([ranks, free]),
-        np.concatenate([layer.loads[ranks] - layer.unit[experts], layer.loads[free]]),
-        np.concatenate([peaks[experts], np.zeros(len(free))]),
+        experts=np.concatenate([experts, np.full(len(free), -1)]),
+        ranks=all_ranks,
+        loads=np.concatenate([left, layer.loads[free]]),
+        peaks=np.concatenate([peaks[experts], np.zeros(len(free))]),
+        room=~layer.placed[layer.hot_experts][:, all_ranks],
     )
 
 
@@ -276,8 +279,7 @@
         return _Change(-np.inf)
     there = np.maximum(takeable.loads + arriving[:, np.newaxis], takeable.peaks)
     peaks = np.maximum(there, here[:, np.newaxis])
-    room = ~layer.placed[layer.hot_experts][:, takeable.ranks]
-    scores = np.where(room, layer.loads[layer.hot] - peaks, -np.inf)
+    scores = np.where(takeable.room, layer.loads[layer.hot] - peaks, -np.inf)
     row, column = divmod(int(scores.argmax()), scores.shape[1])
     expert = int(layer.hot_experts[row])
     victim, rank = int(takeable.experts[column]), int(takeable.ranks[column])
