--- a/packages/bench/src/fuchsiahatch_bench/experts.py
+++ b/packages/bench/src/fuchsiahatch_bench/experts.py
@@ -42,7 +42,7 @@
 TUNING_SEEDS = range(1_000, 1_004)
 REPORTING_SEEDS = range(1, 21)
 #: Reporting seeds that the sensitivity to the weights is shown on.
-SENSITIVITY_SEEDS = range(1, 4)
+SENSITIVITY_SEEDS = range(1, 9)
 SENSITIVITY_RATIOS = (16.0, 4.0, 1.0, 0.25, 0.0625)
 
 RESULTS = pathlib.Path("docs/results/experts.json")
--- a/packages/experts/src/fuchsiahatch_experts/policies.py
+++ b/packages/experts/src/fuchsiahatch_experts/policies.py
@@ -44,6 +44,26 @@
     exposure_ms: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tuning:
+    """Parameters of payback on a forecast.
+
+    Attributes
+    ----------
+    horizon_ms : float
+        Exposure over which a move must earn its price.
+    lead_ms : int
+        How far ahead popularity is forecast.
+    """
+
+    horizon_ms: float
+    lead_ms: int
+
+
+#: Each deployment's default by ranks of a group, as `make tune-experts` chose it.
+GERAK_BERSAMA_TUNING = {16: Tuning(30_000.0, 120_000), 64: Tuning(60_000.0, 60_000)}
+GERALDTON_TUNING = {16: Tuning(200_000.0, 60_000), 64: Tuning(200_000.0, 60_000)}
+
 #: Returns the map to move to, or None to stay.
 Policy = t.Callable[[Observation], "ExpertMap | None"]
 #: Proposes a map to move to.
@@ -224,6 +244,24 @@
     return decide
 
 
+def tuned_policy(
+    prices: "Prices", slots: int, ranks: int, tunings: t.Mapping[int, Tuning]
+) -> Policy:
+    """Return payback on a forecast where it was tuned, else rent-to-buy by layer.
+
+    Parameters
+    ----------
+    prices : Prices
+    slots, ranks : int
+    tunings : mapping of int to Tuning
+        By ranks of a group, as `GERAK_BERSAMA_TUNING`.
+    """
+    tuning = tunings.get(ranks)
+    if tuning is None:
+        return rent_to_buy_by_layer(prices, slots)
+    return forecast(payback(prices, slots, tuning.horizon_ms), tuning.lead_ms)
+
+
 def _if_changed(current: "ExpertMap", target: "ExpertMap") -> "ExpertMap | None":
     return None if np.array_equal(current.placed, target.placed) else target
 
--- a/tests/experts/test_policies.py
+++ b/tests/experts/test_policies.py
@@ -6,6 +6,7 @@
 from fuchsiahatch_experts.maps import ExpertMap, count_moves
 from fuchsiahatch_experts.policies import (
     Observation,
+    Tuning,
     forecast,
     never,
     payback,
@@ -15,6 +16,7 @@
     rent_to_buy,
     rent_to_buy_by_layer,
     threshold,
+    tuned_policy,
 )
 
 # Experts 0 and 1 on rank 0, experts 2 and 3 on rank 1.
@@ -130,6 +132,18 @@
         self.assertEqual(shown[1].tolist(), [[0.25]])
 
 
+class TestTunedPolicy(unittest.TestCase):
+    TUNINGS = {2: Tuning(horizon_ms=210.0, lead_ms=100)}
+
+    def test_payback_where_tuned(self):
+        policy = tuned_policy(PRICES, 2, 2, self.TUNINGS)
+        self.assertEqual(first_move(policy), 1)
+
+    def test_rent_to_buy_elsewhere(self):
+        policy = tuned_policy(PRICES, 2, 3, self.TUNINGS)
+        self.assertGreaterEqual(first_move(policy), TestRentToBuy.BREAK_EVEN)
+
+
 class TestDeterminism(unittest.TestCase):
     def test_the_same_observations_bring_the_same_moves(self):
         rng = np.random.default_rng(1)
