--- a/packages/bench/src/fuchsiahatch_bench/capacity.py
+++ b/packages/bench/src/fuchsiahatch_bench/capacity.py
@@ -62,7 +62,8 @@
         name: Line(line["slope"], line["intercept"])
         for name, line in content["lines"].items()
     }
-    return Slopes(lines, content["values"], content["message_bytes"])
+    values = {**content["values"], **_peer_values(content["peers"])}
+    return Slopes(lines, values, content["message_bytes"])
 
 
 def fill(page: str, slopes: Slopes) -> str:
@@ -80,6 +81,18 @@
     return _PLACE.sub(replace, page)
 
 
+def _peer_values(rows: list[dict[str, float]]) -> dict[str, float]:
+    # Messages among entries have a bounded size and fan-out, so the largest fleet
+    # is carried on as it is, not by a line.
+    largest = max(rows, key=lambda row: row["entries"])
+    return {
+        "beats_wire_bytes_per_s": largest["wire_bytes_per_s"],
+        "beats_ms_per_s": largest["cpu_ms_per_s"],
+        "service_calls_per_s": largest["calls_per_s"],
+        "watches_waiting": largest["watches_waiting"],
+    }
+
+
 def _compare(old: str, new: str) -> None:
     if old != new:
         print("fault: docs/CAPACITY.md differs from its results; `make capacity`")
--- a/packages/bench/src/fuchsiahatch_bench/capacity_entry.py
+++ b/packages/bench/src/fuchsiahatch_bench/capacity_entry.py
@@ -2,121 +2,76 @@
 
 import dataclasses
 
-from fuchsiahatch_bench.capacity_plan import PLAN
+from fuchsiahatch_bench.capacity_plan import FOLLOWERS, PLAN
 from fuchsiahatch_bench.expected_sizes import CONTROL, SIZE
 from fuchsiahatch_bench.projection import Row, Slopes, grid, shown, table, total
 from fuchsiahatch_core.defaults import HEARTBEAT_MS
 
 _WATCHERS = (2, 3, 5)
 _REPORT_PAUSES_S = (1, 2, 5, 10)
+_HEARTBEAT_S = HEARTBEAT_MS / 1_000
 
 
 def entry_today(slopes: Slopes) -> str:
-    """Return the entry's table with every mechanism as it is measured."""
-    polls_per_s = 1_000 / HEARTBEAT_MS
-    document_bytes = slopes.lines["record_bytes"].at(SIZE.teams)
+    """Return the entry's table with every mechanism as it is built."""
+    document = slopes.lines["record_bytes"].at(SIZE.teams)
     list_bytes = slopes.lines["host_list_bytes"].at(SIZE.hosts)
+    redecode_ms = slopes.lines["record_redecode_ms"].at(SIZE.teams)
     wire = [
-        Row(
-            "reports of all agents",
-            slopes.per("reports_wire_bytes_per_s") * SIZE.upstreams,
-            "B/s",
-            None,
-            "`reports_wire_bytes_per_s` by agents",
-        ),
-        Row(
+        *_common_wire(slopes, SIZE.upstreams, _HEARTBEAT_S, _HEARTBEAT_S, _HEARTBEAT_S),
+        *_change_wire(slopes, document, SIZE.changes_per_s),
+        _bytes(
             "host list, whole, each poll",
-            list_bytes * polls_per_s,
-            "B/s",
-            None,
+            list_bytes / _HEARTBEAT_S,
             "`host_list_bytes` by hosts; no headers",
         ),
-        Row(
-            "records, whole, each poll",
-            slopes.lines["read_wire_bytes"].at(document_bytes) * polls_per_s,
-            "B/s",
-            None,
-            "`record_bytes` by teams, then `read_wire_bytes`",
-        ),
     ]
-    decode_ms = slopes.per("record_decode_ms") * SIZE.teams
     cpu = [
-        Row(
-            "watching all agents",
-            slopes.lines["entry_watch_ms_per_s"].at(SIZE.upstreams),
-            "ms/s",
-            None,
-            "`entry_watch_ms_per_s` by agents",
+        *_common_cpu(slopes, SIZE.upstreams, _HEARTBEAT_S),
+        _ms(
+            "decoding the records after each change",
+            redecode_ms * SIZE.changes_per_s,
+            "`record_redecode_ms` by teams",
         ),
-        Row(
-            "decoding the records at each poll",
-            decode_ms * polls_per_s,
-            "ms/s",
-            None,
-            "`record_decode_ms` by teams",
-        ),
-    ]
-    memory = [
-        Row(
-            "process and known agents",
-            slopes.lines["entry_watch_rss_bytes"].at(SIZE.upstreams),
-            "B",
-            None,
-            "`entry_watch_rss_bytes` by agents",
-        ),
-        _records_memory(slopes, SIZE.teams),
     ]
-    return table(_with_totals(wire, cpu, memory))
+    return _role_table(wire, cpu, _memory(slopes, SIZE.upstreams, SIZE.teams))
 
 
 def entry_planned(slopes: Slopes) -> str:
-    """Return the entry's table with subsets, segments and slower reports."""
-    reports_per_s = 1 / PLAN.report_pause_s
-    return table(
-        _with_totals(
-            _planned_wire(slopes, reports_per_s),
-            _planned_cpu(slopes, reports_per_s),
-            [
-                Row(
-                    "process and watched agents",
-                    slopes.lines["entry_watch_rss_bytes"].at(PLAN.watched),
-                    "B",
-                    None,
-                    f"`entry_watch_rss_bytes` at {PLAN.watched} agents",
-                ),
-                _records_memory(slopes, PLAN.segment_teams * PLAN.segments),
-            ],
-        )
-    )
+    """Return the entry's table with subsets, segments and longer pauses."""
+    redecode_ms = slopes.lines["record_redecode_ms"].at(PLAN.segment_teams)
+    cpu = [
+        *_common_cpu(slopes, PLAN.watched, PLAN.report_pause_s),
+        _ms(
+            "decoding changed segments",
+            redecode_ms * PLAN.changes_per_s,
+            "`record_redecode_ms` by teams of a segment",
+        ),
+    ]
+    teams = PLAN.segment_teams * PLAN.segments
+    memory = _memory(slopes, PLAN.watched, teams)
+    return _role_table(_planned_wire(slopes), cpu, memory)
 
 
 def entry_levers(slopes: Slopes) -> str:
-    """Return what would lower the planned bytes of an entry."""
-    planned = _planned_wire(slopes, 1 / PLAN.report_pause_s)
-    reports, changes, freshness, hosts = planned
-    read = slopes.lines["read_wire_bytes"]
-    record_bytes = slopes.per("record_bytes")
-    deltas = dataclasses.replace(
-        changes,
-        what="changes as single records",
-        value=read.at(record_bytes) * PLAN.segment_changes_per_s * PLAN.segments,
-        basis="`record_bytes` by teams, `read_wire_bytes`",
-    )
-    one_read = dataclasses.replace(
-        freshness,
-        what="freshness, one key for the revisions of all segments",
-        value=freshness.value / PLAN.segments,
-    )
+    """Return what changes as single records would save."""
+    planned = _planned_wire(slopes)
+    documents = _planned_changes(slopes)
+    kept = [row for row in planned if row not in documents]
+    records = [
+        dataclasses.replace(
+            row,
+            what=row.what.replace("whole documents", "single records"),
+            value=row.value * slopes.per("record_bytes") / _segment_bytes(slopes),
+        )
+        for row in documents
+    ]
     budget = CONTROL.wire_bytes_per_s
     return table(
         [
             total("**as planned**", planned, budget),
-            deltas,
-            total(
-                "**with single records**", (reports, deltas, freshness, hosts), budget
-            ),
-            one_read,
-            total("**with both**", (reports, deltas, one_read, hosts), budget),
+            *records,
+            total("**with single records**", [*kept, *records], budget),
         ]
     )
 
@@ -132,94 +87,132 @@
     return grid((*heads, *pauses), rows)
 
 
-def _planned_wire(slopes: Slopes, reports_per_s: float) -> list[Row]:
-    segment_bytes = slopes.lines["record_bytes"].at(PLAN.segment_teams)
-    read = slopes.lines["read_wire_bytes"]
+def _planned_wire(slopes: Slopes) -> list[Row]:
     return [
-        Row(
-            f"reports of {PLAN.watched} agents",
-            slopes.per("reports_wire_bytes_per_s") * PLAN.watched * reports_per_s,
-            "B/s",
-            None,
-            f"slope by agents, a report each {PLAN.report_pause_s} s",
-        ),
-        Row(
-            f"changes of {PLAN.segments} segments, whole documents",
-            read.at(segment_bytes) * PLAN.segment_changes_per_s * PLAN.segments,
-            "B/s",
-            None,
-            "`record_bytes`, `read_wire_bytes`",
+        *_common_wire(
+            slopes,
+            PLAN.watched,
+            PLAN.report_pause_s,
+            PLAN.beat_pause_s,
+            PLAN.confirm_pause_s,
         ),
-        Row(
-            f"freshness, an empty read each {PLAN.freshness_pause_s:g} s a segment",
-            read.at(0) / PLAN.freshness_pause_s * PLAN.segments,
-            "B/s",
-            None,
-            "`read_wire_bytes` at 0",
-        ),
-        Row(
+        *_planned_changes(slopes),
+        _bytes(
             "host list, changed rows only",
             slopes.per("host_list_bytes") * SIZE.host_changes_per_s,
-            "B/s",
-            None,
             "`host_list_bytes` by rows that change",
         ),
     ]
 
 
-def _planned_cpu(slopes: Slopes, reports_per_s: float) -> list[Row]:
-    decode_ms = slopes.per("record_decode_ms") * PLAN.segment_teams
+def _planned_changes(slopes: Slopes) -> list[Row]:
+    return _change_wire(slopes, _segment_bytes(slopes), PLAN.changes_per_s)
+
+
+def _segment_bytes(slopes: Slopes) -> float:
+    return slopes.lines["record_bytes"].at(PLAN.segment_teams)
+
+
+def _common_wire(
+    slopes: Slopes,
+    watched: int,
+    report_pause_s: float,
+    beat_pause_s: float,
+    confirm_pause_s: float,
+) -> list[Row]:
     return [
-        Row(
-            "idle process, with today's polls of both services",
-            slopes.lines["entry_watch_ms_per_s"].intercept,
-            "ms/s",
-            None,
-            "intercept of `entry_watch_ms_per_s`",
+        _bytes(
+            f"reports of {watched:,} agents",
+            slopes.per("reports_wire_bytes_per_s") * watched / report_pause_s,
+            f"slope by agents, a report each {report_pause_s:g} s",
         ),
-        Row(
-            "reports",
-            slopes.per("entry_watch_ms_per_s") * PLAN.watched * reports_per_s,
-            "ms/s",
-            None,
-            "slope, by reports a second",
+        _bytes(
+            f"{FOLLOWERS:.0f} agents that follow this entry",
+            slopes.per("follow_wire_bytes_per_s") * FOLLOWERS,
+            "`follow_wire_bytes_per_s` by agents, nothing new",
+        ),
+        _bytes(
+            f"heartbeats of entries, each {beat_pause_s:g} s",
+            slopes.values["beats_wire_bytes_per_s"] * _HEARTBEAT_S / beat_pause_s,
+            "the largest measured fleet; fan-out and size are fixed",
+        ),
+        _bytes(
+            f"confirming all revisions each {confirm_pause_s:g} s",
+            slopes.values["confirm_wire_bytes"] / confirm_pause_s,
+            "`confirm_wire_bytes`",
+        ),
+    ]
+
+
+def _change_wire(slopes: Slopes, document: float, changes_per_s: float) -> list[Row]:
+    return [
+        _bytes(
+            "changes, whole documents, from the service or an entry",
+            slopes.lines["read_wire_bytes"].at(document) * changes_per_s,
+            "`record_bytes` by teams, `read_wire_bytes`",
+        ),
+        _bytes(
+            "changes, whole documents, to the agents that follow",
+            document * changes_per_s * FOLLOWERS,
+            "`record_bytes` by teams; no headers",
+        ),
+    ]
+
+
+def _common_cpu(slopes: Slopes, watched: int, report_pause_s: float) -> list[Row]:
+    reports_per_s = _HEARTBEAT_S / report_pause_s
+    return [
+        _ms(
+            "entries, service and host list, without agents",
+            slopes.values["beats_ms_per_s"],
+            "the largest measured fleet, each 1 s",
         ),
+        _ms(
+            f"watching {watched:,} agents",
+            slopes.per("entry_watch_ms_per_s") * watched * reports_per_s,
+            "`entry_watch_ms_per_s` by agents, by reports a second",
+        ),
+    ]
+
+
+def _memory(slopes: Slopes, watched: int, teams: float) -> list[Row]:
+    return [
         Row(
-            "decoding changed segments",
-            decode_ms * PLAN.segment_changes_per_s * PLAN.segments,
-            "ms/s",
+            f"process and {watched:,} watched agents",
+            slopes.lines["entry_watch_rss_bytes"].at(watched),
+            "B",
             None,
-            "`record_decode_ms`",
+            "`entry_watch_rss_bytes` by agents",
         ),
         Row(
-            "freshness reads",
-            slopes.lines["read_ms"].at(0) / PLAN.freshness_pause_s * PLAN.segments,
-            "ms/s",
+            f"records of {teams:,.0f} teams",
+            slopes.lines["record_memory_bytes"].at(teams),
+            "B",
             None,
-            "`read_ms` at 0",
+            "`record_memory_bytes` by teams",
         ),
     ]
 
 
-def _records_memory(slopes: Slopes, teams: float) -> Row:
-    return Row(
-        f"records of {teams:,.0f} teams",
-        slopes.lines["record_memory_bytes"].at(teams),
-        "B",
-        None,
-        "`record_memory_bytes` by teams",
+def _role_table(wire: list[Row], cpu: list[Row], memory: list[Row]) -> str:
+    return table(
+        [
+            *wire,
+            total("**on the wire**", wire, CONTROL.wire_bytes_per_s),
+            *cpu,
+            total("**processor**", cpu, CONTROL.cpu_ms_per_s),
+            *memory,
+            total("**memory**", memory, CONTROL.memory_bytes),
+        ]
     )
 
 
-def _with_totals(wire: list[Row], cpu: list[Row], memory: list[Row]) -> list[Row]:
-    return [
-        *wire,
-        total("**on the wire**", wire, CONTROL.wire_bytes_per_s),
-        *cpu,
-        total("**processor**", cpu, CONTROL.cpu_ms_per_s),
-        *memory,
-        total("**memory**", memory, CONTROL.memory_bytes),
-    ]
+def _bytes(what: str, value: float, basis: str) -> Row:
+    return Row(what, value, "B/s", None, basis)
+
+
+def _ms(what: str, value: float, basis: str) -> Row:
+    return Row(what, value, "ms/s", None, basis)
 
 
 def _watched(watchers: int) -> int:
--- a/packages/bench/src/fuchsiahatch_bench/capacity_service.py
+++ b/packages/bench/src/fuchsiahatch_bench/capacity_service.py
@@ -3,44 +3,43 @@
 from fuchsiahatch_bench.capacity_plan import PLAN
 from fuchsiahatch_bench.expected_sizes import SERVICE, SIZE
 from fuchsiahatch_bench.projection import Row, Slopes, table
-from fuchsiahatch_core.defaults import FRESH_MS, HEARTBEAT_MS
+from fuchsiahatch_daemon.configuration import WATCHERS_PER_REGION
 
 
 def service_table(slopes: Slopes) -> str:
     """Return the table of the key-value service's calls and values."""
-    polls_per_s = 1_000 / HEARTBEAT_MS
-    confirms_per_s = SIZE.entries / PLAN.freshness_pause_s
-    watches = SIZE.entries * PLAN.segments
+    calls_per_s = slopes.values["service_calls_per_s"]
+    watches = WATCHERS_PER_REGION * SIZE.regions * SIZE.models
     return table(
         [
             Row(
-                "reads, each entry polls one key",
-                SIZE.entries * polls_per_s,
+                "reads: every entry confirms, as measured",
+                SIZE.entries * calls_per_s,
                 "/s",
                 SERVICE.reads_per_s,
-                "arithmetic from the poll's pause",
+                "`service_calls_per_s` by entries; one call for all its segments",
             ),
             Row(
-                f"reads, each entry polls {SIZE.models} segments",
-                SIZE.entries * SIZE.models * polls_per_s,
+                f"reads: the same each {PLAN.confirm_pause_s:g} s",
+                SIZE.entries / PLAN.confirm_pause_s,
                 "/s",
                 SERVICE.reads_per_s,
                 "arithmetic",
             ),
             Row(
-                f"reads, {PLAN.segments} segments confirmed twice in {FRESH_MS} ms",
-                confirms_per_s * PLAN.segments,
-                "/s",
-                SERVICE.reads_per_s,
-                "arithmetic",
-            ),
-            Row(
-                "waiting watches, every entry on its segments",
+                f"waiting watches, {WATCHERS_PER_REGION} entries a region and segment",
                 watches,
                 "calls open",
                 None,
                 "arithmetic; each counts as a call while it waits",
             ),
+            Row(
+                "waiting watches, every entry one",
+                SIZE.entries * slopes.values["watches_waiting"],
+                "calls open",
+                None,
+                "measured after a start, before the first change",
+            ),
             Row(
                 "writes for changes",
                 SIZE.changes_per_s,
--- a/packages/bench/src/fuchsiahatch_bench/path_costs.py
+++ b/packages/bench/src/fuchsiahatch_bench/path_costs.py
@@ -203,6 +203,8 @@
         f"127.0.0.1:{base_port + 300}",
         "--placement",
         str(folder / "placement.json"),
+        "--roster",
+        str(folder / "roster.json"),
     )
     group.start_module(
         "host-list",
--- a/packages/bench/src/fuchsiahatch_bench/record_costs.py
+++ b/packages/bench/src/fuchsiahatch_bench/record_costs.py
@@ -1,6 +1,7 @@
 """What placement records cost: bytes, decoding time and memory for each team."""
 
 import gc
+import itertools
 import json
 import time
 import tracemalloc
@@ -12,19 +13,20 @@
 TEAMS = (10, 100, 1_000, 3_600)
 _ROUNDS = 3
 _NS_PER_MS = 1_000_000
+_SHARE = b'"share_percent": 0.1'
+_CHANGED_SHARE = b'"share_percent": 0.2'
 
 
 def measure_records() -> dict[str, Line]:
     """Return bytes, milliseconds and memory bytes against the number of teams."""
     documents = {teams: _document(teams) for teams in TEAMS}
-    times = [
-        (teams, _decode_ms(document))
-        for teams, document in documents.items()
-        for _ in range(_ROUNDS)
-    ]
+    rounds = list(itertools.product(documents.items(), range(_ROUNDS)))
+    times = [(teams, _decode_ms(document)) for (teams, document), _ in rounds]
+    again = [(teams, _redecode_ms(document)) for (teams, document), _ in rounds]
     return {
         "record_bytes": fit_line(_sizes(documents)),
         "record_decode_ms": fit_line(times),
+        "record_redecode_ms": fit_line(again),
         "record_memory_bytes": fit_line(
             (teams, _memory_bytes(document)) for teams, document in documents.items()
         ),
@@ -44,6 +46,17 @@
     return (time.process_time_ns() - before) / _NS_PER_MS
 
 
+def _redecode_ms(document: bytes) -> float:
+    """Return the time for a document in which one record has changed."""
+    decode_or_close.cache_clear()
+    decode_document(document)
+    changed = document.replace(_SHARE, _CHANGED_SHARE, 1)
+    gc.collect()
+    before = time.process_time_ns()
+    decode_document(changed)
+    return (time.process_time_ns() - before) / _NS_PER_MS
+
+
 def _memory_bytes(document: bytes) -> int:
     decode_or_close.cache_clear()
     gc.collect()
--- a/packages/bench/src/fuchsiahatch_bench/roles_host.py
+++ b/packages/bench/src/fuchsiahatch_bench/roles_host.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 import json
 import pathlib
 import socket
@@ -53,32 +54,47 @@
         await roles[settings.role](settings).start()
 
 
-def _collect_sockets() -> list[socket.socket]:
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Sockets:
+    """The gRPC connections that were accepted here, and those made from here."""
+
+    accepted: list[socket.socket]
+    made: list[socket.socket]
+
+
+def _collect_sockets() -> _Sockets:
+    import grpclib.server
     from grpclib.protocol import H2Protocol
 
-    sockets: list[socket.socket] = []
+    sockets = _Sockets([], [])
     connection_made = H2Protocol.connection_made
 
     def noted(self: H2Protocol, transport: asyncio.BaseTransport) -> None:
-        sockets.append(transport.get_extra_info("socket"))
+        is_server = isinstance(self.handler, grpclib.server.Handler)
+        kept = sockets.accepted if is_server else sockets.made
+        kept.append(transport.get_extra_info("socket"))
         connection_made(self, transport)
 
     H2Protocol.connection_made = noted
     return sockets
 
 
-def _answer(sockets: list[socket.socket], stop: t.Callable[[], None]) -> None:
+def _answer(sockets: _Sockets, stop: t.Callable[[], None]) -> None:
     if not sys.stdin.readline():
         stop()
         return
-    traffic = sum(map(read_traffic, sockets), Traffic())
     answer = {
         "cpu_ms": time.process_time_ns() / _NS_PER_MS,
-        "connections": len(sockets),
-        "wire_bytes": traffic.wire_bytes,
+        "accepted": len(sockets.accepted),
+        "accepted_wire_bytes": _wire_bytes(sockets.accepted),
+        "made_wire_bytes": _wire_bytes(sockets.made),
     }
     print(json.dumps(answer), flush=True)
 
 
+def _wire_bytes(sockets: t.Iterable[socket.socket]) -> int:
+    return sum(map(read_traffic, sockets), Traffic()).wire_bytes
+
+
 if __name__ == "__main__":
     fire.Fire(main, name="roles_host")
--- a/packages/bench/src/fuchsiahatch_bench/slopes.py
+++ b/packages/bench/src/fuchsiahatch_bench/slopes.py
@@ -41,6 +41,7 @@
     # These import the reactor, which must be installed before.
     from fuchsiahatch_bench.message_sizes import measure_messages
     from fuchsiahatch_bench.path_costs import measure_path
+    from fuchsiahatch_bench.peer_costs import measure_peers
     from fuchsiahatch_bench.record_costs import measure_records
     from fuchsiahatch_bench.selection_costs import measure_selection
     from fuchsiahatch_bench.service_costs import measure_service_calls
@@ -50,14 +51,17 @@
     (FOLDER / "path").mkdir(parents=True)
     lines = measure_records() | measure_selection()
     watching, watched = await measure_watching(FOLDER / "watch", base_port)
-    lines |= watching | await measure_service_calls(FOLDER / "service", base_port)
-    path_lines, values = await measure_path(FOLDER / "path", base_port)
-    lines |= path_lines
+    peers, peer_rows = await measure_peers(FOLDER / "peers", base_port)
+    lines |= watching | peers
+    service, service_values = await measure_service_calls(FOLDER / "service", base_port)
+    path, path_values = await measure_path(FOLDER / "path", base_port)
+    lines |= service | path
     document = {
         "machine": _machine(),
         "lines": {name: dataclasses.asdict(line) for name, line in lines.items()},
-        "values": values,
+        "values": service_values | path_values,
         "watched": [dataclasses.asdict(row) for row in watched],
+        "peers": [dataclasses.asdict(row) for row in peer_rows],
         "message_bytes": measure_messages(),
     }
     _write(RESULTS, json.dumps(document, indent=1) + "\n")
--- a/packages/bench/src/fuchsiahatch_bench/watch_costs.py
+++ b/packages/bench/src/fuchsiahatch_bench/watch_costs.py
@@ -14,7 +14,7 @@
 from fuchsiahatch_bench.fits import Line, Point, fit_line
 from fuchsiahatch_bench.path_costs import start_platform, wait_ready
 from fuchsiahatch_bench.processes import ROLES_HOST, ProcessGroup
-from fuchsiahatch_standins.layout import list_row, write_layout
+from fuchsiahatch_standins.layout import list_row, roster_of, write_layout
 
 WATCHED = (5, 20, 80)
 AGENTS_A_PROCESS = 20
@@ -33,8 +33,9 @@
     entry_ms_per_s, agent_ms_per_s : float
         Processor time of the entry, and of one agent.
     entry_rss_bytes : int
-    report_bytes_per_s : float
-        Of one agent's report stream on the wire, both ways.
+    report_bytes_per_s, follow_bytes_per_s : float
+        On the wire, both ways: one agent's report stream, and what it asks an
+        entry itself to follow the configuration.
     """
 
     agents: int
@@ -42,6 +43,7 @@
     agent_ms_per_s: float
     entry_rss_bytes: int
     report_bytes_per_s: float
+    follow_bytes_per_s: float
 
 
 async def measure_watching(
@@ -58,6 +60,9 @@
         "reports_wire_bytes_per_s": _line(
             rows, lambda row: row.report_bytes_per_s * row.agents
         ),
+        "follow_wire_bytes_per_s": _line(
+            rows, lambda row: row.follow_bytes_per_s * row.agents
+        ),
         "host_list_bytes": fit_line(map(_host_list_point, WATCHED)),
     }
     return lines, rows
@@ -86,15 +91,16 @@
     before = _totals(group, hosts)
     await asyncio.sleep(_MEASURE_S)
     after = _totals(group, hosts)
-    if after["connections"] != agents:
-        raise RuntimeError(f"{after['connections']} of {agents} agents are watched")
+    if after["accepted"] != agents:
+        raise RuntimeError(f"{after['accepted']} of {agents} agents are watched")
     used = {name: (after[name] - before[name]) / _MEASURE_S for name in after}
     return Watched(
         agents=agents,
         entry_ms_per_s=used["entry_ms"],
         agent_ms_per_s=used["cpu_ms"] / agents,
         entry_rss_bytes=group.rss_bytes("entry"),
-        report_bytes_per_s=used["wire_bytes"] / agents,
+        report_bytes_per_s=used["accepted_wire_bytes"] / agents,
+        follow_bytes_per_s=used["made_wire_bytes"] / agents,
     )
 
 
@@ -115,6 +121,7 @@
         _write(folder / name, settings)
     _write(folder / "entry.json", entry)
     _write(folder / "hosts.json", list(map(list_row, [entry, *rows])))
+    _write(folder / "roster.json", roster_of([entry]))
     placement = (layout / "placement.json").read_text("utf-8")
     (folder / "placement.json").write_text(placement, "utf-8")
     return entry["listen"]["http_address"]
--- a/tools/check_docs.py
+++ b/tools/check_docs.py
@@ -19,10 +19,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DOCS = ROOT / "docs"
-METRICS_MODULES = [
-    ROOT / "packages/daemon/src/fuchsiahatch_daemon" / name
-    for name in ("metrics.py", "controlmetrics.py")
-]
+DAEMON = ROOT / "packages/daemon/src/fuchsiahatch_daemon"
+METRICS_MODULES = sorted(DAEMON.glob("*metrics.py"))
 WARN_FLAG = "--warn-missing"
 
 _NUMBERED_ROW = re.compile(r"^\| (\d+) \| `(\w+)` \|", re.MULTILINE)
