--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 python ?= python3
 
-.PHONY: install demo demo-keep test check settings-page capacity bench-slopes bench-placement
+.PHONY: install demo demo-keep test check settings-page capacity bench-slopes bench-placement \
+    bench-path bench-routing bench-experts tune-experts
+
 install: .venv/installed
 
 .venv/installed: requirements.txt $(wildcard packages/*/pyproject.toml)
@@ -41,9 +43,15 @@
 	.venv/bin/python -m fuchsiahatch_bench.bench_placement
 
 # Policies are tuned on their own seeds by `make tune-experts`, which takes minutes.
-.PHONY: bench-experts tune-experts
 bench-experts: install
 	OPENBLAS_NUM_THREADS=1 .venv/bin/python -m fuchsiahatch_bench.experts run
 
 tune-experts: install
 	OPENBLAS_NUM_THREADS=1 .venv/bin/python -m fuchsiahatch_bench.experts tune
+
+
+bench-path: install
+	packages/bench/path.sh
+
+bench-routing: install
+	.venv/bin/python -m fuchsiahatch_bench.routing_bench
