--- a/packages/bench/src/fuchsiahatch_bench/load.py
+++ b/packages/bench/src/fuchsiahatch_bench/load.py
@@ -10,6 +10,7 @@
 
 TEAM = "gym-bangsar"
 MODEL = "booking-assistant"
+SERVICE = "hold-and-cancel"
 _STATUS_OK = 200
 
 
@@ -21,6 +22,7 @@
     path: str
     body: bytes | None = None
     key: str = ""
+    ticket: str = ""
     team: str = TEAM
 
 
@@ -42,11 +44,20 @@
     return Call("GET", path, team="skippers-geraldton")
 
 
-def hold_call(number: int) -> Call:
+def hold_call(number: int, ticket: str) -> Call:
     """Return a call to a plain service with an idempotency key of its own."""
     body = json.dumps({"slot": "07:00"}).encode()
-    path = "/services/hold-and-cancel/holds"
-    return Call("POST", path, body, f"slope-{number}")
+    path = f"/services/{SERVICE}/holds"
+    return Call("POST", path, body, f"slope-{number}", ticket)
+
+
+async def take_ticket(entry: str) -> str:
+    """Return a ticket for holds from an entry's lookup."""
+    loop = asyncio.get_running_loop()
+    url = f"http://{entry}/lookup?team={TEAM}&service={SERVICE}"
+    response = await treq.get(url).asFuture(loop)
+    answer = await treq.json_content(response).asFuture(loop)
+    return answer["ticket"]
 
 
 async def send_all(entry: str, calls: t.Iterable[Call], at_once: int) -> int:
@@ -74,11 +85,11 @@
 
 async def _send(entry: str, call: Call) -> bool:
     loop = asyncio.get_running_loop()
-    keyed = {"Idempotency-Key": call.key} if call.key else {}
+    keyed = {"Idempotency-Key": call.key, "Fuchsiahatch-Ticket": call.ticket}
     headers = {
         "Fuchsiahatch-Team": call.team,
         "Content-Type": "application/json",
-        **keyed,
+        **{name: value for name, value in keyed.items() if value},
     }
     asked = treq.request(
         call.method, f"http://{entry}{call.path}", headers=headers, data=call.body
--- a/packages/daemon/src/fuchsiahatch_daemon/web.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/web.py
@@ -57,6 +57,7 @@
 _RECORD_FAULTS = range(400, 404)
 _BAD_REQUEST = 400
 _UNAVAILABLE = 503
+_WAITING_CONNECTIONS = 1_024
 
 
 class MemoryRequest(ServerRequest):
@@ -153,7 +154,11 @@
     ip, port = split_address(address)
     site = Site(app.resource(), requestFactory=MemoryRequest)
     connections = Connections(site)
-    endpoint = endpoints.TCP4ServerEndpoint(reactor, port, interface=ip)
+    # A short queue resets callers that all come at once, as when another entry has
+    # died; a caller then can't tell whether its request was read.
+    endpoint = endpoints.TCP4ServerEndpoint(
+        reactor, port, backlog=_WAITING_CONNECTIONS, interface=ip
+    )
     listening = endpoint.listen(connections)
     return Listener(await listening.asFuture(asyncio.get_running_loop()), connections)
 
--- a/packages/standins/src/fuchsiahatch_standins/serving.py
+++ b/packages/standins/src/fuchsiahatch_standins/serving.py
@@ -6,6 +6,8 @@
 
 from twisted.internet import asyncioreactor
 
+_WAITING_CONNECTIONS = 1_024
+
 
 def serve(make_app: t.Callable[[], t.Any], address: str) -> None:
     """Serve an application at ``ip:port`` until SIGTERM."""
@@ -16,7 +18,9 @@
     from twisted.web.server import Site
 
     ip, _, port = address.rpartition(":")
-    endpoint = endpoints.TCP4ServerEndpoint(reactor, int(port), interface=ip)
+    endpoint = endpoints.TCP4ServerEndpoint(
+        reactor, int(port), backlog=_WAITING_CONNECTIONS, interface=ip
+    )
     endpoint.listen(Site(make_app().resource()))
     loop.add_signal_handler(signal.SIGTERM, reactor.stop)
     reactor.run(installSignalHandlers=False)
