--- a/packages/daemon/src/fuchsiahatch_daemon/configuration.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/configuration.py
@@ -18,6 +18,7 @@
 #: Entries of a region that hold a watch on a segment; the others hear it of them.
 WATCHERS_PER_REGION = 2
 _WATCH_PAUSE_MS = 1_000
+_HINT_PAUSE_MS = 100
 _NEVER_READ = -1
 
 
@@ -55,6 +56,7 @@
         self._tasks = Tasks()
         self._listeners: list[t.Callable[[], None]] = []
         self._versions = {self.roster_key: _NEVER_READ, self.key: _NEVER_READ}
+        self._hinted_ms = -_HINT_PAUSE_MS
         self._reading = False
         self._pulling: set[str] = set()
 
@@ -84,11 +86,19 @@
     def hear_of_newer(self, host: str) -> None:
         """Ask an entry that has something newer, or the service if none is named."""
         if not host:
-            self._handle(acceptance.RosterHint())
+            self._ask_soon()
         elif host not in self._pulling:
             self._pulling.add(host)
             self._tasks.spawn(self._pull(host))
 
+    def _ask_soon(self) -> None:
+        # Each refused request of a stale entry hints at something newer: a burst
+        # of them must not become a burst of questions.
+        now_ms = self._clock.now_ms()
+        if now_ms - self._hinted_ms >= _HINT_PAUSE_MS:
+            self._hinted_ms = now_ms
+            self._handle(acceptance.RosterHint())
+
     async def _tick(self) -> None:
         self._handle(acceptance.Tick())
 
--- a/packages/daemon/src/fuchsiahatch_daemon/entry.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/entry.py
@@ -117,13 +117,19 @@
         listening = web.listen(app, self.settings.http_address)
         self._port = await listening.asFuture(asyncio.get_running_loop())
 
-    async def stop(self) -> None:
-        """Leave the lookup's answers, finish open requests, then close."""
+    async def stop(self, linger_ms: int = LEAVE_LINGER_MS) -> None:
+        """Leave the lookup's answers, finish open requests, then close.
+
+        Parameters
+        ----------
+        linger_ms : int, optional
+            How long callers are told to use another entry before the port closes.
+        """
         self.leave()
         self._stopping = True
         # Callers keep a lookup answer for a while. For some time they are told to
         # use another entry; after that they find the port closed.
-        await asyncio.sleep(LEAVE_LINGER_MS / 1000)
+        await asyncio.sleep(linger_ms / 1000)
         await self._requests.wait_idle()
         self._port.stopListening()
         self._server.close()
--- a/packages/daemon/src/fuchsiahatch_daemon/selection.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/selection.py
@@ -107,6 +107,8 @@
         """
         if code == Code.LEAVING:
             self._left[home.host] = home.incarnation
+        if code == Code.STALE_REVISION:
+            self._configuration.hear_of_newer("")
 
     def note_frame(self, home: Home, frame: "Frame") -> None:
         """Learn from the frame that closes an attempt.
--- a/tests/daemon/test_entry.py
+++ b/tests/daemon/test_entry.py
@@ -1,8 +1,11 @@
+import json
 import unittest
 
+import treq
+
 from fuchsiahatch_platform.http import HttpCaller
 from fuchsiahatch_standins.running import Running
-from tests.loopback import run
+from tests.loopback import LOOP, run
 
 ENTRIES = {"entry-a": "kl-a", "entry-b": "kl-b", "entry-c": "kl-c"}
 
@@ -67,3 +70,63 @@
                 self.assertTrue(all(one.ready for one in roles))
 
         run(work())
+
+
+class TestStaleEntry(unittest.TestCase):
+    def test_is_refused_by_the_agent_and_catches_up(self):
+        """A zone is forbidden while one entry hears nothing of it for a moment.
+
+        It still admits a member's request for that zone. The agent there knows
+        better, refuses it as not run, and the entry asks for what it missed.
+        """
+
+        async def work():
+            first = placement("kl-b")
+            agents = {"engine-b": "kl-b"}
+            async with Running(ENTRIES, agents, records=[first]) as running:
+                stale = running.entries["entry-a"]
+                agent = running.agents["engine-b"]
+                await running.until(lambda: stale.ready and knows_agent(stale))
+                await running.until(lambda: agent.follower.snapshot.revision == 1)
+                stale.configuration.stop()
+                stale.peers.stop()
+                stale.configuration.hear_of_newer = heard.append
+                running.put_placement(2, placement("kl-a"))
+                await running.until(lambda: agent.follower.snapshot.revision == 2)
+                status, body = await complete(stale)
+                self.assertEqual((status, body["error"]["name"]), STALE)
+                self.assertEqual(heard, [""])
+                del stale.configuration.hear_of_newer
+                stale.configuration.hear_of_newer("")
+                await running.until(lambda: stale.configuration.snapshot.revision == 2)
+
+        heard = []
+        run(work())
+
+
+STALE = (503, "STALE_REVISION")
+
+
+def placement(zone):
+    return {
+        "schema": 1,
+        "team": "gym-bangsar",
+        "zones": [zone],
+        "offers": ["booking-assistant@2"],
+        "share_percent": 30,
+    }
+
+
+def knows_agent(role):
+    return any(one.live for one in role.hosts.table.views("agent", role.clock.now_ms()))
+
+
+async def complete(role):
+    """Send a chat completion and return status and decoded body."""
+    address = role.settings.http_address
+    body = json.dumps({"model": "booking-assistant", "messages": []}).encode()
+    headers = {"Fuchsiahatch-Team": "gym-bangsar"}
+    url = f"http://{address}/v1/chat/completions"
+    sent = treq.post(url, data=body, headers=headers, persistent=False)
+    response = await sent.asFuture(LOOP)
+    return response.code, json.loads(await treq.content(response).asFuture(LOOP))
