Confirmations asked once, silent watches opened anew, tests of revert and roster

Cause: a confirmation that was repeated three times against a slow service held the next question back for 3 s, the whole time of freshness; a watch on a host that lost its power would have waited for ever; the roster's difference was shown as none.

--- a/demo/demo.sh
+++ b/demo/demo.sh
@@ -61,6 +61,7 @@
 echo "== an operator moves a team into schema 2, and asks why requests go where they go"
 operate=".venv/bin/fuchsiahatch --entry 127.0.0.1:$base"
 $operate apply "$run/change.json" --summary "gym-subang in kl-b only"
+$operate apply "$run/change.json" --revision 1 || echo "exit status $?"
 $operate explain gym-subang booking-assistant | grep -e host -e reason
 
 echo "== an agent and an entry leave under load"
--- a/packages/daemon/src/fuchsiahatch_daemon/operators.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/operators.py
@@ -20,7 +20,7 @@
     write_document,
 )
 from fuchsiahatch_placement.edits import Edit, describe, propose
-from fuchsiahatch_placement.rosters import Voter, change_roster
+from fuchsiahatch_placement.rosters import Voter, change_roster, decode_roster
 from fuchsiahatch_routing.candidates import Judgement, Target, judge
 
 if t.TYPE_CHECKING:
@@ -152,7 +152,9 @@
 
         def make_and_show(base: Document) -> Document:
             proposed = make(base)
-            show({"kind": "difference", "lines": describe(base, proposed)})
+            show(
+                {"kind": "difference", "lines": _difference(base, proposed, is_roster)}
+            )
             return proposed
 
         def emit(effect: writing.Progress | writing.Finished) -> None:
@@ -170,7 +172,7 @@
         base = read_document((await self._role.key_value.get(key)).value)
         proposed = make(base)
         write_document(proposed)
-        lines = describe(base, proposed)
+        lines = _difference(base, proposed, is_roster)
         shown = {"kind": "difference", "lines": lines, "revision": base.revision}
         return web.write_json(request, shown)
 
@@ -180,6 +182,19 @@
         return [view.row.host for view in views if view.live and view.row.host != own]
 
 
+def _difference(base: Document, proposed: Document, is_roster: bool) -> list[str]:
+    if not is_roster:
+        return describe(base, proposed)
+    before = decode_roster(write_document(base)).voters
+    after = decode_roster(write_document(proposed)).voters
+    gone = [f"- {_voter_text(one)}" for one in sorted(before - after)]
+    return gone + [f"+ {_voter_text(one)}" for one in sorted(after - before)]
+
+
+def _voter_text(voter: Voter) -> str:
+    return f"{voter.host} in {voter.zone}, {voter.region}"
+
+
 def _status(role: "EntryRole") -> dict[str, t.Any]:
     configuration = role.configuration
     budget = role.key_value.budget
--- a/packages/platform/src/fuchsiahatch_platform/http.py
+++ b/packages/platform/src/fuchsiahatch_platform/http.py
@@ -108,10 +108,21 @@
             raise _platform_error(method, url, fault) from fault
 
     async def lines(
-        self, method: str, url: str, body: t.Any = None
+        self,
+        method: str,
+        url: str,
+        body: t.Any = None,
+        idle_ms: int | None = None,
     ) -> t.AsyncIterator[t.Any]:
         """Make one call and yield its answer's JSON lines until it ends or breaks.
 
+        Parameters
+        ----------
+        method, url : str
+        body : object, optional
+        idle_ms : int, optional
+            Silence after which the answer is taken for ended.
+
         Raises
         ------
         PlatformError
@@ -123,7 +134,7 @@
             )
             if response.code >= _STATUS_CLIENT_FAULT:
                 await self._read_whole(method, url, response)
-            async with contextlib.aclosing(self._lines_of(response)) as lines:
+            async with contextlib.aclosing(self._lines_of(response, idle_ms)) as lines:
                 async for line in lines:
                     yield json.loads(line)
         except PlatformError:
@@ -163,11 +174,13 @@
             raise PlatformError(f"{method} {url}: status {response.code}: {detail}")
         return json.loads(content) if content else None
 
-    async def _lines_of(self, response: "IResponse") -> t.AsyncIterator[bytes]:
+    async def _lines_of(
+        self, response: "IResponse", idle_ms: int | None
+    ) -> t.AsyncIterator[bytes]:
         lines = _Lines()
         response.deliverBody(lines)
         try:
-            while (line := await lines.queue.get()) is not None:
+            while (line := await lines.next(idle_ms)) is not None:
                 self.received_bytes += len(line)
                 yield line
         finally:
@@ -185,6 +198,13 @@
     def __init__(self) -> None:
         self.queue: asyncio.Queue[bytes | None] = asyncio.Queue()
 
+    async def next(self, idle_ms: int | None) -> bytes | None:
+        limit_s = None if idle_ms is None else idle_ms / 1000
+        try:
+            return await asyncio.wait_for(self.queue.get(), limit_s)
+        except TimeoutError:
+            return None
+
     def lineReceived(self, line: bytes) -> None:
         self.queue.put_nowait(line)
 
--- a/packages/platform/src/fuchsiahatch_platform/keyvalue.py
+++ b/packages/platform/src/fuchsiahatch_platform/keyvalue.py
@@ -22,6 +22,9 @@
 READ_TRIES = 3
 #: Longest pause before the first repeat of a read; it doubles with each.
 BACKOFF_MS = 50
+#: Silence after which a watch is opened anew. A service whose host lost its power ends
+#: no connection: without this its watches would wait on it for ever.
+WATCH_IDLE_MS = 60_000
 
 _RANGE = "/v3/kv/range"
 _TRANSACT = "/v3/kv/txn"
@@ -126,13 +129,15 @@
         Raises
         ------
         PlatformError
-            When no try had a usable answer.
+            When there was no usable answer. It is asked once only: whoever
+            confirms a revision asks anew soon, and an answer to a repeat would
+            confirm no later time than the first try's.
         """
         body = {
             "compare": [_compare(key, version) for key, version in known.items()],
             "failure": [{"requestRange": {"key": _encode(key)}} for key in known],
         }
-        answer = await self._read("confirm", _TRANSACT, body)
+        answer = await self._call("confirm", _TRANSACT, body)
         if answer.get("succeeded", False):
             return {}
         found = (one["responseRange"] for one in answer["responses"])
@@ -247,7 +252,7 @@
         """Yield the results of one watch until its connection ends."""
         request = {"key": _encode(key), "start_revision": str(start)}
         lines = self._caller.lines(
-            "POST", self._url + _WATCH, {"create_request": request}
+            "POST", self._url + _WATCH, {"create_request": request}, WATCH_IDLE_MS
         )
         with self.budget.waiting_watch():
             async with contextlib.aclosing(lines):
--- a/tests/daemon/test_operators.py
+++ b/tests/daemon/test_operators.py
@@ -136,6 +136,48 @@
         self.session(work)
 
 
+class TestRevert(OperatorsCase):
+    def test_a_restored_backup_is_republished_above_what_is_in_force(self):
+        """The service's operators restore yesterday's backup.
+
+        Its records allow a zone that was forbidden since. No entry goes back, no
+        change is built on the old records, and republishing ends the alarm.
+        """
+
+        async def work(running):
+            entries = [one.configuration for one in running.entries.values()]
+            running.put_placement(2, record("gym-bangsar", zone="kl-b"))
+            await running.until(
+                lambda: all(one.snapshot.revision == 2 for one in entries)
+            )
+            running.put_placement(1, record("gym-bangsar", zone="kl-a"))
+            body = change("late", record("gym-klang"))
+            refused = (await self.apply(running, body))[-1]
+            self.assertEqual(refused["name"], "REVERT_REFUSED")
+            url = self.url(running, "entry-a", "republish")
+            body = {"change_id": "again"}
+            ended = [line async for line in self.caller.lines("POST", url, body)][-1]
+            self.assertEqual((ended["outcome"], ended["revision"]), ("accepted", 3))
+            kept = await self.get(running, "placement")
+            self.assertEqual(kept["records"][0]["zones"], ["kl-b"])
+
+        self.session(work)
+
+
+class TestRoster(OperatorsCase):
+    def test_one_host_is_removed(self):
+        async def work(running):
+            url = self.url(running, "entry-a", "roster")
+            body = {"change_id": "out", "host": "entry-c", "expected_revision": 1}
+            lines = [line async for line in self.caller.lines("POST", url, body)]
+            self.assertEqual(lines[1]["lines"], ["- entry-c in kl-c, kl"])
+            self.assertEqual(lines[-1]["outcome"], "accepted")
+            shown = await self.get(running, "status")
+            self.assertEqual(shown["voters"], ["entry-a", "entry-b"])
+
+        self.session(work)
+
+
 class TestShow(OperatorsCase):
     def test_explain_says_why(self):
         async def work(running):
--- a/tests/platform/test_keyvalue.py
+++ b/tests/platform/test_keyvalue.py
@@ -1,6 +1,8 @@
+import asyncio
 import contextlib
 import random
 import unittest
+import unittest.mock
 
 from fuchsiahatch_core.clock import ManualClock
 from fuchsiahatch_core.exceptions import (
@@ -8,6 +10,7 @@
     PlatformError,
     UnsentError,
 )
+from fuchsiahatch_platform import keyvalue
 from fuchsiahatch_platform.budget import CallBudget
 from fuchsiahatch_platform.http import HttpCaller
 from fuchsiahatch_platform.keyvalue import ABSENT, READ_TRIES, KeyValueClient
@@ -89,6 +92,15 @@
 
         self.session(work)
 
+    def test_a_confirmation_is_asked_once(self):
+        async def work(client):
+            self.faults.down = True
+            with self.assertRaises(PlatformError):
+                await client.get_changed({"k": -1})
+            self.assertEqual((self.faults.calls, self.pauses), (1, []))
+
+        self.session(work)
+
     def test_unchanged_values_are_not_sent(self):
         async def work(client):
             await client.create("a", b"x" * 10_000)
@@ -165,6 +177,25 @@
 
         self.session(work)
 
+    def test_is_opened_anew_after_long_silence(self):
+        """The service's host loses its power and comes back under its address.
+
+        The watch on the old connection hears nothing, not even its end; without
+        a limit it would never hear of a change again.
+        """
+
+        async def work(client):
+            async with contextlib.aclosing(client.watch("k")) as values:
+                await anext(values)
+                waiting = asyncio.ensure_future(anext(values))
+                while client.budget.calls["watch"] < 3:
+                    await asyncio.sleep(0)
+                self.store.restore(*kept("k", b"1"))
+                self.assertEqual((await waiting).value, b"1")
+
+        with unittest.mock.patch.object(keyvalue, "WATCH_IDLE_MS", 20):
+            self.session(work)
+
     def test_is_counted_while_it_waits(self):
         async def work(client):
             async with contextlib.aclosing(client.watch("k")) as values:
