--- a/packages/daemon/src/fuchsiahatch_daemon/agent.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/agent.py
@@ -5,13 +5,16 @@
 from klein import Klein
 
 from fuchsiahatch_core.clock import Clock
+from fuchsiahatch_core.defaults import LEAVE_LINGER_MS
 from fuchsiahatch_core.identities import new_incarnation
 from fuchsiahatch_daemon import rpc, web
+from fuchsiahatch_daemon.following import Follower
 from fuchsiahatch_daemon.metrics import Metrics, add_route
 from fuchsiahatch_daemon.runner import Runner
 from fuchsiahatch_daemon.settings import Settings
 from fuchsiahatch_daemon.stepengine import StepEngine
 from fuchsiahatch_daemon.steps import StepService
+from fuchsiahatch_platform.hostlist import HostListClient
 from fuchsiahatch_platform.http import HttpCaller
 from fuchsiahatch_platform.keyvalue import KeyValueClient
 
@@ -34,6 +37,14 @@
         self.incarnation = new_incarnation()
         self.settings = settings
         self.runner = Runner(settings.host, self.incarnation, settings.upstream)
+        self._channels = rpc.Channels()
+        caller = HttpCaller(settings.platform_timeout_ms)
+        host_list = HostListClient(settings.host_list_url, caller)
+        self.follower = Follower(
+            settings.zone, settings.segment, host_list, self._channels
+        )
+        self.runner.check = self.follower.check
+        self.runner.admission.share_of = self.follower.share_of
         self.metrics = Metrics(Clock())
         self.runner.admission.note_wait = self.metrics.note_wait
         self.steps = _make_steps(settings, self.incarnation)
@@ -41,23 +52,28 @@
             self.runner.find_stragglers = lambda: self.steps.stragglers
 
     async def start(self) -> None:
-        """Serve gRPC and HTTP."""
+        """Follow the entries' configuration; serve gRPC and HTTP."""
+        self.follower.start()
         services = [self.runner] if self.steps is None else [self.runner, self.steps]
         self._server = await rpc.serve(services, self.settings.rpc_address)
         if self.steps is not None:
             self.steps.start()
-        listening = web.listen(make_app(self), self.settings.http_address)
-        self._port = await listening.asFuture(asyncio.get_running_loop())
+        self._listener = await web.listen(make_app(self), self.settings.http_address)
 
     async def stop(self) -> None:
         """Refuse new work, finish what runs, then close."""
         self.runner.leave()
+        # An order that an entry sent before it heard of the leaving comes now. With
+        # the port closed its key would be lost with this home; refused, it goes on.
+        await asyncio.sleep(LEAVE_LINGER_MS / 1000)
         await self.runner.finish()
         if self.steps is not None:
             self.steps.stop()
         self._server.close()
         await self._server.wait_closed()
-        self._port.stopListening()
+        await self._listener.close()
+        self.follower.stop()
+        self._channels.close()
 
 
 def _make_steps(settings: Settings, incarnation: str) -> StepService | None:
--- a/packages/daemon/src/fuchsiahatch_daemon/dispatch.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/dispatch.py
@@ -3,7 +3,6 @@
 import asyncio
 import typing as t
 
-from fuchsiahatch_core.clock import Clock
 from fuchsiahatch_core.codes import Code
 from fuchsiahatch_core.defaults import RETRY_AFTER_MS
 from fuchsiahatch_core.events import Event, log_event
--- a/packages/daemon/src/fuchsiahatch_daemon/keyedruns.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/keyedruns.py
@@ -1,5 +1,6 @@
 """Runs keys at most once at one home, and keeps and replays their answers."""
 
+import contextlib
 import typing as t
 
 from fuchsiahatch_core.codes import Code
@@ -19,11 +20,12 @@
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
     from fuchsiahatch_core.identities import AttemptId
-    from fuchsiahatch_daemon.admission import Admission
     from fuchsiahatch_delivery.ledger import Ledger
     from fuchsiahatch_platform.upstream import UpstreamClient
     from fuchsiahatch_wire import attempts_pb2
 
+Admit = t.Callable[["attempts_pb2.RunRequest"], t.AsyncContextManager[None]]
+
 
 class KeyedRuns:
     """Does what the ledger decides.
@@ -31,7 +33,8 @@
     Parameters
     ----------
     ledger : Ledger
-    admission : Admission
+    admit : callable
+        Opens a place for a request that may run here, or refuses it as not run.
     upstream : UpstreamClient
     clock : Clock
 
@@ -41,7 +44,7 @@
     """
 
     __slots__ = (
-        "_admission",
+        "_admit",
         "_clock",
         "_ledger",
         "_recordings",
@@ -52,12 +55,12 @@
     def __init__(
         self,
         ledger: "Ledger",
-        admission: "Admission",
+        admit: Admit,
         upstream: "UpstreamClient",
         clock: "Clock",
     ) -> None:
         self._ledger = ledger
-        self._admission = admission
+        self._admit = admit
         self._upstream = upstream
         self._clock = clock
         self._recordings: dict[LedgerKey, Recording] = {}
@@ -126,18 +129,14 @@
     async def _queue(
         self, request: "attempts_pb2.RunRequest", order: RunOrder, recording: Recording
     ) -> None:
-        try:
-            await self._admission.enter(
-                request.team, request.priority, request.deadline_ms
-            )
-        except FuchsiahatchError as fault:
-            self._ledger.release(order.key, order.attempt)
-            self._end(order.key, recording, fault)
-            return
-        try:
+        async with contextlib.AsyncExitStack() as place:
+            try:
+                await place.enter_async_context(self._admit(request))
+            except FuchsiahatchError as fault:
+                self._ledger.release(order.key, order.attempt)
+                self._end(order.key, recording, fault)
+                return
             await self._dispatch(request, order, recording)
-        finally:
-            self._admission.exit(request.team)
 
     async def _dispatch(
         self, request: "attempts_pb2.RunRequest", order: RunOrder, recording: Recording
@@ -147,6 +146,10 @@
             return
         try:
             answer = await self._record(request, recording)
+        except RefusedError as fault:
+            self._ledger.withdraw(order.key, order.attempt)
+            self._end(order.key, recording, fault)
+            return
         except Exception as fault:
             self._ledger.lose(order.key, self._clock.now_ms())
             self._end(order.key, recording, _as_attempt_error(fault))
--- a/packages/delivery/src/fuchsiahatch_delivery/ledger.py
+++ b/packages/delivery/src/fuchsiahatch_delivery/ledger.py
@@ -9,6 +9,7 @@
 
 from fuchsiahatch_core.codes import Code
 from fuchsiahatch_core.defaults import (
+    LEDGER_BYTES,
     RETENTION_MS,
     RETRY_AFTER_MS,
     TEAM_LEDGER_BYTES,
@@ -96,6 +97,9 @@
     def lose(self) -> None:
         """Note that the answer is not to be had."""
 
+    def withdraw(self) -> bool:
+        """Take it back, unless its end is known."""
+
     def fence(self) -> bool:
         """Forbid the upstream, unless it has been given the key."""
 
@@ -111,6 +115,7 @@
     builder = TypeMachineBuilder(KeyLife, _Nothing)
     queued = builder.state("queued")
     dispatched = builder.state("dispatched")
+    withdrawn = builder.state("withdrawn")
     done = builder.state("done")
     lost = builder.state("lost")
     fenced = builder.state("fenced")
@@ -119,8 +124,11 @@
     fenced.upon(KeyLife.fence).loop().returns(True)
     dispatched.upon(KeyLife.finish).to(done).returns(None)
     dispatched.upon(KeyLife.lose).to(lost).returns(None)
+    dispatched.upon(KeyLife.withdraw).to(withdrawn).returns(True)
     for state in (dispatched, done, lost, fenced):
         state.upon(KeyLife.dispatch).loop().returns(False)
+    for state in (queued, done, lost, fenced):
+        state.upon(KeyLife.withdraw).loop().returns(False)
     for state in (dispatched, done, lost):
         state.upon(KeyLife.fence).loop().returns(False)
     verdicts = (
@@ -159,8 +167,8 @@
     ----------
     incarnation : str
         This life of the home.
-    team_bytes : int, optional
-        Memory for one team's keys and answers.
+    team_bytes, total_bytes : int, optional
+        Memory for one team's keys and answers, and for those of all teams.
     retention_ms : int, optional
         How long a key that is neither queued nor running is kept.
 
@@ -171,6 +179,7 @@
 
     __slots__ = (
         "_fenced_attempts",
+        "_free_bytes",
         "_incarnation",
         "_retention_ms",
         "_rows",
@@ -183,10 +192,12 @@
         self,
         incarnation: str,
         team_bytes: int = TEAM_LEDGER_BYTES,
+        total_bytes: int = LEDGER_BYTES,
         retention_ms: int = RETENTION_MS,
     ) -> None:
         self._incarnation = incarnation
         self._team_bytes = team_bytes
+        self._free_bytes = total_bytes
         self._retention_ms = retention_ms
         self._rows: dict[LedgerKey, _Row] = {}
         self._settled: collections.deque[tuple[int, LedgerKey]] = collections.deque()
@@ -252,15 +263,21 @@
         if row is not None and row.attempt == attempt and not row.fenced:
             self._drop(key)
 
+    def withdraw(self, key: LedgerKey, attempt: AttemptId) -> None:
+        """Forget a key whose order surely never reached the upstream."""
+        row = self._rows.get(key)
+        if row is not None and row.attempt == attempt and row.life.withdraw():
+            self._drop(key)
+
     def finish(self, key: LedgerKey, answer: KeptAnswer, now_ms: int) -> None:
         """Keep the whole answer of a key, if there is room for it."""
         row = self._rows[key]
         row.life.finish()
         self._settle(key, row, now_ms)
         team = key.team
-        if self._used_bytes[team] + answer.size_bytes <= self._team_bytes:
+        if self._has_room(team, answer.size_bytes):
             row.answer = answer
-            self._used_bytes[team] += answer.size_bytes
+            self._take_room(team, answer.size_bytes)
 
     def lose(self, key: LedgerKey, now_ms: int) -> None:
         """Note that a dispatched key brought no whole answer."""
@@ -354,15 +371,23 @@
         return Follow()
 
     def _reserve(self, team: str) -> None:
-        if self._used_bytes[team] + _ROW_BYTES > self._team_bytes:
+        if not self._has_room(team, _ROW_BYTES):
             # To evict a key in place of refusing would let a retry of it run again.
             detail = f"this home remembers no more keys of team {team!r} for now"
             raise RefusedError(detail, Code.LEDGER_FULL, RETRY_AFTER_MS)
-        self._used_bytes[team] += _ROW_BYTES
+        self._take_room(team, _ROW_BYTES)
+
+    def _has_room(self, team: str, size_bytes: int) -> bool:
+        used_bytes = self._used_bytes[team] + size_bytes
+        return used_bytes <= self._team_bytes and size_bytes <= self._free_bytes
+
+    def _take_room(self, team: str, size_bytes: int) -> None:
+        self._used_bytes[team] += size_bytes
+        self._free_bytes -= size_bytes
 
     def _drop(self, key: LedgerKey) -> None:
         row = self._rows.pop(key)
-        self._used_bytes[key.team] -= row.size_bytes
+        self._take_room(key.team, -row.size_bytes)
         if not self._used_bytes[key.team]:
             del self._used_bytes[key.team]
 
--- a/packages/standins/src/fuchsiahatch_standins/engine.py
+++ b/packages/standins/src/fuchsiahatch_standins/engine.py
@@ -45,6 +45,7 @@
         body = json.loads(request.content.read())
         request.setHeader("Fuchsiahatch-Place", f"{zone}/{host}")
         words = _answer_words(body, body.get("max_tokens", tokens))
+        request.notifyFinish().addErrback(lambda _: counter.note_cancelled())
         batches = _batch(words, body.get("tokens_per_write", 1))
         write = _stream if body.get("stream") else _whole
         work = write(request, batches, token_ms, body["model"])
