Steps pass by a service that lost its writes; malformed answers don't shut the gate

Cause: an engine's or the service's answer that could not be read ended the task and left the order gate shut for ever; a service restored without its writes made terms climb one by one with a silence between. A refused leader now campaigns above the term it was told.

test_a_service_that_lost_its_writes_is_passed_by without the floor: term 5 for 91.

--- a/packages/daemon/src/fuchsiahatch_daemon/settings.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/settings.py
@@ -119,7 +119,7 @@
         engine_fences=document["engine_fences"],
         window_steps=document.get("window_steps", 256),
         ahead_steps=document.get("ahead_steps", 1_024),
-        heartbeat_ms=document.get("heartbeat_ms", 200),
+        heartbeat_ms=document.get("heartbeat_ms", 500),
         call_ms=document.get("call_ms", 500),
         silence_ms=document.get("silence_ms", 2_000),
         settle_ms=document.get("settle_ms", 2_000),
--- a/packages/daemon/src/fuchsiahatch_daemon/stepengine.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/stepengine.py
@@ -3,6 +3,7 @@
 import dataclasses
 import typing as t
 
+from fuchsiahatch_core.exceptions import PlatformError
 from fuchsiahatch_experts.grants import EngineState, Order, Window
 
 if t.TYPE_CHECKING:
@@ -40,7 +41,11 @@
         """
         body = dataclasses.asdict(order)
         answer = await self._caller.call("POST", self._url + "/steps/orders", body)
-        return None if answer["refused"] else read_state(answer["state"])
+        try:
+            return None if answer["refused"] else read_state(answer["state"])
+        except (KeyError, TypeError) as fault:
+            # Left to itself it would end the task and keep the gate shut for ever.
+            raise PlatformError(f"the engine's answer: {fault!r}") from fault
 
     async def load_weights(self, map_version: int) -> None:
         """Have the engine fetch a map's weights from the weight store."""
--- a/packages/daemon/src/fuchsiahatch_daemon/steps.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/steps.py
@@ -232,7 +232,8 @@
                 self._tasks.spawn(self._send(leader, effect))
             elif isinstance(effect, StepDown):
                 log_event(Event.TERM_LOST, term=leader.term, other_term=effect.term)
-                self._spawn_campaign(self._candidate.step_down(now_ms))
+                ending = self._candidate.step_down(now_ms, effect.term)
+                self._spawn_campaign(ending)
             else:
                 taking = self._candidate.take_term(effect.new_epoch, now_ms)
                 self._spawn_campaign(taking)
@@ -285,10 +286,10 @@
     async def _read_term(self) -> list[CampaignEffect]:
         try:
             found = await self._key_value.get(self._key("term"))
+            record = _read_record(found.value)
         except PlatformError as fault:
             log_event(Event.SERVICE_CALL_FAILED, detail=fault.detail)
             return self._candidate.step_down(self._clock.now_ms())
-        record = TermRecord(**json.loads(found.value)) if found.value else TermRecord()
         now_ms = self._clock.now_ms()
         return self._candidate.record_read(record, found.mod_revision, now_ms)
 
@@ -321,8 +322,12 @@
         if self._leader is None:
             return
         found = await self._key_value.get(self._key("map"))
-        if found.value:
-            self._wanted_map = json.loads(found.value)["map_version"]
+        if not found.value:
+            return
+        try:
+            self._wanted_map = int(json.loads(found.value)["map_version"])
+        except (ValueError, TypeError, KeyError) as fault:
+            raise PlatformError(f"the wanted map can't be read: {fault!r}") from fault
 
     def _key(self, name: str) -> str:
         return f"{KEY_PREFIX}groups/{self._settings.name}/{name}"
@@ -330,3 +335,12 @@
 
 def _is_old_term(answer: Answer) -> bool:
     return isinstance(answer, Refused) and answer.code is Code.OLD_TERM
+
+
+def _read_record(value: bytes) -> TermRecord:
+    if not value:
+        return TermRecord()
+    try:
+        return TermRecord(**json.loads(value))
+    except (ValueError, TypeError) as fault:
+        raise PlatformError(f"the group's record can't be read: {fault!r}") from fault
--- a/packages/experts/src/fuchsiahatch_experts/terms.py
+++ b/packages/experts/src/fuchsiahatch_experts/terms.py
@@ -64,6 +64,7 @@
     rank: int
     incarnation: str
     heard_ms: int
+    highest_term: int = 0
     wanted: TermRecord | None = None
     new_epoch: bool = False
 
@@ -109,8 +110,11 @@
     campaign: _Campaign, data: _Data, record: TermRecord, version: int
 ) -> _Effects:
     data.new_epoch |= record.epoch == 0
+    # Guards against a service that has lost its writes: terms that start again from
+    # below would be refused one by one, with a silence between, while steps stop.
+    term = max(record.term, data.highest_term) + 1
     data.wanted = TermRecord(
-        record.term + 1, record.epoch + data.new_epoch, data.rank, data.incarnation
+        term, record.epoch + data.new_epoch, data.rank, data.incarnation
     )
     return [SwapTerm(data.wanted, version)]
 
@@ -197,8 +201,16 @@
         self._leads = False
         return self._campaign.begin(new_epoch, now_ms)
 
-    def step_down(self, now_ms: int) -> _Effects:
-        """Take that a rank has promised a higher term, or the service failed."""
+    def step_down(self, now_ms: int, highest_term: int = 0) -> _Effects:
+        """Take that a rank has promised a higher term, or the service failed.
+
+        Parameters
+        ----------
+        now_ms : int
+        highest_term : int
+            The term that a rank has promised, where that is the cause.
+        """
+        self._data.highest_term = max(self._data.highest_term, highest_term)
         self._leads = False
         return self._campaign.ended(now_ms)
 
--- a/tests/experts/sessions.py
+++ b/tests/experts/sessions.py
@@ -157,7 +157,8 @@
                 self.queue.append(("request", effect.rank, effect.request, agent))
             elif isinstance(effect, StepDown):
                 self.log(f"leader {agent} steps down before term {effect.term}")
-                self.campaign(agent, self.candidates[agent].step_down(now_ms))
+                ending = self.candidates[agent].step_down(now_ms, effect.term)
+                self.campaign(agent, ending)
             else:
                 self.log(f"leader {agent} needs a new term")
                 taking = self.candidates[agent].take_term(effect.new_epoch, now_ms)
--- a/tests/experts/test_terms.py
+++ b/tests/experts/test_terms.py
@@ -96,6 +96,19 @@
         self.assertEqual(self.campaign.tick(3_000), [])
         self.assertEqual(self.campaign.tick(4_050), [Follow(), ReadTerm()])
 
+    def test_a_service_that_lost_its_writes_is_passed_by(self):
+        """Steps stop for minutes after the service was restored from a backup.
+
+        The record says term 4, the ranks have promised term 90 and refuse each
+        term in between.
+        """
+        self.swap()
+        self.campaign.swapped(True, 2_100)
+        self.campaign.step_down(2_200, highest_term=90)
+        self.campaign.tick(4_200)
+        (swap,) = self.campaign.record_read(OTHER, 17, 4_250)
+        self.assertEqual(swap.record.term, 91)
+
     def test_nothing_starts_twice(self):
         self.start()
         self.assertEqual(self.campaign.tick(9_000), [])
--- a/tests/processes/groups.py
+++ b/tests/processes/groups.py
@@ -84,6 +84,9 @@
         body = {"key": encode_key("fuchsiahatch/groups/test/map"), "value": value}
         ask(self._address(_SERVICE), "POST", "/v3/kv/put", json.dumps(body))
 
+    def replace_engine(self, rank):
+        ask(self._address(_ENGINE + rank), "POST", "/steps/replace")
+
     def slow_down(self, rank, compute_ms):
         body = json.dumps({"compute_ms": compute_ms})
         ask(self._address(_ENGINE + rank), "POST", "/steps/compute", body)
--- a/tests/processes/test_steps.py
+++ b/tests/processes/test_steps.py
@@ -71,6 +71,18 @@
             self.group.wait_for_steps(150)
         self.check_counts()
 
+    def test_its_host_is_replaced(self):
+        """A group stands still for good after one host is replaced.
+
+        A new engine and a new agent come up; all engines start a new epoch.
+        """
+        self.group.kill("rank-2")
+        self.group.replace_engine(2)
+        self.group.start_agent(2)
+        self.group.wait_for_steps(150)
+        self.assertGreaterEqual(self.group.read("term")["epoch"], 2)
+        self.check_counts()
+
 
 class TestEnginesThatIgnoreFencing(GroupCase):
     fences = False
@@ -103,6 +115,9 @@
         self.group.kill(f"rank-{leader}")
         other = next(one for one in self.group.group if one != leader)
         wait_until(lambda: self.group.events(other, "steps_starved"), "NO_GRANT")
+        self.group.start_service()
+        self.group.start_agent(leader)
+        self.group.wait_for_steps(100)
         self.check_counts()
 
 
