--- a/Makefile
+++ b/Makefile
@@ -62,5 +62,6 @@
 bench-routing: install
 	.venv/bin/python -m fuchsiahatch_bench.routing_bench
 
+# Some ten minutes.
 search-grants: install
 	.venv/bin/python -m fuchsiahatch_bench.search_grants
