Test runs end after their last line

Cause: py-spy on a hung run showed the main thread in threading._shutdown, waiting for a thread of the reactor's pool; the tests' reactor is never stopped. Ruled out: child processes (none were left).

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -22,6 +22,11 @@
     return LOOP.run_until_complete(asyncio.wait_for(work, _LIMIT_S))
 
 
+def close() -> None:
+    """End the reactor's thread pool; its threads would keep the process from ending."""
+    reactor.fireSystemEvent("shutdown")
+
+
 class Served:
     """A klein application served at a free loopback port while in a context."""
 
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -35,9 +35,18 @@
         exit=False,
         plugins=["outcomes"],
     )
+    _end_reactor()
     return collections.Counter(OUTCOMES.values())
 
 
+def _end_reactor() -> None:
+    # A test that resolved a name left a thread of the reactor's pool behind, and the
+    # run hung after its last line: the reactor of the tests is never stopped.
+    loopback = sys.modules.get("tests.loopback")
+    if loopback is not None:
+        loopback.close()
+
+
 def main() -> None:
     """Run, compare with what is known red, and exit."""
     known = read_known_red()
