A change asks a slow host for its report once at a time

Cause: at 48 entries in one process a change ended pending with 28 hosts missing that had applied it: each of 5 ticks a second asked every missing host again. Guard out: test_is_asked_once_at_a_time counted 13 questions where 1 is right; with it green.

--- a/packages/daemon/src/fuchsiahatch_daemon/changes.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/changes.py
@@ -125,7 +125,7 @@
 class _Run:
     """One write on its way."""
 
-    __slots__ = ("_changes", "_emit", "_ended", "_key", "_tasks", "_write")
+    __slots__ = ("_asked", "_changes", "_emit", "_ended", "_key", "_tasks", "_write")
 
     def __init__(
         self, write: writing.Write, key: str, changes: Changes, emit: Emit
@@ -135,6 +135,7 @@
         self._changes = changes
         self._emit = emit
         self._ended = asyncio.Event()
+        self._asked: set[str] = set()
         self._tasks = Tasks()
 
     async def finish(self) -> None:
@@ -163,11 +164,20 @@
                     self._emit(effect)
                     self._ended.set()
                 case writing.AskReports():
-                    for host in effect.hosts:
-                        self._tasks.spawn(self._await(self._changes.report(host)))
+                    for host in sorted(set(effect.hosts) - self._asked):
+                        self._tasks.spawn(self._ask(host))
                 case _:
                     answer = self._changes.answer(effect, self._key)
                     self._tasks.spawn(self._await(answer))
 
+    async def _ask(self, host: str) -> None:
+        # One question to a host at a time: a slow host that was asked again at
+        # each tick would get slower by it.
+        self._asked.add(host)
+        try:
+            self._handle(await self._changes.report(host))
+        finally:
+            self._asked.discard(host)
+
     async def _await(self, answer: t.Awaitable[writing.Event | None]) -> None:
         self._handle(await answer)
