--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,9 @@
 python ?= python3
 
-.PHONY: install demo demo-keep test check settings-page capacity bench-slopes bench-config
+.PHONY: install demo demo-keep test check settings-page bench-config \
+    bench-slopes capacity bench-placement bench-experts tune-experts \
+    bench-delivery bench-path bench-routing search-grants
+
 install: .venv/installed
 
 .venv/installed: requirements.txt $(wildcard packages/*/pyproject.toml)
@@ -39,3 +42,26 @@
 
 capacity: install
 	.venv/bin/python -m fuchsiahatch_bench.capacity
+
+bench-placement: install
+	.venv/bin/python -m fuchsiahatch_bench.bench_placement
+
+# Policies are tuned on their own seeds by `make tune-experts`, which takes minutes.
+bench-experts: install
+	OPENBLAS_NUM_THREADS=1 .venv/bin/python -m fuchsiahatch_bench.experts run
+
+tune-experts: install
+	OPENBLAS_NUM_THREADS=1 .venv/bin/python -m fuchsiahatch_bench.experts tune
+
+bench-delivery: install
+	.venv/bin/python -m fuchsiahatch_bench.delivery_bench
+
+bench-path: install
+	packages/bench/path.sh
+
+bench-routing: install
+	.venv/bin/python -m fuchsiahatch_bench.routing_bench
+
+# Some ten minutes.
+search-grants: install
+	.venv/bin/python -m fuchsiahatch_bench.search_grants
--- a/packages/bench/src/fuchsiahatch_bench/agents_host.py
+++ b/packages/bench/src/fuchsiahatch_bench/roles_host.py
@@ -1,10 +1,11 @@
-"""Runs many agents in one process and tells what their reports cost.
+"""Runs many agents or entries in one process and tells what they use.
 
 A line on standard input is answered by a line of JSON on standard output:
 processor time of the process, and bytes and segments on its gRPC connections.
 """
 
 import asyncio
+import dataclasses
 import json
 import pathlib
 import socket
@@ -21,7 +22,7 @@
 
 
 def main(folder: str, prefix: str) -> None:
-    """Run an agent for each settings file until standard input ends.
+    """Run the role of each settings file until standard input ends.
 
     Parameters
     ----------
@@ -44,38 +45,56 @@
 
 async def _start(paths: t.Sequence[pathlib.Path]) -> None:
     from fuchsiahatch_daemon.agent import AgentRole
+    from fuchsiahatch_daemon.entry import EntryRole
     from fuchsiahatch_daemon.settings import read_settings
 
+    roles = {"agent": AgentRole, "entry": EntryRole}
     for path in paths:
-        await AgentRole(read_settings(str(path))).start()
+        settings = read_settings(str(path))
+        await roles[settings.role](settings).start()
 
 
-def _collect_sockets() -> list[socket.socket]:
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Sockets:
+    """The gRPC connections that were accepted here, and those made from here."""
+
+    accepted: list[socket.socket]
+    made: list[socket.socket]
+
+
+def _collect_sockets() -> _Sockets:
+    import grpclib.server
     from grpclib.protocol import H2Protocol
 
-    sockets: list[socket.socket] = []
+    sockets = _Sockets([], [])
     connection_made = H2Protocol.connection_made
 
     def noted(self: H2Protocol, transport: asyncio.BaseTransport) -> None:
-        sockets.append(transport.get_extra_info("socket"))
+        is_server = isinstance(self.handler, grpclib.server.Handler)
+        kept = sockets.accepted if is_server else sockets.made
+        kept.append(transport.get_extra_info("socket"))
         connection_made(self, transport)
 
     H2Protocol.connection_made = noted
     return sockets
 
 
-def _answer(sockets: list[socket.socket], stop: t.Callable[[], None]) -> None:
+def _answer(sockets: _Sockets, stop: t.Callable[[], None]) -> None:
     if not sys.stdin.readline():
         stop()
         return
-    traffic = sum(map(read_traffic, sockets), Traffic())
     answer = {
         "cpu_ms": time.process_time_ns() / _NS_PER_MS,
-        "connections": len(sockets),
-        "wire_bytes": traffic.wire_bytes,
+        "accepted": len(sockets.accepted),
+        "accepted_wire_bytes": _wire_bytes(sockets.accepted),
+        "made_wire_bytes": _wire_bytes(sockets.made),
     }
     print(json.dumps(answer), flush=True)
 
 
+def _wire_bytes(sockets: t.Iterable[socket.socket]) -> int:
+    return sum(map(read_traffic, sockets), Traffic()).wire_bytes
+
+
 if __name__ == "__main__":
-    fire.Fire(main, name="agents_host")
+    fire.Fire(main, name="roles_host")
--- a/packages/daemon/src/fuchsiahatch_daemon/web.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/web.py
@@ -21,11 +21,11 @@
     RefusedError,
     RequestError,
 )
+from fuchsiahatch_daemon.listening import Connections, Listener
 from fuchsiahatch_daemon.settings import split_address
 
 if t.TYPE_CHECKING:
     from klein import Klein
-    from twisted.internet.interfaces import IListeningPort
     from twisted.web.server import Request
 
 VERDICT_HEADER = "Fuchsiahatch-Verdict"
@@ -44,6 +44,7 @@
     Code.TICKET_EXPIRED: 502,
     Code.ANSWER_NOT_KEPT: 502,
     Code.WRONG_HOME: 502,
+    Code.HOME_GONE: 502,
     Code.LEDGER_FULL: 429,
     Code.CALL_BUDGET_SPENT: 429,
     Code.UPSTREAM_FAILED: 502,
@@ -56,6 +57,7 @@
 _RECORD_FAULTS = range(400, 404)
 _BAD_REQUEST = 400
 _UNAVAILABLE = 503
+_WAITING_CONNECTIONS = 1_024
 
 
 class MemoryRequest(ServerRequest):
@@ -147,11 +149,18 @@
     return write_json(request, {"error": body}, status_of(fault.result))
 
 
-def listen(app: "Klein", address: str) -> "Deferred[IListeningPort]":
+async def listen(app: "Klein", address: str) -> Listener:
     """Serve a klein application at ``ip:port``."""
     ip, port = split_address(address)
-    endpoint = endpoints.TCP4ServerEndpoint(reactor, port, interface=ip)
-    return endpoint.listen(Site(app.resource(), requestFactory=MemoryRequest))
+    site = Site(app.resource(), requestFactory=MemoryRequest)
+    connections = Connections(site)
+    # A short queue resets callers that all come at once, as when another entry has
+    # died; a caller then can't tell whether its request was read.
+    endpoint = endpoints.TCP4ServerEndpoint(
+        reactor, port, backlog=_WAITING_CONNECTIONS, interface=ip
+    )
+    listening = endpoint.listen(connections)
+    return Listener(await listening.asFuture(asyncio.get_running_loop()), connections)
 
 
 async def _guarded(
