--- a/packages/core/src/fuchsiahatch_core/defaults.py
+++ b/packages/core/src/fuchsiahatch_core/defaults.py
@@ -25,7 +25,7 @@
 #: Homes that a ticket names.
 TICKET_HOMES = 3
 #: Memory of a home for one team's keys and kept answers.
-TEAM_LEDGER_BYTES = 16_777_216
+TEAM_LEDGER_BYTES = 33_554_432
 #: Memory of a home for the keys and kept answers of all teams.
 LEDGER_BYTES = 67_108_864
 #: Calls to the key-value service that one entry makes in a second for bindings.
--- a/packages/daemon/src/fuchsiahatch_daemon/entry.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/entry.py
@@ -9,7 +9,8 @@
 from fuchsiahatch_core.identities import new_incarnation
 from fuchsiahatch_daemon import operators, rpc, web
 from fuchsiahatch_daemon.binder import Binder
-from fuchsiahatch_daemon.callers import CallerRequest, make_app
+from fuchsiahatch_daemon.callerrequests import CallerRequest
+from fuchsiahatch_daemon.callers import make_app
 from fuchsiahatch_daemon.changes import Changes
 from fuchsiahatch_daemon.configuration import Configuration
 from fuchsiahatch_daemon.controlmetrics import ControlMetrics
