--- a/packages/bench/src/fuchsiahatch_bench/capacity.py
+++ b/packages/bench/src/fuchsiahatch_bench/capacity.py
@@ -12,6 +12,7 @@
     capacity_agent,
     capacity_entry,
     capacity_failures,
+    capacity_leader,
     capacity_path,
     capacity_service,
 )
@@ -26,6 +27,7 @@
     "entry-levers": capacity_entry.entry_levers,
     "entry-grid": capacity_entry.entry_grid,
     "agent": capacity_agent.agent_table,
+    "leader": capacity_leader.leader_table,
     "command": capacity_agent.command_table,
     "service": capacity_service.service_table,
     "nodes": capacity_path.nodes_table,
--- a/packages/bench/src/fuchsiahatch_bench/capacity_entry.py
+++ b/packages/bench/src/fuchsiahatch_bench/capacity_entry.py
@@ -6,6 +6,8 @@
 from fuchsiahatch_bench.expected_sizes import CONTROL, SIZE
 from fuchsiahatch_bench.projection import Row, Slopes, grid, shown, table, total
 from fuchsiahatch_core.defaults import HEARTBEAT_MS
+from fuchsiahatch_daemon.following import PULL_WAIT_MS
+from fuchsiahatch_daemon.pulls import MAX_WAIT_MS
 
 _WATCHERS = (2, 3, 5)
 _REPORT_PAUSES_S = (1, 2, 5, 10)
@@ -54,10 +56,12 @@
 
 
 def entry_levers(slopes: Slopes) -> str:
-    """Return what changes as single records would save."""
+    """Return what single records and longer pulls would save."""
     planned = _planned_wire(slopes)
     documents = _planned_changes(slopes)
+    following = _following(slopes)
     kept = [row for row in planned if row not in documents]
+    rest = [row for row in kept if row != following]
     records = [
         dataclasses.replace(
             row,
@@ -66,12 +70,19 @@
         )
         for row in documents
     ]
+    patient = dataclasses.replace(
+        following,
+        what=f"{following.what}, pulls that wait {MAX_WAIT_MS // 1_000} s",
+        value=following.value * PULL_WAIT_MS / MAX_WAIT_MS,
+    )
     budget = CONTROL.wire_bytes_per_s
     return table(
         [
             total("**as planned**", planned, budget),
             *records,
             total("**with single records**", [*kept, *records], budget),
+            patient,
+            total("**with both**", [*rest, *records, patient], budget),
         ]
     )
 
@@ -126,11 +137,7 @@
             slopes.per("reports_wire_bytes_per_s") * watched / report_pause_s,
             f"slope by agents, a report each {report_pause_s:g} s",
         ),
-        _bytes(
-            f"{FOLLOWERS:.0f} agents that follow this entry",
-            slopes.per("follow_wire_bytes_per_s") * FOLLOWERS,
-            "`follow_wire_bytes_per_s` by agents, nothing new",
-        ),
+        _following(slopes),
         _bytes(
             f"heartbeats of entries, each {beat_pause_s:g} s",
             slopes.values["beats_wire_bytes_per_s"] * _HEARTBEAT_S / beat_pause_s,
@@ -144,6 +151,14 @@
     ]
 
 
+def _following(slopes: Slopes) -> Row:
+    return _bytes(
+        f"{FOLLOWERS:.0f} agents that follow this entry",
+        slopes.per("follow_wire_bytes_per_s") * FOLLOWERS,
+        "`follow_wire_bytes_per_s` by agents, nothing new",
+    )
+
+
 def _change_wire(slopes: Slopes, document: float, changes_per_s: float) -> list[Row]:
     return [
         _bytes(
--- a/packages/bench/src/fuchsiahatch_bench/slopes.py
+++ b/packages/bench/src/fuchsiahatch_bench/slopes.py
@@ -45,6 +45,7 @@
     from fuchsiahatch_bench.record_costs import measure_records
     from fuchsiahatch_bench.selection_costs import measure_selection
     from fuchsiahatch_bench.service_costs import measure_service_calls
+    from fuchsiahatch_bench.step_costs import measure_steps
     from fuchsiahatch_bench.watch_costs import measure_watching
 
     shutil.rmtree(FOLDER, ignore_errors=True)
@@ -59,7 +60,7 @@
     document = {
         "machine": _machine(),
         "lines": {name: dataclasses.asdict(line) for name, line in lines.items()},
-        "values": service_values | path_values,
+        "values": service_values | path_values | await measure_steps(base_port),
         "watched": [dataclasses.asdict(row) for row in watched],
         "peers": [dataclasses.asdict(row) for row in peer_rows],
         "message_bytes": measure_messages(),
