--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 python ?= python3
 
-.PHONY: install demo demo-keep test check settings-page capacity bench-slopes \
-    bench-placement bench-path bench-routing bench-experts tune-experts search-grants
+.PHONY: install demo demo-keep test check settings-page bench-config \
+    bench-slopes capacity bench-placement bench-experts tune-experts \
+    bench-delivery bench-path bench-routing search-grants
 
 install: .venv/installed
 
@@ -33,6 +34,9 @@
 settings-page: install
 	.venv/bin/python tools/make_settings_page.py
 
+bench-config: install
+	.venv/bin/python -m fuchsiahatch_bench.config_bench
+
 bench-slopes: install
 	.venv/bin/python -m fuchsiahatch_bench.slopes
 
@@ -49,11 +53,15 @@
 tune-experts: install
 	OPENBLAS_NUM_THREADS=1 .venv/bin/python -m fuchsiahatch_bench.experts tune
 
+bench-delivery: install
+	.venv/bin/python -m fuchsiahatch_bench.delivery_bench
+
 bench-path: install
 	packages/bench/path.sh
 
 bench-routing: install
 	.venv/bin/python -m fuchsiahatch_bench.routing_bench
 
+# Some ten minutes.
 search-grants: install
 	.venv/bin/python -m fuchsiahatch_bench.search_grants
