Capacity of changes, leaders and levers from new slopes; pages that nobody links

Cause: the page had no row for a leader's messages, entries' heartbeats and an outage. Ruled out: carrying heartbeats on by a line; their fan-out and size are bounded, so the largest measured fleet is taken as it is.

--- a/packages/bench/src/fuchsiahatch_bench/capacity.py
+++ b/packages/bench/src/fuchsiahatch_bench/capacity.py
@@ -1,5 +1,6 @@
 """Puts the tables of docs/CAPACITY.md in place, computed from the results."""
 
+import dataclasses
 import json
 import pathlib
 import re
@@ -10,6 +11,7 @@
 
 from fuchsiahatch_bench import (
     capacity_agent,
+    capacity_changes,
     capacity_entry,
     capacity_failures,
     capacity_leader,
@@ -20,6 +22,7 @@
 
 PAGE = pathlib.Path("docs/CAPACITY.md")
 SLOPES = pathlib.Path("docs/results/slopes.json")
+CONFIGURATION = pathlib.Path("docs/results/config.json")
 
 _TABLES: dict[str, t.Callable[[Slopes], str]] = {
     "entry-today": capacity_entry.entry_today,
@@ -30,6 +33,7 @@
     "leader": capacity_leader.leader_table,
     "command": capacity_agent.command_table,
     "service": capacity_service.service_table,
+    "changes": capacity_changes.changes_table,
     "nodes": capacity_path.nodes_table,
     "share": capacity_path.share_table,
     "failures": capacity_failures.failures_table,
@@ -46,7 +50,7 @@
     check : bool
         Whether to leave the page and exit with 1 when it is out of date.
     """
-    slopes = read_slopes(SLOPES)
+    slopes = with_configuration(read_slopes(SLOPES), CONFIGURATION)
     old = PAGE.read_text("utf-8")
     new = fill(old, slopes)
     if check:
@@ -68,6 +72,28 @@
     return Slopes(lines, values, content["message_bytes"])
 
 
+def with_configuration(slopes: Slopes, path: pathlib.Path) -> Slopes:
+    """Add the results of the configuration bench, named ``config_``."""
+    content = json.loads(path.read_text("utf-8"))
+    lines = {
+        f"config_{name}": Line(line["slope"], line["intercept"])
+        for name, line in content["slopes"].items()
+    }
+    largest = max(content["sizes"], key=lambda size: size["entries"])
+    values = {
+        "config_entries": largest["entries"],
+        "config_accepted_worst_ms": max(
+            spread["accepted_ms"] for spread in largest["spreads"]
+        ),
+        "config_outage_calls_per_s": largest["outage"]["rates"]["service_calls"],
+    }
+    return dataclasses.replace(
+        slopes,
+        lines={**slopes.lines, **lines},
+        values={**slopes.values, **values},
+    )
+
+
 def fill(page: str, slopes: Slopes) -> str:
     """Return the page with every marked table made anew.
 
--- a/packages/bench/src/fuchsiahatch_bench/capacity_leader.py
+++ b/packages/bench/src/fuchsiahatch_bench/capacity_leader.py
@@ -20,17 +20,30 @@
     slow = (_SLOW_QUESTION_MS, _LONG_WINDOW_STEPS)
     return table(
         [
-            *_calls(slopes, "leader, as built", others, question_ms, window_steps),
-            *_calls(slopes, "a rank, as built", 1, question_ms, window_steps),
-            *_calls(slopes, "leader, slower", others, *slow),
-            *_calls(slopes, f"in a tree of {_FAN_OUT}, slower", _FAN_OUT + 1, *slow),
+            *call_rows(slopes, "leader, as built", others, question_ms, window_steps),
+            *call_rows(slopes, "a rank, as built", 1, question_ms, window_steps),
+            *call_rows(slopes, "leader, slower", others, *slow),
+            *call_rows(slopes, f"in a tree of {_FAN_OUT}, slower", _FAN_OUT + 1, *slow),
         ]
     )
 
 
-def _calls(
+def call_rows(
     slopes: Slopes, who: str, peers: int, question_ms: int, window_steps: int
 ) -> list[Row]:
+    """Return what one agent's calls to and from its peers cost.
+
+    Parameters
+    ----------
+    slopes : Slopes
+    who : str
+        Named in each row.
+    peers : int
+        Agents that it speaks with.
+    question_ms : int
+        Time between two questions to a peer.
+    window_steps : int
+    """
     questions_per_s = peers * _MS_PER_S / question_ms
     windows_per_s = _MS_PER_S / (window_steps * STEP_MS)
     window_calls_per_s = peers * _CALLS_A_WINDOW * windows_per_s
--- a/tests/bench/test_capacity.py
+++ b/tests/bench/test_capacity.py
@@ -1,7 +1,10 @@
 import collections
+import json
+import pathlib
+import tempfile
 import unittest
 
-from fuchsiahatch_bench import capacity
+from fuchsiahatch_bench import capacity, capacity_leader
 from fuchsiahatch_bench.capacity_path import BUSY_RATIO, busy_cores, entry_processes
 from fuchsiahatch_bench.capacity_plan import Plan
 from fuchsiahatch_bench.expected_sizes import SIZE
@@ -37,12 +40,44 @@
         self.assertGreater(busy / (processes - 1), BUSY_RATIO)
 
 
+class TestLeader(unittest.TestCase):
+    def test_bytes_grow_with_peers_and_rates(self):
+        rows = capacity_leader.call_rows(
+            SLOPES, "leader", peers=63, question_ms=200, window_steps=100
+        )
+        asked, windows, together, _ = (row.value for row in rows)
+        self.assertAlmostEqual(asked, 63 * 5)
+        self.assertAlmostEqual(windows, 63 * 2 * 1_000 / (100 * 5))
+        self.assertAlmostEqual(together, asked + windows)
+
+
+class TestWithConfiguration(unittest.TestCase):
+    def test_largest_fleet_and_its_worst_change_count(self):
+        content = {
+            "slopes": {"outage_payload_bytes": {"slope": 2.0, "intercept": 1.0}},
+            "sizes": [self.size(3, 9_000.0), self.size(6, 3_000.0, 4_000.0)],
+        }
+        with tempfile.TemporaryDirectory() as name:
+            path = pathlib.Path(name) / "config.json"
+            path.write_text(json.dumps(content), "utf-8")
+            slopes = capacity.with_configuration(SLOPES, path)
+        self.assertEqual(slopes.values["config_accepted_worst_ms"], 4_000.0)
+        self.assertEqual(slopes.lines["config_outage_payload_bytes"].at(10), 21.0)
+
+    def size(self, entries, *accepted_ms):
+        return {
+            "entries": entries,
+            "spreads": [{"accepted_ms": one} for one in accepted_ms],
+            "outage": {"rates": {"service_calls": 4.0}},
+        }
+
+
 class TestFill(unittest.TestCase):
     def test_tables_are_replaced_and_words_stay(self):
         page = "Before.\n<!-- table: agent -->\nold\n<!-- end -->\nAfter.\n"
         filled = capacity.fill(page, SLOPES)
         self.assertNotIn("old", filled)
-        self.assertIn("| reports on the wire, all entries watch it | 330 B/s ", filled)
+        self.assertIn("| reports to 330 entries, each 1 s | 330 B/s ", filled)
         self.assertTrue(filled.startswith("Before.\n"))
         self.assertTrue(filled.endswith("After.\n"))
         self.assertEqual(capacity.fill(filled, SLOPES), filled)
--- a/tools/check_links.py
+++ b/tools/check_links.py
@@ -1,9 +1,8 @@
-"""Checks that every relative link in the Markdown pages leads to a file."""
+"""Checks that every relative link leads to a file and every page can be found."""
 
 import pathlib
 import re
 import sys
-import typing as t
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
@@ -13,15 +12,21 @@
 
 def broken_links(page: pathlib.Path) -> list[str]:
     """Return the relative links of a page that lead nowhere."""
-    targets = _LINK.findall(page.read_text("utf-8"))
-    relative = (link for link in targets if not _ELSEWHERE.match(link))
-    return [link for link in relative if not _exists(page, link)]
+    return [link for link in _relative_links(page) if not _target(page, link).exists()]
+
 
+def orphans(root: pathlib.Path) -> list[pathlib.Path]:
+    """Return the pages below docs/ that no page links to."""
+    linked = {
+        _target(page, link) for page in pages(root) for link in _relative_links(page)
+    }
+    below = sorted((root / "docs").rglob("*.md"))
+    return [page for page in below if page.resolve() not in linked]
 
-def pages(root: pathlib.Path) -> t.Iterator[pathlib.Path]:
-    """Return the Markdown pages at the root and below docs/."""
-    yield from sorted(root.glob("*.md"))
-    yield from sorted((root / "docs").rglob("*.md"))
+
+def pages(root: pathlib.Path) -> list[pathlib.Path]:
+    """Return the Markdown pages in a folder and below its docs/."""
+    return [*sorted(root.glob("*.md")), *sorted((root / "docs").rglob("*.md"))]
 
 
 def main() -> None:
@@ -31,12 +36,20 @@
         for page in pages(ROOT)
         for link in broken_links(page)
     ]
+    found += [
+        f"fault: no page links to {page.relative_to(ROOT)}" for page in orphans(ROOT)
+    ]
     print(*found, sep="\n", end="\n" if found else "")
     sys.exit(1 if found else 0)
 
 
-def _exists(page: pathlib.Path, link: str) -> bool:
-    return (page.parent / link.partition("#")[0]).exists()
+def _relative_links(page: pathlib.Path) -> list[str]:
+    targets = _LINK.findall(page.read_text("utf-8"))
+    return [link for link in targets if not _ELSEWHERE.match(link)]
+
+
+def _target(page: pathlib.Path, link: str) -> pathlib.Path:
+    return (page.parent / link.partition("#")[0]).resolve()
 
 
 if __name__ == "__main__":
