--- a/packages/daemon/src/fuchsiahatch_daemon/agent.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/agent.py
@@ -13,7 +13,7 @@
 from fuchsiahatch_daemon.runner import Runner
 from fuchsiahatch_daemon.settings import Settings
 from fuchsiahatch_daemon.stepengine import StepEngine
-from fuchsiahatch_daemon.steps import StepService
+from fuchsiahatch_daemon.steps import StepGroup
 from fuchsiahatch_platform.hostlist import HostListClient
 from fuchsiahatch_platform.http import HttpCaller
 from fuchsiahatch_platform.keyvalue import KeyValueClient
@@ -54,7 +54,9 @@
     async def start(self) -> None:
         """Follow the entries' configuration; serve gRPC and HTTP."""
         self.follower.start()
-        services = [self.runner] if self.steps is None else [self.runner, self.steps]
+        services = (
+            [self.runner] if self.steps is None else [self.runner, self.steps.service]
+        )
         self._server = await rpc.serve(services, self.settings.rpc_address)
         if self.steps is not None:
             self.steps.start()
@@ -76,14 +78,14 @@
         self._channels.close()
 
 
-def _make_steps(settings: Settings, incarnation: str) -> StepService | None:
+def _make_steps(settings: Settings, incarnation: str) -> StepGroup | None:
     if settings.group is None:
         return None
     assert settings.upstream is not None
     caller = HttpCaller(settings.platform_timeout_ms)
     engine = StepEngine(settings.upstream.url, caller)
     key_value = KeyValueClient(settings.key_value_url, caller)
-    return StepService(settings.group, incarnation, engine, key_value)
+    return StepGroup(settings.group, incarnation, engine, key_value)
 
 
 def make_app(role: AgentRole) -> Klein:
--- a/packages/daemon/src/fuchsiahatch_daemon/steps.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/steps.py
@@ -1,6 +1,5 @@
-"""Step grants of a rank group, in the agent of each rank."""
+"""Leading a rank group, in the agent of each rank."""
 
-import asyncio
 import collections
 import dataclasses
 import json
@@ -9,34 +8,24 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from fuchsiahatch_core.clock import Clock
-from fuchsiahatch_core.codes import Code
 from fuchsiahatch_core.defaults import KEY_PREFIX
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import AmbiguousWriteError, PlatformError
 from fuchsiahatch_daemon import stepwire
 from fuchsiahatch_daemon.rpc import Channels
+from fuchsiahatch_daemon.steprank import RankService
 from fuchsiahatch_daemon.tasks import Tasks
 from fuchsiahatch_experts.grants import (
     Answer,
     Ask,
-    Commit,
-    EngineState,
-    GiveOrder,
     LeaderEffect,
-    LoadWeights,
-    Order,
     Propose,
-    RankEffect,
-    Refused,
-    Reply,
     Request,
     Send,
     StepDown,
 )
-from fuchsiahatch_experts.health import HealthWatch, Smoother, StepTime
+from fuchsiahatch_experts.health import HealthWatch
 from fuchsiahatch_experts.leaders import Leader, Pace
-from fuchsiahatch_experts.orders import OrderGate
-from fuchsiahatch_experts.ranks import Rank
 from fuchsiahatch_experts.terms import (
     CampaignEffect,
     Candidate,
@@ -46,15 +35,12 @@
     SwapTerm,
     TermRecord,
 )
-from fuchsiahatch_wire.steps_grpc import StepsBase, StepsStub
+from fuchsiahatch_wire.steps_grpc import StepsStub
 
 if t.TYPE_CHECKING:
-    from grpclib.server import Stream
-
     from fuchsiahatch_daemon.settings import GroupSettings
     from fuchsiahatch_daemon.stepengine import StepEngine
     from fuchsiahatch_platform.keyvalue import KeyValueClient
-    from fuchsiahatch_wire import steps_pb2
 
 #: Extra silence that each further rank waits out, so that two seldom race.
 _STAGGER_MS = 150
@@ -63,8 +49,8 @@
 _CALL_FAULTS = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
 
 
-class StepService(StepsBase):
-    """One rank's part in its group, and the leader's while it holds the term.
+class StepGroup:
+    """One agent's part in its group: campaigns for terms, and leads when it wins.
 
     Parameters
     ----------
@@ -74,11 +60,15 @@
     engine : StepEngine
     key_value : KeyValueClient
 
+    Attributes
+    ----------
+    service : RankService
+        To be served to the group's agents.
+    stragglers : tuple of str
+        Hosts that straggle, as far as this agent leads.
+
     Notes
     -----
-    The agent binds its address before it reads the engine: a paused earlier
-    life still holds the address, so no two agents order one engine about.
-
     .. versionadded:: 0.1
     """
 
@@ -91,25 +81,28 @@
     ) -> None:
         self.stragglers: tuple[str, ...] = ()
         self._settings = settings
-        self._engine = engine
         self._key_value = key_value
         self._clock = Clock()
         now_ms = self._clock.now_ms()
-        self._gate = OrderGate(settings.engine_fences, settings.settle_ms, now_ms)
-        self._rank = Rank(settings.rank, incarnation, self._gate)
         silence_ms = settings.silence_ms + _STAGGER_MS * settings.rank
         self._candidate = Candidate(settings.rank, incarnation, silence_ms, now_ms)
         self._leader: Leader | None = None
         self._health = HealthWatch()
-        self._smoother = Smoother()
         self._wanted_map = _FIRST_MAP
         self._channels = Channels()
         self._tasks = Tasks()
+        self.service = RankService(
+            settings,
+            incarnation,
+            engine,
+            self._clock,
+            self._tasks,
+            self._candidate.heard,
+        )
 
     def start(self) -> None:
         """Join the group, once the agent's address is bound."""
-        # An earlier life may have given an order until the address was free.
-        self._gate.lost(self._clock.now_ms())
+        self.service.start()
         self._tasks.repeat(self._tick, self._settings.heartbeat_ms)
         self._tasks.repeat(self._read_wanted_map, _WANTED_MAP_PAUSE_MS)
 
@@ -118,86 +111,6 @@
         self._tasks.cancel()
         self._channels.close()
 
-    async def Ask(
-        self, stream: "Stream[steps_pb2.AskRequest, steps_pb2.StepReply]"
-    ) -> None:
-        """Promise a term and tell the rank's state."""
-        message = await stream.recv_message()
-        assert message is not None
-        answer = await self._answer(stepwire.from_wire_ask(message))
-        await stream.send_message(stepwire.to_wire_answer(answer))
-
-    async def Propose(
-        self, stream: "Stream[steps_pb2.WindowRequest, steps_pb2.StepReply]"
-    ) -> None:
-        """Accept a window, or say why not."""
-        await self._answer_window(stream, Propose)
-
-    async def Commit(
-        self, stream: "Stream[steps_pb2.WindowRequest, steps_pb2.StepReply]"
-    ) -> None:
-        """Grant an accepted window to the engine."""
-        await self._answer_window(stream, Commit)
-
-    async def _answer_window(
-        self,
-        stream: "Stream[steps_pb2.WindowRequest, steps_pb2.StepReply]",
-        kind: type[Propose] | type[Commit],
-    ) -> None:
-        message = await stream.recv_message()
-        assert message is not None
-        request = stepwire.from_wire_window_request(message, kind)
-        answer = await self._answer(request)
-        await stream.send_message(stepwire.to_wire_answer(answer))
-
-    async def _answer(self, request: Request) -> Answer:
-        now_ms = self._clock.now_ms()
-        work = self._tasks.spawn(self._do_rank(self._rank.receive(request, now_ms)))
-        # A leader that gives up on its call must not cancel an order that is
-        # out: the gate would wait for its answer for ever and the rank would
-        # refuse everything.
-        answer = await asyncio.shield(work)
-        assert answer is not None
-        if not _is_old_term(answer):
-            self._candidate.heard(self._clock.now_ms())
-        return answer
-
-    async def _do_rank(self, effects: list[RankEffect]) -> Answer | None:
-        answer = None
-        waiting = collections.deque(effects)
-        while waiting:
-            effect = waiting.popleft()
-            if isinstance(effect, Reply):
-                answer = effect.answer
-            elif isinstance(effect, GiveOrder):
-                waiting.extend(await self._give(effect.order))
-            elif isinstance(effect, LoadWeights):
-                self._tasks.spawn(self._load_weights(effect.map_version))
-            else:
-                log_event(Event.STEPS_STARVED, step=effect.step, code=int(effect.code))
-        return answer
-
-    async def _give(self, order: Order) -> list[RankEffect]:
-        try:
-            state = await self._engine.order(order)
-        except PlatformError as fault:
-            log_event(Event.ORDER_LOST, term=order.term, detail=fault.detail)
-            return self._rank.engine_lost(self._clock.now_ms())
-        if state is None:
-            log_event(Event.ORDER_REFUSED, term=order.term)
-            return self._rank.engine_refused()
-        return self._rank.engine_answered(self._smoothed(state))
-
-    def _smoothed(self, state: EngineState) -> EngineState:
-        compute_ms = self._smoother.add(StepTime(state.compute_ms, wait_ms=0.0))
-        return dataclasses.replace(state, compute_ms=compute_ms)
-
-    async def _load_weights(self, map_version: int) -> None:
-        try:
-            await self._engine.load_weights(map_version)
-        except PlatformError as fault:
-            log_event(Event.ORDER_LOST, map_version=map_version, detail=fault.detail)
-
     async def _tick(self) -> None:
         leader = self._leader
         if leader is not None:
@@ -206,7 +119,7 @@
             self._look_at_health(leader)
             return
         now_ms = self._clock.now_ms()
-        await self._do_rank(self._rank.look(now_ms))
+        await self.service.look()
         await self._campaign(self._candidate.tick(now_ms))
 
     def _look_at_health(self, leader: Leader) -> None:
@@ -249,7 +162,7 @@
 
     async def _call(self, rank: int, request: Request) -> Answer:
         if rank == self._settings.rank:
-            return await self._answer(request)
+            return await self.service.answer(request)
         member = self._settings.members[rank]
         stub = StepsStub(self._channels.to(member.rpc_address))
         timeout_s = self._settings.call_ms / 1000
@@ -316,6 +229,8 @@
             Pace(settings.window_steps, settings.ahead_steps),
         )
         self._leader = leader
+        # An earlier watch would not name again whom it has named before.
+        self._health = HealthWatch()
         self._do_leader(leader, leader.tick())
 
     async def _read_wanted_map(self) -> None:
@@ -333,10 +248,6 @@
         return f"{KEY_PREFIX}groups/{self._settings.name}/{name}"
 
 
-def _is_old_term(answer: Answer) -> bool:
-    return isinstance(answer, Refused) and answer.code is Code.OLD_TERM
-
-
 def _read_record(value: bytes) -> TermRecord:
     if not value:
         return TermRecord()
