Capacity reads the configuration bench's present results

Before: make check ended in KeyError 'accepted_ms'. The test of the tool covers a size without an outage as well.

--- a/packages/bench/src/fuchsiahatch_bench/capacity.py
+++ b/packages/bench/src/fuchsiahatch_bench/capacity.py
@@ -79,13 +79,16 @@
         f"config_{name}": Line(line["slope"], line["intercept"])
         for name, line in content["slopes"].items()
     }
-    largest = max(content["sizes"], key=lambda size: size["entries"])
+    sizes = sorted(content["sizes"], key=lambda size: size["entries"])
+    largest = sizes[-1]
+    # Not every size runs an outage.
+    cut_off = [size for size in sizes if size["outage"] is not None][-1]
     values = {
         "config_entries": largest["entries"],
         "config_accepted_worst_ms": max(
-            spread["accepted_ms"] for spread in largest["spreads"]
+            spread["told_ms"] for spread in largest["spreads"]
         ),
-        "config_outage_calls_per_s": largest["outage"]["rates"]["service_calls"],
+        "config_outage_calls_per_s": cut_off["outage"]["rates"]["service_calls"],
     }
     return dataclasses.replace(
         slopes,
--- a/packages/bench/src/fuchsiahatch_bench/capacity_changes.py
+++ b/packages/bench/src/fuchsiahatch_bench/capacity_changes.py
@@ -29,7 +29,7 @@
                 slopes.values["config_outage_calls_per_s"] * SIZE.entries,
                 "/s",
                 SERVICE.reads_per_s,
-                "the largest measured fleet's calls of one entry",
+                "calls of one entry in the largest fleet that was cut off",
             ),
         ]
     )
--- a/tests/bench/test_capacity.py
+++ b/tests/bench/test_capacity.py
@@ -55,19 +55,23 @@
     def test_largest_fleet_and_its_worst_change_count(self):
         content = {
             "slopes": {"outage_payload_bytes": {"slope": 2.0, "intercept": 1.0}},
-            "sizes": [self.size(3, 9_000.0), self.size(6, 3_000.0, 4_000.0)],
+            "sizes": [
+                self.size(3, 9_000.0),
+                self.size(6, 3_000.0, 4_000.0) | {"outage": None},
+            ],
         }
         with tempfile.TemporaryDirectory() as name:
             path = pathlib.Path(name) / "config.json"
             path.write_text(json.dumps(content), "utf-8")
             slopes = capacity.with_configuration(SLOPES, path)
         self.assertEqual(slopes.values["config_accepted_worst_ms"], 4_000.0)
+        self.assertEqual(slopes.values["config_outage_calls_per_s"], 4.0)
         self.assertEqual(slopes.lines["config_outage_payload_bytes"].at(10), 21.0)
 
-    def size(self, entries, *accepted_ms):
+    def size(self, entries, *told_ms):
         return {
             "entries": entries,
-            "spreads": [{"accepted_ms": one} for one in accepted_ms],
+            "spreads": [{"told_ms": one} for one in told_ms],
             "outage": {"rates": {"service_calls": 4.0}},
         }
 
