--- a/packages/core/src/fuchsiahatch_core/clock.py
+++ b/packages/core/src/fuchsiahatch_core/clock.py
@@ -3,6 +3,21 @@
 import time
 import typing as t
 
+_BOOT_TIME = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
+
+def read_boot_time_ns() -> int:
+    """Return the nanoseconds since the host started, its suspended time included.
+
+    Notes
+    -----
+    The plain monotonic clock stands still while a host is suspended: an entry that
+    wakes would still count as fresh, and admit work under placement records that were
+    replaced while it slept. Where the system has no such clock, the monotonic one is
+    read.
+    """
+    return time.clock_gettime_ns(_BOOT_TIME)
+
 
 class Clock:
     """A monotonic clock that reads milliseconds.
@@ -10,7 +25,7 @@
     Parameters
     ----------
     read_ns : callable, optional
-        Source of nanoseconds; the system's monotonic clock by default.
+        Source of nanoseconds; `read_boot_time_ns` by default.
 
     Notes
     -----
@@ -19,7 +34,7 @@
 
     __slots__ = ("_read_ns",)
 
-    def __init__(self, read_ns: t.Callable[[], int] = time.monotonic_ns) -> None:
+    def __init__(self, read_ns: t.Callable[[], int] = read_boot_time_ns) -> None:
         self._read_ns = read_ns
 
     def now_ms(self) -> int:
--- a/tests/core/test_clock.py
+++ b/tests/core/test_clock.py
@@ -1,6 +1,26 @@
+import time
 import unittest
+from unittest import mock
 
-from fuchsiahatch_core.clock import ManualClock
+from fuchsiahatch_core.clock import Clock, ManualClock
+
+
+class TestClock(unittest.TestCase):
+    def test_time_asleep_counts(self):
+        """A suspended host wakes and serves under records replaced meanwhile.
+
+        The monotonic clock stood still, so the entry's freshness seemed to be as
+        young as when the host fell asleep.
+        """
+        asked = []
+
+        def read(clock_id):
+            asked.append(clock_id)
+            return 7_000_000
+
+        with mock.patch.object(time, "clock_gettime_ns", read):
+            self.assertEqual(Clock().now_ms(), 7)
+        self.assertEqual(asked, [time.CLOCK_BOOTTIME])
 
 
 class TestManualClock(unittest.TestCase):
