--- a/packages/bench/src/fuchsiahatch_bench/capacity.py
+++ b/packages/bench/src/fuchsiahatch_bench/capacity.py
@@ -85,7 +85,7 @@
         "config_accepted_worst_ms": max(
             spread["accepted_ms"] for spread in largest["spreads"]
         ),
-        "config_outage_calls_per_s": largest["outage"]["rates"]["service_calls"],
+        "config_outage_calls_per_s": _largest_outage(content)["service_calls"],
     }
     return dataclasses.replace(
         slopes,
@@ -109,6 +109,12 @@
     return _PLACE.sub(replace, page)
 
 
+def _largest_outage(content: dict[str, t.Any]) -> dict[str, float]:
+    """Return what an entry spent in the outage of the largest fleet that had one."""
+    sizes = [size for size in content["sizes"] if size["outage"] is not None]
+    return max(sizes, key=lambda size: size["entries"])["outage"]["rates"]
+
+
 def _peer_values(rows: list[dict[str, float]]) -> dict[str, float]:
     # Messages among entries have a bounded size and fan-out, so the largest fleet
     # is carried on as it is, not by a line.
--- a/packages/bench/src/fuchsiahatch_bench/config_bench.py
+++ b/packages/bench/src/fuchsiahatch_bench/config_bench.py
@@ -177,7 +177,7 @@
     spreads = row["spreads"]
     figures = [
         round(pick([one[name] for one in spreads]))
-        for name in ("entries_ms", "agents_ms", "told_ms")
+        for name in ("entries_ms", "agents_ms", "accepted_ms")
         for pick in (statistics.median, max)
     ]
     accepted = sum(one["outcome"] == "accepted" for one in spreads)
--- a/packages/bench/src/fuchsiahatch_bench/config_run.py
+++ b/packages/bench/src/fuchsiahatch_bench/config_run.py
@@ -56,14 +56,14 @@
     ----------
     entries_ms, agents_ms : float
         Until it was in force at the last entry and at the last agent.
-    told_ms : float
+    accepted_ms : float
         Until the operator was told the outcome.
     outcome : str
     """
 
     entries_ms: float
     agents_ms: float
-    told_ms: float
+    accepted_ms: float
     outcome: str
 
 
