Aborted calls end at the upstream; a late reset no longer closes a connection

The process test passed all the same: other ways end that call. Ruled out: patching grpclib's class for the whole process; the server of ours guards its own connections.

--- a/packages/daemon/src/fuchsiahatch_daemon/rpc.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/rpc.py
@@ -9,11 +9,37 @@
 from fuchsiahatch_daemon.settings import split_address
 from fuchsiahatch_wire import attempts_pb2
 
+if t.TYPE_CHECKING:
+    from grpclib.protocol import H2Protocol, Stream
+
+
+class _Server(Server):
+    """A server whose connections outlive the reset of a call that has just ended.
+
+    Notes
+    -----
+    grpclib 0.4.9 forgets the task of an ended call before it forgets its stream. A
+    caller's reset that comes in between raises a KeyError out of the connection's
+    reader, asyncio closes the connection, and every other answer on it breaks off.
+    """
+
+    def _protocol_factory(self) -> "H2Protocol":
+        protocol = super()._protocol_factory()
+        handler = protocol.handler
+        cancel = handler.cancel
+
+        def cancel_if_running(stream: "Stream") -> None:
+            if stream in handler._tasks:
+                cancel(stream)
+
+        handler.cancel = cancel_if_running
+        return protocol
+
 
 async def serve(services: t.Sequence[t.Any], address: str) -> Server:
     """Serve gRPC at ``ip:port``."""
     ip, port = split_address(address)
-    server = Server(services)
+    server = _Server(services)
     await server.start(ip, port)
     return server
 
--- a/packages/platform/src/fuchsiahatch_platform/upstream.py
+++ b/packages/platform/src/fuchsiahatch_platform/upstream.py
@@ -40,7 +40,7 @@
 
     def abort(self) -> None:
         if self.transport is not None:
-            self.transport.abortConnection()
+            self.transport.loseConnection()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
