--- a/packages/daemon/src/fuchsiahatch_daemon/changes.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/changes.py
@@ -28,7 +28,7 @@
 
     Notes
     -----
-    .. versionadded:: 0.2
+    .. versionadded:: 0.1
     """
 
     __slots__ = ("_calls", "_clock", "_configuration", "_key_value")
--- a/packages/daemon/src/fuchsiahatch_daemon/controlmetrics.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/controlmetrics.py
@@ -20,7 +20,7 @@
 
     Notes
     -----
-    .. versionadded:: 0.2
+    .. versionadded:: 0.1
     """
 
     __slots__ = (
--- a/packages/daemon/src/fuchsiahatch_daemon/following.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/following.py
@@ -45,7 +45,7 @@
 
     Notes
     -----
-    .. versionadded:: 0.2
+    .. versionadded:: 0.1
     """
 
     def __init__(
--- a/packages/daemon/src/fuchsiahatch_daemon/listening.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/listening.py
@@ -17,7 +17,7 @@
 
     Notes
     -----
-    .. versionadded:: 0.2
+    .. versionadded:: 0.1
     """
 
     noisy = False
@@ -65,7 +65,7 @@
 
     Notes
     -----
-    .. versionadded:: 0.2
+    .. versionadded:: 0.1
     """
 
     __slots__ = ("_connections", "_port")
--- a/packages/daemon/src/fuchsiahatch_daemon/peercalls.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/peercalls.py
@@ -38,7 +38,7 @@
 
     Notes
     -----
-    .. versionadded:: 0.2
+    .. versionadded:: 0.1
     """
 
     __slots__ = ("_channels", "_table", "calls", "received_bytes", "sent_bytes")
--- a/packages/daemon/src/fuchsiahatch_daemon/peers.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/peers.py
@@ -51,7 +51,7 @@
 
     Notes
     -----
-    .. versionadded:: 0.2
+    .. versionadded:: 0.1
     """
 
     def __init__(
--- a/packages/daemon/src/fuchsiahatch_daemon/pulls.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/pulls.py
@@ -24,7 +24,7 @@
 
     Notes
     -----
-    .. versionadded:: 0.2
+    .. versionadded:: 0.1
     """
 
     def __init__(self, configuration: Configuration) -> None:
--- a/packages/membership/src/fuchsiahatch_membership/heartbeats.py
+++ b/packages/membership/src/fuchsiahatch_membership/heartbeats.py
@@ -133,7 +133,7 @@
 
     Notes
     -----
-    .. versionadded:: 0.2
+    .. versionadded:: 0.1
     """
 
     __slots__ = (
--- a/packages/placement/src/fuchsiahatch_placement/acceptance.py
+++ b/packages/placement/src/fuchsiahatch_placement/acceptance.py
@@ -73,7 +73,7 @@
 
     Notes
     -----
-    .. versionadded:: 0.2
+    .. versionadded:: 0.1
     """
 
     __slots__ = (
--- a/packages/placement/src/fuchsiahatch_placement/writing.py
+++ b/packages/placement/src/fuchsiahatch_placement/writing.py
@@ -73,7 +73,7 @@
 
     Notes
     -----
-    .. versionadded:: 0.2
+    .. versionadded:: 0.1
     """
 
     __slots__ = ("_core", "_machine")
--- a/packages/platform/src/fuchsiahatch_platform/budget.py
+++ b/packages/platform/src/fuchsiahatch_platform/budget.py
@@ -36,7 +36,7 @@
     The service counts calls and its rates grow more slowly than the fleet: a
     loop gone wild in one process would use up what all the others need.
 
-    .. versionadded:: 0.2
+    .. versionadded:: 0.1
     """
 
     __slots__ = (
--- a/packages/platform/src/fuchsiahatch_platform/http.py
+++ b/packages/platform/src/fuchsiahatch_platform/http.py
@@ -36,7 +36,7 @@
 
     Notes
     -----
-    .. versionadded:: 0.2
+    .. versionadded:: 0.1
     """
 
     __slots__ = ("_timeout_s",)
--- a/packages/standins/src/fuchsiahatch_standins/running.py
+++ b/packages/standins/src/fuchsiahatch_standins/running.py
@@ -48,7 +48,7 @@
 
     Notes
     -----
-    .. versionadded:: 0.2
+    .. versionadded:: 0.1
     """
 
     def __init__(
