Freshness is asked at each order; processes of demo and bench started by one script

Cause: an entry checked its freshness once a request. A request that then waited for its binding or went on from a broken home was sent, perhaps minutes later, by an entry cut off meanwhile; only the agent's second check stood between it and a forbidden place. Ruled out: leaving it to the agent, which may know nothing newer itself. Also: demo.sh and path.sh held the same lines for starting and ending processes.

--- a/demo/demo.sh
+++ b/demo/demo.sh
@@ -8,30 +8,7 @@
 run=.run/demo
 base=${FUCHSIAHATCH_DEMO_PORT:-18000}
 rm -rf "$run" && mkdir -p "$run"
-pids=()
-
-start() { # name, command...
-    local name=$1
-    shift
-    "$@" >"$run/$name.log" 2>&1 &
-    pids+=($!)
-    eval "pid_${name//-/_}=$!"
-}
-
-stop_all() {
-    for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-    for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-}
-trap stop_all EXIT
-
-wait_ready() { # address
-    for _ in $(seq 100); do
-        curl -sf -o /dev/null "http://$1/ready" && return 0
-        sleep 0.1
-    done
-    echo "demo: $1 did not become ready; see $run" >&2
-    return 1
-}
+. demo/processes.sh
 
 standin="$python -m fuchsiahatch_standins"
 $standin layout "$run" --base-port "$base"
@@ -70,8 +47,9 @@
 sleep 1
 .venv/bin/fuchsiahatch drain "127.0.0.1:$((base + 3))" >/dev/null
 .venv/bin/fuchsiahatch drain "127.0.0.1:$base" >/dev/null
-kill -TERM "$pid_engine_kl_a" "$pid_entry_kl_a"
-wait "$pid_engine_kl_a" "$pid_entry_kl_a"
+leaving=("$(pid_of engine-kl-a)" "$(pid_of entry-kl-a)")
+kill -TERM "${leaving[@]}"
+wait "${leaving[@]}"
 wait "$load"
 echo "$(grep -c status=200 "$run/load.txt") of $(wc -l <"$run/load.txt") requests answered"
 .venv/bin/fuchsiahatch --entry "127.0.0.1:$((base + 1))" lookup
--- a/packages/bench/path.sh
+++ b/packages/bench/path.sh
@@ -7,30 +7,7 @@
 run=.run/bench-path
 base=${FUCHSIAHATCH_BENCH_PORT:-25000}
 rm -rf "$run" && mkdir -p "$run"
-pids=()
-
-start() { # name, command...
-    local name=$1
-    shift
-    "$@" >"$run/$name.log" 2>&1 &
-    pids+=($!)
-    echo "$name $!" >>"$run/pids"
-}
-
-stop_all() {
-    for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-    for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-}
-trap stop_all EXIT
-
-wait_ready() { # address
-    for _ in $(seq 100); do
-        curl -sf -o /dev/null "http://$1/ready" && return 0
-        sleep 0.1
-    done
-    echo "bench: $1 did not become ready; see $run" >&2
-    return 1
-}
+. demo/processes.sh
 
 standin="$python -m fuchsiahatch_standins"
 $python -m fuchsiahatch_bench.path_layout "$run" --base-port "$base"
--- a/packages/daemon/src/fuchsiahatch_daemon/dispatch.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/dispatch.py
@@ -14,7 +14,7 @@
 )
 from fuchsiahatch_core.identities import Home
 from fuchsiahatch_daemon.binder import Binder
-from fuchsiahatch_daemon.hops import Errand, Hops, Send
+from fuchsiahatch_daemon.hops import NOT_FRESH_DETAIL, Errand, Hops, Send
 from fuchsiahatch_daemon.retries import Retries
 from fuchsiahatch_daemon.standings import Standings
 from fuchsiahatch_delivery.keys import fingerprint_of
@@ -75,8 +75,7 @@
             With the final word on the request.
         """
         if not self._configuration.fresh:
-            detail = "no placement records are known here yet"
-            raise RefusedError(detail, Code.NOT_FRESH, RETRY_AFTER_MS)
+            raise RefusedError(NOT_FRESH_DETAIL, Code.NOT_FRESH, RETRY_AFTER_MS)
         self.retries.note_request()
         errand = self._make_errand(request, send)
         try:
--- a/packages/daemon/src/fuchsiahatch_daemon/entry.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/entry.py
@@ -92,6 +92,7 @@
                 self.standings,
                 self.selection,
                 lambda: self.configuration.snapshot.revision,
+                lambda: self.configuration.fresh,
             ),
             Binder(self.key_value, self.clock),
             self.clock,
--- a/packages/daemon/src/fuchsiahatch_daemon/hops.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/hops.py
@@ -7,7 +7,7 @@
 import typing as t
 
 from fuchsiahatch_core.codes import Code
-from fuchsiahatch_core.defaults import HEARTBEAT_MS
+from fuchsiahatch_core.defaults import HEARTBEAT_MS, RETRY_AFTER_MS
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import AttemptError
 from fuchsiahatch_core.identities import AttemptId, Home
@@ -39,6 +39,10 @@
 
 _ASK_TIMEOUT_S = 1.0
 
+NOT_FRESH_DETAIL = (
+    "this entry can't confirm its placement records now; ask another entry"
+)
+
 
 @dataclasses.dataclass(slots=True)
 class Errand:
@@ -85,6 +89,8 @@
         Told of the load and the leaving that frames carry.
     read_revision : callable
         The placement revision that this entry decides on.
+    is_fresh : callable
+        Whether work may be admitted under that revision now.
 
     Notes
     -----
@@ -96,6 +102,7 @@
         "_counter",
         "_host",
         "_incarnation",
+        "_is_fresh",
         "_read_revision",
         "_selection",
         "_standings",
@@ -109,6 +116,7 @@
         standings: "Standings",
         selection: "Selection",
         read_revision: t.Callable[[], int],
+        is_fresh: t.Callable[[], bool],
     ) -> None:
         self._host = host
         self._incarnation = incarnation
@@ -116,6 +124,7 @@
         self._standings = standings
         self._selection = selection
         self._read_revision = read_revision
+        self._is_fresh = is_fresh
         self._counter = itertools.count(1)
 
     async def ask(self, move: Move, errand: Errand) -> Reply:
@@ -138,6 +147,13 @@
 
     async def _run(self, stub: AttemptsStub, home: Home, errand: Errand) -> Reply:
         request = errand.request
+        # Asked at each order, not once a request: a request that waited for its
+        # binding or for a first home would be sent under records that were replaced
+        # meanwhile, to a place that may be forbidden now.
+        if not self._is_fresh():
+            return Refused(
+                Verdict.NOT_RUN, Code.NOT_FRESH, NOT_FRESH_DETAIL, RETRY_AFTER_MS
+            )
         offer = self._standings.offer(home, request.team, request.target)
         if offer is None:
             detail = "the placement records don't allow this home"
