--- a/packages/core/src/fuchsiahatch_core/codes.py
+++ b/packages/core/src/fuchsiahatch_core/codes.py
@@ -23,7 +23,6 @@
     KEY_REUSED = 106
     BAD_TICKET = 107
     NOT_FOUND = 108
-    KEY_REQUIRED = 109
 
     # The request may not or can't be placed now; nothing was run.
     NO_ALLOWED_PLACE = 200
--- a/packages/daemon/src/fuchsiahatch_daemon/web.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/web.py
@@ -171,6 +171,7 @@
     try:
         return await handle(request, **arguments)
     except FuchsiahatchError as fault:
+        log_event(Event.REQUEST_REFUSED, code=int(fault.result), detail=fault.detail)
         if request.startedWriting:
             _break_off(request, fault)
             # To return would let klein write the last chunk behind the error, and
