Agents' events come from the watch's own last report

Cause: the host watch kept a table of what each agent had said, beside the report that each watch has in hand; and a stopping entry, which ends its watches itself, logged AGENT_LOST for every agent (6 of 6 in a demo). Ruled out: asking the host table (rows that leave the list drop their reports, and each later one would be logged as new). Before: 6 agent_lost at an entry's own stop.

--- a/packages/daemon/src/fuchsiahatch_daemon/hostwatch.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/hostwatch.py
@@ -48,8 +48,6 @@
         self._host_list = host_list
         self._channels = channels
         self._clock = clock
-        # Whether each agent that is heard said that it is leaving.
-        self._heard: dict[str, bool] = {}
         self._watches: dict[str, asyncio.Task[t.Any]] = {}
         self._tasks = Tasks()
 
@@ -82,26 +80,29 @@
 
     async def _watch(self, row: HostRow) -> None:
         stub = AttemptsStub(self._channels.to(row.rpc_address))
+        before: attempts_pb2.AgentReport | None = None
         try:
             async with stub.Watch.open() as stream:
                 await stream.send_message(self._request, end=True)
                 while (report := await _next(stream)) is not None:
-                    self._note(report)
+                    _log_change(before, report)
+                    self.table.note_report(_host_report(report, self._clock.now_ms()))
+                    before = report
         except CONNECTION_FAULTS:
             pass
         finally:
-            if self._heard.pop(row.host, None) is not None:
-                log_event(Event.AGENT_LOST, agent=row.host)
             self.table.forget_report(row.host)
+        if before is not None:
+            log_event(Event.AGENT_LOST, agent=row.host)
 
-    def _note(self, report: attempts_pb2.AgentReport) -> None:
-        before = self._heard.get(report.host)
-        if before is None:
-            log_event(Event.AGENT_SEEN, agent=report.host)
-        if report.leaving and not before:
-            log_event(Event.AGENT_LEAVING, agent=report.host)
-        self._heard[report.host] = report.leaving
-        self.table.note_report(_host_report(report, self._clock.now_ms()))
+
+def _log_change(
+    before: attempts_pb2.AgentReport | None, report: attempts_pb2.AgentReport
+) -> None:
+    if before is None:
+        log_event(Event.AGENT_SEEN, agent=report.host)
+    if report.leaving and not (before and before.leaving):
+        log_event(Event.AGENT_LEAVING, agent=report.host)
 
 
 async def _next(
