--- a/packages/experts/src/fuchsiahatch_experts/packing.py
+++ b/packages/experts/src/fuchsiahatch_experts/packing.py
@@ -75,6 +75,64 @@
     return replicas
 
 
+def improve_within(
+    current: ExpertMap,
+    popularity: "Floats",
+    slots: int,
+    copies_per_rank: int,
+    least_gain: float,
+) -> ExpertMap:
+    """Change a map by the few copies that relieve it most, over all layers.
+
+    Ranks copy side by side, so a change takes as long as the rank with the most
+    copies; each may take `copies_per_rank` in all its layers together. The copies go
+    to the layers where one brings the most.
+
+    Parameters
+    ----------
+    current : ExpertMap
+    popularity : ndarray, shape (layers, experts)
+    slots : int
+    copies_per_rank : int
+    least_gain : float
+        Fall in a layer's skew that one copy must bring.
+
+    Returns
+    -------
+    ExpertMap
+    """
+    ranks = current.placed.shape[2]
+    totals = popularity.sum(axis=1, keepdims=True)
+    shares = popularity * ranks / np.where(totals > 0, totals, 1.0)
+    placed = current.placed.copy()
+    left = np.full(ranks, copies_per_rank)
+    best = [
+        _best_change(placed[at], shares[at], slots, left) for at in range(len(shares))
+    ]
+    while left.any():
+        at = max(range(len(best)), key=lambda layer: best[layer].score)
+        if best[at].score <= max(least_gain, SMALLEST_GAIN):
+            break
+        change = best[at]
+        if any(left[rank] < 1 for _, rank in change.added):
+            best[at] = _best_change(placed[at], shares[at], slots, left)
+            continue
+        _apply(placed[at], change)
+        for _, rank in change.added:
+            left[rank] -= 1
+        best[at] = _best_change(placed[at], shares[at], slots, left)
+    return ExpertMap(placed)
+
+
+def _best_change(
+    placed: "Bools", shares: "Floats", slots: int, left: "Ints"
+) -> "_Change":
+    """Find a layer's best change among ranks that may still copy."""
+    if not shares.any():
+        return _Change(-np.inf)
+    return _find_change(_survey(placed, shares), slots, 0.0, left > 0)
+
+
 def improve(
     current: ExpertMap,
     popularity: "Floats",
@@ -221,13 +279,20 @@
     return _Layer(placed, shares, replicas, unit, loads, hot, hot_experts)
 
 
-def _find_change(layer: _Layer, slots: int, least_gain: float) -> _Change:
-    """Return the change that relieves the most loaded rank most per move."""
-    takeable = _find_slots(layer, slots)
+def _find_change(
+    layer: _Layer, slots: int, least_gain: float, copying: "Bools | None" = None
+) -> _Change:
+    """Return the change that relieves the most loaded rank most per move.
+
+    `copying` says which ranks may copy an expert; all may by default.
+    """
+    if copying is None:
+        copying = np.ones(layer.placed.shape[1], dtype=bool)
+    takeable = _find_slots(layer, slots, copying)
     found = (
         _find_replica(layer, takeable),
         _find_shift(layer, takeable),
-        _find_swap(layer),
+        _find_swap(layer, copying),
         _find_drop(layer, least_gain),
     )
     return max(found, key=lambda change: change.score)
@@ -237,11 +302,11 @@
     return np.divmod(np.flatnonzero(chosen), chosen.shape[1])
 
 
-def _find_slots(layer: _Layer, slots: int) -> _Slots:
+def _find_slots(layer: _Layer, slots: int, copying: "Bools") -> _Slots:
     """List the slots that are free or held by a replica that isn't the last."""
     surplus = layer.replicas > 1
-    experts, ranks = _cells(layer.placed & surplus[:, np.newaxis])
-    free = np.flatnonzero(layer.placed.sum(axis=0) < slots)
+    experts, ranks = _cells(layer.placed & surplus[:, np.newaxis] & copying)
+    free = np.flatnonzero((layer.placed.sum(axis=0) < slots) & copying)
     rise = layer.shares / np.maximum(layer.replicas - 1, 1) - layer.unit
     # The leaving rank itself is counted in, which only makes the search shy of
     # taking a replica from a rank that is nearly the most loaded.
@@ -289,10 +354,11 @@
     return _Change(score, tuple(dropped), ((expert, rank),))
 
 
-def _find_swap(layer: _Layer) -> _Change:
+def _find_swap(layer: _Layer, copying: "Bools") -> _Change:
     """Find the best swap of an expert of the most loaded rank for another's."""
-    experts, ranks = _cells(layer.placed & ~layer.placed[:, [layer.hot]])
-    if not len(ranks):
+    elsewhere = layer.placed & ~layer.placed[:, [layer.hot]] & copying
+    experts, ranks = _cells(elsewhere)
+    if not len(ranks) or not copying[layer.hot]:
         return _Change(-np.inf)
     relief = layer.unit[layer.hot_experts][:, np.newaxis] - layer.unit[experts]
     highest = layer.loads[layer.hot]
--- /dev/null
+++ b/packages/experts/src/fuchsiahatch_experts/switching.py
@@ -0,0 +1,498 @@
+"""Switching all ranks of a group to another expert map, as a pure state machine.
+
+The leader of a rank group feeds it the ranks' reports and answers to orders, and sends
+the orders that it asks for. Ranks don't compare maps, so it must never happen that a
+pass begins while some ranks are armed with a map and others are not:
+
+1. `prepare` at each rank; the rank copies the experts that are new to it.
+2. `hold` a coming pass at the leader's own rank, until its report shows the hold.
+3. `arm` each rank for that pass, until each report shows it.
+4. `go`: the pass begins, and all ranks switch with it.
+
+Whoever gives up after 3 has begun first makes every `arm` void, also one whose answer
+was lost and that is carried out seconds later: a rank that has prepared a newer version
+refuses to arm an older one.
+"""
+
+import dataclasses
+import enum
+import typing as t
+
+#: Experts of each rank, by layer and rank.
+Placement = tuple[tuple[tuple[int, ...], ...], ...]
+
+#: Passes between the one last begun and the one that is held. With one, the hold often
+#: comes too late and is refused; with two, the arms are mostly out before it is due.
+HOLD_AHEAD = 2
+#: Passes that a new leader lets begin before its first hold. An earlier leader's `go`
+#: may still be carried out late; it names a pass at most `HOLD_AHEAD` beyond the last
+#: one begun, so that it can't end a later hold too soon.
+TAKEOVER_PASSES = 4
+#: Time after which an order without an effect is sent again.
+RESEND_MS = 120
+#: Time after which a copy without an effect is sent again; it is refused or has no
+#: effect where the first one arrived.
+RESEND_COPY_MS = 600
+#: Time that the copies may take; one of 1.7 GB takes 150 ms over the engines' links.
+COPY_LIMIT_MS = 2_000
+#: Time for which passes may be held back before a switch is given up. Consumers of a
+#: stream count a pause over 120 ms as late.
+ARM_LIMIT_MS = 400
+#: Age beyond which a rank's report counts for nothing.
+REPORT_LIMIT_MS = 1_000
+#: Versions that one term may use.
+VERSIONS_PER_TERM = 100_000
+
+
+class OrderKind(enum.Enum):
+    """What a rank may be told."""
+
+    PREPARE = "prepare"
+    ARM = "arm"
+    DISARM = "disarm"
+    HOLD = "hold"
+    GO = "go"
+
+
+class OrderResult(enum.Enum):
+    """What a rank made of an order.
+
+    Attributes
+    ----------
+    BEGUN
+        It was taken, or its effect is there already.
+    REFUSED
+        It doesn't fit the rank's state; this order will never take effect.
+    UNKNOWN
+        No answer: it may take effect seconds from now.
+    """
+
+    BEGUN = "begun"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Armed:
+    """A map version that a rank switches to as a pass begins."""
+
+    version: int
+    step: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RankReport:
+    """What one rank's server says of itself, read on its own host.
+
+    Attributes
+    ----------
+    rank, epoch : int
+    term : int
+        Highest term that the rank's agent has seen; it takes no order of an older one.
+    open : bool
+        Whether the group works.
+    step : int
+        The last pass that was begun.
+    map_version, prepared : int
+        Map in use, and the newest whose copy is complete (0: none).
+    armed : Armed or None
+    held : int or None
+        Pass that doesn't begin until it is let go.
+    experts : tuple of tuple of int, or None
+        Experts that the rank holds in the map in use, by layer; None while its agent
+        has not read them.
+    """
+
+    rank: int
+    epoch: int
+    term: int
+    open: bool
+    step: int
+    map_version: int
+    prepared: int
+    armed: Armed | None
+    held: int | None
+    experts: tuple[tuple[int, ...], ...] | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """One order to one rank; `placement` goes with PREPARE only."""
+
+    rank: int
+    kind: OrderKind
+    epoch: int
+    version: int = 0
+    step: int = 0
+    placement: Placement | None = None
+
+
+class Phase(enum.Enum):
+    """Where a switch is."""
+
+    SETTLING = "settling"
+    IDLE = "idle"
+    COPYING = "copying"
+    HOLDING = "holding"
+    ARMING = "arming"
+    RELEASING = "releasing"
+    CLEARING = "clearing"
+
+
+#: An order's identity: its rank, kind, version and step.
+_OrderKey = tuple[int, OrderKind, int, int]
+
+
+class Switch:
+    """The switches of one group under one term.
+
+    Parameters
+    ----------
+    term : int
+        The leader's term; versions of a later term are always higher.
+    own_rank, ranks : int
+
+    Attributes
+    ----------
+    phase : Phase
+    epoch : int
+    switched, abandoned : int
+        Switches that came to their end, and that were given up.
+    """
+
+    __slots__ = (
+        "_accepted",
+        "_arm_until_ms",
+        "_armed_version",
+        "_clear_version",
+        "_copy_until_ms",
+        "_first_step",
+        "_held_step",
+        "_next_number",
+        "_own_rank",
+        "_ranks",
+        "_reports",
+        "_seen_ms",
+        "_sent_ms",
+        "_step",
+        "_target",
+        "_term",
+        "_unsure",
+        "_version",
+        "abandoned",
+        "epoch",
+        "phase",
+        "switched",
+    )
+
+    def __init__(self, term: int, own_rank: int, ranks: int) -> None:
+        self._term = term
+        self._own_rank = own_rank
+        self._ranks = ranks
+        self._reports: dict[int, RankReport] = {}
+        self._seen_ms: dict[int, int] = {}
+        self._next_number = 1
+        self._held_step = 0
+        self.epoch = -1
+        self.switched = 0
+        self.abandoned = 0
+        self._reset()
+
+    def observe(self, report: RankReport, now_ms: int) -> None:
+        """Take in a rank's report, and go on as far as it allows."""
+        if report.epoch < self.epoch:
+            return
+        if report.epoch > self.epoch:
+            self.epoch = report.epoch
+            self._reports.clear()
+            self._seen_ms.clear()
+            self._reset()
+        self._reports[report.rank] = report
+        self._seen_ms[report.rank] = now_ms
+        self._advance(now_ms)
+
+    def answered(self, order: Order, result: OrderResult, now_ms: int) -> None:
+        """Take in a rank's answer to an order."""
+        if order.epoch != self.epoch:
+            return
+        key = _key(order)
+        if result is OrderResult.BEGUN:
+            self._accepted.add(key)
+        elif result is OrderResult.UNKNOWN:
+            # It is sent again at once; one that comes late as well has no effect.
+            self._unsure.add(key)
+            self._sent_ms.pop(key, None)
+        else:
+            self._refused(order, now_ms)
+        self._advance(now_ms)
+
+    @property
+    def placement(self) -> Placement | None:
+        """The map in force by the ranks' own word; None while it isn't known."""
+        reports = [self._reports.get(rank) for rank in range(self._ranks)]
+        held = [report.experts for report in reports if report is not None]
+        if len(held) < self._ranks or None in held or self._common_map() is None:
+            return None
+        return tuple(zip(*held, strict=True))
+
+    @property
+    def ready(self) -> bool:
+        """Whether a new switch may begin."""
+        own = self._reports.get(self._own_rank)
+        return (
+            self.phase is Phase.IDLE
+            and self.placement is not None
+            and own is not None
+            and own.open
+            and own.step >= self._first_step + TAKEOVER_PASSES
+        )
+
+    def start(self, placement: Placement, now_ms: int) -> bool:
+        """Begin to switch to another map; return whether it was begun."""
+        if not self.ready or not self._is_current(now_ms):
+            return False
+        self._target = placement
+        self._version = self._new_version()
+        self._copy_until_ms = now_ms + COPY_LIMIT_MS
+        self.phase = Phase.COPYING
+        return True
+
+    def orders(self, now_ms: int) -> list[Order]:
+        """Return the orders to send now."""
+        self._advance(now_ms)
+        due = [order for order in self._wanted() if self._is_due(order, now_ms)]
+        for order in due:
+            self._sent_ms[_key(order)] = now_ms
+        return due
+
+    def _reset(self) -> None:
+        self.phase = Phase.SETTLING
+        self._target: Placement | None = None
+        self._version = 0
+        self._armed_version = 0
+        self._clear_version = 0
+        self._step = 0
+        self._first_step = -1
+        self._copy_until_ms = 0
+        self._arm_until_ms = 0
+        self._sent_ms: dict[_OrderKey, int] = {}
+        self._accepted: set[_OrderKey] = set()
+        self._unsure: set[_OrderKey] = set()
+
+    def _advance(self, now_ms: int) -> None:
+        if len(self._reports) < self._ranks:
+            return
+        before = None
+        while before is not self.phase:
+            before = self.phase
+            _STEPS[self.phase](self, now_ms)
+
+    # Each of these looks at the reports and moves on to another phase, or stays.
+
+    def _settle(self, now_ms: int) -> None:
+        reports = self._reports.values()
+        if not self._is_current(now_ms):
+            return
+        if any(report.term < self._term or not report.open for report in reports):
+            return
+        armed = {report.armed for report in reports}
+        held = [report.held for report in reports if report.held is not None]
+        if armed == {None} and not held:
+            self._end_settling()
+        elif len(armed) == 1 and None not in armed:
+            # An earlier leader armed all ranks alike: only the release is left.
+            self._armed_version = next(iter(self._reports.values())).armed.version
+            self.phase = Phase.RELEASING
+        else:
+            self._clear()
+
+    def _end_settling(self) -> None:
+        self._first_step = max(report.step for report in self._reports.values())
+        self.phase = Phase.IDLE
+
+    def _idle(self, now_ms: int) -> None:
+        return
+
+    def _copy(self, now_ms: int) -> None:
+        reports = self._reports.values()
+        if all(report.prepared == self._version for report in reports):
+            self._choose_step()
+        elif now_ms > self._copy_until_ms:
+            self._abandon()
+
+    def _hold(self, now_ms: int) -> None:
+        own = self._reports[self._own_rank]
+        if own.held == self._step:
+            self._arm_until_ms = now_ms + ARM_LIMIT_MS
+            self.phase = Phase.ARMING
+        elif own.step >= self._step:
+            self._choose_step()
+        elif now_ms > self._copy_until_ms:
+            self._abandon()
+
+    def _arm(self, now_ms: int) -> None:
+        goal = Armed(self._version, self._step)
+        if all(report.armed == goal for report in self._reports.values()):
+            self._armed_version = self._version
+            self.phase = Phase.RELEASING
+        elif now_ms > self._arm_until_ms:
+            self._clear()
+
+    def _release(self, now_ms: int) -> None:
+        reports = self._reports.values()
+        if any(report.held is not None or report.armed for report in reports):
+            return
+        if self._common_map() == self._armed_version:
+            self.switched += 1
+        else:
+            self.abandoned += 1
+        self._target = None
+        self._forget_orders()
+        if self._first_step < 0:
+            self._end_settling()
+        self.phase = Phase.IDLE
+
+    def _clear_arms(self, now_ms: int) -> None:
+        reports = self._reports.values()
+        if any(report.armed for report in reports):
+            return
+        if any(report.prepared != self._clear_version for report in reports):
+            return
+        if any(report.held is not None for report in reports):
+            return
+        self._abandon()
+        if self._first_step < 0:
+            self._end_settling()
+
+    # What the phases share.
+
+    def _choose_step(self) -> None:
+        own = self._reports[self._own_rank]
+        # A `go` for a pass that was held before may still be carried out late; on an
+        # idle group, which begins no passes, it would end a second hold of the same
+        # pass too soon.
+        self._step = max(own.step + HOLD_AHEAD, self._held_step + 1)
+        self._held_step = self._step
+        self.phase = Phase.HOLDING
+
+    def _abandon(self) -> None:
+        self.abandoned += 1
+        self._target = None
+        self._forget_orders()
+        self.phase = Phase.IDLE
+
+    def _clear(self) -> None:
+        self._clear_version = self._new_version()
+        self.phase = Phase.CLEARING
+
+    def _refused(self, order: Order, now_ms: int) -> None:
+        self._sent_ms.pop(_key(order), None)
+        if order.kind is OrderKind.HOLD and self.phase is Phase.HOLDING:
+            if order.step == self._step:
+                self._choose_step()
+        elif order.kind is OrderKind.ARM and self.phase is Phase.ARMING:
+            report = self._reports.get(order.rank)
+            if report is not None and report.armed != Armed(order.version, order.step):
+                self._clear()
+        elif order.kind is OrderKind.PREPARE and self.phase is Phase.COPYING:
+            # One whose first answer was lost may be refused because it is under way.
+            if order.version == self._version and _key(order) not in self._unsure:
+                self._abandon()
+            self._sent_ms[_key(order)] = now_ms
+
+    def _wanted(self) -> t.Iterator[Order]:
+        if len(self._reports) < self._ranks:
+            return
+        for rank, report in self._reports.items():
+            order = self._order_for(rank, report)
+            if order is not None:
+                yield order
+
+    def _order_for(self, rank: int, report: RankReport) -> Order | None:
+        epoch, phase = self.epoch, self.phase
+        if phase is Phase.COPYING and report.prepared != self._version:
+            return Order(
+                rank,
+                OrderKind.PREPARE,
+                epoch,
+                version=self._version,
+                placement=self._target,
+            )
+        if phase is Phase.HOLDING and rank == self._own_rank:
+            return Order(rank, OrderKind.HOLD, epoch, step=self._step)
+        if phase is Phase.ARMING and report.armed is None:
+            return Order(
+                rank, OrderKind.ARM, epoch, version=self._version, step=self._step
+            )
+        if phase is Phase.CLEARING:
+            return self._clearing_order(rank, report)
+        if phase in _FREE_PHASES and report.held is not None:
+            return Order(rank, OrderKind.GO, epoch, step=report.held)
+        return None
+
+    def _clearing_order(self, rank: int, report: RankReport) -> Order | None:
+        epoch, version = self.epoch, self._clear_version
+        if report.armed is not None:
+            return Order(rank, OrderKind.DISARM, epoch, version=report.armed.version)
+        if report.prepared != version:
+            placement = self.placement
+            if placement is None:
+                return None
+            return Order(
+                rank, OrderKind.PREPARE, epoch, version=version, placement=placement
+            )
+        # Only now is no `arm` left that could take effect once the pass may begin.
+        void = all(
+            other.armed is None and other.prepared == version
+            for other in self._reports.values()
+        )
+        if void and report.held is not None:
+            return Order(rank, OrderKind.GO, epoch, step=report.held)
+        return None
+
+    def _is_due(self, order: Order, now_ms: int) -> bool:
+        key = _key(order)
+        sent_ms = self._sent_ms.get(key)
+        if sent_ms is None:
+            return True
+        copying = order.kind is OrderKind.PREPARE
+        if copying and key in self._accepted:
+            return False
+        return now_ms - sent_ms >= (RESEND_COPY_MS if copying else RESEND_MS)
+
+    def _is_current(self, now_ms: int) -> bool:
+        return len(self._seen_ms) >= self._ranks and all(
+            now_ms - seen_ms <= REPORT_LIMIT_MS for seen_ms in self._seen_ms.values()
+        )
+
+    def _common_map(self) -> int | None:
+        versions = {report.map_version for report in self._reports.values()}
+        return versions.pop() if len(versions) == 1 else None
+
+    def _new_version(self) -> int:
+        number = self._next_number
+        self._next_number += 1
+        return self._term * VERSIONS_PER_TERM + number
+
+    def _forget_orders(self) -> None:
+        self._sent_ms.clear()
+        self._accepted.clear()
+        self._unsure.clear()
+
+
+#: Phases in which no arm is out, so that a hold that shows may end at once.
+_FREE_PHASES = (Phase.IDLE, Phase.COPYING, Phase.RELEASING)
+
+_STEPS: dict[Phase, t.Callable[[Switch, int], None]] = {
+    Phase.SETTLING: Switch._settle,
+    Phase.IDLE: Switch._idle,
+    Phase.COPYING: Switch._copy,
+    Phase.HOLDING: Switch._hold,
+    Phase.ARMING: Switch._arm,
+    Phase.RELEASING: Switch._release,
+    Phase.CLEARING: Switch._clear_arms,
+}
+
+
+def _key(order: Order) -> _OrderKey:
+    return (order.rank, order.kind, order.version, order.step)
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/agent.py
@@ -0,0 +1,230 @@
+"""The agent beside a model server: reports its load and takes part in its group."""
+
+import asyncio
+import typing as t
+
+from twisted.internet import reactor
+
+from fuchsiahatch_adapter.model_server import ModelServer
+from fuchsiahatch_adapter.names import CONFIGURATION_KEY
+from fuchsiahatch_adapter.store import StoreClient
+from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_core.exceptions import PlatformError
+from fuchsiahatch_gateway.datagrams import (
+    DatagramPort,
+    LoadReport,
+    Message,
+    OrderReply,
+    OrderRequest,
+    Peer,
+    RankState,
+    encode,
+)
+from fuchsiahatch_gateway.defaults import ENTRIES_PREFIX, LEADERS_PREFIX, REPORT_MS
+from fuchsiahatch_gateway.following import Follower, StoreHealth
+from fuchsiahatch_gateway.group_leader import GroupLeader
+from fuchsiahatch_gateway.leadership import Leadership, LeaderRecord, decode_leaders
+from fuchsiahatch_gateway.lookups import EntryRecord, decode_entries
+from fuchsiahatch_gateway.rank_agent import RankAgent
+from fuchsiahatch_gateway.routes import RouteTable
+from fuchsiahatch_http1.client import ConnectionPool
+
+if t.TYPE_CHECKING:
+    from fuchsiahatch_gateway.process import Process
+
+#: Port of agents' datagrams among the internal ones; entries use the first.
+AGENT_PORT_OFFSET = 1
+
+
+class Agent:
+    """One agent, wired once.
+
+    Parameters
+    ----------
+    process : Process
+    """
+
+    def __init__(self, process: "Process") -> None:
+        settings, clock = process.settings, process.clock
+        assert settings.beside is not None
+        self._process = process
+        self._clock = clock
+        self._entries: dict[str, EntryRecord] = {}
+        self._leaders: dict[str, LeaderRecord] = {}
+        self._server_address = str(settings.beside)
+        self.store = StoreClient(settings.store, ConnectionPool(clock))
+        self.server = ModelServer(settings.beside, ConnectionPool(clock))
+        self.health = StoreHealth()
+        self.routes = RouteTable()
+        self.datagrams = DatagramPort(self._take_message)
+        self.peer: Peer = (
+            settings.ip,
+            settings.internal_ports[0] + AGENT_PORT_OFFSET,
+        )
+        self.rank = RankAgent(self.server, self._server_address)
+        self.leadership = Leadership(self.store, settings.node, self.peer, clock)
+        self.leader: GroupLeader | None = None
+        self._config = self._follow(CONFIGURATION_KEY, self._apply_configuration)
+        self._entry_items = self._follow(ENTRIES_PREFIX, self._apply_entries)
+        self._leader_items = self._follow(LEADERS_PREFIX, self._apply_leaders)
+        self._failing = False
+
+    async def run(self) -> None:
+        """Report and take orders until SIGTERM."""
+        process, settings = self._process, self._process.settings
+        for follower in (self._config, self._entry_items, self._leader_items):
+            process.keep_running(follower.run())
+        ip, port = self.peer
+        reactor.listenUDP(port, self.datagrams, interface=ip)
+        self._add_gauges()
+        await process.serve_metrics()
+        process.keep_running(self._report_for_ever())
+        process.keep_running(self._lead_for_ever())
+        await process.stopping.wait()
+        log_event(Event.STOPPING, leading=self.leader is not None, node=settings.node)
+        await self._stop_leading()
+        log_event(Event.STOPPED)
+
+    async def _report_for_ever(self) -> None:
+        while True:
+            began_ms = self._clock.now_ms()
+            await self._report()
+            took_ms = self._clock.now_ms() - began_ms
+            await asyncio.sleep(max(REPORT_MS - took_ms, 5) / 1000)
+
+    async def _report(self) -> None:
+        try:
+            state = await self.rank.read_state()
+        except PlatformError as fault:
+            if not self._failing:
+                log_event(Event.SERVER_SILENT, detail=fault.detail)
+            self._failing = True
+            return
+        if self._failing:
+            log_event(Event.SERVER_ANSWERS, epoch=state.report.epoch)
+        self._failing = False
+        self._send_load()
+        self._send_state(state)
+
+    def _send_load(self) -> None:
+        seen = self.rank.seen
+        if seen is None:
+            return
+        load = LoadReport(
+            self._server_address, seen.queued, seen.running, seen.pace, seen.open
+        )
+        data = encode(load)
+        for entry in self._entries.values():
+            self.datagrams.send_encoded(data, entry.peer)
+
+    def _send_state(self, state: RankState) -> None:
+        leader = self._leaders.get(state.group)
+        if leader is None:
+            return
+        if leader.peer == self.peer:
+            if self.leader is not None:
+                self.leader.take_state(state, self.peer)
+            return
+        self.datagrams.send(state, leader.peer)
+
+    async def _lead_for_ever(self) -> None:
+        while not self._process.stopping.is_set():
+            await asyncio.sleep(0.02)
+            seen = self.rank.seen
+            if seen is None or not seen.group or seen.ranks < 2:
+                continue
+            known = self._leaders.get(seen.group)
+            if self.leader is None:
+                if self._leader_items.synced and await self.leadership.try_win(
+                    seen.group, seen.rank, known
+                ):
+                    self._start_leading(seen.group, seen.rank, seen.ranks)
+            elif not self.leadership.held:
+                self._lose()
+            else:
+                self.leader.work()
+
+    def _start_leading(self, group: str, rank: int, ranks: int) -> None:
+        term = self.leadership.term
+        log_event(Event.TERM_WON, group=group, term=term, rank=rank)
+        self.rank.note_term(term)
+        self._process.keep_running(self.leadership.renew_for_ever())
+        self.leader = GroupLeader(
+            group,
+            term,
+            rank,
+            ranks,
+            self.rank,
+            self.datagrams,
+            self._clock,
+            self._process.settings.beside_service,
+            self.routes,
+        )
+        self._leaders[group] = LeaderRecord(group, term, self.peer)
+
+    def _lose(self) -> None:
+        log_event(Event.TERM_LOST, term=self.leadership.term)
+        self.leader = None
+
+    async def _stop_leading(self) -> None:
+        if self.leader is not None:
+            await self.leader.finish()
+            self.leader = None
+            await self.leadership.give_up()
+
+    def _follow(self, prefix: str, apply: t.Callable[[], None]) -> Follower:
+        return Follower(self.store, prefix, self.health, self._clock, apply)
+
+    def _apply_configuration(self) -> None:
+        item = self._config.items.get("")
+        if item is not None and item.value is not None:
+            self.routes.apply(item.value)
+
+    def _apply_entries(self) -> None:
+        self._entries = decode_entries(self._entry_items.items)
+
+    def _apply_leaders(self) -> None:
+        self._leaders = decode_leaders(self._leader_items.items)
+        for leader in self._leaders.values():
+            if self.rank.seen is not None and leader.group == self.rank.seen.group:
+                self.rank.note_term(leader.term)
+
+    def _take_message(self, message: Message, peer: Peer) -> None:
+        if isinstance(message, RankState):
+            if self.leader is not None:
+                self.leader.take_state(message, peer)
+        elif isinstance(message, OrderRequest):
+            self._process.keep_running(self._carry_out(message, peer))
+        elif isinstance(message, OrderReply) and self.leader is not None:
+            self.leader.take_reply(message)
+
+    async def _carry_out(self, request: OrderRequest, peer: Peer) -> None:
+        result = await self.rank.carry_out(request)
+        if result is None:
+            return
+        reply = OrderReply(request.group, request.term, request.number, result)
+        self.datagrams.send(reply, peer)
+        try:
+            state = await self.rank.read_effect(request.order)
+        except PlatformError as fault:
+            log_event(Event.SERVER_SILENT, detail=fault.detail)
+            return
+        self.datagrams.send(state, peer)
+
+    def _add_gauges(self) -> None:
+        add = self._process.add_gauge
+        add(
+            "fuchsiahatch_store_calls",
+            "Calls to the store.",
+            lambda: self.store.calls.total(),
+        )
+        add(
+            "fuchsiahatch_server_calls",
+            "Calls to the server on this host.",
+            lambda: self.server.calls.total(),
+        )
+        add("fuchsiahatch_term", "Term that is led.", self._led_term)
+        add("fuchsiahatch_log_dropped", "Lines.", lambda: self._process.log.dropped)
+
+    def _led_term(self) -> float:
+        return 0.0 if self.leader is None else float(self.leadership.term)
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -0,0 +1,185 @@
+"""One try of a request at one server."""
+
+import dataclasses
+import typing as t
+
+from fuchsiahatch_adapter import names
+from fuchsiahatch_adapter.caller_requests import caller_headers, server_headers
+from fuchsiahatch_gateway.event_stream import EventCutter
+from fuchsiahatch_gateway.next_steps import Result
+from fuchsiahatch_http1.client import (
+    AnswerBroken,
+    Call,
+    ClientConnection,
+    ConnectFailed,
+    ConnectionPool,
+    Head,
+)
+
+if t.TYPE_CHECKING:
+    from fuchsiahatch_gateway.fleet import Server
+    from fuchsiahatch_http1.server import Exchange
+
+#: Answers to other requests that are passed over on one connection.
+MAX_STRANGERS = 4
+_MISPLACED = 421
+_SERVER_FAILED = 500
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """How a try ended.
+
+    Attributes
+    ----------
+    result : Result
+    detail : str
+        Why, for the log.
+    head : Head or None
+        Of the server's answer, where there is one.
+    body : bytes
+        Of a whole answer that was not passed on yet.
+    passed_on : bool
+        Whether the whole answer has gone to the caller already.
+    """
+
+    result: Result
+    detail: str = ""
+    head: Head | None = None
+    body: bytes = b""
+    passed_on: bool = False
+
+    @property
+    def status(self) -> int:
+        """Status of the server's answer; 0 without one."""
+        return 0 if self.head is None else self.head.status
+
+    @property
+    def misplaced(self) -> bool:
+        """Whether another server answered at the address."""
+        return self.result is Result.NOT_RUN and self.status == _MISPLACED
+
+    @property
+    def server_failed(self) -> bool:
+        """Whether the answer is a failure of the server's own."""
+        return self.status >= _SERVER_FAILED
+
+
+@dataclasses.dataclass(slots=True)
+class Try:
+    """What a try needs to know.
+
+    Attributes
+    ----------
+    server : Server
+    team : str
+    left_ms : int
+        Time that is left for the answer.
+    events : EventCutter or None
+        For a stream, with what earlier servers sent of it.
+    on_event : callable
+        Is called as events are passed on.
+    """
+
+    server: "Server"
+    team: str
+    left_ms: int
+    events: EventCutter | None
+    on_event: t.Callable[[], None]
+
+
+async def run_try(exchange: "Exchange", pool: ConnectionPool, one: Try) -> Outcome:
+    """Send a request to a server and return how that ended.
+
+    Notes
+    -----
+    When the caller leaves or the time is over this is cancelled, and the connection is
+    reset: a server goes on working for a caller who is gone until its channel closes.
+    """
+    address = one.server.entry.address
+    try:
+        connection = await pool.acquire(address.ip, address.port)
+    except ConnectFailed as fault:
+        return Outcome(Result.UNSENT, str(fault))
+    try:
+        outcome = await _converse(exchange, connection, one)
+    except AnswerBroken as fault:
+        connection.abort()
+        return Outcome(Result.BROKEN, str(fault))
+    except BaseException:
+        connection.abort()
+        raise
+    if outcome.result is Result.BROKEN:
+        connection.abort()
+    else:
+        pool.release(connection, address.ip, address.port)
+    return outcome
+
+
+async def _converse(
+    exchange: "Exchange", connection: ClientConnection, one: Try
+) -> Outcome:
+    last_id = None if one.events is None else one.events.last_id
+    headers = server_headers(
+        exchange, one.server.entry.instance, one.team, one.left_ms, last_id
+    )
+    connection.send(Call(exchange.method, exchange.target, headers, exchange.body))
+    head = await _own_head(exchange, connection)
+    if head.header(names.NOT_EXECUTED) is not None or head.status == _MISPLACED:
+        await connection.body()
+        return Outcome(Result.NOT_RUN, f"status {head.status}", head)
+    succeeded = 200 <= head.status < 300
+    if succeeded and head.header(names.SIGNATURE) is None:
+        # Not this server's: whatever it is, the caller must not take it for one.
+        return Outcome(Result.BROKEN, "a success without a signature", head)
+    if succeeded and one.events is not None:
+        return await _pass_on_events(exchange, connection, head, one)
+    body = await connection.body()
+    return Outcome(Result.ANSWERED, f"status {head.status}", head, body)
+
+
+async def _own_head(exchange: "Exchange", connection: ClientConnection) -> Head:
+    """Return the head of the answer to this request, past those of other requests.
+
+    A server may send a second answer, late, where the answer to the next request on
+    the connection is due: a caller would get another caller's booking.
+    """
+    wanted = exchange.header(names.REQUEST_ID)
+    for _ in range(MAX_STRANGERS):
+        head = await connection.head()
+        found = head.header(names.REQUEST_ID)
+        if found == wanted:
+            return head
+        if found is None and (head.status == _MISPLACED or head.status >= 400):
+            # A refusal before the request was read names no request.
+            return head
+        await connection.body()
+        connection.expect_another()
+    raise AnswerBroken("only other requests' answers came")
+
+
+async def _pass_on_events(
+    exchange: "Exchange", connection: ClientConnection, head: Head, one: Try
+) -> Outcome:
+    events = one.events
+    assert events is not None
+    events.restart()
+    while (piece := await connection.piece()) is not None:
+        whole = events.feed(piece)
+        if whole:
+            _write_events(exchange, head, whole)
+            one.on_event()
+            await exchange.drained()
+    rest = events.take_rest()
+    if rest or not exchange.started:
+        _write_events(exchange, head, rest)
+    exchange.finish()
+    return Outcome(Result.ANSWERED, "whole", head, passed_on=True)
+
+
+def _write_events(exchange: "Exchange", head: Head, data: bytes) -> None:
+    # The head waits for the first event, so that a try that breaks before it leaves
+    # no trace. A resumed stream keeps the head of its first server.
+    if not exchange.started:
+        exchange.start(head.status, caller_headers(head.headers))
+    exchange.write(data)
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/defaults.py
@@ -0,0 +1,37 @@
+"""Times and limits that more than one module of the gateway shares."""
+
+#: Lease of an entry's registration. One that dies is named by no lookup after this.
+REGISTRATION_TTL_MS = 3_000
+#: How often leases are renewed: twice may fail before one ends.
+RENEWAL_MS = 900
+#: Pause before a failed call to the store is made again.
+STORE_RETRY_MS = 250
+#: Time after the store's return in which entries that lapsed meanwhile are back, if
+#: their owners live; the platform says about two seconds.
+LAPSE_MS = 2_300
+#: Lease of a rank group's leader. Shorter than a stream's caller waits for an event,
+#: so that a group that a dead leader holds goes on before its callers leave.
+LEADER_TTL_MS = 1_500
+#: How often a leader renews its lease.
+LEADER_RENEWAL_MS = 450
+#: How often an agent reads its server's report and counts.
+REPORT_MS = 100
+#: Age beyond which a server's load report counts for nothing.
+LOAD_LIMIT_MS = 1_000
+#: Prefix of all our keys in the store.
+KEY_PREFIX = "fuchsiahatch/"
+#: Registrations of entries, by node.
+ENTRIES_PREFIX = KEY_PREFIX + "entries/"
+#: Leaders of rank groups, by group.
+LEADERS_PREFIX = KEY_PREFIX + "leaders/"
+#: Time that callers may keep a lookup answer.
+LOOKUP_TTL_S = 2
+#: Entries that one lookup answer names at most.
+MAX_LOOKUP_ENTRIES = 64
+#: How long a stopping entry still takes requests of callers that hold an older lookup
+#: answer; longer than `LOOKUP_TTL_S`.
+LINGER_MS = 2_500
+#: Time kept back from the platform's grace, so that the process ends by itself.
+GRACE_RESERVE_MS = 700
+#: When a refused caller is told to come back.
+RETRY_AFTER_S = 0.4
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -0,0 +1,223 @@
+"""The entry: takes callers' requests and sends them to servers."""
+
+import asyncio
+import random
+import typing as t
+
+from twisted.internet import reactor
+
+from fuchsiahatch_adapter.lookup_calls import asks_ready, encode_lookup, lookup_zone
+from fuchsiahatch_adapter.names import CONFIGURATION_KEY, SERVERS_PREFIX
+from fuchsiahatch_adapter.store import StoreClient
+from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_gateway.datagrams import DatagramPort, LoadReport, Message, Peer
+from fuchsiahatch_gateway.defaults import (
+    ENTRIES_PREFIX,
+    GRACE_RESERVE_MS,
+    LINGER_MS,
+    LOOKUP_TTL_S,
+)
+from fuchsiahatch_gateway.delivery import Delivery
+from fuchsiahatch_gateway.fleet import Fleet
+from fuchsiahatch_gateway.following import Follower, StoreHealth
+from fuchsiahatch_gateway.lookups import (
+    EntryRecord,
+    choose_addresses,
+    decode_entries,
+)
+from fuchsiahatch_gateway.placing import Placer
+from fuchsiahatch_gateway.registration import Registration
+from fuchsiahatch_gateway.request_metrics import RequestMetrics
+from fuchsiahatch_gateway.retry_budget import RetryBudget
+from fuchsiahatch_gateway.routes import RouteTable
+from fuchsiahatch_http1.client import ConnectionPool
+from fuchsiahatch_http1.server import Exchange, HttpServer
+
+if t.TYPE_CHECKING:
+    from fuchsiahatch_adapter.servers import ServerEntry
+    from fuchsiahatch_gateway.process import Process
+
+#: Time that a connection to a server may take; usual are some 3 ms. A dark host
+#: answers nothing, and its request goes to another server.
+CONNECT_MS = 300
+#: How often a stopping entry looks whether it is idle.
+IDLE_POLL_MS = 50
+
+
+class Entry:
+    """One entry, wired once.
+
+    Parameters
+    ----------
+    process : Process
+    """
+
+    def __init__(self, process: "Process") -> None:
+        settings, clock = process.settings, process.clock
+        self._process = process
+        self._clock = clock
+        self._rng = random.Random()
+        self._leaving = False
+        self._entries: dict[str, EntryRecord] = {}
+        self.routes = RouteTable()
+        self.pool = ConnectionPool(clock, CONNECT_MS)
+        self.store = StoreClient(settings.store, ConnectionPool(clock))
+        self.health = StoreHealth()
+        self.fleet = Fleet(settings.zone, clock, self._rng)
+        self.fleet.on_gone = self._drop_connections
+        self.placer = Placer(self.fleet, clock)
+        bounds = settings.bounds
+        self.budget = RetryBudget(
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            bounds.retry_window_ms,
+            clock,
+            lambda: len(self._entries.keys() | {settings.node}),
+            settings.first_start,
+        )
+        self.delivery = Delivery(
+            self.routes,
+            self.fleet,
+            self.placer,
+            self.pool,
+            self.budget,
+            RequestMetrics(process.registry),
+            clock,
+            self._rng,
+        )
+        self.record = EntryRecord(
+            settings.node,
+            settings.zone,
+            str(settings.callers),
+            (settings.ip, settings.internal_ports[0]),
+        )
+        self.registration = Registration(
+            self.store,
+            ENTRIES_PREFIX + settings.node,
+            self.record.encode(),
+            self.health,
+            clock,
+        )
+        self.callers = HttpServer(self.delivery.handle)
+        self.side_calls = HttpServer(self._answer_side_call)
+        self._config = self._follow(CONFIGURATION_KEY, self._apply_configuration)
+        self._servers = self._follow(SERVERS_PREFIX, self._apply_servers)
+        self._others = self._follow(ENTRIES_PREFIX, self._apply_entries)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then finish what is open."""
+        process, settings = self._process, self._process.settings
+        for follower in (self._config, self._servers, self._others):
+            process.keep_running(follower.run())
+        datagrams = DatagramPort(self._take_message)
+        port = settings.internal_ports[0]
+        reactor.listenUDP(port, datagrams, interface=settings.ip)
+        self._add_gauges()
+        await process.serve_metrics()
+        for address in (settings.ready, settings.lookup):
+            if address is not None:
+                await self.side_calls.listen(address.ip, address.port)
+        # Callers come once there is something to send them on by.
+        await self._wait_ready()
+        assert settings.callers is not None
+        await self.callers.listen(settings.callers.ip, settings.callers.port)
+        process.keep_running(self.registration.run())
+        await process.stopping.wait()
+        await self._leave()
+
+    @property
+    def ready(self) -> bool:
+        """Whether requests can be served."""
+        return (
+            not self._leaving
+            and self.routes.configuration is not None
+            and self._servers.synced
+        )
+
+    async def _wait_ready(self) -> None:
+        while not self.ready and not self._process.stopping.is_set():
+            await asyncio.sleep(IDLE_POLL_MS / 1000)
+
+    async def _leave(self) -> None:
+        """Tell callers to use others, finish what is open, and end in time."""
+        log_event(Event.STOPPING, busy=self.callers.busy)
+        began_ms = self._clock.now_ms()
+        grace_ms = self._process.settings.bounds.stop_grace_ms - GRACE_RESERVE_MS
+        self._leaving = True
+        self.callers.leave()
+        self._process.keep_running(self.registration.withdraw())
+        while self._clock.now_ms() - began_ms < grace_ms:
+            if self._clock.now_ms() - began_ms >= LINGER_MS:
+                await self.callers.stop_accepting()
+                if not self.callers.busy:
+                    break
+            await asyncio.sleep(IDLE_POLL_MS / 1000)
+        log_event(Event.STOPPED, busy=self.callers.busy)
+
+    async def _answer_side_call(self, exchange: Exchange) -> None:
+        if asks_ready(exchange.target):
+            exchange.respond(200 if self.ready else 503)
+            return
+        zone = lookup_zone(exchange.target)
+        if zone is None:
+            exchange.respond(404)
+            return
+        node = self._process.settings.node
+        others = [one for name, one in self._entries.items() if name != node]
+        own = self.record if self.ready else None
+        addresses = choose_addresses(others, own, zone)
+        if not addresses:
+            exchange.respond(503)
+            return
+        headers = [(b"content-type", b"application/json")]
+        exchange.respond(200, headers, encode_lookup(addresses, LOOKUP_TTL_S))
+
+    def _follow(self, prefix: str, apply: t.Callable[[], None]) -> Follower:
+        return Follower(self.store, prefix, self.health, self._clock, apply)
+
+    def _apply_configuration(self) -> None:
+        item = self._config.items.get("")
+        if item is None or item.value is None or not self.routes.apply(item.value):
+            return
+        known = self.routes.configuration
+        assert known is not None
+        limits = self.callers.limits
+        limits.header_bytes = known.limits.header_bytes
+        limits.body_bytes = known.limits.body_bytes
+        limits.header_ms = known.limits.header_ms
+        limits.idle_ms = known.limits.idle_ms
+
+    def _apply_servers(self) -> None:
+        self.fleet.apply(self._servers.items)
+        self.placer.serve_waiting()
+
+    def _apply_entries(self) -> None:
+        fresh = decode_entries(self._others.items)
+        if fresh.keys() != self._entries.keys():
+            log_event(Event.ENTRIES_CHANGED, entries=sorted(fresh))
+        self._entries = fresh
+
+    def _take_message(self, message: Message, peer: Peer) -> None:
+        if isinstance(message, LoadReport):
+            self.fleet.observe(message)
+            self.placer.serve_waiting()
+
+    def _drop_connections(self, entry: "ServerEntry") -> None:
+        self.pool.forget(entry.address.ip, entry.address.port)
+
+    def _add_gauges(self) -> None:
+        add = self._process.add_gauge
+        add("fuchsiahatch_waiting", "Requests that wait.", lambda: self.placer.waiting)
+        add("fuchsiahatch_opened", "Connections opened.", lambda: self.pool.opened)
+        add("fuchsiahatch_retries", "Second sends.", lambda: self.budget.spent)
+        add(
+            "fuchsiahatch_retries_refused",
+            "Second sends over budget.",
+            lambda: self.budget.refused,
+        )
+        add(
+            "fuchsiahatch_store_calls",
+            "Calls to the store.",
+            lambda: self.store.calls.total(),
+        )
+        add("fuchsiahatch_log_dropped", "Lines.", lambda: self._process.log.dropped)
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/event_stream.py
@@ -0,0 +1,56 @@
+"""Cutting a stream of events into whole events."""
+
+import typing as t
+
+#: Longest event that is kept until its end; a longer one is passed on in parts.
+MAX_EVENT_BYTES = 1_048_576
+
+
+class EventCutter:
+    """Collects bytes and returns whole events.
+
+    Attributes
+    ----------
+    last_id : bytes or None
+        Id of the last whole event.
+    """
+
+    __slots__ = ("_rest", "last_id")
+
+    def __init__(self) -> None:
+        self._rest = b""
+        self.last_id: bytes | None = None
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the whole events that end in the bytes so far."""
+        self._rest += data
+        end = max(
+            _end_of(self._rest, b"\n\n"),
+            _end_of(self._rest, b"\r\n\r\n"),
+        )
+        if not end:
+            return b""
+        whole, self._rest = self._rest[:end], self._rest[end:]
+        for event_id in _ids(whole):
+            self.last_id = event_id
+        return whole
+
+    def take_rest(self) -> bytes:
+        """Return what came behind the last whole event."""
+        rest, self._rest = self._rest, b""
+        return rest
+
+    def restart(self) -> None:
+        """Drop half an event that was cut; the next server sends it whole."""
+        self._rest = b""
+
+
+def _end_of(data: bytes, mark: bytes) -> int:
+    at = data.rfind(mark)
+    return at + len(mark) if at >= 0 else 0
+
+
+def _ids(events: bytes) -> t.Iterator[bytes]:
+    for line in events.splitlines():
+        if line.startswith(b"id:"):
+            yield line[3:].strip()
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/following.py
@@ -0,0 +1,185 @@
+"""Following a part of the store: what is below a prefix, now and after each change."""
+
+import asyncio
+import dataclasses
+import random
+import typing as t
+
+from fuchsiahatch_adapter.store import HistoryLostError, Item, StoreClient
+from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_core.exceptions import PlatformError
+from fuchsiahatch_gateway.defaults import LAPSE_MS, STORE_RETRY_MS
+
+if t.TYPE_CHECKING:
+    from fuchsiahatch_core.clock import Clock
+
+
+@dataclasses.dataclass(slots=True)
+class StoreHealth:
+    """When the store last failed and last answered this process.
+
+    Attributes
+    ----------
+    failed_ms, answered_ms : int or None
+    """
+
+    failed_ms: int | None = None
+    answered_ms: int | None = None
+
+    def note_answer(self, now_ms: int) -> None:
+        """Note that a call was answered."""
+        if self.failed_ms is not None and not self.answers:
+            log_event(Event.STORE_REGAINED, silent_ms=now_ms - self.failed_ms)
+        self.answered_ms = now_ms
+
+    def note_failure(self, now_ms: int, detail: str) -> None:
+        """Note that a call failed."""
+        if self.answers:
+            log_event(Event.STORE_LOST, detail=detail)
+        self.failed_ms = now_ms
+
+    @property
+    def answers(self) -> bool:
+        """Whether the last call was answered."""
+        if self.failed_ms is None:
+            return True
+        return self.answered_ms is not None and self.answered_ms > self.failed_ms
+
+    def settled(self, now_ms: int) -> bool:
+        """Whether the store has answered for so long that what is gone is gone."""
+        return self.failed_ms is None or (
+            self.answers and now_ms - self.failed_ms >= LAPSE_MS
+        )
+
+
+class Follower:
+    """Keeps a copy of all items below a prefix.
+
+    Parameters
+    ----------
+    store : StoreClient
+    prefix : str
+    health : StoreHealth
+    clock : Clock
+    on_change : callable
+        Is called after each change, without arguments.
+
+    Attributes
+    ----------
+    items : dict of str to Item
+        By key without the prefix.
+    synced : bool
+        Whether the items were read at least once.
+    revision : int
+        The store's revision that the items are of.
+
+    Notes
+    -----
+    Guards against a store that forgets its leases: while it is away, the owners of
+    items can't renew them, and on its return all of them are gone for a moment.
+    Whoever believed that would refuse every request. A deletion that comes within
+    `LAPSE_MS` of a failure is held back until that time is over, and dropped when the
+    item has come back.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_health",
+        "_lapsed",
+        "_on_change",
+        "_prefix",
+        "_store",
+        "items",
+        "revision",
+        "synced",
+    )
+
+    def __init__(
+        self,
+        store: StoreClient,
+        prefix: str,
+        health: StoreHealth,
+        clock: "Clock",
+        on_change: t.Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._health = health
+        self._clock = clock
+        self._on_change = on_change
+        self._lapsed: set[str] = set()
+        self.items: dict[str, Item] = {}
+        self.synced = False
+        self.revision = 0
+
+    async def run(self) -> None:
+        """Follow for ever."""
+        known = False
+        while True:
+            try:
+                if known:
+                    await self._watch()
+                else:
+                    await self._read()
+                    known = True
+            except HistoryLostError as fault:
+                log_event(Event.HISTORY_LOST, prefix=self._prefix, detail=fault.detail)
+                known = False
+            except PlatformError as fault:
+                self._health.note_failure(self._clock.now_ms(), fault.detail)
+                await asyncio.sleep(random.uniform(0.5, 1.0) * STORE_RETRY_MS / 1000)
+
+    async def _read(self) -> None:
+        found = await self._store.read_all(self._prefix)
+        self._health.note_answer(self._clock.now_ms())
+        fresh = {self._name(item.key): item for item in found.items}
+        for name in self.items.keys() - fresh.keys():
+            self._take_deletion(name)
+        self._lapsed -= fresh.keys()
+        self.items.update(fresh)
+        self.revision = found.revision
+        self.synced = True
+        self._on_change()
+
+    async def _watch(self) -> None:
+        changes = await self._store.watch(self._prefix, self.revision)
+        self._health.note_answer(self._clock.now_ms())
+        for item in changes.items:
+            self._take(item)
+        self.revision = max(self.revision, changes.revision)
+        if changes.items:
+            self._on_change()
+
+    def _take(self, item: Item) -> None:
+        name = self._name(item.key)
+        known = self.items.get(name)
+        if known is not None and known.revision >= item.revision:
+            return
+        if item.value is None:
+            self._take_deletion(name)
+            return
+        self._lapsed.discard(name)
+        self.items[name] = item
+
+    def _take_deletion(self, name: str) -> None:
+        if name not in self.items:
+            return
+        if self._health.settled(self._clock.now_ms()):
+            del self.items[name]
+            return
+        self._lapsed.add(name)
+        asyncio.get_running_loop().call_later(LAPSE_MS / 1000, self._end_lapse, name)
+
+    def _end_lapse(self, name: str) -> None:
+        if name not in self._lapsed:
+            return
+        if not self._health.settled(self._clock.now_ms()):
+            retry_s = LAPSE_MS / 4000
+            asyncio.get_running_loop().call_later(retry_s, self._end_lapse, name)
+            return
+        self._lapsed.discard(name)
+        self.items.pop(name, None)
+        self._on_change()
+
+    def _name(self, key: str) -> str:
+        return key.removeprefix(self._prefix)
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
@@ -0,0 +1,217 @@
+"""The leader of a rank group: follows the demand for experts with the group's map."""
+
+import asyncio
+import itertools
+import typing as t
+
+from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_experts.switching import Order, OrderResult, Phase, Switch
+from fuchsiahatch_gateway.datagrams import (
+    DatagramPort,
+    OrderReply,
+    OrderRequest,
+    Peer,
+    RankState,
+)
+
+if t.TYPE_CHECKING:
+    from fuchsiahatch_adapter.configuration import Engine
+    from fuchsiahatch_core.clock import Clock
+    from fuchsiahatch_experts.drift import Demand
+    from fuchsiahatch_gateway.rank_agent import RankAgent
+    from fuchsiahatch_gateway.routes import RouteTable
+
+#: Time constant with which choices are forgotten; demand moves every 3 to 4 s.
+MEMORY_MS = 600.0
+#: Choices that must be known before a map is changed.
+LEAST_CHOICES = 2_000
+#: Time after which an order without an answer counts as unanswered.
+REPLY_LIMIT_MS = 300
+#: How often a leader that stops looks whether its switch has come to its end.
+FINISH_POLL_MS = 10
+#: Time that a leader which stops gives its switch.
+FINISH_LIMIT_MS = 2_000
+
+
+class GroupLeader:
+    """Leads one group for one term.
+
+    Parameters
+    ----------
+    group : str
+    term, rank, ranks : int
+    own : RankAgent
+        The leader's own rank.
+    datagrams : DatagramPort
+    clock : Clock
+    service : str
+        The group's service, whose engine figures the configuration has.
+    routes : RouteTable
+    """
+
+    def __init__(
+        self,
+        group: str,
+        term: int,
+        rank: int,
+        ranks: int,
+        own: "RankAgent",
+        datagrams: DatagramPort,
+        clock: "Clock",
+        service: str,
+        routes: "RouteTable",
+    ) -> None:
+        self._group = group
+        self._term = term
+        self._rank = rank
+        self._ranks = ranks
+        self._own = own
+        self._datagrams = datagrams
+        self._clock = clock
+        self._service = service
+        self._routes = routes
+        self._peers: dict[int, Peer] = {}
+        self._sequences: dict[str, int] = {}
+        self._demand: Demand | None = None
+        self._numbers = itertools.count(1)
+        self._asked: dict[int, tuple[Order, int]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._stopping = False
+        self._started_ms = 0
+        self._phase = Phase.SETTLING
+        self._phase_ms = clock.now_ms()
+        self.switch = Switch(term, rank, ranks)
+
+    def take_state(self, state: RankState, peer: Peer) -> None:
+        """Take in a rank's state."""
+        if state.group != self._group:
+            return
+        if state.sequence <= self._sequences.get(state.server, 0):
+            # A late one; or the agent has started anew and counts from one again.
+            if state.sequence > 3:
+                return
+        self._sequences[state.server] = state.sequence
+        self._peers[state.report.rank] = peer
+        now_ms = self._clock.now_ms()
+        self.switch.observe(state.report, now_ms)
+        self._count(state, now_ms)
+        self.work()
+
+    def take_reply(self, reply: OrderReply) -> None:
+        """Take in an agent's answer to an order."""
+        asked = self._asked.pop(reply.number, None)
+        if asked is None or reply.term != self._term or reply.group != self._group:
+            return
+        self.switch.answered(asked[0], reply.result, self._clock.now_ms())
+        self.work()
+
+    def work(self) -> None:
+        """Begin a switch if one pays, and send the orders that are due."""
+        now_ms = self._clock.now_ms()
+        self._give_up_replies(now_ms)
+        if self.switch.ready and not self._stopping:
+            self._plan(now_ms)
+        for order in self.switch.orders(now_ms):
+            self._send(order, now_ms)
+        self._log_phase(now_ms)
+
+    async def finish(self) -> None:
+        """Bring a switch to its end before another agent leads."""
+        self._stopping = True
+        until_ms = self._clock.now_ms() + FINISH_LIMIT_MS
+        while self.switch.phase not in (Phase.IDLE, Phase.SETTLING):
+            if self._clock.now_ms() > until_ms:
+                break
+            self.work()
+            await asyncio.sleep(FINISH_POLL_MS / 1000)
+
+    def _count(self, state: RankState, now_ms: int) -> None:
+        engine = self._engine()
+        if engine is None or not state.choices:
+            return
+        # Only a leader needs them, and they take their memory and their time.
+        import numpy as np
+
+        from fuchsiahatch_experts.drift import Demand
+
+        if self._demand is None:
+            self._demand = Demand(engine.expert_layers, engine.experts, MEMORY_MS)
+        shape = (engine.expert_layers, engine.experts)
+        counts = np.frombuffer(state.choices, dtype=np.uint8).reshape(shape)
+        sums = np.maximum(counts.sum(axis=1, keepdims=True), 1)
+        totals = np.array(state.totals)[:, np.newaxis]
+        self._demand.add(counts * totals / sums, now_ms)
+
+    def _plan(self, now_ms: int) -> None:
+        engine, demand = self._engine(), self._demand
+        placement = self.switch.placement
+        if engine is None or demand is None or placement is None:
+            return
+        if demand.total < LEAST_CHOICES:
+            return
+        from fuchsiahatch_experts.drift import plan_change
+
+        plan = plan_change(placement, demand, engine.expert_places)
+        if plan is None or not self.switch.start(plan.placement, now_ms):
+            return
+        self._started_ms = now_ms
+        log_event(
+            Event.MAP_PLANNED,
+            group=self._group,
+            copies=plan.copies,
+            skew_before=round(plan.skew_before, 3),
+            skew_after=round(plan.skew_after, 3),
+        )
+
+    def _send(self, order: Order, now_ms: int) -> None:
+        if order.rank == self._rank:
+            task = asyncio.get_running_loop().create_task(self._give_own(order))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            return
+        peer = self._peers.get(order.rank)
+        if peer is None:
+            return
+        number = next(self._numbers)
+        self._asked[number] = (order, now_ms)
+        request = OrderRequest(self._group, self._term, number, order)
+        self._datagrams.send(request, peer)
+
+    async def _give_own(self, order: Order) -> None:
+        result = await self._own.give_order(order)
+        self.switch.answered(order, result, self._clock.now_ms())
+        state = await self._own.read_effect(order)
+        self.take_state(state, ("", 0))
+
+    def _give_up_replies(self, now_ms: int) -> None:
+        late = [
+            number
+            for number, (_, sent_ms) in self._asked.items()
+            if now_ms - sent_ms > REPLY_LIMIT_MS
+        ]
+        for number in late:
+            order, _ = self._asked.pop(number)
+            self.switch.answered(order, OrderResult.UNKNOWN, now_ms)
+
+    def _engine(self) -> "Engine | None":
+        known = self._routes.configuration
+        service = None if known is None else known.services.get(self._service)
+        engine = None if service is None else service.engine
+        return engine if engine is not None and engine.experts else None
+
+    def _log_phase(self, now_ms: int) -> None:
+        phase = self.switch.phase
+        if phase is self._phase:
+            return
+        log_event(
+            Event.SWITCH_MOVED,
+            group=self._group,
+            term=self._term,
+            before=self._phase.value,
+            after=phase.value,
+            took_ms=now_ms - self._phase_ms,
+            switched=self.switch.switched,
+            abandoned=self.switch.abandoned,
+        )
+        self._phase = phase
+        self._phase_ms = now_ms
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/leadership.py
@@ -0,0 +1,165 @@
+"""Who leads a rank group: a key in the store under a short lease."""
+
+import asyncio
+import dataclasses
+import typing as t
+
+import orjson
+
+from fuchsiahatch_adapter.store import LeaseLostError, StoreClient
+from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_core.exceptions import ConflictError, PlatformError
+from fuchsiahatch_gateway.defaults import (
+    LEADER_RENEWAL_MS,
+    LEADER_TTL_MS,
+    LEADERS_PREFIX,
+)
+
+if t.TYPE_CHECKING:
+    from fuchsiahatch_adapter.store import Item
+    from fuchsiahatch_core.clock import Clock
+    from fuchsiahatch_gateway.datagrams import Peer
+
+#: Time for which a group must have been without a leader before a rank tries, for
+#: each number that its rank is: the ranks don't all call the store at once.
+STAGGER_MS = 40
+#: Time kept back from the lease, as clocks and answers are late.
+LEASE_RESERVE_MS = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaderRecord:
+    """A group's leader.
+
+    Attributes
+    ----------
+    group : str
+    term : int
+        Revision at which its key was made; each later leader's is higher.
+    peer : Peer
+    """
+
+    group: str
+    term: int
+    peer: "Peer"
+
+
+def decode_leaders(items: t.Mapping[str, "Item"]) -> dict[str, LeaderRecord]:
+    """Return the leaders that can be read, by group."""
+    leaders = {}
+    for group, item in items.items():
+        try:
+            ip, port = orjson.loads(item.value or b"")["peer"]
+        except (KeyError, TypeError, ValueError) as fault:
+            detail = f"leader of {group}: {type(fault).__name__}: {fault}"
+            log_event(Event.SERVER_UNREADABLE, server=group, detail=detail)
+            continue
+        leaders[group] = LeaderRecord(group, item.created, (ip, port))
+    return leaders
+
+
+class Leadership:
+    """This agent's part in the elections of its group.
+
+    Parameters
+    ----------
+    store : StoreClient
+    node : str
+    peer : Peer
+    clock : Clock
+
+    Attributes
+    ----------
+    term : int
+    """
+
+    __slots__ = (
+        "_absent_since_ms",
+        "_clock",
+        "_key",
+        "_lease",
+        "_node",
+        "_peer",
+        "_store",
+        "_valid_until_ms",
+        "term",
+    )
+
+    def __init__(
+        self, store: StoreClient, node: str, peer: "Peer", clock: "Clock"
+    ) -> None:
+        self._store = store
+        self._node = node
+        self._peer = peer
+        self._clock = clock
+        self._key = ""
+        self._lease = 0
+        self._valid_until_ms = 0
+        self._absent_since_ms: int | None = None
+        self.term = 0
+
+    @property
+    def held(self) -> bool:
+        """Whether this agent leads by its own clock, which counts suspended time."""
+        return self._clock.now_ms() < self._valid_until_ms
+
+    async def try_win(self, group: str, rank: int, known: LeaderRecord | None) -> bool:
+        """Try to become leader if there is none; return whether that worked."""
+        now_ms = self._clock.now_ms()
+        if known is not None and known.peer != self._peer:
+            self._absent_since_ms = None
+            return False
+        if self._absent_since_ms is None:
+            self._absent_since_ms = now_ms
+        if now_ms - self._absent_since_ms < STAGGER_MS * rank:
+            return False
+        self._absent_since_ms = None
+        try:
+            return await self._win(group, known)
+        except ConflictError:
+            return False
+        except PlatformError as fault:
+            log_event(Event.SERVICE_CALL_FAILED, detail=fault.detail)
+            await asyncio.sleep(LEADER_RENEWAL_MS / 1000)
+            return False
+
+    async def renew_for_ever(self) -> None:
+        """Renew the lease until it is lost."""
+        lease = self._lease
+        while self.held and lease == self._lease:
+            await asyncio.sleep(LEADER_RENEWAL_MS / 1000)
+            began_ms = self._clock.now_ms()
+            try:
+                await self._store.keep(lease)
+            except LeaseLostError:
+                if lease == self._lease:
+                    self._valid_until_ms = 0
+                return
+            except PlatformError as fault:
+                log_event(Event.SERVICE_CALL_FAILED, detail=fault.detail)
+                continue
+            if lease == self._lease:
+                self._valid_until_ms = began_ms + LEADER_TTL_MS - LEASE_RESERVE_MS
+
+    async def give_up(self) -> None:
+        """End the lease, so that another agent may lead at once."""
+        self._valid_until_ms = 0
+        try:
+            await self._store.revoke(self._lease)
+        except PlatformError as fault:
+            log_event(Event.SERVICE_CALL_FAILED, detail=fault.detail)
+
+    async def _win(self, group: str, known: LeaderRecord | None) -> bool:
+        began_ms = self._clock.now_ms()
+        self._key = LEADERS_PREFIX + group
+        if known is not None:
+            # An earlier life of this agent led. Its key must go first: the term is
+            # the revision at which the key was made.
+            await self._store.remove(self._key)
+        lease = await self._store.grant(LEADER_TTL_MS)
+        value = orjson.dumps({"node": self._node, "peer": self._peer})
+        term = await self._store.put(self._key, value, lease, expected=0)
+        self._lease = lease
+        self.term = term
+        self._valid_until_ms = began_ms + LEADER_TTL_MS - LEASE_RESERVE_MS
+        return True
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/log.py
@@ -0,0 +1,84 @@
+"""Log lines on standard output: structured, bounded, never blocking."""
+
+import os
+import typing as t
+
+import eliot
+import orjson
+
+#: Lines that may be written in one second; more are dropped and counted.
+MAX_LINES_PER_S = 200
+
+
+class LineWriter:
+    """Writes a line for each message, and drops what can't be written at once.
+
+    Parameters
+    ----------
+    descriptor : int
+        Where to write; made non-blocking. A reader that stands still must not stop
+        the process: its requests would wait behind a log line.
+    read_clock_ms : callable
+
+    Attributes
+    ----------
+    written, dropped : int
+    """
+
+    __slots__ = (
+        "_descriptor",
+        "_in_second",
+        "_read_clock_ms",
+        "_rest",
+        "_second",
+        "dropped",
+        "written",
+    )
+
+    def __init__(self, descriptor: int, read_clock_ms: t.Callable[[], int]) -> None:
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._read_clock_ms = read_clock_ms
+        self._second = -1
+        self._in_second = 0
+        self._rest = b""
+        self.written = 0
+        self.dropped = 0
+
+    def __call__(self, message: dict[str, t.Any]) -> None:
+        """Write one message, if it is within the bound."""
+        now_ms = self._read_clock_ms()
+        if now_ms // 1000 != self._second:
+            self._second = now_ms // 1000
+            self._in_second = 0
+        self._in_second += 1
+        if self._in_second > MAX_LINES_PER_S:
+            self.dropped += 1
+            return
+        message.pop("task_uuid", None)
+        message.pop("task_level", None)
+        message["t_ms"] = now_ms
+        if self.dropped:
+            message["dropped_lines"] = self.dropped
+        self._write(orjson.dumps(message, default=str) + b"\n")
+
+    def _write(self, line: bytes) -> None:
+        data = self._rest + line
+        try:
+            count = os.write(self._descriptor, data)
+        except BlockingIOError:
+            self.dropped += 1
+            return
+        # The rest of a line that was cut goes out first, so that lines stay whole.
+        self._rest = data[count:]
+        self.written += 1
+
+
+def open_log(
+    node: str, role: str, read_clock_ms: t.Callable[[], int], descriptor: int = 1
+) -> LineWriter:
+    """Send all log messages to standard output."""
+    writer = LineWriter(descriptor, read_clock_ms)
+    eliot.add_destinations(writer)
+    eliot.add_global_fields(node=node, role=role)
+    return writer
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/lookups.py
@@ -0,0 +1,75 @@
+"""Which entries a caller may connect to."""
+
+import dataclasses
+import typing as t
+
+import orjson
+
+from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_gateway.defaults import MAX_LOOKUP_ENTRIES
+
+if t.TYPE_CHECKING:
+    from fuchsiahatch_adapter.store import Item
+
+#: Entries that an answer names at least, where there are so many: callers of a zone
+#: whose entries have all died must know others.
+LEAST_ENTRIES = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryRecord:
+    """An entry's registration.
+
+    Attributes
+    ----------
+    node, zone : str
+    callers : str
+        Where it takes callers' requests, ``ip:port``.
+    peer : tuple of (str, int)
+        Where it takes our datagrams.
+    """
+
+    node: str
+    zone: str
+    callers: str
+    peer: tuple[str, int]
+
+    def encode(self) -> bytes:
+        """Return the registration's value."""
+        return orjson.dumps(dataclasses.asdict(self))
+
+
+def decode_entries(items: t.Mapping[str, "Item"]) -> dict[str, EntryRecord]:
+    """Return the registrations that can be read, by node."""
+    entries = {}
+    for node, item in items.items():
+        try:
+            fields = orjson.loads(item.value or b"")
+            fields["peer"] = tuple(fields["peer"])
+            entries[node] = EntryRecord(**fields)
+        except (KeyError, TypeError, ValueError) as fault:
+            detail = f"{node}: {type(fault).__name__}: {fault}"
+            log_event(Event.SERVER_UNREADABLE, server=node, detail=detail)
+    return entries
+
+
+def choose_addresses(
+    entries: t.Iterable[EntryRecord], own: EntryRecord | None, zone: str
+) -> list[str]:
+    """Return the addresses for a caller, its own zone's alone if they are enough.
+
+    Parameters
+    ----------
+    entries : iterable of EntryRecord
+    own : EntryRecord or None
+        This entry, while it takes requests: it is alive whatever the store says.
+    zone : str
+        The caller's.
+    """
+    known = {entry.callers: entry for entry in entries}
+    if own is not None:
+        known[own.callers] = own
+    near = [address for address, entry in known.items() if entry.zone == zone]
+    if len(near) >= LEAST_ENTRIES:
+        return near[:MAX_LOOKUP_ENTRIES]
+    return [*near, *(known.keys() - set(near))][:MAX_LOOKUP_ENTRIES]
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/next_steps.py
@@ -0,0 +1,105 @@
+"""What to do after a try at a server, as a pure function."""
+
+import dataclasses
+import enum
+
+
+class Result(enum.Enum):
+    """How a try at a server ended.
+
+    Attributes
+    ----------
+    UNSENT
+        No connection came about.
+    NOT_RUN
+        The server promised that it did not run the request and never will.
+    ANSWERED
+        A whole answer, be it a success or the server's own failure.
+    BROKEN
+        No whole answer: the request may have run.
+    """
+
+    UNSENT = "unsent"
+    NOT_RUN = "not run"
+    ANSWERED = "answered"
+    BROKEN = "broken"
+
+
+class Step(enum.Enum):
+    """What to do next.
+
+    Attributes
+    ----------
+    RELAY
+        Hand the server's answer to the caller.
+    RETRY
+        Send the request to another server.
+    REFUSE
+        Tell the caller that the request was not run and never will be.
+    FAIL
+        Tell the caller that nothing is known of the request.
+    """
+
+    RELAY = "relay"
+    RETRY = "retry"
+    REFUSE = "refuse"
+    FAIL = "fail"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Progress:
+    """Where one caller's request is after a try.
+
+    Attributes
+    ----------
+    repeatable : bool
+        Whether it may run more than once.
+    sends : int
+        Servers that it was sent to.
+    max_sends : int
+    unsent : int
+        Tries for which no connection came about.
+    may_have_run : bool
+        Whether any try so far may have run, this one included.
+    server_failed : bool
+        Whether the whole answer is a failure of the server's own.
+    time_left : bool
+        Whether another try could still be answered.
+    """
+
+    repeatable: bool
+    sends: int
+    max_sends: int
+    unsent: int
+    may_have_run: bool
+    server_failed: bool
+    time_left: bool
+
+
+#: Tries without a connection before a request is refused.
+MAX_UNSENT = 3
+
+
+def decide(result: Result, progress: Progress) -> Step:
+    """Return what to do after a try; a `RETRY` still needs the shared budget.
+
+    Notes
+    -----
+    A request that isn't repeatable goes to a second server only after a promise that
+    the first did not run it, and is refused only when no try may have run.
+    """
+    if result is Result.ANSWERED and not progress.server_failed:
+        return Step.RELAY
+    if progress.time_left and _may_try_again(result, progress):
+        return Step.RETRY
+    if result is Result.ANSWERED:
+        return Step.RELAY
+    return Step.FAIL if progress.may_have_run else Step.REFUSE
+
+
+def _may_try_again(result: Result, progress: Progress) -> bool:
+    if progress.may_have_run and not progress.repeatable:
+        return False
+    if result is Result.UNSENT:
+        return progress.unsent < MAX_UNSENT
+    return progress.sends < progress.max_sends
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -0,0 +1,148 @@
+"""Who is sent to a server now, who waits, and who is refused."""
+
+import asyncio
+import dataclasses
+import itertools
+import typing as t
+
+from fuchsiahatch_core.codes import Code
+from fuchsiahatch_core.exceptions import RefusedError
+from fuchsiahatch_routing.queues import FairQueue, Waiting
+
+if t.TYPE_CHECKING:
+    from fuchsiahatch_core.clock import Clock
+    from fuchsiahatch_gateway.fleet import Fleet, Server
+
+#: Requests that may wait at one entry for one service.
+MAX_WAITING = 256
+#: Cost of a request in the fair queue, whose unit doesn't matter here.
+QUEUE_COST = 1.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Waiter:
+    future: "asyncio.Future[Server]"
+    tried: t.Collection[str]
+
+
+class Placer:
+    """Gives requests places at servers.
+
+    Parameters
+    ----------
+    fleet : Fleet
+    clock : Clock
+    """
+
+    __slots__ = ("_clock", "_fleet", "_numbers", "_queues", "_waiters", "spare")
+
+    def __init__(self, fleet: "Fleet", clock: "Clock") -> None:
+        self._fleet = fleet
+        self._clock = clock
+        self._numbers = itertools.count(1)
+        self._queues: dict[str, FairQueue] = {}
+        self._waiters: dict[int, _Waiter] = {}
+        #: Requests that a server may have beyond its places.
+        self.spare = 0.0
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait."""
+        return len(self._waiters)
+
+    async def take(
+        self,
+        service: str,
+        team: str,
+        urgency: int,
+        tried: t.Collection[str],
+        wait_ms: float,
+    ) -> "Server":
+        """Return a server with a place, which is taken; `give_back` frees it.
+
+        Raises
+        ------
+        RefusedError
+            When there is none within the time to wait.
+        """
+        queue = self._queues.setdefault(service, FairQueue(MAX_WAITING))
+        if not len(queue):
+            server = self._fleet.choose(service, tried, self.spare)
+            if server is not None:
+                server.own += 1
+                return server
+        server = await self._wait(queue, service, team, urgency, tried, wait_ms)
+        if not self._fleet.is_usable(server):
+            # It began to leave between the choice and this moment.
+            self.give_back(server)
+            raise RefusedError("the server has left", Code.NO_LIVE_UPSTREAM)
+        return server
+
+    def give_back(self, server: "Server") -> None:
+        """Free a place."""
+        server.own -= 1
+        self.serve_waiting(server.entry.service)
+
+    def serve_waiting(self, service: str | None = None) -> None:
+        """Give the places that are free to those who wait."""
+        names = list(self._queues) if service is None else [service]
+        for name in names:
+            queue = self._queues.get(name)
+            while queue is not None and len(queue):
+                if not self._serve_next(queue, name):
+                    break
+
+    def _serve_next(self, queue: FairQueue, service: str) -> bool:
+        server = self._fleet.choose(service, (), self.spare)
+        if server is None:
+            return False
+        waiting = queue.pop(QUEUE_COST)
+        waiter = None if waiting is None else self._waiters.pop(waiting.ticket, None)
+        if waiter is None or waiter.future.done():
+            return True
+        if server.entry.instance in waiter.tried:
+            server = self._fleet.choose(service, waiter.tried, self.spare) or server
+        server.own += 1
+        waiter.future.set_result(server)
+        return True
+
+    async def _wait(
+        self,
+        queue: FairQueue,
+        service: str,
+        team: str,
+        urgency: int,
+        tried: t.Collection[str],
+        wait_ms: float,
+    ) -> "Server":
+        number = next(self._numbers)
+        now_ms = self._clock.now_ms()
+        expires_ms = now_ms + int(wait_ms)
+        waiter = _Waiter(asyncio.get_running_loop().create_future(), tried)
+        self._waiters[number] = waiter
+        pushed_out = queue.push(Waiting(number, team, urgency, now_ms, expires_ms))
+        if pushed_out is not None:
+            self._refuse(pushed_out.ticket)
+        try:
+            return await asyncio.wait_for(waiter.future, wait_ms / 1000)
+        except TimeoutError as fault:
+            raise RefusedError("no place came free", Code.OVERLOADED) from fault
+        finally:
+            self._waiters.pop(number, None)
+            queue.remove(number)
+            self._return_unused(waiter)
+
+    def _return_unused(self, waiter: _Waiter) -> None:
+        """Free a place that was given to a request that had just been cancelled."""
+        # A future that wait_for cancelled has no result; one that got its server in
+        # the same turn of the loop in which the caller left has one nobody takes.
+        if waiter.future.done() and not waiter.future.cancelled():
+            task = asyncio.current_task()
+            if task is not None and task.cancelling() and not waiter.future.exception():
+                self.give_back(waiter.future.result())
+
+    def _refuse(self, number: int) -> None:
+        waiter = self._waiters.pop(number, None)
+        if waiter is not None and not waiter.future.done():
+            fault = RefusedError("too many requests wait", Code.OVERLOADED)
+            waiter.future.set_exception(fault)
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/process.py
@@ -0,0 +1,125 @@
+"""What the entry and the agent have in common: settings, signals, log, metrics."""
+
+import asyncio
+import os
+import signal
+import typing as t
+
+import aioprometheus
+from aioprometheus.formats import text
+
+from fuchsiahatch_adapter.node_settings import (
+    NodeSettings,
+    read_node_settings,
+    settings_path,
+)
+from fuchsiahatch_core.clock import Clock
+from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_core.exceptions import SettingsError
+from fuchsiahatch_gateway.log import LineWriter, open_log
+from fuchsiahatch_http1.server import Exchange, HttpServer
+
+#: How often the settings file is looked at for a change without a signal.
+SETTINGS_POLL_MS = 5_000
+#: Where metrics are served; the deploy file names the same port and path.
+METRICS_PORT = 9464
+METRICS_PATH = b"/metrics"
+
+Gauge = t.Callable[[], float]
+
+
+class Process:
+    """One process of the system, from its start to its stop.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+
+    Attributes
+    ----------
+    clock : Clock
+    registry : aioprometheus.Registry
+    stopping : asyncio.Event
+        Set at SIGTERM.
+    """
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self.settings = settings
+        self.clock = Clock()
+        self.registry = aioprometheus.Registry()
+        self.stopping = asyncio.Event()
+        self.on_settings: t.Callable[[NodeSettings], None] = lambda fresh: None
+        self._gauges: list[tuple[aioprometheus.Gauge, Gauge]] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._file_mark: tuple[int, int] | None = None
+        self.log: LineWriter = open_log(settings.node, settings.role, self.clock.now_ms)
+
+    def start(self) -> None:
+        """Take over the signals and log the start."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._file_mark = _mark_of_file()
+        self.keep_running(self._watch_settings())
+        log_event(Event.STARTED, zone=self.settings.zone, pid=os.getpid())
+
+    def keep_running(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
+        """Run something beside the rest; a fault in it is logged and ends it."""
+        task = asyncio.get_running_loop().create_task(_guard(work))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def add_gauge(self, name: str, doc: str, read: Gauge) -> None:
+        """Show a figure that is read when metrics are asked for."""
+        gauge = aioprometheus.Gauge(name, doc, registry=self.registry)
+        self._gauges.append((gauge, read))
+
+    async def serve_metrics(self) -> None:
+        """Serve the metrics."""
+        server = HttpServer(self._answer_metrics)
+        await server.listen(self.settings.ip, METRICS_PORT)
+
+    async def _answer_metrics(self, exchange: Exchange) -> None:
+        if exchange.target != METRICS_PATH:
+            exchange.respond(404)
+            return
+        for gauge, read in self._gauges:
+            gauge.set({}, read())
+        body = text.TextFormatter().marshall(self.registry)
+        exchange.respond(200, [(b"content-type", b"text/plain; version=0.0.4")], body)
+
+    def _reload(self) -> None:
+        try:
+            fresh = read_node_settings(settings_path())
+        except SettingsError as fault:
+            log_event(Event.SETTINGS_REFUSED, detail=fault.detail)
+            return
+        self.settings = fresh
+        log_event(Event.SETTINGS_APPLIED, node=fresh.node)
+        self.on_settings(fresh)
+
+    async def _watch_settings(self) -> None:
+        while True:
+            await asyncio.sleep(SETTINGS_POLL_MS / 1000)
+            mark = _mark_of_file()
+            if mark != self._file_mark:
+                self._file_mark = mark
+                self._reload()
+
+
+async def _guard(work: t.Coroutine[t.Any, t.Any, None]) -> None:
+    try:
+        await work
+    except Exception as fault:
+        # The process ends, so that it starts anew with all its parts: one that has
+        # lost its watch would serve an old configuration for ever.
+        log_event(Event.INTERNAL_ERROR, detail=repr(fault))
+        os.kill(os.getpid(), signal.SIGTERM)
+
+
+def _mark_of_file() -> tuple[int, int] | None:
+    try:
+        found = os.stat(settings_path())
+    except OSError:
+        return None
+    return found.st_mtime_ns, found.st_size
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/rank_agent.py
@@ -0,0 +1,202 @@
+"""One rank of a group: its state for the leader, and the leader's orders to it."""
+
+import asyncio
+import typing as t
+
+from fuchsiahatch_adapter.model_server import Choices, ModelServer
+from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_experts.switching import (
+    Armed,
+    Order,
+    OrderKind,
+    OrderResult,
+    RankReport,
+)
+from fuchsiahatch_gateway.datagrams import CHOICE_SCALE, OrderRequest, RankState
+
+if t.TYPE_CHECKING:
+    from fuchsiahatch_adapter.servers import EngineReport
+
+#: How often a rank that copies is asked whether it is done, and how often at most. The
+#: slowest of all ranks decides when a switch can go on, so that waiting for the usual
+#: report, each 100 ms, would cost nearly that much for each switch.
+COPY_POLL_MS = 15
+COPY_POLLS = 60
+
+
+class RankAgent:
+    """Reads the server on this host and gives it orders.
+
+    Parameters
+    ----------
+    server : ModelServer
+    address : str
+        The server's, ``ip:port``.
+
+    Attributes
+    ----------
+    seen : EngineReport or None
+        The last report.
+    term : int
+        Highest term seen; orders of an older one are refused.
+    """
+
+    __slots__ = (
+        "_address",
+        "_choices",
+        "_experts",
+        "_experts_of",
+        "_layers",
+        "_sequence",
+        "_server",
+        "seen",
+        "term",
+    )
+
+    def __init__(self, server: ModelServer, address: str) -> None:
+        self._server = server
+        self._address = address
+        self._sequence = 0
+        self._choices: Choices | None = None
+        self._experts: tuple[tuple[int, ...], ...] | None = None
+        self._experts_of: tuple[int, int] | None = None
+        self._layers = 0
+        self.seen: EngineReport | None = None
+        self.term = 0
+
+    def note_term(self, term: int) -> None:
+        """Take no order of an older term from now on."""
+        if term > self.term:
+            log_event(Event.TERM_SEEN, term=term, before=self.term)
+            self.term = term
+
+    async def read_state(self, with_choices: bool = True) -> RankState:
+        """Read the server's report, and the choices since the last state.
+
+        Raises
+        ------
+        PlatformError
+        """
+        seen = await self._server.report()
+        self.seen = seen
+        choices, totals = b"", ()
+        if seen.group:
+            await self._read_experts(seen)
+            if with_choices:
+                choices, totals = await self._read_choices()
+        self._sequence += 1
+        return RankState(
+            seen.group,
+            self._address,
+            self._sequence,
+            self._make_report(seen),
+            seen.running,
+            choices,
+            totals,
+        )
+
+    async def carry_out(self, request: OrderRequest) -> OrderResult | None:
+        """Carry an order out; None when it must not be."""
+        if request.term < self.term:
+            log_event(
+                Event.ORDER_REFUSED, term=request.term, seen=self.term, kind="old term"
+            )
+            return None
+        self.note_term(request.term)
+        return await self.give_order(request.order)
+
+    async def give_order(self, order: Order) -> OrderResult:
+        """Give an order to the server."""
+        result = await _give(self._server, order)
+        if result is not OrderResult.BEGUN:
+            log_event(
+                Event.ORDER_REFUSED,
+                kind=order.kind.value,
+                version=order.version,
+                step=order.step,
+                epoch=order.epoch,
+                result=result.value,
+            )
+        return result
+
+    async def read_effect(self, order: Order) -> RankState:
+        """Return the rank's state behind an order; behind a copy, when it is complete.
+
+        Raises
+        ------
+        PlatformError
+        """
+        state = await self.read_state(with_choices=False)
+        if order.kind is not OrderKind.PREPARE:
+            return state
+        for _ in range(COPY_POLLS):
+            if state.report.prepared >= order.version:
+                break
+            await asyncio.sleep(COPY_POLL_MS / 1000)
+            state = await self.read_state(with_choices=False)
+        return state
+
+    def _make_report(self, seen: "EngineReport") -> RankReport:
+        armed = seen.armed
+        return RankReport(
+            rank=seen.rank,
+            epoch=seen.epoch,
+            term=self.term,
+            open=seen.open,
+            step=seen.step,
+            map_version=seen.map_version,
+            prepared=seen.prepared,
+            armed=None if armed is None else Armed(armed.version, armed.step),
+            held=seen.held,
+            experts=self._experts,
+        )
+
+    async def _read_experts(self, seen: "EngineReport") -> None:
+        """Read which experts the rank holds, once for each map."""
+        wanted = (seen.epoch, seen.map_version)
+        if self._experts_of == wanted:
+            return
+        self._experts = None
+        self._experts_of = None
+        found = await self._server.experts()
+        if found.version == seen.map_version:
+            self._experts = found.experts
+            self._experts_of = wanted
+            self._layers = len(found.experts)
+
+    async def _read_choices(self) -> tuple[bytes, tuple[int, ...]]:
+        fresh = await self._server.choices()
+        before, self._choices = self._choices, fresh
+        if (
+            before is None
+            or not self._layers
+            or len(before.counts) != len(fresh.counts)
+        ):
+            return b"", ()
+        since = [
+            new - old for new, old in zip(fresh.counts, before.counts, strict=True)
+        ]
+        if min(since) < 0:
+            # The server has started anew: its counts began at zero.
+            return b"", ()
+        experts = len(since) // self._layers
+        rows = [since[at : at + experts] for at in range(0, len(since), experts)]
+        return b"".join(map(_scale, rows)), tuple(map(sum, rows))
+
+
+def _scale(row: list[int]) -> bytes:
+    largest = max(row) or 1
+    return bytes(round(count * CHOICE_SCALE / largest) for count in row)
+
+
+async def _give(server: ModelServer, order: Order) -> OrderResult:
+    if order.kind is OrderKind.PREPARE:
+        assert order.placement is not None
+        return await server.prepare(order.version, order.epoch, order.placement)
+    if order.kind is OrderKind.ARM:
+        return await server.arm(order.version, order.epoch, order.step)
+    if order.kind is OrderKind.DISARM:
+        return await server.disarm(order.version, order.epoch)
+    if order.kind is OrderKind.HOLD:
+        return await server.hold(order.epoch, order.step)
+    return await server.let_go(order.epoch, order.step)
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/registration.py
@@ -0,0 +1,77 @@
+"""A key under a lease that is renewed while its owner lives."""
+
+import asyncio
+import typing as t
+
+from fuchsiahatch_adapter.store import LeaseLostError, StoreClient
+from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_core.exceptions import PlatformError
+from fuchsiahatch_gateway.defaults import (
+    REGISTRATION_TTL_MS,
+    RENEWAL_MS,
+    STORE_RETRY_MS,
+)
+
+if t.TYPE_CHECKING:
+    from fuchsiahatch_core.clock import Clock
+    from fuchsiahatch_gateway.following import StoreHealth
+
+
+class Registration:
+    """Registers one process in the store.
+
+    Parameters
+    ----------
+    store : StoreClient
+    key : str
+    value : bytes
+    health : StoreHealth
+    clock : Clock
+    """
+
+    __slots__ = ("_clock", "_health", "_key", "_lease", "_store", "_value")
+
+    def __init__(
+        self,
+        store: StoreClient,
+        key: str,
+        value: bytes,
+        health: "StoreHealth",
+        clock: "Clock",
+    ) -> None:
+        self._store = store
+        self._key = key
+        self._value = value
+        self._health = health
+        self._clock = clock
+        self._lease = 0
+
+    async def run(self) -> None:
+        """Register, renew, and register anew when the lease has ended."""
+        while True:
+            try:
+                await self._renew()
+                self._health.note_answer(self._clock.now_ms())
+                await asyncio.sleep(RENEWAL_MS / 1000)
+            except LeaseLostError:
+                log_event(Event.LEASE_LOST, key=self._key)
+                self._lease = 0
+            except PlatformError as fault:
+                self._health.note_failure(self._clock.now_ms(), fault.detail)
+                await asyncio.sleep(STORE_RETRY_MS / 1000)
+
+    async def withdraw(self) -> None:
+        """End the registration; where that fails it lapses by itself."""
+        try:
+            if self._lease:
+                await self._store.revoke(self._lease)
+        except PlatformError as fault:
+            log_event(Event.SERVICE_CALL_FAILED, detail=fault.detail)
+
+    async def _renew(self) -> None:
+        if self._lease:
+            await self._store.keep(self._lease)
+            return
+        lease = await self._store.grant(REGISTRATION_TTL_MS)
+        await self._store.put(self._key, self._value, lease)
+        self._lease = lease
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/request_metrics.py
@@ -0,0 +1,59 @@
+"""Counters and latency histograms of callers' requests, by team and route kind."""
+
+import typing as t
+
+import aioprometheus
+from aioprometheus import histogram
+
+if t.TYPE_CHECKING:
+    from fuchsiahatch_gateway.delivery import Job
+
+#: Upper bounds of the buckets.
+TIME_BUCKETS_MS = (5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000)
+GAP_BUCKETS_MS = (25, 50, 75, 100, 120, 150, 250, 500, 1_000, 2_000)
+
+
+class RequestMetrics:
+    """What became of callers' requests.
+
+    Parameters
+    ----------
+    registry : aioprometheus.Registry
+    """
+
+    __slots__ = ("_ends", "_first_event", "_gaps", "_latency")
+
+    def __init__(self, registry: aioprometheus.Registry) -> None:
+        self._ends = aioprometheus.Counter(
+            "fuchsiahatch_requests_total",
+            "Requests by kind and end.",
+            registry=registry,
+        )
+        self._latency = _histogram(
+            "fuchsiahatch_request_ms", "Whole answers.", TIME_BUCKETS_MS, registry
+        )
+        self._first_event = _histogram(
+            "fuchsiahatch_first_event_ms", "First events.", TIME_BUCKETS_MS, registry
+        )
+        self._gaps = _histogram(
+            "fuchsiahatch_longest_gap_ms",
+            "Longest pause between events.",
+            GAP_BUCKETS_MS,
+            registry,
+        )
+
+    def note(self, job: "Job", end: str, now_ms: int) -> None:
+        """Count a request that has ended."""
+        kind = job.match.route.kind.name.lower()
+        team = {"team": job.match.team.name}
+        self._ends.inc({"kind": kind, "end": end.partition(" ")[0]})
+        self._latency.observe(team, now_ms - job.arrived_ms)
+        if job.first_event_ms is not None:
+            self._first_event.observe(team, job.first_event_ms - job.arrived_ms)
+            self._gaps.observe(team, job.longest_gap_ms)
+
+
+def _histogram(
+    name: str, doc: str, buckets: t.Sequence[float], registry: aioprometheus.Registry
+) -> histogram.Histogram:
+    return aioprometheus.Histogram(name, doc, buckets=list(buckets), registry=registry)
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/retry_budget.py
@@ -0,0 +1,99 @@
+"""The budget of second sends that all entries share."""
+
+import collections
+import typing as t
+
+if t.TYPE_CHECKING:
+    from fuchsiahatch_core.clock import Clock
+
+#: Share of the budget that is used: entries may disagree for a moment about how many
+#: of them there are.
+MARGIN = 0.7
+#: Share of its part that a process may spend at once after a start. Whoever ran here
+#: before it may have spent the whole part within the same window.
+FIRST_SHARE = 0.25
+
+
+class RetryBudget:
+    """This entry's part of the budget, without a call to the store for each try.
+
+    Parameters
+    ----------
+    ratio : float
+        Second sends for each request to a service.
+    slack : float
+        Second sends on top, over all entries.
+    window_ms : int
+    clock : Clock
+    count_entries : callable
+        Returns how many entries are alive.
+    first_start : bool
+        Whether nobody ran here before.
+
+    Attributes
+    ----------
+    spent, refused : int
+    """
+
+    __slots__ = (
+        "_clock",
+        "_count_entries",
+        "_ratio",
+        "_requests",
+        "_retries",
+        "_slack",
+        "_started_ms",
+        "_window_ms",
+        "refused",
+        "spent",
+    )
+
+    def __init__(
+        self,
+        ratio: float,
+        slack: float,
+        window_ms: int,
+        clock: "Clock",
+        count_entries: t.Callable[[], int],
+        first_start: bool,
+    ) -> None:
+        self._ratio = ratio
+        self._slack = slack
+        self._window_ms = window_ms
+        self._clock = clock
+        self._count_entries = count_entries
+        self._started_ms = clock.now_ms() - (window_ms if first_start else 0)
+        self._requests: dict[str, collections.deque[int]] = {}
+        self._retries: dict[str, collections.deque[int]] = {}
+        self.spent = 0
+        self.refused = 0
+
+    def note_request(self, service: str) -> None:
+        """Count a caller's request."""
+        self._recent(self._requests, service).append(self._clock.now_ms())
+
+    def spend(self, service: str) -> bool:
+        """Take one second send out of the budget; return whether there was one."""
+        retries = self._recent(self._retries, service)
+        requests = self._recent(self._requests, service)
+        allowed = MARGIN * self._ratio * len(requests) + self._slack_part()
+        if len(retries) + 1 > allowed:
+            self.refused += 1
+            return False
+        retries.append(self._clock.now_ms())
+        self.spent += 1
+        return True
+
+    def _slack_part(self) -> float:
+        age_ms = self._clock.now_ms() - self._started_ms
+        grown = FIRST_SHARE + (1 - FIRST_SHARE) * age_ms / self._window_ms
+        return MARGIN * self._slack / max(self._count_entries(), 1) * min(grown, 1.0)
+
+    def _recent(
+        self, times: dict[str, collections.deque[int]], service: str
+    ) -> collections.deque[int]:
+        kept = times.setdefault(service, collections.deque())
+        oldest_ms = self._clock.now_ms() - self._window_ms
+        while kept and kept[0] < oldest_ms:
+            kept.popleft()
+        return kept
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/routes.py
@@ -0,0 +1,118 @@
+"""Finding a request's route and team in the configuration in force."""
+
+import dataclasses
+import random
+import typing as t
+
+from fuchsiahatch_adapter.configuration import (
+    Configuration,
+    Route,
+    Team,
+    decode_configuration,
+)
+from fuchsiahatch_core.codes import Code
+from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_core.exceptions import RefusedError, RequestError
+
+if t.TYPE_CHECKING:
+    from fuchsiahatch_adapter.caller_requests import CallerRequest
+
+#: Team of requests that need no key.
+NO_TEAM = Team("", None)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Match:
+    """A request's route and team, and the version that they are of."""
+
+    route: Route
+    team: Team
+    version: int
+
+    @property
+    def urgency(self) -> int:
+        """Rank of the request, 0 first; a team's own goes before its route's."""
+        return self.route.urgency if self.team.urgency is None else self.team.urgency
+
+
+class RouteTable:
+    """The configuration in force.
+
+    Attributes
+    ----------
+    configuration : Configuration or None
+        None until the first one is read.
+    """
+
+    __slots__ = ("_by_host", "configuration")
+
+    def __init__(self) -> None:
+        self.configuration: Configuration | None = None
+        self._by_host: dict[str, list[Route]] = {}
+
+    def apply(self, value: bytes) -> bool:
+        """Take a configuration over whole, unless it is older; return whether.
+
+        Notes
+        -----
+        A stale read or a watch that begins anew may show an older version after a
+        newer one: callers would see a route come back that was dropped.
+        """
+        try:
+            fresh = decode_configuration(value)
+        except (KeyError, TypeError, ValueError) as fault:
+            detail = f"{type(fault).__name__}: {fault}"
+            log_event(Event.CONFIGURATION_UNREADABLE, detail=detail)
+            return False
+        if self.configuration is not None:
+            if fresh.version <= self.configuration.version:
+                return False
+        self.configuration = fresh
+        self._by_host = _group_by_host(fresh.routes)
+        log_event(
+            Event.CONFIGURATION_APPLIED,
+            version=fresh.version,
+            routes=len(fresh.routes),
+        )
+        return True
+
+    def match(self, request: "CallerRequest") -> Match:
+        """Return a request's route and team.
+
+        Raises
+        ------
+        RefusedError
+            When no configuration is known yet.
+        RequestError
+            When no route matches, or the key is unknown.
+        """
+        known = self.configuration
+        if known is None:
+            raise RefusedError("no configuration is known yet", Code.NOT_FRESH)
+        routes = self._by_host.get(request.host, ())
+        route = next(
+            (one for one in routes if request.path.startswith(one.prefix)), None
+        )
+        if route is None:
+            raise RequestError("no route matches", Code.NOT_FOUND)
+        if route.public or known.teams is None:
+            return Match(route, NO_TEAM, known.version)
+        team = known.teams.get(request.key)
+        if team is None:
+            raise RequestError("the key is unknown", Code.UNKNOWN_TEAM)
+        return Match(route, team, known.version)
+
+
+def choose_service(route: Route, rng: random.Random) -> str:
+    """Return one of the route's services by their weights."""
+    if len(route.services) == 1:
+        return route.services[0][0]
+    services, weights = zip(*route.services, strict=True)
+    return rng.choices(services, weights)[0]
+
+
+def _group_by_host(routes: t.Iterable[Route]) -> dict[str, list[Route]]:
+    by_host: dict[str, list[Route]] = {}
+    for route in sorted(routes, key=lambda route: -len(route.prefix)):
+        by_host.setdefault(route.host.lower(), []).append(route)
+    return by_host
--- /dev/null
+++ b/packages/http1/src/fuchsiahatch_http1/client.py
@@ -0,0 +1,302 @@
+"""The calling side: one call at a time on each connection, kept ones in a pool."""
+
+import asyncio
+import collections
+import dataclasses
+import typing as t
+
+import h11
+from twisted.internet import error, protocol, reactor
+from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+
+from fuchsiahatch_core.clock import Clock
+from fuchsiahatch_http1.sockets import set_options
+
+if t.TYPE_CHECKING:
+    from twisted.python.failure import Failure
+
+    from fuchsiahatch_http1.server import Headers
+
+#: How long a connection is kept idle when the server doesn't say.
+KEEP_MS = 8_000
+#: Share of the time that a server keeps an idle connection for which it is reused. A
+#: request that crosses the server's close may have run and can't be sent again.
+KEEP_SHARE = 0.6
+#: Longest head of an answer.
+MAX_HEAD_BYTES = 65_536
+
+
+class ConnectFailed(Exception):
+    """No connection came about, so nothing was sent."""
+
+
+class AnswerBroken(Exception):
+    """The answer ended before it was whole; the request may have run."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """Head of an answer; header names are in lower case."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header."""
+        return next((value for key, value in self.headers if key == name), None)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """A request as it is sent."""
+
+    method: bytes
+    target: bytes
+    headers: "Headers"
+    body: bytes = b""
+
+
+class ClientConnection(protocol.Protocol):
+    """One connection to a server."""
+
+    def __init__(self, on_idle_end: t.Callable[["ClientConnection"], None]) -> None:
+        self._conn = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._events: collections.deque[t.Any] = collections.deque()
+        self._waiter: asyncio.Future[None] | None = None
+        self._broken = ""
+        self._call: Call | None = None
+        self._on_idle_end = on_idle_end
+        self.lost = False
+        self.idle = True
+        self.keep_ms = float(KEEP_MS)
+        self.idle_since_ms = 0
+
+    def connectionMade(self) -> None:
+        set_options(self.transport)
+
+    def dataReceived(self, data: bytes) -> None:
+        if self.idle:
+            # Bytes that nobody asked for: a second answer, or the end of one that
+            # was taken for whole. Whoever came next would get them.
+            self.abort()
+            return
+        try:
+            self._conn.receive_data(data)
+            self._read_events()
+        except h11.RemoteProtocolError as fault:
+            self._break(f"not HTTP: {fault}")
+            self.abort()
+
+    def connectionLost(self, reason: "Failure" = protocol.connectionDone) -> None:
+        self.lost = True
+        if self.idle:
+            self._on_idle_end(self)
+            return
+        # Only a clean close ends an answer without a length; a reset cuts it.
+        if reason.check(error.ConnectionDone):
+            try:
+                self._conn.receive_data(b"")
+                self._read_events()
+            except h11.RemoteProtocolError as fault:
+                self._break(f"closed early: {fault}")
+        self._break(f"connection lost: {reason.type.__name__}")
+
+    def abort(self) -> None:
+        """Reset the connection, which ends the server's work on the call."""
+        if not self.lost:
+            self.transport.abortConnection()
+
+    def send(self, call: Call) -> None:
+        """Send one call; the connection must be idle."""
+        self.idle = False
+        self._call = call
+        self._events.clear()
+        self.transport.write(self._begin(call))
+
+    async def head(self) -> Head:
+        """Return the head of the answer.
+
+        Raises
+        ------
+        AnswerBroken
+        """
+        event = await self._next()
+        if not isinstance(event, h11.Response):
+            raise AnswerBroken(f"no head but {type(event).__name__}")
+        self._note_keep_alive(event)
+        return Head(event.status_code, tuple(event.headers))
+
+    async def piece(self) -> bytes | None:
+        """Return the next piece of the body, or None at its clean end.
+
+        Raises
+        ------
+        AnswerBroken
+        """
+        event = await self._next()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise AnswerBroken(f"no body but {type(event).__name__}")
+
+    async def body(self) -> bytes:
+        """Return the whole body.
+
+        Raises
+        ------
+        AnswerBroken
+        """
+        pieces = []
+        while (piece := await self.piece()) is not None:
+            pieces.append(piece)
+        return b"".join(pieces)
+
+    def expect_another(self) -> None:
+        """Read on for the answer to the same call, after one that was a stranger's.
+
+        A server may put a late second answer where ours is due. It is read to its end
+        and passed over, and ours follows on the same connection.
+        """
+        assert self._call is not None
+        left, _ = self._conn.trailing_data
+        if self._conn.their_state is not h11.DONE:
+            raise AnswerBroken("the connection ends with another request's answer")
+        self._conn = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._begin(self._call)
+        if left:
+            self.dataReceived(left)
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the answer had a clean end and nothing came behind it."""
+        return (
+            not self.lost
+            and self._conn.our_state is h11.DONE
+            and self._conn.their_state is h11.DONE
+            and not self._conn.trailing_data[0]
+        )
+
+    def make_idle(self, now_ms: int) -> None:
+        """Make the connection ready for another call."""
+        self._conn.start_next_cycle()
+        self._call = None
+        self.idle = True
+        self.idle_since_ms = now_ms
+
+    def _begin(self, call: Call) -> bytes:
+        headers = [*call.headers, (b"content-length", b"%d" % len(call.body))]
+        request = h11.Request(method=call.method, target=call.target, headers=headers)
+        data = self._conn.send(request)
+        data += self._conn.send(h11.Data(data=call.body)) if call.body else b""
+        return data + self._conn.send(h11.EndOfMessage())
+
+    def _read_events(self) -> None:
+        while True:
+            event = self._conn.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                break
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            self._events.append(event)
+            if isinstance(event, (h11.EndOfMessage, h11.ConnectionClosed)):
+                break
+        self._wake()
+
+    def _break(self, why: str) -> None:
+        self._broken = self._broken or why
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    async def _next(self) -> t.Any:
+        while not self._events:
+            if self._broken:
+                raise AnswerBroken(self._broken)
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
+        return self._events.popleft()
+
+    def _note_keep_alive(self, response: h11.Response) -> None:
+        value = next((v for k, v in response.headers if k == b"keep-alive"), b"")
+        for part in value.split(b","):
+            name, _, number = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and number.isdigit():
+                self.keep_ms = int(number) * 1000 * KEEP_SHARE
+
+
+class ConnectionPool:
+    """Keeps connections to servers, by address.
+
+    Parameters
+    ----------
+    clock : Clock
+    connect_ms : int
+        Time that a new connection may take.
+
+    Attributes
+    ----------
+    opened : int
+        Connections opened so far.
+    """
+
+    def __init__(self, clock: Clock, connect_ms: int = 1_000) -> None:
+        self._clock = clock
+        self._connect_ms = connect_ms
+        self._idle: dict[t.Any, list[ClientConnection]] = {}
+        self.opened = 0
+
+    async def acquire(self, ip: str, port: int) -> ClientConnection:
+        """Return a connection that is ready for a call.
+
+        Raises
+        ------
+        ConnectFailed
+        """
+        kept = self._idle.get((ip, port), [])
+        now_ms = self._clock.now_ms()
+        while kept:
+            connection = kept.pop()
+            if connection.lost:
+                continue
+            if now_ms - connection.idle_since_ms < connection.keep_ms:
+                return connection
+            connection.abort()
+        return await self._open(ip, port)
+
+    def release(self, connection: ClientConnection, ip: str, port: int) -> None:
+        """Keep a connection whose answer had a clean end, or reset it."""
+        if not connection.reusable:
+            connection.abort()
+            return
+        connection.make_idle(self._clock.now_ms())
+        self._idle.setdefault((ip, port), []).append(connection)
+
+    def forget(self, ip: str, port: int) -> None:
+        """Close the idle connections to a server that is gone."""
+        for connection in self._idle.pop((ip, port), []):
+            connection.abort()
+
+    async def _open(self, ip: str, port: int) -> ClientConnection:
+        self.opened += 1
+        connection = ClientConnection(self._drop_idle)
+        endpoint = TCP4ClientEndpoint(reactor, ip, port, self._connect_ms / 1000)
+        connecting = connectProtocol(endpoint, connection)
+        try:
+            return await connecting.asFuture(asyncio.get_running_loop())
+        except asyncio.CancelledError:
+            connecting.cancel()
+            raise
+        except Exception as fault:
+            raise ConnectFailed(f"{ip}:{port}: {type(fault).__name__}") from fault
+
+    def _drop_idle(self, connection: ClientConnection) -> None:
+        for kept in self._idle.values():
+            if connection in kept:
+                kept.remove(connection)
