--- a/packages/gateway/src/fuchsiahatch_gateway/agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/agent.py
@@ -5,9 +5,11 @@
 
 from twisted.internet import reactor
 
+from fuchsiahatch_adapter.configuration import decode_configuration
 from fuchsiahatch_adapter.model_server import ModelServer
 from fuchsiahatch_adapter.names import CONFIGURATION_KEY
-from fuchsiahatch_adapter.store import StoreClient
+from fuchsiahatch_adapter.node_settings import parse_address
+from fuchsiahatch_adapter.store import Item, StoreClient
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import PlatformError
 from fuchsiahatch_gateway.datagrams import (
@@ -20,13 +22,17 @@
     RankState,
     encode,
 )
-from fuchsiahatch_gateway.defaults import ENTRIES_PREFIX, LEADERS_PREFIX, REPORT_MS
+from fuchsiahatch_gateway.defaults import (
+    ENTRIES_PREFIX,
+    KEY_PREFIX,
+    LEADERS_PREFIX,
+    REPORT_MS,
+)
 from fuchsiahatch_gateway.following import Follower, StoreHealth
 from fuchsiahatch_gateway.group_leader import GroupLeader
 from fuchsiahatch_gateway.leadership import LeaderRecord, Leadership, decode_leaders
 from fuchsiahatch_gateway.lookups import EntryRecord, decode_entries
 from fuchsiahatch_gateway.rank_agent import RankAgent
-from fuchsiahatch_gateway.routes import RouteTable
 from fuchsiahatch_http1.client import ConnectionPool
 
 if t.TYPE_CHECKING:
@@ -34,6 +40,8 @@
 
 #: Port of agents' datagrams among the internal ones; entries use the first.
 AGENT_PORT_OFFSET = 1
+#: Pause before the engines' figures are looked for again.
+ENGINE_RETRY_MS = 1_000
 
 
 class Agent:
@@ -53,9 +61,9 @@
         self._leaders: dict[str, LeaderRecord] = {}
         self._server_address = str(settings.beside)
         self.store = StoreClient(settings.store, ConnectionPool(clock))
-        self.server = ModelServer(settings.beside, ConnectionPool(clock))
+        self._servers_pool = ConnectionPool(clock)
+        self.server = ModelServer(settings.beside, self._servers_pool)
         self.health = StoreHealth()
-        self.routes = RouteTable()
         self.datagrams = DatagramPort(self._take_message)
         self.peer: Peer = (
             settings.ip,
@@ -64,16 +72,16 @@
         self.rank = RankAgent(self.server, self._server_address)
         self.leadership = Leadership(self.store, settings.node, self.peer, clock)
         self.leader: GroupLeader | None = None
-        self._config = self._follow(CONFIGURATION_KEY, self._apply_configuration)
-        self._entry_items = self._follow(ENTRIES_PREFIX, self._apply_entries)
-        self._leader_items = self._follow(LEADERS_PREFIX, self._apply_leaders)
+        # One watch for entries and leaders: each one that waits is a priced call.
+        self._follower = Follower(
+            self.store, KEY_PREFIX, self.health, clock, self._apply_items
+        )
         self._failing = False
 
     async def run(self) -> None:
         """Report and take orders until SIGTERM."""
         process, settings = self._process, self._process.settings
-        for follower in (self._config, self._entry_items, self._leader_items):
-            process.keep_running(follower.run())
+        process.keep_running(self._follower.run())
         ip, port = self.peer
         reactor.listenUDP(port, self.datagrams, interface=ip)
         self._add_gauges()
@@ -136,7 +144,7 @@
                 continue
             known = self._leaders.get(seen.group)
             if self.leader is None:
-                if self._leader_items.synced and await self.leadership.try_win(
+                if self._follower.synced and await self.leadership.try_win(
                     seen.group, seen.rank, known
                 ):
                     self._start_leading(seen.group, seen.rank, seen.ranks)
@@ -158,11 +166,24 @@
             self.rank,
             self.datagrams,
             self._clock,
-            self._process.settings.beside_service,
-            self.routes,
+            self._connect_server,
         )
+        self._process.keep_running(self._learn_engine(self.leader))
         self._leaders[group] = LeaderRecord(group, term, self.peer)
 
+    async def _learn_engine(self, leader: GroupLeader) -> None:
+        """Read the figures of the group's engines, which don't change in a term."""
+        service = self._process.settings.beside_service
+        while leader.engine is None and self.leader is leader:
+            try:
+                item = await self.store.get(CONFIGURATION_KEY)
+                if item is not None and item.value is not None:
+                    known = decode_configuration(item.value).services.get(service)
+                    leader.engine = None if known is None else known.engine
+            except (PlatformError, KeyError, TypeError, ValueError) as fault:
+                log_event(Event.SERVICE_CALL_FAILED, detail=str(fault))
+            await asyncio.sleep(ENGINE_RETRY_MS / 1000)
+
     def _lose(self) -> None:
         log_event(Event.TERM_LOST, term=self.leadership.term)
         self.leader = None
@@ -173,20 +194,21 @@
             self.leader = None
             await self.leadership.give_up()
 
-    def _follow(self, prefix: str, apply: t.Callable[[], None]) -> Follower:
-        return Follower(self.store, prefix, self.health, self._clock, apply)
-
-    def _apply_configuration(self) -> None:
-        item = self._config.items.get("")
-        if item is not None and item.value is not None:
-            self.routes.apply(item.value)
+    def _apply_items(self) -> None:
+        self._entries = decode_entries(self._items_below(ENTRIES_PREFIX))
+        self._leaders = decode_leaders(self._items_below(LEADERS_PREFIX))
+        self._note_leader()
 
-    def _apply_entries(self) -> None:
-        self._entries = decode_entries(self._entry_items.items)
+    def _connect_server(self, address: str) -> ModelServer:
+        return ModelServer(parse_address(address), self._servers_pool)
 
-    def _apply_leaders(self) -> None:
-        self._leaders = decode_leaders(self._leader_items.items)
-        self._note_leader()
+    def _items_below(self, prefix: str) -> dict[str, Item]:
+        below = prefix.removeprefix(KEY_PREFIX)
+        return {
+            name.removeprefix(below): item
+            for name, item in self._follower.items.items()
+            if name.startswith(below)
+        }
 
     def _note_leader(self) -> None:
         # Asked before each report too: an agent that learns of the leader before it
@@ -201,7 +223,9 @@
         if isinstance(message, RankState):
             if self.leader is not None:
                 self.leader.take_state(message, peer)
-        elif isinstance(message, OrderRequest):
+        elif isinstance(message, OrderRequest) and self._follower.synced:
+            # An agent that has just started knows no term: before it has read who
+            # leads, an order of a leader that was replaced would look like any other.
             self._process.keep_running(self._carry_out(message, peer))
         elif isinstance(message, OrderReply) and self.leader is not None:
             self.leader.take_reply(message)
--- a/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
@@ -14,13 +14,13 @@
     Peer,
     RankState,
 )
+from fuchsiahatch_gateway.rank_agent import RankAgent
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.configuration import Engine
+    from fuchsiahatch_adapter.model_server import ModelServer
     from fuchsiahatch_core.clock import Clock
     from fuchsiahatch_experts.drift import Demand
-    from fuchsiahatch_gateway.rank_agent import RankAgent
-    from fuchsiahatch_gateway.routes import RouteTable
 
 #: Time constant with which choices are forgotten; demand moves every 3 to 4 s.
 MEMORY_MS = 600.0
@@ -32,8 +32,16 @@
 FINISH_POLL_MS = 10
 #: Time that a leader which stops gives its switch.
 FINISH_LIMIT_MS = 2_000
+#: Silence of an agent after which the leader speaks with its server itself, while
+#: passes are held back: a killed agent must not hold its group until it is back. Such
+#: orders and reports are priced, so that it is done in need only.
+SILENCE_MS = 350
 #: The leader's own rank needs no datagrams.
 _OWN_PEER = ("", 0)
+#: Pause between two reports that the leader asks a server for itself.
+DIRECT_POLL_MS = 40
+#: Phases in which a hold may be in force.
+_HOLDING_PHASES = (Phase.HOLDING, Phase.ARMING, Phase.RELEASING, Phase.CLEARING)
 
 
 class GroupLeader:
@@ -47,9 +55,14 @@
         The leader's own rank.
     datagrams : DatagramPort
     clock : Clock
-    service : str
-        The group's service, whose engine figures the configuration has.
-    routes : RouteTable
+    server_of : callable
+        Makes a client of the server at an address.
+
+    Attributes
+    ----------
+    engine : Engine or None
+        The engines' figures, once they are known.
+    switch : Switch
     """
 
     def __init__(
@@ -61,8 +74,7 @@
         own: "RankAgent",
         datagrams: DatagramPort,
         clock: "Clock",
-        service: str,
-        routes: "RouteTable",
+        server_of: t.Callable[[str], "ModelServer"],
     ) -> None:
         self._group = group
         self._term = term
@@ -71,8 +83,12 @@
         self._own = own
         self._datagrams = datagrams
         self._clock = clock
-        self._service = service
-        self._routes = routes
+        self._server_of = server_of
+        self._addresses: dict[int, str] = {}
+        self._heard_ms: dict[int, int] = {}
+        self._direct: dict[int, RankAgent] = {}
+        self._asking: set[int] = set()
+        self.engine: Engine | None = None
         self._peers: dict[int, Peer] = {}
         self._sequences: dict[str, int] = {}
         self._demand: Demand | None = None
@@ -94,8 +110,12 @@
             if state.sequence > 3:
                 return
         self._sequences[state.server] = state.sequence
-        self._peers[state.report.rank] = peer
+        rank = state.report.rank
         now_ms = self._clock.now_ms()
+        self._peers[rank] = peer
+        self._addresses[rank] = state.server
+        self._heard_ms[rank] = now_ms
+        self._direct.pop(rank, None)
         self.switch.observe(state.report, now_ms)
         self._count(state, now_ms)
         self.work()
@@ -114,6 +134,7 @@
         self._give_up_replies(now_ms)
         if self.switch.ready and not self._stopping:
             self._plan(now_ms)
+        self._speak_for_silent_agents(now_ms)
         for order in self.switch.orders(now_ms):
             self._send(order, now_ms)
         self._log_phase(now_ms)
@@ -129,8 +150,8 @@
             await asyncio.sleep(FINISH_POLL_MS / 1000)
 
     def _count(self, state: RankState, now_ms: int) -> None:
-        engine = self._engine()
-        if engine is None or not state.choices:
+        engine = self.engine
+        if engine is None or not engine.experts or not state.choices:
             return
         # Only a leader needs them, and they take their memory and their time.
         import numpy as np
@@ -146,7 +167,7 @@
         self._demand.add(counts * totals / sums, now_ms)
 
     def _plan(self, now_ms: int) -> None:
-        engine, demand = self._engine(), self._demand
+        engine, demand = self.engine, self._demand
         placement = self.switch.placement
         if engine is None or demand is None or placement is None:
             return
@@ -168,9 +189,11 @@
 
     def _send(self, order: Order, now_ms: int) -> None:
         if order.rank == self._rank:
-            task = asyncio.get_running_loop().create_task(self._give_own(order))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._begin(self._give_own(order))
+            return
+        direct = self._direct.get(order.rank)
+        if direct is not None:
+            self._begin(self._give_directly(direct, order))
             return
         peer = self._peers.get(order.rank)
         if peer is None:
@@ -189,6 +212,43 @@
         except PlatformError as fault:
             log_event(Event.SERVER_SILENT, detail=fault.detail)
 
+    def _speak_for_silent_agents(self, now_ms: int) -> None:
+        if self.switch.phase not in _HOLDING_PHASES:
+            self._direct.clear()
+            return
+        for rank, heard_ms in self._heard_ms.items():
+            if rank == self._rank or now_ms - heard_ms < SILENCE_MS:
+                continue
+            if rank not in self._direct:
+                log_event(Event.AGENT_LOST, group=self._group, rank=rank)
+                address = self._addresses[rank]
+                self._direct[rank] = RankAgent(self._server_of(address), address)
+                self._direct[rank].note_term(self._term)
+            if rank not in self._asking:
+                self._asking.add(rank)
+                self._begin(self._ask_directly(rank))
+
+    async def _ask_directly(self, rank: int) -> None:
+        direct = self._direct[rank]
+        try:
+            state = await direct.read_state(with_choices=False)
+            if self._direct.get(rank) is direct:
+                self.switch.observe(state.report, self._clock.now_ms())
+        except PlatformError as fault:
+            log_event(Event.SERVER_SILENT, detail=fault.detail)
+        finally:
+            await asyncio.sleep(DIRECT_POLL_MS / 1000)
+            self._asking.discard(rank)
+
+    async def _give_directly(self, direct: RankAgent, order: Order) -> None:
+        result = await direct.give_order(order)
+        self.switch.answered(order, result, self._clock.now_ms())
+
+    def _begin(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def _give_up_replies(self, now_ms: int) -> None:
         late = [
             number
@@ -199,12 +259,6 @@
             order, _ = self._asked.pop(number)
             self.switch.answered(order, OrderResult.UNKNOWN, now_ms)
 
-    def _engine(self) -> "Engine | None":
-        known = self._routes.configuration
-        service = None if known is None else known.services.get(self._service)
-        engine = None if service is None else service.engine
-        return engine if engine is not None and engine.experts else None
-
     def _log_phase(self, now_ms: int) -> None:
         phase = self.switch.phase
         if phase is self._phase:
--- a/packages/standins/src/fuchsiahatch_standins/fleet_store.py
+++ b/packages/standins/src/fuchsiahatch_standins/fleet_store.py
@@ -75,8 +75,7 @@
     async def close(self) -> None:
         """Stop, and close what is open."""
         await self._server.stop_accepting()
-        for connection in tuple(self._server.connections):
-            connection.abort()
+        self.cut()
         for lease in self._leases.values():
             lease.timer.cancel()
 
@@ -100,6 +99,11 @@
         self._compacted = self.revision
         self._history.clear()
 
+    def cut(self) -> None:
+        """Reset all connections, watches included."""
+        for connection in tuple(self._server.connections):
+            connection.abort()
+
     def get(self, key: str) -> bytes | None:
         """Return a value."""
         stored = self._items.get(key)
--- /dev/null
+++ b/tests/gateway/test_following.py
@@ -0,0 +1,134 @@
+import asyncio
+import unittest
+from unittest import mock
+
+from fuchsiahatch_adapter.node_settings import Address, StoreAccess
+from fuchsiahatch_adapter.store import StoreClient
+from fuchsiahatch_core.clock import Clock
+from fuchsiahatch_gateway import following
+from fuchsiahatch_gateway.following import Follower, StoreHealth
+from fuchsiahatch_gateway.registration import Registration
+from fuchsiahatch_http1.client import ConnectionPool
+from fuchsiahatch_standins.fleet_store import FleetStore
+from tests.gateway.sites import until
+from tests.loopback import run
+
+LAPSE_MS = 300
+
+
+class Following:
+    """A follower of the store's stand-in, for the time of a context."""
+
+    async def __aenter__(self):
+        self.store = FleetStore()
+        port = await self.store.listen()
+        access = StoreAccess(Address("127.0.0.1", port), 20_000, 1_000)
+        self.clock = Clock()
+        self.client = StoreClient(access, ConnectionPool(self.clock))
+        self.health = StoreHealth()
+        self.follower = Follower(
+            self.client, "servers/", self.health, self.clock, lambda: None
+        )
+        self.tasks = [asyncio.ensure_future(self.follower.run())]
+        await until(lambda: self.follower.synced)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        for task in self.tasks:
+            task.cancel()
+        await self.store.close()
+
+    @property
+    def names(self):
+        return sorted(self.follower.items)
+
+
+class TestFollower(unittest.TestCase):
+    def test_changes_and_deletions_arrive(self):
+        async def follow():
+            async with Following() as one:
+                one.store.put("servers/a", {"n": 1})
+                one.store.put("servers/b", {"n": 1})
+                await until(lambda: one.names == ["a", "b"])
+                one.store.remove("servers/a")
+                await until(lambda: one.names == ["b"])
+
+        run(follow())
+
+    def test_all_pages_are_read(self):
+        async def follow():
+            async with Following() as one:
+                one.store.compact()
+                for number in range(120):
+                    one.store.put(f"servers/{number:03}", {})
+                one.store.compact()
+                await until(lambda: len(one.names) == 120)
+
+        run(follow())
+
+    def test_what_lapsed_while_the_store_was_away_is_waited_for(self):
+        # Every member is refused for two seconds after the store's return: the leases
+        # of all servers ran out meanwhile, and their entries were gone for a moment.
+        async def follow():
+            async with Following() as one:
+                one.store.put("servers/back", {})
+                one.store.put("servers/gone", {})
+                await until(lambda: len(one.names) == 2)
+                one.store.faults.status = 503
+                one.store.cut()
+                await until(lambda: not one.health.answers)
+                one.store.remove("servers/back")
+                one.store.remove("servers/gone")
+                one.store.faults.status = 0
+                await until(lambda: one.health.answers)
+                self.assertEqual(one.names, ["back", "gone"])
+                one.store.put("servers/back", {})
+                await until(lambda: one.names == ["back"])
+
+        with mock.patch.object(following, "LAPSE_MS", LAPSE_MS):
+            run(follow())
+
+    def test_the_store_is_found_again_after_silence(self):
+        async def follow():
+            async with Following() as one:
+                one.store.faults.silent = True
+                one.store.cut()
+                await until(lambda: not one.health.answers)
+                one.store.faults.silent = False
+                one.store.put("servers/a", {})
+                await until(lambda: one.names == ["a"])
+
+        run(follow())
+
+
+class TestRegistration(unittest.TestCase):
+    def test_a_registration_comes_back_after_its_lease_has_ended(self):
+        # An entry gets no more callers after the store's return: its lease had ended,
+        # and it went on renewing one that was no longer there.
+        async def register():
+            async with Following() as one:
+                own = Registration(
+                    one.client, "fuchsiahatch/entries/e", b"{}", one.health, one.clock
+                )
+                one.tasks.append(asyncio.ensure_future(own.run()))
+                await until(lambda: one.store.keys("fuchsiahatch/"))
+                one.store.end_leases()
+                self.assertEqual(one.store.keys("fuchsiahatch/"), [])
+                await until(lambda: one.store.keys("fuchsiahatch/"), 2.0)
+                await own.withdraw()
+                self.assertEqual(one.store.keys("fuchsiahatch/"), [])
+
+        run(register())
+
+
+class TestHealth(unittest.TestCase):
+    def test_what_is_gone_counts_once_the_store_has_answered_for_a_while(self):
+        health = StoreHealth()
+        self.assertTrue(health.settled(0))
+        health.note_failure(1_000, "503")
+        self.assertFalse(health.settled(9_000))
+        health.note_answer(9_000)
+        self.assertTrue(health.settled(9_000))
+        health.note_failure(9_500, "503")
+        health.note_answer(9_600)
+        self.assertFalse(health.settled(9_700))
--- /dev/null
+++ b/tests/gateway/test_small_parts.py
@@ -0,0 +1,122 @@
+import os
+import unittest
+
+import orjson
+
+from fuchsiahatch_experts.switching import (
+    Armed,
+    Order,
+    OrderKind,
+    OrderResult,
+    RankReport,
+)
+from fuchsiahatch_gateway.datagrams import (
+    LoadReport,
+    OrderReply,
+    OrderRequest,
+    RankState,
+    decode,
+    encode,
+)
+from fuchsiahatch_gateway.event_stream import EventCutter
+from fuchsiahatch_gateway.log import MAX_LINES_PER_S, LineWriter
+from fuchsiahatch_gateway.lookups import EntryRecord, choose_addresses
+
+
+def record(node, zone):
+    return EntryRecord(node, zone, f"10.0.0.{node}:80", ("10.0.0.1", 7340))
+
+
+class TestLookups(unittest.TestCase):
+    def test_near_entries_alone_where_they_are_enough(self):
+        entries = [record("1", "a"), record("2", "a"), record("3", "b")]
+        found = choose_addresses(entries, None, "a")
+        self.assertEqual(found, ["10.0.0.1:80", "10.0.0.2:80"])
+
+    def test_far_ones_behind_a_single_near_one(self):
+        entries = [record("1", "a"), record("2", "b")]
+        found = choose_addresses(entries, None, "b")
+        self.assertEqual(found, ["10.0.0.2:80", "10.0.0.1:80"])
+
+    def test_itself_where_it_knows_no_other(self):
+        # All callers are turned away though an entry is up: its lookup answers were
+        # empty, since the store had forgotten every registration.
+        self.assertEqual(choose_addresses([], record("1", "a"), "b"), ["10.0.0.1:80"])
+
+    def test_nothing_while_it_leaves_alone(self):
+        self.assertEqual(choose_addresses([], None, "a"), [])
+
+
+class TestDatagrams(unittest.TestCase):
+    def test_every_message_comes_back_as_it_was(self):
+        report = RankReport(
+            2, 3, 40, True, 812, 7, 8, Armed(8, 814), 814, ((1, 5), (2, 63))
+        )
+        bare = RankReport(0, 0, 0, False, 0, 0, 0, None, None)
+        placement = (((0, 1), (2,)), ((1,), (0, 2)))
+        copy = Order(1, OrderKind.PREPARE, 3, version=9, placement=placement)
+        arm = Order(1, OrderKind.ARM, 3, version=9, step=815)
+        for message in (
+            LoadReport("10.0.0.1:80", 1, 6, 1.5, True),
+            RankState("g", "10.0.0.1:80", 7, report, 6, b"\x00\xff", (10, 20)),
+            RankState("g", "10.0.0.1:80", 8, bare, 0, b"", ()),
+            OrderRequest("g", 40, 5, copy),
+            OrderRequest("g", 40, 6, arm),
+            OrderReply("g", 40, 6, OrderResult.UNKNOWN),
+        ):
+            self.assertEqual(decode(encode(message)), message)
+
+    def test_what_is_no_message_is_said_so(self):
+        for data in (b"", b"\xc1", b"\x91\x63", b"\x90", b"junk", b"\x92\x00\x01"):
+            with self.assertRaises(ValueError):
+                decode(data)
+
+
+class TestEventCutter(unittest.TestCase):
+    def test_only_whole_events_come_out(self):
+        cutter = EventCutter()
+        self.assertEqual(cutter.feed(b"id: 1\nda"), b"")
+        self.assertEqual(cutter.feed(b"ta: x\n\nid: 2\n"), b"id: 1\ndata: x\n\n")
+        self.assertEqual(cutter.last_id, b"1")
+        self.assertEqual(cutter.feed(b"\n"), b"id: 2\n\n")
+        self.assertEqual(cutter.take_rest(), b"")
+
+    def test_half_an_event_is_dropped_at_a_restart(self):
+        cutter = EventCutter()
+        cutter.feed(b"id: 1\n\nid: 2\nhalf")
+        cutter.restart()
+        self.assertEqual(cutter.feed(b"id: 2\n\n"), b"id: 2\n\n")
+
+    def test_line_ends_of_two_bytes(self):
+        cutter = EventCutter()
+        self.assertEqual(cutter.feed(b"id: 4\r\n\r\nx"), b"id: 4\r\n\r\n")
+        self.assertEqual(cutter.last_id, b"4")
+
+
+class TestLog(unittest.TestCase):
+    def setUp(self):
+        self.reader, writer = os.pipe()
+        self.now_ms = 0
+        self.log = LineWriter(writer, lambda: self.now_ms)
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, writer)
+
+    def test_lines_beyond_the_bound_are_counted(self):
+        for _ in range(MAX_LINES_PER_S + 5):
+            self.log({"event": 1})
+        self.assertEqual((self.log.written, self.log.dropped), (MAX_LINES_PER_S, 5))
+        self.now_ms = 1_000
+        self.log({"event": 2})
+        last = os.read(self.reader, 1_000_000).splitlines()[-1]
+        self.assertEqual(orjson.loads(last)["dropped_lines"], 5)
+
+    def test_a_reader_that_stands_still_stops_nobody(self):
+        # Requests wait for seconds behind a log line: the pipe was full, and the
+        # process waited for its reader.
+        for second in range(200):
+            self.now_ms = second * 1_000
+            self.log({"text": "x" * 2_000})
+        self.assertGreater(self.log.dropped, 0)
+        lines = os.read(self.reader, 10_000_000).splitlines()
+        for line in lines[:-1]:
+            orjson.loads(line)
--- a/tools/check_dependencies.py
+++ b/tools/check_dependencies.py
@@ -46,7 +46,9 @@
     """Return the pins of all packages' dependencies, our own left out."""
     projects = (
         tomllib.loads(path.read_text("utf-8"))["project"]
-        for path in sorted(root.glob("packages/*/pyproject.toml"))
+        for path in sorted(
+            [*root.glob("packages/*/pyproject.toml"), *root.glob("platform/*.toml")]
+        )
     )
     wanted = itertools.chain.from_iterable(one["dependencies"] for one in projects)
     return read_pins(line for line in wanted if not line.startswith(_OWN_PREFIX))
