--- a/packages/experts/src/fuchsiahatch_experts/switching.py
+++ b/packages/experts/src/fuchsiahatch_experts/switching.py
@@ -82,7 +82,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RankReport:
-    """What one rank's server says of itself, read on its own host.
+    """What one rank's upstream says of itself, read on its own host.
 
     Attributes
     ----------
--- a/packages/gateway/src/fuchsiahatch_gateway/agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/agent.py
@@ -1,4 +1,4 @@
-"""The agent beside a model server: reports its load and takes part in its group."""
+"""The agent beside a model upstream: reports its load and takes part in its group."""
 
 import asyncio
 import typing as t
@@ -6,7 +6,7 @@
 from twisted.internet import reactor
 
 from fuchsiahatch_adapter.configuration import decode_configuration
-from fuchsiahatch_adapter.model_server import ModelServer
+from fuchsiahatch_adapter.model_engine import ModelEngine
 from fuchsiahatch_adapter.names import CONFIGURATION_KEY
 from fuchsiahatch_adapter.node_settings import parse_address
 from fuchsiahatch_adapter.store import Item, StoreClient
@@ -59,17 +59,17 @@
         self._clock = clock
         self._entries: dict[str, EntryRecord] = {}
         self._leaders: dict[str, LeaderRecord] = {}
-        self._server_address = str(settings.beside)
+        self._upstream_address = str(settings.beside)
         self.store = StoreClient(settings.store, ConnectionPool(clock))
-        self._servers_pool = ConnectionPool(clock)
-        self.server = ModelServer(settings.beside, self._servers_pool)
+        self._upstreams_pool = ConnectionPool(clock)
+        self.upstream = ModelEngine(settings.beside, self._upstreams_pool)
         self.health = StoreHealth()
         self.datagrams = DatagramPort(self._take_message)
         self.peer: Peer = (
             settings.ip,
             settings.internal_ports[0] + AGENT_PORT_OFFSET,
         )
-        self.rank = RankAgent(self.server, self._server_address)
+        self.rank = RankAgent(self.upstream, self._upstream_address)
         self.leadership = Leadership(self.store, settings.node, self.peer, clock)
         self.leader: GroupLeader | None = None
         # One watch for entries and leaders: each one that waits is a priced call.
@@ -106,11 +106,11 @@
             state = await self.rank.read_state()
         except PlatformError as fault:
             if not self._failing:
-                log_event(Event.SERVER_SILENT, detail=fault.detail)
+                log_event(Event.UPSTREAM_SILENT, detail=fault.detail)
             self._failing = True
             return
         if self._failing:
-            log_event(Event.SERVER_ANSWERS, epoch=state.report.epoch)
+            log_event(Event.UPSTREAM_ANSWERS, epoch=state.report.epoch)
         self._failing = False
         self._send_load()
         self._send_state(state)
@@ -120,7 +120,7 @@
         if seen is None:
             return
         load = LoadReport(
-            self._server_address, seen.queued, seen.running, seen.pace, seen.open
+            self._upstream_address, seen.queued, seen.running, seen.pace, seen.open
         )
         data = encode(load)
         for entry in self._entries.values():
@@ -166,7 +166,7 @@
             self.rank,
             self.datagrams,
             self._clock,
-            self._connect_server,
+            self._connect_upstream,
         )
         self._process.keep_running(self._learn_engine(self.leader))
         self._leaders[group] = LeaderRecord(group, term, self.peer)
@@ -199,8 +199,8 @@
         self._leaders = decode_leaders(self._items_below(LEADERS_PREFIX))
         self._note_leader()
 
-    def _connect_server(self, address: str) -> ModelServer:
-        return ModelServer(parse_address(address), self._servers_pool)
+    def _connect_upstream(self, address: str) -> ModelEngine:
+        return ModelEngine(parse_address(address), self._upstreams_pool)
 
     def _items_below(self, prefix: str) -> dict[str, Item]:
         below = prefix.removeprefix(KEY_PREFIX)
@@ -240,7 +240,7 @@
             async for state in self.rank.follow_effect(request.order):
                 self.datagrams.send(state, peer)
         except PlatformError as fault:
-            log_event(Event.SERVER_SILENT, detail=fault.detail)
+            log_event(Event.UPSTREAM_SILENT, detail=fault.detail)
 
     def _add_gauges(self) -> None:
         add = self._process.add_gauge
@@ -250,9 +250,9 @@
             lambda: self.store.calls.total(),
         )
         add(
-            "fuchsiahatch_server_calls",
-            "Calls to the server on this host.",
-            lambda: self.server.calls.total(),
+            "fuchsiahatch_upstream_calls",
+            "Calls to the upstream on this host.",
+            lambda: self.upstream.calls.total(),
         )
         add("fuchsiahatch_term", "Term that is led.", self._led_term)
         add("fuchsiahatch_log_dropped", "Lines.", lambda: self._process.log.dropped)
--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -1,10 +1,10 @@
-"""One try of a request at one server."""
+"""One try of a request at one upstream."""
 
 import dataclasses
 import typing as t
 
 from fuchsiahatch_adapter import names
-from fuchsiahatch_adapter.caller_requests import caller_headers, server_headers
+from fuchsiahatch_adapter.caller_requests import caller_headers, upstream_headers
 from fuchsiahatch_gateway.event_stream import EventCutter
 from fuchsiahatch_gateway.next_steps import Result
 from fuchsiahatch_http1.client import (
@@ -17,13 +17,13 @@
 )
 
 if t.TYPE_CHECKING:
-    from fuchsiahatch_gateway.fleet import Server
+    from fuchsiahatch_gateway.fleet import Upstream
     from fuchsiahatch_http1.server import Exchange
 
 #: Answers to other requests that are passed over on one connection.
 MAX_STRANGERS = 4
 _MISPLACED = 421
-_SERVER_FAILED = 500
+_UPSTREAM_FAILED = 500
 
 
 @dataclasses.dataclass(slots=True)
@@ -36,7 +36,7 @@
     detail : str
         Why, for the log.
     head : Head or None
-        Of the server's answer, where there is one.
+        Of the upstream's answer, where there is one.
     body : bytes
         Of a whole answer that was not passed on yet.
     passed_on : bool
@@ -51,18 +51,18 @@
 
     @property
     def status(self) -> int:
-        """Status of the server's answer; 0 without one."""
+        """Status of the upstream's answer; 0 without one."""
         return 0 if self.head is None else self.head.status
 
     @property
     def misplaced(self) -> bool:
-        """Whether another server answered at the address."""
+        """Whether another upstream answered at the address."""
         return self.result is Result.NOT_RUN and self.status == _MISPLACED
 
     @property
-    def server_failed(self) -> bool:
-        """Whether the answer is a failure of the server's own."""
-        return self.status >= _SERVER_FAILED
+    def upstream_failed(self) -> bool:
+        """Whether the answer is a failure of the upstream's own."""
+        return self.status >= _UPSTREAM_FAILED
 
 
 @dataclasses.dataclass(slots=True)
@@ -71,17 +71,17 @@
 
     Attributes
     ----------
-    server : Server
+    upstream : Upstream
     team : str
     left_ms : int
         Time that is left for the answer.
     events : EventCutter or None
-        For a stream, with what earlier servers sent of it.
+        For a stream, with what earlier upstreams sent of it.
     on_event : callable
         Is called as events are passed on.
     """
 
-    server: "Server"
+    upstream: "Upstream"
     team: str
     left_ms: int
     events: EventCutter | None
@@ -89,14 +89,14 @@
 
 
 async def run_try(exchange: "Exchange", pool: ConnectionPool, one: Try) -> Outcome:
-    """Send a request to a server and return how that ended.
+    """Send a request to an upstream and return how that ended.
 
     Notes
     -----
     When the caller leaves or the time is over this is cancelled, and the connection is
-    reset: a server goes on working for a caller who is gone until its channel closes.
+    reset: an upstream goes on working for a caller who has gone until then.
     """
-    address = one.server.entry.address
+    address = one.upstream.entry.address
     try:
         connection = await pool.acquire(address.ip, address.port)
     except ConnectFailed as fault:
@@ -120,8 +120,8 @@
     exchange: "Exchange", connection: ClientConnection, one: Try
 ) -> Outcome:
     last_id = None if one.events is None else one.events.last_id
-    headers = server_headers(
-        exchange, one.server.entry.instance, one.team, one.left_ms, last_id
+    headers = upstream_headers(
+        exchange, one.upstream.entry.instance, one.team, one.left_ms, last_id
     )
     connection.send(Call(exchange.method, exchange.target, headers, exchange.body))
     head = await _own_head(exchange, connection)
@@ -130,7 +130,7 @@
         return Outcome(Result.NOT_RUN, f"status {head.status}", head)
     succeeded = 200 <= head.status < 300
     if succeeded and head.header(names.SIGNATURE) is None:
-        # Not this server's: whatever it is, the caller must not take it for one.
+        # Not this upstream's: whatever it is, the caller must not take it for one.
         return Outcome(Result.BROKEN, "a success without a signature", head)
     if succeeded and one.events is not None:
         return await _pass_on_events(exchange, connection, head, one)
@@ -141,7 +141,7 @@
 async def _own_head(exchange: "Exchange", connection: ClientConnection) -> Head:
     """Return the head of the answer to this request, past those of other requests.
 
-    A server may send a second answer, late, where the answer to the next request on
+    An upstream may send a second answer, late, where the answer to the next request on
     the connection is due: a caller would get another caller's booking.
     """
     wanted = exchange.header(names.REQUEST_ID)
@@ -179,7 +179,7 @@
 
 def _write_events(exchange: "Exchange", head: Head, data: bytes) -> None:
     # The head waits for the first event, so that a try that breaks before it leaves
-    # no trace. A resumed stream keeps the head of its first server.
+    # no trace. A resumed stream keeps the head of its first upstream.
     if not exchange.started:
         exchange.start(head.status, caller_headers(head.headers))
     exchange.write(data)
--- a/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
@@ -27,11 +27,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Load of one server, from the agent beside it.
+    """Load of one upstream, from the agent beside it.
 
     Attributes
     ----------
-    server : str
+    upstream : str
         Its address, ``ip:port``.
     queued, running : int
     pace : float
@@ -39,7 +39,7 @@
         Whether its rank group works.
     """
 
-    server: str
+    upstream: str
     queued: int
     running: int
     pace: float
@@ -52,7 +52,7 @@
 
     Attributes
     ----------
-    group, server : str
+    group, upstream : str
     sequence : int
         Grows with each state that one life of an agent sends.
     report : RankReport
@@ -65,7 +65,7 @@
     """
 
     group: str
-    server: str
+    upstream: str
     sequence: int
     report: RankReport
     running: int
@@ -154,7 +154,7 @@
 
 
 def _encode_load(load: LoadReport) -> t.Iterable[t.Any]:
-    return (load.server, load.queued, load.running, load.pace, load.open)
+    return (load.upstream, load.queued, load.running, load.pace, load.open)
 
 
 def _decode_load(fields: t.Sequence[t.Any]) -> LoadReport:
@@ -167,7 +167,7 @@
     experts = None if report.experts is None else tuple(map(bytes, report.experts))
     return (
         state.group,
-        state.server,
+        state.upstream,
         state.sequence,
         state.running,
         state.choices,
@@ -186,7 +186,7 @@
 
 
 def _decode_state(fields: t.Sequence[t.Any]) -> RankState:
-    group, server, sequence, running, choices, totals, *rest = fields
+    group, upstream, sequence, running, choices, totals, *rest = fields
     *plain, armed, held, experts = rest
     report = RankReport(
         *plain,
@@ -194,7 +194,7 @@
         held,
         None if experts is None else tuple(map(tuple, experts)),
     )
-    return RankState(group, server, sequence, report, running, choices, totals)
+    return RankState(group, upstream, sequence, report, running, choices, totals)
 
 
 def _encode_request(request: OrderRequest) -> t.Iterable[t.Any]:
--- a/packages/gateway/src/fuchsiahatch_gateway/defaults.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/defaults.py
@@ -14,9 +14,9 @@
 LEADER_TTL_MS = 1_500
 #: How often a leader renews its lease.
 LEADER_RENEWAL_MS = 450
-#: How often an agent reads its server's report and counts.
+#: How often an agent reads its upstream's report and counts.
 REPORT_MS = 100
-#: Age beyond which a server's load report counts for nothing.
+#: Age beyond which an upstream's load report counts for nothing.
 LOAD_LIMIT_MS = 1_000
 #: Prefix of all our keys in the store.
 KEY_PREFIX = "fuchsiahatch/"
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -27,7 +27,7 @@
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
-    from fuchsiahatch_gateway.fleet import Fleet, Server
+    from fuchsiahatch_gateway.fleet import Fleet, Upstream
     from fuchsiahatch_gateway.placing import Placer
     from fuchsiahatch_gateway.request_metrics import RequestMetrics
     from fuchsiahatch_gateway.retry_budget import RetryBudget
@@ -37,7 +37,7 @@
 #: A caller leaves a stream that has sent no event for this long.
 STREAM_PATIENCE_MS = 2_000
 #: Share of a caller's patience for which its request may wait for a place. The rest is
-#: for the server: a prompt is read and the first event written in some 100 to 300 ms.
+#: for the upstream: a prompt is read and the first event written in some 100 to 300 ms.
 WAIT_SHARE = 0.6
 #: Time before the end of a request's time in which no further try is begun.
 LEAST_TRY_MS = 30
@@ -70,7 +70,7 @@
     events : EventCutter or None
         For a stream.
     tried : list of str
-        Servers that it was sent to.
+        Upstreams that it was sent to.
     unsent : int
     may_have_run : bool
     first_event_ms : int or None
@@ -187,18 +187,18 @@
 
     async def _deliver(self, job: Job) -> None:
         while True:
-            server = await self._place(job)
-            outcome = await self._try(job, server)
+            upstream = await self._place(job)
+            outcome = await self._try(job, upstream)
             step = decide(outcome.result, self._progress(job, outcome))
             if step is Step.RETRY and not self._budget.spend(job.service):
                 step = _without_retry(outcome, job)
             if step is Step.RETRY:
-                self._log_retry(job, server, outcome)
+                self._log_retry(job, upstream, outcome)
                 continue
             self._end(job, step, outcome)
             return
 
-    async def _place(self, job: Job) -> "Server":
+    async def _place(self, job: Job) -> "Upstream":
         team = job.match.team.name
         urgency = job.match.urgency
         wait_ms = self._wait_ms(job)
@@ -213,11 +213,11 @@
             )
         return max(WAIT_SHARE * patience_ms, 1.0)
 
-    async def _try(self, job: Job, server: "Server") -> Outcome:
+    async def _try(self, job: Job, upstream: "Upstream") -> Outcome:
         sent_ms = self._clock.now_ms()
         left_ms = job.ends_ms - sent_ms
         one = Try(
-            server,
+            upstream,
             job.match.team.name,
             left_ms,
             job.events,
@@ -230,25 +230,25 @@
             may_have_run = outcome.result in (Result.ANSWERED, Result.BROKEN)
         finally:
             job.may_have_run = job.may_have_run or may_have_run
-            self._placer.give_back(server)
+            self._placer.give_back(upstream)
         if outcome.result is Result.UNSENT:
             job.unsent += 1
         else:
-            job.tried.append(server.entry.instance)
-        self._learn(server, outcome, sent_ms, was_started)
+            job.tried.append(upstream.entry.instance)
+        self._learn(upstream, outcome, sent_ms, was_started)
         return outcome
 
     def _learn(
-        self, server: "Server", outcome: Outcome, sent_ms: int, was_started: bool
+        self, upstream: "Upstream", outcome: Outcome, sent_ms: int, was_started: bool
     ) -> None:
         now_ms = self._clock.now_ms()
         if outcome.misplaced:
-            server.misplaced = True
-            log_event(Event.SERVER_MISPLACED, server=server.entry.instance)
-        elif outcome.result is not Result.ANSWERED or outcome.server_failed:
-            server.note_failure(now_ms)
+            upstream.misplaced = True
+            log_event(Event.UPSTREAM_MISPLACED, upstream=upstream.entry.instance)
+        elif outcome.result is not Result.ANSWERED or outcome.upstream_failed:
+            upstream.note_failure(now_ms)
         elif not outcome.passed_on and not was_started:
-            server.note_latency(now_ms - sent_ms)
+            upstream.note_latency(now_ms - sent_ms)
 
     def _progress(self, job: Job, outcome: Outcome) -> Progress:
         route = job.match.route
@@ -262,7 +262,7 @@
             max_sends=route.max_attempts,
             unsent=job.unsent,
             may_have_run=job.may_have_run,
-            server_failed=outcome.server_failed,
+            upstream_failed=outcome.upstream_failed,
             time_left=left_ms > LEAST_TRY_MS,
         )
 
@@ -341,7 +341,7 @@
             route=job.match.route.name,
             team=job.match.team.name,
             version=job.match.version,
-            servers=job.tried,
+            upstreams=job.tried,
             end=end,
             status=None if outcome is None else outcome.status,
             took_ms=now_ms - job.arrived_ms,
@@ -349,11 +349,11 @@
             longest_gap_ms=job.longest_gap_ms,
         )
 
-    def _log_retry(self, job: Job, server: "Server", outcome: Outcome) -> None:
+    def _log_retry(self, job: Job, upstream: "Upstream", outcome: Outcome) -> None:
         log_event(
             Event.ATTEMPT_RETRIED,
             request=job.request.request_id.decode("latin-1"),
-            server=server.entry.instance,
+            upstream=upstream.entry.instance,
             result=outcome.result.value,
             detail=outcome.detail,
             left_ms=job.ends_ms - self._clock.now_ms(),
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -1,4 +1,4 @@
-"""The entry: takes callers' requests and sends them to servers."""
+"""The entry: takes callers' requests and sends them to upstreams."""
 
 import asyncio
 import random
@@ -7,7 +7,7 @@
 from twisted.internet import reactor
 
 from fuchsiahatch_adapter.lookup_calls import asks_ready, encode_lookup, lookup_zone
-from fuchsiahatch_adapter.names import CONFIGURATION_KEY, SERVERS_PREFIX
+from fuchsiahatch_adapter.names import CONFIGURATION_KEY, UPSTREAMS_PREFIX
 from fuchsiahatch_adapter.store import StoreClient
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_gateway.datagrams import DatagramPort, LoadReport, Message, Peer
@@ -34,11 +34,11 @@
 from fuchsiahatch_http1.server import Exchange, HttpServer
 
 if t.TYPE_CHECKING:
-    from fuchsiahatch_adapter.servers import ServerEntry
+    from fuchsiahatch_adapter.upstreams import UpstreamEntry
     from fuchsiahatch_gateway.process import Process
 
-#: Time that a connection to a server may take; usual are some 3 ms. A dark host
-#: answers nothing, and its request goes to another server.
+#: Time that a connection to an upstream may take; usual are some 3 ms. A dark host
+#: answers nothing, and its request goes to another upstream.
 CONNECT_MS = 300
 #: How often a stopping entry looks whether it is idle.
 IDLE_POLL_MS = 50
@@ -101,13 +101,13 @@
         self.callers = HttpServer(self.delivery.handle)
         self.side_calls = HttpServer(self._answer_side_call)
         self._config = self._follow(CONFIGURATION_KEY, self._apply_configuration)
-        self._servers = self._follow(SERVERS_PREFIX, self._apply_servers)
+        self._upstreams = self._follow(UPSTREAMS_PREFIX, self._apply_upstreams)
         self._others = self._follow(ENTRIES_PREFIX, self._apply_entries)
 
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what is open."""
         process, settings = self._process, self._process.settings
-        for follower in (self._config, self._servers, self._others):
+        for follower in (self._config, self._upstreams, self._others):
             process.keep_running(follower.run())
         datagrams = DatagramPort(self._take_message)
         port = settings.internal_ports[0]
@@ -131,7 +131,7 @@
         return (
             not self._leaving
             and self.routes.configuration is not None
-            and self._servers.synced
+            and self._upstreams.synced
         )
 
     async def _wait_ready(self) -> None:
@@ -187,8 +187,8 @@
         limits.header_ms = known.limits.header_ms
         limits.idle_ms = known.limits.idle_ms
 
-    def _apply_servers(self) -> None:
-        self.fleet.apply(self._servers.items)
+    def _apply_upstreams(self) -> None:
+        self.fleet.apply(self._upstreams.items)
         self.placer.serve_waiting()
 
     def _apply_entries(self) -> None:
@@ -202,7 +202,7 @@
             self.fleet.observe(message)
             self.placer.serve_waiting()
 
-    def _drop_connections(self, entry: "ServerEntry") -> None:
+    def _drop_connections(self, entry: "UpstreamEntry") -> None:
         self.pool.forget(entry.address.ip, entry.address.port)
 
     def _add_gauges(self) -> None:
--- a/packages/gateway/src/fuchsiahatch_gateway/event_stream.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/event_stream.py
@@ -41,7 +41,7 @@
         return rest
 
     def restart(self) -> None:
-        """Drop half an event that was cut; the next server sends it whole."""
+        """Drop half an event that was cut; the next upstream sends it whole."""
         self._rest = b""
 
 
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -1,10 +1,10 @@
-"""The servers that this entry knows, and the load that it believes each to have."""
+"""The upstreams that this entry knows, and the load that it believes each to have."""
 
 import dataclasses
 import random
 import typing as t
 
-from fuchsiahatch_adapter.servers import ServerEntry, decode_server_entry
+from fuchsiahatch_adapter.upstreams import UpstreamEntry, decode_upstream_entry
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_gateway.defaults import LOAD_LIMIT_MS
 
@@ -13,23 +13,23 @@
     from fuchsiahatch_core.clock import Clock
     from fuchsiahatch_gateway.datagrams import LoadReport
 
-#: Time in which a server's failure counts half.
+#: Time in which an upstream's failure counts half.
 FAILURE_HALF_LIFE_MS = 2_000
-#: Requests that one fresh failure counts as, when servers are compared.
+#: Requests that one fresh failure counts as, when upstreams are compared.
 FAILURE_COST = 3.0
 #: Requests that a way into another zone counts as: it only breaks ties.
 ZONE_COST = 0.2
-#: Weight of the newest of a plain server's latencies in their running mean.
+#: Weight of the newest of a plain upstream's latencies in their running mean.
 LATENCY_WEIGHT = 0.3
 
 
 @dataclasses.dataclass(slots=True)
-class Server:
-    """One server and what this entry believes of it.
+class Upstream:
+    """One upstream and what this entry believes of it.
 
     Attributes
     ----------
-    entry : ServerEntry
+    entry : UpstreamEntry
     own : int
         Requests that this entry has sent there and that have not ended.
     others : int
@@ -40,12 +40,12 @@
     open : bool
         Whether its rank group works.
     misplaced : bool
-        Whether another server answered at its address.
+        Whether another upstream answered at its address.
     latency_ms : float
         Running mean of its answers; 0 before the first.
     """
 
-    entry: ServerEntry
+    entry: UpstreamEntry
     own: int = 0
     others: int = 0
     reported_ms: int | None = None
@@ -63,7 +63,7 @@
         return self.own + self.others
 
     def note_failure(self, now_ms: int) -> None:
-        """Count a failure against the server."""
+        """Count a failure against the upstream."""
         self._failures = self.failures(now_ms) + 1.0
         self._failed_ms = now_ms
 
@@ -82,7 +82,7 @@
 
 
 class Fleet:
-    """All servers.
+    """All upstreams.
 
     Parameters
     ----------
@@ -93,71 +93,72 @@
 
     Attributes
     ----------
-    servers : dict of str to Server
+    upstreams : dict of str to Upstream
         By instance.
     on_gone : callable
-        Is given the entry of each server that is gone.
+        Is given the entry of each upstream that is gone.
     """
 
-    __slots__ = ("_by_address", "_clock", "_rng", "_zone", "on_gone", "servers")
+    __slots__ = ("_by_address", "_clock", "_rng", "_zone", "on_gone", "upstreams")
 
     def __init__(self, zone: str, clock: "Clock", rng: random.Random) -> None:
         self._zone = zone
         self._clock = clock
         self._rng = rng
-        self._by_address: dict[str, Server] = {}
-        self.servers: dict[str, Server] = {}
-        self.on_gone: t.Callable[[ServerEntry], None] = lambda entry: None
+        self._by_address: dict[str, Upstream] = {}
+        self.upstreams: dict[str, Upstream] = {}
+        self.on_gone: t.Callable[[UpstreamEntry], None] = lambda entry: None
 
     def apply(self, items: t.Mapping[str, "Item"]) -> None:
-        """Take over the servers' entries, as they are in the store now."""
+        """Take over the upstreams' entries, as they are in the store now."""
         fresh = {}
         for instance, item in items.items():
             entry = _decode(instance, item)
             if entry is not None:
                 fresh[instance] = entry
-        for instance in self.servers.keys() - fresh.keys():
-            gone = self.servers.pop(instance)
-            log_event(Event.SERVER_GONE, server=instance, own=gone.own)
+        for instance in self.upstreams.keys() - fresh.keys():
+            gone = self.upstreams.pop(instance)
+            log_event(Event.UPSTREAM_GONE, upstream=instance, own=gone.own)
             self.on_gone(gone.entry)
         for instance, entry in fresh.items():
             self._put(instance, entry)
         self._by_address = {
-            str(server.entry.address): server for server in self.servers.values()
+            str(upstream.entry.address): upstream
+            for upstream in self.upstreams.values()
         }
 
     def observe(self, load: "LoadReport") -> None:
         """Take in a load report."""
-        server = self._by_address.get(load.server)
-        if server is None:
+        upstream = self._by_address.get(load.upstream)
+        if upstream is None:
             return
-        server.others = max(0, load.running + load.queued - server.own)
-        server.reported_ms = self._clock.now_ms()
-        server.pace = load.pace
-        server.open = load.open
+        upstream.others = max(0, load.running + load.queued - upstream.own)
+        upstream.reported_ms = self._clock.now_ms()
+        upstream.pace = load.pace
+        upstream.open = load.open
 
-    def usable(self, service: str) -> list[Server]:
-        """Return the servers of a service that may get new work."""
+    def usable(self, service: str) -> list[Upstream]:
+        """Return the upstreams of a service that may get new work."""
         return [
-            server
-            for server in self.servers.values()
-            if server.entry.service == service
-            and not server.entry.leaving
-            and not server.misplaced
-            and server.open
+            upstream
+            for upstream in self.upstreams.values()
+            if upstream.entry.service == service
+            and not upstream.entry.leaving
+            and not upstream.misplaced
+            and upstream.open
         ]
 
-    def is_usable(self, server: Server) -> bool:
-        """Return whether a server may still get new work."""
-        known = self.servers.get(server.entry.instance)
-        return known is server and not (
-            server.entry.leaving or server.misplaced or not server.open
+    def is_usable(self, upstream: Upstream) -> bool:
+        """Return whether an upstream may still get new work."""
+        known = self.upstreams.get(upstream.entry.instance)
+        return known is upstream and not (
+            upstream.entry.leaving or upstream.misplaced or not upstream.open
         )
 
     def choose(
         self, service: str, tried: t.Collection[str], spare: float = 0.0
-    ) -> Server | None:
-        """Return the server that is expected to answer soonest, if any has a place.
+    ) -> Upstream | None:
+        """Return the upstream that is expected to answer soonest, if any has a place.
 
         Parameters
         ----------
@@ -165,15 +166,15 @@
         tried : collection of str
             Instances that are chosen only when there is no other.
         spare : float, optional
-            Requests that a server may have beyond its places.
+            Requests that an upstream may have beyond its places.
         """
         now_ms = self._clock.now_ms()
         free = [
-            server
-            for server in self.usable(service)
-            if server.load(now_ms) < server.entry.places + spare
+            upstream
+            for upstream in self.usable(service)
+            if upstream.load(now_ms) < upstream.entry.places + spare
         ]
-        fresh = [server for server in free if server.entry.instance not in tried]
+        fresh = [upstream for upstream in free if upstream.entry.instance not in tried]
         candidates = fresh or free
         if not candidates:
             return None
@@ -182,31 +183,31 @@
         fastest_ms = min(known, default=0.0)
         return min(candidates, key=lambda one: self._cost(one, now_ms, fastest_ms))
 
-    def _cost(self, server: Server, now_ms: int, fastest_ms: float) -> float:
-        cost = server.load(now_ms) * server.pace
-        cost += FAILURE_COST * server.failures(now_ms)
-        if server.entry.zone != self._zone:
+    def _cost(self, upstream: Upstream, now_ms: int, fastest_ms: float) -> float:
+        cost = upstream.load(now_ms) * upstream.pace
+        cost += FAILURE_COST * upstream.failures(now_ms)
+        if upstream.entry.zone != self._zone:
             cost += ZONE_COST
-        if server.latency_ms and fastest_ms:
-            cost += server.latency_ms / fastest_ms - 1.0
+        if upstream.latency_ms and fastest_ms:
+            cost += upstream.latency_ms / fastest_ms - 1.0
         return cost
 
-    def _put(self, instance: str, entry: ServerEntry) -> None:
-        known = self.servers.get(instance)
+    def _put(self, instance: str, entry: UpstreamEntry) -> None:
+        known = self.upstreams.get(instance)
         if known is None:
-            self.servers[instance] = Server(entry)
-            log_event(Event.SERVER_SEEN, server=instance, service=entry.service)
+            self.upstreams[instance] = Upstream(entry)
+            log_event(Event.UPSTREAM_SEEN, upstream=instance, service=entry.service)
             return
         if entry.leaving and not known.entry.leaving:
-            log_event(Event.SERVER_LEAVING, server=instance, own=known.own)
+            log_event(Event.UPSTREAM_LEAVING, upstream=instance, own=known.own)
             self.on_gone(entry)
         known.entry = entry
 
 
-def _decode(instance: str, item: "Item") -> ServerEntry | None:
+def _decode(instance: str, item: "Item") -> UpstreamEntry | None:
     try:
-        return decode_server_entry(instance, item.value or b"")
+        return decode_upstream_entry(instance, item.value or b"")
     except (KeyError, TypeError, ValueError) as fault:
         detail = f"{type(fault).__name__}: {fault}"
-        log_event(Event.SERVER_UNREADABLE, server=instance, detail=detail)
+        log_event(Event.UPSTREAM_UNREADABLE, upstream=instance, detail=detail)
         return None
--- a/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
@@ -18,7 +18,7 @@
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.configuration import Engine
-    from fuchsiahatch_adapter.model_server import ModelServer
+    from fuchsiahatch_adapter.model_engine import ModelEngine
     from fuchsiahatch_core.clock import Clock
     from fuchsiahatch_experts.drift import Demand
 
@@ -32,13 +32,13 @@
 FINISH_POLL_MS = 10
 #: Time that a leader which stops gives its switch.
 FINISH_LIMIT_MS = 2_000
-#: Silence of an agent after which the leader speaks with its server itself, while
+#: Silence of an agent after which the leader speaks with its upstream itself, while
 #: passes are held back: a killed agent must not hold its group until it is back. Such
 #: orders and reports are priced, so that it is done in need only.
 SILENCE_MS = 350
 #: The leader's own rank needs no datagrams.
 _OWN_PEER = ("", 0)
-#: Pause between two reports that the leader asks a server for itself.
+#: Pause between two reports that the leader asks an upstream for itself.
 DIRECT_POLL_MS = 40
 #: Phases in which a hold may be in force.
 _HOLDING_PHASES = (Phase.HOLDING, Phase.ARMING, Phase.RELEASING, Phase.CLEARING)
@@ -55,8 +55,8 @@
         The leader's own rank.
     datagrams : DatagramPort
     clock : Clock
-    server_of : callable
-        Makes a client of the server at an address.
+    upstream_of : callable
+        Makes a client of the upstream at an address.
 
     Attributes
     ----------
@@ -74,7 +74,7 @@
         own: "RankAgent",
         datagrams: DatagramPort,
         clock: "Clock",
-        server_of: t.Callable[[str], "ModelServer"],
+        upstream_of: t.Callable[[str], "ModelEngine"],
     ) -> None:
         self._group = group
         self._term = term
@@ -83,7 +83,7 @@
         self._own = own
         self._datagrams = datagrams
         self._clock = clock
-        self._server_of = server_of
+        self._upstream_of = upstream_of
         self._addresses: dict[int, str] = {}
         self._heard_ms: dict[int, int] = {}
         self._direct: dict[int, RankAgent] = {}
@@ -105,15 +105,15 @@
         """Take in a rank's state."""
         if state.group != self._group:
             return
-        if state.sequence <= self._sequences.get(state.server, 0):
+        if state.sequence <= self._sequences.get(state.upstream, 0):
             # A late one; or the agent has started anew and counts from one again.
             if state.sequence > 3:
                 return
-        self._sequences[state.server] = state.sequence
+        self._sequences[state.upstream] = state.sequence
         rank = state.report.rank
         now_ms = self._clock.now_ms()
         self._peers[rank] = peer
-        self._addresses[rank] = state.server
+        self._addresses[rank] = state.upstream
         self._heard_ms[rank] = now_ms
         self._direct.pop(rank, None)
         self.switch.observe(state.report, now_ms)
@@ -210,7 +210,7 @@
             async for state in self._own.follow_effect(order):
                 self.take_state(state, _OWN_PEER)
         except PlatformError as fault:
-            log_event(Event.SERVER_SILENT, detail=fault.detail)
+            log_event(Event.UPSTREAM_SILENT, detail=fault.detail)
 
     def _speak_for_silent_agents(self, now_ms: int) -> None:
         if self.switch.phase not in _HOLDING_PHASES:
@@ -222,7 +222,7 @@
             if rank not in self._direct:
                 log_event(Event.AGENT_LOST, group=self._group, rank=rank)
                 address = self._addresses[rank]
-                self._direct[rank] = RankAgent(self._server_of(address), address)
+                self._direct[rank] = RankAgent(self._upstream_of(address), address)
                 self._direct[rank].note_term(self._term)
             if rank not in self._asking:
                 self._asking.add(rank)
@@ -235,7 +235,7 @@
             if self._direct.get(rank) is direct:
                 self.switch.observe(state.report, self._clock.now_ms())
         except PlatformError as fault:
-            log_event(Event.SERVER_SILENT, detail=fault.detail)
+            log_event(Event.UPSTREAM_SILENT, detail=fault.detail)
         finally:
             await asyncio.sleep(DIRECT_POLL_MS / 1000)
             self._asking.discard(rank)
--- a/packages/gateway/src/fuchsiahatch_gateway/leadership.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/leadership.py
@@ -52,7 +52,7 @@
             ip, port = orjson.loads(item.value or b"")["peer"]
         except (KeyError, TypeError, ValueError) as fault:
             detail = f"leader of {group}: {type(fault).__name__}: {fault}"
-            log_event(Event.SERVER_UNREADABLE, server=group, detail=detail)
+            log_event(Event.UPSTREAM_UNREADABLE, upstream=group, detail=detail)
             continue
         leaders[group] = LeaderRecord(group, item.created, (ip, port))
     return leaders
--- a/packages/gateway/src/fuchsiahatch_gateway/lookups.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/lookups.py
@@ -49,7 +49,7 @@
             entries[node] = EntryRecord(**fields)
         except (KeyError, TypeError, ValueError) as fault:
             detail = f"{node}: {type(fault).__name__}: {fault}"
-            log_event(Event.SERVER_UNREADABLE, server=node, detail=detail)
+            log_event(Event.UPSTREAM_UNREADABLE, upstream=node, detail=detail)
     return entries
 
 
--- a/packages/gateway/src/fuchsiahatch_gateway/next_steps.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/next_steps.py
@@ -1,20 +1,20 @@
-"""What to do after a try at a server, as a pure function."""
+"""What to do after a try at an upstream, as a pure function."""
 
 import dataclasses
 import enum
 
 
 class Result(enum.Enum):
-    """How a try at a server ended.
+    """How a try at an upstream ended.
 
     Attributes
     ----------
     UNSENT
         No connection came about.
     NOT_RUN
-        The server promised that it did not run the request and never will.
+        The upstream promised that it did not run the request and never will.
     ANSWERED
-        A whole answer, be it a success or the server's own failure.
+        A whole answer, be it a success or the upstream's own failure.
     BROKEN
         No whole answer: the request may have run.
     """
@@ -31,9 +31,9 @@
     Attributes
     ----------
     RELAY
-        Hand the server's answer to the caller.
+        Hand the upstream's answer to the caller.
     RETRY
-        Send the request to another server.
+        Send the request to another upstream.
     REFUSE
         Tell the caller that the request was not run and never will be.
     FAIL
@@ -55,14 +55,14 @@
     repeatable : bool
         Whether it may run more than once.
     sends : int
-        Servers that it was sent to.
+        Upstreams that it was sent to.
     max_sends : int
     unsent : int
         Tries for which no connection came about.
     may_have_run : bool
         Whether any try so far may have run, this one included.
-    server_failed : bool
-        Whether the whole answer is a failure of the server's own.
+    upstream_failed : bool
+        Whether the whole answer is a failure of the upstream's own.
     time_left : bool
         Whether another try could still be answered.
     """
@@ -72,7 +72,7 @@
     max_sends: int
     unsent: int
     may_have_run: bool
-    server_failed: bool
+    upstream_failed: bool
     time_left: bool
 
 
@@ -85,10 +85,10 @@
 
     Notes
     -----
-    A request that isn't repeatable goes to a second server only after a promise that
+    A request that isn't repeatable goes to a second upstream only after a promise that
     the first did not run it, and is refused only when no try may have run.
     """
-    if result is Result.ANSWERED and not progress.server_failed:
+    if result is Result.ANSWERED and not progress.upstream_failed:
         return Step.RELAY
     if progress.time_left and _may_try_again(result, progress):
         return Step.RETRY
--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -1,4 +1,4 @@
-"""Who is sent to a server now, who waits, and who is refused."""
+"""Who is sent to an upstream now, who waits, and who is refused."""
 
 import asyncio
 import dataclasses
@@ -11,7 +11,7 @@
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
-    from fuchsiahatch_gateway.fleet import Fleet, Server
+    from fuchsiahatch_gateway.fleet import Fleet, Upstream
 
 #: Requests that may wait at one entry for one service.
 MAX_WAITING = 256
@@ -21,12 +21,12 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Waiter:
-    future: "asyncio.Future[Server]"
+    future: "asyncio.Future[Upstream]"
     tried: t.Collection[str]
 
 
 class Placer:
-    """Gives requests places at servers.
+    """Gives requests places at upstreams.
 
     Parameters
     ----------
@@ -42,7 +42,7 @@
         self._numbers = itertools.count(1)
         self._queues: dict[str, FairQueue] = {}
         self._waiters: dict[int, _Waiter] = {}
-        #: Requests that a server may have beyond its places.
+        #: Requests that an upstream may have beyond its places.
         self.spare = 0.0
 
     @property
@@ -57,8 +57,8 @@
         urgency: int,
         tried: t.Collection[str],
         wait_ms: float,
-    ) -> "Server":
-        """Return a server with a place, which is taken; `give_back` frees it.
+    ) -> "Upstream":
+        """Return an upstream with a place, which is taken; `give_back` frees it.
 
         Raises
         ------
@@ -67,21 +67,21 @@
         """
         queue = self._queues.setdefault(service, FairQueue(MAX_WAITING))
         if not len(queue):
-            server = self._fleet.choose(service, tried, self.spare)
-            if server is not None:
-                server.own += 1
-                return server
-        server = await self._wait(queue, service, team, urgency, tried, wait_ms)
-        if not self._fleet.is_usable(server):
+            upstream = self._fleet.choose(service, tried, self.spare)
+            if upstream is not None:
+                upstream.own += 1
+                return upstream
+        upstream = await self._wait(queue, service, team, urgency, tried, wait_ms)
+        if not self._fleet.is_usable(upstream):
             # It began to leave between the choice and this moment.
-            self.give_back(server)
-            raise RefusedError("the server has left", Code.NO_LIVE_UPSTREAM)
-        return server
+            self.give_back(upstream)
+            raise RefusedError("the upstream has left", Code.NO_LIVE_UPSTREAM)
+        return upstream
 
-    def give_back(self, server: "Server") -> None:
+    def give_back(self, upstream: "Upstream") -> None:
         """Free a place."""
-        server.own -= 1
-        self.serve_waiting(server.entry.service)
+        upstream.own -= 1
+        self.serve_waiting(upstream.entry.service)
 
     def serve_waiting(self, service: str | None = None) -> None:
         """Give the places that are free to those who wait."""
@@ -93,17 +93,17 @@
                     break
 
     def _serve_next(self, queue: FairQueue, service: str) -> bool:
-        server = self._fleet.choose(service, (), self.spare)
-        if server is None:
+        upstream = self._fleet.choose(service, (), self.spare)
+        if upstream is None:
             return False
         waiting = queue.pop(QUEUE_COST)
         waiter = None if waiting is None else self._waiters.pop(waiting.ticket, None)
         if waiter is None or waiter.future.done():
             return True
-        if server.entry.instance in waiter.tried:
-            server = self._fleet.choose(service, waiter.tried, self.spare) or server
-        server.own += 1
-        waiter.future.set_result(server)
+        if upstream.entry.instance in waiter.tried:
+            upstream = self._fleet.choose(service, waiter.tried, self.spare) or upstream
+        upstream.own += 1
+        waiter.future.set_result(upstream)
         return True
 
     async def _wait(
@@ -114,7 +114,7 @@
         urgency: int,
         tried: t.Collection[str],
         wait_ms: float,
-    ) -> "Server":
+    ) -> "Upstream":
         number = next(self._numbers)
         now_ms = self._clock.now_ms()
         expires_ms = now_ms + int(wait_ms)
@@ -134,7 +134,7 @@
 
     def _return_unused(self, waiter: _Waiter) -> None:
         """Free a place that was given to a request that had just been cancelled."""
-        # A future that wait_for cancelled has no result; one that got its server in
+        # A future that wait_for cancelled has no result; one that got its upstream in
         # the same turn of the loop in which the caller left has one nobody takes.
         if waiter.future.done() and not waiter.future.cancelled():
             task = asyncio.current_task()
--- a/packages/gateway/src/fuchsiahatch_gateway/process.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/process.py
@@ -78,8 +78,8 @@
 
     async def serve_metrics(self) -> None:
         """Serve the metrics."""
-        server = HttpServer(self._answer_metrics)
-        await server.listen(self.settings.ip, METRICS_PORT)
+        upstream = HttpServer(self._answer_metrics)
+        await upstream.listen(self.settings.ip, METRICS_PORT)
 
     async def _answer_metrics(self, exchange: Exchange) -> None:
         if exchange.target != METRICS_PATH:
--- a/packages/gateway/src/fuchsiahatch_gateway/rank_agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/rank_agent.py
@@ -3,7 +3,7 @@
 import asyncio
 import typing as t
 
-from fuchsiahatch_adapter.model_server import Choices, ModelServer
+from fuchsiahatch_adapter.model_engine import Choices, ModelEngine
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_experts.switching import (
     Armed,
@@ -15,7 +15,7 @@
 from fuchsiahatch_gateway.datagrams import CHOICE_SCALE, OrderRequest, RankState
 
 if t.TYPE_CHECKING:
-    from fuchsiahatch_adapter.servers import EngineReport
+    from fuchsiahatch_adapter.upstreams import EngineReport
 
 #: How often a rank that copies, or is armed, is asked whether it is done, and how often
 #: at most. The slowest of all ranks decides when a switch can go on: waiting for the
@@ -25,13 +25,13 @@
 
 
 class RankAgent:
-    """Reads the server on this host and gives it orders.
+    """Reads the upstream on this host and gives it orders.
 
     Parameters
     ----------
-    server : ModelServer
+    upstream : ModelEngine
     address : str
-        The server's, ``ip:port``.
+        The upstream's, ``ip:port``.
 
     Attributes
     ----------
@@ -48,13 +48,13 @@
         "_experts_of",
         "_layers",
         "_sequence",
-        "_server",
+        "_upstream",
         "seen",
         "term",
     )
 
-    def __init__(self, server: ModelServer, address: str) -> None:
-        self._server = server
+    def __init__(self, upstream: ModelEngine, address: str) -> None:
+        self._upstream = upstream
         self._address = address
         self._sequence = 0
         self._choices: Choices | None = None
@@ -71,13 +71,13 @@
             self.term = term
 
     async def read_state(self, with_choices: bool = True) -> RankState:
-        """Read the server's report, and the choices since the last state.
+        """Read the upstream's report, and the choices since the last state.
 
         Raises
         ------
         PlatformError
         """
-        seen = await self._server.report()
+        seen = await self._upstream.report()
         self.seen = seen
         choices, totals = b"", ()
         if seen.group:
@@ -106,8 +106,8 @@
         return await self.give_order(request.order)
 
     async def give_order(self, order: Order) -> OrderResult:
-        """Give an order to the server."""
-        result = await _give(self._server, order)
+        """Give an order to the upstream."""
+        result = await _give(self._upstream, order)
         if result is not OrderResult.BEGUN:
             log_event(
                 Event.ORDER_REFUSED,
@@ -160,14 +160,14 @@
             return
         self._experts = None
         self._experts_of = None
-        found = await self._server.experts()
+        found = await self._upstream.experts()
         if found.version == seen.map_version:
             self._experts = found.experts
             self._experts_of = wanted
             self._layers = len(found.experts)
 
     async def _read_choices(self) -> tuple[bytes, tuple[int, ...]]:
-        fresh = await self._server.choices()
+        fresh = await self._upstream.choices()
         before, self._choices = self._choices, fresh
         if (
             before is None
@@ -179,7 +179,7 @@
             new - old for new, old in zip(fresh.counts, before.counts, strict=True)
         ]
         if min(since) < 0:
-            # The server has started anew: its counts began at zero.
+            # The upstream has started anew: its counts began at zero.
             return b"", ()
         experts = len(since) // self._layers
         rows = [since[at : at + experts] for at in range(0, len(since), experts)]
@@ -197,14 +197,14 @@
     return bytes(round(count * CHOICE_SCALE / largest) for count in row)
 
 
-async def _give(server: ModelServer, order: Order) -> OrderResult:
+async def _give(upstream: ModelEngine, order: Order) -> OrderResult:
     if order.kind is OrderKind.PREPARE:
         assert order.placement is not None
-        return await server.prepare(order.version, order.epoch, order.placement)
+        return await upstream.prepare(order.version, order.epoch, order.placement)
     if order.kind is OrderKind.ARM:
-        return await server.arm(order.version, order.epoch, order.step)
+        return await upstream.arm(order.version, order.epoch, order.step)
     if order.kind is OrderKind.DISARM:
-        return await server.disarm(order.version, order.epoch)
+        return await upstream.disarm(order.version, order.epoch)
     if order.kind is OrderKind.HOLD:
-        return await server.hold(order.epoch, order.step)
-    return await server.let_go(order.epoch, order.step)
+        return await upstream.hold(order.epoch, order.step)
+    return await upstream.let_go(order.epoch, order.step)
--- a/packages/standins/src/fuchsiahatch_standins/fleet_server.py
+++ b/packages/standins/src/fuchsiahatch_standins/scripted_upstream.py
@@ -1,4 +1,4 @@
-"""Stand-in of a server that is told what to do with each request, byte by byte.
+"""Stand-in of an upstream that is told what to do with each request, byte by byte.
 
 A script is a coroutine that is given one request and its connection. It may answer,
 break off, say nothing, or send what nobody asked for.
@@ -98,8 +98,8 @@
     return "\r\n".join([*lines, "", ""]).encode()
 
 
-class FleetServer:
-    """One server whose requests run scripts in turn; the last one goes on.
+class ScriptedUpstream:
+    """One upstream whose requests run scripts in turn; the last one goes on.
 
     Parameters
     ----------
@@ -114,7 +114,7 @@
 
     def __init__(self, *scripts: Script) -> None:
         self._scripts = itertools.chain(scripts, itertools.repeat(scripts[-1]))
-        self._server: asyncio.Server | None = None
+        self._upstream: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self.received: list[Received] = []
         self.connections = 0
@@ -122,13 +122,13 @@
 
     async def listen(self, ip: str = "127.0.0.1", port: int = 0) -> int:
         """Serve and return the port."""
-        self._server = await asyncio.start_server(self._serve, ip, port)
-        return self._server.sockets[0].getsockname()[1]
+        self._upstream = await asyncio.start_server(self._serve, ip, port)
+        return self._upstream.sockets[0].getsockname()[1]
 
     async def close(self) -> None:
         """Stop."""
-        if self._server is not None:
-            self._server.close()
+        if self._upstream is not None:
+            self._upstream.close()
         for task in tuple(self._tasks):
             task.cancel()
 
--- a/tests/experts/switch_model.py
+++ b/tests/experts/switch_model.py
@@ -23,7 +23,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Rank:
-    """One rank's server, as the platform's pages describe it."""
+    """One rank's upstream, as the platform's pages describe it."""
 
     map_version: int = 0
     prepared: int = 0
--- a/tests/gateway/sites.py
+++ b/tests/gateway/sites.py
@@ -1,4 +1,4 @@
-"""One entry in this process, with scripted servers and the store's stand-in."""
+"""One entry in this process, with scripted upstreams and the store's stand-in."""
 
 import asyncio
 import json
@@ -8,8 +8,8 @@
 from fuchsiahatch_gateway.entry import Entry
 from fuchsiahatch_gateway.log import LineWriter
 from fuchsiahatch_gateway.process import Process
-from fuchsiahatch_standins.fleet_server import FleetServer
 from fuchsiahatch_standins.fleet_store import FleetStore
+from fuchsiahatch_standins.scripted_upstream import ScriptedUpstream
 from tests import loopback  # noqa: F401  (installs the reactor)
 
 HOST = "booking.example"
@@ -81,10 +81,10 @@
 
 
 class Site:
-    """An entry with its servers, for the time of a context."""
+    """An entry with its upstreams, for the time of a context."""
 
-    def __init__(self, *servers):
-        self.servers = servers
+    def __init__(self, *upstreams):
+        self.upstreams = upstreams
         self.store = FleetStore()
         self.entry = None
         self.port = 0
@@ -92,14 +92,14 @@
     async def __aenter__(self):
         store_port = await self.store.listen()
         self.store.put("op/config", make_configuration())
-        for number, server in enumerate(self.servers):
-            await self.add_server(f"i-{number}", server)
+        for number, upstream in enumerate(self.upstreams):
+            await self.add_upstream(f"i-{number}", upstream)
         null = os.open(os.devnull, os.O_WRONLY)
         process = Process(make_settings(store_port), LineWriter(null, lambda: 0))
         self.entry = Entry(process)
         self._followers = [
             asyncio.ensure_future(follower.run())
-            for follower in (self.entry._config, self.entry._servers)
+            for follower in (self.entry._config, self.entry._upstreams)
         ]
         await until(lambda: self.entry.ready)
         self.port = await self.entry.callers.listen("127.0.0.1", 0)
@@ -111,16 +111,20 @@
         await self.entry.callers.stop_accepting()
         for connection in tuple(self.entry.callers.connections):
             connection.abort()
-        for server in self.servers:
-            await server.close()
+        for upstream in self.upstreams:
+            await upstream.close()
         await self.store.close()
 
-    async def add_server(self, instance, server, state="ready", service="svc"):
-        port = await server.listen() if not getattr(server, "port", 0) else server.port
-        server.port = port
-        self.put_server(instance, port, state, service)
+    async def add_upstream(self, instance, upstream, state="ready", service="svc"):
+        port = (
+            await upstream.listen()
+            if not getattr(upstream, "port", 0)
+            else upstream.port
+        )
+        upstream.port = port
+        self.put_upstream(instance, port, state, service)
 
-    def put_server(self, instance, port, state="ready", service="svc"):
+    def put_upstream(self, instance, port, state="ready", service="svc"):
         self.store.put(
             f"servers/{instance}",
             {
@@ -235,8 +239,8 @@
     return script
 
 
-def server(*scripts):
-    return FleetServer(*scripts)
+def upstream(*scripts):
+    return ScriptedUpstream(*scripts)
 
 
 def event_ids(body):
--- a/tests/gateway/test_delivery.py
+++ b/tests/gateway/test_delivery.py
@@ -13,9 +13,9 @@
     make_route,
     refuses,
     resets,
-    server,
     streams,
     until,
+    upstream,
     waits,
 )
 from tests.loopback import run
@@ -26,7 +26,7 @@
 
 
 async def ask_one(path, *scripts, **options):
-    one = server(*scripts)
+    one = upstream(*scripts)
     async with Site(one) as site:
         return await site.ask(path, **options), one
 
@@ -42,7 +42,7 @@
         (request,) = one.received
         self.assertEqual((request.method, request.target), ("POST", "/safe/x?y=1"))
 
-    def test_a_server_is_shown_the_team_and_never_the_key(self):
+    def test_a_upstream_is_shown_the_team_and_never_the_key(self):
         forged = [("Fuchsiahatch-Tenant", "team-b"), ("X-Other", "1")]
         _, one = run(ask_one("/safe/", answers(), headers=forged))
         headers = one.received[0].headers
@@ -52,13 +52,13 @@
         self.assertEqual(headers["fuchsiahatch-expect-instance"], "i-0")
         self.assertLessEqual(int(headers["fuchsiahatch-deadline-ms"]), 1_400)
 
-    def test_a_body_reaches_the_server_whole(self):
+    def test_a_body_reaches_the_upstream_whole(self):
         _, one = run(ask_one("/safe/", answers(), body=b"x" * 300_000))
         self.assertEqual(one.received[0].body, b"x" * 300_000)
 
     def test_unknown_routes_and_keys_are_denied(self):
         async def asks():
-            async with Site(server(answers())) as site:
+            async with Site(upstream(answers())) as site:
                 return (
                     await site.ask("/none/"),
                     await site.ask("/safe/", key="wrong"),
@@ -69,15 +69,18 @@
         statuses = [reply.status for reply in run(asks())]
         self.assertEqual(statuses, [404, 401, 401, 200])
 
-    def test_a_servers_own_failure_is_passed_on(self):
+    def test_a_upstreams_own_failure_is_passed_on(self):
         reply, _ = run(ask_one("/hold/", answers(500, b"failed")))
         self.assertEqual((reply.status, reply.body), (500, b"failed"))
 
     def test_the_longest_prefix_selects(self):
         async def asks():
-            one, other = server(answers(body=b"short")), server(answers(body=b"long"))
+            one, other = (
+                upstream(answers(body=b"short")),
+                upstream(answers(body=b"long")),
+            )
             async with Site(one) as site:
-                await site.add_server("i-9", other, service="other")
+                await site.add_upstream("i-9", other, service="other")
                 routes = [
                     make_route("/safe/", "safe"),
                     make_route("/safe/deep/", "safe", "other"),
@@ -93,20 +96,20 @@
 
 class TestAtMostOnce(unittest.TestCase):
     def test_a_hold_whose_answer_is_lost_is_not_sent_again(self):
-        # A trainer is booked twice for one hour: the server ran the hold, its answer
-        # was lost, and the balancer sent the hold to a second server.
+        # A trainer is booked twice for one hour: the upstream ran the hold, its answer
+        # was lost, and the balancer sent the hold to a second upstream.
         async def asks():
-            servers = [server(resets), server(resets)]
-            async with Site(*servers) as site:
+            upstreams = [upstream(resets), upstream(resets)]
+            async with Site(*upstreams) as site:
                 reply = await site.ask("/twice/")
-                return reply, sum(len(one.received) for one in servers)
+                return reply, sum(len(one.received) for one in upstreams)
 
         reply, sends = run(asks())
         self.assertEqual(sends, 1)
         # 503 would say that it has not run.
         self.assertEqual(reply.status, 502)
 
-    def test_a_hold_that_was_not_run_may_go_to_a_second_server(self):
+    def test_a_hold_that_was_not_run_may_go_to_a_second_upstream(self):
         reply, one = run(ask_one("/twice/", refuses(), answers()))
         self.assertEqual((reply.status, len(one.received)), (200, 2))
 
@@ -120,20 +123,20 @@
             reply, one = run(ask_one("/safe/", first, answers()))
             self.assertEqual((reply.status, len(one.received)), (200, 2))
 
-    def test_no_more_servers_than_the_route_allows(self):
+    def test_no_more_upstreams_than_the_route_allows(self):
         reply, one = run(ask_one("/safe/", resets))
         self.assertEqual((reply.status, len(one.received)), (502, 2))
 
     def test_time_over_after_a_send_is_no_refusal(self):
         # The caller of a hold is told "not run", books elsewhere, and the first
-        # server's booking comes through after all.
+        # upstream's booking comes through after all.
         reply, _ = run(ask_one("/hold/", waits, headers=[]))
         self.assertEqual(reply.status, 504)
 
 
 class TestMixedAnswers(unittest.TestCase):
     def test_a_late_second_answer_reaches_nobody(self):
-        # A member reads another member's booking: a server sends a second answer to
+        # A member reads another member's booking: an upstream sends a second answer to
         # the first request, and it lies where the second one's answer is due.
         async def doubled(request, wire):
             await wire.answer(request, body=b"first")
@@ -141,7 +144,7 @@
             await wire.answer(request, body=b"first again")
 
         async def asks():
-            one = server(doubled, answers(body=b"second"))
+            one = upstream(doubled, answers(body=b"second"))
             async with Site(one) as site:
                 replies = [await site.ask("/safe/", request_id="q-1")]
                 replies.append(await site.ask("/safe/", request_id="q-2"))
@@ -217,7 +220,7 @@
                 await wire.event(2)
                 await wire.end_stream()
 
-            async with Site(server(slow)) as site:
+            async with Site(upstream(slow)) as site:
                 reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
                 writer.write(encode_request("/chat/"))
                 first = await asyncio.wait_for(reader.readuntil(b"piece 1\n\n"), 0.25)
@@ -229,14 +232,16 @@
         self.assertEqual(event_ids(reply.body), [1, 2])
         self.assertTrue(reply.whole)
 
-    def test_a_stream_goes_on_at_another_server(self):
-        # A skipper's brief stops midway: its server was reset between two events.
+    def test_a_stream_goes_on_at_another_upstream(self):
+        # A skipper's brief stops midway: its upstream was reset between two events.
         async def asks():
-            servers = [server(streams(1, 3, end=False), streams(4, 6)) for _ in "ab"]
-            servers[1]._scripts = servers[0]._scripts
-            async with Site(*servers) as site:
+            upstreams = [
+                upstream(streams(1, 3, end=False), streams(4, 6)) for _ in "ab"
+            ]
+            upstreams[1]._scripts = upstreams[0]._scripts
+            async with Site(*upstreams) as site:
                 reply = await site.ask("/chat/")
-                sent = [one for each in servers for one in each.received]
+                sent = [one for each in upstreams for one in each.received]
                 return reply, sent
 
         reply, sent = run(asks())
@@ -247,7 +252,7 @@
 
     def test_half_an_event_is_dropped(self):
         # A brief has the start of one sentence twice: half an event was passed on,
-        # and the next server sent it again from its beginning.
+        # and the next upstream sent it again from its beginning.
         async def cut_inside(request, wire):
             await wire.begin_stream(request)
             await wire.event(1)
@@ -273,25 +278,25 @@
 
 
 class TestCallersWhoLeave(unittest.TestCase):
-    def test_a_servers_work_ends_with_its_caller(self):
-        # Engines write answers for members who have left: the connection to the server
-        # stayed open after the caller's was closed.
+    def test_an_upstreams_work_ends_with_its_caller(self):
+        # Engines write answers for members who have left: the connection to the
+        # upstream stayed open after the caller's was closed.
         async def asks():
-            one = server(waits)
+            one = upstream(waits)
             async with Site(one) as site:
                 _, writer = await asyncio.open_connection("127.0.0.1", site.port)
                 writer.write(encode_request("/chat/"))
                 await until(lambda: one.received)
                 writer.close()
                 await until(lambda: one.left, 0.4)
-                (known,) = site.entry.fleet.servers.values()
+                (known,) = site.entry.fleet.upstreams.values()
                 return known.own
 
         self.assertEqual(run(asks()), 0)
 
     def test_a_request_that_waits_is_forgotten_with_its_caller(self):
         async def asks():
-            one = server(waits)
+            one = upstream(waits)
             async with Site(one) as site:
                 writers = []
                 for number in range(7):
@@ -308,33 +313,33 @@
                 await until(lambda: not site.entry.placer.waiting)
                 for writer in writers:
                     writer.close()
-                (known,) = site.entry.fleet.servers.values()
+                (known,) = site.entry.fleet.upstreams.values()
                 await until(lambda: known.own == 0)
                 return len(one.received)
 
         self.assertEqual(run(asks()), 6)
 
 
-class TestServersThatLeave(unittest.TestCase):
-    def test_a_leaving_server_gets_nothing_new(self):
-        # A booking is lost with a server that had said long before that it leaves.
+class TestUpstreamsThatLeave(unittest.TestCase):
+    def test_a_leaving_upstream_gets_nothing_new(self):
+        # A booking is lost with an upstream that had said long before that it leaves.
         async def asks():
-            old, new = server(answers(body=b"old")), server(answers(body=b"new"))
+            old, new = upstream(answers(body=b"old")), upstream(answers(body=b"new"))
             async with Site(old, new) as site:
-                site.put_server("i-0", old.port, "draining")
-                await until(lambda: site.entry.fleet.servers["i-0"].entry.leaving)
+                site.put_upstream("i-0", old.port, "draining")
+                await until(lambda: site.entry.fleet.upstreams["i-0"].entry.leaving)
                 return [(await site.ask("/safe/")).body for _ in range(8)]
 
         self.assertEqual(set(run(asks())), {b"new"})
 
-    def test_another_server_at_the_address_is_noticed(self):
-        # A request runs at a service it was never meant for: the address of a server
+    def test_another_upstream_at_the_address_is_noticed(self):
+        # A request runs at a service it was never meant for: the address of an upstream
         # that is gone was given to another one.
         async def misdirected(request, wire):
             await wire.answer(request, 421, b"")
 
         async def asks():
-            wrong, right = server(misdirected), server(answers(body=b"right"))
+            wrong, right = upstream(misdirected), upstream(answers(body=b"right"))
             async with Site(wrong, right) as site:
                 bodies = [(await site.ask("/twice/")).body for _ in range(6)]
                 return bodies, len(wrong.received)
@@ -343,10 +348,10 @@
         self.assertEqual(set(bodies), {b"right"})
         self.assertLessEqual(sent, 1)
 
-    def test_a_dark_server_costs_no_answer(self):
+    def test_a_dark_upstream_costs_no_answer(self):
         async def asks():
-            gone = server(answers())
-            async with Site(gone, server(answers())) as site:
+            gone = upstream(answers())
+            async with Site(gone, upstream(answers())) as site:
                 await gone.close()
                 site.entry.pool.forget("127.0.0.1", gone.port)
                 return [(await site.ask("/hold/")).status for _ in range(6)]
@@ -357,7 +362,7 @@
 class TestConfiguration(unittest.TestCase):
     def test_an_older_version_never_comes_back(self):
         async def asks():
-            async with Site(server(answers())) as site:
+            async with Site(upstream(answers())) as site:
                 keys = ("new-key",)
                 site.store.put("op/config", make_configuration(5, keys=keys))
                 await until(lambda: site.entry.routes.configuration.version == 5)
@@ -372,7 +377,7 @@
         # A revoked key goes on working: the store dropped its history with the change
         # in it, and the entry watched on from a revision that no longer existed.
         async def asks():
-            async with Site(server(answers())) as site:
+            async with Site(upstream(answers())) as site:
                 site.store.put("op/config", make_configuration(7, keys=("other",)))
                 site.store.compact()
                 await until(lambda: site.entry.routes.configuration.version == 7)
@@ -382,7 +387,7 @@
 
     def test_what_was_known_goes_on_while_the_store_is_away(self):
         async def asks():
-            async with Site(server(answers())) as site:
+            async with Site(upstream(answers())) as site:
                 site.store.faults.status = 503
                 site.store.compact()
                 await asyncio.sleep(0.3)
@@ -392,7 +397,7 @@
 
     def test_an_unreadable_configuration_changes_nothing(self):
         async def asks():
-            async with Site(server(answers())) as site:
+            async with Site(upstream(answers())) as site:
                 site.store.put("op/config", b"{not json")
                 await asyncio.sleep(0.1)
                 return (await site.ask("/safe/")).status
@@ -403,7 +408,9 @@
 class TestCallersConnections(unittest.TestCase):
     def test_a_connection_is_kept_for_more_requests(self):
         async def asks():
-            async with Site(server(answers(body=b"one"), answers(body=b"two"))) as site:
+            async with Site(
+                upstream(answers(body=b"one"), answers(body=b"two"))
+            ) as site:
                 reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
                 bodies = []
                 for number in range(2):
@@ -419,7 +426,7 @@
 
     def test_what_is_no_request_is_refused(self):
         async def asks(data):
-            async with Site(server(answers())) as site:
+            async with Site(upstream(answers())) as site:
                 reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
                 writer.write(data)
                 reply = Reply(await reader.read(-1))
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -68,7 +68,7 @@
 
     def test_what_lapsed_while_the_store_was_away_is_waited_for(self):
         # Every member is refused for two seconds after the store's return: the leases
-        # of all servers ran out meanwhile, and their entries were gone for a moment.
+        # of all upstreams ran out meanwhile, and their entries were gone for a moment.
         async def follow():
             async with Following() as one:
                 one.store.put("servers/back", {})
--- a/tests/gateway/test_next_steps.py
+++ b/tests/gateway/test_next_steps.py
@@ -38,7 +38,7 @@
 
 class TestDecide(unittest.TestCase):
     def test_nothing_that_may_have_run_runs_again_unless_it_may(self):
-        # A trainer is booked twice: a hold went to a second server after a try that
+        # A trainer is booked twice: a hold went to a second upstream after a try that
         # may have run.
         for result, progress, step in all_cases():
             if step is Step.RETRY and progress.may_have_run:
@@ -52,15 +52,15 @@
 
     def test_a_whole_success_always_goes_to_the_caller(self):
         for result, progress, step in all_cases():
-            if result is Result.ANSWERED and not progress.server_failed:
+            if result is Result.ANSWERED and not progress.upstream_failed:
                 self.assertIs(step, Step.RELAY)
 
-    def test_a_servers_failure_is_relayed_when_it_is_not_tried_again(self):
+    def test_a_upstreams_failure_is_relayed_when_it_is_not_tried_again(self):
         for result, _, step in all_cases():
             if result is Result.ANSWERED:
                 self.assertIn(step, (Step.RELAY, Step.RETRY))
 
-    def test_the_route_bounds_the_servers(self):
+    def test_the_route_bounds_the_upstreams(self):
         for result, progress, step in all_cases():
             if step is Step.RETRY and result is not Result.UNSENT:
                 self.assertLess(progress.sends, progress.max_sends)
--- a/tests/gateway/test_retry_budget.py
+++ b/tests/gateway/test_retry_budget.py
@@ -14,7 +14,7 @@
 
 class TestRetryBudget(unittest.TestCase):
     def test_all_entries_together_stay_within_any_window(self):
-        # Servers that are full get all the second sends of all entries at once.
+        # Upstreams that are full get all the second sends of all entries at once.
         clock = ManualClock()
         budgets = [make(clock) for _ in range(7)]
         spent = []
