A watch that began while the store answered nobody is begun anew

The store was silent from 18 to 26 s; an entry's watch was taken then, never answered, and waited on up to 14 s. Change: after a failed call all is read anew before watching; once any call is answered again, watches are begun anew. Agents ask the store for little each 2 s.

--- a/packages/gateway/src/fuchsiahatch_gateway/agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/agent.py
@@ -40,6 +40,9 @@
 
 #: Port of agents' datagrams among the internal ones; entries use the first.
 AGENT_PORT_OFFSET = 1
+#: How often an agent asks the store for little. An entry renews a lease each second,
+#: an agent would not notice that the store is back before its watch ends.
+STORE_POLL_MS = 2_000
 #: Pause before the engines' figures are looked for again.
 ENGINE_RETRY_MS = 1_000
 
@@ -87,6 +90,7 @@
         self._add_gauges()
         await process.serve_metrics()
         process.keep_running(self._report_for_ever())
+        process.keep_running(self._ask_store_for_ever())
         process.keep_running(self._lead_for_ever())
         await process.stopping.wait()
         log_event(Event.STOPPING, leading=self.leader is not None, node=settings.node)
@@ -100,6 +104,16 @@
             took_ms = self._clock.now_ms() - began_ms
             await asyncio.sleep(max(REPORT_MS - took_ms, 5) / 1000)
 
+    async def _ask_store_for_ever(self) -> None:
+        """Ask the store for little from time to time, so that its return is noticed."""
+        while True:
+            await asyncio.sleep(STORE_POLL_MS / 1000)
+            try:
+                await self.store.ping()
+                self.health.note_answer(self._clock.now_ms())
+            except PlatformError as fault:
+                self.health.note_failure(self._clock.now_ms(), fault.detail)
+
     async def _report(self) -> None:
         self._note_leader()
         try:
--- a/packages/gateway/src/fuchsiahatch_gateway/following.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/following.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 import typing as t
+from asyncio import FIRST_COMPLETED
 
 from fuchsiahatch_adapter.store import HistoryLostError, Item, StoreClient
 from fuchsiahatch_core.events import Event, log_event
@@ -21,15 +22,20 @@
     Attributes
     ----------
     failed_ms, answered_ms : int or None
+    regained : asyncio.Event
+        Set, and replaced by another, when the store answers again.
     """
 
     failed_ms: int | None = None
     answered_ms: int | None = None
+    regained: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
     def note_answer(self, now_ms: int) -> None:
         """Note that a call was answered."""
         if self.failed_ms is not None and not self.answers:
             log_event(Event.STORE_REGAINED, silent_ms=now_ms - self.failed_ms)
+            self.regained.set()
+            self.regained = asyncio.Event()
         self.answered_ms = now_ms
 
     def note_failure(self, now_ms: int, detail: str) -> None:
@@ -80,6 +86,11 @@
     Whoever believed that would refuse every request. A deletion that comes within
     `LAPSE_MS` of a failure is held back until that time is over, and dropped when the
     item has come back.
+
+    Guards as well against a store that takes calls and answers none, and forgets them:
+    a watch that began meanwhile would wait in vain long after the store's return, and
+    a new configuration would come into force seconds late. Once any call of the
+    process is answered again, all is read anew.
     """
 
     __slots__ = (
@@ -118,7 +129,7 @@
         while True:
             try:
                 if known:
-                    await self._watch()
+                    known = await self._watch_or_regain()
                 else:
                     await self._read()
                     known = True
@@ -127,6 +138,8 @@
                 known = False
             except PlatformError as fault:
                 self._health.note_failure(self._clock.now_ms(), fault.detail)
+                # A read has a short limit, and shows that the store answers again.
+                known = False
                 await asyncio.sleep(random.uniform(0.5, 1.0) * STORE_RETRY_MS / 1000)
 
     async def _read(self) -> None:
@@ -141,6 +154,20 @@
         self.synced = True
         self._on_change()
 
+    async def _watch_or_regain(self) -> bool:
+        """Watch once; return whether the copy still is one without gaps."""
+        watch = asyncio.ensure_future(self._watch())
+        regained = asyncio.ensure_future(self._health.regained.wait())
+        try:
+            await asyncio.wait({watch, regained}, return_when=FIRST_COMPLETED)
+            if not watch.done():
+                return False
+            watch.result()
+            return True
+        finally:
+            watch.cancel()
+            regained.cancel()
+
     async def _watch(self) -> None:
         changes = await self._store.watch(self._prefix, self.revision)
         self._health.note_answer(self._clock.now_ms())
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -88,6 +88,26 @@
         with mock.patch.object(following, "LAPSE_MS", LAPSE_MS):
             run(follow())
 
+    def test_a_watch_that_began_in_silence_is_begun_anew(self):
+        # A route that was added is still answered with 404 three seconds after the
+        # operator's change: the store took the watch while it answered nobody, and
+        # forgot it; the entry went on waiting for that watch after the store's return.
+        async def follow():
+            async with Following() as one:
+                own = Registration(
+                    one.client, "fuchsiahatch/entries/e", b"{}", one.health, one.clock
+                )
+                one.tasks.append(asyncio.ensure_future(own.run()))
+                await until(lambda: one.store.keys("fuchsiahatch/"))
+                one.store.faults.silent = True
+                one.store.cut()
+                await asyncio.sleep(1.5)
+                one.store.faults.silent = False
+                one.store.put("servers/a", {})
+                await until(lambda: one.names == ["a"], 2.5)
+
+        run(follow())
+
     def test_the_store_is_found_again_after_silence(self):
         async def follow():
             async with Following() as one:
