--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -40,6 +40,8 @@
 #: Time that a connection to an upstream may take; usual are some 3 ms. A dark host
 #: answers nothing, and its request goes to another upstream.
 CONNECT_MS = 300
+#: How often a starting entry looks whether it knows enough to serve.
+INFORMED_POLL_MS = 10
 #: How often a stopping entry looks whether it is idle.
 IDLE_POLL_MS = 50
 
@@ -58,6 +60,7 @@
         self._clock = clock
         self._rng = random.Random()
         self._leaving = False
+        self._listening = False
         self._entries: dict[str, EntryRecord] = {}
         self.routes = RouteTable()
         self.pool = ConnectionPool(clock, CONNECT_MS)
@@ -118,25 +121,27 @@
             if address is not None:
                 await self.side_calls.listen(address.ip, address.port)
         # Callers come once there is something to send them on by.
-        await self._wait_ready()
+        await self._wait_informed()
         assert settings.callers is not None
         await self.callers.listen(settings.callers.ip, settings.callers.port)
+        self._listening = True
         process.keep_running(self.registration.run())
         await process.stopping.wait()
         await self._leave()
 
     @property
     def ready(self) -> bool:
-        """Whether requests can be served."""
-        return (
-            not self._leaving
-            and self.routes.configuration is not None
-            and self._upstreams.synced
-        )
+        """Whether callers may come."""
+        return self._listening and not self._leaving
 
-    async def _wait_ready(self) -> None:
-        while not self.ready and not self._process.stopping.is_set():
-            await asyncio.sleep(IDLE_POLL_MS / 1000)
+    @property
+    def informed(self) -> bool:
+        """Whether the configuration and the upstreams are known."""
+        return self.routes.configuration is not None and self._upstreams.synced
+
+    async def _wait_informed(self) -> None:
+        while not self.informed and not self._process.stopping.is_set():
+            await asyncio.sleep(INFORMED_POLL_MS / 1000)
 
     async def _leave(self) -> None:
         """Tell callers to use others, finish what is open, and end in time."""
--- a/tests/gateway/sites.py
+++ b/tests/gateway/sites.py
@@ -101,7 +101,7 @@
             asyncio.ensure_future(follower.run())
             for follower in (self.entry._config, self.entry._upstreams)
         ]
-        await until(lambda: self.entry.ready)
+        await until(lambda: self.entry.informed)
         self.port = await self.entry.callers.listen("127.0.0.1", 0)
         return self
 
