A leader speaks with the engines of silent agents from its first phase on

Cause: found by the new test of real agents on a group that checks its maps: with the leader's agent killed between hold and go, the next leader waited for that rank's agent for ever and the group stood still. Change: silent_agents.py; engines that no agent speaks for are found through the store; a leader without a valid lease does nothing, also when messages wake it. Tests: test_agents (four, on three agents and a self-checking group), the search.

--- a/packages/gateway/src/fuchsiahatch_gateway/agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/agent.py
@@ -7,7 +7,7 @@
 
 from fuchsiahatch_adapter.configuration import decode_configuration
 from fuchsiahatch_adapter.model_engine import ModelEngine
-from fuchsiahatch_adapter.names import CONFIGURATION_KEY
+from fuchsiahatch_adapter.names import CONFIGURATION_KEY, UPSTREAMS_PREFIX
 from fuchsiahatch_adapter.node_settings import parse_address
 from fuchsiahatch_adapter.store import Item, StoreClient
 from fuchsiahatch_core.events import Event, log_event
@@ -28,6 +28,7 @@
     LEADERS_PREFIX,
     REPORT_MS,
 )
+from fuchsiahatch_gateway.fleet import decode_newest
 from fuchsiahatch_gateway.following import Follower, StoreHealth
 from fuchsiahatch_gateway.group_leader import GroupLeader
 from fuchsiahatch_gateway.leadership import LeaderRecord, Leadership, decode_leaders
@@ -64,8 +65,8 @@
         self._leaders: dict[str, LeaderRecord] = {}
         self._upstream_address = str(settings.beside)
         self.store = StoreClient(settings.store, ConnectionPool(clock))
-        self._upstreams_pool = ConnectionPool(clock)
-        self.upstream = ModelEngine(settings.beside, self._upstreams_pool)
+        self._engines_pool = ConnectionPool(clock)
+        self.upstream = ModelEngine(settings.beside, self._engines_pool)
         self.health = StoreHealth()
         self.datagrams = DatagramPort(self._take_message)
         self.peer: Peer = (
@@ -180,7 +181,9 @@
             self.rank,
             self.datagrams,
             self._clock,
-            self._connect_upstream,
+            self._connect_engine,
+            self._list_engines,
+            lambda: self.leadership.held and self.leadership.term == term,
         )
         self._process.keep_running(self._learn_engine(self.leader))
         self._leaders[group] = LeaderRecord(group, term, self.peer)
@@ -200,11 +203,14 @@
 
     def _lose(self) -> None:
         log_event(Event.TERM_LOST, term=self.leadership.term)
+        assert self.leader is not None
+        self.leader.stop()
         self.leader = None
 
     async def _stop_leading(self) -> None:
         if self.leader is not None:
             await self.leader.finish()
+            self.leader.stop()
             self.leader = None
             await self.leadership.give_up()
 
@@ -213,8 +219,18 @@
         self._leaders = decode_leaders(self._items_below(LEADERS_PREFIX))
         self._note_leader()
 
-    def _connect_upstream(self, address: str) -> ModelEngine:
-        return ModelEngine(parse_address(address), self._upstreams_pool)
+    def _connect_engine(self, address: str) -> ModelEngine:
+        return ModelEngine(parse_address(address), self._engines_pool)
+
+    async def _list_engines(self) -> list[str]:
+        found = await self.store.read_all(UPSTREAMS_PREFIX)
+        items = {item.key.removeprefix(UPSTREAMS_PREFIX): item for item in found.items}
+        service = self._process.settings.beside_service
+        return [
+            str(entry.address)
+            for entry in decode_newest(items).values()
+            if entry.service == service
+        ]
 
     def _items_below(self, prefix: str) -> dict[str, Item]:
         below = prefix.removeprefix(KEY_PREFIX)
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -133,7 +133,7 @@
 
     def apply(self, items: t.Mapping[str, "Item"]) -> None:
         """Take over the upstreams' entries, as they are in the store now."""
-        fresh = _decode_newest(items)
+        fresh = decode_newest(items)
         for instance in self.upstreams.keys() - fresh.keys():
             gone = self.upstreams.pop(instance)
             log_event(Event.UPSTREAM_GONE, upstream=instance, own=gone.own)
@@ -225,7 +225,7 @@
         known.entry = entry
 
 
-def _decode_newest(items: t.Mapping[str, "Item"]) -> dict[str, UpstreamEntry]:
+def decode_newest(items: t.Mapping[str, "Item"]) -> dict[str, UpstreamEntry]:
     """Return the entries that can be read, the newest one of each address.
 
     An upstream that starts anew has a new entry at once, and its former life's stays
--- a/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
@@ -6,7 +6,13 @@
 
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import PlatformError
-from fuchsiahatch_experts.switching import Order, OrderResult, Phase, Switch
+from fuchsiahatch_experts.switching import (
+    Order,
+    OrderResult,
+    Phase,
+    RankReport,
+    Switch,
+)
 from fuchsiahatch_gateway.datagrams import (
     DatagramPort,
     OrderReply,
@@ -14,13 +20,14 @@
     Peer,
     RankState,
 )
-from fuchsiahatch_gateway.rank_agent import RankAgent
+from fuchsiahatch_gateway.silent_agents import SilentAgents
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.configuration import Engine
     from fuchsiahatch_adapter.model_engine import ModelEngine
     from fuchsiahatch_core.clock import Clock
     from fuchsiahatch_experts.drift import Demand
+    from fuchsiahatch_gateway.rank_agent import RankAgent
 
 #: Requests in ranks' states that must be known before a map is changed.
 LEAST_WEIGHT = 4.0
@@ -30,16 +37,8 @@
 FINISH_POLL_MS = 10
 #: Time that a leader which stops gives its switch.
 FINISH_LIMIT_MS = 2_000
-#: Silence of an agent after which the leader speaks with its upstream itself, while
-#: passes are held back: a killed agent must not hold its group until it is back. Such
-#: orders and reports are priced, so that it is done in need only.
-SILENCE_MS = 350
 #: The leader's own rank needs no datagrams.
 _OWN_PEER = ("", 0)
-#: Pause between two reports that the leader asks an upstream for itself.
-DIRECT_POLL_MS = 40
-#: Phases in which a hold may be in force.
-_HOLDING_PHASES = (Phase.HOLDING, Phase.ARMING, Phase.RELEASING, Phase.CLEARING)
 
 
 class GroupLeader:
@@ -53,8 +52,12 @@
         The leader's own rank.
     datagrams : DatagramPort
     clock : Clock
-    upstream_of : callable
-        Makes a client of the upstream at an address.
+    engine_of : callable
+        Makes a client of the engine at an address.
+    list_engines : coroutine function
+        Returns the addresses of all engines of the service.
+    may_lead : callable
+        Whether the leader's lease is valid.
 
     Attributes
     ----------
@@ -72,7 +75,9 @@
         own: "RankAgent",
         datagrams: DatagramPort,
         clock: "Clock",
-        upstream_of: t.Callable[[str], "ModelEngine"],
+        engine_of: t.Callable[[str], "ModelEngine"],
+        list_engines: t.Callable[[], t.Awaitable[t.Sequence[str]]],
+        may_lead: t.Callable[[], bool],
     ) -> None:
         self._group = group
         self._term = term
@@ -81,12 +86,8 @@
         self._own = own
         self._datagrams = datagrams
         self._clock = clock
-        self._upstream_of = upstream_of
-        self._addresses: dict[int, str] = {}
-        self._heard_ms: dict[int, int] = {}
+        self._may_lead = may_lead
         self._paces: dict[int, float] = {}
-        self._direct: dict[int, RankAgent] = {}
-        self._asking: set[int] = set()
         self.engine: Engine | None = None
         self._peers: dict[int, Peer] = {}
         self._sequences: dict[str, int] = {}
@@ -95,10 +96,12 @@
         self._asked: dict[int, tuple[Order, int]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopping = False
-        self._started_ms = 0
         self._phase = Phase.SETTLING
         self._phase_ms = clock.now_ms()
         self.switch = Switch(term, rank, ranks)
+        self._silent = SilentAgents(
+            group, term, rank, ranks, engine_of, list_engines, self._take_report
+        )
 
     def take_state(self, state: RankState, peer: Peer) -> None:
         """Take in a rank's state."""
@@ -112,10 +115,8 @@
         rank = state.report.rank
         now_ms = self._clock.now_ms()
         self._peers[rank] = peer
-        self._addresses[rank] = state.upstream
-        self._heard_ms[rank] = now_ms
         self._paces[rank] = state.pace
-        self._direct.pop(rank, None)
+        self._silent.note_heard(rank, state.upstream, now_ms)
         self.switch.observe(state.report, now_ms)
         self._count(state, now_ms)
         self.work()
@@ -129,16 +130,31 @@
         self.work()
 
     def work(self) -> None:
-        """Begin a switch if one pays, and send the orders that are due."""
+        """Begin a switch if one pays, and send the orders that are due.
+
+        Notes
+        -----
+        Nothing is done without a valid lease. A leader whose host stood still wakes
+        with messages waiting for it, and would go on with a switch that its successor
+        has cleared.
+        """
+        if not self._may_lead():
+            return
         now_ms = self._clock.now_ms()
         self._give_up_replies(now_ms)
         if self.switch.ready and not self._stopping:
             self._plan(now_ms)
-        self._speak_for_silent_agents(now_ms)
+        self._silent.work(self.switch.phase, now_ms)
         for order in self.switch.orders(now_ms):
             self._send(order, now_ms)
         self._log_phase(now_ms)
 
+    def stop(self) -> None:
+        """Do nothing more."""
+        self._silent.stop()
+        for task in tuple(self._tasks):
+            task.cancel()
+
     async def finish(self) -> None:
         """Bring a switch to its end before another agent leads."""
         self._stopping = True
@@ -178,7 +194,6 @@
         plan = plan_change(placement, demand, engine.expert_places, paces)
         if plan is None or not self.switch.start(plan.placement, now_ms):
             return
-        self._started_ms = now_ms
         log_event(
             Event.MAP_PLANNED,
             group=self._group,
@@ -193,9 +208,9 @@
         if order.rank == self._rank:
             self._begin(self._give_own(order))
             return
-        direct = self._direct.get(order.rank)
-        if direct is not None:
-            self._begin(self._give_directly(direct, order))
+        speaker = self._silent.speaker(order.rank)
+        if speaker is not None:
+            self._begin(self._give_directly(speaker, order))
             return
         peer = self._peers.get(order.rank)
         if peer is None:
@@ -206,6 +221,8 @@
         self._datagrams.send(request, peer)
 
     async def _give_own(self, order: Order) -> None:
+        if not self._may_lead():
+            return
         result = await self._own.give_order(order)
         self.switch.answered(order, result, self._clock.now_ms())
         try:
@@ -214,36 +231,12 @@
         except PlatformError as fault:
             log_event(Event.UPSTREAM_SILENT, detail=fault.detail)
 
-    def _speak_for_silent_agents(self, now_ms: int) -> None:
-        if self.switch.phase not in _HOLDING_PHASES:
-            self._direct.clear()
-            return
-        for rank, heard_ms in self._heard_ms.items():
-            if rank == self._rank or now_ms - heard_ms < SILENCE_MS:
-                continue
-            if rank not in self._direct:
-                log_event(Event.AGENT_LOST, group=self._group, rank=rank)
-                address = self._addresses[rank]
-                self._direct[rank] = RankAgent(self._upstream_of(address), address)
-                self._direct[rank].note_term(self._term)
-            if rank not in self._asking:
-                self._asking.add(rank)
-                self._begin(self._ask_directly(rank))
-
-    async def _ask_directly(self, rank: int) -> None:
-        direct = self._direct[rank]
-        try:
-            state = await direct.read_state(with_choices=False)
-            if self._direct.get(rank) is direct:
-                self.switch.observe(state.report, self._clock.now_ms())
-        except PlatformError as fault:
-            log_event(Event.UPSTREAM_SILENT, detail=fault.detail)
-        finally:
-            await asyncio.sleep(DIRECT_POLL_MS / 1000)
-            self._asking.discard(rank)
+    def _take_report(self, report: RankReport) -> None:
+        self.switch.observe(report, self._clock.now_ms())
+        self.work()
 
-    async def _give_directly(self, direct: RankAgent, order: Order) -> None:
-        result = await direct.give_order(order)
+    async def _give_directly(self, speaker: "RankAgent", order: Order) -> None:
+        result = await speaker.give_order(order)
         self.switch.answered(order, result, self._clock.now_ms())
 
     def _begin(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
--- a/packages/gateway/src/fuchsiahatch_gateway/process.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/process.py
@@ -43,6 +43,8 @@
     registry : aioprometheus.Registry
     stopping : asyncio.Event
         Set at SIGTERM.
+    servers : list of HttpServer
+        What listens, beside the callers' own.
     """
 
     def __init__(self, settings: NodeSettings, log: LineWriter) -> None:
@@ -52,6 +54,7 @@
         self.registry = aioprometheus.Registry()
         self.stopping = asyncio.Event()
         self.on_settings: t.Callable[[NodeSettings], None] = lambda fresh: None
+        self.servers: list[HttpServer] = []
         self._gauges: list[tuple[aioprometheus.Gauge, Gauge]] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._file_mark: tuple[int, int] | None = None
@@ -78,8 +81,9 @@
 
     async def serve_metrics(self) -> None:
         """Serve the metrics."""
-        upstream = HttpServer(self._answer_metrics)
-        await upstream.listen(self.settings.ip, METRICS_PORT)
+        server = HttpServer(self._answer_metrics)
+        self.servers.append(server)
+        await server.listen(self.settings.ip, METRICS_PORT)
 
     async def _answer_metrics(self, exchange: Exchange) -> None:
         if exchange.target != METRICS_PATH:
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/silent_agents.py
@@ -0,0 +1,174 @@
+"""Ranks whose agents are silent: the leader speaks with their engines itself."""
+
+import asyncio
+import typing as t
+
+from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_core.exceptions import PlatformError
+from fuchsiahatch_experts.switching import Phase, RankReport
+from fuchsiahatch_gateway.rank_agent import RankAgent
+
+if t.TYPE_CHECKING:
+    from fuchsiahatch_adapter.model_engine import ModelEngine
+
+#: Silence of an agent after which the leader speaks with its engine itself, while
+#: passes are held back: an agent that was killed, or whose host stands still, must not
+#: hold its group until it is back. Such orders and reports are priced, so that it is
+#: done in need only.
+SILENCE_MS = 350
+#: Pause between two reports that the leader asks an engine for itself.
+POLL_MS = 40
+#: Pause between two searches for engines whose agents were never heard.
+SEARCH_MS = 1_000
+#: Phases in which passes may be held back, by this leader or an earlier one.
+HOLDING_PHASES = (
+    Phase.SETTLING,
+    Phase.HOLDING,
+    Phase.ARMING,
+    Phase.RELEASING,
+    Phase.CLEARING,
+)
+
+
+class SilentAgents:
+    """Keeps note of which agents are heard, and asks the engines of the others.
+
+    Parameters
+    ----------
+    group : str
+    term, own_rank, ranks : int
+    engine_of : callable
+        Makes a client of the engine at an address.
+    list_engines : coroutine function
+        Returns the addresses of all engines of the service.
+    on_report : callable
+        Is given the reports that the leader asked for itself.
+    """
+
+    __slots__ = (
+        "_addresses",
+        "_asking",
+        "_engine_of",
+        "_group",
+        "_heard_ms",
+        "_list_engines",
+        "_on_report",
+        "_own_rank",
+        "_ranks",
+        "_searched_ms",
+        "_since_ms",
+        "_speakers",
+        "_tasks",
+        "_term",
+    )
+
+    def __init__(
+        self,
+        group: str,
+        term: int,
+        own_rank: int,
+        ranks: int,
+        engine_of: t.Callable[[str], "ModelEngine"],
+        list_engines: t.Callable[[], t.Awaitable[t.Sequence[str]]],
+        on_report: t.Callable[[RankReport], None],
+    ) -> None:
+        self._group = group
+        self._term = term
+        self._own_rank = own_rank
+        self._ranks = ranks
+        self._engine_of = engine_of
+        self._list_engines = list_engines
+        self._on_report = on_report
+        self._addresses: dict[int, str] = {}
+        self._heard_ms: dict[int, int] = {}
+        self._since_ms: int | None = None
+        self._searched_ms: int | None = None
+        self._speakers: dict[int, RankAgent] = {}
+        self._asking: set[int] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def note_heard(self, rank: int, address: str, now_ms: int) -> None:
+        """Note that a rank's agent was heard."""
+        self._addresses[rank] = address
+        self._heard_ms[rank] = now_ms
+        self._speakers.pop(rank, None)
+
+    def speaker(self, rank: int) -> RankAgent | None:
+        """Return who speaks with a rank's engine in place of its agent, if anybody."""
+        return self._speakers.get(rank)
+
+    def work(self, phase: Phase, now_ms: int) -> None:
+        """Ask the engines of silent agents, while passes may be held back."""
+        if phase not in HOLDING_PHASES:
+            self._speakers.clear()
+            self._since_ms = None
+            return
+        if self._since_ms is None:
+            self._since_ms = now_ms
+        for rank in range(self._ranks):
+            last_ms = self._heard_ms.get(rank, self._since_ms)
+            if rank != self._own_rank and now_ms - last_ms >= SILENCE_MS:
+                self._speak_for(rank, now_ms)
+
+    def stop(self) -> None:
+        """Ask no more."""
+        for task in tuple(self._tasks):
+            task.cancel()
+
+    def _speak_for(self, rank: int, now_ms: int) -> None:
+        address = self._addresses.get(rank)
+        if address is None:
+            self._search(now_ms)
+            return
+        if rank not in self._speakers:
+            log_event(Event.AGENT_LOST, group=self._group, rank=rank)
+            self._speakers[rank] = self._make_speaker(address)
+        if rank not in self._asking:
+            self._asking.add(rank)
+            self._begin(self._ask(rank, self._speakers[rank]))
+
+    def _search(self, now_ms: int) -> None:
+        if self._searched_ms is not None and now_ms - self._searched_ms < SEARCH_MS:
+            return
+        self._searched_ms = now_ms
+        self._begin(self._find_engines())
+
+    async def _find_engines(self) -> None:
+        """Ask the engines that no agent speaks for which rank they are."""
+        try:
+            listed = await self._list_engines()
+        except PlatformError as fault:
+            log_event(Event.SERVICE_CALL_FAILED, detail=fault.detail)
+            return
+        unknown = set(listed) - set(self._addresses.values())
+        await asyncio.gather(*map(self._ask_rank, unknown))
+
+    async def _ask_rank(self, address: str) -> None:
+        try:
+            seen = await self._engine_of(address).report()
+        except PlatformError as fault:
+            log_event(Event.UPSTREAM_SILENT, address=address, detail=fault.detail)
+            return
+        if seen.group == self._group:
+            self._addresses.setdefault(seen.rank, address)
+
+    async def _ask(self, rank: int, speaker: RankAgent) -> None:
+        try:
+            state = await speaker.read_state(with_choices=False)
+            if self._speakers.get(rank) is speaker and state.report.rank == rank:
+                self._on_report(state.report)
+        except PlatformError as fault:
+            log_event(Event.UPSTREAM_SILENT, rank=rank, detail=fault.detail)
+        finally:
+            await asyncio.sleep(POLL_MS / 1000)
+            self._asking.discard(rank)
+
+    def _make_speaker(self, address: str) -> RankAgent:
+        speaker = RankAgent(self._engine_of(address), address)
+        speaker.note_term(self._term)
+        return speaker
+
+    def _begin(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/packages/http1/src/fuchsiahatch_http1/server.py
+++ b/packages/http1/src/fuchsiahatch_http1/server.py
@@ -132,6 +132,12 @@
         self._port = await listening.asFuture(asyncio.get_running_loop())
         return self._port.getHost().port
 
+    async def close(self) -> None:
+        """Accept no further connections and reset those that are open."""
+        await self.stop_accepting()
+        for connection in tuple(self.connections):
+            connection.abort()
+
     async def stop_accepting(self) -> None:
         """Accept no further connections."""
         if self._port is None:
--- a/tests/experts/switch_model.py
+++ b/tests/experts/switch_model.py
@@ -5,14 +5,13 @@
 import typing as t
 
 from fuchsiahatch_experts.switching import (
-    Armed,
     Order,
-    OrderKind,
     OrderResult,
     Phase,
     RankReport,
     Switch,
 )
+from fuchsiahatch_standins.rank_rules import Rank, begin_pass, carry_out, end_copies
 
 RANKS = 3
 #: Time that one turn of the model takes.
@@ -22,17 +21,12 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Rank:
-    """One rank's upstream, as the platform's pages describe it."""
-
-    map_version: int = 0
-    prepared: int = 0
-    highest: int = 0
-    copying: int = 0
-    copied_ms: int = 0
-    armed: Armed | None = None
-    held: int | None = None
+class Agent:
+    """What one rank's agent remembers."""
+
     term: int = 0
+    wakes_ms: int = 0
+    waiting: list[t.Callable[[], None]] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,10 +40,6 @@
     sequences: dict[int, int] = dataclasses.field(default_factory=dict)
 
 
-class MixedMaps(AssertionError):
-    """A pass began while two ranks had different maps."""
-
-
 class Model:
     """A group under a random schedule; raises `MixedMaps` where a guard fails.
 
@@ -71,6 +61,7 @@
         self.term = 0
         self.sequence = 0
         self.ranks = [Rank() for _ in range(RANKS)]
+        self.agents = [Agent() for _ in range(RANKS)]
         self.leaders: list[Leader] = []
         self.later: list[tuple[int, int, t.Callable[[], None]]] = []
         self.busy = True
@@ -78,6 +69,10 @@
         self.switched = 0
         self.trouble = self.rng.choice((0.0, 0.05, 0.3))
         self.deaths = self.rng.choice((0.0, 0.002, 0.02))
+        #: Where agents stand still, a leader speaks with their engines itself; nobody
+        #: there refuses an older leader, and all rests on the lease: a leader that was
+        #: replaced sends nothing more. Elsewhere it goes on as if it led.
+        self.sleeps = self.deaths / 4 if seed % 2 else 0.0
 
     def run(self, turns: int) -> None:
         """Play some turns."""
@@ -85,7 +80,7 @@
             self.now_ms += TURN_MS
             self._deliver()
             self._change_world()
-            self._end_copies()
+            end_copies(self.ranks, self.now_ms)
             self._begin_pass()
             self._report()
             for leader in self.leaders:
@@ -93,7 +88,7 @@
 
     def settle(self, turns: int) -> None:
         """Play some turns without any trouble."""
-        self.trouble = self.deaths = self.pauses = 0.0
+        self.trouble = self.deaths = self.pauses = self.sleeps = 0.0
         self.busy = True
         for leader in self.leaders:
             leader.frozen = False
@@ -126,12 +121,23 @@
                 self._form_anew()
             else:
                 leader.frozen = not leader.frozen
+        for agent in self.agents:
+            self._change_agent(agent)
         if rng.random() < self.pauses:
             self.busy = not self.busy
         if rng.random() < 0.02:
             for leader in self.leaders:
                 leader.frozen = False
 
+    def _change_agent(self, agent: Agent) -> None:
+        """Let an agent stand still, or wake with the orders that wait for it."""
+        if self.sleeps and self.rng.random() < self.sleeps:
+            agent.wakes_ms = self.now_ms + self.rng.randrange(3_000)
+        if agent.waiting and self.now_ms >= agent.wakes_ms:
+            waiting, agent.waiting = agent.waiting, []
+            for act in waiting:
+                act()
+
     def _elect(self) -> None:
         self.term += 1
         rank = self.rng.randrange(RANKS)
@@ -141,24 +147,11 @@
 
     def _form_anew(self) -> None:
         self.epoch += 1
-        self.ranks = [Rank(term=rank.term) for rank in self.ranks]
-
-    def _end_copies(self) -> None:
-        for rank in self.ranks:
-            if rank.copying and self.now_ms >= rank.copied_ms:
-                rank.prepared, rank.copying = rank.copying, 0
+        self.ranks = [Rank() for _ in range(RANKS)]
 
     def _begin_pass(self) -> None:
-        if not self.busy or self.rng.random() < 0.9:
-            return
-        if any(rank.held == self.step + 1 for rank in self.ranks):
-            return
-        self.step += 1
-        for rank in self.ranks:
-            if rank.armed is not None and rank.armed.step == self.step:
-                rank.map_version, rank.armed = rank.armed.version, None
-        if len({rank.map_version for rank in self.ranks}) > 1:
-            raise MixedMaps(f"step {self.step}: {self.ranks}")
+        if self.busy and self.rng.random() < 0.1:
+            self.step = begin_pass(self.ranks, self.step)
 
     def _report(self) -> None:
         for number in range(RANKS):
@@ -166,15 +159,17 @@
                 self._send_state(number)
 
     def _send_state(self, number: int) -> None:
-        rank = self.ranks[number]
+        rank, agent = self.ranks[number], self.agents[number]
         self.sequence += 1
         sequence = self.sequence
-        if self.rng.random() < 0.2:
-            rank.term = max(rank.term, self.term)
+        asleep = self.now_ms < agent.wakes_ms
+        if self.rng.random() < 0.2 and not asleep:
+            agent.term = max(agent.term, self.term)
         report = RankReport(
             number,
             self.epoch,
-            rank.term,
+            # The leader asks a silent agent's engine itself.
+            self.term if asleep else agent.term,
             True,
             self.step,
             rank.map_version,
@@ -186,7 +181,7 @@
         if self.rng.random() < self.trouble:
             return
         delay_ms = self.rng.choice((0, 0, 5, 20)) if self.trouble else 0
-        for leader in self.leaders:
+        for leader in self.leaders[-1:] if asleep else self.leaders:
             self._after(
                 delay_ms, lambda leader=leader: self._hear(leader, report, sequence)
             )
@@ -198,7 +193,7 @@
         leader.switch.observe(report, self.now_ms)
 
     def _lead(self, leader: Leader) -> None:
-        if leader.frozen:
+        if leader.frozen or (self.sleeps and leader is not self.leaders[-1]):
             return
         if leader.switch.ready:
             leader.switch.start((((0,), (1,), (2,)),), self.now_ms)
@@ -210,11 +205,26 @@
         self.switched = max(self.switched, leader.switch.switched)
 
     def _ask(self, leader: Leader, term: int, order: Order) -> None:
-        rank = self.ranks[order.rank]
-        if self.rng.random() < self.trouble or term < rank.term:
+        agent = self.agents[order.rank]
+        if self.now_ms < agent.wakes_ms:
+            self._ask_sleeper(leader, term, order)
+            return
+        if self.rng.random() < self.trouble or term < agent.term:
             self._after(100, lambda: self._tell(leader, order, OrderResult.UNKNOWN))
             return
-        rank.term = term
+        agent.term = term
+        self._give(leader, order)
+
+    def _ask_sleeper(self, leader: Leader, term: int, order: Order) -> None:
+        """Let the newest leader speak with the engine; an older one's order waits."""
+        agent = self.agents[order.rank]
+        if term == self.term and self.rng.random() < 0.5:
+            self._give(leader, order)
+            return
+        agent.waiting.append(lambda: self._ask(leader, term, order))
+        self._after(100, lambda: self._tell(leader, order, OrderResult.UNKNOWN))
+
+    def _give(self, leader: Leader, order: Order) -> None:
         if self.rng.random() < self.trouble:
             late_ms = self.rng.choice((0, 10, 50, 200, 2_000, 5_000, 12_000))
             self._after(late_ms, lambda: self._carry_out(order))
@@ -228,14 +238,10 @@
             leader.switch.answered(order, result, self.now_ms)
 
     def _carry_out(self, order: Order) -> OrderResult:
-        rank = self.ranks[order.rank]
         if order.epoch != self.epoch:
             return OrderResult.REFUSED
-        fits = _FITS[order.kind](rank, order, self.step)
-        if not fits:
-            return OrderResult.REFUSED
-        _EFFECTS[order.kind](rank, order, self.now_ms)
-        return OrderResult.BEGUN
+        rank = self.ranks[order.rank]
+        return carry_out(rank, order, self.step, self.now_ms, COPY_MS)
 
     @property
     def held(self) -> bool:
@@ -246,67 +252,3 @@
     def calm(self) -> bool:
         """Whether the newest leader is idle."""
         return self.leaders[-1].switch.phase is Phase.IDLE
-
-
-def _fits_prepare(rank: Rank, order: Order, step: int) -> bool:
-    if order.version in (rank.prepared, rank.copying):
-        return True
-    return order.version > rank.highest and rank.armed is None
-
-
-def _fits_arm(rank: Rank, order: Order, step: int) -> bool:
-    return rank.prepared == order.version and order.step > step
-
-
-def _fits_disarm(rank: Rank, order: Order, step: int) -> bool:
-    return rank.map_version != order.version
-
-
-def _fits_hold(rank: Rank, order: Order, step: int) -> bool:
-    return order.step > step and rank.held in (None, order.step)
-
-
-def _fits_go(rank: Rank, order: Order, step: int) -> bool:
-    return rank.held == order.step
-
-
-def _prepare(rank: Rank, order: Order, now_ms: int) -> None:
-    if order.version in (rank.prepared, rank.copying):
-        return
-    rank.highest = order.version
-    rank.prepared = 0
-    rank.copying = order.version
-    rank.copied_ms = now_ms + COPY_MS
-
-
-def _arm(rank: Rank, order: Order, now_ms: int) -> None:
-    rank.armed = Armed(order.version, order.step)
-
-
-def _disarm(rank: Rank, order: Order, now_ms: int) -> None:
-    if rank.armed is not None and rank.armed.version == order.version:
-        rank.armed = None
-
-
-def _hold(rank: Rank, order: Order, now_ms: int) -> None:
-    rank.held = order.step
-
-
-def _go(rank: Rank, order: Order, now_ms: int) -> None:
-    rank.held = None
-
-
-_FITS = {
-    OrderKind.PREPARE: _fits_prepare,
-    OrderKind.ARM: _fits_arm,
-    OrderKind.DISARM: _fits_disarm,
-    OrderKind.HOLD: _fits_hold,
-    OrderKind.GO: _fits_go,
-}
-_EFFECTS = {
-    OrderKind.PREPARE: _prepare,
-    OrderKind.ARM: _arm,
-    OrderKind.DISARM: _disarm,
-    OrderKind.HOLD: _hold,
-    OrderKind.GO: _go,
-}
--- a/tests/experts/test_switching.py
+++ b/tests/experts/test_switching.py
@@ -10,7 +10,8 @@
     RankReport,
     Switch,
 )
-from tests.experts.switch_model import RANKS, MixedMaps, Model
+from fuchsiahatch_standins.rank_rules import MixedMaps
+from tests.experts.switch_model import RANKS, Model
 
 #: Schedules of one test run; each has 600 turns with trouble and 800 without.
 SCHEDULES = 120
--- /dev/null
+++ b/tests/gateway/test_agents.py
@@ -0,0 +1,159 @@
+import asyncio
+import os
+import unittest
+
+from fuchsiahatch_gateway.agent import Agent
+from fuchsiahatch_gateway.log import LineWriter
+from fuchsiahatch_gateway.process import Process
+from fuchsiahatch_standins.fleet_store import FleetStore
+from fuchsiahatch_standins.rank_group import RankGroup
+from tests.gateway.sites import make_configuration, make_settings, until
+from tests.loopback import run
+
+IPS = ("127.0.8.1", "127.0.8.2", "127.0.8.3")
+LAYERS, EXPERTS = 2, 12
+ENGINE = {
+    "slots": 6,
+    "step_ms": 4.5,
+    "per_seq_ms": 1.8,
+    "context_per_k": 0.03,
+    "read_per_s": 61_400.0,
+    "linkMbps": 92_000.0,
+    "stride": 4,
+    "sets": LAYERS,
+    "experts": EXPERTS,
+    "places": 6,
+    "spare": 4,
+    "expertMb": 1_700.0,
+    "expertShare": 0.85,
+}
+
+
+class Group:
+    """Three agents beside a group's stand-ins, for the time of a context."""
+
+    def __init__(self, seed=1):
+        self.store = FleetStore()
+        self.engines = RankGroup("g-1", IPS, LAYERS, EXPERTS, seed)
+        self.running = {}
+
+    async def __aenter__(self):
+        self.store_port = await self.store.listen()
+        document = make_configuration()
+        document["services"][0]["engine"] = ENGINE
+        self.store.put("op/config", document)
+        await self.engines.start()
+        for rank, ip in enumerate(IPS):
+            address = f"{ip}:{self.engines.ports[rank]}"
+            entry = {"service": "svc", "address": address, "state": "ready"}
+            self.store.put(f"servers/i-{rank}", entry)
+            self.start(rank)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        for rank in tuple(self.running):
+            await self.kill(rank)
+        await self.engines.close()
+        await self.store.close()
+
+    def start(self, rank):
+        ip = IPS[rank]
+        settings = make_settings(
+            self.store_port,
+            node=f"side-{rank}",
+            role="agent",
+            ip=ip,
+            listen={},
+            internalPorts=[27_340, 27_355],
+            app=f"{ip}:{self.engines.ports[rank]}",
+            service="svc",
+        )
+        null = os.open(os.devnull, os.O_WRONLY)
+        process = Process(settings, LineWriter(null, lambda: 0))
+        agent = Agent(process)
+        task = asyncio.ensure_future(agent.run())
+        self.running[rank] = (agent, process, task)
+
+    async def kill(self, rank):
+        agent, process, task = self.running.pop(rank)
+        task.cancel()
+        for one in tuple(process._tasks):
+            one.cancel()
+        if agent.leader is not None:
+            agent.leader.stop()
+        if agent.datagrams.transport is not None:
+            stopped = agent.datagrams.transport.stopListening()
+            await stopped.asFuture(asyncio.get_running_loop())
+        for server in process.servers:
+            await server.close()
+
+    def leader(self):
+        return next(
+            (rank for rank, (one, *_) in self.running.items() if one.leader), None
+        )
+
+
+class TestAgents(unittest.TestCase):
+    def test_a_group_follows_its_demand(self):
+        async def follow():
+            async with Group() as group:
+                await until(lambda: group.engines.switches >= 2, 10.0)
+                before = group.engines.switches
+                group.engines.hot = 7
+                await until(lambda: group.engines.switches > before, 10.0)
+                return group.engines.mixed
+
+        self.assertEqual(run(follow()), [])
+
+    def test_maps_are_one_while_orders_are_lost_and_late(self):
+        # A pass runs with two maps: an order without an answer was carried out after
+        # the switch that it belonged to had been given up.
+        async def trouble():
+            async with Group(3) as group:
+                group.engines.lost_share = 0.2
+                group.engines.late_share = 0.2
+                await until(lambda: group.engines.switches >= 2, 15.0)
+                before = group.engines.step
+                for number in range(40):
+                    group.engines.hot = number % EXPERTS
+                    await asyncio.sleep(0.05)
+                group.engines.lost_share = group.engines.late_share = 0.0
+                await until(lambda: group.engines.step > before + 50, 5.0)
+                return group.engines.mixed
+
+        self.assertEqual(run(trouble()), [])
+
+    def test_a_killed_leader_is_followed_by_another(self):
+        # A group stands still until its leader's host is back: it died while passes
+        # were held, and nobody else let them go.
+        async def kill():
+            async with Group(5) as group:
+                await until(lambda: group.engines.switches >= 1, 10.0)
+                for number in range(400):
+                    if group.engines.held:
+                        break
+                    group.engines.hot = number // 20 % EXPERTS
+                    await asyncio.sleep(0.005)
+                first = group.leader()
+                await group.kill(first)
+                await until(lambda: group.leader() not in (None, first), 5.0)
+                before = group.engines.step
+                await until(lambda: group.engines.step > before + 20, 5.0)
+                group.start(first)
+                group.engines.hot = 11
+                before = group.engines.switches
+                await until(lambda: group.engines.switches > before, 10.0)
+                return group.engines.mixed
+
+        self.assertEqual(run(kill()), [])
+
+    def test_a_group_that_forms_anew_is_led_on(self):
+        async def form():
+            async with Group(7) as group:
+                await until(lambda: group.engines.switches >= 1, 10.0)
+                group.engines.form_anew()
+                before = group.engines.switches
+                await until(lambda: group.engines.switches > before, 10.0)
+                return group.engines.mixed
+
+        self.assertEqual(run(form()), [])
