Silent upstreams are given up in time; another group is chosen behind a failure

Cause: a group whose rank has died stalls for 1.5 s and says so then; callers leave after 2 s, and the stream was resumed at another rank of the same group. Change: a stream that may be resumed is given up after 1 s of silence, a request that may be repeated after half of its time; load reports name the group, and a group that failed comes last. Tests: three, failing before.

--- a/packages/gateway/src/fuchsiahatch_gateway/agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/agent.py
@@ -135,7 +135,12 @@
         if seen is None:
             return
         load = LoadReport(
-            self._upstream_address, seen.queued, seen.running, seen.pace, seen.open
+            self._upstream_address,
+            seen.queued,
+            seen.running,
+            seen.pace,
+            seen.open,
+            seen.group,
         )
         data = encode(load)
         for entry in self._entries.values():
--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -1,5 +1,6 @@
 """One try of a request at one upstream."""
 
+import asyncio
 import dataclasses
 import typing as t
 
@@ -25,6 +26,8 @@
 _MISPLACED = 421
 _UPSTREAM_FAILED = 500
 
+T = t.TypeVar("T")
+
 
 @dataclasses.dataclass(slots=True)
 class Outcome:
@@ -75,6 +78,8 @@
     team : str
     left_ms : int
         Time that is left for the answer.
+    silence_ms : int or None
+        Silence after which the try is given up; None to wait until the end.
     events : EventCutter or None
         For a stream, with what earlier upstreams sent of it.
     on_event : callable
@@ -84,6 +89,7 @@
     upstream: "Upstream"
     team: str
     left_ms: int
+    silence_ms: int | None
     events: EventCutter | None
     on_event: t.Callable[[], None]
 
@@ -124,7 +130,7 @@
         exchange, one.upstream.entry.instance, one.team, one.left_ms, last_id
     )
     connection.send(Call(exchange.method, exchange.target, headers, exchange.body))
-    head = await _own_head(exchange, connection)
+    head = await _in_time(_own_head(exchange, connection), one)
     if head.header(names.NOT_EXECUTED) is not None or head.status == _MISPLACED:
         await connection.body()
         return Outcome(Result.NOT_RUN, f"status {head.status}", head)
@@ -158,13 +164,27 @@
     raise AnswerBroken("only other requests' answers came")
 
 
+async def _in_time(work: t.Coroutine[t.Any, t.Any, T], one: Try) -> T:
+    """Wait for what an upstream sends next, unless it is silent for too long.
+
+    A rank group whose member has died stalls for seconds before it says so, and a
+    caller leaves after two: the request must be elsewhere by then.
+    """
+    if one.silence_ms is None:
+        return await work
+    try:
+        return await asyncio.wait_for(work, one.silence_ms / 1000)
+    except TimeoutError as fault:
+        raise AnswerBroken(f"silent for {one.silence_ms} ms") from fault
+
+
 async def _pass_on_events(
     exchange: "Exchange", connection: ClientConnection, head: Head, one: Try
 ) -> Outcome:
     events = one.events
     assert events is not None
     events.restart()
-    while (piece := await connection.piece()) is not None:
+    while (piece := await _in_time(connection.piece(), one)) is not None:
         whole = events.feed(piece)
         if whole:
             _write_events(exchange, head, whole)
--- a/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
@@ -37,6 +37,8 @@
     pace : float
     open : bool
         Whether its rank group works.
+    group : str
+        That group; empty where it has none.
     """
 
     upstream: str
@@ -44,6 +46,7 @@
     running: int
     pace: float
     open: bool
+    group: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -157,7 +160,14 @@
 
 
 def _encode_load(load: LoadReport) -> t.Iterable[t.Any]:
-    return (load.upstream, load.queued, load.running, load.pace, load.open)
+    return (
+        load.upstream,
+        load.queued,
+        load.running,
+        load.pace,
+        load.open,
+        load.group,
+    )
 
 
 def _decode_load(fields: t.Sequence[t.Any]) -> LoadReport:
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -40,6 +40,12 @@
 #: for the upstream, which needs some 200 ms to the first event and 800 under load. With
 #: 0.6, callers left requests that had just been sent on.
 WAIT_SHARE = 0.4
+#: Silence of a stream that may be resumed, after which it goes on elsewhere. Pauses
+#: are usually some 80 ms; a group whose rank has died stalls for 1,500 ms.
+STREAM_SILENCE_MS = 1_000
+#: Share of the time that is left for which a request that may be repeated waits for its
+#: first upstream.
+SILENCE_SHARE = 0.5
 #: Time before the end of a request's time in which no further try is begun.
 LEAST_TRY_MS = 30
 #: One in this many plain successes is logged; all that is not one is.
@@ -221,6 +227,7 @@
             upstream,
             job.match.team.name,
             left_ms,
+            _silence_ms(job, left_ms),
             job.events,
             lambda: self._note_event(job),
         )
@@ -362,6 +369,16 @@
         )
 
 
+def _silence_ms(job: Job, left_ms: int) -> int | None:
+    """Return how long an upstream may be silent, while another may be asked."""
+    route = job.match.route
+    if not route.repeatable or len(job.tried) + 1 >= route.max_attempts:
+        return None
+    if job.events is not None:
+        return STREAM_SILENCE_MS
+    return int(SILENCE_SHARE * left_ms)
+
+
 def _without_retry(outcome: Outcome, job: Job) -> Step:
     if outcome.result is Result.ANSWERED:
         return Step.RELAY
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -44,6 +44,8 @@
     pace : float
     open : bool
         Whether its rank group works.
+    group : str
+        That group; empty where it has none or it isn't known.
     misplaced : bool
         Whether another upstream answered at its address.
     latency_ms : float
@@ -56,6 +58,7 @@
     reported_ms: int | None = None
     pace: float = 1.0
     open: bool = True
+    group: str = ""
     misplaced: bool = False
     latency_ms: float = 0.0
     _failures: float = 0.0
@@ -155,6 +158,7 @@
         upstream.reported_ms = self._clock.now_ms()
         upstream.pace = load.pace
         upstream.open = load.open
+        upstream.group = load.group
 
     def usable(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that may get new work."""
@@ -193,8 +197,7 @@
             for upstream in self.usable(service)
             if upstream.load(now_ms) < upstream.places() + spare
         ]
-        fresh = [upstream for upstream in free if upstream.entry.instance not in tried]
-        candidates = fresh or free
+        candidates = self._untried(free, tried)
         if not candidates:
             return None
         self._rng.shuffle(candidates)
@@ -202,6 +205,22 @@
         fastest_ms = min(known, default=0.0)
         return min(candidates, key=lambda one: self._cost(one, now_ms, fastest_ms))
 
+    def _untried(
+        self, free: list[Upstream], tried: t.Collection[str]
+    ) -> list[Upstream]:
+        """Leave out those that were tried, and their groups, if others are left.
+
+        All ranks of a group stand still together when one of them dies.
+        """
+        fresh = [one for one in free if one.entry.instance not in tried]
+        groups = {
+            self.upstreams[instance].group
+            for instance in tried
+            if instance in self.upstreams
+        }
+        elsewhere = [one for one in fresh if not one.group or one.group not in groups]
+        return elsewhere or fresh or free
+
     def _cost(self, upstream: Upstream, now_ms: int, fastest_ms: float) -> float:
         cost = (upstream.load(now_ms) + 1) * upstream.pace
         if upstream.reported_ms is None and self._reports:
--- a/tests/gateway/test_delivery.py
+++ b/tests/gateway/test_delivery.py
@@ -1,6 +1,8 @@
 import asyncio
 import unittest
+from unittest import mock
 
+from fuchsiahatch_gateway import delivery
 from tests.gateway.sites import (
     HOST,
     KEY,
@@ -250,6 +252,24 @@
         last_ids = {request.headers.get("last-event-id") for request in sent}
         self.assertEqual(last_ids, {None, "3"})
 
+    def test_a_silent_stream_goes_on_elsewhere(self):
+        # A skipper leaves after two seconds without a word: one rank of the group has
+        # died, and the others stand still for 1.5 s before they say so.
+        async def stalls(request, wire):
+            await wire.begin_stream(request)
+            await wire.event(1)
+            await asyncio.sleep(30)
+
+        with mock.patch.object(delivery, "STREAM_SILENCE_MS", 150):
+            reply, _ = run(ask_one("/chat/", stalls, streams(2, 4)))
+        self.assertEqual(event_ids(reply.body), [1, 2, 3, 4])
+        self.assertTrue(reply.whole)
+
+    def test_a_silent_upstream_costs_half_of_the_time(self):
+        # A cancellation notice is lost with an upstream that takes it and is silent.
+        reply, one = run(ask_one("/safe/", waits, answers()))
+        self.assertEqual((reply.status, len(one.received)), (200, 2))
+
     def test_half_an_event_is_dropped(self):
         # A brief has the start of one sentence twice: half an event was passed on,
         # and the next upstream sent it again from its beginning.
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -21,8 +21,8 @@
     return Item(f"servers/{instance}", orjson.dumps(fields), created, created)
 
 
-def load(port, running=0, queued=0, pace=1.0, is_open=True):
-    return LoadReport(f"10.0.0.1:{port}", queued, running, pace, is_open)
+def load(port, running=0, queued=0, pace=1.0, is_open=True, group=""):
+    return LoadReport(f"10.0.0.1:{port}", queued, running, pace, is_open, group)
 
 
 class TestFleet(unittest.TestCase):
@@ -90,6 +90,16 @@
         self.assertEqual({self.choose(("a",)) for _ in range(10)}, {"b"})
         self.assertIsNotNone(self.choose(("a", "b")))
 
+    def test_another_group_is_chosen_behind_a_failure(self):
+        # A stream stops twice: it was resumed at another rank of the group whose
+        # member had just died.
+        self.apply(a=item("a", 1), b=item("b", 2), c=item("c", 3))
+        for port, group in ((1, "g-1"), (2, "g-1"), (3, "g-2")):
+            self.fleet.observe(load(port, running=5 * (port == 3), group=group))
+        self.assertEqual({self.choose(("a",)) for _ in range(10)}, {"c"})
+        self.fleet.observe(load(3, running=6, group="g-2"))
+        self.assertEqual({self.choose(("a",)) for _ in range(10)}, {"b"})
+
     def test_an_entry_that_cannot_be_read_is_passed_over(self):
         broken = Item("servers/b", b"{", 1, 1)
         self.apply(a=item("a", 1), b=broken)
