--- a/packages/bench/src/fuchsiahatch_bench/config_nodes.py
+++ b/packages/bench/src/fuchsiahatch_bench/config_nodes.py
@@ -13,13 +13,13 @@
 from fuchsiahatch_daemon.changes import Changes
 from fuchsiahatch_daemon.configuration import Configuration
 from fuchsiahatch_daemon.following import Follower
-from fuchsiahatch_daemon.peercalls import PeerCalls
+from fuchsiahatch_daemon.peer_calls import PeerCalls
 from fuchsiahatch_daemon.peers import Peers
 from fuchsiahatch_daemon.pulls import Pulls
 from fuchsiahatch_membership.hosts import HostRow, HostTable
 from fuchsiahatch_placement.acceptance import EntryConfiguration
 from fuchsiahatch_platform.budget import CallBudget
-from fuchsiahatch_platform.hostlist import ListedHost
+from fuchsiahatch_platform.host_list import ListedHost
 from fuchsiahatch_platform.http import HttpCaller
 from fuchsiahatch_platform.keyvalue import KeyValueClient
 from fuchsiahatch_standins.ports import free_address
--- a/packages/daemon/src/fuchsiahatch_daemon/agent.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/agent.py
@@ -12,9 +12,9 @@
 from fuchsiahatch_daemon.metrics import Metrics, add_route
 from fuchsiahatch_daemon.runner import Runner
 from fuchsiahatch_daemon.settings import Settings
-from fuchsiahatch_daemon.stepengine import StepEngine
+from fuchsiahatch_daemon.step_engine import StepEngine
 from fuchsiahatch_daemon.steps import StepGroup
-from fuchsiahatch_platform.hostlist import HostListClient
+from fuchsiahatch_platform.host_list import HostListClient
 from fuchsiahatch_platform.http import HttpCaller
 from fuchsiahatch_platform.keyvalue import KeyValueClient
 
--- a/packages/daemon/src/fuchsiahatch_daemon/callers.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/callers.py
@@ -6,7 +6,7 @@
 
 from fuchsiahatch_core.defaults import LOOKUP_KEEP_MS, RETRY_WINDOW_MS
 from fuchsiahatch_daemon import web
-from fuchsiahatch_daemon.callerrequests import (
+from fuchsiahatch_daemon.caller_requests import (
     CallerRequest,
     read_completion,
     read_lookup,
--- a/packages/daemon/src/fuchsiahatch_daemon/changes.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/changes.py
@@ -6,7 +6,7 @@
 from fuchsiahatch_core.clock import Clock
 from fuchsiahatch_core.exceptions import PlatformError
 from fuchsiahatch_daemon.configuration import Configuration
-from fuchsiahatch_daemon.peercalls import PeerCalls
+from fuchsiahatch_daemon.peer_calls import PeerCalls
 from fuchsiahatch_daemon.tasks import Tasks
 from fuchsiahatch_placement import writing
 from fuchsiahatch_platform.keyvalue import KeyValueClient
--- a/packages/daemon/src/fuchsiahatch_daemon/configuration.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/configuration.py
@@ -8,7 +8,7 @@
 from fuchsiahatch_core.defaults import KEY_PREFIX
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import PlatformError
-from fuchsiahatch_daemon.peercalls import PeerCalls
+from fuchsiahatch_daemon.peer_calls import PeerCalls
 from fuchsiahatch_daemon.tasks import Tasks
 from fuchsiahatch_placement import acceptance
 from fuchsiahatch_placement.acceptance import EntryConfiguration, Question
--- a/packages/daemon/src/fuchsiahatch_daemon/dispatch.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/dispatch.py
@@ -25,7 +25,7 @@
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
-    from fuchsiahatch_daemon.callerrequests import CallerRequest
+    from fuchsiahatch_daemon.caller_requests import CallerRequest
     from fuchsiahatch_daemon.configuration import Configuration
     from fuchsiahatch_daemon.selection import Selection
 
--- a/packages/daemon/src/fuchsiahatch_daemon/entry.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/entry.py
@@ -9,17 +9,17 @@
 from fuchsiahatch_core.identities import new_incarnation
 from fuchsiahatch_daemon import operators, rpc, web
 from fuchsiahatch_daemon.binder import Binder
-from fuchsiahatch_daemon.callerrequests import CallerRequest
+from fuchsiahatch_daemon.caller_requests import CallerRequest
 from fuchsiahatch_daemon.callers import make_app
 from fuchsiahatch_daemon.changes import Changes
 from fuchsiahatch_daemon.configuration import Configuration
-from fuchsiahatch_daemon.controlmetrics import ControlMetrics
+from fuchsiahatch_daemon.control_metrics import ControlMetrics
 from fuchsiahatch_daemon.dispatch import Dispatcher
 from fuchsiahatch_daemon.hops import Hops, Send
-from fuchsiahatch_daemon.hostwatch import HostWatch
+from fuchsiahatch_daemon.host_watch import HostWatch
 from fuchsiahatch_daemon.metrics import Metrics, add_route
-from fuchsiahatch_daemon.openwork import OpenWork
-from fuchsiahatch_daemon.peercalls import PeerCalls
+from fuchsiahatch_daemon.open_work import OpenWork
+from fuchsiahatch_daemon.peer_calls import PeerCalls
 from fuchsiahatch_daemon.peers import Peers
 from fuchsiahatch_daemon.pulls import Pulls
 from fuchsiahatch_daemon.selection import Selection
@@ -29,7 +29,7 @@
 from fuchsiahatch_membership.hosts import HostRow
 from fuchsiahatch_placement.acceptance import EntryConfiguration
 from fuchsiahatch_platform.budget import CallBudget
-from fuchsiahatch_platform.hostlist import HostListClient
+from fuchsiahatch_platform.host_list import HostListClient
 from fuchsiahatch_platform.http import HttpCaller
 from fuchsiahatch_platform.keyvalue import KeyValueClient
 
--- a/packages/daemon/src/fuchsiahatch_daemon/following.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/following.py
@@ -7,14 +7,14 @@
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import PlatformError, RefusedError, SettingsError
 from fuchsiahatch_core.identities import Offer
-from fuchsiahatch_daemon.hostwatch import read_rows
-from fuchsiahatch_daemon.peercalls import CONNECTION_FAULTS, PEER_TIMEOUT_MS
+from fuchsiahatch_daemon.host_watch import read_rows
+from fuchsiahatch_daemon.peer_calls import CONNECTION_FAULTS, PEER_TIMEOUT_MS
 from fuchsiahatch_daemon.rpc import Channels
 from fuchsiahatch_daemon.tasks import Tasks
 from fuchsiahatch_membership.hosts import HostRow, HostTable
 from fuchsiahatch_placement.checks import Ruling, Step, check_request
 from fuchsiahatch_placement.records import EMPTY_SNAPSHOT, Snapshot, decode_document
-from fuchsiahatch_platform.hostlist import HostListClient
+from fuchsiahatch_platform.host_list import HostListClient
 from fuchsiahatch_wire import attempts_pb2, peers_pb2
 from fuchsiahatch_wire.peers_grpc import ConfigurationStub
 
--- a/packages/daemon/src/fuchsiahatch_daemon/hops.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/hops.py
@@ -31,7 +31,7 @@
 if t.TYPE_CHECKING:
     from grpclib.client import Stream
 
-    from fuchsiahatch_daemon.callerrequests import CallerRequest
+    from fuchsiahatch_daemon.caller_requests import CallerRequest
     from fuchsiahatch_daemon.selection import Selection
     from fuchsiahatch_daemon.standings import Standings
 
--- a/packages/daemon/src/fuchsiahatch_daemon/hostwatch.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/host_watch.py
@@ -7,11 +7,11 @@
 from fuchsiahatch_core.defaults import HEARTBEAT_MS, SUSPECT_AFTER_MS
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import PlatformError
-from fuchsiahatch_daemon.peercalls import CONNECTION_FAULTS
+from fuchsiahatch_daemon.peer_calls import CONNECTION_FAULTS
 from fuchsiahatch_daemon.rpc import Channels
 from fuchsiahatch_daemon.tasks import Tasks
 from fuchsiahatch_membership.hosts import HostReport, HostRow, HostTable
-from fuchsiahatch_platform.hostlist import HostListClient, ListedHost
+from fuchsiahatch_platform.host_list import HostListClient, ListedHost
 from fuchsiahatch_wire import attempts_pb2
 from fuchsiahatch_wire.attempts_grpc import AttemptsStub
 
--- a/packages/daemon/src/fuchsiahatch_daemon/peercalls.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/peer_calls.py
@@ -6,7 +6,7 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from fuchsiahatch_core.defaults import HEARTBEAT_MS
-from fuchsiahatch_daemon import peermessages
+from fuchsiahatch_daemon import peer_messages
 from fuchsiahatch_daemon.rpc import Channels
 from fuchsiahatch_membership.heartbeats import Beat
 from fuchsiahatch_membership.hosts import HostTable
@@ -54,20 +54,20 @@
         self, host: str, beats: t.Iterable[Beat]
     ) -> tuple[Beat, ...] | None:
         """Send heartbeats and return those that came back; None for silence."""
-        message = peermessages.to_wire_beats(beats)
+        message = peer_messages.to_wire_beats(beats)
         answer = await self._call(host, "Exchange", message)
-        return None if answer is None else peermessages.from_wire_beats(answer)
+        return None if answer is None else peer_messages.from_wire_beats(answer)
 
     async def ask(self, host: str, question: Question) -> PeerAnswer | None:
         """Ask an entry a question; None for silence."""
-        message = peermessages.to_wire_question(question)
+        message = peer_messages.to_wire_question(question)
         answer = await self._call(host, "Ask", message)
-        return None if answer is None else peermessages.from_wire_answer(answer)
+        return None if answer is None else peer_messages.from_wire_answer(answer)
 
     async def tell(self, host: str) -> Report | None:
         """Ask an entry for its report; None for silence."""
         answer = await self._call(host, "Tell", peers_pb2.ReportRequest())
-        return None if answer is None else peermessages.from_wire_report(answer)
+        return None if answer is None else peer_messages.from_wire_report(answer)
 
     async def _call(self, host: str, method: str, message: t.Any) -> t.Any:
         row = self._table.row(host)
--- a/packages/daemon/src/fuchsiahatch_daemon/peers.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/peers.py
@@ -5,9 +5,9 @@
 
 from fuchsiahatch_core.clock import Clock
 from fuchsiahatch_core.defaults import HEARTBEAT_MS
-from fuchsiahatch_daemon import peermessages
+from fuchsiahatch_daemon import peer_messages
 from fuchsiahatch_daemon.configuration import Configuration
-from fuchsiahatch_daemon.peercalls import PeerCalls
+from fuchsiahatch_daemon.peer_calls import PeerCalls
 from fuchsiahatch_daemon.tasks import Tasks
 from fuchsiahatch_membership.heartbeats import (
     Beat,
@@ -97,16 +97,16 @@
         message = await stream.recv_message()
         assert message is not None
         answer = self._heartbeats.reply(self._clock.now_ms())
-        await stream.send_message(peermessages.to_wire_beats(answer))
-        self._hear(peermessages.from_wire_beats(message))
+        await stream.send_message(peer_messages.to_wire_beats(answer))
+        self._hear(peer_messages.from_wire_beats(message))
 
     async def Ask(self, stream: "Stream[peers_pb2.Question, peers_pb2.Answer]") -> None:
         """Answer another entry's question about the configuration."""
         message = await stream.recv_message()
         assert message is not None
-        question = peermessages.from_wire_question(message)
+        question = peer_messages.from_wire_question(message)
         answer = self._configuration.part.answer_question(question)
-        await stream.send_message(peermessages.to_wire_answer(answer))
+        await stream.send_message(peer_messages.to_wire_answer(answer))
 
     async def Tell(
         self, stream: "Stream[peers_pb2.ReportRequest, peers_pb2.Report]"
@@ -114,7 +114,7 @@
         """Say what is in force here."""
         await stream.recv_message()
         report = self._configuration.part.report()
-        await stream.send_message(peermessages.to_wire_report(report))
+        await stream.send_message(peer_messages.to_wire_report(report))
 
     async def _beat(self) -> None:
         rows = self._table.rows("entry")
--- a/packages/daemon/src/fuchsiahatch_daemon/runner.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/runner.py
@@ -12,8 +12,8 @@
 from fuchsiahatch_daemon import rpc
 from fuchsiahatch_daemon.admission import Admission
 from fuchsiahatch_daemon.frames import FrameMaker
-from fuchsiahatch_daemon.keyedruns import KeyedRuns
-from fuchsiahatch_daemon.openwork import OpenWork
+from fuchsiahatch_daemon.keyed_runs import KeyedRuns
+from fuchsiahatch_daemon.open_work import OpenWork
 from fuchsiahatch_daemon.recording import Parts, make_head
 from fuchsiahatch_daemon.settings import UpstreamSettings
 from fuchsiahatch_delivery.keys import LedgerKey
--- a/packages/daemon/src/fuchsiahatch_daemon/selection.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/selection.py
@@ -10,7 +10,7 @@
 from fuchsiahatch_core.codes import Code
 from fuchsiahatch_core.identities import Home, Offer
 from fuchsiahatch_daemon.configuration import Configuration
-from fuchsiahatch_daemon.hostwatch import HostWatch
+from fuchsiahatch_daemon.host_watch import HostWatch
 from fuchsiahatch_membership.hosts import HostReport, HostView
 from fuchsiahatch_placement.records import parse_offer
 from fuchsiahatch_routing.candidates import (
--- a/packages/daemon/src/fuchsiahatch_daemon/standings.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/standings.py
@@ -15,7 +15,7 @@
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
     from fuchsiahatch_daemon.configuration import Configuration
-    from fuchsiahatch_daemon.hostwatch import HostWatch
+    from fuchsiahatch_daemon.host_watch import HostWatch
     from fuchsiahatch_daemon.selection import Selection
     from fuchsiahatch_membership.hosts import HostView
 
--- a/packages/daemon/src/fuchsiahatch_daemon/steprank.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/step_rank.py
@@ -8,7 +8,7 @@
 from fuchsiahatch_core.codes import Code
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import PlatformError
-from fuchsiahatch_daemon import stepwire
+from fuchsiahatch_daemon import step_wire
 from fuchsiahatch_experts.grants import (
     Answer,
     Commit,
@@ -32,7 +32,7 @@
 
     from fuchsiahatch_core.clock import Clock
     from fuchsiahatch_daemon.settings import GroupSettings
-    from fuchsiahatch_daemon.stepengine import StepEngine
+    from fuchsiahatch_daemon.step_engine import StepEngine
     from fuchsiahatch_daemon.tasks import Tasks
     from fuchsiahatch_wire import steps_pb2
 
@@ -93,8 +93,8 @@
         """Promise a term and tell the rank's state."""
         message = await stream.recv_message()
         assert message is not None
-        answer = await self.answer(stepwire.from_wire_ask(message))
-        await stream.send_message(stepwire.to_wire_answer(answer))
+        answer = await self.answer(step_wire.from_wire_ask(message))
+        await stream.send_message(step_wire.to_wire_answer(answer))
 
     async def Propose(
         self, stream: "Stream[steps_pb2.WindowRequest, steps_pb2.StepReply]"
@@ -115,9 +115,9 @@
     ) -> None:
         message = await stream.recv_message()
         assert message is not None
-        request = stepwire.from_wire_window_request(message, kind)
+        request = step_wire.from_wire_window_request(message, kind)
         answer = await self.answer(request)
-        await stream.send_message(stepwire.to_wire_answer(answer))
+        await stream.send_message(step_wire.to_wire_answer(answer))
 
     async def answer(self, request: Request) -> Answer:
         """Answer a request of the leader."""
--- a/packages/daemon/src/fuchsiahatch_daemon/steps.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/steps.py
@@ -11,9 +11,9 @@
 from fuchsiahatch_core.defaults import KEY_PREFIX
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import AmbiguousWriteError, PlatformError
-from fuchsiahatch_daemon import stepwire
+from fuchsiahatch_daemon import step_wire
 from fuchsiahatch_daemon.rpc import Channels
-from fuchsiahatch_daemon.steprank import RankService
+from fuchsiahatch_daemon.step_rank import RankService
 from fuchsiahatch_daemon.tasks import Tasks
 from fuchsiahatch_experts.grants import (
     Answer,
@@ -39,7 +39,7 @@
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_daemon.settings import GroupSettings
-    from fuchsiahatch_daemon.stepengine import StepEngine
+    from fuchsiahatch_daemon.step_engine import StepEngine
     from fuchsiahatch_platform.keyvalue import KeyValueClient
 
 #: Extra silence that each further rank waits out, so that two seldom race.
@@ -169,13 +169,13 @@
         group = self._settings.name
         if isinstance(request, Ask):
             reply = await stub.Ask(
-                stepwire.to_wire_ask(group, request), timeout=timeout_s
+                step_wire.to_wire_ask(group, request), timeout=timeout_s
             )
         else:
             call = stub.Propose if isinstance(request, Propose) else stub.Commit
-            message = stepwire.to_wire_window_request(group, request)
+            message = step_wire.to_wire_window_request(group, request)
             reply = await call(message, timeout=timeout_s)
-        return stepwire.from_wire_answer(reply, request)
+        return step_wire.from_wire_answer(reply, request)
 
     def _spawn_campaign(self, effects: list[CampaignEffect]) -> None:
         # Taken at once, before a tick can use the leader that is over.
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -80,7 +80,10 @@
         Upstreams that it was sent to.
     unsent : int
     may_have_run : bool
-    first_event_ms : int or None
+    first_event_ms, last_event_ms : int or None
+    longest_gap_ms : int
+    waited_ms : int
+        Time for which it waited for places.
     """
 
     exchange: "Exchange"
@@ -96,6 +99,7 @@
     first_event_ms: int | None = None
     last_event_ms: int | None = None
     longest_gap_ms: int = 0
+    waited_ms: int = 0
 
 
 class Delivery:
@@ -209,7 +213,13 @@
         team = job.match.team.name
         urgency = job.match.urgency
         wait_ms = self._wait_ms(job)
-        return await self._placer.take(job.service, team, urgency, job.tried, wait_ms)
+        began_ms = self._clock.now_ms()
+        try:
+            return await self._placer.take(
+                job.service, team, urgency, job.tried, wait_ms
+            )
+        finally:
+            job.waited_ms += self._clock.now_ms() - began_ms
 
     def _wait_ms(self, job: Job) -> float:
         now_ms = self._clock.now_ms()
@@ -354,6 +364,7 @@
             end=end,
             status=None if outcome is None else outcome.status,
             took_ms=now_ms - job.arrived_ms,
+            waited_ms=job.waited_ms,
             first_event_ms=None if first_ms is None else first_ms - job.arrived_ms,
             longest_gap_ms=job.longest_gap_ms,
         )
--- a/packages/placement/src/fuchsiahatch_placement/acceptance.py
+++ b/packages/placement/src/fuchsiahatch_placement/acceptance.py
@@ -8,7 +8,7 @@
 
 from fuchsiahatch_core.defaults import FRESH_MS
 from fuchsiahatch_core.exceptions import SettingsError
-from fuchsiahatch_placement.acceptancemessages import (
+from fuchsiahatch_placement.acceptance_messages import (
     Applied,
     AskPeers,
     AskService,
--- a/packages/placement/src/fuchsiahatch_placement/writing.py
+++ b/packages/placement/src/fuchsiahatch_placement/writing.py
@@ -8,7 +8,7 @@
 from fuchsiahatch_core.codes import Code
 from fuchsiahatch_core.defaults import FRESH_MS
 from fuchsiahatch_core.exceptions import ConflictError, FuchsiahatchError
-from fuchsiahatch_placement.acceptancemessages import Report
+from fuchsiahatch_placement.acceptance_messages import Report
 from fuchsiahatch_placement.documents import (
     Document,
     change_id_at,
@@ -21,7 +21,7 @@
     decode_roster,
     missing_voters,
 )
-from fuchsiahatch_placement.writingmessages import (
+from fuchsiahatch_placement.writing_messages import (
     AskReports,
     DocumentRead,
     Effect,
--- a/packages/placement/src/fuchsiahatch_placement/writingmessages.py
+++ b/packages/placement/src/fuchsiahatch_placement/writing_messages.py
@@ -4,7 +4,7 @@
 import enum
 
 from fuchsiahatch_core.codes import Code
-from fuchsiahatch_placement.acceptancemessages import Report
+from fuchsiahatch_placement.acceptance_messages import Report
 from fuchsiahatch_placement.rosters import Voter
 
 
--- a/packages/standins/src/fuchsiahatch_standins/__main__.py
+++ b/packages/standins/src/fuchsiahatch_standins/__main__.py
@@ -34,9 +34,9 @@
     """Run the host list over the rows of a file."""
 
     def make_app():
-        from fuchsiahatch_standins import hostlist
+        from fuchsiahatch_standins import host_list
 
-        return hostlist.make_app(json.loads(pathlib.Path(hosts).read_text("utf-8")))
+        return host_list.make_app(json.loads(pathlib.Path(hosts).read_text("utf-8")))
 
     serve(make_app, address)
 
@@ -69,16 +69,16 @@
         from twisted.internet import endpoints, reactor
         from twisted.web.server import Site
 
-        from fuchsiahatch_standins import lockstep, rankengine
+        from fuchsiahatch_standins import lockstep, rank_engine
 
         ranks = 1 + len(others)
         group = lockstep.LockStepGroup(ranks, fences, [compute_ms] * ranks)
         for rank, address in enumerate(others, 1):
             ip, _, port = address.rpartition(":")
             endpoint = endpoints.TCP4ServerEndpoint(reactor, int(port), interface=ip)
-            endpoint.listen(Site(rankengine.make_app(group, rank).resource()))
-        reactor.callWhenRunning(asyncio.ensure_future, rankengine.run_steps(group))
-        return rankengine.make_app(group, 0)
+            endpoint.listen(Site(rank_engine.make_app(group, rank).resource()))
+        reactor.callWhenRunning(asyncio.ensure_future, rank_engine.run_steps(group))
+        return rank_engine.make_app(group, 0)
 
     serve(make_app, first)
 
--- a/packages/standins/src/fuchsiahatch_standins/running.py
+++ b/packages/standins/src/fuchsiahatch_standins/running.py
@@ -11,7 +11,7 @@
 from fuchsiahatch_daemon.agent import AgentRole
 from fuchsiahatch_daemon.entry import EntryRole
 from fuchsiahatch_daemon.settings import Settings, UpstreamSettings
-from fuchsiahatch_standins import hostlist, keyvalue
+from fuchsiahatch_standins import host_list, keyvalue
 from fuchsiahatch_standins.layout import list_row, roster_of
 from fuchsiahatch_standins.ports import free_address
 
@@ -78,7 +78,7 @@
             for host, zone in zones.items()
         ]
         self.rows.extend(map(list_row, plans))
-        self.host_list_address = await self._serve(hostlist.make_app(self.rows))
+        self.host_list_address = await self._serve(host_list.make_app(self.rows))
         self._put(PLACEMENT_KEY, self._first)
         self._put(ROSTER_KEY, roster_of(plans))
         for plan in plans:
--- a/tests/daemon/test_controlmetrics.py
+++ b/tests/daemon/test_control_metrics.py
@@ -4,7 +4,7 @@
 import aioprometheus
 
 from fuchsiahatch_core.clock import ManualClock
-from fuchsiahatch_daemon.controlmetrics import ControlMetrics
+from fuchsiahatch_daemon.control_metrics import ControlMetrics
 from fuchsiahatch_placement.records import Snapshot
 from fuchsiahatch_platform.budget import CallBudget
 
--- a/tests/daemon/test_stepwire.py
+++ b/tests/daemon/test_step_wire.py
@@ -1,7 +1,7 @@
 import unittest
 
 from fuchsiahatch_core.codes import Code
-from fuchsiahatch_daemon import stepwire
+from fuchsiahatch_daemon import step_wire
 from fuchsiahatch_experts.grants import (
     Accepted,
     Ask,
@@ -24,11 +24,11 @@
 
 class TestThereAndBack(unittest.TestCase):
     def test_requests(self):
-        self.assertEqual(stepwire.from_wire_ask(stepwire.to_wire_ask("g", ASK)), ASK)
+        self.assertEqual(step_wire.from_wire_ask(step_wire.to_wire_ask("g", ASK)), ASK)
         for request in (PROPOSE, COMMIT):
-            message = stepwire.to_wire_window_request("g", request)
+            message = step_wire.to_wire_window_request("g", request)
             kind = type(request)
-            self.assertEqual(stepwire.from_wire_window_request(message, kind), request)
+            self.assertEqual(step_wire.from_wire_window_request(message, kind), request)
 
     def test_answers(self):
         pairs = (
@@ -39,6 +39,6 @@
             (Refused(1, "life-1", 5, 3, Code.OLD_TERM), COMMIT),
         )
         for answer, request in pairs:
-            message = stepwire.to_wire_answer(answer)
+            message = step_wire.to_wire_answer(answer)
             with self.subTest(answer=type(answer).__name__):
-                self.assertEqual(stepwire.from_wire_answer(message, request), answer)
+                self.assertEqual(step_wire.from_wire_answer(message, request), answer)
--- a/tools/check_docs.py
+++ b/tools/check_docs.py
@@ -19,7 +19,11 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DOCS = ROOT / "docs"
 DAEMON = ROOT / "packages/daemon/src/fuchsiahatch_daemon"
-METRICS_MODULES = sorted(DAEMON.glob("*metrics.py"))
+GATEWAY = ROOT / "packages/gateway/src/fuchsiahatch_gateway"
+METRICS_MODULES = [
+    *sorted(DAEMON.glob("*metrics.py")),
+    *(GATEWAY / name for name in ("request_metrics.py", "entry.py", "agent.py")),
+]
 
 _NUMBERED_ROW = re.compile(r"^\| (\d+) \| `(\w+)` \|", re.MULTILINE)
 _NAMED_ROW = re.compile(r"^\| `([\w.]+)` \|", re.MULTILINE)
--- a/tools/check_wire_words.py
+++ b/tools/check_wire_words.py
@@ -15,7 +15,7 @@
 COMMON = frozenset(("authorization", "retry-after", "last-event-id", "Token"))
 
 #: The product's own callers' interface has a header of the same name.
-OWN = frozenset((("callerrequests.py", "fuchsiahatch-deadline-ms"),))
+OWN = frozenset((("caller_requests.py", "fuchsiahatch-deadline-ms"),))
 
 
 def read_names(source: str) -> set[str]:
