Slow groups are filled last; a silent agent keeps no group on an old map

Change: the leader speaks with silent agents' engines in all phases; agents report how long a pass takes, and the choice weighs it. Tests: a silent agent (fails before), a slow group.

--- a/packages/gateway/src/fuchsiahatch_gateway/agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/agent.py
@@ -141,6 +141,7 @@
             seen.pace,
             seen.open,
             seen.group,
+            round(self.rank.pass_ms, 1),
         )
         data = encode(load)
         for entry in self._entries.values():
--- a/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
@@ -39,6 +39,8 @@
         Whether its rank group works.
     group : str
         That group; empty where it has none.
+    pass_ms : float
+        Time that a pass of the group takes; 0 while it is idle.
     """
 
     upstream: str
@@ -47,6 +49,7 @@
     pace: float
     open: bool
     group: str
+    pass_ms: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -167,6 +170,7 @@
         load.pace,
         load.open,
         load.group,
+        load.pass_ms,
     )
 
 
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -46,6 +46,8 @@
         Whether its rank group works.
     group : str
         That group; empty where it has none or it isn't known.
+    pass_ms : float
+        Time that a pass of the group takes; 0 while it is idle or not known.
     misplaced : bool
         Whether another upstream answered at its address.
     latency_ms : float
@@ -59,6 +61,7 @@
     pace: float = 1.0
     open: bool = True
     group: str = ""
+    pass_ms: float = 0.0
     misplaced: bool = False
     latency_ms: float = 0.0
     _failures: float = 0.0
@@ -97,6 +100,14 @@
         self.latency_ms += LATENCY_WEIGHT * (latency_ms - self.latency_ms)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Fastest:
+    """The best figures among the upstreams to choose from; 0 where none is known."""
+
+    latency_ms: float
+    pass_ms: float
+
+
 class Fleet:
     """All upstreams.
 
@@ -159,6 +170,7 @@
         upstream.pace = load.pace
         upstream.open = load.open
         upstream.group = load.group
+        upstream.pass_ms = load.pass_ms
 
     def usable(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that may get new work."""
@@ -201,9 +213,10 @@
         if not candidates:
             return None
         self._rng.shuffle(candidates)
-        known = [one.latency_ms for one in candidates if one.latency_ms]
-        fastest_ms = min(known, default=0.0)
-        return min(candidates, key=lambda one: self._cost(one, now_ms, fastest_ms))
+        latencies = [one.latency_ms for one in candidates if one.latency_ms]
+        passes = [one.pass_ms for one in candidates if one.pass_ms]
+        fastest = _Fastest(min(latencies, default=0.0), min(passes, default=0.0))
+        return min(candidates, key=lambda one: self._cost(one, now_ms, fastest))
 
     def _untried(
         self, free: list[Upstream], tried: t.Collection[str]
@@ -221,15 +234,20 @@
         elsewhere = [one for one in fresh if not one.group or one.group not in groups]
         return elsewhere or fresh or free
 
-    def _cost(self, upstream: Upstream, now_ms: int, fastest_ms: float) -> float:
-        cost = (upstream.load(now_ms) + 1) * upstream.pace
+    def _cost(self, upstream: Upstream, now_ms: int, fastest: "_Fastest") -> float:
+        # All ranks of a group are as slow as its slowest: one slow engine makes late
+        # what the seven others write.
+        slowness = upstream.pace
+        if upstream.pass_ms:
+            slowness = max(slowness, upstream.pass_ms / fastest.pass_ms)
+        cost = (upstream.load(now_ms) + 1) * slowness
         if upstream.reported_ms is None and self._reports:
             cost += UNKNOWN_COST
         cost += FAILURE_COST * upstream.failures(now_ms)
         if upstream.entry.zone != self._zone:
             cost += ZONE_COST
-        if upstream.latency_ms and fastest_ms:
-            cost += upstream.latency_ms / fastest_ms - 1.0
+        if upstream.latency_ms and fastest.latency_ms:
+            cost += upstream.latency_ms / fastest.latency_ms - 1.0
         return cost
 
     def _put(self, instance: str, entry: UpstreamEntry) -> None:
--- a/packages/gateway/src/fuchsiahatch_gateway/rank_agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/rank_agent.py
@@ -25,9 +25,13 @@
 #: Share of the last copy's time for which the next one is not asked after: copies take
 #: much the same time, and each question costs some 1 ms of processor time.
 COPY_WAIT_SHARE = 0.75
+#: Time over which passes are counted for one figure, and that figure's weight in the
+#: running mean.
+PASS_WINDOW_MS = 200
+PASS_WEIGHT = 0.5
 #: Times that an order is given until there is an answer. With one try, a tenth of the
 #: answers lost held passes back for 250 ms in most switches, and every stream of the
-#: group was late (gerak scale-1: half of the worth in six seconds).
+#: group was late (measured: half of the worth of six seconds).
 ORDER_TRIES = 3
 
 
@@ -46,6 +50,8 @@
         The last report.
     term : int
         Highest term seen; orders of an older one are refused.
+    pass_ms : float
+        Running mean of the time that a pass of the group takes; 0 while it is idle.
     """
 
     __slots__ = (
@@ -56,7 +62,9 @@
         "_experts_of",
         "_layers",
         "_sequence",
+        "_stepped",
         "_upstream",
+        "pass_ms",
         "seen",
         "term",
     )
@@ -72,6 +80,8 @@
         self._copy_s = 0.0
         self.seen: EngineReport | None = None
         self.term = 0
+        self.pass_ms = 0.0
+        self._stepped: tuple[int, float] | None = None
 
     def note_term(self, term: int) -> None:
         """Take no order of an older term from now on."""
@@ -88,6 +98,7 @@
         """
         seen = await self._upstream.report()
         self.seen = seen
+        self._note_step(seen)
         choices, totals = b"", ()
         if seen.group:
             await self._read_experts(seen)
@@ -105,6 +116,24 @@
             totals,
         )
 
+    def _note_step(self, seen: "EngineReport") -> None:
+        now = asyncio.get_running_loop().time()
+        if seen.running == 0 or self._stepped is None or seen.step < self._stepped[0]:
+            self.pass_ms = 0.0
+            self._stepped = (seen.step, now)
+            return
+        passes, took_ms = seen.step - self._stepped[0], (now - self._stepped[1]) * 1000
+        if not passes:
+            # A pass that is under way for longer than usual counts as it grows.
+            self.pass_ms = max(self.pass_ms, took_ms)
+            return
+        if took_ms < PASS_WINDOW_MS:
+            return
+        recent_ms = took_ms / passes
+        known_ms = self.pass_ms or recent_ms
+        self.pass_ms = known_ms + PASS_WEIGHT * (recent_ms - known_ms)
+        self._stepped = (seen.step, now)
+
     async def carry_out(self, request: OrderRequest) -> OrderResult | None:
         """Carry an order out; None when it must not be."""
         if request.term < self.term:
--- a/packages/gateway/src/fuchsiahatch_gateway/silent_agents.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/silent_agents.py
@@ -11,17 +11,19 @@
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.model_engine import ModelEngine
 
-#: Silence of an agent after which the leader speaks with its engine itself, while
-#: passes are held back: an agent that was killed, or whose host stands still, must not
-#: hold its group until it is back. Such orders and reports are priced, so that it is
-#: done in need only.
+#: Silence of an agent after which the leader speaks with its engine itself: an agent
+#: that was killed, or whose host stands still, must not hold its group until it is back
+#: nor keep it on an old map (measured: four seconds at a skew of 2 to 3). Such orders
+#: and reports are priced, so that it is done in need only.
 SILENCE_MS = 350
-#: Pause between two reports that the leader asks an engine for itself.
-POLL_MS = 40
+#: Pause between two reports that the leader asks an engine for itself, while passes may
+#: be held back and otherwise.
+HELD_POLL_MS = 40
+POLL_MS = 150
 #: Pause between two searches for engines whose agents were never heard.
 SEARCH_MS = 1_000
 #: Phases in which passes may be held back, by this leader or an earlier one.
-HOLDING_PHASES = (
+_HOLDING_PHASES = (
     Phase.SETTLING,
     Phase.HOLDING,
     Phase.ARMING,
@@ -54,6 +56,7 @@
         "_list_engines",
         "_on_report",
         "_own_rank",
+        "_poll_ms",
         "_ranks",
         "_searched_ms",
         "_since_ms",
@@ -82,6 +85,7 @@
         self._addresses: dict[int, str] = {}
         self._heard_ms: dict[int, int] = {}
         self._since_ms: int | None = None
+        self._poll_ms = POLL_MS
         self._searched_ms: int | None = None
         self._speakers: dict[int, RankAgent] = {}
         self._asking: set[int] = set()
@@ -98,11 +102,8 @@
         return self._speakers.get(rank)
 
     def work(self, phase: Phase, now_ms: int) -> None:
-        """Ask the engines of silent agents, while passes may be held back."""
-        if phase not in HOLDING_PHASES:
-            self._speakers.clear()
-            self._since_ms = None
-            return
+        """Ask the engines of silent agents."""
+        self._poll_ms = HELD_POLL_MS if phase in _HOLDING_PHASES else POLL_MS
         if self._since_ms is None:
             self._since_ms = now_ms
         for rank in range(self._ranks):
@@ -160,7 +161,7 @@
         except PlatformError as fault:
             log_event(Event.UPSTREAM_SILENT, rank=rank, detail=fault.detail)
         finally:
-            await asyncio.sleep(POLL_MS / 1000)
+            await asyncio.sleep(self._poll_ms / 1000)
             self._asking.discard(rank)
 
     def _make_speaker(self, address: str) -> RankAgent:
--- a/tests/gateway/test_agents.py
+++ b/tests/gateway/test_agents.py
@@ -147,6 +147,22 @@
 
         self.assertEqual(run(kill()), [])
 
+    def test_a_silent_agent_keeps_no_group_on_an_old_map(self):
+        # Streams stumble for four seconds: one agent's host stands still, and the
+        # leader waits for its rank's word before each change of map.
+        async def silence():
+            async with Group(9) as group:
+                await until(lambda: group.engines.switches >= 1, 10.0)
+                silent = next(rank for rank in range(3) if rank != group.leader())
+                await group.kill(silent)
+                await asyncio.sleep(0.5)
+                before = group.engines.switches
+                group.engines.hot = 5
+                await until(lambda: group.engines.switches > before, 4.0)
+                return group.engines.mixed
+
+        self.assertEqual(run(silence()), [])
+
     def test_a_group_that_forms_anew_is_led_on(self):
         async def form():
             async with Group(7) as group:
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -21,8 +21,9 @@
     return Item(f"servers/{instance}", orjson.dumps(fields), created, created)
 
 
-def load(port, running=0, queued=0, pace=1.0, is_open=True, group=""):
-    return LoadReport(f"10.0.0.1:{port}", queued, running, pace, is_open, group)
+def load(port, running=0, queued=0, pace=1.0, is_open=True, group="", pass_ms=0.0):
+    upstream = f"10.0.0.1:{port}"
+    return LoadReport(upstream, queued, running, pace, is_open, group, pass_ms)
 
 
 class TestFleet(unittest.TestCase):
@@ -73,6 +74,16 @@
         self.fleet.observe(load(2, running=6))
         self.assertIsNone(self.choose())
 
+    def test_a_slow_group_is_filled_last(self):
+        # Half of all streams stumble though every second place is free: requests go to
+        # the seven sound ranks of a group whose eighth works at a twelfth of its pace.
+        self.apply(a=item("a", 1), b=item("b", 2))
+        self.fleet.observe(load(1, running=1, group="g-1", pass_ms=700.0))
+        self.fleet.observe(load(2, running=5, group="g-2", pass_ms=65.0))
+        self.assertEqual(self.choose(), "b")
+        self.fleet.observe(load(2, running=6, group="g-2", pass_ms=65.0))
+        self.assertEqual(self.choose(), "a")
+
     def test_one_without_a_report_comes_behind_those_with_one(self):
         self.apply(a=item("a", 1), b=item("b", 2))
         self.fleet.observe(load(2, running=3))
