--- a/packages/experts/src/fuchsiahatch_experts/drift.py
+++ b/packages/experts/src/fuchsiahatch_experts/drift.py
@@ -17,9 +17,9 @@
 #: longer meanwhile; with more the demand has moved on before they are of use.
 COPIES_PER_RANK = 1
 #: Fall in a layer's skew that one copy must bring.
-LEAST_GAIN = 0.02
+LEAST_GAIN = 0.05
 #: Fall in the mean skew over all layers that a change as a whole must bring.
-LEAST_TOTAL_GAIN = 0.04
+LEAST_TOTAL_GAIN = 0.05
 #: Time constant with which choices are forgotten; demand moves every 3 to 4 s.
 MEMORY_MS = 700.0
 #: Time constant of the demand that is compared with it.
