--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -1,16 +1,11 @@
 """One caller's request from its head to its answer."""
 
 import asyncio
-import dataclasses
 import random
 import typing as t
 
 from fuchsiahatch_adapter import names
-from fuchsiahatch_adapter.caller_requests import (
-    CallerRequest,
-    caller_headers,
-    decode_request,
-)
+from fuchsiahatch_adapter.caller_requests import caller_headers, decode_request
 from fuchsiahatch_adapter.configuration import Kind
 from fuchsiahatch_core.codes import Code
 from fuchsiahatch_core.events import Event, log_event
@@ -22,35 +17,21 @@
 from fuchsiahatch_gateway.attempts import Outcome, Try, run_try
 from fuchsiahatch_gateway.defaults import RETRY_AFTER_S
 from fuchsiahatch_gateway.event_stream import EventCutter
+from fuchsiahatch_gateway.jobs import Job, silence_ms, wait_ms
 from fuchsiahatch_gateway.next_steps import Progress, Result, Step, decide
-from fuchsiahatch_gateway.routes import Match, RouteTable, choose_service
+from fuchsiahatch_gateway.routes import RouteTable, choose_service
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
     from fuchsiahatch_gateway.fleet import Fleet, Upstream
     from fuchsiahatch_gateway.placing import Placer
-    from fuchsiahatch_gateway.request_metrics import RequestMetrics
+    from fuchsiahatch_gateway.request_log import RequestLog
     from fuchsiahatch_gateway.retry_budget import RetryBudget
     from fuchsiahatch_http1.client import ConnectionPool
     from fuchsiahatch_http1.server import Exchange
 
-#: A caller leaves a stream that has sent no event for this long.
-STREAM_PATIENCE_MS = 2_000
-#: Share of a caller's patience for which its request may wait for a place. The rest is
-#: for the upstream, which needs some 200 ms to the first event and 800 under load. With
-#: 0.6, callers left requests that had just been sent on.
-WAIT_SHARE = 0.4
-#: Silence of a stream that may be resumed, after which it goes on elsewhere. Pauses
-#: are usually some 80 ms; a group whose rank has died stalls for 1,500 ms.
-STREAM_SILENCE_MS = 1_000
-#: Share of the time that is left for which a request that may be repeated waits for its
-#: first upstream.
-SILENCE_SHARE = 0.5
 #: Time before the end of a request's time in which no further try is begun.
 LEAST_TRY_MS = 30
-#: One in this many plain successes is logged; all that is not one is.
-SUCCESS_SAMPLE = 20
-
 _STATUS = {
     Code.BAD_REQUEST: 400,
     Code.UNKNOWN_TEAM: 401,
@@ -62,46 +43,6 @@
 _UNAVAILABLE = 503
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class Job:
-    """One request on its way.
-
-    Attributes
-    ----------
-    exchange : Exchange
-    request : CallerRequest
-    match : Match
-    service : str
-    arrived_ms, ends_ms : int
-        When it came, and when its time is over.
-    events : EventCutter or None
-        For a stream.
-    tried : list of str
-        Upstreams that it was sent to.
-    unsent : int
-    may_have_run : bool
-    first_event_ms, last_event_ms : int or None
-    longest_gap_ms : int
-    waited_ms : int
-        Time for which it waited for places.
-    """
-
-    exchange: "Exchange"
-    request: CallerRequest
-    match: Match
-    service: str
-    arrived_ms: int
-    ends_ms: int
-    events: EventCutter | None
-    tried: list[str] = dataclasses.field(default_factory=list)
-    unsent: int = 0
-    may_have_run: bool = False
-    first_event_ms: int | None = None
-    last_event_ms: int | None = None
-    longest_gap_ms: int = 0
-    waited_ms: int = 0
-
-
 class Delivery:
     """Answers callers' requests.
 
@@ -112,7 +53,7 @@
     placer : Placer
     pool : ConnectionPool
     budget : RetryBudget
-    metrics : RequestMetrics
+    log : RequestLog
     clock : Clock
     rng : random.Random
     """
@@ -121,7 +62,7 @@
         "_budget",
         "_clock",
         "_fleet",
-        "_metrics",
+        "_log",
         "_placer",
         "_pool",
         "_rng",
@@ -135,7 +76,7 @@
         placer: "Placer",
         pool: "ConnectionPool",
         budget: "RetryBudget",
-        metrics: "RequestMetrics",
+        log: "RequestLog",
         clock: "Clock",
         rng: random.Random,
     ) -> None:
@@ -144,7 +85,7 @@
         self._placer = placer
         self._pool = pool
         self._budget = budget
-        self._metrics = metrics
+        self._log = log
         self._clock = clock
         self._rng = rng
 
@@ -165,7 +106,7 @@
         except FuchsiahatchError as fault:
             self._answer_error(exchange, fault, job)
         except asyncio.CancelledError:
-            self._note_end(job, "caller left")
+            self._log.note_end(job, "caller left")
             raise
         except Exception as fault:
             log_event(Event.INTERNAL_ERROR, detail=repr(fault))
@@ -204,7 +145,7 @@
             if step is Step.RETRY and not self._budget.spend(job.service):
                 step = _without_retry(outcome, job)
             if step is Step.RETRY:
-                self._log_retry(job, upstream, outcome)
+                self._log.note_retry(job, upstream, outcome)
                 continue
             self._end(job, step, outcome)
             return
@@ -212,24 +153,14 @@
     async def _place(self, job: Job) -> "Upstream":
         team = job.match.team.name
         urgency = job.match.urgency
-        wait_ms = self._wait_ms(job)
         began_ms = self._clock.now_ms()
         try:
             return await self._placer.take(
-                job.service, team, urgency, job.tried, wait_ms
+                job.service, team, urgency, job.tried, wait_ms(job, began_ms)
             )
         finally:
             job.waited_ms += self._clock.now_ms() - began_ms
 
-    def _wait_ms(self, job: Job) -> float:
-        now_ms = self._clock.now_ms()
-        patience_ms = float(job.ends_ms - now_ms)
-        if job.events is not None:
-            patience_ms = min(
-                patience_ms, STREAM_PATIENCE_MS - (now_ms - job.arrived_ms)
-            )
-        return max(WAIT_SHARE * patience_ms, 1.0)
-
     async def _try(self, job: Job, upstream: "Upstream") -> Outcome:
         sent_ms = self._clock.now_ms()
         left_ms = job.ends_ms - sent_ms
@@ -237,9 +168,9 @@
             upstream,
             job.match.team.name,
             left_ms,
-            _silence_ms(job, left_ms),
+            silence_ms(job, left_ms),
             job.events,
-            lambda: self._note_event(job),
+            lambda: job.note_event(self._clock.now_ms()),
         )
         was_started = job.exchange.started
         may_have_run = True
@@ -291,7 +222,7 @@
                 assert outcome.head is not None
                 headers = caller_headers(outcome.head.headers)
                 job.exchange.respond(outcome.status, headers, outcome.body)
-            self._note_end(job, "answered", outcome)
+            self._log.note_end(job, "answered", outcome)
         elif step is Step.REFUSE:
             detail = f"not run: {outcome.detail}"
             fault = RefusedError(detail, Code.NO_LIVE_UPSTREAM)
@@ -314,7 +245,7 @@
     ) -> None:
         status = _status_of(fault)
         if job is not None:
-            self._note_end(job, f"{status} {fault.detail}")
+            self._log.note_end(job, f"{status} {fault.detail}")
         else:
             log_event(
                 Event.REQUEST_REFUSED,
@@ -338,57 +269,6 @@
         known = self._routes.configuration
         return 0 if known is None else known.version
 
-    def _note_event(self, job: Job) -> None:
-        now_ms = self._clock.now_ms()
-        if job.last_event_ms is not None:
-            gap_ms = now_ms - job.last_event_ms
-            job.longest_gap_ms = max(job.longest_gap_ms, gap_ms)
-        else:
-            job.first_event_ms = now_ms
-        job.last_event_ms = now_ms
-
-    def _note_end(self, job: Job, end: str, outcome: Outcome | None = None) -> None:
-        now_ms = self._clock.now_ms()
-        self._metrics.note(job, end, now_ms)
-        plain = outcome is not None and outcome.status < 400 and len(job.tried) == 1
-        if plain and self._rng.randrange(SUCCESS_SAMPLE):
-            return
-        first_ms = job.first_event_ms
-        log_event(
-            Event.REQUEST_ENDED,
-            request=job.request.request_id.decode("latin-1"),
-            route=job.match.route.name,
-            team=job.match.team.name,
-            version=job.match.version,
-            tried=job.tried,
-            end=end,
-            status=None if outcome is None else outcome.status,
-            took_ms=now_ms - job.arrived_ms,
-            waited_ms=job.waited_ms,
-            first_event_ms=None if first_ms is None else first_ms - job.arrived_ms,
-            longest_gap_ms=job.longest_gap_ms,
-        )
-
-    def _log_retry(self, job: Job, upstream: "Upstream", outcome: Outcome) -> None:
-        log_event(
-            Event.ATTEMPT_RETRIED,
-            request=job.request.request_id.decode("latin-1"),
-            upstream=upstream.entry.instance,
-            result=outcome.result.value,
-            detail=outcome.detail,
-            left_ms=job.ends_ms - self._clock.now_ms(),
-        )
-
-
-def _silence_ms(job: Job, left_ms: int) -> int | None:
-    """Return how long an upstream may be silent, while another may be asked."""
-    route = job.match.route
-    if not route.repeatable or len(job.tried) + 1 >= route.max_attempts:
-        return None
-    if job.events is not None:
-        return STREAM_SILENCE_MS
-    return int(SILENCE_SHARE * left_ms)
-
 
 def _without_retry(outcome: Outcome, job: Job) -> Step:
     if outcome.result is Result.ANSWERED:
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -27,6 +27,7 @@
 )
 from fuchsiahatch_gateway.placing import Placer
 from fuchsiahatch_gateway.registration import Registration
+from fuchsiahatch_gateway.request_log import RequestLog
 from fuchsiahatch_gateway.request_metrics import RequestMetrics
 from fuchsiahatch_gateway.retry_budget import RetryBudget
 from fuchsiahatch_gateway.routes import RouteTable
@@ -84,7 +85,7 @@
             self.placer,
             self.pool,
             self.budget,
-            RequestMetrics(process.registry),
+            RequestLog(RequestMetrics(process.registry), clock, self._rng),
             clock,
             self._rng,
         )
--- a/packages/gateway/src/fuchsiahatch_gateway/rank_agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/rank_agent.py
@@ -6,7 +6,6 @@
 from fuchsiahatch_adapter.model_engine import Choices, ModelEngine
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_experts.switching import (
-    Armed,
     Order,
     OrderKind,
     OrderResult,
@@ -188,7 +187,6 @@
                 yield state
 
     def _make_report(self, seen: "EngineReport") -> RankReport:
-        armed = seen.armed
         return RankReport(
             rank=seen.rank,
             epoch=seen.epoch,
@@ -197,7 +195,7 @@
             step=seen.step,
             map_version=seen.map_version,
             prepared=seen.prepared,
-            armed=None if armed is None else Armed(armed.version, armed.step),
+            armed=seen.armed,
             held=seen.held,
             experts=self._experts,
         )
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/request_log.py
@@ -0,0 +1,70 @@
+"""What becomes of requests, in the log and in the metrics."""
+
+import random
+import typing as t
+
+from fuchsiahatch_core.events import Event, log_event
+
+if t.TYPE_CHECKING:
+    from fuchsiahatch_core.clock import Clock
+    from fuchsiahatch_gateway.attempts import Outcome
+    from fuchsiahatch_gateway.fleet import Upstream
+    from fuchsiahatch_gateway.jobs import Job
+    from fuchsiahatch_gateway.request_metrics import RequestMetrics
+
+#: One in this many plain successes is logged; all that is not one is.
+SUCCESS_SAMPLE = 20
+
+
+class RequestLog:
+    """Notes retries and ends.
+
+    Parameters
+    ----------
+    metrics : RequestMetrics
+    clock : Clock
+    rng : random.Random
+    """
+
+    __slots__ = ("_clock", "_metrics", "_rng")
+
+    def __init__(
+        self, metrics: "RequestMetrics", clock: "Clock", rng: random.Random
+    ) -> None:
+        self._metrics = metrics
+        self._clock = clock
+        self._rng = rng
+
+    def note_end(self, job: "Job", end: str, outcome: "Outcome | None" = None) -> None:
+        """Note how a request ended; plain successes are logged by sample."""
+        now_ms = self._clock.now_ms()
+        self._metrics.note(job, end, now_ms)
+        plain = outcome is not None and outcome.status < 400 and len(job.tried) == 1
+        if plain and self._rng.randrange(SUCCESS_SAMPLE):
+            return
+        first_ms = job.first_event_ms
+        log_event(
+            Event.REQUEST_ENDED,
+            request=job.request.request_id.decode("latin-1"),
+            route=job.match.route.name,
+            team=job.match.team.name,
+            version=job.match.version,
+            tried=job.tried,
+            end=end,
+            status=None if outcome is None else outcome.status,
+            took_ms=now_ms - job.arrived_ms,
+            waited_ms=job.waited_ms,
+            first_event_ms=None if first_ms is None else first_ms - job.arrived_ms,
+            longest_gap_ms=job.longest_gap_ms,
+        )
+
+    def note_retry(self, job: "Job", upstream: "Upstream", outcome: "Outcome") -> None:
+        """Note that a request goes to another upstream."""
+        log_event(
+            Event.ATTEMPT_RETRIED,
+            request=job.request.request_id.decode("latin-1"),
+            upstream=upstream.entry.instance,
+            result=outcome.result.value,
+            detail=outcome.detail,
+            left_ms=job.ends_ms - self._clock.now_ms(),
+        )
--- a/packages/gateway/src/fuchsiahatch_gateway/request_metrics.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/request_metrics.py
@@ -6,7 +6,7 @@
 from aioprometheus import histogram
 
 if t.TYPE_CHECKING:
-    from fuchsiahatch_gateway.delivery import Job
+    from fuchsiahatch_gateway.jobs import Job
 
 #: Upper bounds of the buckets.
 TIME_BUCKETS_MS = (5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000)
--- a/tests/gateway/test_delivery.py
+++ b/tests/gateway/test_delivery.py
@@ -2,7 +2,7 @@
 import unittest
 from unittest import mock
 
-from fuchsiahatch_gateway import delivery
+from fuchsiahatch_gateway import jobs
 from tests.gateway.sites import (
     HOST,
     KEY,
@@ -260,7 +260,7 @@
             await wire.event(1)
             await asyncio.sleep(30)
 
-        with mock.patch.object(delivery, "STREAM_SILENCE_MS", 150):
+        with mock.patch.object(jobs, "STREAM_SILENCE_MS", 150):
             reply, _ = run(ask_one("/chat/", stalls, streams(2, 4)))
         self.assertEqual(event_ids(reply.body), [1, 2, 3, 4])
         self.assertTrue(reply.whole)
