--- a/packages/experts/src/fuchsiahatch_experts/drift.py
+++ b/packages/experts/src/fuchsiahatch_experts/drift.py
@@ -11,7 +11,7 @@
 if t.TYPE_CHECKING:
     import numpy.typing as npt
 
-    from fuchsiahatch_experts.switching import Placement
+    from fuchsiahatch_experts.rank_orders import Placement
 
 #: Experts that a rank copies for one change. One takes 150 ms, and passes are 15%
 #: longer meanwhile; with more the demand has moved on before they are of use.
--- a/packages/experts/src/fuchsiahatch_experts/switching.py
+++ b/packages/experts/src/fuchsiahatch_experts/switching.py
@@ -14,12 +14,17 @@
 refuses to arm an older one.
 """
 
-import dataclasses
 import enum
 import typing as t
 
-#: Experts of each rank, by layer and rank.
-Placement = tuple[tuple[tuple[int, ...], ...], ...]
+from fuchsiahatch_experts.rank_orders import (
+    Armed,
+    Order,
+    OrderKind,
+    OrderResult,
+    Placement,
+    RankReport,
+)
 
 #: Passes between the one last begun and the one that is held. With one, the hold often
 #: comes too late and is refused; with two, the arms are mostly out before it is due.
@@ -45,89 +50,6 @@
 VERSIONS_PER_TERM = 100_000
 
 
-class OrderKind(enum.Enum):
-    """What a rank may be told."""
-
-    PREPARE = "prepare"
-    ARM = "arm"
-    DISARM = "disarm"
-    HOLD = "hold"
-    GO = "go"
-
-
-class OrderResult(enum.Enum):
-    """What a rank made of an order.
-
-    Attributes
-    ----------
-    BEGUN
-        It was taken, or its effect is there already.
-    REFUSED
-        It doesn't fit the rank's state; this order will never take effect.
-    UNKNOWN
-        No answer: it may take effect seconds from now.
-    """
-
-    BEGUN = "begun"
-    REFUSED = "refused"
-    UNKNOWN = "unknown"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Armed:
-    """A map version that a rank switches to as a pass begins."""
-
-    version: int
-    step: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RankReport:
-    """What one rank's upstream says of itself, read on its own host.
-
-    Attributes
-    ----------
-    rank, epoch : int
-    term : int
-        Highest term that the rank's agent has seen; it takes no order of an older one.
-    open : bool
-        Whether the group works.
-    step : int
-        The last pass that was begun.
-    map_version, prepared : int
-        Map in use, and the newest whose copy is complete (0: none).
-    armed : Armed or None
-    held : int or None
-        Pass that doesn't begin until it is let go.
-    experts : tuple of tuple of int, or None
-        Experts that the rank holds in the map in use, by layer; None while its agent
-        has not read them.
-    """
-
-    rank: int
-    epoch: int
-    term: int
-    open: bool
-    step: int
-    map_version: int
-    prepared: int
-    armed: Armed | None
-    held: int | None
-    experts: tuple[tuple[int, ...], ...] | None = None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Order:
-    """One order to one rank; `placement` goes with PREPARE only."""
-
-    rank: int
-    kind: OrderKind
-    epoch: int
-    version: int = 0
-    step: int = 0
-    placement: Placement | None = None
-
-
 class Phase(enum.Enum):
     """Where a switch is."""
 
--- a/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
@@ -11,7 +11,7 @@
 from twisted.internet import protocol
 
 from fuchsiahatch_core.events import Event, log_event
-from fuchsiahatch_experts.switching import (
+from fuchsiahatch_experts.rank_orders import (
     Armed,
     Order,
     OrderKind,
--- a/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
@@ -6,13 +6,8 @@
 
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import PlatformError
-from fuchsiahatch_experts.switching import (
-    Order,
-    OrderResult,
-    Phase,
-    RankReport,
-    Switch,
-)
+from fuchsiahatch_experts.rank_orders import Order, OrderResult, RankReport
+from fuchsiahatch_experts.switching import Phase, Switch
 from fuchsiahatch_gateway.datagrams import (
     DatagramPort,
     OrderReply,
--- a/packages/gateway/src/fuchsiahatch_gateway/rank_agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/rank_agent.py
@@ -5,12 +5,7 @@
 
 from fuchsiahatch_adapter.model_engine import Choices, ModelEngine
 from fuchsiahatch_core.events import Event, log_event
-from fuchsiahatch_experts.switching import (
-    Order,
-    OrderKind,
-    OrderResult,
-    RankReport,
-)
+from fuchsiahatch_experts.rank_orders import Order, OrderKind, OrderResult, RankReport
 from fuchsiahatch_gateway.datagrams import CHOICE_SCALE, OrderRequest, RankState
 
 if t.TYPE_CHECKING:
--- a/packages/gateway/src/fuchsiahatch_gateway/silent_agents.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/silent_agents.py
@@ -5,7 +5,8 @@
 
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import PlatformError
-from fuchsiahatch_experts.switching import Phase, RankReport
+from fuchsiahatch_experts.rank_orders import RankReport
+from fuchsiahatch_experts.switching import Phase
 from fuchsiahatch_gateway.rank_agent import RankAgent
 
 if t.TYPE_CHECKING:
--- a/packages/standins/src/fuchsiahatch_standins/rank_group.py
+++ b/packages/standins/src/fuchsiahatch_standins/rank_group.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from fuchsiahatch_experts.switching import Order, OrderKind, OrderResult
+from fuchsiahatch_experts.rank_orders import Order, OrderKind, OrderResult
 from fuchsiahatch_http1.server import Exchange, HttpServer
 from fuchsiahatch_standins.rank_rules import (
     MixedMaps,
--- a/packages/standins/src/fuchsiahatch_standins/rank_rules.py
+++ b/packages/standins/src/fuchsiahatch_standins/rank_rules.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing as t
 
-from fuchsiahatch_experts.switching import Armed, Order, OrderKind, OrderResult
+from fuchsiahatch_experts.rank_orders import Armed, Order, OrderKind, OrderResult
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/experts/switch_model.py
+++ b/tests/experts/switch_model.py
@@ -4,13 +4,8 @@
 import random
 import typing as t
 
-from fuchsiahatch_experts.switching import (
-    Order,
-    OrderResult,
-    Phase,
-    RankReport,
-    Switch,
-)
+from fuchsiahatch_experts.rank_orders import Order, OrderResult, RankReport
+from fuchsiahatch_experts.switching import Phase, Switch
 from fuchsiahatch_standins.rank_rules import Rank, begin_pass, carry_out, end_copies
 
 RANKS = 3
--- a/tests/experts/test_switching.py
+++ b/tests/experts/test_switching.py
@@ -1,15 +1,14 @@
 import unittest
 
 from fuchsiahatch_experts import switching
-from fuchsiahatch_experts.switching import (
+from fuchsiahatch_experts.rank_orders import (
     Armed,
     Order,
     OrderKind,
     OrderResult,
-    Phase,
     RankReport,
-    Switch,
 )
+from fuchsiahatch_experts.switching import Phase, Switch
 from fuchsiahatch_standins.rank_rules import MixedMaps
 from tests.experts.switch_model import RANKS, Model
 
--- a/tests/gateway/test_small_parts.py
+++ b/tests/gateway/test_small_parts.py
@@ -3,7 +3,7 @@
 
 import orjson
 
-from fuchsiahatch_experts.switching import (
+from fuchsiahatch_experts.rank_orders import (
     Armed,
     Order,
     OrderKind,
