--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -173,7 +173,10 @@
     if one.silence_ms is None:
         return await work
     try:
-        return await asyncio.wait_for(work, one.silence_ms / 1000)
+        # Not wait_for: it hides that the caller has left when an event comes in the
+        # same turn of the loop.
+        async with asyncio.timeout(one.silence_ms / 1000):
+            return await work
     except TimeoutError as fault:
         raise AnswerBroken(f"silent for {one.silence_ms} ms") from fault
 
--- a/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
@@ -159,7 +159,11 @@
         except ValueError as fault:
             log_event(Event.DATAGRAM_DROPPED, peer=str(addr), detail=str(fault))
             return
-        self._on_message(message, addr)
+        try:
+            self._on_message(message, addr)
+        except Exception as fault:
+            # One message must not take the port from all others.
+            log_event(Event.INTERNAL_ERROR, detail=repr(fault))
 
 
 def _encode_load(load: LoadReport) -> t.Iterable[t.Any]:
--- a/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
@@ -162,7 +162,10 @@
 
     def _count(self, state: RankState, now_ms: int) -> None:
         engine = self.engine
-        if engine is None or not engine.experts or not state.choices:
+        if engine is None or not state.choices:
+            return
+        if len(state.choices) != engine.expert_layers * engine.experts:
+            log_event(Event.DATAGRAM_DROPPED, detail="choices of another size")
             return
         # Only a leader needs them, and they take their memory and their time.
         import numpy as np
--- a/packages/gateway/src/fuchsiahatch_gateway/leadership.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/leadership.py
@@ -154,8 +154,9 @@
         self._key = LEADERS_PREFIX + group
         if known is not None:
             # An earlier life of this agent led. Its key must go first: the term is
-            # the revision at which the key was made.
-            await self._store.remove(self._key)
+            # the revision at which the key was made. Another agent's key, made
+            # meanwhile, must stay: its owner would go on to lead as well.
+            await self._store.remove(self._key, known.term)
         lease = await self._store.grant(LEADER_TTL_MS)
         value = orjson.dumps({"node": self._node, "peer": self._peer})
         term = await self._store.put(self._key, value, lease, expected=0)
--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -124,22 +124,19 @@
         if pushed_out is not None:
             self._refuse(pushed_out.ticket)
         try:
-            return await asyncio.wait_for(waiter.future, wait_ms / 1000)
-        except TimeoutError as fault:
-            raise RefusedError("no place came free", Code.OVERLOADED) from fault
+            # Not wait_for: it hides that the caller has left when the place comes in
+            # the same turn of the loop, and the upstream would work for nobody.
+            await asyncio.wait({waiter.future}, timeout=wait_ms / 1000)
+        except asyncio.CancelledError:
+            if waiter.future.done() and not waiter.future.exception():
+                self.give_back(waiter.future.result())
+            raise
         finally:
             self._waiters.pop(number, None)
             queue.remove(number)
-            self._return_unused(waiter)
-
-    def _return_unused(self, waiter: _Waiter) -> None:
-        """Free a place that was given to a request that had just been cancelled."""
-        # A future that wait_for cancelled has no result; one that got its upstream in
-        # the same turn of the loop in which the caller left has one nobody takes.
-        if waiter.future.done() and not waiter.future.cancelled():
-            task = asyncio.current_task()
-            if task is not None and task.cancelling() and not waiter.future.exception():
-                self.give_back(waiter.future.result())
+        if not waiter.future.done():
+            raise RefusedError("no place came free", Code.OVERLOADED)
+        return waiter.future.result()
 
     def _refuse(self, number: int) -> None:
         waiter = self._waiters.pop(number, None)
--- a/packages/gateway/src/fuchsiahatch_gateway/process.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/process.py
@@ -53,7 +53,6 @@
         self.clock = Clock()
         self.registry = aioprometheus.Registry()
         self.stopping = asyncio.Event()
-        self.on_settings: t.Callable[[NodeSettings], None] = lambda fresh: None
         self.servers: list[HttpServer] = []
         self._gauges: list[tuple[aioprometheus.Gauge, Gauge]] = []
         self._tasks: set[asyncio.Task[None]] = set()
@@ -102,7 +101,6 @@
             return
         self.settings = fresh
         log_event(Event.SETTINGS_APPLIED, node=fresh.node)
-        self.on_settings(fresh)
 
     async def _watch_settings(self) -> None:
         while True:
--- a/packages/gateway/src/fuchsiahatch_gateway/registration.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/registration.py
@@ -12,6 +12,9 @@
     STORE_RETRY_MS,
 )
 
+#: Pause before a registration whose lease has ended is made anew.
+LEASE_RETRY_MS = 30
+
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
     from fuchsiahatch_gateway.following import StoreHealth
@@ -56,6 +59,7 @@
             except LeaseLostError:
                 log_event(Event.LEASE_LOST, key=self._key)
                 self._lease = 0
+                await asyncio.sleep(LEASE_RETRY_MS / 1000)
             except PlatformError as fault:
                 self._health.note_failure(self._clock.now_ms(), fault.detail)
                 await asyncio.sleep(STORE_RETRY_MS / 1000)
--- /dev/null
+++ b/tests/gateway/test_leadership.py
@@ -0,0 +1,87 @@
+import asyncio
+import unittest
+
+from fuchsiahatch_adapter.node_settings import Address, StoreAccess
+from fuchsiahatch_adapter.store import StoreClient
+from fuchsiahatch_core.clock import Clock
+from fuchsiahatch_core.exceptions import ConflictError
+from fuchsiahatch_gateway.leadership import LeaderRecord, Leadership
+from fuchsiahatch_http1.client import ConnectionPool
+from fuchsiahatch_standins.fleet_store import FleetStore
+from tests.loopback import run
+
+KEY = "fuchsiahatch/leaders/g"
+
+
+class Election:
+    """Two agents of a group and the store, for the time of a context."""
+
+    async def __aenter__(self):
+        self.store = FleetStore()
+        port = await self.store.listen()
+        clock = Clock()
+        access = StoreAccess(Address("127.0.0.1", port), 20_000, 1_000)
+        self.client = StoreClient(access, ConnectionPool(clock))
+        self.one = Leadership(self.client, "side-1", ("10.0.0.1", 7), clock)
+        self.other = Leadership(self.client, "side-2", ("10.0.0.2", 7), clock)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self.store.close()
+
+
+class TestLeadership(unittest.TestCase):
+    def test_one_wins_and_terms_rise(self):
+        async def elect():
+            async with Election() as election:
+                self.assertTrue(await election.one.try_win("g", 0, None))
+                self.assertFalse(await election.other.try_win("g", 0, None))
+                first = election.one.term
+                await election.one.give_up()
+                self.assertFalse(election.one.held)
+                self.assertTrue(await election.other.try_win("g", 0, None))
+                return first, election.other.term
+
+        first, second = run(elect())
+        self.assertGreater(second, first)
+
+    def test_an_earlier_life_of_ones_own_is_followed_at_once(self):
+        async def elect():
+            async with Election() as election:
+                await election.one.try_win("g", 0, None)
+                term = election.one.term
+                again = Leadership(election.client, "side-1", ("10.0.0.1", 7), Clock())
+                known = LeaderRecord("g", term, ("10.0.0.1", 7))
+                self.assertTrue(await again.try_win("g", 0, known))
+                return term, again.term
+
+        first, second = run(elect())
+        self.assertGreater(second, first)
+
+    def test_another_leaders_key_is_not_taken_away(self):
+        # Two leaders order one group: an agent that had just started deleted a key
+        # that it took for its own earlier life's, and that was another agent's.
+        async def elect():
+            async with Election() as election:
+                await election.other.try_win("g", 0, None)
+                stale = LeaderRecord("g", 1, ("10.0.0.1", 7))
+                self.assertFalse(await election.one.try_win("g", 0, stale))
+                with self.assertRaises(ConflictError):
+                    await election.client.remove(KEY, 1)
+                return election.store.keys(KEY)
+
+        self.assertEqual(run(elect()), [KEY])
+
+    def test_a_lease_that_is_not_renewed_ends_by_the_owners_own_clock(self):
+        async def elect():
+            async with Election() as election:
+                await election.one.try_win("g", 0, None)
+                renewing = asyncio.ensure_future(election.one.renew_for_ever())
+                await asyncio.sleep(1.8)
+                self.assertTrue(election.one.held)
+                election.store.faults.silent = True
+                await asyncio.sleep(1.9)
+                renewing.cancel()
+                return election.one.held
+
+        self.assertFalse(run(elect()))
