No refusal after a try that may have run; a caller's patience follows its route

Cause: read and found by tests: with no place for a second try, a repeatable request whose first try may have run was refused with 503; a resumed stream whose second upstream failed raised; a retry without any connection spent the shared budget; the patience of a stream's caller was 2 s whatever the route's objective and pause. Tests: test_no_place_after_a_send_is_no_refusal fails before; test_jobs.

--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -142,7 +142,7 @@
             upstream = await self._place(job)
             outcome = await self._try(job, upstream)
             step = decide(outcome.result, self._progress(job, outcome))
-            if step is Step.RETRY and not self._budget.spend(job.service):
+            if step is Step.RETRY and not self._may_spend(job, outcome):
                 step = _without_retry(outcome, job)
             if step is Step.RETRY:
                 self._log.note_retry(job, upstream, outcome)
@@ -150,6 +150,10 @@
             self._end(job, step, outcome)
             return
 
+    def _may_spend(self, job: Job, outcome: Outcome) -> bool:
+        # Where no connection came about, the next send is the first that arrives.
+        return outcome.result is Result.UNSENT or self._budget.spend(job.service)
+
     async def _place(self, job: Job) -> "Upstream":
         team = job.match.team.name
         urgency = job.match.urgency
@@ -217,11 +221,12 @@
         )
 
     def _end(self, job: Job, step: Step, outcome: Outcome) -> None:
-        if step is Step.RELAY:
-            if not outcome.passed_on:
-                assert outcome.head is not None
-                headers = caller_headers(outcome.head.headers)
-                job.exchange.respond(outcome.status, headers, outcome.body)
+        if step is Step.RELAY and outcome.passed_on:
+            self._log.note_end(job, "answered", outcome)
+        elif step is Step.RELAY and not job.exchange.started:
+            assert outcome.head is not None
+            headers = caller_headers(outcome.head.headers)
+            job.exchange.respond(outcome.status, headers, outcome.body)
             self._log.note_end(job, "answered", outcome)
         elif step is Step.REFUSE:
             detail = f"not run: {outcome.detail}"
@@ -243,6 +248,9 @@
     def _answer_error(
         self, exchange: "Exchange", fault: FuchsiahatchError, job: Job | None
     ) -> None:
+        if job is not None and job.may_have_run and isinstance(fault, RefusedError):
+            # A refusal says that nothing ran, and no earlier try may be forgotten.
+            fault = FuchsiahatchError(fault.detail, Code.UNKNOWN)
         status = _status_of(fault)
         if job is not None:
             self._log.note_end(job, f"{status} {fault.detail}")
--- a/packages/gateway/src/fuchsiahatch_gateway/jobs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/jobs.py
@@ -5,19 +5,24 @@
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.caller_requests import CallerRequest
+    from fuchsiahatch_adapter.configuration import Route
     from fuchsiahatch_gateway.event_stream import EventCutter
     from fuchsiahatch_gateway.routes import Match
     from fuchsiahatch_http1.server import Exchange
 
-#: A caller leaves a stream that has sent no event for this long.
+#: A caller leaves a stream that has sent no event for the longest of this, some times
+#: the route's objective, and some times its longest pause.
 STREAM_PATIENCE_MS = 2_000
+PATIENCE_OBJECTIVES = 4
+PATIENCE_GAPS = 8
 #: Share of a caller's patience for which its request may wait for a place. The rest is
 #: for the upstream, which needs some 200 ms to the first event and 800 under load. With
 #: 0.6, callers left requests that had just been sent on.
 WAIT_SHARE = 0.4
-#: Silence of a stream that may be resumed, after which it goes on elsewhere. Pauses
-#: are usually some 80 ms; a group whose rank has died stalls for 1,500 ms.
-STREAM_SILENCE_MS = 1_000
+#: Share of a caller's patience after which a silent stream that may be resumed goes on
+#: elsewhere. Pauses are usually some 80 ms; a group whose rank has died stalls for
+#: 1,500 ms, most of a patience of 2,000.
+STREAM_SILENCE_SHARE = 0.5
 #: Share of the time that is left for which a request that may be repeated waits for its
 #: first upstream.
 SILENCE_SHARE = 0.5
@@ -74,10 +79,19 @@
 
 def wait_ms(job: Job, now_ms: int) -> float:
     """Return how long a request may wait for a place."""
-    patience_ms = float(job.ends_ms - now_ms)
+    left_ms = float(job.ends_ms - now_ms)
     if job.events is not None:
-        patience_ms = min(patience_ms, STREAM_PATIENCE_MS - (now_ms - job.arrived_ms))
-    return max(WAIT_SHARE * patience_ms, 1.0)
+        left_ms = min(left_ms, patience_ms(job.match.route) - (now_ms - job.arrived_ms))
+    return max(WAIT_SHARE * left_ms, 1.0)
+
+
+def patience_ms(route: "Route") -> int:
+    """Return the silence after which a caller leaves a stream."""
+    return max(
+        STREAM_PATIENCE_MS,
+        PATIENCE_OBJECTIVES * route.objective_ms,
+        PATIENCE_GAPS * (route.gap_ms or 0),
+    )
 
 
 def silence_ms(job: Job, left_ms: int) -> int | None:
@@ -86,5 +100,5 @@
     if not route.repeatable or len(job.tried) + 1 >= route.max_attempts:
         return None
     if job.events is not None:
-        return STREAM_SILENCE_MS
+        return int(STREAM_SILENCE_SHARE * patience_ms(route))
     return int(SILENCE_SHARE * left_ms)
--- a/tests/gateway/test_delivery.py
+++ b/tests/gateway/test_delivery.py
@@ -129,6 +129,20 @@
         reply, one = run(ask_one("/safe/", resets))
         self.assertEqual((reply.status, len(one.received)), (502, 2))
 
+    def test_no_place_after_a_send_is_no_refusal(self):
+        # A caller is told that nothing ran, and a first try had run: its answer was
+        # lost, and then there was no place for a second one.
+        async def asks():
+            async def goes_and_resets(request, wire):
+                site.store.remove("servers/i-0")
+                await until(lambda: not site.entry.fleet.upstreams)
+                wire.reset()
+
+            async with Site(upstream(goes_and_resets)) as site:
+                return (await site.ask("/safe/")).status
+
+        self.assertEqual(run(asks()), 502)
+
     def test_time_over_after_a_send_is_no_refusal(self):
         # The caller of a hold is told "not run", books elsewhere, and the first
         # upstream's booking comes through after all.
@@ -260,7 +274,7 @@
             await wire.event(1)
             await asyncio.sleep(30)
 
-        with mock.patch.object(jobs, "STREAM_SILENCE_MS", 150):
+        with mock.patch.object(jobs, "STREAM_SILENCE_SHARE", 0.1):
             reply, _ = run(ask_one("/chat/", stalls, streams(2, 4)))
         self.assertEqual(event_ids(reply.body), [1, 2, 3, 4])
         self.assertTrue(reply.whole)
@@ -270,6 +284,14 @@
         reply, one = run(ask_one("/safe/", waits, answers()))
         self.assertEqual((reply.status, len(one.received)), (200, 2))
 
+    def test_a_stream_whose_second_upstream_fails_ends_broken(self):
+        # A brief ends with the text of an error in its midst.
+        cut, failed = streams(1, 3, end=False), answers(500, b"failed")
+        reply, one = run(ask_one("/chat/", cut, failed))
+        self.assertEqual(len(one.received), 2)
+        self.assertFalse(reply.whole)
+        self.assertNotIn(b"failed", reply.body)
+
     def test_half_an_event_is_dropped(self):
         # A brief has the start of one sentence twice: half an event was passed on,
         # and the next upstream sent it again from its beginning.
