--- /dev/null
+++ b/tests/adapter/test_decoding.py
@@ -0,0 +1,198 @@
+import json
+import pathlib
+import tempfile
+import unittest
+
+from fuchsiahatch_adapter.caller_requests import decode_request, upstream_headers
+from fuchsiahatch_adapter.configuration import Kind, decode_configuration
+from fuchsiahatch_adapter.lookup_calls import asks_ready, encode_lookup, lookup_zone
+from fuchsiahatch_adapter.node_settings import read_node_settings
+from fuchsiahatch_adapter.upstreams import decode_report, decode_upstream_entry
+from fuchsiahatch_core.exceptions import SettingsError
+from fuchsiahatch_experts.rank_orders import Armed
+
+SETTINGS = {
+    "node": "side-kl-a-1",
+    "role": "agent",
+    "zone": "kl-a",
+    "region": "klang-valley",
+    "ip": "10.1.0.43",
+    "listen": {},
+    "internalPorts": [7340, 7355],
+    "bootstrap": True,
+    "limits": {"linkMbps": 8.0},
+    "bounds": {
+        "graceS": 8,
+        "retryBudgetRatio": 0.2,
+        "budgetSlack": 90,
+        "budgetWindowS": 10,
+    },
+    "app": "10.1.0.43:8228",
+    "service": "svc",
+    "platform": {"address": "10.200.1.7:8223", "historyS": 20, "ttlMinMs": 1000},
+    "new": {"field": 1},
+}
+ROUTE = {
+    "name": "r",
+    "host": "h.example",
+    "prefix": "/p/",
+    "kind": "streaming",
+    "timeoutMs": 8000,
+    "targetLatencyMs": 502,
+    "priority": 1,
+    "backends": [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}],
+    "maxAttempts": 2,
+    "resumeStreams": True,
+    "gapAimMs": 120,
+}
+
+
+class FakeExchange:
+    def __init__(self, target=b"/p/x?y=1", **headers):
+        self.target = target
+        self.headers = [
+            (name.replace("_", "-").encode(), value.encode())
+            for name, value in headers.items()
+        ]
+
+    def header(self, name):
+        return next((value for key, value in self.headers if key == name), None)
+
+
+class TestSettings(unittest.TestCase):
+    def read(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "settings.json"
+            path.write_text(text, "utf-8")
+            return read_node_settings(path)
+
+    def test_fields_say_what_they_hold(self):
+        settings = self.read(json.dumps(SETTINGS))
+        self.assertEqual(str(settings.beside), "10.1.0.43:8228")
+        self.assertIsNone(settings.callers)
+        self.assertEqual(settings.bounds.stop_grace_ms, 8_000)
+        self.assertEqual(settings.link_bytes_per_s, 1_000_000)
+        self.assertEqual(settings.store.history_ms, 20_000)
+
+    def test_what_is_wrong_is_named(self):
+        without = {name: SETTINGS[name] for name in SETTINGS if name != "zone"}
+        for text, word in (
+            (json.dumps(without), "zone"),
+            ("{", "JSON"),
+            (json.dumps({**SETTINGS, "internalPorts": 5}), "TypeError"),
+        ):
+            with self.assertRaisesRegex(SettingsError, word):
+                self.read(text)
+
+
+class TestConfiguration(unittest.TestCase):
+    def decode(self, **changes):
+        document = {
+            "version": 7,
+            "routes": [ROUTE],
+            "services": [{"name": "a", "maxConnections": 100}],
+            "tenants": [{"name": "t", "apiKeys": ["k1", "k2"], "priority": 0}],
+        }
+        return decode_configuration(json.dumps({**document, **changes}).encode())
+
+    def test_a_route(self):
+        (route,) = self.decode().routes
+        self.assertIs(route.kind, Kind.STREAM)
+        self.assertTrue(route.repeatable)
+        self.assertEqual(route.services, (("a", 90.0), ("b", 10.0)))
+        self.assertEqual((route.objective_ms, route.gap_ms), (502, 120))
+
+    def test_only_idempotent_routes_and_resumable_streams_are_repeatable(self):
+        for kind, resumable, repeatable in (
+            ("safe", False, True),
+            ("unsafe", False, False),
+            ("unsafe", True, False),
+            ("streaming", False, False),
+            ("streaming", True, True),
+        ):
+            route = {**ROUTE, "kind": kind, "resumeStreams": resumable}
+            (decoded,) = self.decode(routes=[route]).routes
+            self.assertEqual(decoded.repeatable, repeatable, (kind, resumable))
+
+    def test_keys_and_no_keys(self):
+        self.assertEqual(self.decode().teams["k2"].name, "t")
+        self.assertIsNone(self.decode(tenants=None).teams)
+
+    def test_an_unknown_kind_is_no_configuration(self):
+        with self.assertRaises(ValueError):
+            self.decode(routes=[{**ROUTE, "kind": "else"}])
+
+
+class TestUpstreams(unittest.TestCase):
+    def test_an_entry(self):
+        value = {"service": "a", "address": "10.0.0.1:80", "state": "draining"}
+        entry = decode_upstream_entry("i-1", json.dumps(value).encode())
+        self.assertTrue(entry.leaving)
+        self.assertEqual(str(entry.address), "10.0.0.1:80")
+
+    def test_a_report_of_a_rank(self):
+        report = decode_report(
+            {
+                "queued": 1,
+                "running": 3,
+                "pace": 2.5,
+                "group": {"name": "g", "epoch": 2, "rank": 5, "state": "broken"},
+                "size": 8,
+                "step": 812,
+                "map": 4,
+                "prepared": 5,
+                "armed": {"version": 5, "step": 815},
+                "held": 815,
+            }
+        )
+        self.assertFalse(report.open)
+        self.assertEqual((report.rank, report.ranks, report.epoch), (5, 8, 2))
+        self.assertEqual((report.armed, report.held), (Armed(5, 815), 815))
+
+    def test_a_report_without_a_group(self):
+        report = decode_report({"queued": 0, "running": 0})
+        self.assertEqual((report.group, report.armed, report.held), ("", None, None))
+
+
+class TestRequests(unittest.TestCase):
+    def test_what_a_callers_headers_say(self):
+        request = decode_request(
+            FakeExchange(
+                host="H.example:80",
+                authorization="token key-1",
+                fuchsiahatch_request_id="q",
+                fuchsiahatch_deadline_ms="1500.5",
+                fuchsiahatch_token_usage="1460,80",
+                fuchsiahatch_prompt_prefix="5c1e:800, 91bd:410",
+            )
+        )
+        self.assertEqual((request.host, request.path), ("h.example", "/p/x"))
+        self.assertEqual((request.key, request.deadline_ms), ("key-1", 1_500))
+        self.assertEqual((request.prompt_tokens, request.answer_tokens), (1_460, 80))
+        self.assertEqual(request.prompt_parts, ("5c1e", "91bd"))
+
+    def test_another_scheme_is_no_key(self):
+        self.assertEqual(decode_request(FakeExchange(authorization="Basic x")).key, "")
+
+    def test_a_resumed_stream_names_our_last_event(self):
+        exchange = FakeExchange(last_event_id="3", x_other="1", connection="close")
+        headers = dict(upstream_headers(exchange, "i-1", "t", 0, b"9"))
+        self.assertEqual(headers[b"last-event-id"], b"9")
+        self.assertEqual(headers[b"x-other"], b"1")
+        self.assertEqual(headers[b"fuchsiahatch-deadline-ms"], b"1")
+        self.assertNotIn(b"connection", headers)
+        headers = dict(upstream_headers(exchange, "i-1", "", 50, None))
+        self.assertEqual(headers[b"last-event-id"], b"3")
+        self.assertNotIn(b"fuchsiahatch-tenant", headers)
+
+
+class TestLookups(unittest.TestCase):
+    def test_a_lookup_and_the_question_whether_it_is_ready(self):
+        self.assertEqual(lookup_zone(b"/-/resolve?name=x&zone=kl-a"), "kl-a")
+        self.assertEqual(lookup_zone(b"/-/resolve"), "")
+        self.assertIsNone(lookup_zone(b"/-/ready"))
+        self.assertTrue(asks_ready(b"/-/ready?x=1"))
+        self.assertEqual(
+            json.loads(encode_lookup(["10.0.0.1:80"], 2)),
+            {"addresses": ["10.0.0.1:80"], "ttlS": 2},
+        )
