--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 python ?= python3
 
-.PHONY: install demo demo-keep test check settings-page bench-config \
+.PHONY: install demo demo-keep demo-platform test check settings-page bench-config \
     bench-slopes capacity bench-placement bench-experts tune-experts \
     bench-delivery bench-path bench-routing search-grants
 
@@ -21,6 +21,10 @@
 demo-keep: install
 	demo/demo.sh --keep
 
+# The path of the users' platform, on stand-ins.
+demo-platform: install
+	.venv/bin/python -m fuchsiahatch_standins.platform_demo
+
 test: install
 	.venv/bin/python tools/run_tests.py
 
--- a/packages/gateway/src/fuchsiahatch_gateway/explain.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/explain.py
@@ -4,9 +4,7 @@
 import sys
 import typing as t
 
-import fire
 import orjson
-from fire import decorators
 
 #: Events that may explain a request's end, with the words for an operator.
 BACKGROUND = {
@@ -81,8 +79,6 @@
     return f"{-before_ms:>8} ms  {line['node']}  {words}: {fields}"
 
 
-# Ids of digits alone, or such as 12e4, would be taken for numbers.
-@decorators.SetParseFns(request_id=str)
 def explain(request_id: str) -> None:
     """Print what the log lines on standard input say of one request.
 
@@ -93,7 +89,3 @@
     """
     for text in explain_request(request_id, read_lines(sys.stdin)):
         print(text)
-
-
-if __name__ == "__main__":
-    fire.Fire(explain, name="fuchsiahatch-explain")
