--- a/packages/experts/src/fuchsiahatch_experts/switching.py
+++ b/packages/experts/src/fuchsiahatch_experts/switching.py
@@ -41,7 +41,7 @@
 RESEND_COPY_MS = 600
 #: Time that the copies may take; one of 1.7 GB takes 150 ms over the engines' links.
 COPY_LIMIT_MS = 2_000
-#: Time for which passes may be held back before a switch is given up. Consumers of a
+#: Time for which passes may be held back before a switch is given up. Callers of a
 #: stream count a pause over 120 ms as late.
 ARM_LIMIT_MS = 400
 #: Age beyond which a rank's report counts for nothing.
--- a/packages/gateway/src/fuchsiahatch_gateway/agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/agent.py
@@ -1,4 +1,4 @@
-"""The agent beside a model upstream: reports its load and takes part in its group."""
+"""The agent beside a model engine: reports its load and takes part in its group."""
 
 import asyncio
 import typing as t
