A withdrawn registration stays withdrawn

Read beside it: the renewal behind any withdrawal found the lease ended and registered the stopping entry anew, for as long as it ran and three seconds more. Change: a withdrawal ends the renewals, and a write that was under way is taken back. Tests: the new one fails before; the old one waits for the key's end for a second at most, since the write that is taken back may still be on its way.

--- a/packages/gateway/src/fuchsiahatch_gateway/registration.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/registration.py
@@ -32,7 +32,15 @@
     clock : Clock
     """
 
-    __slots__ = ("_clock", "_health", "_key", "_lease", "_store", "_value")
+    __slots__ = (
+        "_clock",
+        "_health",
+        "_key",
+        "_lease",
+        "_store",
+        "_value",
+        "_withdrawn",
+    )
 
     def __init__(
         self,
@@ -48,10 +56,11 @@
         self._health = health
         self._clock = clock
         self._lease = 0
+        self._withdrawn = False
 
     async def run(self) -> None:
         """Register, renew, and register anew when the lease has ended."""
-        while True:
+        while not self._withdrawn:
             try:
                 await self._renew()
                 self._health.note_answer(self._clock.now_ms())
@@ -65,10 +74,21 @@
                 await asyncio.sleep(STORE_RETRY_MS / 1000)
 
     async def withdraw(self) -> None:
-        """End the registration; where that fails it lapses by itself."""
+        """End the registration for good; where that fails it lapses by itself.
+
+        Notes
+        -----
+        Guards against a process that stops and is still found: the next renewal sees
+        its lease ended and registers anew, and callers come to an entry that is gone.
+        """
+        self._withdrawn = True
+        await self._end_lease()
+
+    async def _end_lease(self) -> None:
+        lease, self._lease = self._lease, 0
         try:
-            if self._lease:
-                await self._store.revoke(self._lease)
+            if lease:
+                await self._store.revoke(lease)
         except PlatformError as fault:
             log_event(Event.SERVICE_CALL_FAILED, detail=fault.detail)
 
@@ -79,3 +99,5 @@
         lease = await self._store.grant(REGISTRATION_TTL_MS)
         await self._store.put(self._key, self._value, lease)
         self._lease = lease
+        if self._withdrawn:
+            await self._end_lease()
