--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -23,7 +23,7 @@
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
-    from fuchsiahatch_gateway.fleet import Fleet, Upstream
+    from fuchsiahatch_gateway.fleet import Upstream
     from fuchsiahatch_gateway.placing import Placer
     from fuchsiahatch_gateway.request_log import RequestLog
     from fuchsiahatch_gateway.retry_budget import RetryBudget
@@ -49,7 +49,6 @@
     Parameters
     ----------
     routes : RouteTable
-    fleet : Fleet
     placer : Placer
     pool : ConnectionPool
     budget : RetryBudget
@@ -61,7 +60,6 @@
     __slots__ = (
         "_budget",
         "_clock",
-        "_fleet",
         "_log",
         "_placer",
         "_pool",
@@ -72,7 +70,6 @@
     def __init__(
         self,
         routes: RouteTable,
-        fleet: "Fleet",
         placer: "Placer",
         pool: "ConnectionPool",
         budget: "RetryBudget",
@@ -81,7 +78,6 @@
         rng: random.Random,
     ) -> None:
         self._routes = routes
-        self._fleet = fleet
         self._placer = placer
         self._pool = pool
         self._budget = budget
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -81,7 +81,6 @@
         )
         self.delivery = Delivery(
             self.routes,
-            self.fleet,
             self.placer,
             self.pool,
             self.budget,
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -190,9 +190,7 @@
             upstream.entry.leaving or upstream.misplaced or not upstream.open
         )
 
-    def choose(
-        self, service: str, tried: t.Collection[str], spare: float = 0.0
-    ) -> Upstream | None:
+    def choose(self, service: str, tried: t.Collection[str]) -> Upstream | None:
         """Return the upstream that is expected to answer soonest, if any has a place.
 
         Parameters
@@ -200,14 +198,12 @@
         service : str
         tried : collection of str
             Instances that are chosen only when there is no other.
-        spare : float, optional
-            Requests that an upstream may have beyond its places.
         """
         now_ms = self._clock.now_ms()
         free = [
             upstream
             for upstream in self.usable(service)
-            if upstream.load(now_ms) < upstream.places() + spare
+            if upstream.load(now_ms) < upstream.places()
         ]
         candidates = self._untried(free, tried)
         if not candidates:
--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -34,7 +34,7 @@
     clock : Clock
     """
 
-    __slots__ = ("_clock", "_fleet", "_numbers", "_queues", "_waiters", "spare")
+    __slots__ = ("_clock", "_fleet", "_numbers", "_queues", "_waiters")
 
     def __init__(self, fleet: "Fleet", clock: "Clock") -> None:
         self._fleet = fleet
@@ -42,8 +42,6 @@
         self._numbers = itertools.count(1)
         self._queues: dict[str, FairQueue] = {}
         self._waiters: dict[int, _Waiter] = {}
-        #: Requests that an upstream may have beyond its places.
-        self.spare = 0.0
 
     @property
     def waiting(self) -> int:
@@ -67,7 +65,7 @@
         """
         queue = self._queues.setdefault(service, FairQueue(MAX_WAITING))
         if not len(queue):
-            upstream = self._fleet.choose(service, tried, self.spare)
+            upstream = self._fleet.choose(service, tried)
             if upstream is not None:
                 upstream.own += 1
                 return upstream
@@ -93,7 +91,7 @@
                     break
 
     def _serve_next(self, queue: FairQueue, service: str) -> bool:
-        upstream = self._fleet.choose(service, (), self.spare)
+        upstream = self._fleet.choose(service, ())
         if upstream is None:
             return False
         waiting = queue.pop(QUEUE_COST)
@@ -101,7 +99,7 @@
         if waiter is None or waiter.future.done():
             return True
         if upstream.entry.instance in waiter.tried:
-            upstream = self._fleet.choose(service, waiter.tried, self.spare) or upstream
+            upstream = self._fleet.choose(service, waiter.tried) or upstream
         upstream.own += 1
         waiter.future.set_result(upstream)
         return True
--- a/tests/gateway/test_agents.py
+++ b/tests/gateway/test_agents.py
@@ -6,27 +6,12 @@
 from fuchsiahatch_gateway.log import LineWriter
 from fuchsiahatch_gateway.process import Process
 from fuchsiahatch_standins.fleet_store import FleetStore
+from fuchsiahatch_standins.platform_demo import ENGINE, EXPERTS, LAYERS
 from fuchsiahatch_standins.rank_group import RankGroup
 from tests.gateway.sites import make_configuration, make_settings, until
 from tests.loopback import run
 
 IPS = ("127.0.8.1", "127.0.8.2", "127.0.8.3")
-LAYERS, EXPERTS = 2, 12
-ENGINE = {
-    "slots": 6,
-    "step_ms": 4.5,
-    "per_seq_ms": 1.8,
-    "context_per_k": 0.03,
-    "read_per_s": 61_400.0,
-    "linkMbps": 92_000.0,
-    "stride": 4,
-    "sets": LAYERS,
-    "experts": EXPERTS,
-    "places": 6,
-    "spare": 4,
-    "expertMb": 1_700.0,
-    "expertShare": 0.85,
-}
 
 
 class Group:
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -38,6 +38,14 @@
             task.cancel()
         await self.store.close()
 
+    def register(self):
+        """Keep a registration in the store beside the follower."""
+        own = Registration(
+            self.client, "fuchsiahatch/entries/e", b"{}", self.health, self.clock
+        )
+        self.tasks.append(asyncio.ensure_future(own.run()))
+        return own
+
     @property
     def names(self):
         return sorted(self.follower.items)
@@ -94,10 +102,7 @@
         # forgot it; the entry went on waiting for that watch after the store's return.
         async def follow():
             async with Following() as one:
-                own = Registration(
-                    one.client, "fuchsiahatch/entries/e", b"{}", one.health, one.clock
-                )
-                one.tasks.append(asyncio.ensure_future(own.run()))
+                one.register()
                 await until(lambda: one.store.keys("fuchsiahatch/"))
                 one.store.faults.silent = True
                 one.store.cut()
@@ -127,10 +132,7 @@
         # parts of all processes asked again and again whether it was over.
         async def follow():
             async with Following() as one:
-                own = Registration(
-                    one.client, "fuchsiahatch/entries/e", b"{}", one.health, one.clock
-                )
-                one.tasks.append(asyncio.ensure_future(own.run()))
+                one.register()
                 for prefix in ("a/", "b/"):
                     other = Follower(
                         one.client, prefix, one.health, one.clock, lambda: None
@@ -156,10 +158,7 @@
         # and it went on renewing one that was no longer there.
         async def register():
             async with Following() as one:
-                own = Registration(
-                    one.client, "fuchsiahatch/entries/e", b"{}", one.health, one.clock
-                )
-                one.tasks.append(asyncio.ensure_future(own.run()))
+                own = one.register()
                 await until(lambda: one.store.keys("fuchsiahatch/"))
                 one.store.end_leases()
                 self.assertEqual(one.store.keys("fuchsiahatch/"), [])
@@ -174,10 +173,7 @@
         # next renewal found the lease ended and registered the entry anew.
         async def register():
             async with Following() as one:
-                own = Registration(
-                    one.client, "fuchsiahatch/entries/e", b"{}", one.health, one.clock
-                )
-                one.tasks.append(asyncio.ensure_future(own.run()))
+                own = one.register()
                 await until(lambda: one.store.keys("fuchsiahatch/"))
                 await own.withdraw()
                 await asyncio.sleep(1.5)
