Delivery searched in virtual time; an upstream that left meanwhile gets nothing

Cause: a hypothesis search over every order of sends, refusals, cuts, second and unframed answers, leaving callers and upstreams found two faults in the delivery. (1) Between the choice of an upstream and the send lies the connect, up to 300 ms; an upstream that began to leave meanwhile still got the request. (2) A silent upstream was given up after half of the time also where the shared budget or the lack of places let nobody else be asked: a late answer became a failure.

Change: the upstream is looked at again once the connection is there; silence ends a try only if the request can be sent again at once.

--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -79,7 +79,11 @@
     left_ms : int
         Time that is left for the answer.
     silence_ms : int or None
-        Silence after which the try is given up; None to wait until the end.
+        Silence after which the try may be given up; None to wait until the end.
+    may_send : callable
+        Whether the upstream still takes requests.
+    may_give_up : callable
+        Whether the request could be sent again now.
     events : EventCutter or None
         For a stream, with what earlier upstreams sent of it.
     on_event : callable
@@ -90,6 +94,8 @@
     team: str
     left_ms: int
     silence_ms: int | None
+    may_send: t.Callable[[], bool]
+    may_give_up: t.Callable[[], bool]
     events: EventCutter | None
     on_event: t.Callable[[], None]
 
@@ -107,6 +113,11 @@
         connection = await pool.acquire(address.ip, address.port)
     except ConnectFailed as fault:
         return Outcome(Result.UNSENT, str(fault))
+    if not one.may_send():
+        # It began to leave while the connection was opened, which takes up to the
+        # whole limit of a connect, and would end in the middle of the request.
+        connection.abort()
+        return Outcome(Result.UNSENT, "the upstream has left")
     try:
         outcome = await _converse(exchange, connection, one)
     except AnswerBroken as fault:
@@ -168,17 +179,33 @@
     """Wait for what an upstream sends next, unless it is silent for too long.
 
     A rank group whose member has died stalls for seconds before it says so, and a
-    caller leaves after two: the request must be elsewhere by then.
+    caller leaves after two: the request must be elsewhere by then. Where it can't be
+    sent again, a late answer is worth more than none.
     """
     if one.silence_ms is None:
         return await work
+    loop = asyncio.get_running_loop()
+    silence_s = one.silence_ms / 1000
+    timer: asyncio.TimerHandle | None = None
+
+    def note_silence() -> None:
+        nonlocal timer
+        if one.may_give_up():
+            limit.reschedule(loop.time())
+        else:
+            timer = loop.call_later(silence_s, note_silence)
+
     try:
         # Not wait_for: it hides that the caller has left when an event comes in the
         # same turn of the loop.
-        async with asyncio.timeout(one.silence_ms / 1000):
+        async with asyncio.timeout(None) as limit:
+            timer = loop.call_later(silence_s, note_silence)
             return await work
     except TimeoutError as fault:
         raise AnswerBroken(f"silent for {one.silence_ms} ms") from fault
+    finally:
+        if timer is not None:
+            timer.cancel()
 
 
 async def _pass_on_events(
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -169,6 +169,8 @@
             job.match.team.name,
             left_ms,
             silence_ms(job, left_ms),
+            lambda: self._placer.is_usable(upstream),
+            lambda: self._could_be_sent_again(job),
             job.events,
             lambda: job.note_event(self._clock.now_ms()),
         )
@@ -188,6 +190,15 @@
         self._learn(upstream, outcome, sent_ms, was_started)
         return outcome
 
+    def _could_be_sent_again(self, job: Job) -> bool:
+        # To the same upstream too: a connection may be silent where new ones work.
+        progress = self._progress(job, Outcome(Result.BROKEN))
+        return (
+            decide(Result.BROKEN, progress) is Step.RETRY
+            and self._budget.has_room(job.service)
+            and self._placer.has_place(job.service)
+        )
+
     def _learn(
         self, upstream: "Upstream", outcome: Outcome, sent_ms: int, was_started: bool
     ) -> None:
--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -70,12 +70,20 @@
                 upstream.own += 1
                 return upstream
         upstream = await self._wait(queue, service, team, urgency, tried, wait_ms)
-        if not self._fleet.is_usable(upstream):
+        if not self.is_usable(upstream):
             # It began to leave between the choice and this moment.
             self.give_back(upstream)
             raise RefusedError("the upstream has left", Code.NO_LIVE_UPSTREAM)
         return upstream
 
+    def is_usable(self, upstream: "Upstream") -> bool:
+        """Return whether an upstream may still get new work."""
+        return self._fleet.is_usable(upstream)
+
+    def has_place(self, service: str) -> bool:
+        """Return whether a request would get a place at once."""
+        return self._fleet.choose(service, ()) is not None
+
     def give_back(self, upstream: "Upstream") -> None:
         """Free a place."""
         upstream.own -= 1
--- a/packages/gateway/src/fuchsiahatch_gateway/retry_budget.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/retry_budget.py
@@ -74,16 +74,20 @@
 
     def spend(self, service: str) -> bool:
         """Take one second send out of the budget; return whether there was one."""
-        retries = self._recent(self._retries, service)
-        requests = self._recent(self._requests, service)
-        allowed = MARGIN * self._ratio * len(requests) + self._slack_part()
-        if len(retries) + 1 > allowed:
+        if not self.has_room(service):
             self.refused += 1
             return False
-        retries.append(self._clock.now_ms())
+        self._recent(self._retries, service).append(self._clock.now_ms())
         self.spent += 1
         return True
 
+    def has_room(self, service: str) -> bool:
+        """Return whether there is a second send left."""
+        retries = self._recent(self._retries, service)
+        requests = self._recent(self._requests, service)
+        allowed = MARGIN * self._ratio * len(requests) + self._slack_part()
+        return len(retries) + 1 <= allowed
+
     def _slack_part(self) -> float:
         age_ms = self._clock.now_ms() - self._started_ms
         grown = FIRST_SHARE + (1 - FIRST_SHARE) * age_ms / self._window_ms
--- /dev/null
+++ b/tests/gateway/delivery_model.py
@@ -0,0 +1,525 @@
+"""The real delivery between scripted upstreams and callers, in virtual time.
+
+One scenario is a list of requests, of what each upstream does with what arrives there,
+and of upstreams that leave. `find_faults` plays it and returns each promise that was
+not kept. The connections are the real ones; only the bytes' way is played.
+"""
+
+import asyncio
+import dataclasses
+import enum
+import random
+import types
+
+import h11
+import orjson
+from twisted.internet import error
+from twisted.python.failure import Failure
+
+from fuchsiahatch_adapter.store import Item
+from fuchsiahatch_gateway.delivery import Delivery
+from fuchsiahatch_gateway.fleet import Fleet
+from fuchsiahatch_gateway.placing import Placer
+from fuchsiahatch_gateway.retry_budget import RetryBudget
+from fuchsiahatch_gateway.routes import RouteTable
+from fuchsiahatch_http1.client import ClientConnection, ConnectFailed, ConnectionPool
+from tests import loopback  # noqa: F401  (installs the reactor)
+from tests.gateway.sites import HOST, KEY, make_configuration, make_route
+from tests.gateway.virtual_time import run_virtually
+
+TIMEOUT_MS = 1_200
+CONNECT_MS = 300
+#: Time for which an upstream may go on working for a caller who has left.
+GONE_MS = 50
+#: Time behind a request's own in which its final answer must be out.
+FINAL_MS = 50
+#: Milliseconds by which whole ones may differ.
+ROUNDING_MS = 2
+#: Events of one stream.
+EVENTS = 4
+PROMISES = (408, 421, 429, 503)
+ROUTES = [
+    make_route("/safe/", "safe", timeoutMs=TIMEOUT_MS),
+    make_route("/twice/", "unsafe", timeoutMs=TIMEOUT_MS, maxAttempts=3),
+    make_route("/chat/", "streaming", resumeStreams=True, timeoutMs=TIMEOUT_MS),
+    make_route("/brief/", "streaming", timeoutMs=TIMEOUT_MS),
+]
+PATHS = tuple(route["prefix"] for route in ROUTES)
+REPEATABLE = ("/safe/", "/chat/")
+STREAMS = ("/chat/", "/brief/")
+
+
+class Act(enum.Enum):
+    """What an upstream does with a request."""
+
+    ANSWER = "answer"
+    ANSWER_UNFRAMED = "answer unframed"
+    CUT_UNFRAMED = "cut an unframed answer"
+    ANSWER_TWICE = "answer twice"
+    ANSWER_TWICE_LATE = "answer twice, late"
+    FAIL = "fail"
+    REFUSE = "refuse"
+    MISPLACED = "misplaced"
+    UNSIGNED = "unsigned"
+    RESET_BEFORE = "reset before the run"
+    LOSE_ANSWER = "lose the answer"
+    CUT_HALF = "cut in half"
+    CLOSE_HALF = "close in half"
+    HANG = "hang"
+    NO_CONNECTION = "no connection"
+
+
+@dataclasses.dataclass(frozen=True)
+class Ask:
+    """One caller's request; `leaves_ms` is counted from its start."""
+
+    path: str
+    at_ms: int
+    leaves_ms: int | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Scenario:
+    """What happens; `acts` are used up in the order of arrival."""
+
+    asks: tuple[Ask, ...]
+    acts: tuple[tuple[Act, int], ...]
+    upstreams: int = 2
+    places: int = 1
+    leaving: tuple[tuple[int, int], ...] = ()
+    slack: float = 90.0
+
+
+@dataclasses.dataclass
+class Run:
+    """One request at one upstream."""
+
+    request_id: str
+    path: str
+    upstream: int
+    began_ms: int
+    act: Act = Act.ANSWER
+    ran: bool = False
+    broken_off_ms: int | None = None
+    working: bool = True
+    body: bytes = b""
+    signature: str = ""
+
+
+class Wire:
+    """Transport of one connection to an upstream, whose end it plays."""
+
+    def __init__(self, world, upstream):
+        self._world = world
+        self._upstream = upstream
+        self._server = h11.Connection(h11.SERVER)
+        self._tasks = []
+        self.open = True
+        self.client = None
+        self.run = None
+
+    # What the client's connection asks of a transport.
+
+    def setTcpNoDelay(self, enabled):
+        pass
+
+    def getHandle(self):
+        return types.SimpleNamespace(setsockopt=lambda *option: None)
+
+    def write(self, data):
+        if not self.open:
+            return
+        self._server.receive_data(data)
+        self._tasks.append(asyncio.ensure_future(self._serve()))
+
+    def abortConnection(self):
+        if self.run is not None and self.run.working:
+            self.run.broken_off_ms = self._world.clock.now_ms()
+        self._end(error.ConnectionAborted())
+
+    # What the upstream does.
+
+    async def _serve(self):
+        request, body = self._server.next_event(), b""
+        while isinstance(event := self._server.next_event(), h11.Data):
+            body += event.data
+        act, delay_ms = self._world.next_act()
+        self.run = run = self._world.note_arrival(self._upstream, request, body)
+        run.act = act
+        try:
+            await self._act(act, delay_ms, run)
+        finally:
+            run.working = False
+
+    async def _act(self, act, delay_ms, run):
+        await asyncio.sleep(delay_ms / 1000)
+        if not self.open:
+            return
+        if act in (Act.REFUSE, Act.MISPLACED):
+            status = 503 if act is Act.REFUSE else 421
+            self._answer(run, status, b"", [("Fuchsiahatch-Not-Executed", "1")])
+        elif act is Act.RESET_BEFORE:
+            self._end(error.ConnectionLost())
+        elif act is Act.HANG:
+            run.ran = True
+            await asyncio.sleep(30)
+        elif act is Act.FAIL:
+            run.ran = True
+            self._answer(run, 500, b"failed")
+        else:
+            run.ran = True
+            await self._succeed(act, delay_ms, run)
+
+    async def _succeed(self, act, delay_ms, run):
+        if run.path in STREAMS:
+            await self._stream(act, delay_ms, run)
+            return
+        run.body = b"answer of run " + run.signature.encode()
+        if act is Act.LOSE_ANSWER:
+            self._end(error.ConnectionLost())
+        elif act in (Act.CUT_HALF, Act.CLOSE_HALF):
+            self._begin(run, 200, [("Content-Length", str(len(run.body)))])
+            self._send(h11.Data(data=run.body[:5]))
+            self._end_of(act)
+        elif act in (Act.ANSWER_UNFRAMED, Act.CUT_UNFRAMED):
+            head = f"HTTP/1.1 200 OK\r\n{_head_of(run)}Connection: close\r\n\r\n"
+            whole = act is Act.ANSWER_UNFRAMED
+            self._push(head.encode() + (run.body if whole else run.body[:5]))
+            self._end(error.ConnectionDone() if whole else error.ConnectionLost())
+        elif act is Act.UNSIGNED:
+            self._answer(run, 200, run.body, signed=False)
+        else:
+            self._answer(run, 200, run.body)
+            if act in (Act.ANSWER_TWICE, Act.ANSWER_TWICE_LATE):
+                late_s = 0.0 if act is Act.ANSWER_TWICE else delay_ms / 1000
+                again = f"HTTP/1.1 200 OK\r\n{_head_of(run)}Content-Length: 4\r\n\r\n"
+                await asyncio.sleep(late_s)
+                self._push(again.encode() + b"more")
+
+    async def _stream(self, act, delay_ms, run):
+        signed = act is not Act.UNSIGNED
+        if act is Act.LOSE_ANSWER:
+            self._end(error.ConnectionLost())
+            return
+        self._begin(run, 200, [("Transfer-Encoding", "chunked")], signed)
+        for number in range(run.first_event, EVENTS + 1):
+            event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            if act in (Act.CUT_HALF, Act.CLOSE_HALF) and number == 3:
+                self._send(h11.Data(data=event[:9]))
+                self._end_of(act)
+                return
+            self._send(h11.Data(data=event))
+            await asyncio.sleep(delay_ms / 1000)
+            if not self.open:
+                return
+        self._send(h11.EndOfMessage())
+        self._next_cycle()
+
+    def _answer(self, run, status, body, headers=(), signed=True):
+        length = ("Content-Length", str(len(body)))
+        self._begin(run, status, [length, *headers], signed)
+        if body:
+            self._send(h11.Data(data=body))
+        self._send(h11.EndOfMessage())
+        self._next_cycle()
+
+    def _begin(self, run, status, headers, signed=True):
+        own = [("Fuchsiahatch-Request-Id", run.request_id)]
+        if signed and status < 400:
+            own.append(("Fuchsiahatch-Response-Signature", run.signature))
+        response = h11.Response(status_code=status, headers=[*own, *headers])
+        self._send(response)
+
+    def _next_cycle(self):
+        if self.open and self._server.our_state is h11.DONE:
+            self.run.working = False
+            self._server.start_next_cycle()
+
+    def _send(self, event):
+        if self.open:
+            self._push(self._server.send(event))
+
+    def _push(self, data):
+        # No bytes at all would be the connection's end.
+        if self.open and data:
+            self.client.dataReceived(data)
+
+    def _end_of(self, act):
+        cut = act is Act.CUT_HALF
+        self._end(error.ConnectionLost() if cut else error.ConnectionDone())
+
+    def _end(self, reason):
+        if not self.open:
+            return
+        self.open = False
+        if self.run is not None:
+            self.run.working = False
+        for task in self._tasks:
+            if task is not asyncio.current_task():
+                task.cancel()
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self.client.connectionLost, Failure(reason))
+
+
+def _head_of(run):
+    return (
+        f"Fuchsiahatch-Request-Id: {run.request_id}\r\n"
+        f"Fuchsiahatch-Response-Signature: {run.signature}\r\n"
+    )
+
+
+class PlayedPool(ConnectionPool):
+    """The real pool, whose new connections lead to played upstreams."""
+
+    def __init__(self, world, clock):
+        super().__init__(clock, CONNECT_MS)
+        self._world = world
+
+    async def _open(self, ip, port):
+        await asyncio.sleep(0.001)
+        if self._world.refuses_connection():
+            raise ConnectFailed("no connection")
+        connection = ClientConnection(self._drop_idle)
+        wire = Wire(self._world, port)
+        wire.client = connection
+        connection.makeConnection(wire)
+        return connection
+
+
+class PlayedExchange:
+    """A caller's request and what the caller got of its answer."""
+
+    method = b"POST"
+    body = b"the body"
+
+    def __init__(self, number, path):
+        self.request_id = f"q-{number}"
+        self.path = path
+        self.target = path.encode() + b"x"
+        self.headers = [
+            (b"host", HOST.encode()),
+            (b"fuchsiahatch-request-id", self.request_id.encode()),
+            (b"fuchsiahatch-deadline-ms", b"%d" % TIMEOUT_MS),
+            (b"authorization", b"Token " + KEY.encode()),
+        ]
+        self.started = False
+        self.gone = False
+        self.finished = False
+        self.aborted = False
+        self.status = 0
+        self.answer_headers = {}
+        self.answer = b""
+        self.ended_ms = None
+
+    def header(self, name):
+        return next((value for key, value in self.headers if key == name), None)
+
+    def respond(self, status, headers=(), body=b""):
+        self.start(status, headers)
+        self.write(body)
+        self.finish()
+
+    def start(self, status, headers):
+        assert not self.started, "a second head"
+        self.started = True
+        self.status = status
+        self.answer_headers = {name.lower(): value for name, value in headers}
+
+    def write(self, data):
+        assert not self.finished, "bytes behind the end"
+        self.answer += data
+
+    def finish(self):
+        self.finished = True
+
+    def abort(self):
+        self.aborted = True
+
+    async def drained(self):
+        await asyncio.sleep(0)
+
+
+class World:
+    """One scenario as it is played, and what was noted of it."""
+
+    def __init__(self, scenario, loop):
+        self.scenario = scenario
+        self.loop = loop
+        self.clock = loop.make_clock()
+        self.faults = []
+        self.runs = []
+        self.left_ms = {}
+        self._acts = list(scenario.acts)
+        rng = random.Random(1)
+        routes = RouteTable()
+        routes.apply(orjson.dumps(make_configuration(1, ROUTES)))
+        self.pool = PlayedPool(self, self.clock)
+        self.fleet = Fleet("kl-a", self.clock, rng)
+        self.fleet.on_gone = lambda entry: self.pool.forget(
+            entry.address.ip, entry.address.port
+        )
+        self.placer = Placer(self.fleet, self.clock)
+        budget = RetryBudget(0.2, scenario.slack, 10_000, self.clock, lambda: 1, True)
+        self.log = types.SimpleNamespace(
+            note_end=lambda *end: None, note_retry=lambda *retry: None
+        )
+        self.delivery = Delivery(
+            routes, self.placer, self.pool, budget, self.log, self.clock, rng
+        )
+        self._states = dict.fromkeys(range(scenario.upstreams), "ready")
+        self._apply_fleet()
+
+    def next_act(self):
+        return self._acts.pop(0) if self._acts else (Act.ANSWER, 5)
+
+    def refuses_connection(self):
+        if self._acts and self._acts[0][0] is Act.NO_CONNECTION:
+            self._acts.pop(0)
+            return True
+        return False
+
+    def note_arrival(self, upstream, request, body):
+        headers = {name.decode(): value.decode() for name, value in request.headers}
+        request_id = headers["fuchsiahatch-request-id"]
+        path = request.target.decode().removesuffix("x")
+        now_ms = self.clock.now_ms()
+        run = Run(request_id, path, upstream, now_ms)
+        run.signature = f"sig-{len(self.runs)}"
+        run.first_event = int(headers.get("last-event-id", 0)) + 1
+        if body != PlayedExchange.body or headers["fuchsiahatch-tenant"] != "team-a":
+            self.faults.append(f"{request_id} was changed on its way")
+        if headers["fuchsiahatch-expect-instance"] != f"i-{upstream}":
+            self.faults.append(f"{request_id} went to another upstream")
+        if self.left_ms.get(upstream, now_ms) < now_ms:
+            self.faults.append(f"{request_id} went to an upstream that had left")
+        self.runs.append(run)
+        return run
+
+    async def play(self):
+        exchanges = [
+            PlayedExchange(number, ask.path)
+            for number, ask in enumerate(self.scenario.asks)
+        ]
+        works = [
+            self._ask(ask, exchange)
+            for ask, exchange in zip(self.scenario.asks, exchanges, strict=True)
+        ]
+        leaves = [self._leave(*one) for one in self.scenario.leaving]
+        await asyncio.gather(*works, *leaves)
+        await asyncio.sleep(3)
+        for ask, exchange in zip(self.scenario.asks, exchanges, strict=True):
+            self._check_answer(exchange)
+            self._check_patience(exchange, ask.at_ms + TIMEOUT_MS)
+        self._check_rest()
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
+        return self.faults
+
+    async def _ask(self, ask, exchange):
+        await asyncio.sleep(ask.at_ms / 1000)
+        began_ms = self.clock.now_ms()
+        work = asyncio.ensure_future(self.delivery.handle(exchange))
+        limit_ms = TIMEOUT_MS + FINAL_MS if ask.leaves_ms is None else ask.leaves_ms
+        await asyncio.wait({work}, timeout=limit_ms / 1000)
+        if work.done():
+            work.result()
+            return
+        exchange.gone = True
+        work.cancel()
+        await asyncio.wait({work})
+        if ask.leaves_ms is None:
+            late_ms = self.clock.now_ms() - began_ms
+            self.faults.append(f"{exchange.request_id} had no answer at {late_ms} ms")
+        await asyncio.sleep(GONE_MS / 1000)
+        for run in self.runs:
+            if run.request_id == exchange.request_id and run.working:
+                self.faults.append(f"{exchange.request_id} is worked on for nobody")
+
+    async def _leave(self, upstream, at_ms):
+        await asyncio.sleep(at_ms / 1000)
+        self._states[upstream] = "draining"
+        self._apply_fleet()
+        self.placer.serve_waiting()
+        self.left_ms.setdefault(upstream, self.clock.now_ms())
+
+    def _apply_fleet(self):
+        self.fleet.apply(
+            {
+                f"i-{number}": Item(
+                    f"servers/i-{number}",
+                    orjson.dumps(
+                        {
+                            "service": "svc",
+                            "address": f"10.0.0.1:{number}",
+                            "zone": "kl-a",
+                            "slots": self.scenario.places,
+                            "state": state,
+                        }
+                    ),
+                    revision=1,
+                    created=1,
+                )
+                for number, state in self._states.items()
+            }
+        )
+
+    def _check_answer(self, exchange):
+        name = exchange.request_id
+        runs = [run for run in self.runs if run.request_id == name]
+        ran = [run for run in runs if run.ran]
+        if exchange.path not in REPEATABLE and len(ran) > 1:
+            self.faults.append(f"{name} ran {len(ran)} times")
+        if len(ran) > 3:
+            self.faults.append(f"{name} ran at more upstreams than its route allows")
+        if exchange.gone:
+            return
+        if exchange.status in PROMISES and ran:
+            self.faults.append(f"{name} got {exchange.status} and has run")
+        if not (exchange.finished or exchange.aborted):
+            self.faults.append(f"{name} has no end")
+        if 200 <= exchange.status < 300:
+            self._check_success(exchange, ran)
+        elif exchange.aborted:
+            self.faults.append(f"{name} was cut before its answer had begun")
+
+    def _check_patience(self, exchange, ends_ms):
+        """A silent upstream is given up only for another one."""
+        runs = [run for run in self.runs if run.request_id == exchange.request_id]
+        if exchange.gone or not runs or runs[-1].act is Act.UNSIGNED:
+            return
+        broken_off_ms = runs[-1].broken_off_ms
+        if broken_off_ms is not None and broken_off_ms < ends_ms - ROUNDING_MS:
+            self.faults.append(f"{exchange.request_id} was broken off for nothing")
+
+    def _check_success(self, exchange, ran):
+        name = exchange.request_id
+        signature = exchange.answer_headers.get(b"fuchsiahatch-response-signature")
+        signer = next((r for r in ran if r.signature.encode() == signature), None)
+        if signer is None:
+            self.faults.append(f"{name} got a success that is none of its runs'")
+        elif exchange.path in STREAMS:
+            self._check_events(exchange)
+        elif exchange.finished and exchange.answer != signer.body:
+            self.faults.append(f"{name} got another body: {exchange.answer!r}")
+
+    def _check_events(self, exchange):
+        whole = [b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, EVENTS + 1)]
+        allowed = [b"".join(whole[:count]) for count in range(EVENTS + 1)]
+        if exchange.finished and exchange.answer != allowed[-1]:
+            self.faults.append(f"{exchange.request_id}: {exchange.answer!r} as whole")
+        if exchange.answer not in allowed:
+            self.faults.append(f"{exchange.request_id}: events {exchange.answer!r}")
+
+    def _check_rest(self):
+        if self.placer.waiting:
+            self.faults.append("somebody waits for ever")
+        for instance, upstream in self.fleet.upstreams.items():
+            if upstream.own:
+                self.faults.append(f"{instance} has lost {upstream.own} places")
+
+
+def find_faults(scenario):
+    """Play a scenario and return what was not kept."""
+    return run_virtually(lambda loop: World(scenario, loop).play())
--- /dev/null
+++ b/tests/gateway/virtual_time.py
@@ -0,0 +1,49 @@
+"""An event loop whose time jumps to the next timer, for searches of many schedules."""
+
+import asyncio
+import selectors
+
+from fuchsiahatch_core.clock import Clock
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    """Waits for nothing: the loop's time jumps by what it would have waited."""
+
+    def __init__(self):
+        super().__init__()
+        self.now_s = 0.0
+
+    def select(self, timeout=None):
+        if timeout is None:
+            raise RuntimeError("all tasks wait and no timer is set")
+        self.now_s += max(timeout, 0.0)
+        return []
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop without real time, sockets or signals."""
+
+    def __init__(self):
+        self._jumping = _JumpingSelector()
+        super().__init__(self._jumping)
+
+    def time(self):
+        return self._jumping.now_s
+
+    def make_clock(self):
+        return Clock(lambda: int(self.time() * 1_000_000_000))
+
+
+def run_virtually(make_work):
+    """Run a coroutine in virtual time and return its result.
+
+    Parameters
+    ----------
+    make_work : callable
+        Is given the loop.
+    """
+    loop = VirtualLoop()
+    try:
+        return loop.run_until_complete(make_work(loop))
+    finally:
+        loop.close()
