A lapse of the store's leases is noticed without a failed call

Ruled out: the entries that had noted a failure kept theirs, as they should.

Change: half of what is followed, and at least four items, deleted in one answer counts as a lapse. The test fails before (1 item left of 6) and passes after.

--- a/packages/core/src/fuchsiahatch_core/events.py
+++ b/packages/core/src/fuchsiahatch_core/events.py
@@ -33,6 +33,7 @@
     STORE_REGAINED = 1109
     HISTORY_LOST = 1110
     LEASE_LOST = 1111
+    LEASES_LAPSED = 1112
 
     AGENT_SEEN = 1200
     AGENT_LOST = 1201
--- a/packages/gateway/src/fuchsiahatch_gateway/following.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/following.py
@@ -20,6 +20,11 @@
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
 
+#: Share of all items, and least number of them, whose deletions in one answer show that
+#: the store has forgotten its leases.
+LAPSE_SHARE = 0.5
+LEAST_LAPSED = 4
+
 
 @dataclasses.dataclass(slots=True)
 class StoreHealth:
@@ -47,6 +52,11 @@
             self.regained = asyncio.Event()
         self.answered_ms = now_ms
 
+    def note_lapse(self, now_ms: int, deleted: int) -> None:
+        """Note that the store has forgotten its leases."""
+        log_event(Event.LEASES_LAPSED, deleted=deleted)
+        self.regained_ms = now_ms
+
     def note_failure(self, now_ms: int, detail: str) -> None:
         """Note that a call failed."""
         if self.answers:
@@ -94,7 +104,8 @@
     items can't renew them, and on its return all of them are gone for a moment.
     Whoever believed that would refuse every request. A deletion that comes within
     `LAPSE_MS` of a failure is held back until that time is over, and dropped when the
-    item has come back.
+    item has come back. A process whose only call is a watch that waits sees no failure
+    at all in a short outage; there, that half of all items go at once is the sign.
 
     Guards as well against a store that takes calls and answers none, and forgets them:
     a watch that began meanwhile would wait in vain long after the store's return, and
@@ -170,7 +181,9 @@
         found = await self._store.read_all(self._prefix)
         self._health.note_answer(self._clock.now_ms())
         fresh = {self._name(item.key): item for item in found.items}
-        for name in self.items.keys() - fresh.keys():
+        gone = self.items.keys() - fresh.keys()
+        self._look_for_lapse(len(gone))
+        for name in gone:
             self._take_deletion(name)
         self._lapsed -= fresh.keys()
         self.items.update(fresh)
@@ -195,12 +208,17 @@
     async def _watch(self) -> None:
         changes = await self._store.watch(self._prefix, self.revision)
         self._health.note_answer(self._clock.now_ms())
+        self._look_for_lapse(sum(item.value is None for item in changes.items))
         for item in changes.items:
             self._take(item)
         self.revision = max(self.revision, changes.revision)
         if changes.items:
             self._on_change()
 
+    def _look_for_lapse(self, deleted: int) -> None:
+        if deleted >= max(LEAST_LAPSED, LAPSE_SHARE * len(self.items)):
+            self._health.note_lapse(self._clock.now_ms(), deleted)
+
     def _take(self, item: Item) -> None:
         name = self._name(item.key)
         known = self.items.get(name)
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -96,6 +96,25 @@
         with mock.patch.object(following, "LAPSE_MS", LAPSE_MS):
             run(follow())
 
+    def test_a_lapse_is_noticed_without_a_failed_call(self):
+        # A member's request is refused though all upstreams work: the store was away
+        # for a second and forgot its leases; an entry whose only call was a watch that
+        # waited saw no failure, and believed that all upstreams had gone at once.
+        async def follow():
+            async with Following() as one:
+                for number in range(6):
+                    one.store.put(f"servers/{number}", {})
+                await until(lambda: len(one.names) == 6)
+                for number in range(5):
+                    one.store.remove(f"servers/{number}")
+                await until(lambda: one.follower.revision >= one.store.revision)
+                self.assertEqual(len(one.names), 6)
+                one.store.put("servers/0", {})
+                await until(lambda: one.names == ["0", "5"])
+
+        with mock.patch.object(following, "LAPSE_MS", LAPSE_MS):
+            run(follow())
+
     def test_a_watch_that_began_in_silence_is_begun_anew(self):
         # A route that was added is still answered with 404 three seconds after the
         # operator's change: the store took the watch while it answered nobody, and
