The first load reports of engines are waited for

Ruled out: a slow restart (0.7 s with the platform's own delay).

Change: a service of engines gets nothing until one of its upstreams has reported, for 700 ms at most behind their first sight; requests wait at the entry, within the time that they may wait for a place. Tests: both new tests of test_fleet fail without it.

--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -18,7 +18,7 @@
     LOOKUP_TTL_S,
 )
 from fuchsiahatch_gateway.delivery import Delivery
-from fuchsiahatch_gateway.fleet import Fleet
+from fuchsiahatch_gateway.fleet import FIRST_REPORT_MS, Fleet
 from fuchsiahatch_gateway.following import Follower, StoreHealth
 from fuchsiahatch_gateway.lookups import (
     EntryRecord,
@@ -69,6 +69,7 @@
         self.health = StoreHealth()
         self.fleet = Fleet(settings.zone, clock, self._rng)
         self.fleet.on_gone = self._drop_connections
+        self.fleet.reports_load = self.routes.has_engine
         self.placer = Placer(self.fleet, clock)
         bounds = settings.bounds
         self.budget = RetryBudget(
@@ -125,6 +126,8 @@
         assert settings.callers is not None
         await self.callers.listen(settings.callers.ip, settings.callers.port)
         self._listening = True
+        # Whoever waits for the first load reports waits no longer than that.
+        reactor.callLater(FIRST_REPORT_MS / 1000, self.placer.serve_waiting)
         process.keep_running(self.registration.run())
         await process.stopping.wait()
         await self._leave()
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -24,6 +24,10 @@
 UNKNOWN_COST = 4.0
 #: Requests that a way into another zone counts as: it only breaks ties.
 ZONE_COST = 0.2
+#: Time behind the first sight of a service's upstreams for which their first load
+#: report is waited for. Reports come each 100 ms; after a loss of power a rank group
+#: needs some 600 ms to form, and refuses whatever comes before.
+FIRST_REPORT_MS = 700
 #: Weight of the newest of a plain upstream's latencies in their running mean.
 LATENCY_WEIGHT = 0.3
 
@@ -124,15 +128,19 @@
         By instance.
     on_gone : callable
         Is given the entry of each upstream that is gone.
+    reports_load : callable
+        Returns whether the upstreams of a service have agents that report their load.
     """
 
     __slots__ = (
         "_by_address",
         "_clock",
+        "_first_seen_ms",
         "_reports",
         "_rng",
         "_zone",
         "on_gone",
+        "reports_load",
         "upstreams",
     )
 
@@ -141,9 +149,11 @@
         self._clock = clock
         self._rng = rng
         self._by_address: dict[str, Upstream] = {}
-        self._reports = 0
+        self._reports: set[str] = set()
+        self._first_seen_ms: dict[str, int] = {}
         self.upstreams: dict[str, Upstream] = {}
         self.on_gone: t.Callable[[UpstreamEntry], None] = lambda entry: None
+        self.reports_load: t.Callable[[str], bool] = lambda service: False
 
     def apply(self, items: t.Mapping[str, "Item"]) -> None:
         """Take over the upstreams' entries, as they are in the store now."""
@@ -164,7 +174,7 @@
         upstream = self._by_address.get(load.upstream)
         if upstream is None:
             return
-        self._reports += 1
+        self._reports.add(upstream.entry.service)
         upstream.others = max(0, load.running + load.queued - upstream.own)
         upstream.reported_ms = self._clock.now_ms()
         upstream.pace = load.pace
@@ -174,6 +184,8 @@
 
     def usable(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that may get new work."""
+        if self.awaits_reports(service):
+            return []
         return [
             upstream
             for upstream in self.upstreams.values()
@@ -183,6 +195,21 @@
             and upstream.open
         ]
 
+    def awaits_reports(self, service: str) -> bool:
+        """Return whether it is too early to send anything to a service.
+
+        Guards against a restart of everything at once: an entry serves some 500 ms
+        before the rank groups have formed, each request that it sends there is refused,
+        and the few second sends that a new process may make are used up at once.
+        """
+        first_ms = self._first_seen_ms.get(service)
+        return (
+            first_ms is not None
+            and service not in self._reports
+            and self._clock.now_ms() - first_ms < FIRST_REPORT_MS
+            and self.reports_load(service)
+        )
+
     def is_usable(self, upstream: Upstream) -> bool:
         """Return whether an upstream may still get new work."""
         known = self.upstreams.get(upstream.entry.instance)
@@ -237,7 +264,7 @@
         if upstream.pass_ms:
             slowness = max(slowness, upstream.pass_ms / fastest.pass_ms)
         cost = (upstream.load(now_ms) + 1) * slowness
-        if upstream.reported_ms is None and self._reports:
+        if upstream.reported_ms is None and upstream.entry.service in self._reports:
             cost += UNKNOWN_COST
         cost += FAILURE_COST * upstream.failures(now_ms)
         if upstream.entry.zone != self._zone:
@@ -248,6 +275,7 @@
 
     def _put(self, instance: str, entry: UpstreamEntry) -> None:
         known = self.upstreams.get(instance)
+        self._first_seen_ms.setdefault(entry.service, self._clock.now_ms())
         if known is None:
             self.upstreams[instance] = Upstream(entry)
             log_event(Event.UPSTREAM_SEEN, upstream=instance, service=entry.service)
--- a/packages/gateway/src/fuchsiahatch_gateway/routes.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/routes.py
@@ -76,6 +76,12 @@
         )
         return True
 
+    def has_engine(self, service: str) -> bool:
+        """Return whether a service's upstreams are model engines with agents."""
+        known = self.configuration
+        found = None if known is None else known.services.get(service)
+        return found is not None and found.engine is not None
+
     def match(self, request: "CallerRequest") -> Match:
         """Return a request's route and team.
 
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -5,6 +5,7 @@
 
 from fuchsiahatch_adapter.store import Item
 from fuchsiahatch_core.clock import ManualClock
+from fuchsiahatch_gateway import fleet
 from fuchsiahatch_gateway.datagrams import LoadReport
 from fuchsiahatch_gateway.fleet import Fleet
 
@@ -44,6 +45,24 @@
         self.apply(new=item("new", 80, created=9), old=item("old", 80, created=3))
         self.assertEqual(list(self.fleet.upstreams), ["new"])
 
+    def test_the_first_load_reports_of_engines_are_waited_for(self):
+        # After a loss of power of everything, a skipper's request is refused twice in
+        # a row: entries are up half a second before the rank groups have formed, and
+        # send what comes to engines that refuse it.
+        self.fleet.reports_load = lambda service: True
+        self.apply(a=item("a", 1), b=item("b", 2))
+        self.assertIsNone(self.choose())
+        self.fleet.observe(load(1, is_open=False))
+        self.fleet.observe(load(2))
+        self.assertEqual(self.choose(), "b")
+
+    def test_a_lack_of_load_reports_holds_nothing_up_for_long(self):
+        self.fleet.reports_load = lambda service: True
+        self.apply(a=item("a", 1))
+        self.assertIsNone(self.choose())
+        self.clock.advance(fleet.FIRST_REPORT_MS)
+        self.assertEqual(self.choose(), "a")
+
     def test_leaving_and_broken_ones_get_nothing(self):
         self.apply(a=item("a", 1, state="draining"), b=item("b", 2), c=item("c", 3))
         self.fleet.observe(load(2, is_open=False))
