--- a/tests/gateway/delivery_model.py
+++ b/tests/gateway/delivery_model.py
@@ -101,6 +101,8 @@
     act: Act = Act.ANSWER
     ran: bool = False
     broken_off_ms: int | None = None
+    #: Whether a second answer to an earlier request came into its own.
+    spoiled: bool = False
     working: bool = True
     body: bytes = b""
     signature: str = ""
@@ -194,6 +196,7 @@
                 late_s = 0.0 if act is Act.ANSWER_TWICE else delay_ms / 1000
                 again = f"HTTP/1.1 200 OK\r\n{_head_of(run)}Content-Length: 4\r\n\r\n"
                 await asyncio.sleep(late_s)
+                self.run.spoiled = self.run is not run
                 self._push(again.encode() + b"more")
 
     async def _stream(self, act, delay_ms, run):
@@ -487,7 +490,9 @@
     def _check_patience(self, exchange, ends_ms):
         """A silent upstream is given up only for another one."""
         runs = [run for run in self.runs if run.request_id == exchange.request_id]
-        if exchange.gone or not runs or runs[-1].act is Act.UNSIGNED:
+        if exchange.gone or not runs:
+            return
+        if runs[-1].spoiled or runs[-1].act is Act.UNSIGNED:
             return
         broken_off_ms = runs[-1].broken_off_ms
         if broken_off_ms is not None and broken_off_ms < ends_ms - ROUNDING_MS:
--- a/tests/gateway/test_delivery_search.py
+++ b/tests/gateway/test_delivery_search.py
@@ -62,11 +62,22 @@
     acts=((Act.ANSWER_TWICE_LATE, 1), (Act.ANSWER, 30)),
     upstreams=1,
 )
+#: A second answer comes into the midst of a stream, which can't go on behind it.
+SPOILED_STREAM = Scenario(
+    asks=(Ask("/safe/", 0),) * 3 + (Ask("/brief/", 0),),
+    acts=(
+        (Act.ANSWER, 0),
+        (Act.ANSWER, 0),
+        (Act.ANSWER_TWICE_LATE, 5),
+        (Act.ANSWER, 1),
+    ),
+    upstreams=1,
+)
 #: Half of the time passes in silence, and nobody else could be asked.
 SILENT_WITHOUT_BUDGET = Scenario(
     asks=(Ask("/safe/", 0),), acts=((Act.ANSWER, 650),), slack=0.0
 )
-NAMED = (LEFT_DURING_CONNECT, SECOND_ANSWER, SILENT_WITHOUT_BUDGET)
+NAMED = (LEFT_DURING_CONNECT, SECOND_ANSWER, SPOILED_STREAM, SILENT_WITHOUT_BUDGET)
 
 
 class TestDeliverySearch(unittest.TestCase):
@@ -98,6 +109,10 @@
         # second answer came on the kept connection where the next one was due.
         self.assertEqual(find_faults(SECOND_ANSWER), [])
 
+    def test_a_stream_with_another_answer_in_its_midst_ends_broken(self):
+        # A brief has the head of another answer between two sentences.
+        self.assertEqual(find_faults(SPOILED_STREAM), [])
+
 
 def _is_found():
     """Search for a scenario that breaks a promise; return what is broken."""
