Passes are forecast from the growth of the skew

Maps are left alone while passes are easy, and a pass's time is a mean over some 300 ms, so that the shift is known to the demand long before the gate opens. Ruled out: the demand's own memory (one plan of skew 2.45 came at the first look).

Change: the gate asks for the time that passes will take: measured time, times the growth of the expected skew over what it was 300 ms ago, for the experts' share.

--- a/packages/experts/src/fuchsiahatch_experts/drift.py
+++ b/packages/experts/src/fuchsiahatch_experts/drift.py
@@ -121,6 +121,15 @@
     return weights / np.where(totals > 0, totals, 1.0)
 
 
+def expected_skew(
+    placement: "Placement", demand: Demand, paces: t.Sequence[float]
+) -> float:
+    """Return the slowest rank's time over the mean, as the demand of late makes it."""
+    demand.forget_shifted()
+    current = as_map(placement, demand.weights.shape[1])
+    return _paced_skew(current, demand, np.array(paces))
+
+
 def plan_change(
     placement: "Placement",
     demand: Demand,
--- a/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
@@ -15,6 +15,7 @@
     Peer,
     RankState,
 )
+from fuchsiahatch_gateway.pass_forecast import PassForecast
 from fuchsiahatch_gateway.silent_agents import SilentAgents
 
 if t.TYPE_CHECKING:
@@ -31,6 +32,8 @@
 #: of the copies of a calm day (1,879 to 1,205 GB) at the same share of requests in time
 #: (0.977 and 0.976).
 EASY_PASS_SHARE = 0.42
+#: Pause between two looks at the demand; each takes some 0.2 ms.
+LOOK_PAUSE_MS = 20
 #: Time after which an order without an answer counts as unanswered.
 REPLY_LIMIT_MS = 300
 #: Age up to which an agent's word that it obeys this term counts. States come each
@@ -104,6 +107,7 @@
         self._peers: dict[int, Peer] = {}
         self._sequences: dict[str, int] = {}
         self._demand: Demand | None = None
+        self._forecast: PassForecast | None = None
         self._numbers = itertools.count(1)
         self._asked: dict[int, tuple[Order, int]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -228,13 +232,20 @@
         placement = self.switch.placement
         if engine is None or demand is None or placement is None:
             return
-        if self._own.pass_ms < EASY_PASS_SHARE * self.gap_ms:
-            return
         if demand.weight < LEAST_WEIGHT:
             return
-        from fuchsiahatch_experts.drift import plan_change
+        if self._forecast is None:
+            self._forecast = PassForecast(engine.expert_share)
+        looked_ms = self._forecast.looked_ms
+        if looked_ms is not None and now_ms - looked_ms < LOOK_PAUSE_MS:
+            return
+        from fuchsiahatch_experts.drift import expected_skew, plan_change
 
         paces = [self._paces.get(rank, 1.0) for rank in range(self._ranks)]
+        skew = expected_skew(placement, demand, paces)
+        pass_ms = self._forecast.expect_ms(self._own.pass_ms, skew, now_ms)
+        if pass_ms < EASY_PASS_SHARE * self.gap_ms:
+            return
         plan = plan_change(placement, demand, engine.expert_places, paces)
         if plan is None or not self.switch.start(plan.placement, now_ms):
             return
@@ -242,6 +253,8 @@
             Event.MAP_PLANNED,
             group=self._group,
             copies=plan.copies,
+            pass_ms=round(self._own.pass_ms, 1),
+            expected_pass_ms=round(pass_ms, 1),
             skew_before=round(plan.skew_before, 3),
             skew_after=round(plan.skew_after, 3),
             slowest_pace=round(max(paces), 2),
