--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -18,7 +18,13 @@
 from fuchsiahatch_gateway.defaults import RETRY_AFTER_S
 from fuchsiahatch_gateway.event_stream import EventCutter
 from fuchsiahatch_gateway.jobs import Job, silence_ms, wait_ms
-from fuchsiahatch_gateway.next_steps import Progress, Result, Step, decide
+from fuchsiahatch_gateway.next_steps import (
+    Progress,
+    Result,
+    Step,
+    conclude,
+    decide,
+)
 from fuchsiahatch_gateway.routes import RouteTable, choose_service
 
 if t.TYPE_CHECKING:
@@ -139,7 +145,7 @@
             outcome = await self._try(job, upstream)
             step = decide(outcome.result, self._progress(job, outcome))
             if step is Step.RETRY and not self._may_spend(job, outcome):
-                step = _without_retry(outcome, job)
+                step = conclude(outcome.result, job.may_have_run)
             if step is Step.RETRY:
                 self._log.note_retry(job, upstream, outcome)
                 continue
@@ -285,12 +291,6 @@
         return 0 if known is None else known.version
 
 
-def _without_retry(outcome: Outcome, job: Job) -> Step:
-    if outcome.result is Result.ANSWERED:
-        return Step.RELAY
-    return Step.FAIL if job.may_have_run else Step.REFUSE
-
-
 def _status_of(fault: FuchsiahatchError) -> int:
     if fault.result in _STATUS:
         return _STATUS[fault.result]
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -71,6 +71,11 @@
     _failures: float = 0.0
     _failed_ms: int = 0
 
+    @property
+    def takes_work(self) -> bool:
+        """Whether it may get new requests."""
+        return self.open and not self.misplaced and not self.entry.leaving
+
     def load(self, now_ms: int) -> int:
         """Return the requests that are believed to be there."""
         if self.reported_ms is None or now_ms - self.reported_ms > LOAD_LIMIT_MS:
@@ -189,10 +194,7 @@
         return [
             upstream
             for upstream in self.upstreams.values()
-            if upstream.entry.service == service
-            and not upstream.entry.leaving
-            and not upstream.misplaced
-            and upstream.open
+            if upstream.entry.service == service and upstream.takes_work
         ]
 
     def awaits_reports(self, service: str) -> bool:
@@ -213,9 +215,7 @@
     def is_usable(self, upstream: Upstream) -> bool:
         """Return whether an upstream may still get new work."""
         known = self.upstreams.get(upstream.entry.instance)
-        return known is upstream and not (
-            upstream.entry.leaving or upstream.misplaced or not upstream.open
-        )
+        return known is upstream and upstream.takes_work
 
     def choose(self, service: str, tried: t.Collection[str]) -> Upstream | None:
         """Return the upstream that is expected to answer soonest, if any has a place.
--- a/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
@@ -17,6 +17,7 @@
 )
 from fuchsiahatch_gateway.pass_forecast import PassForecast
 from fuchsiahatch_gateway.silent_agents import SilentAgents
+from fuchsiahatch_gateway.tasks import Tasks
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.configuration import Engine
@@ -111,7 +112,7 @@
         self._forecast: PassForecast | None = None
         self._numbers = itertools.count(1)
         self._asked: dict[int, tuple[Order, int]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = Tasks()
         self._stopping = False
         self._phase = Phase.SETTLING
         self._phase_ms = clock.now_ms()
@@ -190,8 +191,7 @@
     def stop(self) -> None:
         """Do nothing more."""
         self._silent.stop()
-        for task in tuple(self._tasks):
-            task.cancel()
+        self._tasks.cancel()
 
     async def finish(self) -> None:
         """Bring a switch to its end before another agent leads."""
@@ -264,13 +264,13 @@
 
     def _send(self, order: Order, now_ms: int) -> None:
         if order.rank == self._rank:
-            self._begin(self._give_own(order))
+            self._tasks.begin(self._give_own(order))
             return
         speaker = self._silent.speaker(order.rank)
         if speaker is not None:
             if not self._has_lease():
                 return
-            self._begin(self._give_directly(speaker, order))
+            self._tasks.begin(self._give_directly(speaker, order))
             return
         peer = self._peers.get(order.rank)
         if peer is None:
@@ -299,11 +299,6 @@
         result = await speaker.give_order(order)
         self.switch.answered(order, result, self._clock.now_ms())
 
-    def _begin(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     def _give_up_replies(self, now_ms: int) -> None:
         late = [
             number
--- a/packages/gateway/src/fuchsiahatch_gateway/next_steps.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/next_steps.py
@@ -88,13 +88,17 @@
     A request that isn't repeatable goes to a second upstream only after a promise that
     the first did not run it, and is refused only when no try may have run.
     """
-    if result is Result.ANSWERED and not progress.upstream_failed:
-        return Step.RELAY
-    if progress.time_left and _may_try_again(result, progress):
+    succeeded = result is Result.ANSWERED and not progress.upstream_failed
+    if not succeeded and progress.time_left and _may_try_again(result, progress):
         return Step.RETRY
+    return conclude(result, progress.may_have_run)
+
+
+def conclude(result: Result, may_have_run: bool) -> Step:
+    """Return how a request ends that is not sent again."""
     if result is Result.ANSWERED:
         return Step.RELAY
-    return Step.FAIL if progress.may_have_run else Step.REFUSE
+    return Step.FAIL if may_have_run else Step.REFUSE
 
 
 def _may_try_again(result: Result, progress: Progress) -> bool:
--- a/packages/gateway/src/fuchsiahatch_gateway/process.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/process.py
@@ -17,6 +17,7 @@
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import SettingsError
 from fuchsiahatch_gateway.log import LineWriter
+from fuchsiahatch_gateway.tasks import Tasks
 from fuchsiahatch_http1.server import Exchange, HttpServer
 
 #: How often the settings file is looked at for a change without a signal.
@@ -55,7 +56,7 @@
         self.stopping = asyncio.Event()
         self.servers: list[HttpServer] = []
         self._gauges: list[tuple[aioprometheus.Gauge, Gauge]] = []
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = Tasks()
         self._file_mark: tuple[int, int] | None = None
 
     def start(self) -> None:
@@ -69,9 +70,7 @@
 
     def keep_running(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
         """Run something beside the rest; a fault in it is logged and ends it."""
-        task = asyncio.get_running_loop().create_task(_guard(work))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.begin(_guard(work))
 
     def add_gauge(self, name: str, doc: str, read: Gauge) -> None:
         """Show a figure that is read when metrics are asked for."""
--- a/packages/gateway/src/fuchsiahatch_gateway/silent_agents.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/silent_agents.py
@@ -8,6 +8,7 @@
 from fuchsiahatch_experts.rank_orders import RankReport
 from fuchsiahatch_experts.switching import Phase
 from fuchsiahatch_gateway.rank_agent import RankAgent
+from fuchsiahatch_gateway.tasks import Tasks
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.model_engine import ModelEngine
@@ -90,7 +91,7 @@
         self._searched_ms: int | None = None
         self._speakers: dict[int, RankAgent] = {}
         self._asking: set[int] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = Tasks()
 
     def note_heard(self, rank: int, address: str, now_ms: int) -> None:
         """Note that a rank's agent was heard."""
@@ -114,8 +115,7 @@
 
     def stop(self) -> None:
         """Ask no more."""
-        for task in tuple(self._tasks):
-            task.cancel()
+        self._tasks.cancel()
 
     def _speak_for(self, rank: int, now_ms: int) -> None:
         address = self._addresses.get(rank)
@@ -127,13 +127,13 @@
             self._speakers[rank] = self._make_speaker(address)
         if rank not in self._asking:
             self._asking.add(rank)
-            self._begin(self._ask(rank, self._speakers[rank]))
+            self._tasks.begin(self._ask(rank, self._speakers[rank]))
 
     def _search(self, now_ms: int) -> None:
         if self._searched_ms is not None and now_ms - self._searched_ms < SEARCH_MS:
             return
         self._searched_ms = now_ms
-        self._begin(self._find_engines())
+        self._tasks.begin(self._find_engines())
 
     async def _find_engines(self) -> None:
         """Ask the engines that no agent speaks for which rank they are."""
@@ -169,8 +169,3 @@
         speaker = RankAgent(self._engine_of(address), address)
         speaker.note_term(self._term)
         return speaker
-
-    def _begin(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
--- a/tests/gateway/sites.py
+++ b/tests/gateway/sites.py
@@ -8,19 +8,13 @@
 from fuchsiahatch_gateway.entry import Entry
 from fuchsiahatch_gateway.log import LineWriter
 from fuchsiahatch_gateway.process import Process
+from fuchsiahatch_standins import platform_demo
 from fuchsiahatch_standins.fleet_store import FleetStore
 from fuchsiahatch_standins.scripted_upstream import ScriptedUpstream
 from tests import loopback  # noqa: F401  (installs the reactor)
 
 HOST = "booking.example"
 KEY = "key-of-team-a"
-BOUNDS = {
-    "graceS": 8,
-    "retryBudgetRatio": 0.2,
-    "budgetSlack": 90,
-    "budgetWindowS": 10,
-    "ttl_max_s": 5,
-}
 
 
 def make_route(prefix, kind, service="svc", **changes):
@@ -60,24 +54,16 @@
 
 
 def make_settings(store_port, **changes):
-    document = {
+    own = {
         "node": "front-1",
         "role": "entry",
-        "zone": "kl-a",
-        "region": "klang-valley",
         "ip": "127.0.0.1",
         "listen": {"front": "127.0.0.1:0"},
         "internalPorts": [0, 0],
-        "bootstrap": True,
-        "limits": {"linkMbps": 1000.0},
-        "bounds": BOUNDS,
-        "platform": {
-            "address": f"127.0.0.1:{store_port}",
-            "historyS": 20,
-            "ttlMinMs": 1000,
-        },
     }
-    return decode_node_settings({**document, **changes})
+    return decode_node_settings(
+        platform_demo.make_settings(store_port, **{**own, **changes})
+    )
 
 
 class Site:
--- a/tests/gateway/test_agents.py
+++ b/tests/gateway/test_agents.py
@@ -62,8 +62,7 @@
     async def kill(self, rank):
         agent, process, task = self.running.pop(rank)
         task.cancel()
-        for one in tuple(process._tasks):
-            one.cancel()
+        process._tasks.cancel()
         if agent.leader is not None:
             agent.leader.stop()
         if agent.datagrams.transport is not None:
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -9,6 +9,7 @@
 import unittest
 
 from fuchsiahatch_standins.fleet_store import FleetStore
+from fuchsiahatch_standins.platform_demo import make_settings
 from tests.gateway.sites import (
     Reply,
     encode_request,
@@ -105,29 +106,15 @@
         return self.process.returncode, [line["message_type"] for line in lines]
 
     def _document(self, store_port):
-        return {
-            "node": "front-1",
-            "role": "entry",
-            "zone": "kl-a",
-            "region": "klang-valley",
-            "ip": IP,
-            "listen": {name: f"{IP}:{port}" for name, port in PORTS.items()},
-            "internalPorts": [17_340, 17_355],
-            "bootstrap": True,
-            "limits": {"linkMbps": 1000.0},
-            "bounds": {
-                "graceS": 8,
-                "retryBudgetRatio": 0.2,
-                "budgetSlack": 90,
-                "budgetWindowS": 10,
-            },
-            "platform": {
-                "address": f"127.0.0.1:{store_port}",
-                "historyS": 20,
-                "ttlMinMs": 1000,
-            },
-            "aFieldThatNobodyKnows": [],
-        }
+        return make_settings(
+            store_port,
+            IP,
+            node="front-1",
+            role="entry",
+            listen={name: f"{IP}:{port}" for name, port in PORTS.items()},
+            internalPorts=[17_340, 17_355],
+            aFieldThatNobodyKnows=[],
+        )
 
 
 async def ask_front(path, **options):
