Foreign items and former lives: typed decoding, and nothing believed of a life that ended

Cause: an entry with a number as its address raised AttributeError, which nobody catches, and ended the task that follows the store; lists, negative places and ports over 65,535 were believed. An upstream that came back under its instance kept the former life's load, pace, failures and 'misplaced', the last for ever.

Change: every item of the store and every datagram is decoded by msgspec into a typed value or one FormError (410); an unreadable item names nobody, is logged once for each of its contents and counted. Documents with any documented field missing or of another type are refused. 'born' tells lives apart in entries, reports and load reports.

The stand-ins' entries now have all documented fields, and the delivery search's upstreams listen at real ports: port 0, which it used, names nobody any more.

--- a/packages/core/src/fuchsiahatch_core/codes.py
+++ b/packages/core/src/fuchsiahatch_core/codes.py
@@ -65,6 +65,8 @@
     SCHEMA_UNKNOWN = 407
     CALL_BUDGET_SPENT = 408
     DOCUMENT_TOO_LARGE = 409
+    # What another program wrote doesn't have the documented form.
+    FORM_UNKNOWN = 410
 
     # Steps of a rank group.
     OLD_TERM = 500
--- a/packages/core/src/fuchsiahatch_core/exceptions.py
+++ b/packages/core/src/fuchsiahatch_core/exceptions.py
@@ -94,6 +94,12 @@
     code = Code.SERVICE_UNAVAILABLE
 
 
+class FormError(PlatformError):
+    """What another program wrote or sent doesn't have the documented form."""
+
+    code = Code.FORM_UNKNOWN
+
+
 class UnsentError(PlatformError):
     """A call never reached its service, so it had no effect."""
 
--- a/packages/experts/src/fuchsiahatch_experts/rank_orders.py
+++ b/packages/experts/src/fuchsiahatch_experts/rank_orders.py
@@ -1,8 +1,9 @@
 """What a rank of a group may be told, and what it says of itself."""
 
-import dataclasses
 import enum
 
+import msgspec
+
 #: Experts of each rank, by layer and rank.
 Placement = tuple[tuple[tuple[int, ...], ...], ...]
 
@@ -35,16 +36,14 @@
     UNKNOWN = "unknown"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Armed:
+class Armed(msgspec.Struct, frozen=True, array_like=True):
     """A map version that a rank switches to as a pass begins."""
 
     version: int
     step: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RankReport:
+class RankReport(msgspec.Struct, frozen=True, array_like=True):
     """What one rank's upstream says of itself, read on its own host.
 
     Attributes
@@ -78,8 +77,7 @@
     experts: tuple[tuple[int, ...], ...] | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Order:
+class Order(msgspec.Struct, frozen=True, array_like=True):
     """One order to one rank; `placement` goes with PREPARE only."""
 
     rank: int
--- a/packages/gateway/src/fuchsiahatch_gateway/agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/agent.py
@@ -10,6 +10,7 @@
 from fuchsiahatch_adapter.names import CONFIGURATION_KEY, UPSTREAMS_PREFIX
 from fuchsiahatch_adapter.node_settings import parse_address
 from fuchsiahatch_adapter.store import Item, StoreClient
+from fuchsiahatch_adapter.upstreams import decode_upstream_entry
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import PlatformError
 from fuchsiahatch_gateway.datagrams import (
@@ -29,11 +30,12 @@
     REPORT_MS,
     STORE_RETRY_MS,
 )
-from fuchsiahatch_gateway.fleet import decode_newest
+from fuchsiahatch_gateway.fleet import newest_by_address
 from fuchsiahatch_gateway.following import Follower, StoreHealth
 from fuchsiahatch_gateway.group_leader import GroupLeader
-from fuchsiahatch_gateway.leadership import LeaderRecord, Leadership, decode_leaders
-from fuchsiahatch_gateway.lookups import EntryRecord, decode_entries
+from fuchsiahatch_gateway.item_decoding import ItemDecoder
+from fuchsiahatch_gateway.leadership import LeaderRecord, Leadership, decode_leader_peer
+from fuchsiahatch_gateway.lookups import EntryRecord, decode_entry
 from fuchsiahatch_gateway.rank_agent import RankAgent
 from fuchsiahatch_gateway.routes import shortest_gap_ms
 from fuchsiahatch_http1.client import ConnectionPool
@@ -65,6 +67,8 @@
         self._process = process
         self._clock = clock
         self._entries: dict[str, EntryRecord] = {}
+        self._records = ItemDecoder(decode_entry)
+        self._leader_peers = ItemDecoder(decode_leader_peer)
         self._leaders: dict[str, LeaderRecord] = {}
         self._upstream_address = str(settings.beside)
         self.store = StoreClient(settings.store, ConnectionPool(clock))
@@ -146,6 +150,7 @@
             seen.open,
             seen.group,
             round(self.rank.pass_ms, 1),
+            seen.born_ms,
         )
         data = encode(load)
         for entry in self._entries.values():
@@ -230,7 +235,7 @@
                     if service in known.services:
                         leader.engine = known.services[service].engine
                     leader.gap_ms = shortest_gap_ms(known.routes, service)
-            except (PlatformError, KeyError, TypeError, ValueError) as fault:
+            except PlatformError as fault:
                 log_event(Event.SERVICE_CALL_FAILED, detail=str(fault))
             await asyncio.sleep(ENGINE_RETRY_MS / 1000)
 
@@ -249,8 +254,12 @@
             await self.leadership.give_up()
 
     def _apply_items(self) -> None:
-        self._entries = decode_entries(self._items_below(ENTRIES_PREFIX))
-        self._leaders = decode_leaders(self._items_below(LEADERS_PREFIX))
+        self._entries = self._records.decode_all(self._items_below(ENTRIES_PREFIX))
+        led = self._items_below(LEADERS_PREFIX)
+        self._leaders = {
+            group: LeaderRecord(group, led[group].created, peer)
+            for group, peer in self._leader_peers.decode_all(led).items()
+        }
         self._note_leader()
 
     def _connect_engine(self, address: str) -> ModelEngine:
@@ -260,9 +269,10 @@
         found = await self.store.read_all(UPSTREAMS_PREFIX)
         items = {item.key.removeprefix(UPSTREAMS_PREFIX): item for item in found.items}
         service = self._process.settings.beside_service
+        entries = ItemDecoder(decode_upstream_entry).decode_all(items)
         return [
             str(entry.address)
-            for entry in decode_newest(items).values()
+            for entry in newest_by_address(entries, items).values()
             if entry.service == service
         ]
 
--- a/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
@@ -4,29 +4,30 @@
 an order is sent again until a state shows its effect.
 """
 
-import dataclasses
+import ipaddress
 import typing as t
 
-import msgpack
+import msgspec
 from twisted.internet import protocol
 
+from fuchsiahatch_adapter.forms import reading
+from fuchsiahatch_adapter.node_settings import LAST_PORT
 from fuchsiahatch_core.events import Event, log_event
-from fuchsiahatch_experts.rank_orders import (
-    Armed,
-    Order,
-    OrderKind,
-    OrderResult,
-    RankReport,
-)
+from fuchsiahatch_core.exceptions import FormError
+from fuchsiahatch_experts.rank_orders import Order, OrderResult, RankReport
 
 Peer = tuple[str, int]
 
+_Count = t.Annotated[int, msgspec.Meta(ge=0)]
+_Duration = t.Annotated[float, msgspec.Meta(ge=0, lt=1e9)]
+#: Above 0, as upstreams' places are divided by it.
+_Pace = t.Annotated[float, msgspec.Meta(gt=0, lt=1e9)]
+
 #: Largest weight of an expert in `RankState.choices`; one byte each.
 CHOICE_SCALE = 255
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LoadReport:
+class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag=0):
     """Load of one upstream, from the agent beside it.
 
     Attributes
@@ -41,19 +42,21 @@
         That group; empty where it has none.
     pass_ms : float
         Time that a pass of the group takes; 0 while it is idle.
+    born_ms : int
+        Start of the upstream's process; 0 where it doesn't say.
     """
 
     upstream: str
-    queued: int
-    running: int
-    pace: float
+    queued: _Count
+    running: _Count
+    pace: _Pace
     open: bool
     group: str
-    pass_ms: float
+    pass_ms: _Duration
+    born_ms: _Count = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RankState:
+class RankState(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """State of one rank, from its agent to the group's leader.
 
     Attributes
@@ -76,14 +79,13 @@
     upstream: str
     sequence: int
     report: RankReport
-    running: int
-    pace: float
+    running: _Count
+    pace: _Pace
     choices: bytes
     totals: tuple[int, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class OrderRequest:
+class OrderRequest(msgspec.Struct, frozen=True, array_like=True, tag=2):
     """An order from a group's leader to a rank's agent."""
 
     group: str
@@ -92,8 +94,7 @@
     order: Order
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class OrderReply:
+class OrderReply(msgspec.Struct, frozen=True, array_like=True, tag=3):
     """What became of an order."""
 
     group: str
@@ -104,26 +105,37 @@
 
 Message = LoadReport | RankState | OrderRequest | OrderReply
 
+_DECODER = msgspec.msgpack.Decoder(Message)
+
 
 def encode(message: Message) -> bytes:
     """Encode a message."""
-    kind = _KINDS.index(type(message))
-    return msgpack.packb([kind, *_ENCODERS[kind](message)])
+    return msgspec.msgpack.encode(message)
 
 
 def decode(data: bytes) -> Message:
-    """Decode a message.
+    """Decode a message, whose every field is checked.
 
     Raises
     ------
-    ValueError
+    FormError
         When it is none of ours.
     """
-    try:
-        kind, *fields = msgpack.unpackb(data, use_list=False)
-        return _DECODERS[kind](fields)
-    except (TypeError, IndexError, msgpack.UnpackException) as fault:
-        raise ValueError(f"not a message: {fault}") from fault
+    with reading("datagram"):
+        return _DECODER.decode(data)
+
+
+def check_peer(peer: Peer) -> None:
+    """Check that datagrams can be sent to a peer.
+
+    Raises
+    ------
+    ValueError
+    """
+    ip, port = peer
+    ipaddress.IPv4Address(ip)
+    if not 0 < port <= LAST_PORT:
+        raise ValueError(f"{port} is no port")
 
 
 class DatagramPort(protocol.DatagramProtocol):
@@ -156,114 +168,11 @@
         """Decode a datagram and hand it on."""
         try:
             message = decode(data)
-        except ValueError as fault:
-            log_event(Event.DATAGRAM_DROPPED, peer=str(addr), detail=str(fault))
+        except FormError as fault:
+            log_event(Event.DATAGRAM_DROPPED, peer=str(addr), detail=fault.detail)
             return
         try:
             self._on_message(message, addr)
         except Exception as fault:
             # One message must not take the port from all others.
             log_event(Event.INTERNAL_ERROR, detail=repr(fault))
-
-
-def _encode_load(load: LoadReport) -> t.Iterable[t.Any]:
-    return (
-        load.upstream,
-        load.queued,
-        load.running,
-        load.pace,
-        load.open,
-        load.group,
-        load.pass_ms,
-    )
-
-
-def _decode_load(fields: t.Sequence[t.Any]) -> LoadReport:
-    return LoadReport(*fields)
-
-
-def _encode_state(state: RankState) -> t.Iterable[t.Any]:
-    report = state.report
-    armed = None if report.armed is None else (report.armed.version, report.armed.step)
-    experts = None if report.experts is None else tuple(map(bytes, report.experts))
-    return (
-        state.group,
-        state.upstream,
-        state.sequence,
-        state.running,
-        state.pace,
-        state.choices,
-        state.totals,
-        report.rank,
-        report.epoch,
-        report.term,
-        report.open,
-        report.step,
-        report.map_version,
-        report.prepared,
-        armed,
-        report.held,
-        experts,
-    )
-
-
-def _decode_state(fields: t.Sequence[t.Any]) -> RankState:
-    group, upstream, sequence, running, pace, choices, totals, *rest = fields
-    *plain, armed, held, experts = rest
-    report = RankReport(
-        *plain,
-        None if armed is None else Armed(*armed),
-        held,
-        None if experts is None else tuple(map(tuple, experts)),
-    )
-    return RankState(group, upstream, sequence, report, running, pace, choices, totals)
-
-
-def _encode_request(request: OrderRequest) -> t.Iterable[t.Any]:
-    order = request.order
-    placement = None
-    if order.placement is not None:
-        placement = tuple(tuple(map(bytes, layer)) for layer in order.placement)
-    return (
-        request.group,
-        request.term,
-        request.number,
-        order.rank,
-        order.kind.value,
-        order.epoch,
-        order.version,
-        order.step,
-        placement,
-    )
-
-
-def _decode_request(fields: t.Sequence[t.Any]) -> OrderRequest:
-    group, term, number, rank, kind, epoch, version, step, placement = fields
-    if placement is not None:
-        placement = tuple(tuple(map(tuple, layer)) for layer in placement)
-    order = Order(rank, OrderKind(kind), epoch, version, step, placement)
-    return OrderRequest(group, term, number, order)
-
-
-def _encode_reply(reply: OrderReply) -> t.Iterable[t.Any]:
-    return (reply.group, reply.term, reply.number, reply.result.value)
-
-
-def _decode_reply(fields: t.Sequence[t.Any]) -> OrderReply:
-    group, term, number, result = fields
-    return OrderReply(group, term, number, OrderResult(result))
-
-
-_KINDS: list[type[Message]] = [LoadReport, RankState, OrderRequest, OrderReply]
-_ENCODERS: list[t.Callable[[t.Any], t.Iterable[t.Any]]] = [
-    _encode_load,
-    _encode_state,
-    _encode_request,
-    _encode_reply,
-]
-_DECODERS: list[t.Callable[[t.Sequence[t.Any]], Message]] = [
-    _decode_load,
-    _decode_state,
-    _decode_request,
-    _decode_reply,
-]
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -20,10 +20,11 @@
 from fuchsiahatch_gateway.delivery import Delivery
 from fuchsiahatch_gateway.fleet import FIRST_REPORT_MS, Fleet
 from fuchsiahatch_gateway.following import Follower, StoreHealth
+from fuchsiahatch_gateway.item_decoding import ItemDecoder
 from fuchsiahatch_gateway.lookups import (
     EntryRecord,
     choose_addresses,
-    decode_entries,
+    decode_entry,
 )
 from fuchsiahatch_gateway.placing import Placer
 from fuchsiahatch_gateway.registration import Registration
@@ -63,6 +64,7 @@
         self._leaving = False
         self._listening = False
         self._entries: dict[str, EntryRecord] = {}
+        self._records = ItemDecoder(decode_entry)
         self.routes = RouteTable()
         self.pool = ConnectionPool(clock, CONNECT_MS)
         self.store = StoreClient(settings.store, ConnectionPool(clock))
@@ -200,7 +202,7 @@
         self.placer.serve_waiting()
 
     def _apply_entries(self) -> None:
-        fresh = decode_entries(self._others.items)
+        fresh = self._records.decode_all(self._others.items)
         if fresh.keys() != self._entries.keys():
             log_event(Event.ENTRIES_CHANGED, entries=sorted(fresh))
         self._entries = fresh
@@ -228,4 +230,9 @@
             "Calls to the store.",
             lambda: self.store.calls.total(),
         )
+        add(
+            "fuchsiahatch_unreadable_items",
+            "Items of the store that were passed over.",
+            lambda: self.fleet.unreadable + self._records.unreadable,
+        )
         add("fuchsiahatch_log_dropped", "Lines.", lambda: self._process.log.dropped)
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -7,6 +7,7 @@
 from fuchsiahatch_adapter.upstreams import UpstreamEntry, decode_upstream_entry
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_gateway.defaults import LOAD_LIMIT_MS
+from fuchsiahatch_gateway.item_decoding import ItemDecoder
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.store import Item
@@ -56,6 +57,8 @@
         Whether another upstream answered at its address.
     latency_ms : float
         Running mean of its answers; 0 before the first.
+    born_ms : int
+        Start of the life that all of this is believed of; 0 while it isn't known.
     """
 
     entry: UpstreamEntry
@@ -68,6 +71,7 @@
     pass_ms: float = 0.0
     misplaced: bool = False
     latency_ms: float = 0.0
+    born_ms: int = 0
     _failures: float = 0.0
     _failed_ms: int = 0
 
@@ -140,6 +144,7 @@
     __slots__ = (
         "_by_address",
         "_clock",
+        "_entries",
         "_first_seen_ms",
         "_reports",
         "_rng",
@@ -154,6 +159,7 @@
         self._clock = clock
         self._rng = rng
         self._by_address: dict[str, Upstream] = {}
+        self._entries = ItemDecoder(decode_upstream_entry)
         self._reports: set[str] = set()
         self._first_seen_ms: dict[str, int] = {}
         self.upstreams: dict[str, Upstream] = {}
@@ -162,7 +168,7 @@
 
     def apply(self, items: t.Mapping[str, "Item"]) -> None:
         """Take over the upstreams' entries, as they are in the store now."""
-        fresh = decode_newest(items)
+        fresh = newest_by_address(self._entries.decode_all(items), items)
         for instance in self.upstreams.keys() - fresh.keys():
             gone = self.upstreams.pop(instance)
             log_event(Event.UPSTREAM_GONE, upstream=instance, own=gone.own)
@@ -177,8 +183,11 @@
     def observe(self, load: "LoadReport") -> None:
         """Take in a load report."""
         upstream = self._by_address.get(load.upstream)
-        if upstream is None:
+        if upstream is None or load.born_ms < upstream.born_ms:
             return
+        if load.born_ms > upstream.born_ms:
+            # The agent sees a new life seconds before the store does.
+            upstream = self._begin_life(upstream, upstream.entry, load.born_ms)
         self._reports.add(upstream.entry.service)
         upstream.others = max(0, load.running + load.queued - upstream.own)
         upstream.reported_ms = self._clock.now_ms()
@@ -187,6 +196,11 @@
         upstream.group = load.group
         upstream.pass_ms = load.pass_ms
 
+    @property
+    def unreadable(self) -> int:
+        """Entries that were passed over."""
+        return self._entries.unreadable
+
     def usable(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that may get new work."""
         if self.awaits_reports(service):
@@ -277,37 +291,61 @@
         known = self.upstreams.get(instance)
         self._first_seen_ms.setdefault(entry.service, self._clock.now_ms())
         if known is None:
-            self.upstreams[instance] = Upstream(entry)
+            self.upstreams[instance] = Upstream(entry, born_ms=entry.born_ms)
             log_event(Event.UPSTREAM_SEEN, upstream=instance, service=entry.service)
             return
+        if 0 < entry.born_ms < known.born_ms:
+            # Of a former life; its agent has spoken of the present one already.
+            return
+        if entry.born_ms > known.born_ms or entry.address != known.entry.address:
+            known = self._begin_life(known, entry, entry.born_ms)
         if entry.leaving and not known.entry.leaving:
             log_event(Event.UPSTREAM_LEAVING, upstream=instance, own=known.own)
             self.on_gone(entry)
         known.entry = entry
 
+    def _begin_life(
+        self, former: Upstream, entry: UpstreamEntry, born_ms: int
+    ) -> Upstream:
+        """Forget all that is believed of an upstream's former life.
+
+        Guards against an upstream that starts anew under its instance: it was taken
+        for misplaced for ever where another one had answered at its address meanwhile,
+        and kept the load, pace and failures of a process that was gone. Requests under
+        way keep the former life's record, so that no place of the new one is freed.
+        """
+        if not former.born_ms and entry.address == former.entry.address:
+            # The first word of when it began: what is believed is of this life.
+            former.born_ms = born_ms
+            return former
+        instance = entry.instance
+        log_event(
+            Event.UPSTREAM_RESTARTED,
+            upstream=instance,
+            own=former.own,
+            before_ms=former.born_ms,
+            born_ms=born_ms,
+        )
+        self.on_gone(former.entry)
+        fresh = Upstream(dataclasses.replace(entry, leaving=False), born_ms=born_ms)
+        self.upstreams[instance] = fresh
+        self._by_address[str(entry.address)] = fresh
+        return fresh
+
 
-def decode_newest(items: t.Mapping[str, "Item"]) -> dict[str, UpstreamEntry]:
-    """Return the entries that can be read, the newest one of each address.
+def newest_by_address(
+    entries: t.Mapping[str, UpstreamEntry], items: t.Mapping[str, "Item"]
+) -> dict[str, UpstreamEntry]:
+    """Return the newest entry of each address.
 
-    An upstream that starts anew has a new entry at once, and its former life's stays
-    for seconds until it lapses. Half of all requests would go to lives that are gone,
-    and be refused there.
+    An upstream that starts anew may have a new entry at once, and its former life's
+    stays for seconds until it lapses. Half of all requests would go to lives that are
+    gone, and be refused there.
     """
-    newest: dict[str, tuple[int, UpstreamEntry]] = {}
-    for instance, item in items.items():
-        entry = _decode(instance, item)
-        if entry is None:
-            continue
+    newest: dict[str, UpstreamEntry] = {}
+    for instance, entry in entries.items():
         address = str(entry.address)
-        if address not in newest or newest[address][0] < item.created:
-            newest[address] = (item.created, entry)
-    return {entry.instance: entry for _, entry in newest.values()}
-
-
-def _decode(instance: str, item: "Item") -> UpstreamEntry | None:
-    try:
-        return decode_upstream_entry(instance, item.value or b"")
-    except (KeyError, TypeError, ValueError) as fault:
-        detail = f"{type(fault).__name__}: {fault}"
-        log_event(Event.UPSTREAM_UNREADABLE, upstream=instance, detail=detail)
-        return None
+        known = newest.get(address)
+        if known is None or items[known.instance].created < items[instance].created:
+            newest[address] = entry
+    return {entry.instance: entry for entry in newest.values()}
--- a/packages/gateway/src/fuchsiahatch_gateway/leadership.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/leadership.py
@@ -6,9 +6,11 @@
 
 import orjson
 
+from fuchsiahatch_adapter.forms import read_json, reading
 from fuchsiahatch_adapter.store import LeaseLostError, StoreClient
 from fuchsiahatch_core.events import Event, log_event
-from fuchsiahatch_core.exceptions import ConflictError, PlatformError
+from fuchsiahatch_core.exceptions import ConflictError, FormError, PlatformError
+from fuchsiahatch_gateway.datagrams import Peer, check_peer
 from fuchsiahatch_gateway.defaults import (
     LEADER_RENEWAL_MS,
     LEADER_TTL_MS,
@@ -18,7 +20,6 @@
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.store import Item
     from fuchsiahatch_core.clock import Clock
-    from fuchsiahatch_gateway.datagrams import Peer
 
 #: Time for which a group must have been without a leader before a rank tries, for
 #: each number that its rank is: the ranks don't all call the store at once.
@@ -44,21 +45,29 @@
 
     group: str
     term: int
-    peer: "Peer"
+    peer: Peer
 
 
-def decode_leaders(items: t.Mapping[str, "Item"]) -> dict[str, LeaderRecord]:
-    """Return the leaders that can be read, by group."""
-    leaders = {}
-    for group, item in items.items():
-        try:
-            ip, port = orjson.loads(item.value or b"")["peer"]
-        except (KeyError, TypeError, ValueError) as fault:
-            detail = f"leader of {group}: {type(fault).__name__}: {fault}"
-            log_event(Event.UPSTREAM_UNREADABLE, upstream=group, detail=detail)
-            continue
-        leaders[group] = LeaderRecord(group, item.created, (ip, port))
-    return leaders
+@dataclasses.dataclass(frozen=True, slots=True)
+class _LeaderDocument:
+    """A leader's key as it is written."""
+
+    node: str
+    peer: Peer
+
+
+def decode_leader_peer(group: str, value: bytes) -> Peer:
+    """Decode where a group's leader takes datagrams.
+
+    Raises
+    ------
+    FormError
+    """
+    what = f"leader of {group}"
+    document = read_json(value, _LeaderDocument, what)
+    with reading(what):
+        check_peer(document.peer)
+    return document.peer
 
 
 class Leadership:
@@ -96,7 +105,7 @@
     )
 
     def __init__(
-        self, store: StoreClient, node: str, peer: "Peer", clock: "Clock"
+        self, store: StoreClient, node: str, peer: Peer, clock: "Clock"
     ) -> None:
         self._store = store
         self._node = node
@@ -173,11 +182,19 @@
         except PlatformError as fault:
             log_event(Event.SERVICE_CALL_FAILED, detail=fault.detail)
 
+    def _read_leader(self, group: str, item: "Item") -> LeaderRecord | None:
+        try:
+            peer = decode_leader_peer(group, item.value or b"")
+        except FormError as fault:
+            log_event(Event.ITEM_UNREADABLE, item=self._key, detail=fault.detail)
+            return None
+        return LeaderRecord(group, item.created, peer)
+
     async def _win(self, group: str) -> bool:
         self._key = LEADERS_PREFIX + group
         item = await self._store.get(self._key)
         if item is not None:
-            leader = decode_leaders({group: item}).get(group)
+            leader = self._read_leader(group, item)
             if leader is not None and leader.peer != self._peer:
                 self.found = leader
                 return False
--- a/packages/gateway/src/fuchsiahatch_gateway/lookups.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/lookups.py
@@ -5,12 +5,11 @@
 
 import orjson
 
-from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_adapter.forms import read_json, reading
+from fuchsiahatch_adapter.node_settings import parse_address
+from fuchsiahatch_gateway.datagrams import check_peer
 from fuchsiahatch_gateway.defaults import MAX_LOOKUP_ENTRIES
 
-if t.TYPE_CHECKING:
-    from fuchsiahatch_adapter.store import Item
-
 #: Entries that an answer names at least, where there are so many: callers of a zone
 #: whose entries have all died must know others.
 LEAST_ENTRIES = 2
@@ -39,18 +38,19 @@
         return orjson.dumps(dataclasses.asdict(self))
 
 
-def decode_entries(items: t.Mapping[str, "Item"]) -> dict[str, EntryRecord]:
-    """Return the registrations that can be read, by node."""
-    entries = {}
-    for node, item in items.items():
-        try:
-            fields = orjson.loads(item.value or b"")
-            fields["peer"] = tuple(fields["peer"])
-            entries[node] = EntryRecord(**fields)
-        except (KeyError, TypeError, ValueError) as fault:
-            detail = f"{node}: {type(fault).__name__}: {fault}"
-            log_event(Event.UPSTREAM_UNREADABLE, upstream=node, detail=detail)
-    return entries
+def decode_entry(node: str, value: bytes) -> EntryRecord:
+    """Decode an entry's registration.
+
+    Raises
+    ------
+    FormError
+    """
+    what = f"registration of {node}"
+    record = read_json(value, EntryRecord, what)
+    with reading(what):
+        parse_address(record.callers)
+        check_peer(record.peer)
+    return record
 
 
 def choose_addresses(
--- a/packages/gateway/src/fuchsiahatch_gateway/rank_agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/rank_agent.py
@@ -91,6 +91,8 @@
         PlatformError
         """
         seen = await self._upstream.report()
+        if self.seen is not None and seen.born_ms != self.seen.born_ms:
+            self._forget_life()
         self.seen = seen
         self._note_step(seen)
         choices, totals = b"", ()
@@ -110,6 +112,14 @@
             totals,
         )
 
+    def _forget_life(self) -> None:
+        """Forget what was read of the engine's former life: its counts began anew."""
+        self._choices = None
+        self._experts = None
+        self._experts_of = None
+        self._stepped = None
+        self.pass_ms = 0.0
+
     def _note_step(self, seen: "EngineReport") -> None:
         now = asyncio.get_running_loop().time()
         if seen.running == 0 or self._stepped is None or seen.step < self._stepped[0]:
--- a/packages/gateway/src/fuchsiahatch_gateway/routes.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/routes.py
@@ -12,7 +12,7 @@
 )
 from fuchsiahatch_core.codes import Code
 from fuchsiahatch_core.events import Event, log_event
-from fuchsiahatch_core.exceptions import RefusedError, RequestError
+from fuchsiahatch_core.exceptions import FormError, RefusedError, RequestError
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.caller_requests import CallerRequest
@@ -60,9 +60,12 @@
         """
         try:
             fresh = decode_configuration(value)
-        except (KeyError, TypeError, ValueError) as fault:
-            detail = f"{type(fault).__name__}: {fault}"
-            log_event(Event.CONFIGURATION_UNREADABLE, detail=detail)
+        except FormError as fault:
+            log_event(
+                Event.CONFIGURATION_UNREADABLE,
+                code=int(fault.result),
+                detail=fault.detail,
+            )
             return False
         if self.configuration is not None:
             if fresh.version <= self.configuration.version:
--- a/packages/standins/src/fuchsiahatch_standins/failed_requests.py
+++ b/packages/standins/src/fuchsiahatch_standins/failed_requests.py
@@ -114,9 +114,10 @@
 
 
 def _put_upstream(store: "FleetStore", path: str, address: str, state: str) -> None:
+    from fuchsiahatch_standins.fleet_store import make_upstream_entry
+
     name = path.strip("/")
-    entry = {"service": name, "address": address, "slots": 6, "state": state}
-    store.put(f"servers/i-{name}", entry)
+    store.put(f"servers/i-{name}", make_upstream_entry(name, address, state=state))
 
 
 def _has(log: pathlib.Path, text: str) -> bool:
--- a/packages/standins/src/fuchsiahatch_standins/fleet_store.py
+++ b/packages/standins/src/fuchsiahatch_standins/fleet_store.py
@@ -246,17 +246,29 @@
     }
 
 
+def make_upstream_entry(
+    service: str, address: str, **changes: t.Any
+) -> dict[str, t.Any]:
+    """Return an upstream's entry as an upstream writes it."""
+    return {
+        "service": service,
+        "address": address,
+        "zone": "a",
+        "version": "v1",
+        "slots": 6,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "sequence": 1,
+        **changes,
+    }
+
+
 def make_upstream_item(
     instance: str, service: str, address: str, places: int, leaving: bool = False
 ) -> "Item":
     """Return an upstream's entry as a reader of the store gets it."""
     from fuchsiahatch_adapter.store import Item
 
-    fields = {
-        "service": service,
-        "address": address,
-        "zone": "a",
-        "slots": places,
-        "state": "draining" if leaving else "ready",
-    }
+    state = "draining" if leaving else "ready"
+    fields = make_upstream_entry(service, address, slots=places, state=state)
     return Item(f"servers/{instance}", orjson.dumps(fields), revision=1, created=1)
--- a/packages/standins/src/fuchsiahatch_standins/platform_demo.py
+++ b/packages/standins/src/fuchsiahatch_standins/platform_demo.py
@@ -169,7 +169,7 @@
 
 async def run() -> None:
     """Run the demo."""
-    from fuchsiahatch_standins.fleet_store import FleetStore
+    from fuchsiahatch_standins.fleet_store import FleetStore, make_upstream_entry
     from fuchsiahatch_standins.rank_group import RankGroup
     from fuchsiahatch_standins.scripted_upstream import ScriptedUpstream
 
@@ -183,7 +183,7 @@
     entries = []
     for number, upstream in enumerate(upstreams):
         address = f"127.0.0.1:{await upstream.listen()}"
-        entry = {"service": "holds", "address": address, "slots": 6, "state": "ready"}
+        entry = make_upstream_entry("holds", address)
         entries.append(entry)
         store.put(f"servers/hold-{number}", entry)
     await group.start()
--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -8,8 +8,9 @@
 from fuchsiahatch_adapter.lookup_calls import asks_ready, encode_lookup, lookup_zone
 from fuchsiahatch_adapter.node_settings import read_node_settings
 from fuchsiahatch_adapter.upstreams import decode_report, decode_upstream_entry
-from fuchsiahatch_core.exceptions import SettingsError
+from fuchsiahatch_core.exceptions import FormError, SettingsError
 from fuchsiahatch_experts.rank_orders import Armed
+from fuchsiahatch_standins.fleet_store import make_upstream_entry
 
 SETTINGS = {
     "node": "side-kl-a-1",
@@ -119,16 +120,17 @@
         self.assertIsNone(self.decode(tenants=None).teams)
 
     def test_an_unknown_kind_is_no_configuration(self):
-        with self.assertRaises(ValueError):
+        with self.assertRaises(FormError):
             self.decode(routes=[{**ROUTE, "kind": "else"}])
 
 
 class TestUpstreams(unittest.TestCase):
     def test_an_entry(self):
-        value = {"service": "a", "address": "10.0.0.1:80", "state": "draining"}
+        value = make_upstream_entry("a", "10.0.0.1:80", state="draining", born=17)
         entry = decode_upstream_entry("i-1", json.dumps(value).encode())
         self.assertTrue(entry.leaving)
         self.assertEqual(str(entry.address), "10.0.0.1:80")
+        self.assertEqual(entry.born_ms, 17)
 
     def test_a_report_of_a_rank(self):
         report = decode_report(
--- a/tests/gateway/delivery_model.py
+++ b/tests/gateway/delivery_model.py
@@ -20,7 +20,7 @@
 from fuchsiahatch_standins.fleet_store import make_upstream_item
 from fuchsiahatch_standins.virtual_time import run_virtually
 from tests import loopback  # noqa: F401  (installs the reactor)
-from tests.gateway.played_upstreams import EVENTS, Act, PlayedPool, Run
+from tests.gateway.played_upstreams import EVENTS, FIRST_PORT, Act, PlayedPool, Run
 from tests.gateway.sites import HOST, KEY, make_configuration, make_route
 
 TIMEOUT_MS = 1_200
@@ -226,7 +226,11 @@
         self.fleet.apply(
             {
                 f"i-{number}": make_upstream_item(
-                    f"i-{number}", "svc", f"10.0.0.1:{number}", places, leaving
+                    f"i-{number}",
+                    "svc",
+                    f"10.0.0.1:{FIRST_PORT + number}",
+                    places,
+                    leaving,
                 )
                 for number, leaving in self._leaving.items()
             }
--- a/tests/gateway/played_upstreams.py
+++ b/tests/gateway/played_upstreams.py
@@ -16,6 +16,10 @@
 EVENTS = 4
 
 
+#: Port of the first upstream; the others follow.
+FIRST_PORT = 8000
+
+
 class Act(enum.Enum):
     """What an upstream does with a request."""
 
@@ -231,7 +235,7 @@
         if self._world.refuses_connection():
             raise ConnectFailed("no connection")
         connection = ClientConnection(self._drop_idle)
-        wire = Wire(self._world, port)
+        wire = Wire(self._world, port - FIRST_PORT)
         wire.client = connection
         connection.makeConnection(wire)
         return connection
--- a/tests/gateway/sites.py
+++ b/tests/gateway/sites.py
@@ -9,7 +9,7 @@
 from fuchsiahatch_gateway.log import LineWriter
 from fuchsiahatch_gateway.process import Process
 from fuchsiahatch_standins import platform_demo
-from fuchsiahatch_standins.fleet_store import FleetStore
+from fuchsiahatch_standins.fleet_store import FleetStore, make_upstream_entry
 from fuchsiahatch_standins.scripted_upstream import ScriptedUpstream
 from tests import loopback  # noqa: F401  (installs the reactor)
 
@@ -113,13 +113,7 @@
     def put_upstream(self, instance, port, state="ready", service="svc"):
         self.store.put(
             f"servers/{instance}",
-            {
-                "service": service,
-                "address": f"127.0.0.1:{port}",
-                "zone": "kl-a",
-                "slots": 6,
-                "state": state,
-            },
+            make_upstream_entry(service, f"127.0.0.1:{port}", zone="kl-a", state=state),
         )
 
     async def ask(self, path, **options):
--- a/tests/gateway/test_agents.py
+++ b/tests/gateway/test_agents.py
@@ -5,7 +5,7 @@
 from fuchsiahatch_gateway.agent import Agent
 from fuchsiahatch_gateway.log import LineWriter
 from fuchsiahatch_gateway.process import Process
-from fuchsiahatch_standins.fleet_store import FleetStore
+from fuchsiahatch_standins.fleet_store import FleetStore, make_upstream_entry
 from fuchsiahatch_standins.platform_demo import ENGINE, EXPERTS, LAYERS
 from fuchsiahatch_standins.rank_group import RankGroup
 from tests.gateway.sites import make_configuration, make_settings, until
@@ -30,8 +30,7 @@
         await self.engines.start()
         for rank, ip in enumerate(IPS):
             address = f"{ip}:{self.engines.ports[rank]}"
-            entry = {"service": "svc", "address": address, "state": "ready"}
-            self.store.put(f"servers/i-{rank}", entry)
+            self.store.put(f"servers/i-{rank}", make_upstream_entry("svc", address))
             self.start(rank)
         return self
 
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -8,23 +8,26 @@
 from fuchsiahatch_gateway import fleet
 from fuchsiahatch_gateway.datagrams import LoadReport
 from fuchsiahatch_gateway.fleet import Fleet
+from fuchsiahatch_standins.fleet_store import make_upstream_entry
 
 
 def item(instance, port, created=1, **changes):
-    fields = {
-        "service": "svc",
-        "address": f"10.0.0.1:{port}",
-        "zone": "a",
-        "slots": 6,
-        "state": "ready",
-        **changes,
-    }
+    fields = make_upstream_entry("svc", f"10.0.0.1:{port}", **changes)
     return Item(f"servers/{instance}", orjson.dumps(fields), created, created)
 
 
-def load(port, running=0, queued=0, pace=1.0, is_open=True, group="", pass_ms=0.0):
+def load(
+    port,
+    running=0,
+    queued=0,
+    pace=1.0,
+    is_open=True,
+    group="",
+    pass_ms=0.0,
+    born_ms=0,
+):
     upstream = f"10.0.0.1:{port}"
-    return LoadReport(upstream, queued, running, pace, is_open, group, pass_ms)
+    return LoadReport(upstream, queued, running, pace, is_open, group, pass_ms, born_ms)
 
 
 class TestFleet(unittest.TestCase):
@@ -130,6 +133,49 @@
         self.fleet.observe(load(3, running=6, group="g-2"))
         self.assertEqual({self.choose(("a",)) for _ in range(10)}, {"b"})
 
+    def test_nothing_of_a_former_life_is_believed(self):
+        # A fifth of the places stays empty for good: an engine crashed, another one
+        # answered at its address meanwhile, and it came back under its own instance.
+        self.apply(a=item("a", 1, born=1_000))
+        former = self.fleet.upstreams["a"]
+        former.own, former.misplaced = 6, True
+        former.note_failure(0)
+        self.fleet.observe(load(1, running=6, pace=12.0, group="g", born_ms=1_000))
+        self.assertIsNone(self.choose())
+        gone = []
+        self.fleet.on_gone = gone.append
+        self.apply(a=item("a", 1, born=2_000, sequence=1))
+        self.assertEqual(self.choose(), "a")
+        fresh = self.fleet.upstreams["a"]
+        self.assertEqual((fresh.own, fresh.pace, fresh.group), (0, 1.0, ""))
+        self.assertFalse(self.fleet.is_usable(former))
+        self.assertEqual([entry.born_ms for entry in gone], [1_000])
+
+    def test_the_agent_is_first_to_tell_of_a_new_life(self):
+        # A crashed engine is back within a second; its entry in the store still is the
+        # former life's, which left, and the load believed is that of its requests.
+        self.apply(a=item("a", 1, born=1_000, state="draining"))
+        self.fleet.observe(load(1, running=6, born_ms=1_000))
+        self.fleet.observe(load(1, running=1, born_ms=2_000))
+        self.apply(a=item("a", 1, born=1_000, state="draining", sequence=2))
+        self.assertEqual(self.choose(), "a")
+        self.fleet.observe(load(1, running=6, queued=9, born_ms=1_000))
+        self.assertEqual(self.fleet.upstreams["a"].load(0), 1)
+
+    def test_a_first_word_of_its_birth_is_no_new_life(self):
+        self.apply(a=item("a", 1))
+        self.fleet.upstreams["a"].own = 2
+        self.fleet.observe(load(1, running=2, born_ms=1_000))
+        self.assertEqual(self.fleet.upstreams["a"].own, 2)
+
+    def test_an_unreadable_entry_is_counted_once(self):
+        # The log fills with one bad entry: it was said anew at each change of any.
+        broken = Item("servers/b", b"{", 1, 1)
+        for _ in range(3):
+            self.apply(a=item("a", 1), b=broken)
+        self.assertEqual(self.fleet.unreadable, 1)
+        self.assertEqual(list(self.fleet.upstreams), ["a"])
+
     def test_an_entry_that_cannot_be_read_is_passed_over(self):
         broken = Item("servers/b", b"{", 1, 1)
         self.apply(a=item("a", 1), b=broken)
--- a/tests/gateway/test_small_parts.py
+++ b/tests/gateway/test_small_parts.py
@@ -3,6 +3,7 @@
 
 import orjson
 
+from fuchsiahatch_core.exceptions import FormError
 from fuchsiahatch_experts.rank_orders import (
     Armed,
     Order,
@@ -68,7 +69,7 @@
 
     def test_what_is_no_message_is_said_so(self):
         for data in (b"", b"\xc1", b"\x91\x63", b"\x90", b"junk", b"\x92\x00\x01"):
-            with self.assertRaises(ValueError):
+            with self.assertRaises(FormError):
                 decode(data)
 
 
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -8,7 +8,7 @@
 import tempfile
 import unittest
 
-from fuchsiahatch_standins.fleet_store import FleetStore
+from fuchsiahatch_standins.fleet_store import FleetStore, make_upstream_entry
 from fuchsiahatch_standins.platform_demo import make_settings
 from tests.gateway.sites import (
     Reply,
@@ -47,13 +47,7 @@
         self.store.put("op/config", make_configuration())
         self.store.put(
             "servers/i-1",
-            {
-                "service": "svc",
-                "address": f"127.0.0.1:{upstream_port}",
-                "zone": "kl-a",
-                "slots": 6,
-                "state": "ready",
-            },
+            make_upstream_entry("svc", f"127.0.0.1:{upstream_port}", zone="kl-a"),
         )
         self.settings.write_text(json.dumps(self._document(store_port)), "utf-8")
         self.start()
