--- a/packages/core/src/fuchsiahatch_core/events.py
+++ b/packages/core/src/fuchsiahatch_core/events.py
@@ -20,6 +20,7 @@
     SETTINGS_REFUSED = 1003
     INTERNAL_ERROR = 1004
     SETTINGS_APPLIED = 1005
+    SOCKET_CLOSED_EARLY = 1006
 
     CONFIGURATION_APPLIED = 1100
     CONFIGURATION_UNREADABLE = 1101
@@ -64,6 +65,8 @@
     TERM_SEEN = 1506
     MAP_PLANNED = 1507
     SWITCH_MOVED = 1508
+    TAKEOVER_BEGUN = 1509
+    TAKEOVER_ENDED = 1510
 
 
 def log_event(event: Event, **fields: t.Any) -> None:
--- a/packages/experts/src/fuchsiahatch_experts/drift.py
+++ b/packages/experts/src/fuchsiahatch_experts/drift.py
@@ -13,8 +13,9 @@
 
     from fuchsiahatch_experts.rank_orders import Placement
 
-#: Experts that a rank copies for one change. One takes 150 ms, and passes are 15%
-#: longer meanwhile; with more the demand has moved on before they are of use.
+#: Experts that a rank copies for one change while passes are short. One takes 150 ms,
+#: and passes are 15% longer meanwhile; with more the demand has moved on before they
+#: are of use.
 COPIES_PER_RANK = 1
 #: Fall in a layer's skew that one copy must bring.
 LEAST_GAIN = 0.05
@@ -136,6 +137,7 @@
     slots: int,
     paces: t.Sequence[float] | None = None,
     copies_per_rank: int = COPIES_PER_RANK,
+    copies_per_layer: int | None = None,
 ) -> Plan | None:
     """Return the next change of a map, or None when none is worth its copies.
 
@@ -148,13 +150,20 @@
         Experts of one layer that a rank has memory for.
     paces : sequence of float, optional
         How much slower than usual each rank works.
-    copies_per_rank : int, optional
+    copies_per_rank, copies_per_layer : int, optional
+        Copies that a rank may take in all, and in one layer.
     """
     demand.forget_shifted()
     current = as_map(placement, demand.weights.shape[1])
     weighed = np.ones(len(placement[0])) if paces is None else np.array(paces)
     target = improve_within(
-        current, demand.weights, slots, copies_per_rank, LEAST_GAIN, weighed
+        current,
+        demand.weights,
+        slots,
+        copies_per_rank,
+        LEAST_GAIN,
+        weighed,
+        copies_per_layer,
     )
     before = _paced_skew(current, demand, weighed)
     after = _paced_skew(target, demand, weighed)
@@ -164,6 +173,25 @@
     return Plan(as_placement(target), copies, before, after)
 
 
+def copies_in_a_pass(pass_ms: float, copy_ms: float, most: int) -> int:
+    """Return how many experts a rank copies for one change.
+
+    As many as it copies in the time of a pass: a change takes effect as a pass begins,
+    so that fewer bring nothing sooner, and each further change waits for two passes.
+    With one copy a change, an engine at a twelfth of its pace was relieved in six
+    changes and 3.7 s, the passes of which took up to 1.5 s.
+
+    Parameters
+    ----------
+    pass_ms, copy_ms : float
+    most : int
+        Copies that one change may have at all.
+    """
+    if copy_ms <= 0:
+        return COPIES_PER_RANK
+    return max(COPIES_PER_RANK, min(int(pass_ms / copy_ms), most))
+
+
 def _paced_skew(
     expert_map: ExpertMap, demand: Demand, paces: "npt.NDArray[np.float64]"
 ) -> float:
--- a/packages/experts/src/fuchsiahatch_experts/packing.py
+++ b/packages/experts/src/fuchsiahatch_experts/packing.py
@@ -82,6 +82,7 @@
     copies_per_rank: int,
     least_gain: float,
     paces: "Floats | None" = None,
+    copies_per_layer: int | None = None,
 ) -> ExpertMap:
     """Change a map by the few copies that relieve it most, over all layers.
 
@@ -100,6 +101,8 @@
     paces : ndarray, shape (ranks,), optional
         Time that each rank takes for a load, over the usual; all 1 by default. A rank
         that is slow is relieved before it holds the others back.
+    copies_per_layer : int, optional
+        Copies that a rank may take in one layer; no fewer than in all by default.
 
     Returns
     -------
@@ -111,23 +114,27 @@
     totals = popularity.sum(axis=1, keepdims=True)
     shares = popularity * ranks / np.where(totals > 0, totals, 1.0)
     placed = current.placed.copy()
+    if copies_per_layer is None:
+        copies_per_layer = copies_per_rank
     left = np.full(ranks, copies_per_rank)
-    best = [
-        _best_change(placed[at], shares[at], slots, left, paces)
-        for at in range(len(shares))
-    ]
+    left_here = np.full((len(shares), ranks), copies_per_layer)
+
+    def find_best(at: int) -> _Change:
+        free = np.minimum(left, left_here[at])
+        return _best_change(placed[at], shares[at], slots, free, paces)
+
+    best = [find_best(at) for at in range(len(shares))]
     while left.any():
         at = max(range(len(best)), key=lambda layer: best[layer].score)
         if best[at].score <= max(least_gain, SMALLEST_GAIN):
             break
         change = best[at]
-        if any(left[rank] < 1 for _, rank in change.added):
-            best[at] = _best_change(placed[at], shares[at], slots, left, paces)
-            continue
-        _apply(placed[at], change)
-        for _, rank in change.added:
-            left[rank] -= 1
-        best[at] = _best_change(placed[at], shares[at], slots, left, paces)
+        if all(left[rank] and left_here[at, rank] for _, rank in change.added):
+            _apply(placed[at], change)
+            for _, rank in change.added:
+                left[rank] -= 1
+                left_here[at, rank] -= 1
+        best[at] = find_best(at)
     return ExpertMap(placed)
 
 
--- a/packages/experts/src/fuchsiahatch_experts/switching.py
+++ b/packages/experts/src/fuchsiahatch_experts/switching.py
@@ -5,13 +5,18 @@
 pass begins while some ranks are armed with a map and others are not:
 
 1. `prepare` at each rank; the rank copies the experts that are new to it.
-2. `hold` a coming pass at the leader's own rank, until its report shows the hold.
-3. `arm` each rank for that pass, until each report shows it.
+2. `hold` a coming pass at the standby's rank, until its report shows the hold.
+3. `arm` each rank for that pass, until each report shows it; the leader's own last.
 4. `go`: the pass begins, and all ranks switch with it.
 
 Whoever gives up after 3 has begun first makes every `arm` void, also one whose answer
 was lost and that is carried out seconds later: a rank that has prepared a newer version
-refuses to arm an older one.
+refuses to arm an older one. The rank that is armed last is made void first.
+
+So the last rank is armed only while all others are. A leader whose host stands still
+takes its rank with it, engine and all; while any other rank isn't armed, that one isn't
+either, and the group goes on without a word of it. Nobody could say so with the hold on
+the leader's own host, and groups stood still for the four seconds that it did.
 """
 
 import enum
@@ -46,8 +51,13 @@
 ARM_LIMIT_MS = 400
 #: Age beyond which a rank's report counts for nothing.
 REPORT_LIMIT_MS = 1_000
-#: Versions that one term may use.
-VERSIONS_PER_TERM = 100_000
+#: Silence of the last rank behind which a new leader goes on without its word, where
+#: that is safe. Agents obey a new leader within some 10 ms.
+ABSENCE_MS = 60
+#: A version names the last rank of its switch: the largest group that can be told.
+RANKS_PER_VERSION = 1_000
+#: Versions that one term may use: 100,000 switches.
+VERSIONS_PER_TERM = 100_000 * RANKS_PER_VERSION
 
 
 class Phase(enum.Enum):
@@ -66,6 +76,16 @@
 _OrderKey = tuple[int, OrderKind, int, int]
 
 
+def standby_of(rank: int, ranks: int) -> int:
+    """Return the rank that holds passes for a leader, and takes over from it."""
+    return (rank + 1) % ranks
+
+
+def last_rank(version: int) -> int:
+    """Return the rank that is armed last, and only while all others are."""
+    return version % RANKS_PER_VERSION
+
+
 class Switch:
     """The switches of one group under one term.
 
@@ -74,16 +94,23 @@
     term : int
         The leader's term; versions of a later term are always higher.
     own_rank, ranks : int
+    may_start : bool, optional
+        Whether it may begin switches, or only ends what others began.
 
     Attributes
     ----------
     phase : Phase
     epoch : int
+    experts : int
+        Experts of a layer; 0 while it isn't known.
     switched, abandoned : int
         Switches that came to their end, and that were given up.
+    replaced : bool
+        Whether an agent obeys a later leader: nothing is ordered any more.
     """
 
     __slots__ = (
+        "_absent",
         "_accepted",
         "_arm_until_ms",
         "_armed_version",
@@ -91,39 +118,56 @@
         "_copy_until_ms",
         "_first_step",
         "_held_step",
+        "_hold_ahead",
+        "_may_start",
         "_next_number",
         "_own_rank",
         "_ranks",
         "_reports",
         "_seen_ms",
         "_sent_ms",
+        "_settling_ms",
+        "_standby",
         "_step",
         "_target",
         "_unsure",
         "_version",
         "abandoned",
         "epoch",
+        "experts",
         "phase",
+        "replaced",
         "switched",
         "term",
     )
 
-    def __init__(self, term: int, own_rank: int, ranks: int) -> None:
+    def __init__(
+        self, term: int, own_rank: int, ranks: int, may_start: bool = True
+    ) -> None:
         self.term = term
         self._own_rank = own_rank
+        self._standby = standby_of(own_rank, ranks)
         self._ranks = ranks
+        self._may_start = may_start
+        self._settling_ms: int | None = None
         self._reports: dict[int, RankReport] = {}
         self._seen_ms: dict[int, int] = {}
         self._next_number = 1
         self._held_step = 0
+        self._hold_ahead = HOLD_AHEAD
         self.epoch = -1
+        self.experts = 0
+        self.replaced = False
         self.switched = 0
         self.abandoned = 0
         self._reset()
 
     def observe(self, report: RankReport, now_ms: int) -> None:
         """Take in a rank's report, and go on as far as it allows."""
-        if report.epoch < self.epoch:
+        # What such an agent says of its rank is the later leader's doing. Counted as
+        # our own, it would complete the ranks behind which the last one is armed.
+        self.replaced = self.replaced or report.term > self.term
+        if report.epoch < self.epoch or self.replaced:
             return
         if report.epoch > self.epoch:
             self.epoch = report.epoch
@@ -132,6 +176,8 @@
             self._reset()
         self._reports[report.rank] = report
         self._seen_ms[report.rank] = now_ms
+        if report.rank == self._absent and report.term >= self.term:
+            self._absent = None
         self._advance(now_ms)
 
     def answered(self, order: Order, result: OrderResult, now_ms: int) -> None:
@@ -164,18 +210,33 @@
         own = self._reports.get(self._own_rank)
         return (
             self.phase is Phase.IDLE
+            and not self.replaced
+            and self._may_start
+            and self._next_number * RANKS_PER_VERSION < VERSIONS_PER_TERM
             and self.placement is not None
             and own is not None
             and own.open
             and own.step >= self._first_step + TAKEOVER_PASSES
         )
 
-    def start(self, placement: Placement, now_ms: int) -> bool:
-        """Begin to switch to another map; return whether it was begun."""
+    def start(
+        self, placement: Placement, now_ms: int, hold_ahead: int = HOLD_AHEAD
+    ) -> bool:
+        """Begin to switch to another map; return whether it was begun.
+
+        Parameters
+        ----------
+        placement : Placement
+        now_ms : int
+        hold_ahead : int, optional
+            Passes between the one last begun and the one that is held, `HOLD_AHEAD`
+            at most.
+        """
         if not self.ready or not self._is_current(now_ms):
             return False
         self._target = placement
-        self._version = self._new_version()
+        self._hold_ahead = hold_ahead
+        self._version = self._new_version(self._own_rank)
         self._copy_until_ms = now_ms + COPY_LIMIT_MS
         self.phase = Phase.COPYING
         return True
@@ -183,6 +244,8 @@
     def orders(self, now_ms: int) -> list[Order]:
         """Return the orders to send now."""
         self._advance(now_ms)
+        if self.replaced:
+            return []
         due = [order for order in self._wanted() if self._is_due(order, now_ms)]
         for order in due:
             self._sent_ms[_key(order)] = now_ms
@@ -196,6 +259,8 @@
         self._clear_version = 0
         self._step = 0
         self._first_step = -1
+        self._absent: int | None = None
+        self._settling_ms = None
         self._copy_until_ms = 0
         self._arm_until_ms = 0
         self._sent_ms: dict[_OrderKey, int] = {}
@@ -203,7 +268,9 @@
         self._unsure: set[_OrderKey] = set()
 
     def _advance(self, now_ms: int) -> None:
-        if len(self._reports) < self._ranks:
+        if self._settling_ms is None:
+            self._settling_ms = now_ms
+        if len(self._present()) + (self.phase in _PHASES_WITHOUT_ONE) < self._ranks:
             return
         before = None
         while before is not self.phase:
@@ -213,10 +280,9 @@
     # Each of these looks at the reports and moves on to another phase, or stays.
 
     def _settle(self, now_ms: int) -> None:
-        reports = self._reports.values()
-        if not self._is_current(now_ms):
-            return
-        if any(report.term < self.term or not report.open for report in reports):
+        reports = self._settled(now_ms)
+        if len(reports) < self._ranks:
+            self._settle_without_one(reports, now_ms)
             return
         armed = {report.armed for report in reports}
         held = [report.held for report in reports if report.held is not None]
@@ -224,10 +290,41 @@
             self._end_settling()
         elif len(armed) == 1 and None not in armed:
             # An earlier leader armed all ranks alike: only the release is left.
-            self._armed_version = next(iter(self._reports.values())).armed.version
+            self._armed_version = reports[0].armed.version
             self.phase = Phase.RELEASING
         else:
-            self._clear()
+            self._clear(_last_rank_of(reports, self._own_rank))
+
+    def _settled(self, now_ms: int) -> list[RankReport]:
+        """Return the reports of ranks that take no order of an earlier leader."""
+        return [
+            report
+            for rank, report in self._reports.items()
+            if report.term >= self.term
+            and report.open
+            and now_ms - self._seen_ms[rank] <= REPORT_LIMIT_MS
+        ]
+
+    def _settle_without_one(self, reports: list[RankReport], now_ms: int) -> None:
+        """Clear a switch whose last rank says nothing and can't have been armed."""
+        if len(reports) < self._ranks - 1 or self._settling_ms is None:
+            return
+        if now_ms - self._settling_ms < ABSENCE_MS:
+            return
+        if all(report.held is None for report in reports):
+            return
+        missing = set(range(self._ranks)) - {report.rank for report in reports}
+        (absent,) = missing
+        newest = max(map(_newest_version, reports))
+        others_armed = all(
+            report.armed is not None and report.armed.version == newest
+            for report in reports
+        )
+        if newest and last_rank(newest) == absent and not others_armed:
+            self._absent = absent
+            self._reports.pop(absent, None)
+            self._seen_ms.pop(absent, None)
+            self._clear(absent)
 
     def _end_settling(self) -> None:
         self._first_step = max(report.step for report in self._reports.values())
@@ -244,11 +341,10 @@
             self._abandon()
 
     def _hold(self, now_ms: int) -> None:
-        own = self._reports[self._own_rank]
-        if own.held == self._step:
+        if self._reports[self._standby].held == self._step:
             self._arm_until_ms = now_ms + ARM_LIMIT_MS
             self.phase = Phase.ARMING
-        elif own.step >= self._step:
+        elif self._last_step() >= self._step:
             self._choose_step()
         elif now_ms > self._copy_until_ms:
             self._abandon()
@@ -259,7 +355,7 @@
             self._armed_version = self._version
             self.phase = Phase.RELEASING
         elif now_ms > self._arm_until_ms:
-            self._clear()
+            self._clear(self._own_rank)
 
     def _release(self, now_ms: int) -> None:
         reports = self._reports.values()
@@ -276,7 +372,7 @@
         self.phase = Phase.IDLE
 
     def _clear_arms(self, now_ms: int) -> None:
-        reports = self._reports.values()
+        reports = self._present()
         if any(report.armed for report in reports):
             return
         if any(report.prepared != self._clear_version for report in reports):
@@ -290,11 +386,10 @@
     # What the phases share.
 
     def _choose_step(self) -> None:
-        own = self._reports[self._own_rank]
         # A `go` for a pass that was held before may still be carried out late; on an
         # idle group, which begins no passes, it would end a second hold of the same
         # pass too soon.
-        self._step = max(own.step + HOLD_AHEAD, self._held_step + 1)
+        self._step = max(self._last_step() + self._hold_ahead, self._held_step + 1)
         self._held_step = self._step
         self.phase = Phase.HOLDING
 
@@ -304,10 +399,20 @@
         self._forget_orders()
         self.phase = Phase.IDLE
 
-    def _clear(self) -> None:
-        self._clear_version = self._new_version()
+    def _clear(self, last: int) -> None:
+        self._clear_version = self._new_version(last)
         self.phase = Phase.CLEARING
 
+    def _present(self) -> list[RankReport]:
+        """Return the reports of all ranks but the one that is gone on without."""
+        return [
+            report for rank, report in self._reports.items() if rank != self._absent
+        ]
+
+    def _last_step(self) -> int:
+        """Return the last pass begun that any rank has spoken of."""
+        return max(report.step for report in self._reports.values())
+
     def _refused(self, order: Order, now_ms: int) -> None:
         self._sent_ms.pop(_key(order), None)
         if order.kind is OrderKind.HOLD and self.phase is Phase.HOLDING:
@@ -316,7 +421,7 @@
         elif order.kind is OrderKind.ARM and self.phase is Phase.ARMING:
             report = self._reports.get(order.rank)
             if report is not None and report.armed != Armed(order.version, order.step):
-                self._clear()
+                self._clear(self._own_rank)
         elif order.kind is OrderKind.PREPARE and self.phase is Phase.COPYING:
             # One whose first answer was lost may be refused because it is under way.
             if order.version == self._version and _key(order) not in self._unsure:
@@ -324,10 +429,11 @@
             self._sent_ms[_key(order)] = now_ms
 
     def _wanted(self) -> t.Iterator[Order]:
-        if len(self._reports) < self._ranks:
+        reports = self._present()
+        if len(reports) + (self._absent is not None) < self._ranks:
             return
-        for rank, report in self._reports.items():
-            order = self._order_for(rank, report)
+        for report in reports:
+            order = self._order_for(report.rank, report)
             if order is not None:
                 yield order
 
@@ -341,9 +447,11 @@
                 version=self._version,
                 placement=self._target,
             )
-        if phase is Phase.HOLDING and rank == self._own_rank:
+        if phase is Phase.HOLDING and rank == self._standby:
             return Order(rank, OrderKind.HOLD, epoch, step=self._step)
         if phase is Phase.ARMING and report.armed is None:
+            if rank == self._own_rank and not self._others_armed():
+                return None
             return Order(
                 rank, OrderKind.ARM, epoch, version=self._version, step=self._step
             )
@@ -355,24 +463,52 @@
 
     def _clearing_order(self, rank: int, report: RankReport) -> Order | None:
         epoch, version = self.epoch, self._clear_version
+        if rank != last_rank(version) and not self._last_is_void():
+            return None
         if report.armed is not None:
             return Order(rank, OrderKind.DISARM, epoch, version=report.armed.version)
         if report.prepared != version:
-            placement = self.placement
+            placement = self._current_placement()
             if placement is None:
                 return None
             return Order(
                 rank, OrderKind.PREPARE, epoch, version=version, placement=placement
             )
         # Only now is no `arm` left that could take effect once the pass may begin.
-        void = all(
-            other.armed is None and other.prepared == version
-            for other in self._reports.values()
-        )
-        if void and report.held is not None:
+        if all(map(self._is_void, self._present())) and report.held is not None:
             return Order(rank, OrderKind.GO, epoch, step=report.held)
         return None
 
+    def _others_armed(self) -> bool:
+        goal = Armed(self._version, self._step)
+        return all(
+            report.armed == goal
+            for rank, report in self._reports.items()
+            if rank != self._own_rank
+        )
+
+    def _is_void(self, report: RankReport) -> bool:
+        """Whether no arm that was ever sent to a rank can take effect any more."""
+        return report.armed is None and report.prepared == self._clear_version
+
+    def _last_is_void(self) -> bool:
+        last = last_rank(self._clear_version)
+        return last == self._absent or self._is_void(self._reports[last])
+
+    def _current_placement(self) -> Placement | None:
+        """Return the map in force; an absent rank's part is what nobody else holds."""
+        if self._absent is None:
+            return self.placement
+        held = {report.rank: report.experts for report in self._present()}
+        if None in held.values() or not self.experts:
+            return None
+        layers = zip(*(held[rank] for rank in sorted(held)), strict=True)
+        held[self._absent] = tuple(
+            tuple(sorted(set(range(self.experts)).difference(*layer)))
+            for layer in layers
+        )
+        return tuple(zip(*(held[rank] for rank in range(self._ranks)), strict=True))
+
     def _is_due(self, order: Order, now_ms: int) -> bool:
         key = _key(order)
         sent_ms = self._sent_ms.get(key)
@@ -392,10 +528,10 @@
         versions = {report.map_version for report in self._reports.values()}
         return versions.pop() if len(versions) == 1 else None
 
-    def _new_version(self) -> int:
+    def _new_version(self, last: int) -> int:
         number = self._next_number
         self._next_number += 1
-        return self.term * VERSIONS_PER_TERM + number
+        return self.term * VERSIONS_PER_TERM + number * RANKS_PER_VERSION + last
 
     def _forget_orders(self) -> None:
         self._sent_ms.clear()
@@ -403,6 +539,19 @@
         self._unsure.clear()
 
 
+def _newest_version(report: RankReport) -> int:
+    armed = 0 if report.armed is None else report.armed.version
+    return max(report.prepared, armed)
+
+
+def _last_rank_of(reports: t.Iterable[RankReport], default: int) -> int:
+    """Return the last rank of the switch that the ranks are in."""
+    newest = max(map(_newest_version, reports))
+    return last_rank(newest) if newest else default
+
+
+#: Phases in which one rank may be gone on without.
+_PHASES_WITHOUT_ONE = (Phase.SETTLING, Phase.CLEARING, Phase.IDLE)
 #: Phases in which no arm is out, so that a hold that shows may end at once.
 _FREE_PHASES = (Phase.IDLE, Phase.COPYING, Phase.RELEASING)
 
--- a/packages/gateway/src/fuchsiahatch_gateway/agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/agent.py
@@ -21,6 +21,8 @@
     OrderRequest,
     Peer,
     RankState,
+    StandbyNotice,
+    TakeoverNotice,
     encode,
 )
 from fuchsiahatch_gateway.defaults import (
@@ -34,10 +36,17 @@
 from fuchsiahatch_gateway.following import Follower, StoreHealth
 from fuchsiahatch_gateway.group_leader import GroupLeader
 from fuchsiahatch_gateway.item_decoding import ItemDecoder
-from fuchsiahatch_gateway.leadership import LeaderRecord, Leadership, decode_leader_peer
+from fuchsiahatch_gateway.leadership import (
+    LeaderRecord,
+    Leadership,
+    decode_leader_peer,
+    takeover_term,
+    term_of,
+)
 from fuchsiahatch_gateway.lookups import EntryRecord, decode_entry
 from fuchsiahatch_gateway.rank_agent import RankAgent
 from fuchsiahatch_gateway.routes import shortest_gap_ms
+from fuchsiahatch_gateway.standby import Standby
 from fuchsiahatch_http1.client import ConnectionPool
 
 if t.TYPE_CHECKING:
@@ -83,6 +92,10 @@
         self.rank = RankAgent(self.upstream, self._upstream_address)
         self.leadership = Leadership(self.store, settings.node, self.peer, clock)
         self.leader: GroupLeader | None = None
+        self.standby = Standby()
+        #: Who ends a silent leader's switch, while this agent does so.
+        self.takeover: GroupLeader | None = None
+        self._takeovers: dict[str, LeaderRecord] = {}
         # One watch for entries and leaders: each one that waits is a priced call.
         self._follower = Follower(
             self.store, KEY_PREFIX, self.health, clock, self._apply_items
@@ -157,21 +170,32 @@
             self.datagrams.send_encoded(data, entry.peer)
 
     def _send_state(self, state: RankState) -> None:
-        leader = self._leaders.get(state.group)
+        leader = self._find_leader(state.group)
         if leader is None:
             return
         if leader.peer == self.peer:
-            if self.leader is not None:
-                self.leader.take_state(state, self.peer)
+            for own in self._led():
+                own.take_state(state, self.peer)
             return
         self.datagrams.send(state, leader.peer)
 
+    def _find_leader(self, group: str) -> LeaderRecord | None:
+        """Return the leader of the highest term that this agent has heard of."""
+        known = (self._leaders.get(group), self._takeovers.get(group))
+        heard = (leader for leader in known if leader is not None)
+        return max(heard, key=lambda leader: leader.term, default=None)
+
+    def _led(self) -> list[GroupLeader]:
+        """Return what this agent leads, be it elected or as a standby."""
+        return [one for one in (self.leader, self.takeover) if one is not None]
+
     async def _lead_for_ever(self) -> None:
         while not self._process.stopping.is_set():
             await asyncio.sleep(0.02)
             seen = self.rank.seen
             if seen is None or not seen.group or seen.ranks < 2:
                 continue
+            await self._stand_by()
             known = self._leaders.get(seen.group)
             if self.leader is None:
                 if self._follower.synced:
@@ -181,6 +205,62 @@
             else:
                 self.leader.work()
 
+    async def _stand_by(self) -> None:
+        """Take over from a leader that is silent while passes are held here."""
+        if self.takeover is not None:
+            self._go_on_with_takeover()
+            return
+        notice = self.standby.notice
+        if notice is None or not self.standby.suspects(self._clock.now_ms()):
+            return
+        try:
+            seen = await self.rank.read_report()
+        except PlatformError as fault:
+            log_event(Event.UPSTREAM_SILENT, detail=fault.detail)
+            return
+        if seen.held is not None and self.rank.term == notice.term:
+            self._begin_takeover(notice, seen)
+        self.standby.forget()
+
+    def _begin_takeover(self, notice: StandbyNotice, seen: "EngineReport") -> None:
+        term = takeover_term(notice.term)
+        log_event(Event.TAKEOVER_BEGUN, group=notice.group, term=term, step=seen.held)
+        self.rank.note_term(term)
+        self.takeover = GroupLeader(
+            notice.group,
+            term,
+            seen.rank,
+            seen.ranks,
+            self.rank,
+            self.peer,
+            self.datagrams,
+            self._clock,
+            self._connect_engine,
+            self._list_engines,
+            lambda: self.rank.term == term,
+            lambda: False,
+            takes_over=True,
+        )
+        self.takeover.introduce(notice.peers)
+        self._takeovers[notice.group] = LeaderRecord(notice.group, term, self.peer)
+        self._process.keep_running(self._send_state_now())
+
+    def _go_on_with_takeover(self) -> None:
+        takeover = self.takeover
+        assert takeover is not None
+        takeover.work()
+        if takeover.ended or not takeover.may_lead():
+            log_event(Event.TAKEOVER_ENDED, phase=takeover.switch.phase.value)
+            takeover.stop()
+            self.takeover = None
+
+    async def _send_state_now(self) -> None:
+        """Tell the leader of this rank's state before the next report is due."""
+        try:
+            self._send_state(await self.rank.read_state(with_choices=False))
+        except PlatformError as fault:
+            log_event(Event.UPSTREAM_SILENT, detail=fault.detail)
+
     def _is_replaced(self) -> bool:
         """Return whether another agent leads, or may do so by now.
 
@@ -188,7 +268,8 @@
         order anything depends on the other agents.
         """
         leadership = self.leadership
-        if self.rank.term > leadership.term:
+        assert self.leader is not None
+        if self.rank.term > leadership.term or self.leader.switch.replaced:
             return True
         return not leadership.held and not leadership.unanswered
 
@@ -206,6 +287,10 @@
     def _start_leading(self, group: str, rank: int, ranks: int) -> None:
         term = self.leadership.term
         log_event(Event.TERM_WON, group=group, term=term, rank=rank)
+        # While the ranks settle, not with the first demand: it takes 0.4 s, for which
+        # passes were three times as long as they need be.
+        import fuchsiahatch_experts.drift  # noqa: F401
+
         self.rank.note_term(term)
         self._process.keep_running(self.leadership.renew_for_ever())
         self.leader = GroupLeader(
@@ -214,6 +299,7 @@
             rank,
             ranks,
             self.rank,
+            self.peer,
             self.datagrams,
             self._clock,
             self._connect_engine,
@@ -257,7 +343,7 @@
         self._entries = self._records.decode_all(self._items_below(ENTRIES_PREFIX))
         led = self._items_below(LEADERS_PREFIX)
         self._leaders = {
-            group: LeaderRecord(group, led[group].created, peer)
+            group: LeaderRecord(group, term_of(led[group].created), peer)
             for group, peer in self._leader_peers.decode_all(led).items()
         }
         self._note_leader()
@@ -289,20 +375,36 @@
         # knows its own group would never tell that leader that it obeys its term, and
         # the leader would wait for ever.
         group = "" if self.rank.seen is None else self.rank.seen.group
-        leader = self._leaders.get(group)
+        leader = self._find_leader(group)
         if leader is not None:
             self.rank.note_term(leader.term)
 
     def _take_message(self, message: Message, peer: Peer) -> None:
         if isinstance(message, RankState):
-            if self.leader is not None:
-                self.leader.take_state(message, peer)
+            for own in self._led():
+                own.take_state(message, peer)
+        elif isinstance(message, StandbyNotice):
+            self.standby.note(message, self._clock.now_ms())
+            if message.asks_state:
+                self._process.keep_running(self._send_state_now())
+        elif isinstance(message, TakeoverNotice) and self._follower.synced:
+            self._obey_takeover(message, peer)
         elif isinstance(message, OrderRequest) and self._follower.synced:
             # An agent that has just started knows no term: before it has read who
             # leads, an order of a leader that was replaced would look like any other.
             self._process.keep_running(self._carry_out(message, peer))
-        elif isinstance(message, OrderReply) and self.leader is not None:
-            self.leader.take_reply(message)
+        elif isinstance(message, OrderReply):
+            for own in self._led():
+                own.take_reply(message)
+
+    def _obey_takeover(self, notice: TakeoverNotice, peer: Peer) -> None:
+        """Obey a standby, and tell it of this rank at once: passes are held."""
+        seen = self.rank.seen
+        if seen is None or seen.group != notice.group or notice.term < self.rank.term:
+            return
+        self._takeovers[notice.group] = LeaderRecord(notice.group, notice.term, peer)
+        self.rank.note_term(notice.term)
+        self._process.keep_running(self._send_state_now())
 
     async def _carry_out(self, request: OrderRequest, peer: Peer) -> None:
         result = await self.rank.carry_out(request)
--- a/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
@@ -103,7 +103,59 @@
     result: OrderResult
 
 
-Message = LoadReport | RankState | OrderRequest | OrderReply
+class StandbyNotice(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """Word of a leader to its standby that a switch is under way.
+
+    Attributes
+    ----------
+    group : str
+    term : int
+    peers : dict of int to Peer
+        Where the agents of the ranks take datagrams.
+    asks_state : bool
+        Whether the standby is to send its rank's state at once.
+    """
+
+    group: str
+    term: int
+    peers: dict[int, Peer]
+    asks_state: bool = False
+
+    def __post_init__(self) -> None:
+        for peer in self.peers.values():
+            check_peer(peer)
+
+
+class TakeoverNotice(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """Word of a standby to all agents that it ends its silent leader's switch."""
+
+    group: str
+    term: int
+
+
+class EntryBeat(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Heartbeat of an entry to another one.
+
+    Attributes
+    ----------
+    node : str
+    serving : bool
+        Whether callers may come; False from one that leaves.
+    """
+
+    node: str
+    serving: bool
+
+
+Message = (
+    LoadReport
+    | RankState
+    | OrderRequest
+    | OrderReply
+    | StandbyNotice
+    | TakeoverNotice
+    | EntryBeat
+)
 
 _DECODER = msgspec.msgpack.Decoder(Message)
 
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -10,6 +10,7 @@
 from fuchsiahatch_gateway.item_decoding import ItemDecoder
 
 if t.TYPE_CHECKING:
+    from fuchsiahatch_adapter.configuration import Engine
     from fuchsiahatch_adapter.store import Item
     from fuchsiahatch_core.clock import Clock
     from fuchsiahatch_gateway.datagrams import LoadReport
@@ -86,12 +87,19 @@
             return self.own
         return self.own + self.others
 
-    def places(self) -> float:
+    def places(self, engine: "Engine | None", fastest_pace: float) -> float:
         """Return how many requests it is given; fewer where it is slow.
 
-        All ranks of a group wait for the slowest one's own requests in each pass.
+        Parameters
+        ----------
+        engine : Engine or None
+            How its service's engines work.
+        fastest_pace : float
+            Pace of the fastest rank of its group.
         """
-        return max(1.0, self.entry.places / self.pace)
+        if engine is None or not engine.expert_layers:
+            return max(1.0, self.entry.places / self.pace)
+        return places_of_rank(engine, self.entry.places, self.pace / fastest_pace)
 
     def note_failure(self, now_ms: int) -> None:
         """Count a failure against the upstream."""
@@ -113,6 +121,29 @@
         self.latency_ms += LATENCY_WEIGHT * (latency_ms - self.latency_ms)
 
 
+def places_of_rank(engine: "Engine", places: int, slowness: float) -> float:
+    """Return how many requests a slow rank may have before its group waits for it.
+
+    All ranks wait in each pass for the one whose own requests take longest. A slow rank
+    is filled up to the time that a full one of the usual pace takes: none at all from
+    twice that time on, with 6 places. With one place at least, an engine at a
+    twelfth of its pace kept passes at 315 ms after its experts had left it.
+
+    Parameters
+    ----------
+    engine : Engine
+    places : int
+        Requests of a rank of the usual pace.
+    slowness : float
+        Its time for a step over the usual.
+    """
+    if slowness <= 1.0 or not engine.step_ms_per_request:
+        return places / slowness
+    full_ms = engine.step_ms + engine.step_ms_per_request * places
+    left_ms = full_ms / slowness - engine.step_ms
+    return max(0.0, left_ms // engine.step_ms_per_request)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Fastest:
     """The best figures among the upstreams to choose from; 0 where none is known."""
@@ -137,8 +168,9 @@
         By instance.
     on_gone : callable
         Is given the entry of each upstream that is gone.
-    reports_load : callable
-        Returns whether the upstreams of a service have agents that report their load.
+    engine_of : callable
+        Returns how a service's model engines work, whose agents report their load;
+        None for a plain service.
     """
 
     __slots__ = (
@@ -149,8 +181,8 @@
         "_reports",
         "_rng",
         "_zone",
+        "engine_of",
         "on_gone",
-        "reports_load",
         "upstreams",
     )
 
@@ -164,7 +196,7 @@
         self._first_seen_ms: dict[str, int] = {}
         self.upstreams: dict[str, Upstream] = {}
         self.on_gone: t.Callable[[UpstreamEntry], None] = lambda entry: None
-        self.reports_load: t.Callable[[str], bool] = lambda service: False
+        self.engine_of: t.Callable[[str], Engine | None] = lambda service: None
 
     def apply(self, items: t.Mapping[str, "Item"]) -> None:
         """Take over the upstreams' entries, as they are in the store now."""
@@ -223,7 +255,7 @@
             first_ms is not None
             and service not in self._reports
             and self._clock.now_ms() - first_ms < FIRST_REPORT_MS
-            and self.reports_load(service)
+            and self.engine_of(service) is not None
         )
 
     def is_usable(self, upstream: Upstream) -> bool:
@@ -241,10 +273,13 @@
             Instances that are chosen only when there is no other.
         """
         now_ms = self._clock.now_ms()
+        usable = self.usable(service)
+        engine = self.engine_of(service)
+        paces = _fastest_paces(usable)
         free = [
             upstream
-            for upstream in self.usable(service)
-            if upstream.load(now_ms) < upstream.places()
+            for upstream in usable
+            if upstream.load(now_ms) < upstream.places(engine, paces[upstream.group])
         ]
         candidates = self._untried(free, tried)
         if not candidates:
@@ -333,6 +368,14 @@
         return fresh
 
 
+def _fastest_paces(upstreams: t.Iterable[Upstream]) -> dict[str, float]:
+    """Return the pace of the fastest upstream of each group."""
+    paces: dict[str, float] = {}
+    for one in upstreams:
+        paces[one.group] = min(one.pace, paces.get(one.group, one.pace))
+    return paces
+
+
 def newest_by_address(
     entries: t.Mapping[str, UpstreamEntry], items: t.Mapping[str, "Item"]
 ) -> dict[str, UpstreamEntry]:
--- a/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
@@ -6,16 +6,19 @@
 
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import PlatformError
-from fuchsiahatch_experts.rank_orders import Order, OrderResult, RankReport
-from fuchsiahatch_experts.switching import Phase, Switch
+from fuchsiahatch_experts.rank_orders import Order, OrderKind, OrderResult, RankReport
+from fuchsiahatch_experts.switching import HOLD_AHEAD, Phase, Switch, standby_of
 from fuchsiahatch_gateway.datagrams import (
     DatagramPort,
     OrderReply,
     OrderRequest,
     Peer,
     RankState,
+    StandbyNotice,
+    TakeoverNotice,
 )
 from fuchsiahatch_gateway.pass_forecast import PassForecast
+from fuchsiahatch_gateway.rank_agent import RankAgent
 from fuchsiahatch_gateway.silent_agents import SilentAgents
 from fuchsiahatch_gateway.tasks import Tasks
 
@@ -24,7 +27,6 @@
     from fuchsiahatch_adapter.model_engine import ModelEngine
     from fuchsiahatch_core.clock import Clock
     from fuchsiahatch_experts.drift import Demand
-    from fuchsiahatch_gateway.rank_agent import RankAgent
 
 #: Requests in ranks' states that must be known before a map is changed.
 LEAST_WEIGHT = 4.0
@@ -45,8 +47,19 @@
 FINISH_POLL_MS = 10
 #: Time that a leader which stops gives its switch.
 FINISH_LIMIT_MS = 2_000
-#: The leader's own rank needs no datagrams.
-_OWN_PEER = ("", 0)
+#: Passes of this length or more leave time to hold the very next one: a hold and its
+#: arms take some 20 ms. Holding the second next would cost a pass of up to 1.5 s more.
+LONG_PASS_MS = 200
+#: Pause between two notices to the standby, or to agents that don't obey it yet.
+NOTICE_MS = 20
+#: Phases in which a switch is under way.
+_SWITCHING = (
+    Phase.COPYING,
+    Phase.HOLDING,
+    Phase.ARMING,
+    Phase.RELEASING,
+    Phase.CLEARING,
+)
 
 
 class GroupLeader:
@@ -58,6 +71,8 @@
     term, rank, ranks : int
     own : RankAgent
         The leader's own rank.
+    own_peer : Peer
+        Where its agent takes datagrams.
     datagrams : DatagramPort
     clock : Clock
     engine_of : callable
@@ -68,6 +83,8 @@
         Whether the leader's lease is valid.
     lacks_store : callable
         Whether the store doesn't answer, so that the lease can't be renewed.
+    takes_over : bool, optional
+        Whether it only ends a switch of the leader whose standby it is.
 
     Attributes
     ----------
@@ -85,23 +102,29 @@
         term: int,
         rank: int,
         ranks: int,
-        own: "RankAgent",
+        own: RankAgent,
+        own_peer: Peer,
         datagrams: DatagramPort,
         clock: "Clock",
         engine_of: t.Callable[[str], "ModelEngine"],
         list_engines: t.Callable[[], t.Awaitable[t.Sequence[str]]],
         has_lease: t.Callable[[], bool],
         lacks_store: t.Callable[[], bool],
+        takes_over: bool = False,
     ) -> None:
         self._group = group
         self._term = term
         self._rank = rank
         self._ranks = ranks
         self._own = own
+        self._own_peer = own_peer
         self._datagrams = datagrams
         self._clock = clock
         self._has_lease = has_lease
         self._lacks_store = lacks_store
+        self._takes_over = takes_over
+        self._standby = standby_of(rank, ranks)
+        self._noticed_ms = 0
         self._obeyed_ms: dict[int, int] = {}
         self._paces: dict[int, float] = {}
         self.engine: Engine | None = None
@@ -116,7 +139,9 @@
         self._stopping = False
         self._phase = Phase.SETTLING
         self._phase_ms = clock.now_ms()
-        self.switch = Switch(term, rank, ranks)
+        self.switch = Switch(term, rank, ranks, may_start=not takes_over)
+        self._engine_of = engine_of
+        self._holder: RankAgent | None = None
         self._silent = SilentAgents(
             group, term, rank, ranks, engine_of, list_engines, self._take_report
         )
@@ -136,10 +161,15 @@
         self._paces[rank] = state.pace
         self._silent.note_heard(rank, state.upstream, now_ms)
         self._note_obedience(rank, state.report.term, now_ms)
+        self.switch.experts = self._own.experts_per_layer
         self.switch.observe(state.report, now_ms)
         self._count(state, now_ms)
         self.work()
 
+    def introduce(self, peers: t.Mapping[int, Peer]) -> None:
+        """Learn where the agents of other ranks take datagrams."""
+        self._peers.update(peers)
+
     def take_reply(self, reply: OrderReply) -> None:
         """Take in an agent's answer to an order."""
         asked = self._asked.pop(reply.number, None)
@@ -165,6 +195,7 @@
             self._plan(now_ms)
         if self._has_lease():
             self._silent.work(self.switch.phase, now_ms)
+        self._notify(now_ms)
         for order in self.switch.orders(now_ms):
             self._send(order, now_ms)
         self._log_phase(now_ms)
@@ -188,6 +219,12 @@
         oldest_ms = min(self._obeyed_ms.values())
         return self._clock.now_ms() - oldest_ms <= OBEYED_MS
 
+    @property
+    def ended(self) -> bool:
+        """Whether there is nothing left to do for one that took over."""
+        phase = self.switch.phase
+        return self.switch.replaced or (self._takes_over and phase is Phase.IDLE)
+
     def stop(self) -> None:
         """Do nothing more."""
         self._silent.stop()
@@ -203,6 +240,25 @@
             self.work()
             await asyncio.sleep(FINISH_POLL_MS / 1000)
 
+    def _notify(self, now_ms: int) -> None:
+        """Tell the standby of a switch, or all agents that the standby takes over."""
+        if now_ms - self._noticed_ms < NOTICE_MS:
+            return
+        self._noticed_ms = now_ms
+        if self._takes_over:
+            takeover = TakeoverNotice(self._group, self._term)
+            for rank, peer in self._peers.items():
+                if rank != self._rank and rank not in self._obeyed_ms:
+                    self._datagrams.send(takeover, peer)
+        elif self.switch.phase in _SWITCHING:
+            self._notify_standby(asks_state=False)
+
+    def _notify_standby(self, asks_state: bool) -> None:
+        peer = self._peers.get(self._standby)
+        if peer is not None:
+            notice = StandbyNotice(self._group, self._term, self._peers, asks_state)
+            self._datagrams.send(notice, peer)
+
     def _note_obedience(self, rank: int, term: int, now_ms: int) -> None:
         if term == self._term:
             self._obeyed_ms[rank] = now_ms
@@ -240,20 +296,30 @@
         looked_ms = self._forecast.looked_ms
         if looked_ms is not None and now_ms - looked_ms < LOOK_PAUSE_MS:
             return
-        from fuchsiahatch_experts.drift import expected_skew, plan_change
+        from fuchsiahatch_experts.drift import (
+            copies_in_a_pass,
+            expected_skew,
+            plan_change,
+        )
 
         paces = [self._paces.get(rank, 1.0) for rank in range(self._ranks)]
         skew = expected_skew(placement, demand, paces)
         pass_ms = self._forecast.expect_ms(self._own.pass_ms, skew, now_ms)
         if pass_ms < EASY_PASS_SHARE * self.gap_ms:
             return
-        plan = plan_change(placement, demand, engine.expert_places, paces)
-        if plan is None or not self.switch.start(plan.placement, now_ms):
+        spare = engine.spare_places or 1
+        copies = copies_in_a_pass(pass_ms, engine.copy_ms, spare * engine.expert_layers)
+        plan = plan_change(
+            placement, demand, engine.expert_places, paces, copies, spare
+        )
+        ahead = 1 if self._own.pass_ms >= LONG_PASS_MS else HOLD_AHEAD
+        if plan is None or not self.switch.start(plan.placement, now_ms, ahead):
             return
         log_event(
             Event.MAP_PLANNED,
             group=self._group,
             copies=plan.copies,
+            copies_per_rank=copies,
             pass_ms=round(self._own.pass_ms, 1),
             expected_pass_ms=round(pass_ms, 1),
             skew_before=round(plan.skew_before, 3),
@@ -266,6 +332,9 @@
         if order.rank == self._rank:
             self._tasks.begin(self._give_own(order))
             return
+        if order.kind is OrderKind.HOLD:
+            self._tasks.begin(self._give_hold(order))
+            return
         speaker = self._silent.speaker(order.rank)
         if speaker is not None:
             if not self._has_lease():
@@ -287,15 +356,32 @@
         self.switch.answered(order, result, self._clock.now_ms())
         try:
             async for state in self._own.follow_effect(order):
-                self.take_state(state, _OWN_PEER)
+                self.take_state(state, self._own_peer)
         except PlatformError as fault:
             log_event(Event.UPSTREAM_SILENT, detail=fault.detail)
 
+    async def _give_hold(self, order: Order) -> None:
+        """Give a hold to the standby's engine, and ask the standby for its effect.
+
+        Not through the standby's agent: its host would stand still with the hold if it
+        were the one that stops right behind it, and nobody could end it.
+        """
+        address = self._silent.address(order.rank)
+        if address is None or not self.may_lead():
+            return
+        if self._holder is None or self._holder.address != address:
+            self._holder = RankAgent(self._engine_of(address), address)
+        result = await self._holder.give_order(order)
+        # An engine tells other hosts what it was some 200 ms ago, its own agent what
+        # it is: with the former, passes were held for 68 ms more in each switch.
+        self._notify_standby(asks_state=True)
+        self.switch.answered(order, result, self._clock.now_ms())
+
     def _take_report(self, report: RankReport) -> None:
         self.switch.observe(report, self._clock.now_ms())
         self.work()
 
-    async def _give_directly(self, speaker: "RankAgent", order: Order) -> None:
+    async def _give_directly(self, speaker: RankAgent, order: Order) -> None:
         result = await speaker.give_order(order)
         self.switch.answered(order, result, self._clock.now_ms())
 
--- a/packages/gateway/src/fuchsiahatch_gateway/leadership.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/leadership.py
@@ -39,7 +39,7 @@
     ----------
     group : str
     term : int
-        Revision at which its key was made; each later leader's is higher.
+        Of `term_of`; each later leader's is higher.
     peer : Peer
     """
 
@@ -56,6 +56,19 @@
     peer: Peer
 
 
+def term_of(revision: int) -> int:
+    """Return the term of a leader whose key was made at a revision of the store.
+
+    The odd term behind it is its standby's, which needs no key to take over.
+    """
+    return 2 * revision
+
+
+def takeover_term(term: int) -> int:
+    """Return the term under which a leader's standby takes over."""
+    return term + 1
+
+
 def decode_leader_peer(group: str, value: bytes) -> Peer:
     """Decode where a group's leader takes datagrams.
 
@@ -188,7 +201,7 @@
         except FormError as fault:
             log_event(Event.ITEM_UNREADABLE, item=self._key, detail=fault.detail)
             return None
-        return LeaderRecord(group, item.created, peer)
+        return LeaderRecord(group, term_of(item.created), peer)
 
     async def _win(self, group: str) -> bool:
         self._key = LEADERS_PREFIX + group
@@ -205,9 +218,9 @@
         began_ms = self._clock.now_ms()
         lease = await self._store.grant(LEADER_TTL_MS)
         value = orjson.dumps({"node": self._node, "peer": self._peer})
-        term = await self._store.put(self._key, value, lease, expected=0)
+        revision = await self._store.put(self._key, value, lease, expected=0)
         self._lease = lease
         self.unanswered = False
-        self.term = term
+        self.term = term_of(revision)
         self._valid_until_ms = began_ms + LEADER_TTL_MS - LEASE_RESERVE_MS
         return True
--- a/packages/gateway/src/fuchsiahatch_gateway/main.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/main.py
@@ -1,16 +1,16 @@
 """The program: ``python3 -m fuchsiahatch_gateway.main entry`` or ``agent``."""
 
-import asyncio
 import sys
 import typing as t
 
-from twisted.internet import asyncioreactor
-
 from fuchsiahatch_adapter.node_settings import read_node_settings, settings_path
-from fuchsiahatch_core.clock import Clock
 from fuchsiahatch_core.exceptions import SettingsError
+from fuchsiahatch_http1.sockets import open_listening
 
 if t.TYPE_CHECKING:
+    import socket
+
+    from fuchsiahatch_adapter.node_settings import NodeSettings
     from fuchsiahatch_gateway.process import Process
 
 _EXIT_USAGE = 2
@@ -21,6 +21,21 @@
     roles = {"entry": _run_entry, "agent": _run_agent}
     if len(sys.argv) != 2 or sys.argv[1] not in roles:
         sys.exit("usage: python3 -m fuchsiahatch_gateway.main entry|agent")
+    try:
+        _run(roles[sys.argv[1]])
+    except SettingsError as fault:
+        print(f"fuchsiahatch: {fault}", file=sys.stderr)
+        sys.exit(_EXIT_USAGE)
+
+
+def _run(role: "_Role") -> None:
+    settings = read_node_settings(settings_path())
+    listening = _listen_early(settings)
+    # What takes most of the start comes behind the callers' socket.
+    import asyncio
+
+    from twisted.internet import asyncioreactor
+
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
     # Before any module that imports the reactor, which would install another one.
@@ -28,30 +43,52 @@
     from twisted.internet import reactor
 
     reactor.startRunning(installSignalHandlers=False)
+    loop.run_until_complete(role(settings, listening))
+
+
+def _listen_early(settings: "NodeSettings") -> "socket.socket | None":
+    """Open the callers' socket before all else is loaded, where callers come.
+
+    Loading takes some 0.3 s of a start. A caller who comes meanwhile waits for that
+    long; before, it was refused, had one try left, and with all entries killed at once
+    used it up as well.
+    """
+    if settings.callers is None:
+        return None
     try:
-        loop.run_until_complete(roles[sys.argv[1]]())
-    except SettingsError as fault:
-        print(f"fuchsiahatch: {fault}", file=sys.stderr)
-        sys.exit(_EXIT_USAGE)
+        return open_listening(settings.callers.ip, settings.callers.port)
+    except OSError as fault:
+        # The former process may hold the address for a moment; the usual way tells.
+        print(f"fuchsiahatch: {settings.callers}: {fault}", file=sys.stderr)
+        return None
 
 
-async def _run_entry() -> None:
+async def _run_entry(
+    settings: "NodeSettings", listening: "socket.socket | None"
+) -> None:
     from fuchsiahatch_gateway.entry import Entry
 
-    await Entry(_start_process()).run()
+    await Entry(_start_process(settings), listening).run()
 
 
-async def _run_agent() -> None:
+async def _run_agent(
+    settings: "NodeSettings", listening: "socket.socket | None"
+) -> None:
     from fuchsiahatch_gateway.agent import Agent
 
-    await Agent(_start_process()).run()
+    await Agent(_start_process(settings)).run()
+
 
+_Role = t.Callable[
+    ["NodeSettings", "socket.socket | None"], t.Coroutine[t.Any, t.Any, None]
+]
 
-def _start_process() -> "Process":
+
+def _start_process(settings: "NodeSettings") -> "Process":
+    from fuchsiahatch_core.clock import Clock
     from fuchsiahatch_gateway.log import open_log
     from fuchsiahatch_gateway.process import Process
 
-    settings = read_node_settings(settings_path())
     log = open_log(settings.node, settings.role, Clock().now_ms)
     process = Process(settings, log)
     process.start()
--- a/packages/gateway/src/fuchsiahatch_gateway/rank_agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/rank_agent.py
@@ -40,6 +40,7 @@
 
     Attributes
     ----------
+    address : str
     seen : EngineReport or None
         The last report.
     term : int
@@ -49,7 +50,6 @@
     """
 
     __slots__ = (
-        "_address",
         "_choices",
         "_copy_s",
         "_experts",
@@ -58,6 +58,7 @@
         "_sequence",
         "_stepped",
         "_upstream",
+        "address",
         "pass_ms",
         "seen",
         "term",
@@ -65,7 +66,7 @@
 
     def __init__(self, upstream: ModelEngine, address: str) -> None:
         self._upstream = upstream
-        self._address = address
+        self.address = address
         self._sequence = 0
         self._choices: Choices | None = None
         self._experts: tuple[tuple[int, ...], ...] | None = None
@@ -90,11 +91,7 @@
         ------
         PlatformError
         """
-        seen = await self._upstream.report()
-        if self.seen is not None and seen.born_ms != self.seen.born_ms:
-            self._forget_life()
-        self.seen = seen
-        self._note_step(seen)
+        seen = await self.read_report()
         choices, totals = b"", ()
         if seen.group:
             await self._read_experts(seen)
@@ -103,15 +100,51 @@
         self._sequence += 1
         return RankState(
             seen.group,
-            self._address,
+            self.address,
             self._sequence,
-            self._make_report(seen),
+            self.make_report(seen),
             seen.running,
             seen.pace,
             choices,
             totals,
         )
 
+    async def read_report(self) -> "EngineReport":
+        """Read the upstream's report alone.
+
+        Raises
+        ------
+        PlatformError
+        """
+        seen = await self._upstream.report()
+        if self.seen is not None and seen.born_ms != self.seen.born_ms:
+            self._forget_life()
+        self.seen = seen
+        self._note_step(seen)
+        return seen
+
+    def make_report(self, seen: "EngineReport") -> RankReport:
+        """Return the engine's report as the leader of its group gets it."""
+        return RankReport(
+            rank=seen.rank,
+            epoch=seen.epoch,
+            term=self.term,
+            open=seen.open,
+            step=seen.step,
+            map_version=seen.map_version,
+            prepared=seen.prepared,
+            armed=seen.armed,
+            held=seen.held,
+            experts=self._experts,
+        )
+
+    @property
+    def experts_per_layer(self) -> int:
+        """Experts of a layer; 0 before the first choices were read."""
+        if self._choices is None or not self._layers:
+            return 0
+        return len(self._choices.counts) // self._layers
+
     def _forget_life(self) -> None:
         """Forget what was read of the engine's former life: its counts began anew."""
         self._choices = None
@@ -191,20 +224,6 @@
                     self._copy_s = loop.time() - began
                 yield state
 
-    def _make_report(self, seen: "EngineReport") -> RankReport:
-        return RankReport(
-            rank=seen.rank,
-            epoch=seen.epoch,
-            term=self.term,
-            open=seen.open,
-            step=seen.step,
-            map_version=seen.map_version,
-            prepared=seen.prepared,
-            armed=seen.armed,
-            held=seen.held,
-            experts=self._experts,
-        )
-
     async def _read_experts(self, seen: "EngineReport") -> None:
         """Read which experts the rank holds, once for each map."""
         wanted = (seen.epoch, seen.map_version)
--- a/packages/gateway/src/fuchsiahatch_gateway/routes.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/routes.py
@@ -6,6 +6,7 @@
 
 from fuchsiahatch_adapter.configuration import (
     Configuration,
+    Engine,
     Route,
     Team,
     decode_configuration,
@@ -79,11 +80,11 @@
         )
         return True
 
-    def has_engine(self, service: str) -> bool:
-        """Return whether a service's upstreams are model engines with agents."""
+    def engine_of(self, service: str) -> Engine | None:
+        """Return how a service's model engines work; None for a plain service."""
         known = self.configuration
         found = None if known is None else known.services.get(service)
-        return found is not None and found.engine is not None
+        return None if found is None else found.engine
 
     def match(self, request: "CallerRequest") -> Match:
         """Return a request's route and team.
--- a/packages/gateway/src/fuchsiahatch_gateway/silent_agents.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/silent_agents.py
@@ -99,6 +99,10 @@
         self._heard_ms[rank] = now_ms
         self._speakers.pop(rank, None)
 
+    def address(self, rank: int) -> str | None:
+        """Return the address of a rank's engine, if it is known."""
+        return self._addresses.get(rank)
+
     def speaker(self, rank: int) -> RankAgent | None:
         """Return who speaks with a rank's engine in place of its agent, if anybody."""
         return self._speakers.get(rank)
--- a/packages/http1/src/fuchsiahatch_http1/server.py
+++ b/packages/http1/src/fuchsiahatch_http1/server.py
@@ -3,13 +3,14 @@
 import asyncio
 import collections.abc
 import dataclasses
+import socket
 import typing as t
 
 import h11
 from twisted.internet import protocol, reactor
 from twisted.internet.endpoints import TCP4ServerEndpoint
 
-from fuchsiahatch_http1.sockets import set_options
+from fuchsiahatch_http1.sockets import BACKLOG, set_options
 
 if t.TYPE_CHECKING:
     from twisted.internet.interfaces import IListeningPort
@@ -17,9 +18,6 @@
 
 Headers = collections.abc.Sequence[tuple[bytes, bytes]]
 
-#: Connections that may wait to be accepted. With a short queue callers that all come
-#: at once, as when another entry has died, lose their opening packet for seconds.
-BACKLOG = 1_024
 #: Bytes of a next request that are taken while one is being answered.
 MAX_PIPELINED_BYTES = 65_536
 
@@ -126,12 +124,22 @@
 
     async def listen(self, ip: str, port: int) -> int:
         """Begin to accept connections and return the port."""
-        factory = protocol.Factory.forProtocol(lambda: ServerConnection(self))
         endpoint = TCP4ServerEndpoint(reactor, port, backlog=BACKLOG, interface=ip)
-        listening = endpoint.listen(factory)
+        listening = endpoint.listen(self._make_factory())
         self._port = await listening.asFuture(asyncio.get_running_loop())
         return self._port.getHost().port
 
+    def adopt(self, listening: socket.socket) -> None:
+        """Begin to accept the connections of a socket that listens already."""
+        self._port = reactor.adoptStreamPort(
+            listening.fileno(), socket.AF_INET, self._make_factory()
+        )
+        # The reactor has a descriptor of its own.
+        listening.close()
+
+    def _make_factory(self) -> protocol.Factory:
+        return protocol.Factory.forProtocol(lambda: ServerConnection(self))
+
     async def close(self) -> None:
         """Accept no further connections and reset those that are open."""
         await self.stop_accepting()
--- a/packages/standins/src/fuchsiahatch_standins/rank_group.py
+++ b/packages/standins/src/fuchsiahatch_standins/rank_group.py
@@ -41,6 +41,8 @@
     lost_share, late_share : float
         Share of the orders that are carried out and not answered, and that are not
         answered and carried out later.
+    unreached : set of int
+        Ranks whose hosts stand still: their engines go on, and answer nobody.
     mixed : list of str
         Passes that began with mixed maps; must stay empty.
     switches : int
@@ -59,6 +61,7 @@
         self.lost_share = 0.0
         self.late_share = 0.0
         self.late_ms = (50, 400)
+        self.unreached: set[int] = set()
         self.mixed: list[str] = []
         self.switches = 0
         self.step = 0
@@ -124,6 +127,8 @@
         self, number: int
     ) -> t.Callable[[Exchange], t.Coroutine[t.Any, t.Any, None]]:
         async def handle(exchange: Exchange) -> None:
+            if number in self.unreached:
+                await asyncio.sleep(30)
             path, _, query = exchange.target.decode().partition("?")
             if path == "/-/report":
                 exchange.respond(200, (), orjson.dumps(self._report(number)))
--- a/tests/experts/test_drift.py
+++ b/tests/experts/test_drift.py
@@ -3,7 +3,13 @@
 import numpy as np
 
 from fuchsiahatch_experts import drift
-from fuchsiahatch_experts.drift import Demand, as_map, as_placement, plan_change
+from fuchsiahatch_experts.drift import (
+    Demand,
+    as_map,
+    as_placement,
+    copies_in_a_pass,
+    plan_change,
+)
 from fuchsiahatch_experts.maps import check_map, count_moves, rank_loads
 
 LAYERS, EXPERTS, RANKS, PLACES = 2, 16, 4, 6
@@ -65,6 +71,28 @@
         loads = rank_loads(as_map(placement, EXPERTS), demand.weights)
         self.assertLess(loads[:, 0].max(), 0.4 * loads[:, 1].max())
 
+    def test_a_slow_rank_is_relieved_in_one_change_where_passes_are_long(self):
+        # All streams of a service crawl for 3.7 s: its passes took a second, and each
+        # change of map, of one copy a rank, waited for two of them.
+        demand = Demand(LAYERS, EXPERTS)
+        demand.add(np.full((LAYERS, EXPERTS), 1 / EXPERTS), 6, 0)
+        paces = [12.0, 1.0, 1.0, 1.0]
+        copies = copies_in_a_pass(1_000.0, 98.0, 3 * LAYERS)
+        self.assertEqual(copies, 3 * LAYERS)
+        few = plan_change(first_map(), demand, PLACES, paces)
+        many = plan_change(first_map(), demand, PLACES, paces, copies, 3)
+        self.assertLess(many.skew_after, 0.6 * few.skew_after)
+        after = as_map(many.placement, EXPERTS)
+        check_map(after, PLACES)
+        new = after.placed & ~as_map(first_map(), EXPERTS).placed
+        self.assertLessEqual(new.sum(axis=1).max(), 3)
+
+    def test_short_passes_leave_time_for_one_copy(self):
+        self.assertEqual(copies_in_a_pass(55.0, 98.0, 12), drift.COPIES_PER_RANK)
+        self.assertEqual(copies_in_a_pass(300.0, 98.0, 12), 3)
+        self.assertEqual(copies_in_a_pass(9_000.0, 98.0, 12), 12)
+        self.assertEqual(copies_in_a_pass(300.0, 0.0, 12), drift.COPIES_PER_RANK)
+
     def test_a_placement_comes_back_as_it_was(self):
         self.assertEqual(as_placement(as_map(first_map(), EXPERTS)), first_map())
 
