The standby agrees before the leader's own rank is armed; streams leave slow ranks

Change: the leader arms its own rank behind a commit that the standby's agent agrees to, if it saw the version prepared; a standby that agreed to nothing vouches for it, and the group goes on without the silent rank. Silent agents' engines are chosen last; resumable streams move away from a rank whose step is too slow for any request. Maps go over the wire as changes, choices compressed and by their share of the leader's link, loads by the number of entries. Late answers are all logged, and 'inspection losses' adds them up.

--- a/packages/experts/src/fuchsiahatch_experts/rank_orders.py
+++ b/packages/experts/src/fuchsiahatch_experts/rank_orders.py
@@ -9,13 +9,22 @@
 
 
 class OrderKind(enum.Enum):
-    """What a rank may be told."""
+    """What a rank may be told.
+
+    Attributes
+    ----------
+    PREPARE, ARM, DISARM, HOLD, GO
+        For its engine.
+    COMMIT
+        For its agent, the leader's standby: the last rank is about to be armed.
+    """
 
     PREPARE = "prepare"
     ARM = "arm"
     DISARM = "disarm"
     HOLD = "hold"
     GO = "go"
+    COMMIT = "commit"
 
 
 class OrderResult(enum.Enum):
@@ -63,6 +72,9 @@
     experts : tuple of tuple of int, or None
         Experts that the rank holds in the map in use, by layer; None while its agent
         has not read them.
+    vouched : int
+        Newest version that this life of its agent saw prepared, while it has not
+        agreed to its commit; 0 otherwise.
     """
 
     rank: int
@@ -75,6 +87,7 @@
     armed: Armed | None
     held: int | None
     experts: tuple[tuple[int, ...], ...] | None = None
+    vouched: int = 0
 
 
 class Order(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/experts/src/fuchsiahatch_experts/switching.py
+++ b/packages/experts/src/fuchsiahatch_experts/switching.py
@@ -6,17 +6,19 @@
 
 1. `prepare` at each rank; the rank copies the experts that are new to it.
 2. `hold` a coming pass at the standby's rank, until its report shows the hold.
-3. `arm` each rank for that pass, until each report shows it; the leader's own last.
+3. `arm` each rank for that pass, until each report shows it; the leader's own last,
+   once the standby has agreed to the `commit`.
 4. `go`: the pass begins, and all ranks switch with it.
 
 Whoever gives up after 3 has begun first makes every `arm` void, also one whose answer
 was lost and that is carried out seconds later: a rank that has prepared a newer version
 refuses to arm an older one. The rank that is armed last is made void first.
 
-So the last rank is armed only while all others are. A leader whose host stands still
-takes its rank with it, engine and all; while any other rank isn't armed, that one isn't
-either, and the group goes on without a word of it. Nobody could say so with the hold on
-the leader's own host, and groups stood still for the four seconds that it did.
+So the last rank is armed only while all others are, and not before the standby knows. A
+leader whose host stands still takes its rank with it, engine and all. While any other
+rank isn't armed, or the standby vouches that it agreed to nothing, that rank isn't
+armed either, and the group goes on without a word of it. Nobody could say so with the
+hold on the leader's own host, and groups stood still for the four seconds that it did.
 """
 
 import enum
@@ -54,10 +56,11 @@
 #: Silence of the last rank behind which a new leader goes on without its word, where
 #: that is safe. Agents obey a new leader within some 10 ms.
 ABSENCE_MS = 60
-#: A version names the last rank of its switch: the largest group that can be told.
-RANKS_PER_VERSION = 1_000
-#: Versions that one term may use: 100,000 switches.
-VERSIONS_PER_TERM = 100_000 * RANKS_PER_VERSION
+#: A version names the last rank and the standby of its switch: the largest group that
+#: can be told. Versions stay below 2^53 for terms up to ten million.
+RANKS_PER_VERSION = 256
+#: Versions that one term may use: 10,000 switches, after which its leader makes way.
+VERSIONS_PER_TERM = 10_000 * RANKS_PER_VERSION**2
 
 
 class Phase(enum.Enum):
@@ -76,16 +79,16 @@
 _OrderKey = tuple[int, OrderKind, int, int]
 
 
-def standby_of(rank: int, ranks: int) -> int:
-    """Return the rank that holds passes for a leader, and takes over from it."""
-    return (rank + 1) % ranks
-
-
 def last_rank(version: int) -> int:
     """Return the rank that is armed last, and only while all others are."""
     return version % RANKS_PER_VERSION
 
 
+def standby_rank(version: int) -> int:
+    """Return the rank that holds passes for the leader, and takes over from it."""
+    return version // RANKS_PER_VERSION % RANKS_PER_VERSION
+
+
 class Switch:
     """The switches of one group under one term.
 
@@ -115,6 +118,7 @@
         "_arm_until_ms",
         "_armed_version",
         "_clear_version",
+        "_committed",
         "_copy_until_ms",
         "_first_step",
         "_held_step",
@@ -146,7 +150,7 @@
     ) -> None:
         self.term = term
         self._own_rank = own_rank
-        self._standby = standby_of(own_rank, ranks)
+        self._standby = (own_rank + 1) % ranks
         self._ranks = ranks
         self._may_start = may_start
         self._settling_ms: int | None = None
@@ -187,6 +191,8 @@
         key = _key(order)
         if result is OrderResult.BEGUN:
             self._accepted.add(key)
+            if order.kind is OrderKind.COMMIT:
+                self._committed = order.version
         elif result is OrderResult.UNKNOWN:
             # It is sent again at once; one that comes late as well has no effect.
             self._unsure.add(key)
@@ -204,6 +210,11 @@
             return None
         return tuple(zip(*held, strict=True))
 
+    @property
+    def map_version(self) -> int | None:
+        """Version of the map in force; None while it isn't known."""
+        return self._common_map() if len(self._reports) == self._ranks else None
+
     @property
     def ready(self) -> bool:
         """Whether a new switch may begin."""
@@ -212,15 +223,24 @@
             self.phase is Phase.IDLE
             and not self.replaced
             and self._may_start
-            and self._next_number * RANKS_PER_VERSION < VERSIONS_PER_TERM
+            and not self.exhausted
             and self.placement is not None
             and own is not None
             and own.open
             and own.step >= self._first_step + TAKEOVER_PASSES
         )
 
+    @property
+    def exhausted(self) -> bool:
+        """Whether the term has no version left for another switch."""
+        return (self._next_number + 1) * RANKS_PER_VERSION**2 >= VERSIONS_PER_TERM
+
     def start(
-        self, placement: Placement, now_ms: int, hold_ahead: int = HOLD_AHEAD
+        self,
+        placement: Placement,
+        now_ms: int,
+        hold_ahead: int = HOLD_AHEAD,
+        standby: int | None = None,
     ) -> bool:
         """Begin to switch to another map; return whether it was begun.
 
@@ -231,12 +251,18 @@
         hold_ahead : int, optional
             Passes between the one last begun and the one that is held, `HOLD_AHEAD`
             at most.
+        standby : int, optional
+            Rank that holds passes; the one behind the leader's own by default.
         """
         if not self.ready or not self._is_current(now_ms):
             return False
         self._target = placement
         self._hold_ahead = hold_ahead
-        self._version = self._new_version(self._own_rank)
+        if standby is None:
+            standby = (self._own_rank + 1) % self._ranks
+        self._standby = standby
+        self._committed = 0
+        self._version = self._new_version(self._own_rank, standby)
         self._copy_until_ms = now_ms + COPY_LIMIT_MS
         self.phase = Phase.COPYING
         return True
@@ -255,6 +281,7 @@
         self.phase = Phase.SETTLING
         self._target: Placement | None = None
         self._version = 0
+        self._committed = 0
         self._armed_version = 0
         self._clear_version = 0
         self._step = 0
@@ -293,7 +320,7 @@
             self._armed_version = reports[0].armed.version
             self.phase = Phase.RELEASING
         else:
-            self._clear(_last_rank_of(reports, self._own_rank))
+            self._clear(max(map(_newest_version, reports)))
 
     def _settled(self, now_ms: int) -> list[RankReport]:
         """Return the reports of ranks that take no order of an earlier leader."""
@@ -316,15 +343,11 @@
         missing = set(range(self._ranks)) - {report.rank for report in reports}
         (absent,) = missing
         newest = max(map(_newest_version, reports))
-        others_armed = all(
-            report.armed is not None and report.armed.version == newest
-            for report in reports
-        )
-        if newest and last_rank(newest) == absent and not others_armed:
+        if newest and last_rank(newest) == absent and _is_last_unarmed(reports, newest):
             self._absent = absent
             self._reports.pop(absent, None)
             self._seen_ms.pop(absent, None)
-            self._clear(absent)
+            self._clear(newest)
 
     def _end_settling(self) -> None:
         self._first_step = max(report.step for report in self._reports.values())
@@ -355,7 +378,7 @@
             self._armed_version = self._version
             self.phase = Phase.RELEASING
         elif now_ms > self._arm_until_ms:
-            self._clear(self._own_rank)
+            self._clear(self._version)
 
     def _release(self, now_ms: int) -> None:
         reports = self._reports.values()
@@ -399,8 +422,13 @@
         self._forget_orders()
         self.phase = Phase.IDLE
 
-    def _clear(self, last: int) -> None:
-        self._clear_version = self._new_version(last)
+    def _clear(self, version: int) -> None:
+        """Begin to make the arms of a version void."""
+        if not version:
+            last, standby = self._own_rank, self._standby
+        else:
+            last, standby = last_rank(version), standby_rank(version)
+        self._clear_version = self._new_version(last, standby)
         self.phase = Phase.CLEARING
 
     def _present(self) -> list[RankReport]:
@@ -421,7 +449,9 @@
         elif order.kind is OrderKind.ARM and self.phase is Phase.ARMING:
             report = self._reports.get(order.rank)
             if report is not None and report.armed != Armed(order.version, order.step):
-                self._clear(self._own_rank)
+                self._clear(self._version)
+        elif order.kind is OrderKind.COMMIT and self.phase is Phase.ARMING:
+            self._clear(self._version)
         elif order.kind is OrderKind.PREPARE and self.phase is Phase.COPYING:
             # One whose first answer was lost may be refused because it is under way.
             if order.version == self._version and _key(order) not in self._unsure:
@@ -449,18 +479,22 @@
             )
         if phase is Phase.HOLDING and rank == self._standby:
             return Order(rank, OrderKind.HOLD, epoch, step=self._step)
-        if phase is Phase.ARMING and report.armed is None:
-            if rank == self._own_rank and not self._others_armed():
-                return None
-            return Order(
-                rank, OrderKind.ARM, epoch, version=self._version, step=self._step
-            )
+        if phase is Phase.ARMING:
+            return self._arming_order(rank, report)
         if phase is Phase.CLEARING:
             return self._clearing_order(rank, report)
         if phase in _FREE_PHASES and report.held is not None:
             return Order(rank, OrderKind.GO, epoch, step=report.held)
         return None
 
+    def _arming_order(self, rank: int, report: RankReport) -> Order | None:
+        version, committed = self._version, self._committed == self._version
+        if rank == self._standby and self._others_armed() and not committed:
+            return Order(rank, OrderKind.COMMIT, self.epoch, version=version)
+        if report.armed is not None or (rank == self._own_rank and not committed):
+            return None
+        return Order(rank, OrderKind.ARM, self.epoch, version=version, step=self._step)
+
     def _clearing_order(self, rank: int, report: RankReport) -> Order | None:
         epoch, version = self.epoch, self._clear_version
         if rank != last_rank(version) and not self._last_is_void():
@@ -528,10 +562,11 @@
         versions = {report.map_version for report in self._reports.values()}
         return versions.pop() if len(versions) == 1 else None
 
-    def _new_version(self, last: int) -> int:
+    def _new_version(self, last: int, standby: int) -> int:
         number = self._next_number
         self._next_number += 1
-        return self.term * VERSIONS_PER_TERM + number * RANKS_PER_VERSION + last
+        slot = (number * RANKS_PER_VERSION + standby) * RANKS_PER_VERSION + last
+        return self.term * VERSIONS_PER_TERM + slot
 
     def _forget_orders(self) -> None:
         self._sent_ms.clear()
@@ -544,10 +579,15 @@
     return max(report.prepared, armed)
 
 
-def _last_rank_of(reports: t.Iterable[RankReport], default: int) -> int:
-    """Return the last rank of the switch that the ranks are in."""
-    newest = max(map(_newest_version, reports))
-    return last_rank(newest) if newest else default
+def _is_last_unarmed(reports: t.Collection[RankReport], version: int) -> bool:
+    """Return whether the last rank of a switch can't be armed, by all others' word."""
+    standby = standby_rank(version)
+    return any(
+        report.armed is None
+        or report.armed.version != version
+        or (report.rank == standby and report.vouched == version)
+        for report in reports
+    )
 
 
 #: Phases in which one rank may be gone on without.
--- a/packages/gateway/src/fuchsiahatch_gateway/agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/agent.py
@@ -13,6 +13,7 @@
 from fuchsiahatch_adapter.upstreams import decode_upstream_entry
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import PlatformError
+from fuchsiahatch_experts.rank_orders import OrderResult
 from fuchsiahatch_gateway.datagrams import (
     DatagramPort,
     LoadReport,
@@ -58,6 +59,13 @@
 #: How often an agent asks the store for little. An entry renews a lease each second,
 #: an agent would not notice that the store is back before its watch ends.
 STORE_POLL_MS = 2_000
+#: Share of the leader's link that all ranks' choices may take together. At 63 ranks of
+#: 2 KB each 100 ms they were three times what a link of 4 Mbit/s carries; nothing that
+#: renews the lease got through.
+CHOICES_LINK_SHARE = 0.15
+#: Pause between two reports of the load, for each entry: 400 ms with 40 of them, where
+#: 63 agents send 6,300 a second instead of 25,200. With 10 or fewer each report goes.
+LOAD_PAUSE_MS_PER_ENTRY = 9
 #: Pause before the engines' figures are looked for again.
 ENGINE_RETRY_MS = 1_000
 
@@ -101,6 +109,8 @@
             self.store, KEY_PREFIX, self.health, clock, self._apply_items
         )
         self._failing = False
+        self._choices_ms = 0
+        self._load_ms = 0
 
     async def run(self) -> None:
         """Report and take orders until SIGTERM."""
@@ -139,7 +149,7 @@
     async def _report(self) -> None:
         self._note_leader()
         try:
-            state = await self.rank.read_state()
+            state = await self.rank.read_state(self._owes_choices())
         except PlatformError as fault:
             if not self._failing:
                 log_event(Event.UPSTREAM_SILENT, detail=fault.detail)
@@ -151,9 +161,30 @@
         self._send_load()
         self._send_state(state)
 
+    def _owes_choices(self) -> bool:
+        """Return whether the leader is due to hear of this rank's choices."""
+        settings, seen = self._process.settings, self.rank.seen
+        pause_ms = 0.0
+        if seen is not None:
+            bytes_per_ms = CHOICES_LINK_SHARE * settings.link_bytes_per_s / 1000
+            pause_ms = seen.ranks * self.rank.choices_bytes / bytes_per_ms
+        now_ms = self._clock.now_ms()
+        if now_ms - self._choices_ms < pause_ms:
+            return False
+        self._choices_ms = now_ms
+        return True
+
+    def _owes_load(self) -> bool:
+        """Return whether the entries are due to hear of this engine's load."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._load_ms < LOAD_PAUSE_MS_PER_ENTRY * len(self._entries):
+            return False
+        self._load_ms = now_ms
+        return True
+
     def _send_load(self) -> None:
         seen = self.rank.seen
-        if seen is None:
+        if seen is None or not self._owes_load():
             return
         load = LoadReport(
             self._upstream_address,
@@ -202,6 +233,8 @@
                     await self._try_to_lead(seen, known)
             elif self._is_replaced():
                 self._lose()
+            elif self.leader.switch.exhausted:
+                await self._stop_leading()
             else:
                 self.leader.work()
 
@@ -407,7 +440,21 @@
         self._process.keep_running(self._send_state_now())
 
     async def _carry_out(self, request: OrderRequest, peer: Peer) -> None:
-        result = await self.rank.carry_out(request)
+        if not self.rank.knows_base(request):
+            lacking = OrderReply(
+                request.group,
+                request.term,
+                request.number,
+                OrderResult.UNKNOWN,
+                lacks_base=True,
+            )
+            self.datagrams.send(lacking, peer)
+            return
+        try:
+            result = await self.rank.carry_out(request)
+        except ValueError as fault:
+            log_event(Event.DATAGRAM_DROPPED, peer=str(peer), detail=str(fault))
+            return
         if result is None:
             return
         reply = OrderReply(request.group, request.term, request.number, result)
--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -84,6 +84,8 @@
         Whether the upstream still takes requests.
     may_give_up : callable
         Whether the request could be sent again now.
+    may_move : callable
+        Whether a stream under way could go on at another upstream now.
     events : EventCutter or None
         For a stream, with what earlier upstreams sent of it.
     on_event : callable
@@ -96,6 +98,7 @@
     silence_ms: int | None
     may_send: t.Callable[[], bool]
     may_give_up: t.Callable[[], bool]
+    may_move: t.Callable[[], bool]
     events: EventCutter | None
     on_event: t.Callable[[], None]
 
@@ -187,6 +190,7 @@
     loop = asyncio.get_running_loop()
     silence_s = one.silence_ms / 1000
     timer: asyncio.TimerHandle | None = None
+    why = f"silent for {one.silence_ms} ms"
 
     def note_silence() -> None:
         nonlocal timer
@@ -195,15 +199,23 @@
         else:
             timer = loop.call_later(silence_s, note_silence)
 
+    def move() -> None:
+        nonlocal why
+        if one.may_move():
+            why = "moved from a slow rank"
+            limit.reschedule(loop.time())
+
     try:
         # Not wait_for: it hides that the caller has left when an event comes in the
         # same turn of the loop.
         async with asyncio.timeout(None) as limit:
             timer = loop.call_later(silence_s, note_silence)
+            one.upstream.movers.add(move)
             return await work
     except TimeoutError as fault:
-        raise AnswerBroken(f"silent for {one.silence_ms} ms") from fault
+        raise AnswerBroken(why) from fault
     finally:
+        one.upstream.movers.discard(move)
         if timer is not None:
             timer.cancel()
 
--- a/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
@@ -14,6 +14,7 @@
 from fuchsiahatch_adapter.node_settings import LAST_PORT
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import FormError
+from fuchsiahatch_experts.map_changes import MapChange
 from fuchsiahatch_experts.rank_orders import Order, OrderResult, RankReport
 
 Peer = tuple[str, int]
@@ -69,8 +70,8 @@
     pace : float
         How much slower than usual the engine works.
     choices : bytes
-        Choices of each expert since the last state, one byte each, the largest of a
-        layer as `CHOICE_SCALE`.
+        Choices of each expert since the last ones sent, one byte each, the largest of
+        a layer as `CHOICE_SCALE`; compressed, as most experts are chosen seldom.
     totals : tuple of int
         Choices since the last state by layer.
     """
@@ -86,21 +87,42 @@
 
 
 class OrderRequest(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    """An order from a group's leader to a rank's agent."""
+    """An order from a group's leader to a rank's agent.
+
+    Attributes
+    ----------
+    group : str
+    term, number : int
+    order : Order
+        Without its map.
+    change : MapChange or None
+        That map, as its difference from one that the agent should know.
+    """
 
     group: str
     term: int
     number: int
     order: Order
+    change: MapChange | None = None
 
 
 class OrderReply(msgspec.Struct, frozen=True, array_like=True, tag=3):
-    """What became of an order."""
+    """What became of an order.
+
+    Attributes
+    ----------
+    group : str
+    term, number : int
+    result : OrderResult
+    lacks_base : bool
+        Whether the agent doesn't know the map that the order's differs from.
+    """
 
     group: str
     term: int
     number: int
     result: OrderResult
+    lacks_base: bool = False
 
 
 class StandbyNotice(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/packages/gateway/src/fuchsiahatch_gateway/defaults.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/defaults.py
@@ -41,3 +41,6 @@
 GRACE_RESERVE_MS = 700
 #: When a refused caller is told to come back.
 RETRY_AFTER_S = 0.4
+#: Shares of that time between which it is drawn: callers that were refused together
+#: would come back together, and be refused again.
+RETRY_AFTER_SPREAD = (0.75, 1.5)
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -15,7 +15,7 @@
     RequestError,
 )
 from fuchsiahatch_gateway.attempts import Outcome, Try, run_try
-from fuchsiahatch_gateway.defaults import RETRY_AFTER_S
+from fuchsiahatch_gateway.defaults import RETRY_AFTER_S, RETRY_AFTER_SPREAD
 from fuchsiahatch_gateway.event_stream import EventCutter
 from fuchsiahatch_gateway.jobs import Job, silence_ms, wait_ms
 from fuchsiahatch_gateway.next_steps import (
@@ -177,6 +177,7 @@
             silence_ms(job, left_ms),
             lambda: self._placer.is_usable(upstream),
             lambda: self._could_be_sent_again(job),
+            lambda: self._could_move(job),
             job.events,
             lambda: job.note_event(self._clock.now_ms()),
         )
@@ -196,6 +197,10 @@
         self._learn(upstream, outcome, sent_ms, was_started)
         return outcome
 
+    def _could_move(self, job: Job) -> bool:
+        # Only a stream: whatever else runs is nearly done.
+        return job.events is not None and self._could_be_sent_again(job)
+
     def _could_be_sent_again(self, job: Job) -> bool:
         # To the same upstream too: a connection may be silent where new ones work.
         progress = self._progress(job, Outcome(Result.BROKEN))
@@ -283,7 +288,8 @@
             return
         headers = []
         if status == _UNAVAILABLE:
-            headers.append((names.RETRY_AFTER, b"%.1f" % RETRY_AFTER_S))
+            after_s = RETRY_AFTER_S * self._rng.uniform(*RETRY_AFTER_SPREAD)
+            headers.append((names.RETRY_AFTER, b"%.2f" % after_s))
         exchange.respond(status, headers, f"{fault}\n".encode())
 
     def _version(self) -> int:
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -6,7 +6,7 @@
 
 from fuchsiahatch_adapter.upstreams import UpstreamEntry, decode_upstream_entry
 from fuchsiahatch_core.events import Event, log_event
-from fuchsiahatch_gateway.defaults import LOAD_LIMIT_MS
+from fuchsiahatch_gateway.defaults import LOAD_LIMIT_MS, REPORT_MS
 from fuchsiahatch_gateway.item_decoding import ItemDecoder
 
 if t.TYPE_CHECKING:
@@ -24,6 +24,15 @@
 #: Requests that the want of any load report counts as, where others have one: after a
 #: loss of power, a group that has not formed yet has none.
 UNKNOWN_COST = 4.0
+#: Silence of an agent behind which its upstream is chosen last: its host may stand
+#: still. In usual pauses between its reports, and in all. It looked emptier than all
+#: others from then on, and most requests went to an engine that nobody could reach.
+SILENT_REPORTS = 4.0
+SILENT_MS = 300
+#: Requests that such silence counts as: more than any upstream has places.
+SILENT_COST = 50.0
+#: Weight of the newest pause between two reports in their running mean.
+REPORT_PAUSE_WEIGHT = 0.2
 #: Requests that a way into another zone counts as: it only breaks ties.
 ZONE_COST = 0.2
 #: Time behind the first sight of a service's upstreams for which their first load
@@ -47,6 +56,8 @@
         Requests of other entries, from the last load report.
     reported_ms : int or None
         When that report came.
+    report_pause_ms : float
+        Running mean of the pauses between two reports.
     pace : float
     open : bool
         Whether its rank group works.
@@ -60,12 +71,15 @@
         Running mean of its answers; 0 before the first.
     born_ms : int
         Start of the life that all of this is believed of; 0 while it isn't known.
+    movers : set of callable
+        Each lets a request under way there go on elsewhere, if it may.
     """
 
     entry: UpstreamEntry
     own: int = 0
     others: int = 0
     reported_ms: int | None = None
+    report_pause_ms: float = float(REPORT_MS)
     pace: float = 1.0
     open: bool = True
     group: str = ""
@@ -73,6 +87,7 @@
     misplaced: bool = False
     latency_ms: float = 0.0
     born_ms: int = 0
+    movers: set[t.Callable[[], None]] = dataclasses.field(default_factory=set)
     _failures: float = 0.0
     _failed_ms: int = 0
 
@@ -87,6 +102,22 @@
             return self.own
         return self.own + self.others
 
+    def is_silent(self, now_ms: int) -> bool:
+        """Return whether its agent, that reported its load, does so no more."""
+        if self.reported_ms is None:
+            return False
+        limit_ms = max(SILENT_MS, SILENT_REPORTS * self.report_pause_ms)
+        return now_ms - self.reported_ms > limit_ms
+
+    def note_report(self, now_ms: int) -> None:
+        """Note that its agent was heard."""
+        if self.reported_ms is not None and not self.is_silent(now_ms):
+            pause_ms = now_ms - self.reported_ms
+            self.report_pause_ms += REPORT_PAUSE_WEIGHT * (
+                pause_ms - self.report_pause_ms
+            )
+        self.reported_ms = now_ms
+
     def places(self, engine: "Engine | None", fastest_pace: float) -> float:
         """Return how many requests it is given; fewer where it is slow.
 
@@ -175,6 +206,7 @@
 
     __slots__ = (
         "_by_address",
+        "_by_service",
         "_clock",
         "_entries",
         "_first_seen_ms",
@@ -191,6 +223,7 @@
         self._clock = clock
         self._rng = rng
         self._by_address: dict[str, Upstream] = {}
+        self._by_service: dict[str, list[Upstream]] = {}
         self._entries = ItemDecoder(decode_upstream_entry)
         self._reports: set[str] = set()
         self._first_seen_ms: dict[str, int] = {}
@@ -207,10 +240,7 @@
             self.on_gone(gone.entry)
         for instance, entry in fresh.items():
             self._put(instance, entry)
-        self._by_address = {
-            str(upstream.entry.address): upstream
-            for upstream in self.upstreams.values()
-        }
+        self._index()
 
     def observe(self, load: "LoadReport") -> None:
         """Take in a load report."""
@@ -222,25 +252,43 @@
             upstream = self._begin_life(upstream, upstream.entry, load.born_ms)
         self._reports.add(upstream.entry.service)
         upstream.others = max(0, load.running + load.queued - upstream.own)
-        upstream.reported_ms = self._clock.now_ms()
+        upstream.note_report(self._clock.now_ms())
         upstream.pace = load.pace
         upstream.open = load.open
         upstream.group = load.group
         upstream.pass_ms = load.pass_ms
+        self._relieve(upstream)
 
     @property
     def unreadable(self) -> int:
         """Entries that were passed over."""
         return self._entries.unreadable
 
+    def _relieve(self, upstream: Upstream) -> None:
+        """Move requests away from a rank that all others of its group wait for.
+
+        Streams that ran there as it became slow went on for 24 passes of 350 ms, and so
+        did those of all other ranks; without them passes took 70 ms.
+        """
+        if not upstream.movers or not upstream.group:
+            return
+        usable = self.usable(upstream.entry.service)
+        paces = _fastest_paces(usable)
+        engine = self.engine_of(upstream.entry.service)
+        fastest = paces.get(upstream.group, upstream.pace)
+        if upstream.places(engine, fastest) >= 1.0:
+            return
+        for move in tuple(upstream.movers):
+            move()
+
     def usable(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that may get new work."""
         if self.awaits_reports(service):
             return []
         return [
             upstream
-            for upstream in self.upstreams.values()
-            if upstream.entry.service == service and upstream.takes_work
+            for upstream in self._by_service.get(service, ())
+            if upstream.takes_work
         ]
 
     def awaits_reports(self, service: str) -> bool:
@@ -315,6 +363,8 @@
         cost = (upstream.load(now_ms) + 1) * slowness
         if upstream.reported_ms is None and upstream.entry.service in self._reports:
             cost += UNKNOWN_COST
+        elif upstream.is_silent(now_ms):
+            cost += SILENT_COST
         cost += FAILURE_COST * upstream.failures(now_ms)
         if upstream.entry.zone != self._zone:
             cost += ZONE_COST
@@ -364,9 +414,17 @@
         self.on_gone(former.entry)
         fresh = Upstream(dataclasses.replace(entry, leaving=False), born_ms=born_ms)
         self.upstreams[instance] = fresh
-        self._by_address[str(entry.address)] = fresh
+        self._index()
         return fresh
 
+    def _index(self) -> None:
+        """Make anew what upstreams are found by, but for their instance."""
+        self._by_address = {}
+        self._by_service = {}
+        for upstream in self.upstreams.values():
+            self._by_address[str(upstream.entry.address)] = upstream
+            self._by_service.setdefault(upstream.entry.service, []).append(upstream)
+
 
 def _fastest_paces(upstreams: t.Iterable[Upstream]) -> dict[str, float]:
     """Return the pace of the fastest upstream of each group."""
--- a/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
@@ -3,11 +3,26 @@
 import asyncio
 import itertools
 import typing as t
+import zlib
+
+import msgspec
 
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import PlatformError
-from fuchsiahatch_experts.rank_orders import Order, OrderKind, OrderResult, RankReport
-from fuchsiahatch_experts.switching import HOLD_AHEAD, Phase, Switch, standby_of
+from fuchsiahatch_experts.map_changes import (
+    NO_BASE,
+    MapChange,
+    first_map,
+    make_change,
+)
+from fuchsiahatch_experts.rank_orders import (
+    Order,
+    OrderKind,
+    OrderResult,
+    Placement,
+    RankReport,
+)
+from fuchsiahatch_experts.switching import HOLD_AHEAD, Phase, Switch
 from fuchsiahatch_gateway.datagrams import (
     DatagramPort,
     OrderReply,
@@ -123,7 +138,7 @@
         self._has_lease = has_lease
         self._lacks_store = lacks_store
         self._takes_over = takes_over
-        self._standby = standby_of(rank, ranks)
+        self._standby: int | None = None
         self._noticed_ms = 0
         self._obeyed_ms: dict[int, int] = {}
         self._paces: dict[int, float] = {}
@@ -135,6 +150,10 @@
         self._forecast: PassForecast | None = None
         self._numbers = itertools.count(1)
         self._asked: dict[int, tuple[Order, int]] = {}
+        #: Ranks whose agents lack the map that a change is told from.
+        self._lacking: set[int] = set()
+        self._change_of = 0
+        self._change = MapChange(NO_BASE, 0, 0, ())
         self._tasks = Tasks()
         self._stopping = False
         self._phase = Phase.SETTLING
@@ -175,6 +194,10 @@
         asked = self._asked.pop(reply.number, None)
         if asked is None or reply.term != self._term or reply.group != self._group:
             return
+        if reply.lacks_base:
+            self._lacking.add(asked[0].rank)
+        else:
+            self._lacking.discard(asked[0].rank)
         self.switch.answered(asked[0], reply.result, self._clock.now_ms())
         self.work()
 
@@ -254,7 +277,7 @@
             self._notify_standby(asks_state=False)
 
     def _notify_standby(self, asks_state: bool) -> None:
-        peer = self._peers.get(self._standby)
+        peer = None if self._standby is None else self._peers.get(self._standby)
         if peer is not None:
             notice = StandbyNotice(self._group, self._term, self._peers, asks_state)
             self._datagrams.send(notice, peer)
@@ -269,7 +292,12 @@
         engine = self.engine
         if engine is None or not state.choices:
             return
-        if len(state.choices) != engine.expert_layers * engine.experts:
+        try:
+            choices = zlib.decompress(state.choices)
+        except zlib.error as fault:
+            log_event(Event.DATAGRAM_DROPPED, detail=f"choices: {fault}")
+            return
+        if len(choices) != engine.expert_layers * engine.experts:
             log_event(Event.DATAGRAM_DROPPED, detail="choices of another size")
             return
         # Only a leader needs them, and they take their memory and their time.
@@ -280,7 +308,7 @@
         if self._demand is None:
             self._demand = Demand(engine.expert_layers, engine.experts)
         shape = (engine.expert_layers, engine.experts)
-        counts = np.frombuffer(state.choices, dtype=np.uint8).reshape(shape)
+        counts = np.frombuffer(choices, dtype=np.uint8).reshape(shape)
         sums = np.maximum(counts.sum(axis=1, keepdims=True), 1)
         self._demand.add(counts / sums, state.running, now_ms)
 
@@ -312,8 +340,12 @@
         plan = plan_change(
             placement, demand, engine.expert_places, paces, copies, spare
         )
+        # A standby whose agent is silent could agree to no commit.
+        self._standby = self._silent.heard_behind(self._rank)
+        if plan is None or self._standby is None:
+            return
         ahead = 1 if self._own.pass_ms >= LONG_PASS_MS else HOLD_AHEAD
-        if plan is None or not self.switch.start(plan.placement, now_ms, ahead):
+        if not self.switch.start(plan.placement, now_ms, ahead, self._standby):
             return
         log_event(
             Event.MAP_PLANNED,
@@ -337,7 +369,8 @@
             return
         speaker = self._silent.speaker(order.rank)
         if speaker is not None:
-            if not self._has_lease():
+            # Nobody but the standby's own agent can agree to a commit.
+            if not self._has_lease() or order.kind is OrderKind.COMMIT:
                 return
             self._tasks.begin(self._give_directly(speaker, order))
             return
@@ -346,9 +379,34 @@
             return
         number = next(self._numbers)
         self._asked[number] = (order, now_ms)
-        request = OrderRequest(self._group, self._term, number, order)
+        change = None
+        if order.placement is not None:
+            change = self._change_for(order)
+            order = msgspec.structs.replace(order, placement=None)
+        request = OrderRequest(self._group, self._term, number, order, change)
         self._datagrams.send(request, peer)
 
+    def _change_for(self, order: Order) -> MapChange:
+        """Return an order's map as its difference from the one in force."""
+        assert order.placement is not None
+        if order.rank in self._lacking:
+            return make_change(order.placement)
+        if self._change_of != order.version:
+            self._change_of = order.version
+            self._change = make_change(order.placement, *self._base())
+        return self._change
+
+    def _base(self) -> tuple[int, Placement | None]:
+        """Return the map in force, if the agents know it as this leader does."""
+        base, known = self.switch.map_version, self.switch.placement
+        if base is None or known is None:
+            return NO_BASE, None
+        if base == 0 and known != first_map(
+            len(known), self._own.experts_per_layer, self._ranks
+        ):
+            return NO_BASE, None
+        return base, known
+
     async def _give_own(self, order: Order) -> None:
         if not self.may_lead():
             return
--- a/packages/gateway/src/fuchsiahatch_gateway/inspection.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/inspection.py
@@ -17,9 +17,10 @@
     parse_address,
     read_node_settings,
 )
-from fuchsiahatch_core.exceptions import PlatformError, SettingsError
+from fuchsiahatch_core.exceptions import FormError, PlatformError, SettingsError
 from fuchsiahatch_gateway.defaults import ENTRIES_PREFIX, LEADERS_PREFIX
-from fuchsiahatch_gateway.explain import explain
+from fuchsiahatch_gateway.explain import explain, read_lines
+from fuchsiahatch_gateway.losses import describe_losses
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.store import StoreClient
@@ -46,7 +47,7 @@
         """Check a configuration file as an entry would read it; 1 when it is wrong."""
         try:
             known = decode_configuration(pathlib.Path(path).read_bytes())
-        except (OSError, KeyError, TypeError, ValueError) as fault:
+        except (OSError, FormError) as fault:
             _fail(f"{path}: {type(fault).__name__}: {fault}", EXIT_WRONG)
         unknown = sorted(
             service
@@ -83,6 +84,17 @@
         """Say what the log lines on standard input know of a request."""
         explain(request_id)
 
+    def losses(self, span_ms: int = 2_000) -> None:
+        """Add up what became of requests and why, from log lines on standard input.
+
+        Parameters
+        ----------
+        span_ms : int, optional
+            Length of the spells that are told apart.
+        """
+        for text in describe_losses(read_lines(sys.stdin), span_ms):
+            print(text)
+
 
 async def read_status(store: "StoreClient") -> dict[str, t.Any]:
     """Return what the store holds of the system.
--- a/packages/gateway/src/fuchsiahatch_gateway/jobs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/jobs.py
@@ -67,6 +67,14 @@
     longest_gap_ms: int = 0
     waited_ms: int = 0
 
+    def is_on_time(self, now_ms: int) -> bool:
+        """Return whether an answer that ends now is within the route's objectives."""
+        route = self.match.route
+        first_ms = now_ms if self.first_event_ms is None else self.first_event_ms
+        if first_ms - self.arrived_ms > route.objective_ms:
+            return False
+        return route.gap_ms is None or self.longest_gap_ms <= route.gap_ms
+
     def note_event(self, now_ms: int) -> None:
         """Note that an event went to the caller."""
         if self.last_event_ms is not None:
--- a/packages/gateway/src/fuchsiahatch_gateway/rank_agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/rank_agent.py
@@ -2,14 +2,24 @@
 
 import asyncio
 import typing as t
+import zlib
+
+from msgspec import structs
 
 from fuchsiahatch_adapter.model_engine import Choices, ModelEngine
 from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_experts.map_changes import (
+    NO_BASE,
+    MapChange,
+    apply_change,
+    first_map,
+)
 from fuchsiahatch_experts.rank_orders import Order, OrderKind, OrderResult, RankReport
 from fuchsiahatch_gateway.datagrams import CHOICE_SCALE, OrderRequest, RankState
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.upstreams import EngineReport
+    from fuchsiahatch_experts.rank_orders import Placement
 
 #: How often a rank that copies, or is armed, is asked whether it is done, and how often
 #: at most. The slowest of all ranks decides when a switch can go on: waiting for the
@@ -23,6 +33,9 @@
 #: running mean.
 PASS_WINDOW_MS = 200
 PASS_WEIGHT = 0.5
+#: Maps that are kept as bases of changes: the one in force, the one that is prepared,
+#: and those that were given up in between.
+KEPT_MAPS = 4
 #: Times that an order is given until there is an answer. With one try, a tenth of the
 #: answers lost held passes back for 250 ms in most switches, and every stream of the
 #: group was late (measured: half of the worth of six seconds).
@@ -50,14 +63,18 @@
     """
 
     __slots__ = (
+        "_agreed",
         "_choices",
+        "_choices_bytes",
         "_copy_s",
         "_experts",
         "_experts_of",
         "_layers",
+        "_maps",
         "_sequence",
         "_stepped",
         "_upstream",
+        "_vouched",
         "address",
         "pass_ms",
         "seen",
@@ -72,7 +89,11 @@
         self._experts: tuple[tuple[int, ...], ...] | None = None
         self._experts_of: tuple[int, int] | None = None
         self._layers = 0
+        self._choices_bytes = 0
+        self._vouched = 0
+        self._agreed = 0
         self._copy_s = 0.0
+        self._maps: dict[int, Placement] = {}
         self.seen: EngineReport | None = None
         self.term = 0
         self.pass_ms = 0.0
@@ -136,8 +157,14 @@
             armed=seen.armed,
             held=seen.held,
             experts=self._experts,
+            vouched=self._vouched,
         )
 
+    @property
+    def choices_bytes(self) -> int:
+        """Size of what was last told of this rank's choices."""
+        return self._choices_bytes
+
     @property
     def experts_per_layer(self) -> int:
         """Experts of a layer; 0 before the first choices were read."""
@@ -179,10 +206,35 @@
             )
             return None
         self.note_term(request.term)
-        return await self.give_order(request.order)
+        order = request.order
+        if request.change is not None:
+            placement = self._find_map(request.change)
+            order = structs.replace(order, placement=placement)
+        return await self.give_order(order)
+
+    def knows_base(self, request: OrderRequest) -> bool:
+        """Return whether the map is known that an order's differs from."""
+        change = request.change
+        return change is None or self._base_of(change) is not None
+
+    def _base_of(self, change: MapChange) -> "Placement | tuple[()] | None":
+        """Return the base of a change, an empty one for a whole map, or None."""
+        if change.base == NO_BASE:
+            return ()
+        if change.base == 0 and self.experts_per_layer:
+            return first_map(change.layers, self.experts_per_layer, change.ranks)
+        return self._maps.get(change.base)
+
+    def _find_map(self, change: MapChange) -> "Placement":
+        return apply_change(change, self._base_of(change) or None)
 
     async def give_order(self, order: Order) -> OrderResult:
         """Give an order to the upstream, again where it gives no answer."""
+        if order.kind is OrderKind.COMMIT:
+            return self._commit(order.version)
+        if order.placement is not None:
+            self._keep_map(order.version, order.placement)
+            self._vouched = max(self._vouched, order.version)
         result = OrderResult.UNKNOWN
         for _ in range(ORDER_TRIES):
             result = await _give(self._upstream, order)
@@ -199,6 +251,22 @@
             )
         return result
 
+    def _commit(self, version: int) -> OrderResult:
+        """Agree that the last rank is armed, if the switch was seen from its start.
+
+        An agent that has started anew meanwhile may have vouched in its former life
+        that it agreed to nothing, and whoever was told so counts on it.
+        """
+        if self._vouched != version and self._agreed != version:
+            return OrderResult.REFUSED
+        self._vouched, self._agreed = 0, version
+        return OrderResult.BEGUN
+
+    def _keep_map(self, version: int, placement: "Placement") -> None:
+        self._maps[version] = placement
+        for known in sorted(self._maps)[:-KEPT_MAPS]:
+            del self._maps[known]
+
     async def follow_effect(self, order: Order) -> t.AsyncIterator[RankState]:
         """Yield the rank's state behind an order, and once its effect is complete.
 
@@ -254,7 +322,9 @@
             return b"", ()
         experts = len(since) // self._layers
         rows = [since[at : at + experts] for at in range(0, len(since), experts)]
-        return b"".join(map(_scale, rows)), tuple(map(sum, rows))
+        choices = zlib.compress(b"".join(map(_scale, rows)), level=1)
+        self._choices_bytes = len(choices)
+        return choices, tuple(map(sum, rows))
 
 
 def _is_complete(order: Order, report: RankReport) -> bool:
--- a/packages/gateway/src/fuchsiahatch_gateway/request_log.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/request_log.py
@@ -36,10 +36,12 @@
         self._rng = rng
 
     def note_end(self, job: "Job", end: str, outcome: "Outcome | None" = None) -> None:
-        """Note how a request ended; plain successes are logged by sample."""
+        """Note how a request ended; plain successes in time are logged by sample."""
         now_ms = self._clock.now_ms()
         self._metrics.note(job, end, now_ms)
-        plain = outcome is not None and outcome.status < 400 and len(job.tried) == 1
+        answered = outcome is not None and outcome.status < 400
+        on_time = answered and job.is_on_time(now_ms)
+        plain = on_time and len(job.tried) == 1
         if plain and self._rng.randrange(SUCCESS_SAMPLE):
             return
         first_ms = job.first_event_ms
@@ -56,6 +58,7 @@
             waited_ms=job.waited_ms,
             first_event_ms=None if first_ms is None else first_ms - job.arrived_ms,
             longest_gap_ms=job.longest_gap_ms,
+            on_time=on_time,
         )
 
     def note_retry(self, job: "Job", upstream: "Upstream", outcome: "Outcome") -> None:
--- a/packages/gateway/src/fuchsiahatch_gateway/silent_agents.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/silent_agents.py
@@ -103,6 +103,14 @@
         """Return the address of a rank's engine, if it is known."""
         return self._addresses.get(rank)
 
+    def heard_behind(self, rank: int) -> int | None:
+        """Return the next rank behind one whose agent is heard, or None."""
+        behind = ((rank + step) % self._ranks for step in range(1, self._ranks))
+        return next(
+            (one for one in behind if one in self._heard_ms and not self.speaker(one)),
+            None,
+        )
+
     def speaker(self, rank: int) -> RankAgent | None:
         """Return who speaks with a rank's engine in place of its agent, if anybody."""
         return self._speakers.get(rank)
--- a/tests/gateway/sites.py
+++ b/tests/gateway/sites.py
@@ -4,6 +4,7 @@
 import json
 import os
 
+from fuchsiahatch_adapter.configuration import decode_configuration
 from fuchsiahatch_adapter.node_settings import decode_node_settings
 from fuchsiahatch_gateway.entry import Entry
 from fuchsiahatch_gateway.log import LineWriter
@@ -229,3 +230,19 @@
 
 def dump(value):
     return json.dumps(value).encode()
+
+
+#: How the engines of a rank group work.
+ENGINE = (
+    decode_configuration(
+        dump(
+            {
+                "version": 1,
+                "routes": [],
+                "services": [{"name": "svc", "engine": platform_demo.ENGINE}],
+            }
+        )
+    )
+    .services["svc"]
+    .engine
+)
--- a/tests/gateway/test_delivery.py
+++ b/tests/gateway/test_delivery.py
@@ -3,7 +3,9 @@
 from unittest import mock
 
 from fuchsiahatch_gateway import jobs
+from fuchsiahatch_gateway.datagrams import LoadReport
 from tests.gateway.sites import (
+    ENGINE,
     HOST,
     KEY,
     Reply,
@@ -33,6 +35,11 @@
         return await site.ask(path, **options), one
 
 
+def make_load(one, pace, running=0):
+    address = str(one.entry.address)
+    return LoadReport(address, 0, running, pace, True, "g", 50.0)
+
+
 class TestPlainAnswers(unittest.TestCase):
     def test_an_answer_comes_back_unchanged(self):
         reply, one = run(
@@ -279,6 +286,31 @@
         self.assertEqual(event_ids(reply.body), [1, 2, 3, 4])
         self.assertTrue(reply.whole)
 
+    def test_a_stream_leaves_a_rank_that_became_slow(self):
+        # Every stream of a service stumbles until the last one on a slow engine has
+        # ended, 24 passes later: all ranks of its group wait for its step in each pass.
+        async def crawls(request, wire):
+            await wire.begin_stream(request)
+            await wire.event(1)
+            await asyncio.sleep(30)
+
+        async def asks():
+            slow, sound = upstream(crawls), upstream(streams(2, 4))
+            async with Site(slow, sound) as site:
+                fleet = site.entry.fleet
+                fleet.engine_of = lambda service: ENGINE
+                ranks = [fleet.upstreams[f"i-{number}"] for number in range(2)]
+                fleet.observe(make_load(ranks[0], pace=1.0))
+                fleet.observe(make_load(ranks[1], pace=1.0, running=5))
+                asking = asyncio.ensure_future(site.ask("/chat/"))
+                await until(lambda: ranks[0].movers)
+                fleet.observe(make_load(ranks[0], pace=12.0, running=1))
+                return await asyncio.wait_for(asking, 0.5)
+
+        reply = run(asks())
+        self.assertEqual(event_ids(reply.body), [1, 2, 3, 4])
+        self.assertTrue(reply.whole)
+
     def test_a_silent_upstream_costs_half_of_the_time(self):
         # A cancellation notice is lost with an upstream that takes it and is silent.
         reply, one = run(ask_one("/safe/", waits, answers()))
--- a/tests/gateway/test_small_parts.py
+++ b/tests/gateway/test_small_parts.py
@@ -4,6 +4,7 @@
 import orjson
 
 from fuchsiahatch_core.exceptions import FormError
+from fuchsiahatch_experts.map_changes import make_change
 from fuchsiahatch_experts.rank_orders import (
     Armed,
     Order,
@@ -62,6 +63,8 @@
             RankState("g", "10.0.0.1:80", 7, report, 6, 1.5, b"\x00\xff", (10, 20)),
             RankState("g", "10.0.0.1:80", 8, bare, 0, 1.0, b"", ()),
             OrderRequest("g", 40, 5, copy),
+            OrderRequest("g", 40, 7, arm, make_change(placement)),
+            OrderReply("g", 40, 7, OrderResult.UNKNOWN, lacks_base=True),
             OrderRequest("g", 40, 6, arm),
             OrderReply("g", 40, 6, OrderResult.UNKNOWN),
         ):
