--- a/packages/experts/src/fuchsiahatch_experts/switching.py
+++ b/packages/experts/src/fuchsiahatch_experts/switching.py
@@ -32,6 +32,14 @@
     Placement,
     RankReport,
 )
+from fuchsiahatch_experts.switch_versions import (
+    NUMBERS_PER_TERM,
+    is_last_unarmed,
+    last_rank,
+    make_version,
+    newest_version,
+    standby_rank,
+)
 
 #: Passes between the one last begun and the one that is held. With one, the hold often
 #: comes too late and is refused; with two, the arms are mostly out before it is due.
@@ -56,11 +64,6 @@
 #: Silence of the last rank behind which a new leader goes on without its word, where
 #: that is safe. Agents obey a new leader within some 10 ms.
 ABSENCE_MS = 60
-#: A version names the last rank and the standby of its switch: the largest group that
-#: can be told. Versions stay below 2^53 for terms up to ten million.
-RANKS_PER_VERSION = 256
-#: Versions that one term may use: 10,000 switches, after which its leader makes way.
-VERSIONS_PER_TERM = 10_000 * RANKS_PER_VERSION**2
 
 
 class Phase(enum.Enum):
@@ -79,16 +82,6 @@
 _OrderKey = tuple[int, OrderKind, int, int]
 
 
-def last_rank(version: int) -> int:
-    """Return the rank that is armed last, and only while all others are."""
-    return version % RANKS_PER_VERSION
-
-
-def standby_rank(version: int) -> int:
-    """Return the rank that holds passes for the leader, and takes over from it."""
-    return version // RANKS_PER_VERSION % RANKS_PER_VERSION
-
-
 class Switch:
     """The switches of one group under one term.
 
@@ -233,7 +226,7 @@
     @property
     def exhausted(self) -> bool:
         """Whether the term has no version left for another switch."""
-        return (self._next_number + 1) * RANKS_PER_VERSION**2 >= VERSIONS_PER_TERM
+        return self._next_number + 1 >= NUMBERS_PER_TERM
 
     def start(
         self,
@@ -320,7 +313,7 @@
             self._armed_version = reports[0].armed.version
             self.phase = Phase.RELEASING
         else:
-            self._clear(max(map(_newest_version, reports)))
+            self._clear(max(map(newest_version, reports)))
 
     def _settled(self, now_ms: int) -> list[RankReport]:
         """Return the reports of ranks that take no order of an earlier leader."""
@@ -342,8 +335,8 @@
             return
         missing = set(range(self._ranks)) - {report.rank for report in reports}
         (absent,) = missing
-        newest = max(map(_newest_version, reports))
-        if newest and last_rank(newest) == absent and _is_last_unarmed(reports, newest):
+        newest = max(map(newest_version, reports))
+        if newest and last_rank(newest) == absent and is_last_unarmed(reports, newest):
             self._absent = absent
             self._reports.pop(absent, None)
             self._seen_ms.pop(absent, None)
@@ -565,8 +558,7 @@
     def _new_version(self, last: int, standby: int) -> int:
         number = self._next_number
         self._next_number += 1
-        slot = (number * RANKS_PER_VERSION + standby) * RANKS_PER_VERSION + last
-        return self.term * VERSIONS_PER_TERM + slot
+        return make_version(self.term, number, standby, last)
 
     def _forget_orders(self) -> None:
         self._sent_ms.clear()
@@ -574,22 +566,6 @@
         self._unsure.clear()
 
 
-def _newest_version(report: RankReport) -> int:
-    armed = 0 if report.armed is None else report.armed.version
-    return max(report.prepared, armed)
-
-
-def _is_last_unarmed(reports: t.Collection[RankReport], version: int) -> bool:
-    """Return whether the last rank of a switch can't be armed, by all others' word."""
-    standby = standby_rank(version)
-    return any(
-        report.armed is None
-        or report.armed.version != version
-        or (report.rank == standby and report.vouched == version)
-        for report in reports
-    )
-
-
 #: Phases in which one rank may be gone on without.
 _PHASES_WITHOUT_ONE = (Phase.SETTLING, Phase.CLEARING, Phase.IDLE)
 #: Phases in which no arm is out, so that a hold that shows may end at once.
--- a/packages/gateway/src/fuchsiahatch_gateway/agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/agent.py
@@ -16,7 +16,6 @@
 from fuchsiahatch_experts.rank_orders import OrderResult
 from fuchsiahatch_gateway.datagrams import (
     DatagramPort,
-    LoadReport,
     Message,
     OrderReply,
     OrderRequest,
@@ -24,7 +23,6 @@
     RankState,
     StandbyNotice,
     TakeoverNotice,
-    encode,
 )
 from fuchsiahatch_gateway.defaults import (
     ENTRIES_PREFIX,
@@ -41,13 +39,13 @@
     LeaderRecord,
     Leadership,
     decode_leader_peer,
-    takeover_term,
     term_of,
 )
 from fuchsiahatch_gateway.lookups import EntryRecord, decode_entry
 from fuchsiahatch_gateway.rank_agent import RankAgent
+from fuchsiahatch_gateway.reporting import Reporter
 from fuchsiahatch_gateway.routes import shortest_gap_ms
-from fuchsiahatch_gateway.standby import Standby
+from fuchsiahatch_gateway.takeovers import Takeovers
 from fuchsiahatch_http1.client import ConnectionPool
 
 if t.TYPE_CHECKING:
@@ -59,13 +57,6 @@
 #: How often an agent asks the store for little. An entry renews a lease each second,
 #: an agent would not notice that the store is back before its watch ends.
 STORE_POLL_MS = 2_000
-#: Share of the leader's link that all ranks' choices may take together. At 63 ranks of
-#: 2 KB each 100 ms they were three times what a link of 4 Mbit/s carries; nothing that
-#: renews the lease got through.
-CHOICES_LINK_SHARE = 0.15
-#: Pause between two reports of the load, for each entry: 400 ms with 40 of them, where
-#: 63 agents send 6,300 a second instead of 25,200. With 10 or fewer each report goes.
-LOAD_PAUSE_MS_PER_ENTRY = 9
 #: Pause before the engines' figures are looked for again.
 ENGINE_RETRY_MS = 1_000
 
@@ -100,17 +91,17 @@
         self.rank = RankAgent(self.upstream, self._upstream_address)
         self.leadership = Leadership(self.store, settings.node, self.peer, clock)
         self.leader: GroupLeader | None = None
-        self.standby = Standby()
-        #: Who ends a silent leader's switch, while this agent does so.
-        self.takeover: GroupLeader | None = None
-        self._takeovers: dict[str, LeaderRecord] = {}
+        self.takeovers = Takeovers(
+            self.rank, self.peer, clock, self._make_takeover, self._tell_state
+        )
+        self._reporter = Reporter(
+            self.rank, self.datagrams, clock, settings.link_bytes_per_s
+        )
         # One watch for entries and leaders: each one that waits is a priced call.
         self._follower = Follower(
             self.store, KEY_PREFIX, self.health, clock, self._apply_items
         )
         self._failing = False
-        self._choices_ms = 0
-        self._load_ms = 0
 
     async def run(self) -> None:
         """Report and take orders until SIGTERM."""
@@ -149,7 +140,7 @@
     async def _report(self) -> None:
         self._note_leader()
         try:
-            state = await self.rank.read_state(self._owes_choices())
+            state = await self.rank.read_state(self._reporter.owes_choices())
         except PlatformError as fault:
             if not self._failing:
                 log_event(Event.UPSTREAM_SILENT, detail=fault.detail)
@@ -158,48 +149,9 @@
         if self._failing:
             log_event(Event.UPSTREAM_ANSWERS, epoch=state.report.epoch)
         self._failing = False
-        self._send_load()
+        self._reporter.send_load(self._entries.values())
         self._send_state(state)
 
-    def _owes_choices(self) -> bool:
-        """Return whether the leader is due to hear of this rank's choices."""
-        settings, seen = self._process.settings, self.rank.seen
-        pause_ms = 0.0
-        if seen is not None:
-            bytes_per_ms = CHOICES_LINK_SHARE * settings.link_bytes_per_s / 1000
-            pause_ms = seen.ranks * self.rank.choices_bytes / bytes_per_ms
-        now_ms = self._clock.now_ms()
-        if now_ms - self._choices_ms < pause_ms:
-            return False
-        self._choices_ms = now_ms
-        return True
-
-    def _owes_load(self) -> bool:
-        """Return whether the entries are due to hear of this engine's load."""
-        now_ms = self._clock.now_ms()
-        if now_ms - self._load_ms < LOAD_PAUSE_MS_PER_ENTRY * len(self._entries):
-            return False
-        self._load_ms = now_ms
-        return True
-
-    def _send_load(self) -> None:
-        seen = self.rank.seen
-        if seen is None or not self._owes_load():
-            return
-        load = LoadReport(
-            self._upstream_address,
-            seen.queued,
-            seen.running,
-            seen.pace,
-            seen.open,
-            seen.group,
-            round(self.rank.pass_ms, 1),
-            seen.born_ms,
-        )
-        data = encode(load)
-        for entry in self._entries.values():
-            self.datagrams.send_encoded(data, entry.peer)
-
     def _send_state(self, state: RankState) -> None:
         leader = self._find_leader(state.group)
         if leader is None:
@@ -212,13 +164,14 @@
 
     def _find_leader(self, group: str) -> LeaderRecord | None:
         """Return the leader of the highest term that this agent has heard of."""
-        known = (self._leaders.get(group), self._takeovers.get(group))
+        known = (self._leaders.get(group), self.takeovers.records.get(group))
         heard = (leader for leader in known if leader is not None)
         return max(heard, key=lambda leader: leader.term, default=None)
 
     def _led(self) -> list[GroupLeader]:
         """Return what this agent leads, be it elected or as a standby."""
-        return [one for one in (self.leader, self.takeover) if one is not None]
+        led = (self.leader, self.takeovers.leader)
+        return [one for one in led if one is not None]
 
     async def _lead_for_ever(self) -> None:
         while not self._process.stopping.is_set():
@@ -226,7 +179,7 @@
             seen = self.rank.seen
             if seen is None or not seen.group or seen.ranks < 2:
                 continue
-            await self._stand_by()
+            await self.takeovers.work()
             known = self._leaders.get(seen.group)
             if self.leader is None:
                 if self._follower.synced:
@@ -238,28 +191,11 @@
             else:
                 self.leader.work()
 
-    async def _stand_by(self) -> None:
-        """Take over from a leader that is silent while passes are held here."""
-        if self.takeover is not None:
-            self._go_on_with_takeover()
-            return
-        notice = self.standby.notice
-        if notice is None or not self.standby.suspects(self._clock.now_ms()):
-            return
-        try:
-            seen = await self.rank.read_report()
-        except PlatformError as fault:
-            log_event(Event.UPSTREAM_SILENT, detail=fault.detail)
-            return
-        if seen.held is not None and self.rank.term == notice.term:
-            self._begin_takeover(notice, seen)
-        self.standby.forget()
-
-    def _begin_takeover(self, notice: StandbyNotice, seen: "EngineReport") -> None:
-        term = takeover_term(notice.term)
-        log_event(Event.TAKEOVER_BEGUN, group=notice.group, term=term, step=seen.held)
-        self.rank.note_term(term)
-        self.takeover = GroupLeader(
+    def _make_takeover(
+        self, notice: StandbyNotice, seen: "EngineReport", term: int
+    ) -> GroupLeader:
+        """Return who ends the switch of the leader whose standby this agent is."""
+        return GroupLeader(
             notice.group,
             term,
             seen.rank,
@@ -274,18 +210,9 @@
             lambda: False,
             takes_over=True,
         )
-        self.takeover.introduce(notice.peers)
-        self._takeovers[notice.group] = LeaderRecord(notice.group, term, self.peer)
-        self._process.keep_running(self._send_state_now())
 
-    def _go_on_with_takeover(self) -> None:
-        takeover = self.takeover
-        assert takeover is not None
-        takeover.work()
-        if takeover.ended or not takeover.may_lead():
-            log_event(Event.TAKEOVER_ENDED, phase=takeover.switch.phase.value)
-            takeover.stop()
-            self.takeover = None
+    def _tell_state(self) -> None:
+        self._process.keep_running(self._send_state_now())
 
     async def _send_state_now(self) -> None:
         """Tell the leader of this rank's state before the next report is due."""
@@ -339,6 +266,7 @@
             self._list_engines,
             lambda: self.leadership.held and self.leadership.term == term,
             lambda: self.leadership.unanswered and self.leadership.term == term,
+            link_bytes_per_s=self._process.settings.link_bytes_per_s,
         )
         self._process.keep_running(self._learn_engine(self.leader))
         self._leaders[group] = LeaderRecord(group, term, self.peer)
@@ -417,11 +345,9 @@
             for own in self._led():
                 own.take_state(message, peer)
         elif isinstance(message, StandbyNotice):
-            self.standby.note(message, self._clock.now_ms())
-            if message.asks_state:
-                self._process.keep_running(self._send_state_now())
+            self.takeovers.note(message)
         elif isinstance(message, TakeoverNotice) and self._follower.synced:
-            self._obey_takeover(message, peer)
+            self.takeovers.obey(message, peer)
         elif isinstance(message, OrderRequest) and self._follower.synced:
             # An agent that has just started knows no term: before it has read who
             # leads, an order of a leader that was replaced would look like any other.
@@ -430,15 +356,6 @@
             for own in self._led():
                 own.take_reply(message)
 
-    def _obey_takeover(self, notice: TakeoverNotice, peer: Peer) -> None:
-        """Obey a standby, and tell it of this rank at once: passes are held."""
-        seen = self.rank.seen
-        if seen is None or seen.group != notice.group or notice.term < self.rank.term:
-            return
-        self._takeovers[notice.group] = LeaderRecord(notice.group, notice.term, peer)
-        self.rank.note_term(notice.term)
-        self._process.keep_running(self._send_state_now())
-
     async def _carry_out(self, request: OrderRequest, peer: Peer) -> None:
         if not self.rank.knows_base(request):
             lacking = OrderReply(
--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -18,7 +18,7 @@
 )
 
 if t.TYPE_CHECKING:
-    from fuchsiahatch_gateway.fleet import Upstream
+    from fuchsiahatch_gateway.known_upstream import Upstream
     from fuchsiahatch_http1.server import Exchange
 
 #: Answers to other requests that are passed over on one connection.
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -29,7 +29,7 @@
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
-    from fuchsiahatch_gateway.fleet import Upstream
+    from fuchsiahatch_gateway.known_upstream import Upstream
     from fuchsiahatch_gateway.placing import Placer
     from fuchsiahatch_gateway.request_log import RequestLog
     from fuchsiahatch_gateway.retry_budget import RetryBudget
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -6,8 +6,8 @@
 
 from fuchsiahatch_adapter.upstreams import UpstreamEntry, decode_upstream_entry
 from fuchsiahatch_core.events import Event, log_event
-from fuchsiahatch_gateway.defaults import LOAD_LIMIT_MS, REPORT_MS
 from fuchsiahatch_gateway.item_decoding import ItemDecoder
+from fuchsiahatch_gateway.known_upstream import Upstream
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.configuration import Engine
@@ -15,164 +15,19 @@
     from fuchsiahatch_core.clock import Clock
     from fuchsiahatch_gateway.datagrams import LoadReport
 
-#: Time in which an upstream's failure counts half.
-FAILURE_HALF_LIFE_MS = 2_000
-#: Failures below which none count, lest a trace of an old one decides all ties.
-FORGOTTEN_FAILURES = 0.05
 #: Requests that one fresh failure counts as, when upstreams are compared.
 FAILURE_COST = 3.0
 #: Requests that the want of any load report counts as, where others have one: after a
 #: loss of power, a group that has not formed yet has none.
 UNKNOWN_COST = 4.0
-#: Silence of an agent behind which its upstream is chosen last: its host may stand
-#: still. In usual pauses between its reports, and in all. It looked emptier than all
-#: others from then on, and most requests went to an engine that nobody could reach.
-SILENT_REPORTS = 4.0
-SILENT_MS = 300
-#: Requests that such silence counts as: more than any upstream has places.
+#: Requests that the silence of its agent counts as: more than any upstream has places.
 SILENT_COST = 50.0
-#: Weight of the newest pause between two reports in their running mean.
-REPORT_PAUSE_WEIGHT = 0.2
 #: Requests that a way into another zone counts as: it only breaks ties.
 ZONE_COST = 0.2
 #: Time behind the first sight of a service's upstreams for which their first load
 #: report is waited for. Reports come each 100 ms; after a loss of power a rank group
 #: needs some 600 ms to form, and refuses whatever comes before.
 FIRST_REPORT_MS = 700
-#: Weight of the newest of a plain upstream's latencies in their running mean.
-LATENCY_WEIGHT = 0.3
-
-
-@dataclasses.dataclass(slots=True)
-class Upstream:
-    """One upstream and what this entry believes of it.
-
-    Attributes
-    ----------
-    entry : UpstreamEntry
-    own : int
-        Requests that this entry has sent there and that have not ended.
-    others : int
-        Requests of other entries, from the last load report.
-    reported_ms : int or None
-        When that report came.
-    report_pause_ms : float
-        Running mean of the pauses between two reports.
-    pace : float
-    open : bool
-        Whether its rank group works.
-    group : str
-        That group; empty where it has none or it isn't known.
-    pass_ms : float
-        Time that a pass of the group takes; 0 while it is idle or not known.
-    misplaced : bool
-        Whether another upstream answered at its address.
-    latency_ms : float
-        Running mean of its answers; 0 before the first.
-    born_ms : int
-        Start of the life that all of this is believed of; 0 while it isn't known.
-    movers : set of callable
-        Each lets a request under way there go on elsewhere, if it may.
-    """
-
-    entry: UpstreamEntry
-    own: int = 0
-    others: int = 0
-    reported_ms: int | None = None
-    report_pause_ms: float = float(REPORT_MS)
-    pace: float = 1.0
-    open: bool = True
-    group: str = ""
-    pass_ms: float = 0.0
-    misplaced: bool = False
-    latency_ms: float = 0.0
-    born_ms: int = 0
-    movers: set[t.Callable[[], None]] = dataclasses.field(default_factory=set)
-    _failures: float = 0.0
-    _failed_ms: int = 0
-
-    @property
-    def takes_work(self) -> bool:
-        """Whether it may get new requests."""
-        return self.open and not self.misplaced and not self.entry.leaving
-
-    def load(self, now_ms: int) -> int:
-        """Return the requests that are believed to be there."""
-        if self.reported_ms is None or now_ms - self.reported_ms > LOAD_LIMIT_MS:
-            return self.own
-        return self.own + self.others
-
-    def is_silent(self, now_ms: int) -> bool:
-        """Return whether its agent, that reported its load, does so no more."""
-        if self.reported_ms is None:
-            return False
-        limit_ms = max(SILENT_MS, SILENT_REPORTS * self.report_pause_ms)
-        return now_ms - self.reported_ms > limit_ms
-
-    def note_report(self, now_ms: int) -> None:
-        """Note that its agent was heard."""
-        if self.reported_ms is not None and not self.is_silent(now_ms):
-            pause_ms = now_ms - self.reported_ms
-            self.report_pause_ms += REPORT_PAUSE_WEIGHT * (
-                pause_ms - self.report_pause_ms
-            )
-        self.reported_ms = now_ms
-
-    def places(self, engine: "Engine | None", fastest_pace: float) -> float:
-        """Return how many requests it is given; fewer where it is slow.
-
-        Parameters
-        ----------
-        engine : Engine or None
-            How its service's engines work.
-        fastest_pace : float
-            Pace of the fastest rank of its group.
-        """
-        if engine is None or not engine.expert_layers:
-            return max(1.0, self.entry.places / self.pace)
-        return places_of_rank(engine, self.entry.places, self.pace / fastest_pace)
-
-    def note_failure(self, now_ms: int) -> None:
-        """Count a failure against the upstream."""
-        self._failures = self.failures(now_ms) + 1.0
-        self._failed_ms = now_ms
-
-    def failures(self, now_ms: int) -> float:
-        """Return the failures of late, older ones counted less."""
-        if not self._failures:
-            return 0.0
-        age_ms = now_ms - self._failed_ms
-        left = self._failures * 0.5 ** (age_ms / FAILURE_HALF_LIFE_MS)
-        return left if left > FORGOTTEN_FAILURES else 0.0
-
-    def note_latency(self, latency_ms: float) -> None:
-        """Take an answer's latency into the running mean."""
-        if not self.latency_ms:
-            self.latency_ms = latency_ms
-        self.latency_ms += LATENCY_WEIGHT * (latency_ms - self.latency_ms)
-
-
-def places_of_rank(engine: "Engine", places: int, slowness: float) -> float:
-    """Return how many requests a slow rank may have before its group waits for it.
-
-    All ranks wait in each pass for the one whose own requests take longest. A slow rank
-    is filled up to the time that a full one of the usual pace takes: none at all from
-    twice that time on, with 6 places. With one place at least, an engine at a
-    twelfth of its pace kept passes at 315 ms after its experts had left it.
-
-    Parameters
-    ----------
-    engine : Engine
-    places : int
-        Requests of a rank of the usual pace.
-    slowness : float
-        Its time for a step over the usual.
-    """
-    if slowness <= 1.0 or not engine.step_ms_per_request:
-        return places / slowness
-    full_ms = engine.step_ms + engine.step_ms_per_request * places
-    left_ms = full_ms / slowness - engine.step_ms
-    return max(0.0, left_ms // engine.step_ms_per_request)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 import typing as t
 import zlib
 
@@ -65,6 +66,13 @@
 #: Passes of this length or more leave time to hold the very next one: a hold and its
 #: arms take some 20 ms. Holding the second next would cost a pass of up to 1.5 s more.
 LONG_PASS_MS = 200
+#: Time that a change may take on the leader's link: a third of what an order's answer
+#: is waited for.
+CHANGE_LINK_MS = 100
+#: Size of a row of a changed map: layer, rank and some five experts.
+ROW_BYTES = 12
+#: Copies of a rank that one change has at most, whatever the link carries.
+MOST_COPIES = 64
 #: Pause between two notices to the standby, or to agents that don't obey it yet.
 NOTICE_MS = 20
 #: Phases in which a switch is under way.
@@ -100,6 +108,8 @@
         Whether the store doesn't answer, so that the lease can't be renewed.
     takes_over : bool, optional
         Whether it only ends a switch of the leader whose standby it is.
+    link_bytes_per_s : float, optional
+        Bandwidth of the leader's host.
 
     Attributes
     ----------
@@ -126,6 +136,7 @@
         has_lease: t.Callable[[], bool],
         lacks_store: t.Callable[[], bool],
         takes_over: bool = False,
+        link_bytes_per_s: float = math.inf,
     ) -> None:
         self._group = group
         self._term = term
@@ -138,6 +149,7 @@
         self._has_lease = has_lease
         self._lacks_store = lacks_store
         self._takes_over = takes_over
+        self._link_bytes_per_s = link_bytes_per_s
         self._standby: int | None = None
         self._noticed_ms = 0
         self._obeyed_ms: dict[int, int] = {}
@@ -336,7 +348,8 @@
         if pass_ms < EASY_PASS_SHARE * self.gap_ms:
             return
         spare = engine.spare_places or 1
-        copies = copies_in_a_pass(pass_ms, engine.copy_ms, spare * engine.expert_layers)
+        most = min(spare * engine.expert_layers, self._copies_in_a_change())
+        copies = copies_in_a_pass(pass_ms, engine.copy_ms, most)
         plan = plan_change(
             placement, demand, engine.expert_places, paces, copies, spare
         )
@@ -360,6 +373,16 @@
             shifts=demand.shifts,
         )
 
+    def _copies_in_a_change(self) -> int:
+        """Return how many copies a rank may take for a change to reach all in time.
+
+        Each agent is sent the rows of all ranks: with 300 rows to each of 63 agents a
+        link of 4 Mbit/s was full for longer than orders are waited for, each was sent
+        again, and no change was ever complete.
+        """
+        room_bytes = CHANGE_LINK_MS / 1000 * self._link_bytes_per_s
+        return int(min(room_bytes / (self._ranks**2 * ROW_BYTES), MOST_COPIES)) or 1
+
     def _send(self, order: Order, now_ms: int) -> None:
         if order.rank == self._rank:
             self._tasks.begin(self._give_own(order))
--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -11,7 +11,8 @@
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
-    from fuchsiahatch_gateway.fleet import Fleet, Upstream
+    from fuchsiahatch_gateway.fleet import Fleet
+    from fuchsiahatch_gateway.known_upstream import Upstream
 
 #: Requests that may wait at one entry for one service.
 MAX_WAITING = 256
--- a/packages/gateway/src/fuchsiahatch_gateway/request_log.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/request_log.py
@@ -8,8 +8,8 @@
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
     from fuchsiahatch_gateway.attempts import Outcome
-    from fuchsiahatch_gateway.fleet import Upstream
     from fuchsiahatch_gateway.jobs import Job
+    from fuchsiahatch_gateway.known_upstream import Upstream
     from fuchsiahatch_gateway.request_metrics import RequestMetrics
 
 #: One in this many plain successes is logged; all that is not one is.
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/takeovers.py
@@ -0,0 +1,116 @@
+"""An agent's part in takeovers: its own as a standby, and those that it obeys."""
+
+import typing as t
+
+from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_core.exceptions import PlatformError
+from fuchsiahatch_gateway.datagrams import Peer, StandbyNotice, TakeoverNotice
+from fuchsiahatch_gateway.leadership import LeaderRecord, takeover_term
+from fuchsiahatch_gateway.standby import Standby
+
+if t.TYPE_CHECKING:
+    from fuchsiahatch_adapter.upstreams import EngineReport
+    from fuchsiahatch_core.clock import Clock
+    from fuchsiahatch_gateway.group_leader import GroupLeader
+    from fuchsiahatch_gateway.rank_agent import RankAgent
+
+MakeLeader = t.Callable[[StandbyNotice, "EngineReport", int], "GroupLeader"]
+
+
+class Takeovers:
+    """Takes over from a leader that is silent, and obeys others that do.
+
+    Parameters
+    ----------
+    rank : RankAgent
+    peer : Peer
+        Where this agent takes datagrams.
+    clock : Clock
+    make_leader : callable
+        Makes who ends the leader's switch, of its notice, a report and a term.
+    tell_state : callable
+        Tells this rank's state to its leader at once.
+
+    Attributes
+    ----------
+    leader : GroupLeader or None
+        Who ends a silent leader's switch, while this agent does so.
+    records : dict of str to LeaderRecord
+        Who has taken over last, by group.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_make_leader",
+        "_peer",
+        "_rank",
+        "_standby",
+        "_tell_state",
+        "leader",
+        "records",
+    )
+
+    def __init__(
+        self,
+        rank: "RankAgent",
+        peer: Peer,
+        clock: "Clock",
+        make_leader: MakeLeader,
+        tell_state: t.Callable[[], None],
+    ) -> None:
+        self._rank = rank
+        self._peer = peer
+        self._clock = clock
+        self._make_leader = make_leader
+        self._tell_state = tell_state
+        self._standby = Standby()
+        self.leader: GroupLeader | None = None
+        self.records: dict[str, LeaderRecord] = {}
+
+    def note(self, notice: StandbyNotice) -> None:
+        """Take in the word of a leader whose standby this agent is."""
+        self._standby.note(notice, self._clock.now_ms())
+        if notice.asks_state:
+            self._tell_state()
+
+    def obey(self, notice: TakeoverNotice, peer: Peer) -> None:
+        """Obey a standby, and tell it of this rank at once: passes are held."""
+        seen = self._rank.seen
+        if seen is None or seen.group != notice.group or notice.term < self._rank.term:
+            return
+        self.records[notice.group] = LeaderRecord(notice.group, notice.term, peer)
+        self._rank.note_term(notice.term)
+        self._tell_state()
+
+    async def work(self) -> None:
+        """Take over where passes are held here and the leader is silent."""
+        if self.leader is not None:
+            self._go_on(self.leader)
+            return
+        notice = self._standby.notice
+        if notice is None or not self._standby.suspects(self._clock.now_ms()):
+            return
+        try:
+            seen = await self._rank.read_report()
+        except PlatformError as fault:
+            log_event(Event.UPSTREAM_SILENT, detail=fault.detail)
+            return
+        if seen.held is not None and self._rank.term == notice.term:
+            self._begin(notice, seen)
+        self._standby.forget()
+
+    def _begin(self, notice: StandbyNotice, seen: "EngineReport") -> None:
+        term = takeover_term(notice.term)
+        log_event(Event.TAKEOVER_BEGUN, group=notice.group, term=term, step=seen.held)
+        self._rank.note_term(term)
+        self.leader = self._make_leader(notice, seen, term)
+        self.leader.introduce(notice.peers)
+        self.records[notice.group] = LeaderRecord(notice.group, term, self._peer)
+        self._tell_state()
+
+    def _go_on(self, leader: "GroupLeader") -> None:
+        leader.work()
+        if leader.ended or not leader.may_lead():
+            log_event(Event.TAKEOVER_ENDED, phase=leader.switch.phase.value)
+            leader.stop()
+            self.leader = None
--- a/tests/experts/test_switching.py
+++ b/tests/experts/test_switching.py
@@ -9,6 +9,7 @@
     OrderResult,
     RankReport,
 )
+from fuchsiahatch_experts.switch_versions import last_rank, newest_version
 from fuchsiahatch_experts.switching import Phase, Switch
 from fuchsiahatch_standins.rank_rules import MixedMaps
 from tests.experts.switch_model import RANKS, Leader, Model
@@ -99,7 +100,7 @@
         self._absent = absent
         self._reports.pop(absent, None)
         self._seen_ms.pop(absent, None)
-        self._clear(max(map(switching._newest_version, reports)))
+        self._clear(max(map(newest_version, reports)))
 
 
 class SettlesWithoutClearing(Switch):
@@ -224,7 +225,7 @@
         found = {(one.rank, one.kind) for one in other.orders(now_ms)}
         self.assertEqual(found, {(1, OrderKind.PREPARE), (2, OrderKind.DISARM)})
         clear = other._clear_version
-        self.assertEqual(switching.last_rank(clear), 0)
+        self.assertEqual(last_rank(clear), 0)
         for rank, held in ((2, None), (1, step)):
             fields = {"term": 2, "step": 60, "prepared": clear, "held": held}
             other.observe(report(rank, **fields), now_ms)
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -8,6 +8,7 @@
 from fuchsiahatch_gateway import fleet
 from fuchsiahatch_gateway.datagrams import LoadReport
 from fuchsiahatch_gateway.fleet import Fleet
+from fuchsiahatch_gateway.known_upstream import places_of_rank
 from fuchsiahatch_standins.fleet_store import make_upstream_entry
 from tests.gateway.sites import ENGINE
 
@@ -118,7 +119,7 @@
 
     def test_places_of_a_slow_rank_take_no_longer_than_a_full_one(self):
         for slowness, places in ((1.0, 6), (1.3, 4), (2.0, 1), (3.0, 0), (12.0, 0)):
-            self.assertEqual(fleet.places_of_rank(ENGINE, 6, slowness), places)
+            self.assertEqual(places_of_rank(ENGINE, 6, slowness), places)
 
     def test_a_slow_group_is_filled_last(self):
         # Half of all streams stumble though every second place is free: requests go to
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -58,7 +58,7 @@
     ),
     Mechanism(
         "places by a rank's step",
-        f"{GATEWAY}/fleet.py",
+        f"{GATEWAY}/known_upstream.py",
         "        if engine is None or not engine.expert_layers:",
         "        if True:",
     ),
