What goes late in the store's first seconds is held back no longer than those last

Cause: a deletion within 2.3 s of the store's return was held back for 2.3 s from its own moment.

Change: it is held back until 2.3 s behind the return.

--- a/packages/gateway/src/fuchsiahatch_gateway/following.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/following.py
@@ -70,6 +70,12 @@
             return True
         return self.answered_ms is not None and self.answered_ms > self.failed_ms
 
+    def settles_in_ms(self, now_ms: int) -> int:
+        """Return when to look again whether what is gone is gone, at the least."""
+        if not self.answers or self.regained_ms is None:
+            return LAPSE_MS // 4
+        return max(self.regained_ms + LAPSE_MS - now_ms, 0)
+
     def settled(self, now_ms: int) -> bool:
         """Whether the store has answered for so long that what is gone is gone."""
         if self.regained_ms is None:
@@ -237,14 +243,20 @@
             del self.items[name]
             return
         self._lapsed.add(name)
-        asyncio.get_running_loop().call_later(LAPSE_MS / 1000, self._end_lapse, name)
+        self._look_again(name)
+
+    def _look_again(self, name: str) -> None:
+        # Until the store's first seconds are over, not for as long from now on: an
+        # upstream that left late in them got requests for 2.2 s more, over its bound.
+        wait_ms = self._health.settles_in_ms(self._clock.now_ms()) + 1
+        loop = asyncio.get_running_loop()
+        loop.call_later(wait_ms / 1000, self._end_lapse, name)
 
     def _end_lapse(self, name: str) -> None:
         if name not in self._lapsed:
             return
         if not self._health.settled(self._clock.now_ms()):
-            retry_s = LAPSE_MS / 4000
-            asyncio.get_running_loop().call_later(retry_s, self._end_lapse, name)
+            self._look_again(name)
             return
         self._lapsed.discard(name)
         self.items.pop(name, None)
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -14,6 +14,8 @@
 from tests.loopback import run
 
 LAPSE_MS = 300
+#: Long enough for parts of it to be told apart beside other tests.
+LONG_LAPSE_MS = 1_000
 
 
 class Following:
@@ -96,6 +98,24 @@
         with mock.patch.object(following, "LAPSE_MS", LAPSE_MS):
             run(follow())
 
+    def test_what_goes_long_behind_a_return_is_waited_for_no_longer_than_the_rest(self):
+        # A hold reaches an upstream 2.2 s after it has left, and fails there: its entry
+        # went 1.3 s behind the store's return, and the wait for entries that come back
+        # began anew with it instead of ending with the store's first seconds.
+        async def follow():
+            async with Following() as one:
+                one.store.put("servers/gone", {})
+                await until(lambda: one.names == ["gone"])
+                one.health.note_failure(one.clock.now_ms(), "a cut")
+                one.health.note_answer(one.clock.now_ms() + 1)
+                await asyncio.sleep(0.8 * LONG_LAPSE_MS / 1000)
+                one.store.remove("servers/gone")
+                await asyncio.sleep(0.4 * LONG_LAPSE_MS / 1000)
+                self.assertEqual(one.names, [])
+
+        with mock.patch.object(following, "LAPSE_MS", LONG_LAPSE_MS):
+            run(follow())
+
     def test_a_lapse_is_noticed_without_a_failed_call(self):
         # A member's request is refused though all upstreams work: the store was away
         # for a second and forgot its leases; an entry whose only call was a watch that
