An order to copy that comes again takes no agreement to a commit back

Cause, found by reading: the standby's agent vouched anew for a version when its order to copy arrived once more behind the commit; a takeover would then go on without a last rank that may be armed, and a pass could run with two maps.

--- a/packages/gateway/src/fuchsiahatch_gateway/rank_agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/rank_agent.py
@@ -60,6 +60,8 @@
         Highest term seen; orders of an older one are refused.
     pass_ms : float
         Running mean of the time that a pass of the group takes; 0 while it is idle.
+    vouched : int
+        Newest version that was seen prepared and not committed; 0 otherwise.
     """
 
     __slots__ = (
@@ -74,11 +76,11 @@
         "_sequence",
         "_stepped",
         "_upstream",
-        "_vouched",
         "address",
         "pass_ms",
         "seen",
         "term",
+        "vouched",
     )
 
     def __init__(self, upstream: ModelEngine, address: str) -> None:
@@ -90,7 +92,7 @@
         self._experts_of: tuple[int, int] | None = None
         self._layers = 0
         self._choices_bytes = 0
-        self._vouched = 0
+        self.vouched = 0
         self._agreed = 0
         self._copy_s = 0.0
         self._maps: dict[int, Placement] = {}
@@ -157,7 +159,7 @@
             armed=seen.armed,
             held=seen.held,
             experts=self._experts,
-            vouched=self._vouched,
+            vouched=self.vouched,
         )
 
     @property
@@ -234,7 +236,9 @@
             return self._commit(order.version)
         if order.placement is not None:
             self._keep_map(order.version, order.placement)
-            self._vouched = max(self._vouched, order.version)
+            if order.version != self._agreed:
+                # An order to copy may come again, and behind the commit.
+                self.vouched = max(self.vouched, order.version)
         result = OrderResult.UNKNOWN
         for _ in range(ORDER_TRIES):
             result = await _give(self._upstream, order)
@@ -257,9 +261,9 @@
         An agent that has started anew meanwhile may have vouched in its former life
         that it agreed to nothing, and whoever was told so counts on it.
         """
-        if self._vouched != version and self._agreed != version:
+        if self.vouched != version and self._agreed != version:
             return OrderResult.REFUSED
-        self._vouched, self._agreed = 0, version
+        self.vouched, self._agreed = 0, version
         return OrderResult.BEGUN
 
     def _keep_map(self, version: int, placement: "Placement") -> None:
--- a/packages/gateway/src/fuchsiahatch_gateway/standby.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/standby.py
@@ -10,9 +10,7 @@
 switch, so that whatever it orders late concerns a pass that is over.
 """
 
-import typing as t
-
-from fuchsiahatch_gateway.datagrams import Peer, StandbyNotice
+from fuchsiahatch_gateway.datagrams import StandbyNotice
 
 #: Silence of a leader, with passes held, behind which its standby takes over. Notices
 #: come each 20 ms; a leader that plans or starts may miss some of them.
@@ -36,11 +34,6 @@
         self.notice: StandbyNotice | None = None
         self._heard_ms = 0
 
-    @property
-    def peers(self) -> t.Mapping[int, Peer]:
-        """Where the agents of the group take datagrams."""
-        return {} if self.notice is None else self.notice.peers
-
     def note(self, notice: StandbyNotice, now_ms: int) -> None:
         """Take in a leader's word, unless a later leader's was heard."""
         if self.notice is None or notice.term >= self.notice.term:
--- a/tests/experts/switch_model.py
+++ b/tests/experts/switch_model.py
@@ -28,6 +28,7 @@
     term: int = 0
     wakes_ms: int = 0
     vouched: int = 0
+    agreed: int = 0
     #: Until then its whole host stands still: nobody reaches the engine either.
     host_wakes_ms: int = 0
     waiting: list[t.Callable[[], None]] = dataclasses.field(default_factory=list)
@@ -328,7 +329,7 @@
             self._after(100, lambda: self._tell(leader, order, OrderResult.UNKNOWN))
             return
         agent.term = term
-        if order.kind is OrderKind.PREPARE:
+        if order.kind is OrderKind.PREPARE and order.version != agent.agreed:
             agent.vouched = max(agent.vouched, order.version)
         self._give(leader, order)
 
@@ -343,7 +344,7 @@
         if agent.vouched != order.version:
             self._tell(leader, order, OrderResult.REFUSED)
             return
-        agent.vouched = 0
+        agent.vouched, agent.agreed = 0, order.version
         self._tell(leader, order, OrderResult.BEGUN)
 
     def _ask_sleeper(self, leader: Leader, term: int, order: Order) -> None:
--- a/tests/gateway/test_standby.py
+++ b/tests/gateway/test_standby.py
@@ -1,15 +1,49 @@
+import asyncio
 import unittest
 
 import msgspec
 
 from fuchsiahatch_core.exceptions import FormError
+from fuchsiahatch_experts.rank_orders import Order, OrderKind, OrderResult
 from fuchsiahatch_gateway import standby
 from fuchsiahatch_gateway.datagrams import StandbyNotice, decode, encode
+from fuchsiahatch_gateway.rank_agent import RankAgent
 from fuchsiahatch_gateway.standby import Standby
 
 PEERS = {0: ("10.0.0.1", 7341), 1: ("10.0.0.2", 7341)}
 
 
+class TakesAll:
+    """An engine that takes each order."""
+
+    async def prepare(self, version, epoch, placement):
+        return OrderResult.BEGUN
+
+
+class TestCommit(unittest.TestCase):
+    def give(self, rank, kind):
+        placement = (((0,), (1,)),) if kind is OrderKind.PREPARE else None
+        order = Order(1, kind, 1, version=77, placement=placement)
+        return asyncio.run(rank.give_order(order))
+
+    def test_a_version_is_vouched_for_until_its_commit(self):
+        rank = RankAgent(TakesAll(), "10.0.0.1:80")
+        self.assertIs(self.give(rank, OrderKind.COMMIT), OrderResult.REFUSED)
+        self.give(rank, OrderKind.PREPARE)
+        self.assertEqual(rank.vouched, 77)
+        self.assertIs(self.give(rank, OrderKind.COMMIT), OrderResult.BEGUN)
+        self.assertEqual(rank.vouched, 0)
+        self.assertIs(self.give(rank, OrderKind.COMMIT), OrderResult.BEGUN)
+
+    def test_a_copy_that_is_asked_late_takes_no_commit_back(self):
+        # A pass runs with two maps: the order to copy came to the standby once more
+        # behind its commit, so that it vouched for a rank that had been armed.
+        rank = RankAgent(TakesAll(), "10.0.0.1:80")
+        for kind in (OrderKind.PREPARE, OrderKind.COMMIT, OrderKind.PREPARE):
+            self.give(rank, kind)
+        self.assertEqual(rank.vouched, 0)
+
+
 class TestStandby(unittest.TestCase):
     def test_a_leader_that_falls_silent_is_suspected(self):
         one = Standby()
@@ -25,7 +59,7 @@
         one = Standby()
         one.note(StandbyNotice("g", 4, PEERS), 1_000)
         one.note(StandbyNotice("g", 2, {}), 1_100)
-        self.assertEqual((one.notice.term, one.peers), (4, PEERS))
+        self.assertEqual((one.notice.term, one.notice.peers), (4, PEERS))
         self.assertTrue(one.suspects(1_000 + standby.SILENCE_MS))
 
     def test_peers_that_nothing_could_be_sent_to(self):
