--- a/packages/gateway/src/fuchsiahatch_gateway/agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/agent.py
@@ -195,21 +195,41 @@
         self, notice: StandbyNotice, seen: "EngineReport", term: int
     ) -> GroupLeader:
         """Return who ends the switch of the leader whose standby this agent is."""
-        return GroupLeader(
+        return self._make_leader(
             notice.group,
             term,
             seen.rank,
             seen.ranks,
+            has_lease=lambda: self.rank.term == term,
+            lacks_store=lambda: False,
+            takes_over=True,
+        )
+
+    def _make_leader(
+        self,
+        group: str,
+        term: int,
+        rank: int,
+        ranks: int,
+        has_lease: t.Callable[[], bool],
+        lacks_store: t.Callable[[], bool],
+        takes_over: bool = False,
+    ) -> GroupLeader:
+        return GroupLeader(
+            group,
+            term,
+            rank,
+            ranks,
             self.rank,
             self.peer,
             self.datagrams,
             self._clock,
             self._connect_engine,
             self._list_engines,
-            lambda: self.rank.term == term,
-            lambda: False,
+            has_lease,
+            lacks_store,
             self._process.settings.link_bytes_per_s,
-            takes_over=True,
+            takes_over,
         )
 
     def _tell_state(self) -> None:
@@ -254,20 +274,15 @@
 
         self.rank.note_term(term)
         self._process.keep_running(self.leadership.renew_for_ever())
-        self.leader = GroupLeader(
+        self.leader = self._make_leader(
             group,
             term,
             rank,
             ranks,
-            self.rank,
-            self.peer,
-            self.datagrams,
-            self._clock,
-            self._connect_engine,
-            self._list_engines,
-            lambda: self.leadership.held and self.leadership.term == term,
-            lambda: self.leadership.unanswered and self.leadership.term == term,
-            self._process.settings.link_bytes_per_s,
+            has_lease=lambda: self.leadership.held and self.leadership.term == term,
+            lacks_store=lambda: (
+                self.leadership.unanswered and self.leadership.term == term
+            ),
         )
         self._process.keep_running(self._learn_engine(self.leader))
         self._leaders[group] = LeaderRecord(group, term, self.peer)
--- a/packages/gateway/src/fuchsiahatch_gateway/rank_agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/rank_agent.py
@@ -125,7 +125,7 @@
             seen.group,
             self.address,
             self._sequence,
-            self.make_report(seen),
+            self._make_report(seen),
             seen.running,
             seen.pace,
             choices,
@@ -146,8 +146,7 @@
         self._note_step(seen)
         return seen
 
-    def make_report(self, seen: "EngineReport") -> RankReport:
-        """Return the engine's report as the leader of its group gets it."""
+    def _make_report(self, seen: "EngineReport") -> RankReport:
         return RankReport(
             rank=seen.rank,
             epoch=seen.epoch,
