--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -185,6 +185,8 @@
         may_have_run = True
         # Noted first, so that the log names it also where the time ends meanwhile.
         job.tried.append(upstream.entry.instance)
+        job.load_then = upstream.load(sent_ms)
+        job.report_age_ms = upstream.report_age_ms(sent_ms)
         try:
             outcome = await run_try(job.exchange, self._pool, one)
             may_have_run = outcome.result in (Result.ANSWERED, Result.BROKEN)
--- a/packages/gateway/src/fuchsiahatch_gateway/jobs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/jobs.py
@@ -50,6 +50,11 @@
     longest_gap_ms : int
     waited_ms : int
         Time for which it waited for places.
+    load_then : int
+        Requests that its last upstream was believed to have as it was sent there, this
+        one included.
+    report_age_ms : int or None
+        Age of the load report behind that; None without one.
     """
 
     exchange: "Exchange"
@@ -66,6 +71,8 @@
     last_event_ms: int | None = None
     longest_gap_ms: int = 0
     waited_ms: int = 0
+    load_then: int = 0
+    report_age_ms: int | None = None
 
     def is_on_time(self, now_ms: int) -> bool:
         """Return whether an answer that ends now is within the route's objectives."""
--- a/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
@@ -83,6 +83,10 @@
             return self.own
         return self.own + self.others
 
+    def report_age_ms(self, now_ms: int) -> int | None:
+        """Return how old the last load report is; None without one."""
+        return None if self.reported_ms is None else now_ms - self.reported_ms
+
     def is_silent(self, now_ms: int) -> bool:
         """Return whether its agent, that reported its load, does so no more."""
         if self.reported_ms is None:
--- a/packages/gateway/src/fuchsiahatch_gateway/request_log.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/request_log.py
@@ -62,12 +62,21 @@
         )
 
     def note_retry(self, job: "Job", upstream: "Upstream", outcome: "Outcome") -> None:
-        """Note that a request goes to another upstream."""
+        """Note that a request goes to another upstream.
+
+        What the first was believed to have, and has by its latest report, tells one
+        that was full when it was chosen from one that is slow.
+        """
+        now_ms = self._clock.now_ms()
         log_event(
             Event.ATTEMPT_RETRIED,
             request=job.request.request_id.decode("latin-1"),
             upstream=upstream.entry.instance,
             result=outcome.result.value,
             detail=outcome.detail,
-            left_ms=job.ends_ms - self._clock.now_ms(),
+            left_ms=job.ends_ms - now_ms,
+            load_then=job.load_then,
+            report_age_ms=job.report_age_ms,
+            load_now=upstream.load(now_ms),
+            places=upstream.entry.places,
         )
