--- a/packages/gateway/src/fuchsiahatch_gateway/following.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/following.py
@@ -24,6 +24,12 @@
 #: the store has forgotten its leases.
 LAPSE_SHARE = 0.5
 LEAST_LAPSED = 4
+#: Pause behind an answered watch; what changes meanwhile comes with the next answer. As
+#: 64 upstreams and 33 entries register within two seconds, each process made a call for
+#: each of them: 8,500 calls in a day with one loss of power, each of them priced. The
+#: first change behind a quiet time is still told at once, and the others 0.2 s late at
+#: most, of the 2 s in which an upstream that leaves must get nothing more.
+WATCH_PAUSE_MS = 200
 
 
 @dataclasses.dataclass(slots=True)
@@ -156,6 +162,7 @@
             try:
                 if known:
                     known = await self._watch_or_regain()
+                    await asyncio.sleep(WATCH_PAUSE_MS / 1000)
                 else:
                     await self._read()
                     known = True
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -76,6 +76,28 @@
 
         run(follow())
 
+    def test_a_burst_of_changes_is_followed_with_few_calls(self):
+        # Half of what the platform charges is for calls in the two seconds behind each
+        # start of everything: all upstreams and entries register one after the other,
+        # and each process asked again behind each one of them.
+        async def follow():
+            async with Following() as one:
+                await asyncio.sleep(following.WATCH_PAUSE_MS / 1000)
+                before = len(one.store.calls)
+                began_ms = one.clock.now_ms()
+                one.store.put("servers/00", {})
+                await until(lambda: one.names == ["00"])
+                first_ms = one.clock.now_ms() - began_ms
+                for number in range(1, 30):
+                    one.store.put(f"servers/{number:02}", {})
+                    await asyncio.sleep(0.015)
+                await until(lambda: len(one.names) == 30)
+                return first_ms, len(one.store.calls) - before
+
+        first_ms, calls = run(follow())
+        self.assertLess(first_ms, following.WATCH_PAUSE_MS)
+        self.assertLessEqual(calls, 8)
+
     def test_what_lapsed_while_the_store_was_away_is_waited_for(self):
         # Every member is refused for two seconds after the store's return: the leases
         # of all upstreams ran out meanwhile, and their entries were gone for a moment.
