--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -32,8 +32,8 @@
 #: streams a second, reports each 300 ms). With reports each 100 ms two are worse than
 #: three: 0.0049 against 0.0030, and 0.0020 against 0.0013 with 7 entries, 16 engines.
 COMPARED = 3
-#: Time behind the first sight of a service's upstreams for which their first load
-#: report is waited for. Reports come each 100 ms; after a loss of power a rank group
+#: Time behind the first sight of an engine for which its first load report is waited
+#: for. Reports come each 100 ms; after a loss of power a rank group
 #: needs some 600 ms to form, and refuses whatever comes before.
 FIRST_REPORT_MS = 700
 
@@ -72,7 +72,6 @@
         "_by_service",
         "_clock",
         "_entries",
-        "_first_seen_ms",
         "_reports",
         "_rng",
         "_zone",
@@ -89,7 +88,6 @@
         self._by_service: dict[str, list[Upstream]] = {}
         self._entries = ItemDecoder(decode_upstream_entry)
         self._reports: set[str] = set()
-        self._first_seen_ms: dict[str, int] = {}
         self.upstreams: dict[str, Upstream] = {}
         self.on_gone: t.Callable[[UpstreamEntry], None] = lambda entry: None
         self.engine_of: t.Callable[[str], Engine | None] = lambda service: None
@@ -146,28 +144,27 @@
 
     def usable(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that may get new work."""
-        if self.awaits_reports(service):
-            return []
         return [
             upstream
             for upstream in self._by_service.get(service, ())
-            if upstream.takes_work
+            if upstream.takes_work and not self._awaits_report(upstream)
         ]
 
-    def awaits_reports(self, service: str) -> bool:
-        """Return whether it is too early to send anything to a service.
+    def _awaits_report(self, upstream: Upstream) -> bool:
+        """Return whether it is too early to send anything to an engine.
 
         Guards against a restart of everything at once: an entry serves some 500 ms
         before the rank groups have formed, each request that it sends there is refused,
-        and the few second sends that a new process may make are used up at once.
+        and the few second sends that a new process may make are used up at once. Each
+        engine's own report is waited for: agents start over half a second, and while
+        the first of them said that their groups were forming, the other engines got
+        400 requests, and refused them.
         """
-        first_ms = self._first_seen_ms.get(service)
-        return (
-            first_ms is not None
-            and service not in self._reports
-            and self._clock.now_ms() - first_ms < FIRST_REPORT_MS
-            and self.engine_of(service) is not None
-        )
+        if upstream.reported_ms is not None:
+            return False
+        if self._clock.now_ms() - upstream.seen_ms >= FIRST_REPORT_MS:
+            return False
+        return self.engine_of(upstream.entry.service) is not None
 
     def is_usable(self, upstream: Upstream) -> bool:
         """Return whether an upstream may still get new work."""
@@ -249,9 +246,11 @@
 
     def _put(self, instance: str, entry: UpstreamEntry) -> None:
         known = self.upstreams.get(instance)
-        self._first_seen_ms.setdefault(entry.service, self._clock.now_ms())
         if known is None:
-            self.upstreams[instance] = Upstream(entry, born_ms=entry.born_ms)
+            now_ms = self._clock.now_ms()
+            self.upstreams[instance] = Upstream(
+                entry, born_ms=entry.born_ms, seen_ms=now_ms
+            )
             log_event(Event.UPSTREAM_SEEN, upstream=instance, service=entry.service)
             return
         if 0 < entry.born_ms < known.born_ms:
@@ -287,7 +286,11 @@
             born_ms=born_ms,
         )
         self.on_gone(former.entry)
-        fresh = Upstream(dataclasses.replace(entry, leaving=False), born_ms=born_ms)
+        fresh = Upstream(
+            dataclasses.replace(entry, leaving=False),
+            born_ms=born_ms,
+            seen_ms=self._clock.now_ms(),
+        )
         self.upstreams[instance] = fresh
         self._index()
         return fresh
--- a/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
@@ -52,6 +52,8 @@
         Running mean of its answers; 0 before the first.
     born_ms : int
         Start of the life that all of this is believed of; 0 while it isn't known.
+    seen_ms : int
+        When this entry first saw it in this life.
     movers : set of callable
         Each lets a request under way there go on elsewhere, if it may.
     """
@@ -68,6 +70,7 @@
     misplaced: bool = False
     latency_ms: float = 0.0
     born_ms: int = 0
+    seen_ms: int = 0
     movers: set[t.Callable[[], None]] = dataclasses.field(default_factory=set)
     _failures: float = 0.0
     _failed_ms: int = 0
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -61,6 +61,22 @@
         self.fleet.observe(load(2))
         self.assertEqual(self.choose(), "b")
 
+    def test_each_engine_gets_nothing_before_its_own_first_report(self):
+        # After a loss of power of everything four hundred briefs are refused, a third
+        # of them twice: entries are up before the agents. As the first agents report
+        # that their group is forming, all others' engines look open, get what comes,
+        # and refuse it. Evidence: all such refusals fell between the first agent's
+        # start and the last's, and ended as the groups had formed.
+        self.fleet.engine_of = lambda service: ENGINE
+        self.apply(a=item("a", 1), b=item("b", 2))
+        self.fleet.observe(load(1, is_open=False))
+        self.assertIsNone(self.choose())
+        self.fleet.observe(load(2, is_open=False))
+        self.clock.advance(fleet.FIRST_REPORT_MS)
+        self.assertIsNone(self.choose())
+        self.fleet.observe(load(2))
+        self.assertEqual(self.choose(), "b")
+
     def test_a_lack_of_load_reports_holds_nothing_up_for_long(self):
         self.fleet.engine_of = lambda service: ENGINE
         self.apply(a=item("a", 1))
