--- a/tests/gateway/test_reporting.py
+++ b/tests/gateway/test_reporting.py
@@ -53,6 +53,19 @@
         self.assertEqual(self.tell(0), {0})
         self.assertEqual(self.tell(0), set())
 
+    def test_choices_of_a_large_group_are_told_often_enough(self):
+        # For 1.2 s behind each shift of demand all briefs stand still for 160 ms and
+        # more between two events: ranks of a group of 32 told their leader each 470 ms
+        # what had been chosen, and its first change of map was made for a mixture of
+        # what was and what is.
+        self.rank.choices_bytes = 1_100
+        self.rank.seen = types.SimpleNamespace(ranks=32)
+        told = 0
+        for _ in range(40):
+            self.clock.advance(50)
+            told += self.reporter.owes_choices()
+        self.assertGreaterEqual(told, 8)
+
 
 if __name__ == "__main__":
     unittest.main()
