--- a/packages/gateway/src/fuchsiahatch_gateway/reporting.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/reporting.py
@@ -11,9 +11,9 @@
 
 #: Share of the leader's link that all ranks' choices may take together. At 63 ranks of
 #: 2 KB each 100 ms they were three times what a link of 4 Mbit/s carries; nothing that
-#: renews the lease got through. Orders may take half of the link besides. At 32 ranks of
-#: 1.1 KB a rank tells of its choices each 200 ms; with a share of 0.15, each 470 ms, a
-#: change of map followed a shift of demand 0.6 s behind the last one instead of 0.44 s.
+#: renews the lease got through. Orders may take half of the link besides. At 32 ranks
+#: of 1.1 KB a rank tells of its choices each 200 ms; with a share of 0.15, each 470 ms,
+#: changes of map followed one another in 0.6 s behind a shift of demand, not in 0.44.
 CHOICES_LINK_SHARE = 0.35
 #: Pause between two reports of the load, for each entry: 360 ms with 40 of them, where
 #: 63 agents send 7,000 a second instead of 25,200. With 11 or fewer each report goes.
