--- a/packages/gateway/src/fuchsiahatch_gateway/following.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/following.py
@@ -162,7 +162,8 @@
             try:
                 if known:
                     known = await self._watch_or_regain()
-                    await asyncio.sleep(WATCH_PAUSE_MS / 1000)
+                    if known:
+                        await asyncio.sleep(WATCH_PAUSE_MS / 1000)
                 else:
                     await self._read()
                     known = True
--- a/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
@@ -94,13 +94,22 @@
         """Return whether its agent, that reported its load, does so no more."""
         if self.reported_ms is None:
             return False
-        limit_ms = max(SILENT_MS, SILENT_REPORTS * self.report_pause_ms)
-        return now_ms - self.reported_ms > limit_ms
+        return now_ms - self.reported_ms > self._silence_ms
+
+    @property
+    def _silence_ms(self) -> float:
+        return max(SILENT_MS, SILENT_REPORTS * self.report_pause_ms)
 
     def note_report(self, now_ms: int) -> None:
-        """Note that its agent was heard."""
-        if self.reported_ms is not None and not self.is_silent(now_ms):
-            pause_ms = now_ms - self.reported_ms
+        """Note that its agent was heard.
+
+        A silence counts as the longest pause that would have been none: a host that
+        stood still changes the mean little, and reports that come less often than
+        before, as those of an engine that has room again, aren't taken for silences
+        for ever.
+        """
+        if self.reported_ms is not None:
+            pause_ms = min(now_ms - self.reported_ms, self._silence_ms)
             self.report_pause_ms += REPORT_PAUSE_WEIGHT * (
                 pause_ms - self.report_pause_ms
             )
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -112,6 +112,21 @@
         self.fleet.observe(load(2, group="g"))
         self.assertEqual(self.choose(), "b")
 
+    def test_reports_that_come_less_often_again_are_no_silence(self):
+        # With a hundred entries an engine tells its load each 0.9 s, and each 0.1 s
+        # while it is nearly full. An hour behind a busy one, three quarters of all
+        # engines look silent to each entry at any moment, and the others get it all.
+        self.apply(a=item("a", 1))
+        for _ in range(50):
+            self.clock.advance(100)
+            self.fleet.observe(load(1, running=5))
+        for _ in range(5):
+            self.clock.advance(900)
+            self.fleet.observe(load(1, running=1))
+        self.clock.advance(899)
+        upstream = self.fleet.upstreams["a"]
+        self.assertFalse(upstream.is_silent(self.clock.now_ms()))
+
     def test_a_lack_of_load_reports_holds_nothing_up_for_long(self):
         self.fleet.engine_of = lambda service: ENGINE
         self.apply(a=item("a", 1))
