Engines that open one by one are gathered once

Cause: while engines are gathered, usable() is empty, and observe() asked it whether another engine could be used; each further one that opened began the 0.1 s anew. Change: what could work, gathered or not, is asked (_open). Test first: it failed with 'None not found' for the third of engines 50 ms apart. Before: engines 50 ms apart are withheld until the last has opened. After: for 0.1 s behind the first.

--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -119,7 +119,7 @@
             upstream = self._begin_life(upstream, upstream.entry, load.born_ms)
         service = upstream.entry.service
         opens = load.open and (upstream.reported_ms is None or not upstream.open)
-        if opens and load.group and not self.usable(service):
+        if opens and load.group and not self._open(service):
             self._opened_ms[service] = self._clock.now_ms()
         self._reports.add(service)
         upstream.others = max(0, load.running + load.queued - upstream.own)
@@ -154,13 +154,21 @@
 
     def usable(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that may get new work."""
-        known = self._by_service.get(service, ())
-        usable = [
+        usable = self._open(service)
+        others = len(self._by_service.get(service, ())) - len(usable)
+        return [] if self._gathers(service, others) else usable
+
+    def _open(self, service: str) -> list[Upstream]:
+        """Return the upstreams of a service that could work, gathered or not.
+
+        Those that are being gathered count as open: each further one would begin the
+        time anew, and engines that open 50 ms apart were withheld until the last had.
+        """
+        return [
             upstream
-            for upstream in known
+            for upstream in self._by_service.get(service, ())
             if upstream.takes_work and not self._awaits_report(upstream)
         ]
-        return [] if self._gathers(service, len(known) - len(usable)) else usable
 
     def _gathers(self, service: str, others: int) -> bool:
         """Return whether more engines are about to open than the first one.
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -93,6 +93,38 @@
         self.fleet.observe(load(2, group="g"))
         self.assertIn(self.choose(), ("a", "b"))
 
+    def test_engines_that_open_one_by_one_are_withheld_for_one_gathering(self):
+        # Behind a loss of all power the ranks of a group open one after another, some
+        # 50 ms apart. Callers wait until the last of them has opened, though the first
+        # have had room for long: each further one that opens begins the gathering
+        # anew, since none counts as usable while they are gathered.
+        self.fleet.engine_of = lambda service: ENGINE
+        self.apply(**{name: item(name, port) for port, name in enumerate("abcd", 1)})
+        for port in (1, 2, 3, 4):
+            self.fleet.observe(load(port, is_open=False, group="g"))
+        self.fleet.observe(load(1, group="g"))
+        self.clock.advance(fleet.GATHER_MS // 2)
+        self.fleet.observe(load(2, group="g"))
+        self.assertIsNone(self.choose())
+        self.clock.advance(fleet.GATHER_MS - fleet.GATHER_MS // 2)
+        self.fleet.observe(load(3, group="g"))
+        self.assertIn(self.choose(), ("a", "b", "c"))
+
+    def test_a_group_that_opens_again_is_gathered_again(self):
+        # A rank dies and its group forms anew: all its engines close, and the first
+        # to open again would get what all entries hold back.
+        self.fleet.engine_of = lambda service: ENGINE
+        self.apply(a=item("a", 1), b=item("b", 2))
+        self.fleet.observe(load(1, group="g"))
+        self.fleet.observe(load(2, group="g"))
+        self.clock.advance(10 * fleet.GATHER_MS)
+        for port in (1, 2):
+            self.fleet.observe(load(port, is_open=False, group="g"))
+        self.fleet.observe(load(2, group="g"))
+        self.assertIsNone(self.choose())
+        self.clock.advance(fleet.GATHER_MS)
+        self.assertEqual(self.choose(), "b")
+
     def test_nothing_is_gathered_once_all_are_open(self):
         self.fleet.engine_of = lambda service: ENGINE
         self.apply(a=item("a", 1), b=item("b", 2))
