A leader reads what has arrived before it judges, and plans in vain less often

Cause: a leader of 63 ranks in idle looked each 20 ms and planned at each look where no plan paid (22 ms a plan on a whole core, its host has 0.645). It worked once for each of 630 states a second, and judged all agents by the first of the states that waited for it: 57 agents taken for silent within 0.2 s, their engines asked over its link, its lease lost. The order pacer and the planner left group_leader.

--- a/packages/experts/src/fuchsiahatch_experts/drift.py
+++ b/packages/experts/src/fuchsiahatch_experts/drift.py
@@ -148,17 +148,52 @@
     return weights / np.where(totals > 0, totals, 1.0)
 
 
-def expected_skew(
-    placement: "Placement", demand: Demand, paces: t.Sequence[float]
-) -> float:
+class GroupMap:
+    """The map of a group, laid out once for all looks at it.
+
+    Parameters
+    ----------
+    placement : Placement
+    experts : int
+        Of a layer.
+
+    Attributes
+    ----------
+    placement : Placement
+    table : ExpertMap
+
+    Notes
+    -----
+    A leader looks at its map 50 times a second. Laying one of 16 layers and 96 ranks
+    out takes 2.4 ms, a look at one that is laid out 0.1 ms.
+    """
+
+    __slots__ = ("_cells", "_columns", "_replicas", "placement", "table")
+
+    def __init__(self, placement: "Placement", experts: int) -> None:
+        self.placement = placement
+        self.table = as_map(placement, experts)
+        layers, held, ranks = np.nonzero(self.table.placed)
+        self._cells = layers * experts + held
+        self._columns = layers * len(placement[0]) + ranks
+        self._replicas = self.table.replicas().ravel()[self._cells]
+
+    def skew(self, demand: Demand, paces: "npt.NDArray[np.float64]") -> float:
+        """Return the slowest rank's time over the usual mean, the mean over layers."""
+        layers, _, ranks = self.table.placed.shape
+        parts = demand.weights.ravel()[self._cells] / self._replicas
+        loads = np.bincount(self._columns, parts, layers * ranks)
+        return _mean_skew(loads.reshape(layers, ranks), paces)
+
+
+def expected_skew(known: GroupMap, demand: Demand, paces: t.Sequence[float]) -> float:
     """Return the slowest rank's time over the mean, as the demand of late makes it."""
     demand.forget_shifted()
-    current = as_map(placement, demand.weights.shape[1])
-    return _paced_skew(current, demand, np.array(paces))
+    return known.skew(demand, np.array(paces))
 
 
 def plan_change(
-    placement: "Placement",
+    known: GroupMap,
     demand: Demand,
     slots: int,
     paces: t.Sequence[float] | None = None,
@@ -169,7 +204,7 @@
 
     Parameters
     ----------
-    placement : Placement
+    known : GroupMap
         The map in force.
     demand : Demand
     slots : int
@@ -180,10 +215,10 @@
         Copies that a rank may take in all, and in one layer.
     """
     demand.forget_shifted()
-    current = as_map(placement, demand.weights.shape[1])
-    weighed = np.ones(len(placement[0])) if paces is None else np.array(paces)
+    ranks = len(known.placement[0])
+    weighed = np.ones(ranks) if paces is None else np.array(paces)
     target = improve_within(
-        current,
+        known.table,
         demand.weights,
         slots,
         copies_per_rank,
@@ -191,11 +226,11 @@
         weighed,
         copies_per_layer,
     )
-    before = _paced_skew(current, demand, weighed)
-    after = _paced_skew(target, demand, weighed)
+    before = known.skew(demand, weighed)
+    after = _mean_skew(rank_loads(target, demand.weights), weighed)
     if before - after < LEAST_TOTAL_GAIN:
         return None
-    copies = int(count_moves(current, target).sum())
+    copies = int(count_moves(known.table, target).sum())
     return Plan(as_placement(target), copies, before, after)
 
 
@@ -218,11 +253,10 @@
     return max(COPIES_PER_RANK, min(int(pass_ms / copy_ms), most))
 
 
-def _paced_skew(
-    expert_map: ExpertMap, demand: Demand, paces: "npt.NDArray[np.float64]"
+def _mean_skew(
+    loads: "npt.NDArray[np.float64]", paces: "npt.NDArray[np.float64]"
 ) -> float:
-    """Return the slowest rank's time over the usual mean, on average over layers."""
-    loads = rank_loads(expert_map, demand.weights)
+    """Return the slowest rank's time over the usual mean, the mean over layers."""
     means = loads.mean(axis=1)
     slowest = (loads * paces).max(axis=1)
     return float((slowest / np.where(means > 0, means, 1.0)).mean())
--- a/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
@@ -33,7 +33,8 @@
     TakeoverNotice,
     encode,
 )
-from fuchsiahatch_gateway.pass_forecast import PassForecast
+from fuchsiahatch_gateway.hearing import Hearing
+from fuchsiahatch_gateway.order_pacing import OrderPacer
 from fuchsiahatch_gateway.rank_agent import RankAgent
 from fuchsiahatch_gateway.silent_agents import SilentAgents
 from fuchsiahatch_gateway.tasks import Tasks
@@ -42,18 +43,9 @@
     from fuchsiahatch_adapter.configuration import Engine
     from fuchsiahatch_adapter.model_engine import ModelEngine
     from fuchsiahatch_core.clock import Clock
-    from fuchsiahatch_experts.drift import Demand
-
-#: Requests in ranks' states that must be known before a map is changed.
-LEAST_WEIGHT = 4.0
-#: Share of the pause that routes allow, with an event a pass, below which passes are
-#: left as they are: copies would cost more than faster passes bring. It saved a third
-#: of the copies of a calm day (1,879 to 1,205 GB) at the same share of requests in time
-#: (0.977 and 0.976).
-EASY_PASS_SHARE = 0.42
-#: Pause between two looks at the demand; one took 0.9 ms (500 looks at 6 layers of 64
-#: experts, beside eight busy processes).
-LOOK_PAUSE_MS = 20
+    from fuchsiahatch_experts.drift import Plan
+    from fuchsiahatch_experts.planning import MapPlanner, Passes
+
 #: Time after which an order without an answer counts as unanswered.
 REPLY_LIMIT_MS = 300
 #: Age up to which an agent's word that it obeys this term counts. States come each
@@ -66,19 +58,6 @@
 #: Passes of this length or more leave time to hold the very next one: a hold and its
 #: arms take some 20 ms. Holding the second next would cost a pass of up to 1.5 s more.
 LONG_PASS_MS = 200
-#: Time that a change may take on the leader's link: a third of what an order's answer
-#: is waited for.
-CHANGE_LINK_MS = 100
-#: Share of the leader's link that orders may take, and what may go out at once. All
-#: ranks' states come in over the same link.
-ORDERS_LINK_SHARE = 0.5
-BURST_BYTES = 8_192
-#: Size of an order but for its map, with the headers of its datagram.
-ORDER_BYTES = 120
-#: Size of a row of a changed map: layer, rank and some five experts.
-ROW_BYTES = 12
-#: Copies of a rank that one change has at most, whatever the link carries.
-MOST_COPIES = 64
 #: Pause between two notices to the standby, or to agents that don't obey it yet.
 NOTICE_MS = 20
 #: Phases in which a switch is under way.
@@ -155,20 +134,17 @@
         self._has_lease = has_lease
         self._lacks_store = lacks_store
         self._takes_over = takes_over
-        self._link_bytes_per_s = link_bytes_per_s
-        self._room_bytes = float(BURST_BYTES)
-        self._paced_ms = clock.now_ms()
+        self._pacer = OrderPacer(link_bytes_per_s, clock.now_ms())
+        self._hearing = Hearing(clock.now_ms())
         self._standby: int | None = None
         self._noticed_ms = 0
         self._obeyed_ms: dict[int, int] = {}
         self._paces: dict[int, float] = {}
-        self._running: dict[int, int] = {}
         self.engine: Engine | None = None
         self.gap_ms = 0
         self._peers: dict[int, Peer] = {}
         self._sequences: dict[str, int] = {}
-        self._demand: Demand | None = None
-        self._forecast: PassForecast | None = None
+        self._planner: MapPlanner | None = None
         self._numbers = itertools.count(1)
         self._asked: dict[int, tuple[Order, int]] = {}
         #: Ranks whose agents lack the map that a change is told from.
@@ -177,6 +153,7 @@
         self._change = MapChange(NO_BASE, 0, 0, ())
         self._tasks = Tasks()
         self._stopping = False
+        self._work_due = False
         self._phase = Phase.SETTLING
         self._phase_ms = clock.now_ms()
         self.switch = Switch(term, rank, ranks, may_start=not takes_over)
@@ -199,13 +176,12 @@
         now_ms = self._clock.now_ms()
         self._peers[rank] = peer
         self._paces[rank] = state.pace
-        self._running[rank] = state.running
-        self._silent.note_heard(rank, state.upstream, now_ms)
+        self._silent.note_heard(rank, state.upstream, self._hearing.heard_ms)
         self._note_obedience(rank, state.report.term, now_ms)
         self.switch.experts = self._own.experts_per_layer
         self.switch.observe(state.report, now_ms)
         self._count(state, now_ms)
-        self.work()
+        self._work_soon()
 
     def introduce(self, peers: t.Mapping[int, Peer]) -> None:
         """Learn where the agents of other ranks take datagrams."""
@@ -221,7 +197,18 @@
         else:
             self._lacking.discard(asked[0].rank)
         self.switch.answered(asked[0], reply.result, self._clock.now_ms())
-        self.work()
+        self._work_soon()
+
+    def _work_soon(self) -> None:
+        """Work once all datagrams that wait are read.
+
+        Done behind each of them, a leader that came late to its datagrams judged 57
+        agents by the first one, while what they had said waited in the same socket;
+        and 630 states a second cost as many rounds over all ranks.
+        """
+        if not self._work_due:
+            self._work_due = True
+            asyncio.get_running_loop().call_soon(self.work)
 
     def work(self) -> None:
         """Begin a switch if one pays, and send the orders that are due.
@@ -232,14 +219,16 @@
         with messages waiting for it, and would go on with a switch that its successor
         has cleared.
         """
+        self._work_due = False
+        now_ms = self._clock.now_ms()
+        self._hearing.look(now_ms)
         if not self.may_lead():
             return
-        now_ms = self._clock.now_ms()
         self._give_up_replies(now_ms)
-        if self.switch.ready and not self._stopping:
+        if not self._stopping:
             self._plan(now_ms)
         if self._has_lease():
-            self._silent.work(self.switch.phase, now_ms)
+            self._silent.work(self.switch.phase, self._hearing.heard_ms, now_ms)
         self._notify(now_ms)
         for order in self.switch.orders(now_ms, self._pace_orders(now_ms)):
             self._send(order, now_ms)
@@ -319,98 +308,74 @@
         except zlib.error as fault:
             log_event(Event.DATAGRAM_DROPPED, detail=f"choices: {fault}")
             return
-        if len(choices) != engine.expert_layers * engine.experts:
-            log_event(Event.DATAGRAM_DROPPED, detail="choices of another size")
-            return
-        # Only a leader needs them, and they take their memory and their time.
-        import numpy as np
-
-        from fuchsiahatch_experts.drift import Demand, memory_for
+        try:
+            planner = self._planner or self._make_planner(engine)
+            planner.count(state.report.rank, state.running, choices, now_ms)
+        except ValueError as fault:
+            log_event(Event.DATAGRAM_DROPPED, detail=f"choices: {fault}")
 
-        if self._demand is None:
-            self._demand = Demand(engine.expert_layers, engine.experts)
-        shape = (engine.expert_layers, engine.experts)
-        counts = np.frombuffer(choices, dtype=np.uint8).reshape(shape)
-        sums = np.maximum(counts.sum(axis=1, keepdims=True), 1)
-        self._demand.memory_ms = memory_for(sum(self._running.values()))
-        self._demand.add(counts / sums, state.running, now_ms)
+    def _make_planner(self, engine: "Engine") -> "MapPlanner":
+        # Only a leader needs it, and numpy takes its memory and its time.
+        from fuchsiahatch_experts.planning import ExpertLayout, MapPlanner
+
+        layout = ExpertLayout(
+            engine.expert_layers,
+            engine.experts,
+            engine.expert_places,
+            engine.spare_places or 1,
+            engine.expert_share,
+            engine.copy_ms,
+        )
+        self._planner = MapPlanner(layout)
+        return self._planner
 
     def _plan(self, now_ms: int) -> None:
-        engine, demand = self.engine, self._demand
-        placement = self.switch.placement
-        if engine is None or demand is None or placement is None:
+        """Begin a switch if a change of the map is worth it now."""
+        planner = self._planner
+        if planner is None or not planner.is_due(now_ms) or not self.switch.ready:
             return
-        if demand.weight < LEAST_WEIGHT:
+        placement, version = self.switch.placement, self.switch.map_version
+        if placement is None or version is None:
             return
-        if self._forecast is None:
-            self._forecast = PassForecast(engine.expert_share)
-        looked_ms = self._forecast.looked_ms
-        if looked_ms is not None and now_ms - looked_ms < LOOK_PAUSE_MS:
-            return
-        from fuchsiahatch_experts.drift import (
-            copies_in_a_pass,
-            expected_skew,
-            plan_change,
-        )
+        from fuchsiahatch_experts.planning import Passes
 
         paces = [self._paces.get(rank, 1.0) for rank in range(self._ranks)]
-        skew = expected_skew(placement, demand, paces)
-        pass_ms = self._forecast.expect_ms(self._own.pass_ms, skew, now_ms)
-        if pass_ms < EASY_PASS_SHARE * self.gap_ms:
-            return
-        spare = engine.spare_places or 1
-        most = min(spare * engine.expert_layers, self._copies_in_a_change())
-        copies = copies_in_a_pass(pass_ms, engine.copy_ms, most)
-        plan = plan_change(
-            placement, demand, engine.expert_places, paces, copies, spare
+        passes = Passes(self._own.pass_ms, self.gap_ms, paces)
+        most_copies = self._pacer.copies_in_a_change(self._ranks)
+        plan = planner.look(
+            self.switch.epoch, version, placement, passes, most_copies, now_ms
         )
         # A standby whose agent is silent could agree to no commit.
         self._standby = self._silent.heard_behind(self._rank)
         if plan is None or self._standby is None:
             return
-        ahead = 1 if self._own.pass_ms >= LONG_PASS_MS else HOLD_AHEAD
-        if not self.switch.start(plan.placement, now_ms, ahead, self._standby):
-            return
+        ahead = 1 if passes.pass_ms >= LONG_PASS_MS else HOLD_AHEAD
+        if self.switch.start(plan.placement, now_ms, ahead, self._standby):
+            self._log_plan(plan, passes, planner)
+
+    def _log_plan(self, plan: "Plan", passes: "Passes", planner: "MapPlanner") -> None:
         log_event(
             Event.MAP_PLANNED,
             group=self._group,
             copies=plan.copies,
-            copies_per_rank=copies,
-            pass_ms=round(self._own.pass_ms, 1),
-            expected_pass_ms=round(pass_ms, 1),
+            copies_per_rank=planner.copies_per_rank,
+            pass_ms=round(passes.pass_ms, 1),
+            expected_pass_ms=round(planner.expected_ms, 1),
             skew_before=round(plan.skew_before, 3),
             skew_after=round(plan.skew_after, 3),
-            slowest_pace=round(max(paces), 2),
-            shifts=demand.shifts,
+            slowest_pace=round(max(passes.paces), 2),
+            shifts=planner.demand.shifts,
         )
 
     def _pace_orders(self, now_ms: int) -> int | None:
         """Return how many orders the link has room for now; None for any number.
 
-        A burst of 63 orders of 700 bytes overflowed a link of 4 Mbit/s: some were lost
-        in each change, and it waited 300 ms for their answers, often twice. Only copies
-        are paced: passes may be held while all other orders are out.
+        Only copies are paced: passes may be held while all other orders are out.
         """
         if self.switch.phase is not Phase.COPYING:
             return None
         # Before the change is made it is taken for one row a rank.
-        rows = max(len(self._change.rows), self._ranks)
-        size = ORDER_BYTES + ROW_BYTES * rows
-        refill = ORDERS_LINK_SHARE * self._link_bytes_per_s / 1000
-        room = self._room_bytes + refill * (now_ms - self._paced_ms)
-        self._room_bytes = min(room, max(BURST_BYTES, size))
-        self._paced_ms = now_ms
-        return max(int(self._room_bytes // size), 0)
-
-    def _copies_in_a_change(self) -> int:
-        """Return how many copies a rank may take for a change to reach all in time.
-
-        Each agent is sent the rows of all ranks: with 300 rows to each of 63 agents a
-        link of 4 Mbit/s was full for longer than orders are waited for, each was sent
-        again, and no change was ever complete.
-        """
-        room_bytes = CHANGE_LINK_MS / 1000 * self._link_bytes_per_s
-        return int(min(room_bytes / (self._ranks**2 * ROW_BYTES), MOST_COPIES)) or 1
+        return self._pacer.room(max(len(self._change.rows), self._ranks), now_ms)
 
     def _send(self, order: Order, now_ms: int) -> None:
         if order.rank == self._rank:
@@ -438,7 +403,7 @@
         request = OrderRequest(self._group, self._term, number, order, change)
         data = encode(request)
         if change is not None:
-            self._room_bytes -= len(data)
+            self._pacer.spend(len(data))
         self._datagrams.send_encoded(data, peer)
 
     def _change_for(self, order: Order) -> MapChange:
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/hearing.py
@@ -0,0 +1,35 @@
+"""The time for which a process was able to hear others."""
+
+#: Time that one pause between two looks counts as, at most: a loop looks each 20 ms,
+#: and reads all that has come before it does.
+MOST_STEP_MS = 60
+
+
+class Hearing:
+    """A clock that stands still while its own process does.
+
+    Silences are measured by it. A process that is late, or whose host stood still, has
+    heard nobody for that time: by the plain clock all others look silent at once as it
+    wakes, and what it does about them makes it later still. By this one they have the
+    whole of their time left to speak.
+
+    Parameters
+    ----------
+    now_ms : int
+
+    Attributes
+    ----------
+    heard_ms : int
+        Time for which others could be heard, from an arbitrary start.
+    """
+
+    __slots__ = ("_looked_ms", "heard_ms")
+
+    def __init__(self, now_ms: int) -> None:
+        self._looked_ms = now_ms
+        self.heard_ms = 0
+
+    def look(self, now_ms: int) -> None:
+        """Note that all that had come by now is read."""
+        self.heard_ms += min(max(now_ms - self._looked_ms, 0), MOST_STEP_MS)
+        self._looked_ms = now_ms
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/order_pacing.py
@@ -0,0 +1,58 @@
+"""How many orders a leader's link has room for."""
+
+#: Time that a change may take on the leader's link: a third of what an order's answer
+#: is waited for.
+CHANGE_LINK_MS = 100
+#: Share of the leader's link that orders may take, and what may go out at once. All
+#: ranks' states come in over the same link.
+ORDERS_LINK_SHARE = 0.5
+BURST_BYTES = 8_192
+#: Size of an order but for its map, with the headers of its datagram.
+ORDER_BYTES = 120
+#: Size of a row of a changed map: layer, rank and some five experts.
+ROW_BYTES = 12
+#: Copies of a rank that one change has at most, whatever the link carries.
+MOST_COPIES = 64
+
+
+class OrderPacer:
+    """Spreads the orders to copy over the link's time.
+
+    A burst of 63 orders of 700 bytes overflowed a link of 4 Mbit/s: some were lost in
+    each change, and it waited 300 ms for their answers, often twice.
+
+    Parameters
+    ----------
+    link_bytes_per_s : float
+    now_ms : int
+    """
+
+    __slots__ = ("_link_bytes_per_s", "_paced_ms", "_room_bytes")
+
+    def __init__(self, link_bytes_per_s: float, now_ms: int) -> None:
+        self._link_bytes_per_s = link_bytes_per_s
+        self._room_bytes = float(BURST_BYTES)
+        self._paced_ms = now_ms
+
+    def room(self, rows: int, now_ms: int) -> int:
+        """Return how many orders of that many rows may go out now."""
+        size = ORDER_BYTES + ROW_BYTES * rows
+        refill = ORDERS_LINK_SHARE * self._link_bytes_per_s / 1000
+        room = self._room_bytes + refill * (now_ms - self._paced_ms)
+        self._room_bytes = min(room, max(BURST_BYTES, size))
+        self._paced_ms = now_ms
+        return max(int(self._room_bytes // size), 0)
+
+    def spend(self, sent_bytes: int) -> None:
+        """Count an order that went out."""
+        self._room_bytes -= sent_bytes
+
+    def copies_in_a_change(self, ranks: int) -> int:
+        """Return how many copies a rank may take for a change to reach all in time.
+
+        Each agent is sent the rows of all ranks: with 300 rows to each of 63 agents a
+        link of 4 Mbit/s was full for longer than orders are waited for, each was sent
+        again, and no change was ever complete.
+        """
+        room_bytes = CHANGE_LINK_MS / 1000 * self._link_bytes_per_s
+        return int(min(room_bytes / (ranks**2 * ROW_BYTES), MOST_COPIES)) or 1
--- a/packages/gateway/src/fuchsiahatch_gateway/silent_agents.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/silent_agents.py
@@ -93,10 +93,10 @@
         self._asking: set[int] = set()
         self._tasks = Tasks()
 
-    def note_heard(self, rank: int, address: str, now_ms: int) -> None:
-        """Note that a rank's agent was heard."""
+    def note_heard(self, rank: int, address: str, heard_ms: int) -> None:
+        """Note that a rank's agent was heard, by the clock of `Hearing`."""
         self._addresses[rank] = address
-        self._heard_ms[rank] = now_ms
+        self._heard_ms[rank] = heard_ms
         self._speakers.pop(rank, None)
 
     def address(self, rank: int) -> str | None:
@@ -115,14 +115,22 @@
         """Return who speaks with a rank's engine in place of its agent, if anybody."""
         return self._speakers.get(rank)
 
-    def work(self, phase: Phase, now_ms: int) -> None:
-        """Ask the engines of silent agents."""
+    def work(self, phase: Phase, heard_ms: int, now_ms: int) -> None:
+        """Ask the engines of silent agents.
+
+        Parameters
+        ----------
+        phase : Phase
+        heard_ms : int
+            Time for which agents could be heard.
+        now_ms : int
+        """
         self._poll_ms = HELD_POLL_MS if phase in _HOLDING_PHASES else POLL_MS
         if self._since_ms is None:
-            self._since_ms = now_ms
+            self._since_ms = heard_ms
         for rank in range(self._ranks):
             last_ms = self._heard_ms.get(rank, self._since_ms)
-            if rank != self._own_rank and now_ms - last_ms >= SILENCE_MS:
+            if rank != self._own_rank and heard_ms - last_ms >= SILENCE_MS:
                 self._speak_for(rank, now_ms)
 
     def stop(self) -> None:
--- a/tests/gateway/test_pass_forecast.py
+++ b/tests/experts/test_pass_forecast.py
@@ -1,6 +1,6 @@
 import unittest
 
-from fuchsiahatch_gateway.pass_forecast import PASS_LAG_MS, PassForecast
+from fuchsiahatch_experts.pass_forecast import PASS_LAG_MS, PassForecast
 
 
 class TestPassForecast(unittest.TestCase):
--- /dev/null
+++ b/tests/gateway/led_groups.py
@@ -0,0 +1,167 @@
+"""A group's leader in virtual time, with what its work costs on its host."""
+
+import asyncio
+import heapq
+import types
+import zlib
+
+import numpy as np
+
+from fuchsiahatch_core.clock import ManualClock
+from fuchsiahatch_experts.map_changes import first_map
+from fuchsiahatch_experts.rank_orders import RankReport
+from fuchsiahatch_gateway.datagrams import RankState
+from fuchsiahatch_gateway.group_leader import GroupLeader
+from fuchsiahatch_gateway.rank_agent import RankAgent
+
+TERM = 2
+#: How often an agent tells its rank's state.
+STATE_MS = 100
+#: How often a leader works without being told anything.
+WORK_MS = 20
+#: Time that a datagram is on its way.
+WAY_MS = 2
+#: Datagrams that a loop reads before it does anything else.
+READ_AT_ONCE = 128
+#: Share of a core that the leader's host has.
+CORE = 0.645
+
+
+class Port:
+    """Takes what the leader sends."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, message, peer):
+        self.sent.append((message, peer))
+
+    def send_encoded(self, data, peer):
+        self.sent.append((data, peer))
+
+
+class LedGroup:
+    """One leader, and the agents of all other ranks, that never fail.
+
+    Parameters
+    ----------
+    ranks, layers, experts, places : int
+    state_ms, plan_ms : float
+        What a state and a plan cost on a whole core.
+    """
+
+    def __init__(self, ranks, layers, experts, places, state_ms=0.0, plan_ms=0.0):
+        self.clock = ManualClock(1_000)
+        self.ranks = ranks
+        self.state_ms, self.plan_ms = state_ms / CORE, plan_ms / CORE
+        self.layers, self.experts = layers, experts
+        self.placement = first_map(layers, experts, ranks)
+        self.asked = []
+        self.planned_ms = 0.0
+        self._late_ms = 0.0
+        self._sequence = 0
+        self.port = Port()
+        own = RankAgent(types.SimpleNamespace(), "10.0.0.0:80")
+        own.note_term(TERM)
+        own._layers = layers
+        own.pass_ms = 100.0
+        self.leader = GroupLeader(
+            "g",
+            TERM,
+            0,
+            ranks,
+            own,
+            ("10.0.0.0", 1),
+            self.port,
+            self.clock,
+            self._engine_of,
+            self._list_engines,
+            has_lease=lambda: True,
+            lacks_store=lambda: False,
+            link_bytes_per_s=500_000.0,
+        )
+        self.leader.gap_ms = 150
+        self.leader.engine = types.SimpleNamespace(
+            expert_layers=layers,
+            experts=experts,
+            expert_places=places,
+            spare_places=1,
+            expert_share=0.85,
+            copy_ms=50.0,
+        )
+
+    def _engine_of(self, address):
+        self.asked.append(address)
+        return types.SimpleNamespace(report=self._answer_nothing)
+
+    async def _answer_nothing(self):
+        await asyncio.sleep(3_600)
+
+    async def _list_engines(self):
+        return []
+
+    def spend(self, cost_ms):
+        """Let a piece of work take its time."""
+        self._late_ms += cost_ms
+        whole_ms = int(self._late_ms)
+        self._late_ms -= whole_ms
+        self.clock.advance(whole_ms)
+
+    def plan(self, *_args, **_options):
+        """Take the place of a search that finds no map worth its copies."""
+        self.planned_ms += self.plan_ms
+        self.spend(self.plan_ms)
+
+    def state(self, rank):
+        """Return what a rank's agent says now; the demand is the same for ever."""
+        self._sequence += 1
+        now_ms = self.clock.now_ms()
+        counts = np.full((self.layers, self.experts), 40, dtype=np.uint8)
+        counts[:, :: self.ranks] = 120
+        held = tuple(layer[rank] for layer in self.placement)
+        report = RankReport(rank, 1, TERM, True, now_ms // 100, 0, 0, None, None, held)
+        return RankState(
+            "g",
+            f"10.0.0.{rank}:80",
+            self._sequence,
+            report,
+            3,
+            1.0,
+            zlib.compress(counts.tobytes(), 1),
+            (1,) * self.layers,
+        )
+
+    async def run(self, for_ms, stall=None):
+        """Let all agents speak for a time; the leader's loop may stand still once.
+
+        Parameters
+        ----------
+        for_ms : int
+        stall : (int, int), optional
+            When it begins, behind the start, and for how long.
+        """
+        began_ms = self.clock.now_ms()
+        waiting = [
+            (began_ms + STATE_MS * rank // self.ranks, rank)
+            for rank in range(self.ranks)
+        ]
+        heapq.heapify(waiting)
+        while self.clock.now_ms() - began_ms < for_ms:
+            woke_ms = self.clock.now_ms()
+            if stall is not None and woke_ms - began_ms >= stall[0]:
+                self.clock.advance(stall[1])
+                stall = None
+            for _ in range(READ_AT_ONCE):
+                if waiting[0][0] + WAY_MS > self.clock.now_ms():
+                    break
+                told_ms, rank = heapq.heappop(waiting)
+                heapq.heappush(waiting, (told_ms + STATE_MS, rank))
+                self.leader.take_state(self.state(rank), (f"10.0.0.{rank}", 1))
+                self.spend(self.state_ms)
+            # What the leader put off until it has read all that waits.
+            await asyncio.sleep(0)
+            self.leader.work()
+            await asyncio.sleep(0)
+            rest_ms = max(woke_ms + WORK_MS - self.clock.now_ms(), 0)
+            next_ms = waiting[0][0] + WAY_MS - self.clock.now_ms()
+            self.clock.advance(max(min(rest_ms, next_ms), 1))
--- a/tests/gateway/test_agents.py
+++ b/tests/gateway/test_agents.py
@@ -3,7 +3,7 @@
 import unittest
 from unittest import mock
 
-from fuchsiahatch_gateway import group_leader
+from fuchsiahatch_gateway import order_pacing
 from fuchsiahatch_gateway.agent import Agent
 from fuchsiahatch_gateway.log import LineWriter
 from fuchsiahatch_gateway.process import Process
@@ -97,7 +97,7 @@
         # the leader's link, and the count of those that it had room for was negative.
         async def follow():
             sizes = {"BURST_BYTES": 3, "ORDER_BYTES": 1, "ROW_BYTES": 0.001}
-            with mock.patch.multiple(group_leader, **sizes):
+            with mock.patch.multiple(order_pacing, **sizes):
                 async with Group(21, link_mbps=0.05) as group:
                     await until(lambda: group.engines.switches >= 1, 20.0)
                     return group.engines.mixed
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -88,7 +88,7 @@
     ),
     Mechanism(
         "forecast of passes",
-        f"{GATEWAY}/pass_forecast.py",
+        f"{EXPERTS}/pass_forecast.py",
         "        return pass_ms * (1.0 + self._expert_share * growth)",
         "        return pass_ms",
     ),
@@ -100,7 +100,7 @@
     ),
     Mechanism(
         "easy passes left alone",
-        f"{GATEWAY}/group_leader.py",
+        f"{EXPERTS}/planning.py",
         "EASY_PASS_SHARE = 0.42",
         "EASY_PASS_SHARE = 0.0",
     ),
