A map's change takes three bytes and a half a copy

Cause: each order to copy tells each rank the rows of all ranks. At 96 ranks a change of one copy a rank was 960 bytes to each of 96 agents: 0.25 s of the leader's link of 3 Mbit/s, of which orders may take half. Change: experts that leave and come, in place of whole rows, deflated.

--- a/packages/experts/src/fuchsiahatch_experts/rank_orders.py
+++ b/packages/experts/src/fuchsiahatch_experts/rank_orders.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-#: Experts of each rank, by layer and rank.
+#: Experts of each rank in ascending order, by layer and rank.
 Placement = tuple[tuple[tuple[int, ...], ...], ...]
 
 
--- a/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
@@ -150,7 +150,7 @@
         #: Ranks whose agents lack the map that a change is told from.
         self._lacking: set[int] = set()
         self._change_of = 0
-        self._change = MapChange(NO_BASE, 0, 0, ())
+        self._change = MapChange(NO_BASE, 0, 0, b"")
         self._tasks = Tasks()
         self._stopping = False
         self._work_due = False
@@ -374,8 +374,7 @@
         """
         if self.switch.phase is not Phase.COPYING:
             return None
-        # Before the change is made it is taken for one row a rank.
-        return self._pacer.room(max(len(self._change.rows), self._ranks), now_ms)
+        return self._pacer.room(len(self._change.edits), now_ms)
 
     def _send(self, order: Order, now_ms: int) -> None:
         if order.rank == self._rank:
--- a/packages/gateway/src/fuchsiahatch_gateway/order_pacing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/order_pacing.py
@@ -9,8 +9,8 @@
 BURST_BYTES = 8_192
 #: Size of an order but for its map, with the headers of its datagram.
 ORDER_BYTES = 120
-#: Size of a row of a changed map: layer, rank and some five experts.
-ROW_BYTES = 12
+#: Size of one copy in a changed map: 3.6 bytes each of 96, 4 of 261.
+COPY_BYTES = 4
 #: Copies of a rank that one change has at most, whatever the link carries.
 MOST_COPIES = 64
 
@@ -34,9 +34,9 @@
         self._room_bytes = float(BURST_BYTES)
         self._paced_ms = now_ms
 
-    def room(self, rows: int, now_ms: int) -> int:
-        """Return how many orders of that many rows may go out now."""
-        size = ORDER_BYTES + ROW_BYTES * rows
+    def room(self, change_bytes: int, now_ms: int) -> int:
+        """Return how many orders with a change of that size may go out now."""
+        size = ORDER_BYTES + change_bytes
         refill = ORDERS_LINK_SHARE * self._link_bytes_per_s / 1000
         room = self._room_bytes + refill * (now_ms - self._paced_ms)
         self._room_bytes = min(room, max(BURST_BYTES, size))
@@ -50,9 +50,9 @@
     def copies_in_a_change(self, ranks: int) -> int:
         """Return how many copies a rank may take for a change to reach all in time.
 
-        Each agent is sent the rows of all ranks: with 300 rows to each of 63 agents a
-        link of 4 Mbit/s was full for longer than orders are waited for, each was sent
-        again, and no change was ever complete.
+        Each agent is sent the copies of all ranks: with 300 rows to each of 63 agents
+        a link of 4 Mbit/s was full for longer than orders are waited for, each was
+        sent again, and no change was ever complete.
         """
         room_bytes = CHANGE_LINK_MS / 1000 * self._link_bytes_per_s
-        return int(min(room_bytes / (ranks**2 * ROW_BYTES), MOST_COPIES)) or 1
+        return int(min(room_bytes / (ranks**2 * COPY_BYTES), MOST_COPIES)) or 1
--- a/tests/gateway/test_agents.py
+++ b/tests/gateway/test_agents.py
@@ -96,7 +96,7 @@
         # A group of 63 ranks keeps its first map all day: one change's orders overdrew
         # the leader's link, and the count of those that it had room for was negative.
         async def follow():
-            sizes = {"BURST_BYTES": 3, "ORDER_BYTES": 1, "ROW_BYTES": 0.001}
+            sizes = {"BURST_BYTES": 3, "ORDER_BYTES": 1, "COPY_BYTES": 0.001}
             with mock.patch.multiple(order_pacing, **sizes):
                 async with Group(21, link_mbps=0.05) as group:
                     await until(lambda: group.engines.switches >= 1, 20.0)
