Choices of experts are drawn evenly and of late; states tell of experts once

Cause: a leader of 96 ranks hears of a rank's choices each 1.8 s (2,400 bytes of each, a third of its link of 3 Mbit/s), each time of all that was chosen since: its maps are made for a demand that is 0.9 s old in the mean, and demand moves each three seconds. States without choices take another third, two fifths of them the experts that a rank holds, which change with its map alone. Change: choices are drawn at even distances, one for each expert of a layer in all (experts.choice_samples), over the last 200 ms where they are told seldom; experts are told thrice behind a change of the map or the leader and each second (gateway.reporting). Totals of choices, which nobody read, went. A state: 98 to 54 bytes.

--- a/packages/gateway/src/fuchsiahatch_gateway/agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/agent.py
@@ -43,7 +43,7 @@
 )
 from fuchsiahatch_gateway.lookups import EntryRecord, decode_entry
 from fuchsiahatch_gateway.rank_agent import RankAgent
-from fuchsiahatch_gateway.reporting import Reporter
+from fuchsiahatch_gateway.reporting import ChoicesTurn, Reporter
 from fuchsiahatch_gateway.routes import shortest_gap_ms
 from fuchsiahatch_gateway.takeovers import Takeovers
 from fuchsiahatch_http1.client import ConnectionPool
@@ -140,7 +140,10 @@
     async def _report(self) -> None:
         self._note_leader()
         try:
-            state = await self.rank.read_state(self._reporter.owes_choices())
+            turn = self._reporter.choices_turn()
+            if turn is ChoicesTurn.BEGIN:
+                await self.rank.begin_choices()
+            state = await self.rank.read_state(turn is ChoicesTurn.TELL)
         except PlatformError as fault:
             if not self._failing:
                 log_event(Event.UPSTREAM_SILENT, detail=fault.detail)
@@ -160,7 +163,7 @@
             for own in self._led():
                 own.take_state(state, self.peer)
             return
-        self.datagrams.send(state, leader.peer)
+        self.datagrams.send(self._reporter.trim(state, leader.term), leader.peer)
 
     def _find_leader(self, group: str) -> LeaderRecord | None:
         """Return the leader of the highest term that this agent has heard of."""
@@ -394,7 +397,7 @@
         self.datagrams.send(reply, peer)
         try:
             async for state in self.rank.follow_effect(request.order):
-                self.datagrams.send(state, peer)
+                self.datagrams.send(self._reporter.trim(state, request.term), peer)
         except PlatformError as fault:
             log_event(Event.UPSTREAM_SILENT, detail=fault.detail)
 
--- a/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
@@ -24,9 +24,6 @@
 #: Above 0, as upstreams' places are divided by it.
 _Pace = t.Annotated[float, msgspec.Meta(gt=0, lt=1e9)]
 
-#: Largest weight of an expert in `RankState.choices`; one byte each.
-CHOICE_SCALE = 255
-
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag=0):
     """Load of one upstream, from the agent beside it.
@@ -70,10 +67,8 @@
     pace : float
         How much slower than usual the engine works.
     choices : bytes
-        Choices of each expert since the last ones sent, one byte each, the largest of
-        a layer as `CHOICE_SCALE`; compressed, as most experts are chosen seldom.
-    totals : tuple of int
-        Choices since the last state by layer.
+        How often requests chose each expert of late, layer by layer, as `draw_evenly`
+        draws them; compressed, as most experts are chosen seldom.
     """
 
     group: str
@@ -83,7 +78,6 @@
     running: _Count
     pace: _Pace
     choices: bytes
-    totals: tuple[int, ...]
 
 
 class OrderRequest(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
@@ -60,6 +60,8 @@
 LONG_PASS_MS = 200
 #: Pause between two notices to the standby, or to agents that don't obey it yet.
 NOTICE_MS = 20
+#: Experts of a rank, by layer.
+HeldExperts = tuple[tuple[int, ...], ...]
 #: Phases in which a switch is under way.
 _SWITCHING = (
     Phase.COPYING,
@@ -149,6 +151,8 @@
         self._asked: dict[int, tuple[Order, int]] = {}
         #: Ranks whose agents lack the map that a change is told from.
         self._lacking: set[int] = set()
+        #: Experts that each rank holds, and the epoch and map that they are of.
+        self._held: dict[int, tuple[int, int, HeldExperts]] = {}
         self._change_of = 0
         self._change = MapChange(NO_BASE, 0, 0, b"")
         self._tasks = Tasks()
@@ -179,10 +183,21 @@
         self._silent.note_heard(rank, state.upstream, self._hearing.heard_ms)
         self._note_obedience(rank, state.report.term, now_ms)
         self.switch.experts = self._own.experts_per_layer
-        self.switch.observe(state.report, now_ms)
+        self.switch.observe(self._complete(state.report), now_ms)
         self._count(state, now_ms)
         self._work_soon()
 
+    def _complete(self, report: RankReport) -> RankReport:
+        """Put in the experts that a rank holds, if it has told of them before."""
+        map_of = (report.epoch, report.map_version)
+        if report.experts is not None:
+            self._held[report.rank] = (*map_of, report.experts)
+            return report
+        known = self._held.get(report.rank)
+        if known is None or known[:2] != map_of:
+            return report
+        return msgspec.structs.replace(report, experts=known[2])
+
     def introduce(self, peers: t.Mapping[int, Peer]) -> None:
         """Learn where the agents of other ranks take datagrams."""
         self._peers.update(peers)
@@ -455,7 +470,7 @@
         self.switch.answered(order, result, self._clock.now_ms())
 
     def _take_report(self, report: RankReport) -> None:
-        self.switch.observe(report, self._clock.now_ms())
+        self.switch.observe(self._complete(report), self._clock.now_ms())
         self.work()
 
     async def _give_directly(self, speaker: RankAgent, order: Order) -> None:
--- a/packages/gateway/src/fuchsiahatch_gateway/rank_agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/rank_agent.py
@@ -1,6 +1,7 @@
 """One rank of a group: its state for the leader, and the leader's orders to it."""
 
 import asyncio
+import random
 import typing as t
 import zlib
 
@@ -8,6 +9,7 @@
 
 from fuchsiahatch_adapter.model_engine import Choices, ModelEngine
 from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_experts.choice_samples import draw_evenly
 from fuchsiahatch_experts.map_changes import (
     NO_BASE,
     MapChange,
@@ -15,7 +17,7 @@
     first_map,
 )
 from fuchsiahatch_experts.rank_orders import Order, OrderKind, OrderResult, RankReport
-from fuchsiahatch_gateway.datagrams import CHOICE_SCALE, OrderRequest, RankState
+from fuchsiahatch_gateway.datagrams import OrderRequest, RankState
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.upstreams import EngineReport
@@ -115,11 +117,11 @@
         PlatformError
         """
         seen = await self.read_report()
-        choices, totals = b"", ()
+        choices = b""
         if seen.group:
             await self._read_experts(seen)
             if with_choices:
-                choices, totals = await self._read_choices()
+                choices = await self._read_choices()
         self._sequence += 1
         return RankState(
             seen.group,
@@ -129,9 +131,17 @@
             seen.running,
             seen.pace,
             choices,
-            totals,
         )
 
+    async def begin_choices(self) -> None:
+        """Let the next choices that are read count from now.
+
+        Raises
+        ------
+        PlatformError
+        """
+        self._choices = await self._upstream.choices()
+
     async def read_report(self) -> "EngineReport":
         """Read the upstream's report alone.
 
@@ -308,7 +318,7 @@
             self._experts_of = wanted
             self._layers = len(found.experts)
 
-    async def _read_choices(self) -> tuple[bytes, tuple[int, ...]]:
+    async def _read_choices(self) -> bytes:
         fresh = await self._upstream.choices()
         before, self._choices = self._choices, fresh
         if (
@@ -316,18 +326,19 @@
             or not self._layers
             or len(before.counts) != len(fresh.counts)
         ):
-            return b"", ()
+            return b""
         since = [
             new - old for new, old in zip(fresh.counts, before.counts, strict=True)
         ]
         if min(since) < 0:
             # The upstream has started anew: its counts began at zero.
-            return b"", ()
+            return b""
         experts = len(since) // self._layers
         rows = [since[at : at + experts] for at in range(0, len(since), experts)]
-        choices = zlib.compress(b"".join(map(_scale, rows)), level=1)
+        drawn = b"".join(draw_evenly(row, random.random()) for row in rows)
+        choices = zlib.compress(drawn, level=1)
         self._choices_bytes = len(choices)
-        return choices, tuple(map(sum, rows))
+        return choices
 
 
 def _is_complete(order: Order, report: RankReport) -> bool:
@@ -336,11 +347,6 @@
     return report.prepared >= order.version
 
 
-def _scale(row: list[int]) -> bytes:
-    largest = max(row) or 1
-    return bytes(round(count * CHOICE_SCALE / largest) for count in row)
-
-
 async def _give(upstream: ModelEngine, order: Order) -> OrderResult:
     if order.kind is OrderKind.PREPARE:
         assert order.placement is not None
--- a/tests/gateway/led_groups.py
+++ b/tests/gateway/led_groups.py
@@ -128,7 +128,6 @@
             3,
             1.0,
             zlib.compress(counts.tobytes(), 1),
-            (1,) * self.layers,
         )
 
     async def run(self, for_ms, stall=None):
--- a/tests/gateway/test_reporting.py
+++ b/tests/gateway/test_reporting.py
@@ -2,8 +2,15 @@
 import unittest
 
 from fuchsiahatch_core.clock import ManualClock
-from fuchsiahatch_gateway.datagrams import decode
-from fuchsiahatch_gateway.reporting import LOAD_PAUSE_MS_PER_ENTRY, Reporter
+from fuchsiahatch_experts.rank_orders import RankReport
+from fuchsiahatch_gateway.datagrams import RankState, decode
+from fuchsiahatch_gateway.reporting import (
+    FRESH_MS,
+    FULL_STATES,
+    LOAD_PAUSE_MS_PER_ENTRY,
+    ChoicesTurn,
+    Reporter,
+)
 
 ENTRIES = [types.SimpleNamespace(peer=("10.0.0.1", port)) for port in range(30)]
 
@@ -63,9 +70,43 @@
         told = 0
         for _ in range(40):
             self.clock.advance(50)
-            told += self.reporter.owes_choices()
+            told += self.reporter.choices_turn() is ChoicesTurn.TELL
         self.assertGreaterEqual(told, 8)
 
+    def test_choices_that_are_told_seldom_are_of_late(self):
+        # Chats of a group of 96 ranks stumble for two seconds behind each shift of
+        # demand: a rank tells its leader each 1.8 s what has been chosen since it last
+        # did, most of it before the shift.
+        self.rank.choices_bytes = 2_600
+        self.rank.seen = types.SimpleNamespace(ranks=96)
+        turns = []
+        for _ in range(60):
+            self.clock.advance(100)
+            turns.append((self.clock.now_ms(), self.reporter.choices_turn()))
+        begun = [at for at, turn in turns if turn is ChoicesTurn.BEGIN]
+        told = [at for at, turn in turns if turn is ChoicesTurn.TELL]
+        self.assertGreaterEqual(len(told), 3)
+        for began_ms, told_ms in zip(begun, told[1:], strict=False):
+            self.assertLessEqual(0, told_ms - began_ms)
+            self.assertLessEqual(told_ms - began_ms, FRESH_MS + 100)
+
+    def test_experts_are_told_behind_a_change_and_each_second(self):
+        # The leader of 96 ranks hears 960 states a second, each with 16 rows that have
+        # not changed for seconds: a third of its link of 3 Mbit/s.
+        trimmed = [self.reporter.trim(self.state(4), 8) for _ in range(20)]
+        with_experts = [state.report.experts is not None for state in trimmed]
+        self.assertEqual(with_experts[:FULL_STATES], [True] * FULL_STATES)
+        self.assertEqual(sum(with_experts), FULL_STATES + 2)
+        for changed in ((self.state(5), 8), (self.state(5), 10)):
+            told = self.reporter.trim(*changed)
+            self.assertEqual(told.report.experts, ((1, 2), (3,)))
+
+    def state(self, map_version):
+        report = RankReport(
+            3, 1, 8, True, 100, map_version, 0, None, None, ((1, 2), (3,))
+        )
+        return RankState("g", "10.0.0.1:80", 7, report, 3, 1.0, b"")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/gateway/test_small_parts.py
+++ b/tests/gateway/test_small_parts.py
@@ -60,8 +60,8 @@
         arm = Order(1, OrderKind.ARM, 3, version=9, step=815)
         for message in (
             LoadReport("10.0.0.1:80", 1, 6, 1.5, True, "g", 65.5),
-            RankState("g", "10.0.0.1:80", 7, report, 6, 1.5, b"\x00\xff", (10, 20)),
-            RankState("g", "10.0.0.1:80", 8, bare, 0, 1.0, b"", ()),
+            RankState("g", "10.0.0.1:80", 7, report, 6, 1.5, b"\x00\xff"),
+            RankState("g", "10.0.0.1:80", 8, bare, 0, 1.0, b""),
             OrderRequest("g", 40, 5, copy),
             OrderRequest("g", 40, 7, arm, make_change(placement)),
             OrderReply("g", 40, 7, OrderResult.UNKNOWN, lacks_base=True),
