--- a/packages/gateway/src/fuchsiahatch_gateway/agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/agent.py
@@ -110,6 +110,7 @@
         ip, port = self.peer
         reactor.listenUDP(port, self.datagrams, interface=ip)
         self._add_gauges()
+        process.keep_running(process.log_store_calls(self.store.calls))
         await process.serve_metrics()
         process.keep_running(self._report_for_ever())
         process.keep_running(self._ask_store_for_ever())
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -138,6 +138,7 @@
         port = settings.internal_ports[0]
         reactor.listenUDP(port, self.datagrams, interface=settings.ip)
         self._add_gauges()
+        process.keep_running(process.log_store_calls(self.store.calls))
         await process.serve_metrics()
         for address in (settings.ready, settings.lookup):
             if address is not None:
--- a/packages/gateway/src/fuchsiahatch_gateway/following.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/following.py
@@ -30,6 +30,12 @@
 #: first change behind a quiet time is still told at once, and the others 0.2 s late at
 #: most, of the 2 s in which an upstream that leaves must get nothing more.
 WATCH_PAUSE_MS = 200
+#: Changes in one answer behind which that pause is longer: processes start or end one
+#: after the other, each other process asks again behind each of them, and none of them
+#: can be of use before the rest has started. A start of 100 within two seconds takes 5
+#: calls of each process instead of 10. What leaves in it is told 0.8 s late at most.
+BURST_CHANGES = 5
+BURST_PAUSE_MS = 800
 
 
 @dataclasses.dataclass(slots=True)
@@ -131,6 +137,7 @@
         "_lapsed",
         "_on_change",
         "_prefix",
+        "_rest_ms",
         "_store",
         "items",
         "revision",
@@ -151,6 +158,7 @@
         self._clock = clock
         self._on_change = on_change
         self._lapsed: set[str] = set()
+        self._rest_ms = WATCH_PAUSE_MS
         self.items: dict[str, Item] = {}
         self.synced = False
         self.revision = 0
@@ -163,7 +171,7 @@
                 if known:
                     known = await self._watch_or_regain()
                     if known:
-                        await asyncio.sleep(WATCH_PAUSE_MS / 1000)
+                        await asyncio.sleep(self._rest_ms / 1000)
                 else:
                     await self._read()
                     known = True
@@ -226,6 +234,8 @@
         for item in changes.items:
             self._take(item)
         self.revision = max(self.revision, changes.revision)
+        is_burst = len(changes.items) >= BURST_CHANGES
+        self._rest_ms = BURST_PAUSE_MS if is_burst else WATCH_PAUSE_MS
         if changes.items:
             self._on_change()
 
--- a/packages/gateway/src/fuchsiahatch_gateway/process.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/process.py
@@ -1,6 +1,7 @@
 """What the entry and the agent have in common: settings, signals, log, metrics."""
 
 import asyncio
+import collections
 import os
 import signal
 import typing as t
@@ -17,11 +18,14 @@
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import SettingsError
 from fuchsiahatch_gateway.log import LineWriter
+from fuchsiahatch_gateway.loop_watch import LoopWatch
 from fuchsiahatch_gateway.tasks import Tasks
 from fuchsiahatch_http1.server import Exchange, HttpServer
 
 #: How often the settings file is looked at for a change without a signal.
 SETTINGS_POLL_MS = 5_000
+#: How often the calls to the store are logged.
+CALLS_LOG_MS = 20_000
 #: Where metrics are served; the deploy file names the same port and path.
 METRICS_PORT = 9464
 METRICS_PATH = b"/metrics"
@@ -66,6 +70,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._file_mark = _mark_of_file()
         self.keep_running(self._watch_settings())
+        self.keep_running(LoopWatch(self.registry, self.clock).run())
         log_event(Event.STARTED, zone=self.settings.zone, pid=os.getpid())
 
     def keep_running(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
@@ -77,6 +82,20 @@
         gauge = aioprometheus.Gauge(name, doc, registry=self.registry)
         self._gauges.append((gauge, read))
 
+    async def log_store_calls(self, calls: collections.Counter[str]) -> None:
+        """Log the calls to the store by kind, from time to time.
+
+        Parameters
+        ----------
+        calls : collections.Counter of str
+            All calls so far; it goes on being counted.
+        """
+        logged: collections.Counter[str] = collections.Counter()
+        while True:
+            await asyncio.sleep(CALLS_LOG_MS / 1000)
+            fresh, logged = calls - logged, calls.copy()
+            log_event(Event.STORE_CALLS, calls=dict(fresh))
+
     async def serve_metrics(self) -> None:
         """Serve the metrics."""
         server = HttpServer(self._answer_metrics)
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -98,6 +98,21 @@
         self.assertLess(first_ms, following.WATCH_PAUSE_MS)
         self.assertLessEqual(calls, 8)
 
+    def test_a_start_of_a_hundred_processes_is_followed_with_few_calls(self):
+        # A tenth of a day's worth goes to the platform for calls: as 300 processes
+        # start one after the other, each of them asks again five times a second.
+        async def follow():
+            async with Following() as one:
+                await asyncio.sleep(following.WATCH_PAUSE_MS / 1000)
+                before = len(one.store.calls)
+                for number in range(100):
+                    one.store.put(f"servers/{number:03}", {})
+                    await asyncio.sleep(0.02)
+                await until(lambda: len(one.names) == 100)
+                return len(one.store.calls) - before
+
+        self.assertLessEqual(run(follow()), 6)
+
     def test_what_lapsed_while_the_store_was_away_is_waited_for(self):
         # Every member is refused for two seconds after the store's return: the leases
         # of all upstreams ran out meanwhile, and their entries were gone for a moment.
