Orders to copy are passed on by some agents where they would fill the link

Cause: the leader tells each rank a change itself. At 96 ranks that leaves room for one copy a rank and change on a link of 3 Mbit/s, and a shift of demand is followed in five changes of 0.3 s each. Change: some ten agents pass a change's orders on, each to as many others; each rank checks its order and answers the leader as before. One that isn't answered within 120 ms goes out directly. Small groups are told directly, and so is all that holds passes. Tests: a group whose orders are passed on, and one where nobody does so.

--- a/packages/gateway/src/fuchsiahatch_gateway/agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/agent.py
@@ -17,6 +17,7 @@
 from fuchsiahatch_gateway.datagrams import (
     DatagramPort,
     Message,
+    OrderRelay,
     OrderReply,
     OrderRequest,
     Peer,
@@ -42,6 +43,7 @@
     term_of,
 )
 from fuchsiahatch_gateway.lookups import EntryRecord, decode_entry
+from fuchsiahatch_gateway.order_relays import request_of
 from fuchsiahatch_gateway.rank_agent import RankAgent
 from fuchsiahatch_gateway.reporting import ChoicesTurn, Reporter
 from fuchsiahatch_gateway.routes import shortest_gap_ms
@@ -372,11 +374,25 @@
             # An agent that has just started knows no term: before it has read who
             # leads, an order of a leader that was replaced would look like any other.
             self._process.keep_running(self._carry_out(message, peer))
+        elif isinstance(message, OrderRelay) and self._follower.synced:
+            self._pass_on(message, peer)
         elif isinstance(message, OrderReply):
             for own in self._led():
                 own.take_reply(message)
 
-    async def _carry_out(self, request: OrderRequest, peer: Peer) -> None:
+    def _pass_on(self, relay: OrderRelay, leader: Peer) -> None:
+        """Send orders to others for a leader, unless it was replaced."""
+        if relay.term < self.rank.term:
+            return
+        for target in relay.targets:
+            request = request_of(relay, target, leader)
+            if target.peer == self.peer:
+                self._process.keep_running(self._carry_out(request, leader))
+            else:
+                self.datagrams.send(request, target.peer)
+
+    async def _carry_out(self, request: OrderRequest, sender: Peer) -> None:
+        peer = request.leader or sender
         if not self.rank.knows_base(request):
             lacking = OrderReply(
                 request.group,
--- a/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
@@ -91,6 +91,8 @@
         Without its map.
     change : MapChange or None
         That map, as its difference from one that the agent should know.
+    leader : Peer or None
+        Who is to be answered; whoever sent it by default.
     """
 
     group: str
@@ -98,6 +100,11 @@
     number: int
     order: Order
     change: MapChange | None = None
+    leader: Peer | None = None
+
+    def __post_init__(self) -> None:
+        if self.leader is not None:
+            check_peer(self.leader)
 
 
 class OrderReply(msgspec.Struct, frozen=True, array_like=True, tag=3):
@@ -163,6 +170,43 @@
     serving: bool
 
 
+class RelayedOrder(msgspec.Struct, frozen=True, array_like=True):
+    """Whom an order is passed on to.
+
+    Attributes
+    ----------
+    rank, number : int
+        The order's number is of its leader, as in `OrderRequest`.
+    peer : Peer
+    """
+
+    rank: int
+    number: int
+    peer: Peer
+
+    def __post_init__(self) -> None:
+        check_peer(self.peer)
+
+
+class OrderRelay(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Orders to copy, to be passed on by the agent of the first target.
+
+    Attributes
+    ----------
+    group : str
+    term, epoch, version : int
+    change : MapChange
+    targets : tuple of RelayedOrder
+    """
+
+    group: str
+    term: int
+    epoch: int
+    version: int
+    change: MapChange
+    targets: tuple[RelayedOrder, ...]
+
+
 Message = (
     LoadReport
     | RankState
@@ -171,6 +215,7 @@
     | StandbyNotice
     | TakeoverNotice
     | EntryBeat
+    | OrderRelay
 )
 
 _DECODER = msgspec.msgpack.Decoder(Message)
--- a/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
@@ -29,12 +29,14 @@
     OrderRequest,
     Peer,
     RankState,
+    RelayedOrder,
     StandbyNotice,
     TakeoverNotice,
     encode,
 )
 from fuchsiahatch_gateway.hearing import Hearing
 from fuchsiahatch_gateway.order_pacing import OrderPacer
+from fuchsiahatch_gateway.order_relays import RELAY_LIMIT_MS, share_out
 from fuchsiahatch_gateway.rank_agent import RankAgent
 from fuchsiahatch_gateway.silent_agents import SilentAgents
 from fuchsiahatch_gateway.tasks import Tasks
@@ -148,7 +150,11 @@
         self._sequences: dict[str, int] = {}
         self._planner: MapPlanner | None = None
         self._numbers = itertools.count(1)
+        #: Orders without an answer, by number, and until when it is waited for.
         self._asked: dict[int, tuple[Order, int]] = {}
+        self._to_relay: list[tuple[Order, RelayedOrder]] = []
+        #: Versions of which a rank's order was passed on by another agent.
+        self._relayed: dict[int, int] = {}
         #: Ranks whose agents lack the map that a change is told from.
         self._lacking: set[int] = set()
         #: Experts that each rank holds, and the epoch and map that they are of.
@@ -247,6 +253,7 @@
         self._notify(now_ms)
         for order in self.switch.orders(now_ms, self._pace_orders(now_ms)):
             self._send(order, now_ms)
+        self._send_relays()
         self._log_phase(now_ms)
 
     def may_lead(self) -> bool:
@@ -387,7 +394,7 @@
 
         Only copies are paced: passes may be held while all other orders are out.
         """
-        if self.switch.phase is not Phase.COPYING:
+        if self.switch.phase is not Phase.COPYING or self._relays():
             return None
         return self._pacer.room(len(self._change.edits), now_ms)
 
@@ -409,17 +416,56 @@
         if peer is None:
             return
         number = next(self._numbers)
-        self._asked[number] = (order, now_ms)
-        change = None
-        if order.placement is not None:
-            change = self._change_for(order)
-            order = msgspec.structs.replace(order, placement=None)
+        if order.placement is None:
+            self._ask(number, order, now_ms, REPLY_LIMIT_MS)
+            request = OrderRequest(self._group, self._term, number, order)
+            self._datagrams.send(request, peer)
+            return
+        change = self._change_for(order)
+        order = msgspec.structs.replace(order, placement=None)
+        if self._relays() and self._may_be_relayed(order):
+            self._ask(number, order, now_ms, RELAY_LIMIT_MS)
+            self._relayed[order.rank] = order.version
+            self._to_relay.append((order, RelayedOrder(order.rank, number, peer)))
+            return
+        self._ask(number, order, now_ms, REPLY_LIMIT_MS)
         request = OrderRequest(self._group, self._term, number, order, change)
         data = encode(request)
-        if change is not None:
-            self._pacer.spend(len(data))
+        self._pacer.spend(len(data))
         self._datagrams.send_encoded(data, peer)
 
+    def _ask(self, number: int, order: Order, now_ms: int, limit_ms: int) -> None:
+        """Note that an order goes out, and until when its answer is waited for."""
+        self._asked[number] = (order, now_ms + limit_ms)
+
+    def _relays(self) -> bool:
+        """Return whether the change under way is passed on by some agents."""
+        change_bytes = len(self._change.edits)
+        return self._pacer.needs_relays(self._ranks, change_bytes)
+
+    def _may_be_relayed(self, order: Order) -> bool:
+        """Return whether an order may go by way of another agent.
+
+        Not while passes may be held; nor where it has gone so before, and whoever
+        should have passed it on may be gone; nor where the agent lacks the map that
+        all others know.
+        """
+        is_first = self._relayed.get(order.rank) != order.version
+        copies = self.switch.phase is Phase.COPYING
+        return copies and is_first and order.rank not in self._lacking
+
+    def _send_relays(self) -> None:
+        """Send the orders that other agents pass on."""
+        if not self._to_relay:
+            return
+        order = self._to_relay[0][0]
+        targets = [target for _, target in self._to_relay]
+        self._to_relay.clear()
+        for relay, peer in share_out(
+            self._group, self._term, order, self._change, targets
+        ):
+            self._datagrams.send(relay, peer)
+
     def _change_for(self, order: Order) -> MapChange:
         """Return an order's map as its difference from the one in force."""
         assert order.placement is not None
@@ -479,9 +525,7 @@
 
     def _give_up_replies(self, now_ms: int) -> None:
         late = [
-            number
-            for number, (_, sent_ms) in self._asked.items()
-            if now_ms - sent_ms > REPLY_LIMIT_MS
+            number for number, (_, until_ms) in self._asked.items() if now_ms > until_ms
         ]
         for number in late:
             order, _ = self._asked.pop(number)
--- a/packages/gateway/src/fuchsiahatch_gateway/order_pacing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/order_pacing.py
@@ -1,5 +1,7 @@
 """How many orders a leader's link has room for."""
 
+from fuchsiahatch_gateway.order_relays import DIRECT_MS, relays_for
+
 #: Time that a change may take on the leader's link: a third of what an order's answer
 #: is waited for.
 CHANGE_LINK_MS = 100
@@ -43,6 +45,12 @@
         self._paced_ms = now_ms
         return max(int(self._room_bytes // size), 0)
 
+    def needs_relays(self, ranks: int, change_bytes: int) -> bool:
+        """Return whether orders to all ranks would fill the link for too long."""
+        sent_bytes = ranks * (ORDER_BYTES + change_bytes)
+        room_bytes = DIRECT_MS / 1000 * ORDERS_LINK_SHARE * self._link_bytes_per_s
+        return sent_bytes > room_bytes
+
     def spend(self, sent_bytes: int) -> None:
         """Count an order that went out."""
         self._room_bytes -= sent_bytes
@@ -50,9 +58,10 @@
     def copies_in_a_change(self, ranks: int) -> int:
         """Return how many copies a rank may take for a change to reach all in time.
 
-        Each agent is sent the copies of all ranks: with 300 rows to each of 63 agents
-        a link of 4 Mbit/s was full for longer than orders are waited for, each was
-        sent again, and no change was ever complete.
+        The copies of all ranks are told to each agent that passes orders on: with 300
+        rows to each of 63 agents a link of 4 Mbit/s was full for longer than orders
+        are waited for, each was sent again, and no change was ever complete.
         """
         room_bytes = CHANGE_LINK_MS / 1000 * self._link_bytes_per_s
-        return int(min(room_bytes / (ranks**2 * COPY_BYTES), MOST_COPIES)) or 1
+        copy_bytes = relays_for(ranks) * ranks * COPY_BYTES
+        return int(min(room_bytes / copy_bytes, MOST_COPIES)) or 1
--- a/tests/gateway/test_agents.py
+++ b/tests/gateway/test_agents.py
@@ -104,6 +104,27 @@
 
         self.assertEqual(run(follow()), [])
 
+    def test_a_group_whose_orders_are_passed_on_follows_its_demand(self):
+        async def follow():
+            with mock.patch.object(order_pacing, "DIRECT_MS", 0):
+                async with Group(23) as group:
+                    await until(lambda: group.engines.switches >= 2, 10.0)
+                    return group.engines.mixed
+
+        self.assertEqual(run(follow()), [])
+
+    def test_orders_that_nobody_passes_on_go_out_directly(self):
+        # A group of 96 ranks keeps its map while one host stands still: its agent
+        # should have passed the leader's orders on to nine others.
+        async def follow():
+            lost = mock.patch.object(Agent, "_pass_on", lambda *_: None)
+            with lost, mock.patch.object(order_pacing, "DIRECT_MS", 0):
+                async with Group(24) as group:
+                    await until(lambda: group.engines.switches >= 2, 15.0)
+                    return group.engines.mixed
+
+        self.assertEqual(run(follow()), [])
+
     def test_maps_are_one_while_orders_are_lost_and_late(self):
         # A pass runs with two maps: an order without an answer was carried out after
         # the switch that it belonged to had been given up.
