A leader asks a few silent agents' engines at once, in turn

Cause: a leader that took 57 agents for silent asked all their engines each 150 ms over its link of 4 Mbit/s; each call timed out, and so did the renewal of its lease. Change: as many at once as a tenth of the link carries, 3 at least, those asked longest ago first. Tests: 59 of 96 agents fall silent: 59 engines asked at once before, 7 now (500 KB/s); and all of them in turn.

--- a/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
@@ -170,7 +170,14 @@
         self._engine_of = engine_of
         self._holder: RankAgent | None = None
         self._silent = SilentAgents(
-            group, term, rank, ranks, engine_of, list_engines, self._take_report
+            group,
+            term,
+            rank,
+            ranks,
+            engine_of,
+            list_engines,
+            self._take_report,
+            link_bytes_per_s,
         )
 
     def take_state(self, state: RankState, peer: Peer) -> None:
--- a/packages/gateway/src/fuchsiahatch_gateway/silent_agents.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/silent_agents.py
@@ -22,6 +22,13 @@
 #: be held back and otherwise.
 HELD_POLL_MS = 40
 POLL_MS = 150
+#: Share of the leader's link for such questions, and what one takes of it with its
+#: answer. 57 engines asked at once each 150 ms filled a link of 4 Mbit/s: every call
+#: timed out, the renewal of the lease among them.
+ASKING_LINK_SHARE = 0.1
+QUESTION_BYTES = 1_000
+#: Engines that are asked at once however narrow the link is.
+LEAST_ASKED = 3
 #: Pause between two searches for engines whose agents were never heard.
 SEARCH_MS = 1_000
 #: Phases in which passes may be held back, by this leader or an earlier one.
@@ -47,6 +54,8 @@
         Returns the addresses of all engines of the service.
     on_report : callable
         Is given the reports that the leader asked for itself.
+    link_bytes_per_s : float
+        Bandwidth of the leader's host.
     """
 
     __slots__ = (
@@ -55,7 +64,9 @@
         "_engine_of",
         "_group",
         "_heard_ms",
+        "_last_asked_ms",
         "_list_engines",
+        "_most_asked",
         "_on_report",
         "_own_rank",
         "_poll_ms",
@@ -76,6 +87,7 @@
         engine_of: t.Callable[[str], "ModelEngine"],
         list_engines: t.Callable[[], t.Awaitable[t.Sequence[str]]],
         on_report: t.Callable[[RankReport], None],
+        link_bytes_per_s: float,
     ) -> None:
         self._group = group
         self._term = term
@@ -91,6 +103,9 @@
         self._searched_ms: int | None = None
         self._speakers: dict[int, RankAgent] = {}
         self._asking: set[int] = set()
+        self._last_asked_ms: dict[int, int] = {}
+        room_bytes = ASKING_LINK_SHARE * link_bytes_per_s * POLL_MS / 1000
+        self._most_asked = max(int(room_bytes / QUESTION_BYTES), LEAST_ASKED)
         self._tasks = Tasks()
 
     def note_heard(self, rank: int, address: str, heard_ms: int) -> None:
@@ -128,10 +143,18 @@
         self._poll_ms = HELD_POLL_MS if phase in _HOLDING_PHASES else POLL_MS
         if self._since_ms is None:
             self._since_ms = heard_ms
-        for rank in range(self._ranks):
-            last_ms = self._heard_ms.get(rank, self._since_ms)
-            if rank != self._own_rank and heard_ms - last_ms >= SILENCE_MS:
-                self._speak_for(rank, now_ms)
+        for rank in self._silent_ranks(heard_ms - SILENCE_MS):
+            self._speak_for(rank, now_ms)
+
+    def _silent_ranks(self, until_ms: int) -> list[int]:
+        """Return the ranks not heard since a time, those asked longest ago first."""
+        since_ms = self._since_ms or 0
+        silent = (
+            rank
+            for rank in range(self._ranks)
+            if rank != self._own_rank and self._heard_ms.get(rank, since_ms) <= until_ms
+        )
+        return sorted(silent, key=lambda rank: self._last_asked_ms.get(rank, 0))
 
     def stop(self) -> None:
         """Ask no more."""
@@ -142,12 +165,14 @@
         if address is None:
             self._search(now_ms)
             return
+        if rank in self._asking or len(self._asking) >= self._most_asked:
+            return
         if rank not in self._speakers:
             log_event(Event.AGENT_LOST, group=self._group, rank=rank)
             self._speakers[rank] = self._make_speaker(address)
-        if rank not in self._asking:
-            self._asking.add(rank)
-            self._tasks.begin(self._ask(rank, self._speakers[rank]))
+        self._asking.add(rank)
+        self._last_asked_ms[rank] = now_ms
+        self._tasks.begin(self._ask(rank, self._speakers[rank]))
 
     def _search(self, now_ms: int) -> None:
         if self._searched_ms is not None and now_ms - self._searched_ms < SEARCH_MS:
--- a/tests/gateway/led_groups.py
+++ b/tests/gateway/led_groups.py
@@ -8,6 +8,7 @@
 import numpy as np
 
 from fuchsiahatch_core.clock import ManualClock
+from fuchsiahatch_core.exceptions import PlatformError
 from fuchsiahatch_experts.map_changes import first_map
 from fuchsiahatch_experts.rank_orders import RankReport
 from fuchsiahatch_gateway.datagrams import RankState
@@ -41,13 +42,22 @@
 
 
 class LedGroup:
-    """One leader, and the agents of all other ranks, that never fail.
+    """One leader, and the agents of all other ranks.
 
     Parameters
     ----------
     ranks, layers, experts, places : int
     state_ms, plan_ms : float
         What a state and a plan cost on a whole core.
+
+    Attributes
+    ----------
+    silent : set of int
+        Ranks whose agents say nothing.
+    asked : list of str
+        Engines that the leader turned to itself.
+    answers : bool
+        Whether they say at once that they can't answer, or nothing.
     """
 
     def __init__(self, ranks, layers, experts, places, state_ms=0.0, plan_ms=0.0):
@@ -57,6 +67,8 @@
         self.layers, self.experts = layers, experts
         self.placement = first_map(layers, experts, ranks)
         self.asked = []
+        self.silent = set()
+        self.answers = False
         self.planned_ms = 0.0
         self._late_ms = 0.0
         self._sequence = 0
@@ -95,6 +107,8 @@
         return types.SimpleNamespace(report=self._answer_nothing)
 
     async def _answer_nothing(self):
+        if self.answers:
+            raise PlatformError("refused")
         await asyncio.sleep(3_600)
 
     async def _list_engines(self):
@@ -155,6 +169,8 @@
                     break
                 told_ms, rank = heapq.heappop(waiting)
                 heapq.heappush(waiting, (told_ms + STATE_MS, rank))
+                if rank in self.silent:
+                    continue
                 self.leader.take_state(self.state(rank), (f"10.0.0.{rank}", 1))
                 self.spend(self.state_ms)
             # What the leader put off until it has read all that waits.
--- a/tests/gateway/test_late_leader.py
+++ b/tests/gateway/test_late_leader.py
@@ -1,3 +1,4 @@
+import asyncio
 import unittest
 from unittest import mock
 
@@ -65,3 +66,32 @@
             return group.asked
 
         self.assertEqual(run(play()), [])
+
+    def test_a_few_engines_are_asked_at_once(self):
+        # Half of all agents are killed for two seconds. The leader asks all of their
+        # engines at once, each 150 ms: its link is full, and it loses its lease too.
+        async def play():
+            group = LedGroup(96, 16, 192, 3)
+            with mock.patch.object(planning, "plan_change", group.plan):
+                await group.run(1_000)
+                group.silent = set(range(1, 60))
+                await group.run(2_000)
+            return group.asked
+
+        link_share = 7 * silent_agents.QUESTION_BYTES / 0.15 / 500_000
+        self.assertLess(link_share, 0.1)
+        self.assertEqual(len(run(play())), 7)
+
+    def test_all_silent_agents_engines_are_asked_in_turn(self):
+        async def play():
+            group = LedGroup(32, 12, 128, 5)
+            group.answers = True
+            with mock.patch.object(planning, "plan_change", group.plan):
+                await group.run(1_000)
+                group.silent = set(range(1, 30))
+                for _ in range(12):
+                    await group.run(200)
+                    await asyncio.sleep(silent_agents.POLL_MS / 1000 + 0.02)
+            return set(group.asked)
+
+        self.assertEqual(len(run(play())), 29)
