--- a/packages/gateway/src/fuchsiahatch_gateway/takeovers.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/takeovers.py
@@ -5,6 +5,7 @@
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import PlatformError
 from fuchsiahatch_gateway.datagrams import Peer, StandbyNotice, TakeoverNotice
+from fuchsiahatch_gateway.hearing import Hearing
 from fuchsiahatch_gateway.leadership import LeaderRecord, takeover_term
 from fuchsiahatch_gateway.standby import Standby
 
@@ -41,6 +42,7 @@
 
     __slots__ = (
         "_clock",
+        "_hearing",
         "_make_leader",
         "_peer",
         "_rank",
@@ -64,12 +66,13 @@
         self._make_leader = make_leader
         self._tell_state = tell_state
         self._standby = Standby()
+        self._hearing = Hearing(clock.now_ms())
         self.leader: GroupLeader | None = None
         self.records: dict[str, LeaderRecord] = {}
 
     def note(self, notice: StandbyNotice) -> None:
         """Take in the word of a leader whose standby this agent is."""
-        self._standby.note(notice, self._clock.now_ms())
+        self._standby.note(notice, self._hearing.heard_ms)
         if notice.asks_state:
             self._tell_state()
 
@@ -84,11 +87,12 @@
 
     async def work(self) -> None:
         """Take over where passes are held here and the leader is silent."""
+        self._hearing.look(self._clock.now_ms())
         if self.leader is not None:
             self._go_on(self.leader)
             return
         notice = self._standby.notice
-        if notice is None or not self._standby.suspects(self._clock.now_ms()):
+        if notice is None or not self._standby.suspects(self._hearing.heard_ms):
             return
         try:
             seen = await self._rank.read_report()
--- a/tests/gateway/test_standby.py
+++ b/tests/gateway/test_standby.py
@@ -1,14 +1,17 @@
 import asyncio
+import types
 import unittest
 
 import msgspec
 
+from fuchsiahatch_core.clock import ManualClock
 from fuchsiahatch_core.exceptions import FormError
 from fuchsiahatch_experts.rank_orders import Order, OrderKind, OrderResult
 from fuchsiahatch_gateway import standby
 from fuchsiahatch_gateway.datagrams import StandbyNotice, decode, encode
 from fuchsiahatch_gateway.rank_agent import RankAgent
 from fuchsiahatch_gateway.standby import Standby
+from fuchsiahatch_gateway.takeovers import Takeovers
 
 PEERS = {0: ("10.0.0.1", 7341), 1: ("10.0.0.2", 7341)}
 
@@ -44,6 +47,31 @@
         self.assertEqual(rank.vouched, 0)
 
 
+class TestTakeovers(unittest.TestCase):
+    def suspected_behind(self, *pauses_ms):
+        """Return whether a standby asks its engine for a hold behind its looks."""
+        clock = ManualClock(1_000)
+        asked = []
+
+        async def read_report():
+            asked.append(clock.now_ms())
+            return types.SimpleNamespace(held=None)
+
+        rank = types.SimpleNamespace(read_report=read_report, term=4)
+        takeovers = Takeovers(rank, PEERS[0], clock, None, None)
+        takeovers.note(StandbyNotice("g", 4, PEERS))
+        for pause_ms in pauses_ms:
+            clock.advance(pause_ms)
+            asyncio.run(takeovers.work())
+        return bool(asked)
+
+    def test_a_standby_that_was_late_hears_before_it_judges(self):
+        # A switch is given up and a leader replaced for nothing: its standby's host
+        # stood still for a second, and found that it had heard nothing meanwhile.
+        self.assertFalse(self.suspected_behind(20, 1_000, 20))
+        self.assertTrue(self.suspected_behind(*[20] * 6))
+
+
 class TestStandby(unittest.TestCase):
     def test_a_leader_that_falls_silent_is_suspected(self):
         one = Standby()
