A map's rows may be empty

The leader's host stands still while passes are held; its standby, and the next leader, clear the switch by a map in which the silent rank holds what nobody else does. Each agent drops the order: 'no whole map of (8, 63)', 51 lines. Test first: it failed with that line.

--- a/packages/experts/src/fuchsiahatch_experts/map_changes.py
+++ b/packages/experts/src/fuchsiahatch_experts/map_changes.py
@@ -56,7 +56,7 @@
     for at, layer in enumerate(target):
         for rank, held in enumerate(layer):
             before = () if known is None else known[at][rank]
-            if before == held:
+            if known is not None and before == held:
                 continue
             position = at * ranks + rank
             edits += (position - last, *_edit_row(before, held))
@@ -81,9 +81,10 @@
         if known is None
         else [held for layer in known for held in layer]
     )
-    _apply_edits(_unpack(change.edits), rows)
-    if not all(rows):
-        raise ValueError(f"no whole map of {shape}")
+    edited = _apply_edits(_unpack(change.edits), rows)
+    # A row may be empty: a silent rank is taken to hold what nobody else does.
+    if known is None and edited != len(rows):
+        raise ValueError(f"{edited} rows are no whole map of {shape}")
     starts = range(0, len(rows), change.ranks)
     return tuple(tuple(rows[start : start + change.ranks]) for start in starts)
 
@@ -106,16 +107,19 @@
         raise ValueError(f"a change that can't be read: {fault}") from fault
 
 
-def _apply_edits(edits: t.Iterator[int], rows: list[_Row]) -> None:
-    position = 0
+def _apply_edits(edits: t.Iterator[int], rows: list[_Row]) -> int:
+    """Edit rows in place, and return how many."""
+    position, edited = 0, 0
     for step in edits:
         position += step
+        edited += 1
         try:
             rows[position] = _apply_row(edits, rows[position])
         except IndexError as fault:
             raise ValueError(f"no such row or place: {position}") from fault
         except StopIteration as fault:
             raise ValueError("a change that ends too soon") from fault
+    return edited
 
 
 def _apply_row(edits: t.Iterator[int], before: _Row) -> _Row:
