--- a/packages/gateway/src/fuchsiahatch_gateway/agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/agent.py
@@ -296,14 +296,14 @@
     async def _learn_engine(self, leader: GroupLeader) -> None:
         """Read the figures of the group's engines, which don't change in a term."""
         service = self._process.settings.beside_service
-        while leader.engine is None and self.leader is leader:
+        while leader.plans.engine is None and self.leader is leader:
             try:
                 item = await self.store.get(CONFIGURATION_KEY)
                 if item is not None and item.value is not None:
                     known = decode_configuration(item.value)
                     if service in known.services:
-                        leader.engine = known.services[service].engine
-                    leader.gap_ms = shortest_gap_ms(known.routes, service)
+                        leader.plans.engine = known.services[service].engine
+                    leader.plans.gap_ms = shortest_gap_ms(known.routes, service)
             except PlatformError as fault:
                 log_event(Event.SERVICE_CALL_FAILED, detail=str(fault))
             await asyncio.sleep(ENGINE_RETRY_MS / 1000)
--- a/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
@@ -3,7 +3,6 @@
 import asyncio
 import itertools
 import typing as t
-import zlib
 
 import msgspec
 
@@ -37,16 +36,16 @@
 from fuchsiahatch_gateway.hearing import Hearing
 from fuchsiahatch_gateway.order_pacing import OrderPacer
 from fuchsiahatch_gateway.order_relays import RELAY_LIMIT_MS, share_out
+from fuchsiahatch_gateway.plan_searches import PlanSearches
 from fuchsiahatch_gateway.rank_agent import RankAgent
 from fuchsiahatch_gateway.silent_agents import SilentAgents
 from fuchsiahatch_gateway.tasks import Tasks
 
 if t.TYPE_CHECKING:
-    from fuchsiahatch_adapter.configuration import Engine
     from fuchsiahatch_adapter.model_engine import ModelEngine
     from fuchsiahatch_core.clock import Clock
-    from fuchsiahatch_experts.drift import Plan, PlanSearch
-    from fuchsiahatch_experts.planning import MapPlanner, Passes
+    from fuchsiahatch_experts.drift import Plan
+    from fuchsiahatch_experts.planning import Passes
 
 #: Time after which an order without an answer counts as unanswered.
 REPLY_LIMIT_MS = 300
@@ -62,8 +61,6 @@
 LONG_PASS_MS = 200
 #: Pause between two notices to the standby, or to agents that don't obey it yet.
 NOTICE_MS = 20
-#: Searches for a copy, of 0.1 ms each, that a plan makes before others may work.
-SEARCHES_AT_ONCE = 20
 #: Experts of a rank, by layer.
 HeldExperts = tuple[tuple[int, ...], ...]
 #: Phases in which a switch is under way.
@@ -104,11 +101,7 @@
 
     Attributes
     ----------
-    engine : Engine or None
-        The engines' figures, once they are known.
-    gap_ms : int
-        Shortest pause that the group's routes allow between two events; 0 when there
-        is none or it isn't known.
+    plans : PlanSearches
     switch : Switch
     """
 
@@ -145,12 +138,8 @@
         self._standby: int | None = None
         self._noticed_ms = 0
         self._obeyed_ms: dict[int, int] = {}
-        self._paces: dict[int, float] = {}
-        self.engine: Engine | None = None
-        self.gap_ms = 0
         self._peers: dict[int, Peer] = {}
         self._sequences: dict[str, int] = {}
-        self._planner: MapPlanner | None = None
         self._numbers = itertools.count(1)
         #: Orders without an answer, by number, and until when it is waited for.
         self._asked: dict[int, tuple[Order, int]] = {}
@@ -166,10 +155,10 @@
         self._tasks = Tasks()
         self._stopping = False
         self._work_due = False
-        self._searching = False
         self._phase = Phase.SETTLING
         self._phase_ms = clock.now_ms()
         self.switch = Switch(term, rank, ranks, may_start=not takes_over)
+        self.plans = PlanSearches(group, ranks, self.switch, clock, self._start)
         self._engine_of = engine_of
         self._holder: RankAgent | None = None
         self._silent = SilentAgents(
@@ -195,12 +184,11 @@
         rank = state.report.rank
         now_ms = self._clock.now_ms()
         self._peers[rank] = peer
-        self._paces[rank] = state.pace
         self._silent.note_heard(rank, state.upstream, self._hearing.heard_ms)
         self._note_obedience(rank, state.report.term, now_ms)
         self.switch.experts = self._own.experts_per_layer
         self.switch.observe(self._complete(state.report), now_ms)
-        self._count(state, now_ms)
+        self.plans.count(state, now_ms)
         self._work_soon()
 
     def _complete(self, report: RankReport) -> RankReport:
@@ -257,7 +245,8 @@
             return
         self._give_up_replies(now_ms)
         if not self._stopping:
-            self._plan(now_ms)
+            most_copies = self._pacer.copies_in_a_change(self._ranks)
+            self.plans.work(self._own.pass_ms, most_copies, now_ms)
         if self._has_lease():
             self._silent.work(self.switch.phase, self._hearing.heard_ms, now_ms)
         self._notify(now_ms)
@@ -294,6 +283,7 @@
     def stop(self) -> None:
         """Do nothing more."""
         self._silent.stop()
+        self.plans.stop()
         self._tasks.cancel()
 
     async def finish(self) -> None:
@@ -331,101 +321,19 @@
         else:
             self._obeyed_ms.pop(rank, None)
 
-    def _count(self, state: RankState, now_ms: int) -> None:
-        engine = self.engine
-        if engine is None or not state.choices:
-            return
-        try:
-            choices = zlib.decompress(state.choices)
-        except zlib.error as fault:
-            log_event(Event.DATAGRAM_DROPPED, detail=f"choices: {fault}")
-            return
-        try:
-            planner = self._planner or self._make_planner(engine)
-            planner.count(state.report.rank, state.running, choices, now_ms)
-        except ValueError as fault:
-            log_event(Event.DATAGRAM_DROPPED, detail=f"choices: {fault}")
-
-    def _make_planner(self, engine: "Engine") -> "MapPlanner":
-        # Only a leader needs it, and numpy takes its memory and its time.
-        from fuchsiahatch_experts.planning import ExpertLayout, MapPlanner
-
-        layout = ExpertLayout(
-            engine.expert_layers,
-            engine.experts,
-            engine.expert_places,
-            engine.spare_places or 1,
-            engine.expert_share,
-            engine.copy_ms,
-        )
-        self._planner = MapPlanner(layout)
-        return self._planner
-
-    def _plan(self, now_ms: int) -> None:
-        """Begin to search for a change of the map, if one may be worth it now."""
-        planner = self._planner
-        if planner is None or self._searching or not planner.is_due(now_ms):
-            return
-        if not self.switch.ready:
-            return
-        placement, version = self.switch.placement, self.switch.map_version
-        if placement is None or version is None:
-            return
-        from fuchsiahatch_experts.planning import Passes
-
-        paces = [self._paces.get(rank, 1.0) for rank in range(self._ranks)]
-        passes = Passes(self._own.pass_ms, self.gap_ms, paces)
-        most_copies = self._pacer.copies_in_a_change(self._ranks)
-        search = planner.look(
-            self.switch.epoch, version, placement, passes, most_copies, now_ms
-        )
-        if search is not None:
-            self._searching = True
-            self._tasks.begin(self._search(search, planner, version, passes))
-
-    async def _search(
-        self,
-        search: "PlanSearch",
-        planner: "MapPlanner",
-        version: int,
-        passes: "Passes",
-    ) -> None:
-        """Search for a plan bit by bit, reading what comes in between."""
-        try:
-            found: list[Plan | None] = []
-            while not found:
-                found = _search_on(search)
-                await asyncio.sleep(0)
-        finally:
-            self._searching = False
-        if found[0] is not None and self.switch.map_version == version:
-            self._start(found[0], planner, passes)
-
-    def _start(self, plan: "Plan", planner: "MapPlanner", passes: "Passes") -> None:
-        """Begin to switch to a planned map."""
+    def _start(self, plan: "Plan", passes: "Passes") -> bool:
+        """Begin to switch to a planned map; return whether that was done."""
         # A standby whose agent is silent could agree to no commit.
-        self._standby = self._silent.heard_behind(self._rank)
-        if self._standby is None or self._stopping or not self.may_lead():
-            return
-        now_ms = self._clock.now_ms()
+        standby = self._silent.heard_behind(self._rank)
+        if standby is None or self._stopping or not self.may_lead():
+            return False
         ahead = 1 if passes.pass_ms >= LONG_PASS_MS else HOLD_AHEAD
-        if self.switch.start(plan.placement, now_ms, ahead, self._standby):
-            self._log_plan(plan, passes, planner)
-            self.work()
-
-    def _log_plan(self, plan: "Plan", passes: "Passes", planner: "MapPlanner") -> None:
-        log_event(
-            Event.MAP_PLANNED,
-            group=self._group,
-            copies=plan.copies,
-            copies_per_rank=planner.copies_per_rank,
-            pass_ms=round(passes.pass_ms, 1),
-            expected_pass_ms=round(planner.expected_ms, 1),
-            skew_before=round(plan.skew_before, 3),
-            skew_after=round(plan.skew_after, 3),
-            slowest_pace=round(max(passes.paces), 2),
-            shifts=planner.demand.shifts,
-        )
+        now_ms = self._clock.now_ms()
+        if not self.switch.start(plan.placement, now_ms, ahead, standby):
+            return False
+        self._standby = standby
+        self._work_soon()
+        return True
 
     def _pace_orders(self, now_ms: int) -> int | None:
         """Return how many orders the link has room for now; None for any number.
@@ -585,13 +493,3 @@
         )
         self._phase = phase
         self._phase_ms = now_ms
-
-
-def _search_on(search: "PlanSearch") -> "list[Plan | None]":
-    """Go on with a search for a plan; return what it found, once it has ended."""
-    try:
-        for _ in range(SEARCHES_AT_ONCE):
-            next(search)
-    except StopIteration as ended:
-        return [ended.value]
-    return []
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/plan_searches.py
@@ -0,0 +1,181 @@
+"""The leader's part that searches for plans of its group's map, bit by bit."""
+
+import asyncio
+import typing as t
+import zlib
+
+from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_gateway.tasks import Tasks
+
+if t.TYPE_CHECKING:
+    from fuchsiahatch_adapter.configuration import Engine
+    from fuchsiahatch_core.clock import Clock
+    from fuchsiahatch_experts.drift import Plan, PlanSearch
+    from fuchsiahatch_experts.planning import MapPlanner, Passes
+    from fuchsiahatch_experts.switching import Switch
+    from fuchsiahatch_gateway.datagrams import RankState
+
+#: Searches for a copy, of 0.1 ms each, that a plan makes before others may work.
+SEARCHES_AT_ONCE = 20
+
+
+class PlanSearches:
+    """Follows a group's demand and searches for changes of its map.
+
+    Parameters
+    ----------
+    group : str
+    ranks : int
+    switch : Switch
+    clock : Clock
+    on_plan : callable
+        Is given a plan for the map in force, and what is known of its passes; returns
+        whether it is made.
+
+    Attributes
+    ----------
+    engine : Engine or None
+        The engines' figures, once they are known.
+    gap_ms : int
+        Shortest pause that the group's routes allow between two events; 0 when there
+        is none or it isn't known.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_group",
+        "_on_plan",
+        "_paces",
+        "_planner",
+        "_ranks",
+        "_searching",
+        "_switch",
+        "_tasks",
+        "engine",
+        "gap_ms",
+    )
+
+    def __init__(
+        self,
+        group: str,
+        ranks: int,
+        switch: "Switch",
+        clock: "Clock",
+        on_plan: t.Callable[["Plan", "Passes"], bool],
+    ) -> None:
+        self._group = group
+        self._ranks = ranks
+        self._switch = switch
+        self._clock = clock
+        self._on_plan = on_plan
+        self._paces: dict[int, float] = {}
+        self._planner: MapPlanner | None = None
+        self._searching = False
+        self._tasks = Tasks()
+        self.engine: Engine | None = None
+        self.gap_ms = 0
+
+    def count(self, state: "RankState", now_ms: int) -> None:
+        """Take in a rank's pace and what its requests have chosen of late."""
+        self._paces[state.report.rank] = state.pace
+        engine = self.engine
+        if engine is None or not state.choices:
+            return
+        try:
+            choices = zlib.decompress(state.choices)
+            planner = self._planner or self._make_planner(engine)
+            planner.count(state.report.rank, state.running, choices, now_ms)
+        except (zlib.error, ValueError) as fault:
+            log_event(Event.DATAGRAM_DROPPED, detail=f"choices: {fault}")
+
+    def work(self, pass_ms: float, most_copies: int, now_ms: int) -> None:
+        """Begin to search for a change of the map, if one may be worth it now.
+
+        Parameters
+        ----------
+        pass_ms : float
+            As measured of late.
+        most_copies : int
+            Copies of a rank that a change's orders have room for.
+        now_ms : int
+        """
+        planner = self._planner
+        if planner is None or self._searching or not planner.is_due(now_ms):
+            return
+        if not self._switch.ready:
+            return
+        placement, version = self._switch.placement, self._switch.map_version
+        if placement is None or version is None:
+            return
+        from fuchsiahatch_experts.planning import Passes
+
+        paces = [self._paces.get(rank, 1.0) for rank in range(self._ranks)]
+        passes = Passes(pass_ms, self.gap_ms, paces)
+        search = planner.look(
+            self._switch.epoch, version, placement, passes, most_copies, now_ms
+        )
+        if search is not None:
+            self._searching = True
+            self._tasks.begin(self._search(search, version, passes))
+
+    def stop(self) -> None:
+        """Search no more."""
+        self._tasks.cancel()
+
+    def _make_planner(self, engine: "Engine") -> "MapPlanner":
+        # Only a leader needs it, and numpy takes its memory and its time.
+        from fuchsiahatch_experts.planning import ExpertLayout, MapPlanner
+
+        layout = ExpertLayout(
+            engine.expert_layers,
+            engine.experts,
+            engine.expert_places,
+            engine.spare_places or 1,
+            engine.expert_share,
+            engine.copy_ms,
+        )
+        self._planner = MapPlanner(layout)
+        return self._planner
+
+    async def _search(
+        self, search: "PlanSearch", version: int, passes: "Passes"
+    ) -> None:
+        """Search for a plan bit by bit, reading what comes in between."""
+        try:
+            found: list[Plan | None] = []
+            while not found:
+                found = _search_on(search)
+                await asyncio.sleep(0)
+        finally:
+            self._searching = False
+        plan = found[0]
+        if plan is None or self._switch.map_version != version:
+            return
+        if self._on_plan(plan, passes):
+            self._log_plan(plan, passes)
+
+    def _log_plan(self, plan: "Plan", passes: "Passes") -> None:
+        planner = self._planner
+        assert planner is not None
+        log_event(
+            Event.MAP_PLANNED,
+            group=self._group,
+            copies=plan.copies,
+            copies_per_rank=planner.copies_per_rank,
+            pass_ms=round(passes.pass_ms, 1),
+            expected_pass_ms=round(planner.expected_ms, 1),
+            skew_before=round(plan.skew_before, 3),
+            skew_after=round(plan.skew_after, 3),
+            slowest_pace=round(max(passes.paces), 2),
+            shifts=planner.demand.shifts,
+        )
+
+
+def _search_on(search: "PlanSearch") -> "list[Plan | None]":
+    """Go on with a search for a plan; return what it found, once it has ended."""
+    try:
+        for _ in range(SEARCHES_AT_ONCE):
+            next(search)
+    except StopIteration as ended:
+        return [ended.value]
+    return []
--- a/tests/gateway/led_groups.py
+++ b/tests/gateway/led_groups.py
@@ -94,8 +94,8 @@
             lacks_store=lambda: False,
             link_bytes_per_s=500_000.0,
         )
-        self.leader.gap_ms = 150
-        self.leader.engine = types.SimpleNamespace(
+        self.leader.plans.gap_ms = 150
+        self.leader.plans.engine = types.SimpleNamespace(
             expert_layers=layers,
             experts=experts,
             expert_places=places,
