--- a/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
@@ -1,41 +1,29 @@
 """The leader of a rank group: follows the demand for experts with the group's map."""
 
 import asyncio
-import itertools
 import typing as t
 
 import msgspec
 
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import PlatformError
-from fuchsiahatch_experts.map_changes import (
-    NO_BASE,
-    MapChange,
-    first_map,
-    make_change,
-)
 from fuchsiahatch_experts.rank_orders import (
     Order,
     OrderKind,
-    OrderResult,
-    Placement,
     RankReport,
 )
 from fuchsiahatch_experts.switching import HOLD_AHEAD, Phase, Switch
 from fuchsiahatch_gateway.datagrams import (
     DatagramPort,
     OrderReply,
-    OrderRequest,
     Peer,
     RankState,
-    RelayedOrder,
     StandbyNotice,
     TakeoverNotice,
-    encode,
 )
 from fuchsiahatch_gateway.hearing import Hearing
 from fuchsiahatch_gateway.order_pacing import OrderPacer
-from fuchsiahatch_gateway.order_relays import RELAY_LIMIT_MS, share_out
+from fuchsiahatch_gateway.order_sender import OrderSender
 from fuchsiahatch_gateway.plan_searches import PlanSearches
 from fuchsiahatch_gateway.rank_agent import RankAgent
 from fuchsiahatch_gateway.silent_agents import SilentAgents
@@ -47,8 +35,6 @@
     from fuchsiahatch_experts.drift import Plan
     from fuchsiahatch_experts.planning import Passes
 
-#: Time after which an order without an answer counts as unanswered.
-REPLY_LIMIT_MS = 300
 #: Age up to which an agent's word that it obeys this term counts. States come each
 #: 100 ms, and one of them may be lost.
 OBEYED_MS = 300
@@ -140,24 +126,17 @@
         self._obeyed_ms: dict[int, int] = {}
         self._peers: dict[int, Peer] = {}
         self._sequences: dict[str, int] = {}
-        self._numbers = itertools.count(1)
-        #: Orders without an answer, by number, and until when it is waited for.
-        self._asked: dict[int, tuple[Order, int]] = {}
-        self._to_relay: list[tuple[Order, RelayedOrder]] = []
-        #: Versions of which a rank's order was passed on by another agent.
-        self._relayed: dict[int, int] = {}
-        #: Ranks whose agents lack the map that a change is told from.
-        self._lacking: set[int] = set()
         #: Experts that each rank holds, and the epoch and map that they are of.
         self._held: dict[int, tuple[int, int, HeldExperts]] = {}
-        self._change_of = 0
-        self._change = MapChange(NO_BASE, 0, 0, b"")
         self._tasks = Tasks()
         self._stopping = False
         self._work_due = False
         self._phase = Phase.SETTLING
         self._phase_ms = clock.now_ms()
         self.switch = Switch(term, rank, ranks, may_start=not takes_over)
+        self._sender = OrderSender(
+            group, term, ranks, own, datagrams, self.switch, self._pacer
+        )
         self.plans = PlanSearches(group, ranks, self.switch, clock, self._start)
         self._engine_of = engine_of
         self._holder: RankAgent | None = None
@@ -208,15 +187,8 @@
 
     def take_reply(self, reply: OrderReply) -> None:
         """Take in an agent's answer to an order."""
-        asked = self._asked.pop(reply.number, None)
-        if asked is None or reply.term != self._term or reply.group != self._group:
-            return
-        if reply.lacks_base:
-            self._lacking.add(asked[0].rank)
-        else:
-            self._lacking.discard(asked[0].rank)
-        self.switch.answered(asked[0], reply.result, self._clock.now_ms())
-        self._work_soon()
+        if self._sender.take_reply(reply, self._clock.now_ms()):
+            self._work_soon()
 
     def _work_soon(self) -> None:
         """Work once all datagrams that wait are read.
@@ -243,16 +215,16 @@
         self._hearing.look(now_ms)
         if not self.may_lead():
             return
-        self._give_up_replies(now_ms)
+        self._sender.give_up_replies(now_ms)
         if not self._stopping:
             most_copies = self._pacer.copies_in_a_change(self._ranks)
             self.plans.work(self._own.pass_ms, most_copies, now_ms)
         if self._has_lease():
             self._silent.work(self.switch.phase, self._hearing.heard_ms, now_ms)
         self._notify(now_ms)
-        for order in self.switch.orders(now_ms, self._pace_orders(now_ms)):
+        for order in self.switch.orders(now_ms, self._sender.room(now_ms)):
             self._send(order, now_ms)
-        self._send_relays()
+        self._sender.send_relays()
         self._log_phase(now_ms)
 
     def may_lead(self) -> bool:
@@ -335,15 +307,6 @@
         self._work_soon()
         return True
 
-    def _pace_orders(self, now_ms: int) -> int | None:
-        """Return how many orders the link has room for now; None for any number.
-
-        Only copies are paced: passes may be held while all other orders are out.
-        """
-        if self.switch.phase is not Phase.COPYING or self._relays():
-            return None
-        return self._pacer.room(len(self._change.edits), now_ms)
-
     def _send(self, order: Order, now_ms: int) -> None:
         if order.rank == self._rank:
             self._tasks.begin(self._give_own(order))
@@ -361,77 +324,7 @@
         peer = self._peers.get(order.rank)
         if peer is None:
             return
-        number = next(self._numbers)
-        if order.placement is None:
-            self._ask(number, order, now_ms, REPLY_LIMIT_MS)
-            request = OrderRequest(self._group, self._term, number, order)
-            self._datagrams.send(request, peer)
-            return
-        change = self._change_for(order)
-        order = msgspec.structs.replace(order, placement=None)
-        if self._relays() and self._may_be_relayed(order):
-            self._ask(number, order, now_ms, RELAY_LIMIT_MS)
-            self._relayed[order.rank] = order.version
-            self._to_relay.append((order, RelayedOrder(order.rank, number, peer)))
-            return
-        self._ask(number, order, now_ms, REPLY_LIMIT_MS)
-        request = OrderRequest(self._group, self._term, number, order, change)
-        data = encode(request)
-        self._pacer.spend(len(data))
-        self._datagrams.send_encoded(data, peer)
-
-    def _ask(self, number: int, order: Order, now_ms: int, limit_ms: int) -> None:
-        """Note that an order goes out, and until when its answer is waited for."""
-        self._asked[number] = (order, now_ms + limit_ms)
-
-    def _relays(self) -> bool:
-        """Return whether the change under way is passed on by some agents."""
-        change_bytes = len(self._change.edits)
-        return self._pacer.needs_relays(self._ranks, change_bytes)
-
-    def _may_be_relayed(self, order: Order) -> bool:
-        """Return whether an order may go by way of another agent.
-
-        Not while passes may be held; nor where it has gone so before, and whoever
-        should have passed it on may be gone; nor where the agent lacks the map that
-        all others know.
-        """
-        is_first = self._relayed.get(order.rank) != order.version
-        copies = self.switch.phase is Phase.COPYING
-        return copies and is_first and order.rank not in self._lacking
-
-    def _send_relays(self) -> None:
-        """Send the orders that other agents pass on."""
-        if not self._to_relay:
-            return
-        order = self._to_relay[0][0]
-        targets = [target for _, target in self._to_relay]
-        self._to_relay.clear()
-        for relay, peer in share_out(
-            self._group, self._term, order, self._change, targets
-        ):
-            self._datagrams.send(relay, peer)
-
-    def _change_for(self, order: Order) -> MapChange:
-        """Return an order's map as its difference from the one in force."""
-        assert order.placement is not None
-        if order.rank in self._lacking:
-            return make_change(order.placement)
-        if self._change_of != order.version:
-            self._change_of = order.version
-            self._change = make_change(order.placement, *self._base())
-        return self._change
-
-    def _base(self) -> tuple[int, Placement | None]:
-        """Return the map in force, if the agents know it as this leader does."""
-        base, known = self.switch.map_version, self.switch.placement
-        if base is None or known is None:
-            return NO_BASE, None
-        if base == 0 and known != first_map(
-            len(known), self._own.experts_per_layer, self._ranks
-        ):
-            return NO_BASE, None
-        return base, known
+        self._sender.send(order, peer, now_ms)
 
     async def _give_own(self, order: Order) -> None:
         if not self.may_lead():
@@ -469,14 +362,6 @@
         result = await speaker.give_order(order)
         self.switch.answered(order, result, self._clock.now_ms())
 
-    def _give_up_replies(self, now_ms: int) -> None:
-        late = [
-            number for number, (_, until_ms) in self._asked.items() if now_ms > until_ms
-        ]
-        for number in late:
-            order, _ = self._asked.pop(number)
-            self.switch.answered(order, OrderResult.UNKNOWN, now_ms)
-
     def _log_phase(self, now_ms: int) -> None:
         phase = self.switch.phase
         if phase is self._phase:
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/order_sender.py
@@ -0,0 +1,196 @@
+"""Orders of a leader to the agents of its ranks, and what becomes of them."""
+
+import itertools
+import typing as t
+
+import msgspec
+
+from fuchsiahatch_experts.map_changes import (
+    NO_BASE,
+    MapChange,
+    first_map,
+    make_change,
+)
+from fuchsiahatch_experts.rank_orders import Order, OrderResult, Placement
+from fuchsiahatch_experts.switching import Phase
+from fuchsiahatch_gateway.datagrams import (
+    DatagramPort,
+    OrderReply,
+    OrderRequest,
+    Peer,
+    RelayedOrder,
+    encode,
+)
+from fuchsiahatch_gateway.order_relays import RELAY_LIMIT_MS, share_out
+
+if t.TYPE_CHECKING:
+    from fuchsiahatch_experts.switching import Switch
+    from fuchsiahatch_gateway.order_pacing import OrderPacer
+    from fuchsiahatch_gateway.rank_agent import RankAgent
+
+#: Time after which an order without an answer counts as unanswered.
+REPLY_LIMIT_MS = 300
+
+
+class OrderSender:
+    """Sends orders to agents, some of them by way of others.
+
+    Parameters
+    ----------
+    group : str
+    term, ranks : int
+    own : RankAgent
+        The leader's own rank, which knows how many experts a layer has.
+    datagrams : DatagramPort
+    switch : Switch
+        Is told what became of each order.
+    pacer : OrderPacer
+    """
+
+    __slots__ = (
+        "_asked",
+        "_change",
+        "_change_of",
+        "_datagrams",
+        "_group",
+        "_lacking",
+        "_numbers",
+        "_own",
+        "_pacer",
+        "_ranks",
+        "_relayed",
+        "_switch",
+        "_term",
+        "_to_relay",
+    )
+
+    def __init__(
+        self,
+        group: str,
+        term: int,
+        ranks: int,
+        own: "RankAgent",
+        datagrams: DatagramPort,
+        switch: "Switch",
+        pacer: "OrderPacer",
+    ) -> None:
+        self._group = group
+        self._term = term
+        self._ranks = ranks
+        self._own = own
+        self._datagrams = datagrams
+        self._switch = switch
+        self._pacer = pacer
+        self._numbers = itertools.count(1)
+        #: Orders without an answer, by number, and until when it is waited for.
+        self._asked: dict[int, tuple[Order, int]] = {}
+        self._to_relay: list[tuple[Order, RelayedOrder]] = []
+        #: Versions of which a rank's order was passed on by another agent.
+        self._relayed: dict[int, int] = {}
+        #: Ranks whose agents lack the map that a change is told from.
+        self._lacking: set[int] = set()
+        self._change_of = 0
+        self._change = MapChange(NO_BASE, 0, 0, b"")
+
+    def room(self, now_ms: int) -> int | None:
+        """Return how many orders the link has room for now; None for any number.
+
+        Only copies are paced: passes may be held while all other orders are out.
+        """
+        if self._switch.phase is not Phase.COPYING or self._needs_relays():
+            return None
+        return self._pacer.room(len(self._change.edits), now_ms)
+
+    def send(self, order: Order, peer: Peer, now_ms: int) -> None:
+        """Send an order, or put it off until `send_relays`."""
+        number = next(self._numbers)
+        if order.placement is None:
+            self._await(number, order, now_ms + REPLY_LIMIT_MS)
+            request = OrderRequest(self._group, self._term, number, order)
+            self._datagrams.send(request, peer)
+            return
+        change = self._change_for(order)
+        order = msgspec.structs.replace(order, placement=None)
+        if self._needs_relays() and self._may_be_relayed(order):
+            self._await(number, order, now_ms + RELAY_LIMIT_MS)
+            self._relayed[order.rank] = order.version
+            self._to_relay.append((order, RelayedOrder(order.rank, number, peer)))
+            return
+        self._await(number, order, now_ms + REPLY_LIMIT_MS)
+        request = OrderRequest(self._group, self._term, number, order, change)
+        data = encode(request)
+        self._pacer.spend(len(data))
+        self._datagrams.send_encoded(data, peer)
+
+    def send_relays(self) -> None:
+        """Send the orders that other agents pass on."""
+        if not self._to_relay:
+            return
+        order = self._to_relay[0][0]
+        targets = [target for _, target in self._to_relay]
+        self._to_relay.clear()
+        for relay, peer in share_out(
+            self._group, self._term, order, self._change, targets
+        ):
+            self._datagrams.send(relay, peer)
+
+    def take_reply(self, reply: OrderReply, now_ms: int) -> bool:
+        """Take in an agent's answer; return whether it was waited for."""
+        asked = self._asked.pop(reply.number, None)
+        if asked is None or reply.term != self._term or reply.group != self._group:
+            return False
+        if reply.lacks_base:
+            self._lacking.add(asked[0].rank)
+        else:
+            self._lacking.discard(asked[0].rank)
+        self._switch.answered(asked[0], reply.result, now_ms)
+        return True
+
+    def give_up_replies(self, now_ms: int) -> None:
+        """Count orders as unanswered whose answers were waited for long enough."""
+        late = [
+            number for number, (_, until_ms) in self._asked.items() if now_ms > until_ms
+        ]
+        for number in late:
+            order, _ = self._asked.pop(number)
+            self._switch.answered(order, OrderResult.UNKNOWN, now_ms)
+
+    def _await(self, number: int, order: Order, until_ms: int) -> None:
+        """Note that an order goes out, and until when its answer is waited for."""
+        self._asked[number] = (order, until_ms)
+
+    def _needs_relays(self) -> bool:
+        """Return whether the change under way is passed on by some agents."""
+        return self._pacer.needs_relays(self._ranks, len(self._change.edits))
+
+    def _may_be_relayed(self, order: Order) -> bool:
+        """Return whether an order may go by way of another agent.
+
+        Not while passes may be held; nor where it has gone so before, and whoever
+        should have passed it on may be gone; nor where the agent lacks the map that
+        all others know.
+        """
+        is_first = self._relayed.get(order.rank) != order.version
+        copies = self._switch.phase is Phase.COPYING
+        return copies and is_first and order.rank not in self._lacking
+
+    def _change_for(self, order: Order) -> MapChange:
+        """Return an order's map as its difference from the one in force."""
+        assert order.placement is not None
+        if order.rank in self._lacking:
+            return make_change(order.placement)
+        if self._change_of != order.version:
+            self._change_of = order.version
+            self._change = make_change(order.placement, *self._base())
+        return self._change
+
+    def _base(self) -> tuple[int, Placement | None]:
+        """Return the map in force, if the agents know it as this leader does."""
+        base, known = self._switch.map_version, self._switch.placement
+        if base is None or known is None:
+            return NO_BASE, None
+        if base == 0 and known != first_map(
+            len(known), self._own.experts_per_layer, self._ranks
+        ):
+            return NO_BASE, None
+        return base, known
