--- /dev/null
+++ b/tests/experts/test_planning.py
@@ -0,0 +1,79 @@
+import unittest
+
+import numpy as np
+
+from fuchsiahatch_experts.drift import finish
+from fuchsiahatch_experts.map_changes import first_map
+from fuchsiahatch_experts.planning import (
+    LOOK_PAUSE_MS,
+    VAIN_PAUSE_MS,
+    ExpertLayout,
+    MapPlanner,
+    Passes,
+)
+
+LAYERS, EXPERTS, RANKS = 2, 16, 4
+LAYOUT = ExpertLayout(LAYERS, EXPERTS, 6, 2, 0.85, 20.0)
+PASSES = Passes(100.0, 150, [1.0] * RANKS)
+
+
+class TestMapPlanner(unittest.TestCase):
+    def setUp(self):
+        self.planner = MapPlanner(LAYOUT)
+        self.placement = first_map(LAYERS, EXPERTS, RANKS)
+
+    def choose(self, now_ms, hot=None):
+        """Let all ranks choose all experts alike, or one far more often."""
+        counts = np.full((LAYERS, EXPERTS), 10, dtype=np.uint8)
+        if hot is not None:
+            counts[:, hot] = 120
+        for rank in range(RANKS):
+            self.planner.count(rank, 3, counts.tobytes(), now_ms)
+
+    def look(self, now_ms, version=0, passes=PASSES):
+        return self.planner.look(1, version, self.placement, passes, 4, now_ms)
+
+    def test_a_demand_that_is_uneven_is_planned_for(self):
+        self.choose(0, hot=3)
+        plan = finish(self.look(0))
+        self.assertLess(plan.skew_after, plan.skew_before)
+        self.assertLessEqual(self.planner.copies_per_rank, 4)
+
+    def test_where_no_plan_pays_none_is_made_until_the_demand_has_moved(self):
+        # A leader plans for most of its time on a quiet day, as each look finds a
+        # demand for which no copy pays, and hears its agents half a second late.
+        self.choose(0)
+        self.assertIsNone(finish(self.look(0)))
+        for now_ms in range(LOOK_PAUSE_MS, VAIN_PAUSE_MS, LOOK_PAUSE_MS):
+            self.assertIsNone(self.look(now_ms))
+        self.assertIsNotNone(self.look(VAIN_PAUSE_MS))
+
+    def test_a_shift_is_planned_for_at_the_next_look(self):
+        self.choose(0)
+        self.assertIsNone(finish(self.look(0)))
+        self.choose(LOOK_PAUSE_MS, hot=3)
+        self.assertIsNotNone(finish(self.look(LOOK_PAUSE_MS)))
+
+    def test_another_map_is_planned_for_at_once(self):
+        self.choose(0)
+        self.assertIsNone(finish(self.look(0)))
+        self.assertIsNotNone(self.look(LOOK_PAUSE_MS, version=64))
+
+    def test_short_passes_are_left_alone(self):
+        self.choose(0, hot=3)
+        self.assertIsNone(self.look(0, passes=Passes(20.0, 150, [1.0] * RANKS)))
+
+    def test_choices_of_another_size_are_refused(self):
+        with self.assertRaises(ValueError):
+            self.planner.count(0, 3, bytes(LAYERS * EXPERTS - 1), 0)
+
+    def test_a_look_is_due_each_20_ms(self):
+        self.choose(0)
+        self.assertTrue(self.planner.is_due(0))
+        self.look(0)
+        self.assertFalse(self.planner.is_due(LOOK_PAUSE_MS - 1))
+        self.assertTrue(self.planner.is_due(LOOK_PAUSE_MS))
+
+
+if __name__ == "__main__":
+    unittest.main()
