--- a/tests/gateway/test_order_sender.py
+++ b/tests/gateway/test_order_sender.py
@@ -63,6 +63,27 @@
         self.assertEqual({message.change.base for message in relays}, {NO_BASE})
         self.assertEqual(apply_change(relays[0].change), MAP)
 
+    def test_agents_that_have_started_anew_are_told_whole_maps_by_others(self):
+        # All requests of 63 ranks are late for the rest of the day behind a kill of
+        # all processes: agents that have started anew know no map, each is told the
+        # whole one by the leader itself, its link is full, and each change is given up
+        # behind two seconds in which not all ranks have copied.
+        self.switch.phase = Phase.COPYING
+        self.clear(0)
+        for message, _ in self.port.sent:
+            for target in message.targets:
+                unknown = OrderReply(
+                    "g", 40, target.number, OrderResult.UNKNOWN, lacks_base=True
+                )
+                self.sender.take_reply(unknown, 10)
+        self.assertIsNone(self.sender.room(20))
+        sent = self.clear(20)
+        self.assertLess(sum(map(len, sent)), 0.1 * LINK_BYTES_PER_S)
+        relays = [message for message, _ in self.port.sent]
+        self.assertEqual({message.change.base for message in relays}, {NO_BASE})
+        told = {target.rank for message in relays for target in message.targets}
+        self.assertEqual(told, set(range(1, RANKS)))
+
     def test_what_is_not_answered_in_time_goes_out_directly(self):
         self.switch.map_in_force = None
         self.clear(0)
