--- a/packages/core/src/fuchsiahatch_core/codes.py
+++ b/packages/core/src/fuchsiahatch_core/codes.py
@@ -67,6 +67,8 @@
     DOCUMENT_TOO_LARGE = 409
     # What another program wrote doesn't have the documented form.
     FORM_UNKNOWN = 410
+    # A call that changes nothing had no whole answer in time.
+    UNANSWERED_READ = 411
 
     # Steps of a rank group.
     OLD_TERM = 500
--- a/packages/core/src/fuchsiahatch_core/events.py
+++ b/packages/core/src/fuchsiahatch_core/events.py
@@ -69,6 +69,7 @@
     SWITCH_MOVED = 1508
     TAKEOVER_BEGUN = 1509
     TAKEOVER_ENDED = 1510
+    PLANS_LACK = 1511
 
 
 def log_event(event: Event, **fields: t.Any) -> None:
--- a/packages/core/src/fuchsiahatch_core/exceptions.py
+++ b/packages/core/src/fuchsiahatch_core/exceptions.py
@@ -110,6 +110,12 @@
     code = Code.AMBIGUOUS_WRITE
 
 
+class UnansweredReadError(PlatformError):
+    """A read had no whole answer in time; it can be made again."""
+
+    code = Code.UNANSWERED_READ
+
+
 class ConflictError(FuchsiahatchError):
     """A compare-and-swap lost to another writer."""
 
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/plan_readiness.py
@@ -0,0 +1,66 @@
+"""Why a leader plans no change of its group's map, told where that lasts."""
+
+import enum
+
+from fuchsiahatch_core.events import Event, log_event
+
+#: Time for which something is lacking before a line says so: longer than a change of
+#: the map takes, for which nothing else is planned.
+LACK_AFTER_MS = 1_000
+#: Pause between two such lines.
+LACK_AGAIN_MS = 2_000
+
+
+class Lack(enum.Enum):
+    """What a leader needs before it can plan.
+
+    Attributes
+    ----------
+    ENGINE
+        The figures of the group's engines.
+    CHOICES
+        Choices of experts, as the ranks' agents tell them.
+    SETTLED_MAP
+        A group that is open, with a map that is known and no change under way.
+    """
+
+    ENGINE = "figures of the engines"
+    CHOICES = "choices of experts"
+    SETTLED_MAP = "settled map"
+
+
+class PlanReadiness:
+    """Keeps note of what a leader lacks, and since when.
+
+    Parameters
+    ----------
+    group : str
+    """
+
+    __slots__ = ("_group", "_lack", "_since_ms", "_told_ms")
+
+    def __init__(self, group: str) -> None:
+        self._group = group
+        self._lack: Lack | None = None
+        self._since_ms = 0
+        self._told_ms: int | None = None
+
+    def note(self, lack: Lack | None, now_ms: int) -> None:
+        """Take in what is lacking now; None when a plan could be made.
+
+        Guards against a leader that leads and changes nothing for the rest of its
+        term: without a line, it looks like one whose map pays.
+        """
+        if lack is not self._lack:
+            self._lack, self._since_ms = lack, now_ms
+            self._told_ms = None
+        if lack is None or now_ms - self._since_ms < LACK_AFTER_MS:
+            return
+        if self._told_ms is None or now_ms - self._told_ms >= LACK_AGAIN_MS:
+            self._told_ms = now_ms
+            log_event(
+                Event.PLANS_LACK,
+                group=self._group,
+                lack=lack.value,
+                lacking_ms=now_ms - self._since_ms,
+            )
--- a/packages/gateway/src/fuchsiahatch_gateway/plan_searches.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/plan_searches.py
@@ -5,6 +5,7 @@
 import zlib
 
 from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_gateway.plan_readiness import Lack, PlanReadiness
 from fuchsiahatch_gateway.tasks import Tasks
 
 if t.TYPE_CHECKING:
@@ -48,6 +49,7 @@
         "_paces",
         "_planner",
         "_ranks",
+        "_readiness",
         "_searching",
         "_switch",
         "_tasks",
@@ -70,6 +72,7 @@
         self._on_plan = on_plan
         self._paces: dict[int, float] = {}
         self._planner: MapPlanner | None = None
+        self._readiness = PlanReadiness(group)
         self._searching = False
         self._tasks = Tasks()
         self.engine: Engine | None = None
@@ -99,10 +102,12 @@
             Copies of a rank that a change's orders have room for.
         now_ms : int
         """
+        lack = self._find_lack()
+        self._readiness.note(lack, now_ms)
         planner = self._planner
-        if planner is None or self._searching or not planner.is_due(now_ms):
+        if lack is not None or planner is None:
             return
-        if not self._switch.ready:
+        if self._searching or not planner.is_due(now_ms):
             return
         placement, version = self._switch.placement, self._switch.map_version
         if placement is None or version is None:
@@ -118,6 +123,14 @@
             self._searching = True
             self._tasks.begin(self._search(search, version, passes))
 
+    def _find_lack(self) -> Lack | None:
+        """Return what no plan can be made without, if anything is lacking."""
+        if self.engine is None:
+            return Lack.ENGINE
+        if self._planner is None:
+            return Lack.CHOICES
+        return None if self._switch.ready else Lack.SETTLED_MAP
+
     def stop(self) -> None:
         """Search no more."""
         self._tasks.cancel()
--- a/packages/standins/src/fuchsiahatch_standins/fleet_store.py
+++ b/packages/standins/src/fuchsiahatch_standins/fleet_store.py
@@ -15,6 +15,8 @@
 
 #: Items on one page of a range.
 PAGE_ITEMS = 50
+#: Part of an answer that goes out at once where answers are slow.
+PIECE_BYTES = 8_192
 
 
 @dataclasses.dataclass(slots=True)
@@ -43,11 +45,17 @@
         Whether calls get no answer.
     lose_writes : bool
         Whether writes are done and not answered.
+    bytes_per_s : float
+        Rate at which each answer goes out; 0 for all at once.
+    silent_behind_bytes : int
+        Bytes of an answer behind which nothing more comes; 0 for none.
     """
 
     status: int = 0
     silent: bool = False
     lose_writes: bool = False
+    bytes_per_s: float = 0.0
+    silent_behind_bytes: int = 0
 
 
 class FleetStore:
@@ -140,7 +148,23 @@
         if self.faults.lose_writes and exchange.method != b"GET":
             exchange.abort()
             return
-        exchange.respond(status, (), orjson.dumps(answer))
+        await self._respond(exchange, status, orjson.dumps(answer))
+
+    async def _respond(self, exchange: Exchange, status: int, body: bytes) -> None:
+        """Send an answer as fast as the faults allow."""
+        faults = self.faults
+        if not faults.bytes_per_s and not faults.silent_behind_bytes:
+            exchange.respond(status, (), body)
+            return
+        exchange.start(status, [(b"content-length", b"%d" % len(body))])
+        for at in range(0, len(body), PIECE_BYTES):
+            if 0 < faults.silent_behind_bytes <= at:
+                await asyncio.get_running_loop().create_future()
+            piece = body[at : at + PIECE_BYTES]
+            if faults.bytes_per_s:
+                await asyncio.sleep(len(piece) / faults.bytes_per_s)
+            exchange.write(piece)
+        exchange.finish()
 
     async def _serve(
         self, path: str, fields: dict[str, str], body: dict[str, t.Any]
