--- a/packages/gateway/src/fuchsiahatch_gateway/order_sender.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/order_sender.py
@@ -1,5 +1,6 @@
 """Orders of a leader to the agents of its ranks, and what becomes of them."""
 
+import dataclasses
 import itertools
 import typing as t
 
@@ -32,6 +33,15 @@
 REPLY_LIMIT_MS = 300
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Batch:
+    """One order to copy, alike but for its rank, and whom it goes to."""
+
+    order: Order
+    change: MapChange
+    targets: list[RelayedOrder]
+
+
 class OrderSender:
     """Sends orders to agents, some of them by way of others.
 
@@ -62,6 +72,8 @@
         "_switch",
         "_term",
         "_to_relay",
+        "_whole",
+        "_whole_of",
     )
 
     def __init__(
@@ -84,11 +96,15 @@
         self._numbers = itertools.count(1)
         #: Orders without an answer, by number, and until when it is waited for.
         self._asked: dict[int, tuple[Order, int]] = {}
-        self._to_relay: list[tuple[Order, RelayedOrder]] = []
-        #: Versions of which a rank's order was passed on by another agent.
-        self._relayed: dict[int, int] = {}
+        #: What other agents pass on, by its change's base: the map that all others
+        #: know, or none.
+        self._to_relay: dict[int, _Batch] = {}
+        #: Version and base of what was last passed on to a rank.
+        self._relayed: dict[int, tuple[int, int]] = {}
         #: Ranks whose agents lack the map that a change is told from.
         self._lacking: set[int] = set()
+        self._whole_of = 0
+        self._whole = MapChange(NO_BASE, 0, 0, b"")
         self._change_of = 0
         self._change = MapChange(NO_BASE, 0, 0, b"")
 
@@ -97,7 +113,7 @@
 
         Only copies are paced: passes may be held while all other orders are out.
         """
-        if self._switch.phase is not Phase.COPYING or self._needs_relays():
+        if self._switch.phase is not Phase.COPYING or self._needs_relays(self._change):
             return None
         return self._pacer.room(len(self._change.edits), now_ms)
 
@@ -111,10 +127,13 @@
             return
         change = self._change_for(order)
         order = msgspec.structs.replace(order, placement=None)
-        if self._needs_relays() and self._may_be_relayed(order):
+        passed_on = (order.version, change.base)
+        if self._needs_relays(change) and self._relayed.get(order.rank) != passed_on:
+            # Once: whoever should have passed it on before may be gone.
+            self._relayed[order.rank] = passed_on
             self._await(number, order, now_ms + RELAY_LIMIT_MS)
-            self._relayed[order.rank] = order.version
-            self._to_relay.append((order, RelayedOrder(order.rank, number, peer)))
+            batch = self._to_relay.setdefault(change.base, _Batch(order, change, []))
+            batch.targets.append(RelayedOrder(order.rank, number, peer))
             return
         self._await(number, order, now_ms + REPLY_LIMIT_MS)
         request = OrderRequest(self._group, self._term, number, order, change)
@@ -124,15 +143,12 @@
 
     def send_relays(self) -> None:
         """Send the orders that other agents pass on."""
-        if not self._to_relay:
-            return
-        order = self._to_relay[0][0]
-        targets = [target for _, target in self._to_relay]
+        for batch in self._to_relay.values():
+            for relay, peer in share_out(
+                self._group, self._term, batch.order, batch.change, batch.targets
+            ):
+                self._datagrams.send(relay, peer)
         self._to_relay.clear()
-        for relay, peer in share_out(
-            self._group, self._term, order, self._change, targets
-        ):
-            self._datagrams.send(relay, peer)
 
     def take_reply(self, reply: OrderReply, now_ms: int) -> bool:
         """Take in an agent's answer; return whether it was waited for."""
@@ -159,29 +175,30 @@
         """Note that an order goes out, and until when its answer is waited for."""
         self._asked[number] = (order, until_ms)
 
-    def _needs_relays(self) -> bool:
-        """Return whether the change under way is passed on by some agents."""
-        return self._pacer.needs_relays(self._ranks, len(self._change.edits))
-
-    def _may_be_relayed(self, order: Order) -> bool:
-        """Return whether an order may go by way of another agent.
-
-        Not where it has gone so before, and whoever should have passed it on may be
-        gone; nor where the agent lacks the map that all others know.
-        """
-        is_first = self._relayed.get(order.rank) != order.version
-        return is_first and order.rank not in self._lacking
+    def _needs_relays(self, change: MapChange) -> bool:
+        """Return whether a change told to all ranks would fill the link."""
+        return self._pacer.needs_relays(self._ranks, len(change.edits))
 
     def _change_for(self, order: Order) -> MapChange:
         """Return an order's map as its difference from the one in force."""
         assert order.placement is not None
         if order.rank in self._lacking:
-            return make_change(order.placement)
+            # Agents that have started anew know no map. Told each of them by the
+            # leader itself, whole maps filled its link, and no change was complete.
+            return self._whole_map(order)
         if self._change_of != order.version:
             self._change_of = order.version
             self._change = make_change(order.placement, *self._base())
         return self._change
 
+    def _whole_map(self, order: Order) -> MapChange:
+        """Return an order's map as a whole, made once for each version."""
+        assert order.placement is not None
+        if self._whole_of != order.version:
+            self._whole_of = order.version
+            self._whole = make_change(order.placement)
+        return self._whole
+
     def _base(self) -> tuple[int, Placement | None]:
         """Return the map in force, if the agents know it as this leader does."""
         in_force = self._switch.map_in_force
--- a/tests/gateway/test_order_sender.py
+++ b/tests/gateway/test_order_sender.py
@@ -84,6 +84,28 @@
         told = {target.rank for message in relays for target in message.targets}
         self.assertEqual(told, set(range(1, RANKS)))
 
+    def test_some_that_lack_the_map_do_not_change_what_others_are_told(self):
+        self.clear(0)
+        lacking = self.port.sent[0][0].targets[0]
+        reply = OrderReply(
+            "g", 40, lacking.number, OrderResult.UNKNOWN, lacks_base=True
+        )
+        self.sender.take_reply(reply, 10)
+        for rank in (lacking.rank + 1, lacking.rank + 2):
+            order = Order(rank, OrderKind.PREPARE, 1, version=10, placement=MAP)
+            self.sender.send(order, ("10.0.0.1", 7_341), 20)
+        order = Order(lacking.rank, OrderKind.PREPARE, 1, version=10, placement=MAP)
+        self.port.sent.clear()
+        self.sender.send(order, lacking.peer, 20)
+        self.sender.send_relays()
+        bases = {
+            target.rank: message.change.base
+            for message, _ in self.port.sent
+            for target in message.targets
+        }
+        self.assertEqual(bases.pop(lacking.rank), NO_BASE)
+        self.assertEqual(set(bases.values()), {7})
+
     def test_what_is_not_answered_in_time_goes_out_directly(self):
         self.switch.map_in_force = None
         self.clear(0)
