--- a/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
@@ -225,7 +225,7 @@
         self._notify(now_ms)
         for order in self.switch.orders(now_ms, self._sender.room(now_ms)):
             self._send(order, now_ms)
-        self._sender.send_relays()
+        self._sender.flush(now_ms)
         self._log_phase(now_ms)
 
     def may_lead(self) -> bool:
--- a/packages/gateway/src/fuchsiahatch_gateway/order_sender.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/order_sender.py
@@ -22,6 +22,7 @@
     RelayedOrder,
     encode,
 )
+from fuchsiahatch_gateway.order_pacing import ORDER_BYTES
 from fuchsiahatch_gateway.order_relays import RELAY_LIMIT_MS, share_out
 
 if t.TYPE_CHECKING:
@@ -31,6 +32,8 @@
 
 #: Time after which an order without an answer counts as unanswered.
 REPLY_LIMIT_MS = 300
+#: Phases in which ranks are told to copy.
+_COPYING = (Phase.COPYING, Phase.CLEARING)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,6 +45,14 @@
     targets: list[RelayedOrder]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Direct:
+    """An order to copy that goes to its agent itself."""
+
+    request: OrderRequest
+    peer: Peer
+
+
 class OrderSender:
     """Sends orders to agents, some of them by way of others.
 
@@ -72,6 +83,8 @@
         "_switch",
         "_term",
         "_to_relay",
+        "_waiting",
+        "_waiting_of",
         "_whole",
         "_whole_of",
     )
@@ -99,6 +112,10 @@
         #: What other agents pass on, by its change's base: the map that all others
         #: know, or none.
         self._to_relay: dict[int, _Batch] = {}
+        #: Orders to copy that wait for room on the link, by rank; a newer one of a rank
+        #: takes the place of an older one.
+        self._waiting: dict[int, _Direct] = {}
+        self._waiting_of = 0
         #: Version and base of what was last passed on to a rank.
         self._relayed: dict[int, tuple[int, int]] = {}
         #: Ranks whose agents lack the map that a change is told from.
@@ -118,7 +135,7 @@
         return self._pacer.room(len(self._change.edits), now_ms)
 
     def send(self, order: Order, peer: Peer, now_ms: int) -> None:
-        """Send an order, or put it off until `send_relays`."""
+        """Send an order; one to copy waits for `flush`."""
         number = next(self._numbers)
         if order.placement is None:
             self._await(number, order, now_ms + REPLY_LIMIT_MS)
@@ -135,14 +152,30 @@
             batch = self._to_relay.setdefault(change.base, _Batch(order, change, []))
             batch.targets.append(RelayedOrder(order.rank, number, peer))
             return
-        self._await(number, order, now_ms + REPLY_LIMIT_MS)
+        if order.version != self._waiting_of:
+            self._waiting_of = order.version
+            self._waiting.clear()
         request = OrderRequest(self._group, self._term, number, order, change)
-        data = encode(request)
-        self._pacer.spend(len(data))
-        self._datagrams.send_encoded(data, peer)
-
-    def send_relays(self) -> None:
-        """Send the orders that other agents pass on."""
+        self._waiting[order.rank] = _Direct(request, peer)
+
+    def flush(self, now_ms: int) -> None:
+        """Send what other agents pass on, and the copies that the link has room for."""
+        self._send_relays()
+        if self._switch.phase not in _COPYING:
+            self._waiting.clear()
+        for rank, direct in tuple(self._waiting.items()):
+            data = encode(direct.request)
+            if not self._pacer.room(len(data) - ORDER_BYTES, now_ms):
+                # Orders that were passed on and are answered late go out as well: all
+                # at once they made every answer later, and no change was complete.
+                return
+            del self._waiting[rank]
+            self._pacer.spend(len(data))
+            until_ms = now_ms + REPLY_LIMIT_MS
+            self._await(direct.request.number, direct.request.order, until_ms)
+            self._datagrams.send_encoded(data, direct.peer)
+
+    def _send_relays(self) -> None:
         for batch in self._to_relay.values():
             for relay, peer in share_out(
                 self._group, self._term, batch.order, batch.change, batch.targets
--- a/tests/gateway/test_order_sender.py
+++ b/tests/gateway/test_order_sender.py
@@ -36,13 +36,13 @@
             OrderPacer(LINK_BYTES_PER_S, 0),
         )
 
-    def clear(self, now_ms, ranks=range(1, RANKS)):
+    def clear(self, now_ms, ranks=range(1, RANKS), placement=MAP):
         """Return what goes out as all ranks are told to prepare a newer version."""
         self.port.sent.clear()
         for rank in ranks:
-            order = Order(rank, OrderKind.PREPARE, 1, version=9, placement=MAP)
+            order = Order(rank, OrderKind.PREPARE, 1, version=9, placement=placement)
             self.sender.send(order, (f"10.0.0.{rank}", 7_341), now_ms)
-        self.sender.send_relays()
+        self.sender.flush(now_ms)
         return [
             message if isinstance(message, bytes) else encode(message)
             for message, _ in self.port.sent
@@ -97,7 +97,7 @@
         order = Order(lacking.rank, OrderKind.PREPARE, 1, version=10, placement=MAP)
         self.port.sent.clear()
         self.sender.send(order, lacking.peer, 20)
-        self.sender.send_relays()
+        self.sender.flush(20)
         bases = {
             target.rank: message.change.base
             for message, _ in self.port.sent
@@ -106,6 +106,29 @@
         self.assertEqual(bases.pop(lacking.rank), NO_BASE)
         self.assertEqual(set(bases.values()), {7})
 
+    def test_orders_that_go_out_directly_are_paced(self):
+        # Behind a kill of all processes no change is complete for ten seconds: orders
+        # that were passed on are answered late, each goes out directly as well, 2.2 KB
+        # to each of 62 ranks, and what is late for that goes out once more.
+        self.switch.map_in_force = None
+        self.clear(0)
+        sent = 0
+        for now_ms in range(200, 1_200, 20):
+            self.sender.give_up_replies(now_ms)
+            sent += sum(map(len, self.clear(now_ms)))
+        self.assertLess(sent, 0.6 * LINK_BYTES_PER_S)
+        self.assertGreater(sent, 0.4 * LINK_BYTES_PER_S)
+
+    def test_what_still_waits_is_dropped_with_its_change(self):
+        self.switch.map_in_force = None
+        self.clear(0)
+        self.sender.give_up_replies(200)
+        self.clear(200)
+        self.switch.phase = Phase.IDLE
+        self.port.sent.clear()
+        self.sender.flush(2_000)
+        self.assertEqual(self.port.sent, [])
+
     def test_what_is_not_answered_in_time_goes_out_directly(self):
         self.switch.map_in_force = None
         self.clear(0)
