--- a/packages/gateway/src/fuchsiahatch_gateway/order_pacing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/order_pacing.py
@@ -29,21 +29,32 @@
     now_ms : int
     """
 
-    __slots__ = ("_link_bytes_per_s", "_paced_ms", "_room_bytes")
+    __slots__ = ("_link_bytes_per_s", "_most_bytes", "_paced_ms", "_room_bytes")
 
     def __init__(self, link_bytes_per_s: float, now_ms: int) -> None:
         self._link_bytes_per_s = link_bytes_per_s
         self._room_bytes = float(BURST_BYTES)
+        #: What may go out at once: the largest order at least, or it never would.
+        self._most_bytes = BURST_BYTES
         self._paced_ms = now_ms
 
     def room(self, change_bytes: int, now_ms: int) -> int:
         """Return how many orders with a change of that size may go out now."""
         size = ORDER_BYTES + change_bytes
+        self._refill(size, now_ms)
+        return max(int(self._room_bytes // size), 0)
+
+    def may_send(self, sent_bytes: int, now_ms: int) -> bool:
+        """Return whether an order of that many bytes may go out now."""
+        self._refill(sent_bytes, now_ms)
+        return self._room_bytes >= sent_bytes
+
+    def _refill(self, size: int, now_ms: int) -> None:
         refill = ORDERS_LINK_SHARE * self._link_bytes_per_s / 1000
         room = self._room_bytes + refill * (now_ms - self._paced_ms)
-        self._room_bytes = min(room, max(BURST_BYTES, size))
+        self._most_bytes = max(self._most_bytes, size)
+        self._room_bytes = min(room, self._most_bytes)
         self._paced_ms = now_ms
-        return max(int(self._room_bytes // size), 0)
 
     def needs_relays(self, ranks: int, change_bytes: int) -> bool:
         """Return whether orders to all ranks would fill the link for too long."""
--- a/packages/gateway/src/fuchsiahatch_gateway/order_sender.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/order_sender.py
@@ -22,7 +22,6 @@
     RelayedOrder,
     encode,
 )
-from fuchsiahatch_gateway.order_pacing import ORDER_BYTES
 from fuchsiahatch_gateway.order_relays import RELAY_LIMIT_MS, share_out
 
 if t.TYPE_CHECKING:
@@ -165,7 +164,7 @@
             self._waiting.clear()
         for rank, direct in tuple(self._waiting.items()):
             data = encode(direct.request)
-            if not self._pacer.room(len(data) - ORDER_BYTES, now_ms):
+            if not self._pacer.may_send(len(data), now_ms):
                 # Orders that were passed on and are answered late go out as well: all
                 # at once they made every answer later, and no change was complete.
                 return
