--- a/tests/gateway/test_agents.py
+++ b/tests/gateway/test_agents.py
@@ -27,9 +27,7 @@
 
     async def __aenter__(self):
         self.store_port = await self.store.listen()
-        document = make_configuration()
-        document["services"][0]["engine"] = ENGINE
-        self.store.put("op/config", document)
+        self.store.put("op/config", self.configuration())
         await self.engines.start()
         for rank, ip in enumerate(IPS):
             address = f"{ip}:{self.engines.ports[rank]}"
@@ -43,6 +41,11 @@
         await self.engines.close()
         await self.store.close()
 
+    def configuration(self):
+        document = make_configuration()
+        document["services"][0]["engine"] = ENGINE
+        return document
+
     def start(self, rank):
         ip = IPS[rank]
         settings = make_settings(
