--- a/packages/gateway/src/fuchsiahatch_gateway/following.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/following.py
@@ -7,7 +7,12 @@
 import typing as t
 from asyncio import FIRST_COMPLETED
 
-from fuchsiahatch_adapter.store import HistoryLostError, Item, StoreClient
+from fuchsiahatch_adapter.store import (
+    HistoryLostError,
+    Item,
+    RangeRead,
+    StoreClient,
+)
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import PlatformError
 from fuchsiahatch_gateway.defaults import (
@@ -137,6 +142,7 @@
         "_lapsed",
         "_on_change",
         "_prefix",
+        "_reading",
         "_rest_ms",
         "_store",
         "items",
@@ -159,6 +165,8 @@
         self._on_change = on_change
         self._lapsed: set[str] = set()
         self._rest_ms = WATCH_PAUSE_MS
+        #: A read of all items that a failure has cut short.
+        self._reading: RangeRead | None = None
         self.items: dict[str, Item] = {}
         self.synced = False
         self.revision = 0
@@ -200,7 +208,9 @@
                 await self._health.regained.wait()
 
     async def _read(self) -> None:
-        found = await self._store.read_all(self._prefix)
+        self._reading = self._reading or RangeRead(self._store, self._prefix)
+        found = await self._reading.finish()
+        self._reading = None
         self._health.note_answer(self._clock.now_ms())
         fresh = {self._name(item.key): item for item in found.items}
         gone = self.items.keys() - fresh.keys()
--- a/packages/gateway/src/fuchsiahatch_gateway/silent_agents.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/silent_agents.py
@@ -188,11 +188,14 @@
             log_event(Event.SERVICE_CALL_FAILED, detail=fault.detail)
             return
         unknown = set(listed) - set(self._addresses.values())
-        await asyncio.gather(*map(self._ask_rank, unknown))
+        # A few at a time, as above: those of a fleet of 190 would fill the link.
+        room = asyncio.Semaphore(self._most_asked)
+        await asyncio.gather(*(self._ask_rank(one, room) for one in unknown))
 
-    async def _ask_rank(self, address: str) -> None:
+    async def _ask_rank(self, address: str, room: asyncio.Semaphore) -> None:
         try:
-            seen = await self._engine_of(address).report()
+            async with room:
+                seen = await self._engine_of(address).report()
         except PlatformError as fault:
             log_event(Event.UPSTREAM_SILENT, address=address, detail=fault.detail)
             return
--- a/packages/standins/src/fuchsiahatch_standins/fleet_store.py
+++ b/packages/standins/src/fuchsiahatch_standins/fleet_store.py
@@ -49,6 +49,8 @@
         Rate at which each answer goes out; 0 for all at once.
     silent_behind_bytes : int
         Bytes of an answer behind which nothing more comes; 0 for none.
+    fail_each : int
+        Each call of this number is refused with 503; 0 for none.
     """
 
     status: int = 0
@@ -56,6 +58,7 @@
     lose_writes: bool = False
     bytes_per_s: float = 0.0
     silent_behind_bytes: int = 0
+    fail_each: int = 0
 
 
 class FleetStore:
@@ -139,8 +142,9 @@
         self.calls.append(path)
         if self.faults.silent:
             await asyncio.get_running_loop().create_future()
-        if self.faults.status:
-            exchange.respond(self.faults.status)
+        refused = self.faults.fail_each and not len(self.calls) % self.faults.fail_each
+        if self.faults.status or refused:
+            exchange.respond(self.faults.status or 503)
             return
         fields = dict(urllib.parse.parse_qsl(query))
         body = orjson.loads(exchange.body) if exchange.body else {}
