Eras of the store go before its revisions, in all that leans on them

The store may come back from a copy some seconds old: it gives revisions and leases' numbers out again, and names a higher era in its answers. Nothing answered that: terms of leaders fell behind or came twice, watches behind a reached revision told of nothing, registrations at a lower revision were passed over, an upstream that was leaving was ready again. A new leader begins no switch, and speaks with no engine itself, for the time of a lease from its first sight of the era. Found by the tests: a watch that waits tells no era for up to 30 s; any other call of the process does, and ends it. Tests: test_restored_store (26), on the stand-in's drill: copy, restore. Not shown: the switch's model with restores; calls for one restore at 200 processes.

--- a/packages/experts/src/fuchsiahatch_experts/switch_versions.py
+++ b/packages/experts/src/fuchsiahatch_experts/switch_versions.py
@@ -7,7 +7,7 @@
 #: The largest group that a version can tell of.
 RANKS_PER_VERSION = 256
 #: Versions that one term may use, after which its leader makes way. With them a version
-#: stays below 2^53 for terms up to ten million.
+#: stays below 2^53 for terms up to thirteen million.
 NUMBERS_PER_TERM = 10_000
 _VERSIONS_PER_TERM = NUMBERS_PER_TERM * RANKS_PER_VERSION**2
 
--- a/packages/gateway/src/fuchsiahatch_gateway/agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/agent.py
@@ -35,12 +35,12 @@
 from fuchsiahatch_gateway.engine_figures import EngineFigures, decode_engine_figures
 from fuchsiahatch_gateway.fleet import newest_by_address
 from fuchsiahatch_gateway.following import Follower, StoreHealth
-from fuchsiahatch_gateway.group_leader import GroupLeader
+from fuchsiahatch_gateway.group_leader import Authority, GroupLeader
 from fuchsiahatch_gateway.item_decoding import ItemDecoder
 from fuchsiahatch_gateway.leadership import (
     LeaderRecord,
     Leadership,
-    decode_leader_peer,
+    decode_leader,
     term_of,
 )
 from fuchsiahatch_gateway.lookups import EntryRecord, decode_entry
@@ -76,7 +76,7 @@
         self._clock = clock
         self._entries: dict[str, EntryRecord] = {}
         self._records = ItemDecoder(decode_entry)
-        self._leader_peers = ItemDecoder(decode_leader_peer)
+        self._leader_items = ItemDecoder(decode_leader)
         self._leaders: dict[str, LeaderRecord] = {}
         self._figure_items = ItemDecoder(decode_engine_figures)
         self._figures: dict[str, EngineFigures] = {}
@@ -104,6 +104,7 @@
             self.store, KEY_PREFIX, self.health, clock, self._apply_items
         )
         self._failing = False
+        self.store.on_restored = self._note_restored
 
     async def run(self) -> None:
         """Report and take orders until SIGTERM."""
@@ -206,8 +207,11 @@
             term,
             seen.rank,
             seen.ranks,
-            has_lease=lambda: self.rank.term == term,
-            lacks_store=lambda: False,
+            Authority(
+                has_lease=lambda: self.rank.term == term,
+                is_alone=lambda: self.rank.term == term,
+                lacks_store=lambda: False,
+            ),
             takes_over=True,
         )
 
@@ -217,8 +221,7 @@
         term: int,
         rank: int,
         ranks: int,
-        has_lease: t.Callable[[], bool],
-        lacks_store: t.Callable[[], bool],
+        authority: Authority,
         takes_over: bool = False,
     ) -> GroupLeader:
         return GroupLeader(
@@ -232,8 +235,7 @@
             self._clock,
             self._connect_engine,
             self._list_engines,
-            has_lease,
-            lacks_store,
+            authority,
             self._process.settings.link_bytes_per_s,
             takes_over,
         )
@@ -285,20 +287,30 @@
             term,
             rank,
             ranks,
-            has_lease=lambda: self.leadership.held and self.leadership.term == term,
-            lacks_store=lambda: (
-                self.leadership.unanswered and self.leadership.term == term
-            ),
+            self._authority_of(term),
         )
         self._tell_figures()
         self._leaders[group] = LeaderRecord(group, term, self.peer)
 
+    def _authority_of(self, term: int) -> Authority:
+        leadership = self.leadership
+        return Authority(
+            has_lease=lambda: leadership.held and leadership.term == term,
+            is_alone=lambda: leadership.alone and leadership.term == term,
+            lacks_store=lambda: leadership.unanswered and leadership.term == term,
+        )
+
     def _tell_figures(self) -> None:
         """Tell the leader of its engines' figures, where they are known."""
         figures = self._figures.get(self._process.settings.beside_service)
         if figures is not None and self.leader is not None:
             self.leader.plans.learn(figures.engine, figures.gap_ms)
 
+    def _note_restored(self) -> None:
+        """Give up what stood in the store: it came back from an older copy."""
+        self.health.note_restored(self._clock.now_ms())
+        self.leadership.note_restored()
+
     def _lose(self) -> None:
         log_event(Event.TERM_LOST, term=self.leadership.term)
         assert self.leader is not None
@@ -317,8 +329,8 @@
         self._entries = self._records.decode_all(self._items_below(ENTRIES_PREFIX))
         led = self._items_below(LEADERS_PREFIX)
         self._leaders = {
-            group: LeaderRecord(group, term_of(led[group].created), peer)
-            for group, peer in self._leader_peers.decode_all(led).items()
+            group: LeaderRecord(group, term_of(era, led[group].created), peer)
+            for group, (peer, era) in self._leader_items.decode_all(led).items()
         }
         self._figures = self._figure_items.decode_all(self._items_below(ENGINES_PREFIX))
         self._tell_figures()
--- a/packages/gateway/src/fuchsiahatch_gateway/engine_figures.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/engine_figures.py
@@ -113,6 +113,12 @@
         if self._unwritten:
             self._due.set()
 
+    def forget(self, configuration: Configuration | None) -> None:
+        """Look again at what the store holds: it came back from an older copy."""
+        self._written.clear()
+        if configuration is not None:
+            self.note_configuration(configuration)
+
     async def run(self) -> None:
         """Write what the store lacks, for ever."""
         while True:
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -128,6 +128,7 @@
         self.figures = FiguresWriter(self.store, self._place)
         self.callers = HttpServer(self.delivery.handle)
         self.side_calls = HttpServer(self._answer_side_call)
+        self.store.on_restored = self._note_restored
         self._config = self._follow(CONFIGURATION_KEY, self._apply_configuration)
         self._upstreams = self._follow(UPSTREAMS_PREFIX, self._apply_upstreams)
         self._others = self._follow(ENTRIES_PREFIX, self._apply_entries)
@@ -239,9 +240,18 @@
     def _follow(self, prefix: str, apply: t.Callable[[], None]) -> Follower:
         return Follower(self.store, prefix, self.health, self._clock, apply)
 
+    def _note_restored(self) -> None:
+        """Write and read anew what the store has forgotten."""
+        self.health.note_restored(self._clock.now_ms())
+        self.figures.forget(self.routes.configuration)
+
     def _apply_configuration(self) -> None:
         item = self._config.items.get("")
-        if item is None or item.value is None or not self.routes.apply(item.value):
+        if (
+            item is None
+            or item.value is None
+            or not self.routes.apply(item.value, item.era)
+        ):
             return
         known = self.routes.configuration
         assert known is not None
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -6,6 +6,7 @@
 
 from fuchsiahatch_adapter.upstreams import UpstreamEntry, decode_upstream_entry
 from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_gateway.departed_upstreams import DepartedUpstreams
 from fuchsiahatch_gateway.item_decoding import ItemDecoder
 from fuchsiahatch_gateway.known_upstream import Upstream
 
@@ -74,6 +75,7 @@
         "_by_address",
         "_by_service",
         "_clock",
+        "_departed",
         "_entries",
         "_opened_ms",
         "_reports",
@@ -91,6 +93,7 @@
         self._by_address: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._entries = ItemDecoder(decode_upstream_entry)
+        self._departed = DepartedUpstreams(clock)
         self._reports: set[str] = set()
         #: When the first engine of a service opened while no other could be used.
         self._opened_ms: dict[str, int] = {}
@@ -104,9 +107,11 @@
         for instance in self.upstreams.keys() - fresh.keys():
             gone = self.upstreams.pop(instance)
             log_event(Event.UPSTREAM_GONE, upstream=instance, own=gone.own)
+            self._departed.note(gone)
             self.on_gone(gone.entry)
         for instance, entry in fresh.items():
-            self._put(instance, entry)
+            if not self._departed.has(entry, items[instance]):
+                self._put(entry, items[instance])
         self._index()
 
     def observe(self, load: "LoadReport") -> None:
@@ -275,12 +280,13 @@
             cost += upstream.latency_ms / fastest.latency_ms - 1.0
         return cost
 
-    def _put(self, instance: str, entry: UpstreamEntry) -> None:
+    def _put(self, entry: UpstreamEntry, item: "Item") -> None:
+        instance = entry.instance
         known = self.upstreams.get(instance)
         if known is None:
             now_ms = self._clock.now_ms()
             self.upstreams[instance] = Upstream(
-                entry, born_ms=entry.born_ms, seen_ms=now_ms
+                entry, born_ms=entry.born_ms, seen_ms=now_ms, told=item.told
             )
             log_event(Event.UPSTREAM_SEEN, upstream=instance, service=entry.service)
             return
@@ -292,6 +298,12 @@
         if entry.leaving and not known.entry.leaving:
             log_event(Event.UPSTREAM_LEAVING, upstream=instance, own=known.own)
             self.on_gone(entry)
+        elif known.entry.leaving and item.era > known.told[0]:
+            # The store came back from a copy in which it had not begun to leave. Who
+            # leaves does so for the rest of its life, and gets no new request.
+            entry = dataclasses.replace(entry, leaving=True)
+        else:
+            known.told = item.told
         known.entry = entry
 
     def _begin_life(
@@ -352,10 +364,17 @@
     stays for seconds until it lapses. Half of all requests would go to lives that are
     gone, and be refused there.
     """
+
+    def age(entry: UpstreamEntry) -> tuple[int, int, int]:
+        # Its own word goes first: a store that came back from an older copy may have
+        # made the entry of the former life at a later revision.
+        item = items[entry.instance]
+        return entry.born_ms, item.era, item.created
+
     newest: dict[str, UpstreamEntry] = {}
-    for instance, entry in entries.items():
+    for entry in entries.values():
         address = str(entry.address)
         known = newest.get(address)
-        if known is None or items[known.instance].created < items[instance].created:
+        if known is None or age(known) < age(entry):
             newest[address] = entry
     return {entry.instance: entry for entry in newest.values()}
--- a/packages/gateway/src/fuchsiahatch_gateway/following.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/following.py
@@ -74,6 +74,16 @@
         log_event(Event.LEASES_LAPSED, deleted=deleted)
         self.regained_ms = now_ms
 
+    def note_restored(self, now_ms: int) -> None:
+        """Note that the store came back from an older copy, without its leases.
+
+        Others' registrations are missing until they have written them again, as behind
+        an outage; and whoever waits for the store's return reads all anew.
+        """
+        self.regained_ms = now_ms
+        self.regained.set()
+        self.regained = asyncio.Event()
+
     def note_failure(self, now_ms: int, detail: str) -> None:
         """Note that a call failed."""
         if self.answers:
@@ -138,6 +148,7 @@
 
     __slots__ = (
         "_clock",
+        "_era",
         "_health",
         "_lapsed",
         "_on_change",
@@ -164,6 +175,7 @@
         self._clock = clock
         self._on_change = on_change
         self._lapsed: set[str] = set()
+        self._era = 0
         self._rest_ms = WATCH_PAUSE_MS
         #: A read of all items that a failure has cut short.
         self._reading: RangeRead | None = None
@@ -181,8 +193,7 @@
                     if known:
                         await asyncio.sleep(self._rest_ms / 1000)
                 else:
-                    await self._read()
-                    known = True
+                    known = await self._read()
             except HistoryLostError as fault:
                 log_event(Event.HISTORY_LOST, prefix=self._prefix, detail=fault.detail)
                 known = False
@@ -207,7 +218,8 @@
             async with asyncio.timeout(STORE_PATIENCE_MS / 1000):
                 await self._health.regained.wait()
 
-    async def _read(self) -> None:
+    async def _read(self) -> bool:
+        """Read all anew; return whether that is of the store's present era."""
         self._reading = self._reading or RangeRead(self._store, self._prefix)
         found = await self._reading.finish()
         self._reading = None
@@ -220,8 +232,10 @@
         self._lapsed -= fresh.keys()
         self.items.update(fresh)
         self.revision = found.revision
+        self._era = found.era
         self.synced = True
         self._on_change()
+        return found.era == self._store.era
 
     async def _watch_or_regain(self) -> bool:
         """Watch once; return whether the copy still is one without gaps."""
@@ -239,6 +253,10 @@
 
     async def _watch(self) -> None:
         changes = await self._store.watch(self._prefix, self.revision)
+        if changes.era != self._era:
+            # The store came back from an older copy and has given out this revision
+            # again: it answers, and tells of no change up to it.
+            raise HistoryLostError(f"revision {self.revision} is of another era")
         self._health.note_answer(self._clock.now_ms())
         self._look_for_lapse(sum(item.value is None for item in changes.items))
         for item in changes.items:
@@ -256,7 +274,7 @@
     def _take(self, item: Item) -> None:
         name = self._name(item.key)
         known = self.items.get(name)
-        if known is not None and known.revision >= item.revision:
+        if known is not None and known.told >= item.told:
             return
         if item.value is None:
             self._take_deletion(name)
--- a/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
@@ -1,6 +1,7 @@
 """The leader of a rank group: follows the demand for experts with the group's map."""
 
 import asyncio
+import dataclasses
 import typing as t
 
 import msgspec
@@ -59,6 +60,25 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Authority:
+    """What a leader may do, by its lease and the store.
+
+    Attributes
+    ----------
+    has_lease : callable
+        Whether the leader's lease is valid.
+    is_alone : callable
+        Whether, besides, no earlier leader can still speak with engines.
+    lacks_store : callable
+        Whether the store doesn't answer, so that the lease can't be renewed.
+    """
+
+    has_lease: t.Callable[[], bool]
+    is_alone: t.Callable[[], bool]
+    lacks_store: t.Callable[[], bool]
+
+
 class GroupLeader:
     """Leads one group for one term.
 
@@ -76,10 +96,8 @@
         Makes a client of the engine at an address.
     list_engines : coroutine function
         Returns the addresses of all engines of the service.
-    has_lease : callable
-        Whether the leader's lease is valid.
-    lacks_store : callable
-        Whether the store doesn't answer, so that the lease can't be renewed.
+    authority : Authority
+        What it may do now.
     link_bytes_per_s : float
         Bandwidth of the leader's host.
     takes_over : bool, optional
@@ -103,8 +121,7 @@
         clock: "Clock",
         engine_of: t.Callable[[str], "ModelEngine"],
         list_engines: t.Callable[[], t.Awaitable[t.Sequence[str]]],
-        has_lease: t.Callable[[], bool],
-        lacks_store: t.Callable[[], bool],
+        authority: Authority,
         link_bytes_per_s: float,
         takes_over: bool = False,
     ) -> None:
@@ -116,8 +133,7 @@
         self._own_peer = own_peer
         self._datagrams = datagrams
         self._clock = clock
-        self._has_lease = has_lease
-        self._lacks_store = lacks_store
+        self._authority = authority
         self._takes_over = takes_over
         self._pacer = OrderPacer(link_bytes_per_s, clock.now_ms())
         self._hearing = Hearing(clock.now_ms())
@@ -220,7 +236,7 @@
         if not self._stopping:
             most_copies = self._pacer.copies_in_a_change(self._ranks)
             self.plans.work(self._own.pass_ms, most_copies, now_ms)
-        if self._has_lease():
+        if self._authority.is_alone():
             self._silent.work(self.switch.phase, self._hearing.heard_ms, now_ms)
         self._notify(now_ms)
         for order in self.switch.orders(now_ms, self._sender.room(now_ms)):
@@ -240,13 +256,23 @@
         An outage of 8 s left groups on old maps, and 7 of 10 requests of its last
         four seconds were late.
         """
-        if self._has_lease():
+        if self._authority.has_lease():
             return True
-        if not self._lacks_store() or len(self._obeyed_ms) < self._ranks:
+        if not self._authority.lacks_store() or len(self._obeyed_ms) < self._ranks:
             return False
         oldest_ms = min(self._obeyed_ms.values())
         return self._clock.now_ms() - oldest_ms <= OBEYED_MS
 
+    def _may_switch(self) -> bool:
+        """Return whether a change of the map may be begun now.
+
+        An earlier leader that doesn't know yet that its lease is gone might let a pass
+        go that this one holds.
+        """
+        if self._authority.has_lease() and not self._authority.is_alone():
+            return False
+        return self.may_lead()
+
     @property
     def ended(self) -> bool:
         """Whether there is nothing left to do for one that took over."""
@@ -298,7 +324,7 @@
         """Begin to switch to a planned map; return whether that was done."""
         # A standby whose agent is silent could agree to no commit.
         standby = self._silent.heard_behind(self._rank)
-        if standby is None or self._stopping or not self.may_lead():
+        if standby is None or self._stopping or not self._may_switch():
             return False
         ahead = 1 if passes.pass_ms >= LONG_PASS_MS else HOLD_AHEAD
         now_ms = self._clock.now_ms()
@@ -318,7 +344,7 @@
         speaker = self._silent.speaker(order.rank)
         if speaker is not None:
             # Nobody but the standby's own agent can agree to a commit.
-            if not self._has_lease() or order.kind is OrderKind.COMMIT:
+            if not self._authority.is_alone() or order.kind is OrderKind.COMMIT:
                 return
             self._tasks.begin(self._give_directly(speaker, order))
             return
--- a/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
@@ -54,6 +54,8 @@
         Start of the life that all of this is believed of; 0 while it isn't known.
     seen_ms : int
         When this entry first saw it in this life.
+    told : (int, int)
+        Era and revision of its entry in the store.
     movers : set of callable
         Each lets a request under way there go on elsewhere, if it may.
     """
@@ -71,6 +73,7 @@
     latency_ms: float = 0.0
     born_ms: int = 0
     seen_ms: int = 0
+    told: tuple[int, int] = (0, 0)
     movers: set[t.Callable[[], None]] = dataclasses.field(default_factory=set)
     _failures: float = 0.0
     _failed_ms: int = 0
--- a/packages/gateway/src/fuchsiahatch_gateway/leadership.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/leadership.py
@@ -7,7 +7,11 @@
 import orjson
 
 from fuchsiahatch_adapter.forms import read_json, reading
-from fuchsiahatch_adapter.store import LeaseLostError, StoreClient
+from fuchsiahatch_adapter.store import (
+    LeaseLostError,
+    StoreClient,
+    StoreRestoredError,
+)
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import ConflictError, FormError, PlatformError
 from fuchsiahatch_gateway.datagrams import Peer, check_peer
@@ -27,6 +31,10 @@
 #: Pause behind a try to win. An agent whose watch is late knows of no leader, or of one
 #: that is gone, for seconds; without it eight of them made some hundred calls a second.
 REST_MS = 300
+#: Revisions by which a store that comes back from an older copy may fall back, at the
+#: most: a minute of 3,200 writes a second. Each era's terms begin behind those of the
+#: era before it, as long as no more are lost.
+REVISIONS_PER_ERA = 200_000
 #: Time kept back from the lease, as clocks and answers are late.
 LEASE_RESERVE_MS = 200
 
@@ -50,18 +58,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _LeaderDocument:
-    """A leader's key as it is written."""
+    """A leader's key as it is written; the era is the store's as it was made."""
 
     node: str
     peer: Peer
+    era: int = 0
 
 
-def term_of(revision: int) -> int:
-    """Return the term of a leader whose key was made at a revision of the store.
+def term_of(era: int, revision: int) -> int:
+    """Return the term of a leader whose key was made at a revision of an era.
 
     The odd term behind it is its standby's, which needs no key to take over.
+
+    Guards against a store that comes back from an older copy and gives revisions out
+    again: a later leader's term would be lower, and no agent would obey it, or the same
+    as an earlier one's, and two leaders would switch maps under one term.
     """
-    return 2 * revision
+    return 2 * (era * REVISIONS_PER_ERA + revision)
 
 
 def takeover_term(term: int) -> int:
@@ -69,8 +82,8 @@
     return term + 1
 
 
-def decode_leader_peer(group: str, value: bytes) -> Peer:
-    """Decode where a group's leader takes datagrams.
+def decode_leader(group: str, value: bytes) -> tuple[Peer, int]:
+    """Decode where a group's leader takes datagrams, and the era of its key.
 
     Raises
     ------
@@ -80,7 +93,7 @@
     document = read_json(value, _LeaderDocument, what)
     with reading(what):
         check_peer(document.peer)
-    return document.peer
+    return document.peer, document.era
 
 
 class Leadership:
@@ -104,7 +117,9 @@
 
     __slots__ = (
         "_absent_since_ms",
+        "_alone_from_ms",
         "_clock",
+        "_era",
         "_key",
         "_lease",
         "_node",
@@ -126,7 +141,10 @@
         self._clock = clock
         self._key = ""
         self._lease = 0
+        #: Of the store as the lease was made.
+        self._era = 0
         self._valid_until_ms = 0
+        self._alone_from_ms = clock.now_ms() + LEADER_TTL_MS
         self._absent_since_ms: int | None = None
         self._rest_until_ms = 0
         self.term = 0
@@ -138,6 +156,23 @@
         """Whether this agent leads by its own clock, which counts suspended time."""
         return self._clock.now_ms() < self._valid_until_ms
 
+    @property
+    def alone(self) -> bool:
+        """Whether no earlier leader can still believe that it has its lease.
+
+        Guards against two leaders that both speak with engines, which refuse nobody.
+        Usually the lease of one has ended before another can win. A store that came
+        back from an older copy has forgotten it: for as long as a lease lasts, from
+        this process's first sight of the era, an earlier leader may not have heard. A
+        process that has just started can't tell since when the era lasts.
+        """
+        return self.held and self._clock.now_ms() >= self._alone_from_ms
+
+    def note_restored(self) -> None:
+        """Lead no more: the store came back from an older copy, without the lease."""
+        self._alone_from_ms = self._clock.now_ms() + LEADER_TTL_MS
+        self.resign()
+
     async def try_win(self, group: str, rank: int, known: LeaderRecord | None) -> bool:
         """Try to become leader if there is none; return whether that worked."""
         now_ms = self._clock.now_ms()
@@ -176,7 +211,7 @@
             except PlatformError as fault:
                 log_event(Event.SERVICE_CALL_FAILED, detail=fault.detail)
                 continue
-            if lease == self._lease:
+            if lease == self._lease and self._era == self._store.era:
                 self.unanswered = False
                 self._valid_until_ms = began_ms + LEADER_TTL_MS - LEASE_RESERVE_MS
 
@@ -191,21 +226,24 @@
         lease = self._lease
         self.resign()
         try:
-            await self._store.revoke(lease)
+            # Of another era it may be somebody else's by now.
+            if lease and self._era == self._store.era:
+                await self._store.revoke(lease)
         except PlatformError as fault:
             log_event(Event.SERVICE_CALL_FAILED, detail=fault.detail)
 
     def _read_leader(self, group: str, item: "Item") -> LeaderRecord | None:
         try:
-            peer = decode_leader_peer(group, item.value or b"")
+            peer, era = decode_leader(group, item.value or b"")
         except FormError as fault:
             log_event(Event.ITEM_UNREADABLE, item=self._key, detail=fault.detail)
             return None
-        return LeaderRecord(group, term_of(item.created), peer)
+        return LeaderRecord(group, term_of(era, item.created), peer)
 
     async def _win(self, group: str) -> bool:
         self._key = LEADERS_PREFIX + group
         item = await self._store.get(self._key)
+        era = self._store.era
         if item is not None:
             leader = self._read_leader(group, item)
             if leader is not None and leader.peer != self._peer:
@@ -217,10 +255,15 @@
             await self._store.remove(self._key, item.revision)
         began_ms = self._clock.now_ms()
         lease = await self._store.grant(LEADER_TTL_MS)
-        value = orjson.dumps({"node": self._node, "peer": self._peer})
+        document = _LeaderDocument(self._node, self._peer, era)
+        value = orjson.dumps(document)
         revision = await self._store.put(self._key, value, lease, expected=0)
+        if self._store.era != era:
+            # The revision is of another era than the key says, or the lease is gone.
+            raise StoreRestoredError(f"while {group} elected a leader")
         self._lease = lease
+        self._era = era
         self.unanswered = False
-        self.term = term_of(revision)
+        self.term = term_of(era, revision)
         self._valid_until_ms = began_ms + LEADER_TTL_MS - LEASE_RESERVE_MS
         return True
--- a/packages/gateway/src/fuchsiahatch_gateway/routes.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/routes.py
@@ -45,19 +45,29 @@
         None until the first one is read.
     """
 
-    __slots__ = ("_by_host", "configuration")
+    __slots__ = ("_by_host", "_era", "_value", "configuration")
 
     def __init__(self) -> None:
+        self._era = 0
+        self._value = b""
         self.configuration: Configuration | None = None
         self._by_host: dict[str, list[Route]] = {}
 
-    def apply(self, value: bytes) -> bool:
+    def apply(self, value: bytes, era: int = 0) -> bool:
         """Take a configuration over whole, unless it is older; return whether.
 
+        Parameters
+        ----------
+        value : bytes
+        era : int, optional
+            Of the store, as it was read.
+
         Notes
         -----
-        A stale read or a watch that begins anew may show an older version after a
-        newer one: callers would see a route come back that was dropped.
+        A stale read, a watch that begins anew or a store that came back from an older
+        copy may show an older version after a newer one: callers would see a route come
+        back that was dropped. Behind such a return the operator may have written
+        another configuration under the version that was lost; that one holds.
         """
         try:
             fresh = decode_configuration(value)
@@ -69,9 +79,13 @@
             )
             return False
         if self.configuration is not None:
-            if fresh.version <= self.configuration.version:
+            if fresh.version < self.configuration.version:
+                return False
+            rewritten = era > self._era and value != self._value
+            if fresh.version == self.configuration.version and not rewritten:
                 return False
         self.configuration = fresh
+        self._era, self._value = era, value
         self._by_host = _group_by_host(fresh.routes)
         log_event(
             Event.CONFIGURATION_APPLIED,
--- a/packages/standins/src/fuchsiahatch_standins/fleet_store.py
+++ b/packages/standins/src/fuchsiahatch_standins/fleet_store.py
@@ -33,6 +33,16 @@
     timer: asyncio.TimerHandle
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """An older state of the store."""
+
+    items: dict[str, _Stored]
+    ttls_ms: dict[int, int]
+    revision: int
+    next_lease: int
+
+
 @dataclasses.dataclass(slots=True)
 class Faults:
     """What goes wrong at the store.
@@ -69,16 +79,21 @@
     faults : Faults
     calls : list of str
         Paths of the calls so far.
+    era : int or None
+        How often it came back from an older copy, as its answers say; None for answers
+        that don't.
     """
 
     def __init__(self) -> None:
         self.faults = Faults()
         self.calls: list[str] = []
+        self.era: int | None = 1
         self.revision = 1
         self._items: dict[str, _Stored] = {}
         self._history: list[dict[str, t.Any]] = []
         self._compacted = 0
         self._leases: dict[int, _Lease] = {}
+        self._next_lease = 70_000
         self._changed = asyncio.Event()
         self._server = HttpServer(self._answer)
 
@@ -113,6 +128,28 @@
         self._compacted = self.revision
         self._history.clear()
 
+    def copy(self) -> "StoreCopy":
+        """Return a copy of what is there now, as a drill restores it."""
+        items = {key: dataclasses.replace(one) for key, one in self._items.items()}
+        ttls_ms = {number: one.ttl_ms for number, one in self._leases.items()}
+        return StoreCopy(items, ttls_ms, self.revision, self._next_lease)
+
+    def restore(self, copy: "StoreCopy") -> None:
+        """Come back from a copy: revisions and leases' numbers are given out again."""
+        self.cut()
+        for lease in self._leases.values():
+            lease.timer.cancel()
+        self._items = {key: dataclasses.replace(one) for key, one in copy.items.items()}
+        self._leases = {
+            number: _Lease(ttl_ms, self._start_timer(number, ttl_ms))
+            for number, ttl_ms in copy.ttls_ms.items()
+        }
+        self.revision = copy.revision
+        self._next_lease = copy.next_lease
+        self._history.clear()
+        self._compacted = 0
+        self.era = (self.era or 0) + 1
+
     def cut(self) -> None:
         """Reset all connections, watches included."""
         for connection in tuple(self._server.connections):
@@ -144,7 +181,7 @@
             await asyncio.get_running_loop().create_future()
         refused = self.faults.fail_each and not len(self.calls) % self.faults.fail_each
         if self.faults.status or refused:
-            exchange.respond(self.faults.status or 503)
+            exchange.respond(self.faults.status or 503, self._era_header())
             return
         fields = dict(urllib.parse.parse_qsl(query))
         body = orjson.loads(exchange.body) if exchange.body else {}
@@ -154,13 +191,17 @@
             return
         await self._respond(exchange, status, orjson.dumps(answer))
 
+    def _era_header(self) -> list[tuple[bytes, bytes]]:
+        return [] if self.era is None else [(b"store-era", b"%d" % self.era)]
+
     async def _respond(self, exchange: Exchange, status: int, body: bytes) -> None:
         """Send an answer as fast as the faults allow."""
         faults = self.faults
         if not faults.bytes_per_s and not faults.silent_behind_bytes:
-            exchange.respond(status, (), body)
+            exchange.respond(status, self._era_header(), body)
             return
-        exchange.start(status, [(b"content-length", b"%d" % len(body))])
+        length = (b"content-length", b"%d" % len(body))
+        exchange.start(status, [*self._era_header(), length])
         for at in range(0, len(body), PIECE_BYTES):
             if 0 < faults.silent_behind_bytes <= at:
                 await asyncio.get_running_loop().create_future()
@@ -207,7 +248,7 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + int(fields["waitMs"]) / 1000
         while True:
-            if after < self._compacted:
+            if after < self._compacted or after > self.revision:
                 return 410, {}
             events = [
                 event
@@ -238,7 +279,8 @@
         return 200, {"revision": self.revision}
 
     def _serve_grant(self, ttl_ms: int) -> tuple[int, t.Any]:
-        number = 70_000 + len(self.calls)
+        self._next_lease += 1
+        number = self._next_lease
         timer = self._start_timer(number, ttl_ms)
         self._leases[number] = _Lease(ttl_ms, timer)
         return 200, {"lease": number, "ttlMs": ttl_ms}
--- a/tests/adapter/test_forms.py
+++ b/tests/adapter/test_forms.py
@@ -11,7 +11,7 @@
 from fuchsiahatch_core.exceptions import FormError
 from fuchsiahatch_gateway.datagrams import decode
 from fuchsiahatch_gateway.item_decoding import ItemDecoder
-from fuchsiahatch_gateway.leadership import decode_leader_peer
+from fuchsiahatch_gateway.leadership import decode_leader
 from fuchsiahatch_gateway.lookups import decode_entry
 from fuchsiahatch_standins.fleet_store import make_upstream_entry
 from tests.adapter.test_decoding import ROUTE
@@ -47,7 +47,7 @@
 DECODERS = {
     "entry": (lambda value: decode_upstream_entry("i-1", value), ENTRY),
     "registration": (lambda value: decode_entry("front-1", value), RECORD),
-    "leader": (lambda value: decode_leader_peer("g", value), LEADER),
+    "leader": (lambda value: decode_leader("g", value), LEADER),
     "configuration": (decode_configuration, CONFIGURATION),
 }
 
--- a/tests/adapter/test_json_calls.py
+++ b/tests/adapter/test_json_calls.py
@@ -1,3 +1,4 @@
+import asyncio
 import unittest
 from unittest import mock
 
@@ -36,6 +37,13 @@
     async def __aexit__(self, *exc_info):
         await self.store.close()
 
+    async def restore(self, copy):
+        """Let the store come back from a copy, and the client hear of it."""
+        self.store.restore(copy)
+        # The connections that it kept are reset.
+        await asyncio.sleep(0.02)
+        await self.client.ping()
+
 
 class TestUnanswered(unittest.TestCase):
     def test_a_read_tells_how_much_had_come(self):
--- a/tests/gateway/led_groups.py
+++ b/tests/gateway/led_groups.py
@@ -12,7 +12,7 @@
 from fuchsiahatch_experts.map_changes import first_map
 from fuchsiahatch_experts.rank_orders import RankReport
 from fuchsiahatch_gateway.datagrams import RankState
-from fuchsiahatch_gateway.group_leader import GroupLeader
+from fuchsiahatch_gateway.group_leader import Authority, GroupLeader
 from fuchsiahatch_gateway.rank_agent import RankAgent
 
 TERM = 2
@@ -58,6 +58,8 @@
         Ranks whose agents say nothing.
     asked : list of str
         Engines that the leader turned to itself.
+    alone : bool
+        Whether no earlier leader can still believe that it leads.
     answers : bool
         Whether they say at once that they can't answer, or nothing.
     """
@@ -71,6 +73,7 @@
         self.asked = []
         self.silent = set()
         self.answers = False
+        self.alone = True
         self.planned_ms = 0.0
         self._late_ms = 0.0
         self._sequence = 0
@@ -90,8 +93,11 @@
             self.clock,
             self._engine_of,
             self._list_engines,
-            has_lease=lambda: True,
-            lacks_store=lambda: False,
+            Authority(
+                has_lease=lambda: True,
+                is_alone=lambda: self.alone,
+                lacks_store=lambda: False,
+            ),
             link_bytes_per_s=500_000.0,
         )
         self.leader.plans.gap_ms = 150
--- /dev/null
+++ b/tests/gateway/test_restored_store.py
@@ -0,0 +1,453 @@
+import asyncio
+import random
+import unittest
+from unittest import mock
+
+from fuchsiahatch_adapter.store import (
+    Item,
+    RangeRead,
+    StoreClient,
+    StoreRestoredError,
+)
+from fuchsiahatch_core.clock import Clock, ManualClock
+from fuchsiahatch_gateway import registration
+from fuchsiahatch_gateway.defaults import (
+    LAPSE_MS,
+    LEADER_TTL_MS,
+    LEADERS_PREFIX,
+)
+from fuchsiahatch_gateway.fleet import Fleet, newest_by_address
+from fuchsiahatch_gateway.following import Follower, StoreHealth
+from fuchsiahatch_gateway.leadership import REVISIONS_PER_ERA, Leadership, term_of
+from fuchsiahatch_gateway.registration import Registration
+from fuchsiahatch_gateway.routes import RouteTable
+from fuchsiahatch_standins.fleet_store import PAGE_ITEMS, make_upstream_entry
+from fuchsiahatch_standins.platform_demo import EXPERTS
+from tests.adapter.test_json_calls import Served
+from tests.gateway.sites import Site, answers, dump, make_configuration, until, upstream
+from tests.gateway.test_agents import Group
+from tests.loopback import run
+
+
+class TestEras(unittest.TestCase):
+    """What is read of two eras of the store is never taken for one."""
+
+    def test_a_range_of_two_eras_is_read_anew(self):
+        async def read():
+            async with Served() as served:
+                for number in range(2 * PAGE_ITEMS):
+                    served.store.put(f"s/{number:04}", b"old")
+                copy = served.store.copy()
+                reading = RangeRead(served.client, "s/")
+                served.store.faults.fail_each = 2
+                try:
+                    await reading.finish()
+                except Exception:
+                    served.store.faults.fail_each = 0
+                served.store.restore(copy)
+                await asyncio.sleep(0.02)
+                served.store.put("s/0000", b"new")
+                with self.assertRaises(StoreRestoredError):
+                    await reading.finish()
+                return await reading.finish()
+
+        found = run(read())
+        self.assertEqual(found.items[0].value, b"new")
+        self.assertEqual(found.era, 2)
+
+    def test_an_era_that_is_no_number_or_lower_is_no_restore(self):
+        async def read():
+            async with Served() as served:
+                restored = []
+                served.client.on_restored = lambda: restored.append(served.client.era)
+                for era in (4, 3, None, 4, 6):
+                    served.store.era = era
+                    await served.client.ping()
+                served.client._note_era(b"nan")
+                served.client._note_era(b"-1")
+                return restored, served.client.era
+
+        self.assertEqual(run(read()), ([6], 6))
+
+
+def value_of(follower, name):
+    found = follower.items.get(name)
+    return None if found is None else found.value
+
+
+class TestFollower(unittest.TestCase):
+    """A copy of the store's items follows it through a return from an older state."""
+
+    def follow(self, work):
+        async def play():
+            async with Served() as served:
+                health = StoreHealth()
+                served.client.on_restored = lambda: health.note_restored(
+                    Clock().now_ms()
+                )
+                follower = Follower(served.client, "s/", health, Clock(), lambda: None)
+                served.store.put("s/a", b"first")
+                task = asyncio.ensure_future(follower.run())
+                await until(lambda: follower.synced)
+                try:
+                    return await work(served.store, follower)
+                finally:
+                    task.cancel()
+
+        return run(play())
+
+    def test_changes_below_a_revision_that_is_reached_again_are_seen(self):
+        # An operator's change is in force everywhere but on one host: it was cut off
+        # while the store went back by ten revisions and gave them out again, and its
+        # watch goes on behind all that was written meanwhile.
+        async def work(store, follower):
+            copy = store.copy()
+            for number in range(10):
+                store.put("s/b", b"lost %d" % number)
+            await until(lambda: value_of(follower, "b") == b"lost 9")
+            store.restore(copy)
+            store.put("s/c", b"second time")
+            for number in range(20):
+                store.put("other", b"%d" % number)
+            # Its watch is taken, and waits for a change above that.
+            await until(lambda: store.calls[-1].endswith("watch"))
+            await asyncio.sleep(0.1)
+            store.put("s/d", b"above")
+            await until(lambda: "c" in follower.items)
+            return follower.items["c"].value
+
+        self.assertEqual(self.follow(work), b"second time")
+
+    def test_a_watch_that_waits_is_given_up_once_any_call_tells_the_era(self):
+        # The same, and nothing else is written for half a minute.
+        async def work(store, follower):
+            copy = store.copy()
+            for number in range(10):
+                store.put("s/b", b"lost %d" % number)
+            await until(lambda: value_of(follower, "b") == b"lost 9")
+            store.restore(copy)
+            store.put("s/c", b"second time")
+            for number in range(20):
+                store.put("other", b"%d" % number)
+            await asyncio.sleep(1.2)
+            await follower._store.ping()
+            await until(lambda: "c" in follower.items)
+            return follower.items["c"].value
+
+        self.assertEqual(self.follow(work), b"second time")
+
+    def test_what_is_written_again_at_a_lower_revision_is_taken(self):
+        # An entry is named by no lookup for as long as it lives: it has registered
+        # again, at a revision below the one that others know of it.
+        async def work(store, follower):
+            copy = store.copy()
+            for number in range(10):
+                store.put("s/b", b"lost %d" % number)
+            await until(lambda: value_of(follower, "b") == b"lost 9")
+            store.restore(copy)
+            store.put("s/b", b"again")
+            await until(lambda: value_of(follower, "b") == b"again")
+            return True
+
+        self.assertTrue(self.follow(work))
+
+    def test_what_is_missing_is_held_until_its_owner_could_have_written_it(self):
+        async def work(store, follower):
+            copy = store.copy()
+            store.put("s/b", b"lost")
+            await until(lambda: "b" in follower.items)
+            store.restore(copy)
+            await until(lambda: follower._era == 2)
+            await asyncio.sleep(LAPSE_MS / 2000)
+            held = "b" in follower.items
+            await until(lambda: "b" not in follower.items, LAPSE_MS / 1000)
+            return held
+
+        self.assertTrue(self.follow(work))
+
+    def test_two_returns_in_a_row(self):
+        async def work(store, follower):
+            copy = store.copy()
+            store.put("s/b", b"lost")
+            store.restore(copy)
+            await asyncio.sleep(0.05)
+            store.restore(copy)
+            store.put("s/d", b"here")
+            await until(lambda: "d" in follower.items)
+            return follower._era
+
+        self.assertEqual(self.follow(work), 3)
+
+
+class TestConfiguration(unittest.TestCase):
+    def test_an_older_copy_takes_nothing_back(self):
+        # A key that was revoked is good again for seconds.
+        table = RouteTable()
+        table.apply(dump(make_configuration(5, keys=())), 1)
+        self.assertFalse(table.apply(dump(make_configuration(4)), 2))
+        self.assertEqual(table.configuration.version, 5)
+
+    def test_another_configuration_under_the_lost_version_holds(self):
+        table = RouteTable()
+        table.apply(dump(make_configuration(5)), 1)
+        other = dump(make_configuration(5, keys=("another",)))
+        self.assertFalse(table.apply(other, 1))
+        self.assertTrue(table.apply(other, 2))
+        self.assertFalse(table.apply(dump(make_configuration(5)), 2))
+
+    def test_an_entry_goes_on_with_it_and_takes_what_comes_next(self):
+        async def play():
+            async with Site(upstream(*[answers()] * 9)) as site:
+                copy = site.store.copy()
+                document = make_configuration(2, keys=("new",))
+                site.store.put("op/config", document)
+                table = site.entry.routes
+                await until(lambda: table.configuration.version == 2)
+                site.store.restore(copy)
+                await until(lambda: site.entry.store.era == 2)
+                await asyncio.sleep(0.3)
+                old = await site.ask("/safe/", request_id="q-1")
+                site.store.put("op/config", make_configuration(3, keys=("newest",)))
+                await until(lambda: table.configuration.version == 3)
+                new = await site.ask("/safe/", request_id="q-2", key="newest")
+                return old.status, new.status
+
+        self.assertEqual(run(play()), (401, 200))
+
+
+def item(instance, revision, era, state="ready", port=80, **changes):
+    entry = make_upstream_entry("svc", f"10.0.0.1:{port}", state=state, **changes)
+    return Item(f"servers/{instance}", dump(entry), revision, 5, era)
+
+
+class TestUpstreams(unittest.TestCase):
+    """Who leaves gets nothing new, whatever an older copy says of it.
+
+    A request reaches an upstream seconds behind the end of its drain: the store came
+    back from a copy in which it was ready.
+    """
+
+    def setUp(self):
+        self.clock = ManualClock(1_000)
+        self.fleet = Fleet("a", self.clock, random.Random(1))
+
+    def usable(self, **items):
+        self.fleet.apply(items)
+        return [one.entry.instance for one in self.fleet.usable("svc")]
+
+    def test_one_that_leaves_goes_on_leaving(self):
+        self.usable(a=item("a", 40, 1, "draining", born=7))
+        self.assertEqual(self.usable(a=item("a", 30, 2, born=7)), [])
+        self.assertEqual(self.usable(a=item("a", 60, 2, born=7)), [])
+
+    def test_its_next_life_gets_work(self):
+        self.usable(a=item("a", 40, 1, "draining", born=7))
+        self.assertEqual(self.usable(a=item("a", 30, 2, born=8)), ["a"])
+
+    def test_within_an_era_its_own_word_holds(self):
+        self.usable(a=item("a", 40, 1, "draining", born=7))
+        self.assertEqual(self.usable(a=item("a", 41, 1, born=7)), ["a"])
+
+    def test_one_that_is_gone_stays_so(self):
+        self.usable(a=item("a", 40, 1, born=7))
+        self.usable()
+        self.assertEqual(self.usable(a=item("a", 40, 2, born=7)), [])
+        self.assertEqual(self.usable(a=item("a", 33, 2, born=7)), [])
+
+    def test_one_that_writes_again_is_back(self):
+        self.usable(a=item("a", 40, 1, born=7))
+        self.usable()
+        self.usable(a=item("a", 40, 2, born=7))
+        self.assertEqual(self.usable(a=item("a", 41, 2, born=7)), ["a"])
+
+    def test_one_whose_entry_lapsed_is_back(self):
+        self.usable(a=item("a", 40, 1, born=7))
+        self.usable()
+        self.assertEqual(self.usable(a=item("a", 47, 1, born=7)), ["a"])
+
+    def test_the_present_life_at_an_address_counts(self):
+        items = {
+            "old": item("old", 30, 2, born=7),
+            "new": item("new", 20, 1, born=9),
+        }
+        fleet = Fleet("a", self.clock, random.Random(1))
+        fleet.apply(items)
+        self.assertEqual(list(fleet.upstreams), ["new"])
+        self.assertEqual(list(newest_by_address({}, {})), [])
+
+
+class TestTerms(unittest.TestCase):
+    def test_terms_of_a_later_era_are_higher(self):
+        # A group stands still until revisions have grown again: all agents refuse the
+        # leader that was elected behind the store's return.
+        lost = REVISIONS_PER_ERA - 1
+        self.assertGreater(term_of(2, 1_000), term_of(1, 1_000 + lost))
+        self.assertNotEqual(term_of(2, 1_000), term_of(1, 1_000))
+
+    def elect(self, work):
+        async def play():
+            async with Served() as served:
+                clock = ManualClock(1_000)
+                leadership = Leadership(served.client, "side-1", ("10.0.0.1", 1), clock)
+                served.client.on_restored = leadership.note_restored
+                clock.advance(LEADER_TTL_MS)
+                copy = served.store.copy()
+                await leadership.try_win("g", 0, None)
+                return await work(served, leadership, clock, copy)
+
+        return run(play())
+
+    def test_a_leader_whose_lease_the_store_forgot_leads_no_more(self):
+        async def work(served, leadership, clock, copy):
+            before = leadership.alone
+            await served.restore(copy)
+            return before, leadership.held, leadership.alone
+
+        self.assertEqual(self.elect(work), (True, False, False))
+
+    def test_a_lease_whose_number_is_anothers_keeps_nobody_in_office(self):
+        # Two leaders of a group: the store gave the lease's number out again, and
+        # renews it for both.
+        async def work(served, leadership, clock, copy):
+            lease = leadership._lease
+            served.store.restore(copy)
+            reused = served.store._serve_grant(60_000)[1]["lease"]
+            await asyncio.sleep(0.02)
+            await served.client.keep(lease)
+            return lease == reused, leadership.held
+
+        self.assertEqual(self.elect(work), (True, False))
+
+    def test_a_new_leader_is_alone_once_former_leases_have_ended(self):
+        async def work(served, leadership, clock, copy):
+            term = leadership.term
+            await served.restore(copy)
+            clock.advance(400)
+            won = await leadership.try_win("g", 0, None)
+            early = leadership.alone
+            clock.advance(LEADER_TTL_MS - 401)
+            still = leadership.alone
+            clock.advance(1)
+            return won, leadership.term > term, early, still, leadership.alone
+
+        # The lease itself is shorter than that: it is renewed in between.
+        won, later, early, still, _ = self.elect(work)
+        self.assertEqual((won, later, early, still), (True, True, False, False))
+
+    def test_an_election_over_a_return_is_void(self):
+        async def play():
+            async with Served() as served:
+                clock = Clock()
+                leadership = Leadership(served.client, "side-1", ("10.0.0.1", 1), clock)
+                copy = served.store.copy()
+                await served.client.ping()
+                granted = StoreClient.grant
+
+                async def grant(client, ttl_ms):
+                    lease = await granted(client, ttl_ms)
+                    served.store.restore(copy)
+                    served.store._serve_grant(60_000)
+                    await asyncio.sleep(0.02)
+                    return lease
+
+                with mock.patch.object(StoreClient, "grant", grant):
+                    won = await leadership.try_win("g", 0, None)
+                return won, leadership.held, served.store.keys(LEADERS_PREFIX)
+
+        self.assertEqual(run(play()), (False, False, [LEADERS_PREFIX + "g"]))
+
+
+class TestRegistrations(unittest.TestCase):
+    def register(self, work):
+        async def play():
+            async with Served() as served:
+                health = StoreHealth()
+                served.client.on_restored = lambda: health.note_restored(
+                    Clock().now_ms()
+                )
+                copy = served.store.copy()
+                registered = Registration(served.client, "e/1", b"me", health, Clock())
+                task = asyncio.ensure_future(registered.run())
+                await until(lambda: served.store.get("e/1"))
+                try:
+                    return await work(served, registered, copy)
+                finally:
+                    task.cancel()
+
+        return run(play())
+
+    def test_one_that_was_forgotten_is_back_within_two_seconds(self):
+        # Others take whoever is missing longer than 2.3 s for gone.
+        async def work(served, registered, copy):
+            served.store.restore(copy)
+            # The number of its lease is another's, and is renewed for it.
+            served.store._serve_grant(60_000)
+            await until(lambda: served.store.get("e/1"), 2.0)
+            return True
+
+        self.assertTrue(self.register(work))
+        self.assertLess(registration.RESTORED_SPREAD_MS, LAPSE_MS / 2)
+
+    def test_one_that_leaves_ends_nobody_elses_lease(self):
+        async def work(served, registered, copy):
+            await served.restore(copy)
+            _, answer = served.store._serve_grant(60_000)
+            same = answer["lease"] == registered._lease
+            await registered.withdraw()
+            return same, answer["lease"] in served.store._leases
+
+        self.assertEqual(self.register(work), (True, True))
+
+
+class TestGroups(unittest.TestCase):
+    """A rank group goes on through the store's return from an older copy."""
+
+    def test_a_group_follows_its_demand_behind_it(self):
+        async def play():
+            async with Group(41) as group:
+                copy = group.store.copy()
+                await until(lambda: group.engines.switches >= 2, 10.0)
+                first = group.leader()
+                group.store.restore(copy)
+                group.engines.hot = 7
+                await until(lambda: group.leader() is not None, 5.0)
+                term = group.running[group.leader()][0].leadership.term
+                before = group.engines.switches
+                await until(
+                    lambda: (
+                        group.engines.switches >= before + 2
+                        and group.store.keys(LEADERS_PREFIX)
+                    ),
+                    10.0,
+                )
+                return first is not None, term > 0, group.engines.mixed
+
+        self.assertEqual(run(play()), (True, True, []))
+
+    def test_maps_are_one_while_the_store_returns_again_and_again(self):
+        # A pass runs with two maps: a leader whose lease the store has forgotten goes
+        # on beside its successor, under a term that revisions gave out twice.
+        async def play(seed):
+            rng = random.Random(seed)
+            async with Group(seed) as group:
+                group.engines.lost_share = group.engines.late_share = 0.1
+                await until(lambda: group.engines.switches >= 1, 15.0)
+                for _ in range(4):
+                    copy = group.store.copy()
+                    for number in range(rng.randrange(5, 15)):
+                        group.engines.hot = number % EXPERTS
+                        await asyncio.sleep(0.05)
+                    group.store.restore(copy)
+                    await asyncio.sleep(rng.uniform(0.0, 1.0))
+                group.engines.lost_share = group.engines.late_share = 0.0
+                before = group.engines.step
+                await until(lambda: group.engines.step > before + 50, 5.0)
+                return group.engines.mixed
+
+        for seed in (51, 52):
+            with self.subTest(seed=seed):
+                self.assertEqual(run(play(seed)), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
