Upstreams that name the rate they take get it, of all entries together

Nothing read the rate that an upstream in need names; each entry would have sent as it liked. One entry gives out an upstream's permits, named by a common hash of all that are registered; the others ask it for each request (30 and 10 bytes). No permit, no send. What nobody takes is refused at once with when a permit is due (210 RATE_REACHED).

--- a/packages/core/src/fuchsiahatch_core/codes.py
+++ b/packages/core/src/fuchsiahatch_core/codes.py
@@ -36,6 +36,8 @@
     RETRY_BUDGET_SPENT = 208
     # The home has no memory left for another key of this team.
     LEDGER_FULL = 209
+    # All upstreams name the rate that they take, and it is reached.
+    RATE_REACHED = 210
 
     # What became of an attempt.
     NOT_RUN = 300
--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -90,6 +90,8 @@
         For a stream, with what earlier upstreams sent of it.
     on_event : callable
         Is called as events are passed on.
+    on_head : callable
+        Is given the head of the upstream's own answer, as soon as it comes.
     """
 
     upstream: "Upstream"
@@ -101,6 +103,7 @@
     may_move: t.Callable[[], bool]
     events: EventCutter | None
     on_event: t.Callable[[], None]
+    on_head: t.Callable[[Head], None]
 
 
 async def run_try(exchange: "Exchange", pool: ConnectionPool, one: Try) -> Outcome:
@@ -145,6 +148,8 @@
     )
     connection.send(Call(exchange.method, exchange.target, headers, exchange.body))
     head = await _in_time(_own_head(exchange, connection), one)
+    if head.status != _MISPLACED:
+        one.on_head(head)
     if head.header(names.NOT_EXECUTED) is not None or head.status == _MISPLACED:
         await connection.body()
         return Outcome(Result.NOT_RUN, f"status {head.status}", head)
--- a/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
@@ -20,6 +20,7 @@
 Peer = tuple[str, int]
 
 _Count = t.Annotated[int, msgspec.Meta(ge=0)]
+_Rate = t.Annotated[float, msgspec.Meta(ge=0, lt=1e9)]
 _Duration = t.Annotated[float, msgspec.Meta(ge=0, lt=1e9)]
 #: Above 0, as upstreams' places are divided by it.
 _Pace = t.Annotated[float, msgspec.Meta(gt=0, lt=1e9)]
@@ -207,6 +208,55 @@
     targets: tuple[RelayedOrder, ...]
 
 
+class PermitRequest(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """Question of an entry whether it may send a request to an upstream.
+
+    Attributes
+    ----------
+    number : int
+        Names the question in its answer.
+    upstream : str
+        Its instance.
+    rate_per_s : float
+        The requests a second that it takes, as whoever asks has heard.
+    age_ms : int
+        How long ago it said so.
+    """
+
+    number: int
+    upstream: str
+    rate_per_s: _Rate
+    age_ms: _Count
+
+
+class PermitReply(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """Answer to it: 0 for a permit, or when to ask again."""
+
+    number: int
+    wait_ms: _Count
+
+
+class RateNotice(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """Word of an entry to all others that an upstream names the rate it takes, or ends.
+
+    Attributes
+    ----------
+    upstream : str
+        Its instance.
+    born_ms : int
+        Start of the life that said so.
+    rate_per_s : float or None
+        None where its answers name none any more.
+    age_ms : int
+        How long ago it said so.
+    """
+
+    upstream: str
+    born_ms: _Count
+    rate_per_s: _Rate | None
+    age_ms: _Count
+
+
 Message = (
     LoadReport
     | RankState
@@ -216,6 +266,9 @@
     | TakeoverNotice
     | EntryBeat
     | OrderRelay
+    | PermitRequest
+    | PermitReply
+    | RateNotice
 )
 
 _DECODER = msgspec.msgpack.Decoder(Message)
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -33,7 +33,7 @@
     from fuchsiahatch_gateway.placing import Placer
     from fuchsiahatch_gateway.request_log import RequestLog
     from fuchsiahatch_gateway.retry_budget import RetryBudget
-    from fuchsiahatch_http1.client import ConnectionPool
+    from fuchsiahatch_http1.client import ConnectionPool, Head
     from fuchsiahatch_http1.server import Exchange
 
 #: Time before the end of a request's time in which no further try is begun.
@@ -61,12 +61,15 @@
     log : RequestLog
     clock : Clock
     rng : random.Random
+    on_head : callable, optional
+        Is given an upstream and the head of each of its answers.
     """
 
     __slots__ = (
         "_budget",
         "_clock",
         "_log",
+        "_on_head",
         "_placer",
         "_pool",
         "_rng",
@@ -82,7 +85,9 @@
         log: "RequestLog",
         clock: "Clock",
         rng: random.Random,
+        on_head: t.Callable[["Upstream", "Head"], None] = lambda upstream, head: None,
     ) -> None:
+        self._on_head = on_head
         self._routes = routes
         self._placer = placer
         self._pool = pool
@@ -180,6 +185,7 @@
             lambda: self._could_move(job),
             job.events,
             lambda: job.note_event(self._clock.now_ms()),
+            lambda head: self._on_head(upstream, head),
         )
         was_started = job.exchange.started
         may_have_run = True
@@ -290,7 +296,10 @@
             return
         headers = []
         if status == _UNAVAILABLE:
-            after_s = RETRY_AFTER_S * self._rng.uniform(*RETRY_AFTER_SPREAD)
+            after_s = RETRY_AFTER_S
+            if fault.retry_after_ms is not None:
+                after_s = fault.retry_after_ms / 1000
+            after_s *= self._rng.uniform(*RETRY_AFTER_SPREAD)
             headers.append((names.RETRY_AFTER, b"%.2f" % after_s))
         exchange.respond(status, headers, f"{fault}\n".encode())
 
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -7,7 +7,11 @@
 from twisted.internet import reactor
 
 from fuchsiahatch_adapter.lookup_calls import asks_ready, encode_lookup, lookup_zone
-from fuchsiahatch_adapter.names import CONFIGURATION_KEY, UPSTREAMS_PREFIX
+from fuchsiahatch_adapter.names import (
+    CONFIGURATION_KEY,
+    RATE_LIMIT,
+    UPSTREAMS_PREFIX,
+)
 from fuchsiahatch_adapter.store import StoreClient
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_gateway.datagrams import (
@@ -16,6 +20,9 @@
     LoadReport,
     Message,
     Peer,
+    PermitReply,
+    PermitRequest,
+    RateNotice,
 )
 from fuchsiahatch_gateway.defaults import (
     ENTRIES_PREFIX,
@@ -34,12 +41,14 @@
     choose_addresses,
     decode_entry,
 )
+from fuchsiahatch_gateway.permits import Permits
 from fuchsiahatch_gateway.placing import Placer
 from fuchsiahatch_gateway.registration import Registration
 from fuchsiahatch_gateway.request_log import RequestLog
 from fuchsiahatch_gateway.request_metrics import RequestMetrics
 from fuchsiahatch_gateway.retry_budget import RetryBudget
 from fuchsiahatch_gateway.routes import RouteTable
+from fuchsiahatch_gateway.stated_rates import StatedRates
 from fuchsiahatch_http1.client import ConnectionPool
 from fuchsiahatch_http1.server import Exchange, HttpServer
 
@@ -47,7 +56,9 @@
     import socket
 
     from fuchsiahatch_adapter.upstreams import UpstreamEntry
+    from fuchsiahatch_gateway.known_upstream import Upstream
     from fuchsiahatch_gateway.process import Process
+    from fuchsiahatch_http1.client import Head
 
 #: Time that a connection to an upstream may take; usual are some 3 ms. A dark host
 #: answers nothing, and its request goes to another upstream.
@@ -93,7 +104,15 @@
         self.fleet = Fleet(settings.zone, clock, self._rng)
         self.fleet.on_gone = self._drop_connections
         self.fleet.engine_of = self.routes.engine_of
-        self.placer = Placer(self.fleet, clock)
+        self.permits = Permits(
+            settings.node,
+            lambda: self._entries,
+            self.datagrams,
+            clock,
+            lambda instance: self.fleet.upstreams.get(instance),
+        )
+        self.rates = StatedRates(clock, self._tell_others)
+        self.placer = Placer(self.fleet, clock, self.permits.ask)
         bounds = settings.bounds
         self.budget = RetryBudget(
             bounds.retry_ratio,
@@ -111,6 +130,7 @@
             RequestLog(RequestMetrics(process.registry), clock, self._rng),
             clock,
             self._rng,
+            self._note_head,
         )
         self.record = EntryRecord(
             settings.node,
@@ -281,6 +301,14 @@
             if answers and self.ready:
                 own = EntryBeat(self._process.settings.node, True)
                 self.datagrams.send(own, peer)
+        elif isinstance(message, PermitRequest):
+            self.permits.take_request(message, peer)
+        elif isinstance(message, PermitReply):
+            self.permits.take_reply(message)
+        elif isinstance(message, RateNotice):
+            upstream = self.fleet.upstreams.get(message.upstream)
+            if upstream is not None:
+                self.rates.note_notice(upstream, message)
 
     def _place(self) -> int | None:
         """Return this entry's place among all that live, or None before it is one."""
@@ -289,6 +317,13 @@
             return None
         return sum(node < own for node in self._entries)
 
+    def _note_head(self, upstream: "Upstream", head: "Head") -> None:
+        self.rates.note_answer(upstream, head.header(RATE_LIMIT))
+
+    def _tell_others(self, notice: RateNotice) -> None:
+        for peer in self._beats.peers(self._entries):
+            self.datagrams.send(notice, peer)
+
     def _drop_connections(self, entry: "UpstreamEntry") -> None:
         self.pool.forget(entry.address.ip, entry.address.port)
 
@@ -312,4 +347,12 @@
             "Items of the store that were passed over.",
             lambda: self.fleet.unreadable + self._records.unreadable,
         )
+        issuer = self.permits.issuer
+        add("fuchsiahatch_permits_issued", "Permits.", lambda: issuer.issued)
+        add("fuchsiahatch_permits_refused", "Permits.", lambda: issuer.refused)
+        add(
+            "fuchsiahatch_permits_unanswered",
+            "Questions for permits without an answer.",
+            lambda: self.permits.unanswered,
+        )
         add("fuchsiahatch_log_dropped", "Lines.", lambda: self._process.log.dropped)
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -207,7 +207,9 @@
         known = self.upstreams.get(upstream.entry.instance)
         return known is upstream and upstream.takes_work
 
-    def choose(self, service: str, tried: t.Collection[str]) -> Upstream | None:
+    def choose(
+        self, service: str, tried: t.Collection[str], only_unlimited: bool = False
+    ) -> Upstream | None:
         """Return an upstream that is expected to answer soon, if any has a place.
 
         Parameters
@@ -215,6 +217,8 @@
         service : str
         tried : collection of str
             Instances that are chosen only when there is no other.
+        only_unlimited : bool, optional
+            Whether to leave out those that name the rate they take.
         """
         now_ms = self._clock.now_ms()
         usable = self.usable(service)
@@ -223,7 +227,9 @@
         free = [
             upstream
             for upstream in usable
-            if upstream.load(now_ms) < upstream.places(engine, paces[upstream.group])
+            if upstream.limited_until_ms <= now_ms
+            and not (only_unlimited and upstream.stated)
+            and upstream.load(now_ms) < upstream.places(engine, paces[upstream.group])
         ]
         candidates = self._sound(self._untried(free, tried), now_ms)
         if not candidates:
@@ -234,6 +240,17 @@
         drawn = self._rng.sample(candidates, min(COMPARED, len(candidates)))
         return min(drawn, key=lambda one: self._cost(one, now_ms, fastest))
 
+    def permit_wait_ms(self, service: str) -> int | None:
+        """Return when a permit may be had, where all that could work need one.
+
+        None where some upstream may be sent to at any rate, be it full now.
+        """
+        now_ms = self._clock.now_ms()
+        waits_ms = [one.limited_until_ms - now_ms for one in self.usable(service)]
+        if not waits_ms or min(waits_ms) <= 0:
+            return None
+        return min(waits_ms)
+
     def _sound(self, candidates: list[Upstream], now_ms: int) -> list[Upstream]:
         """Leave out those whose load isn't known, if others are left.
 
--- a/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
@@ -8,6 +8,7 @@
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.configuration import Engine
     from fuchsiahatch_adapter.upstreams import UpstreamEntry
+    from fuchsiahatch_gateway.stated_rates import StatedRate
 
 #: Time in which an upstream's failure counts half.
 FAILURE_HALF_LIFE_MS = 2_000
@@ -56,6 +57,12 @@
         When this entry first saw it in this life.
     told : (int, int)
         Era and revision of its entry in the store.
+    stated : StatedRate or None
+        The rate that it says it takes, while it does.
+    rate_said_ms : int
+        When it last said so, or said nothing of it.
+    limited_until_ms : int
+        When a permit to send there may be asked for again.
     movers : set of callable
         Each lets a request under way there go on elsewhere, if it may.
     """
@@ -74,6 +81,9 @@
     born_ms: int = 0
     seen_ms: int = 0
     told: tuple[int, int] = (0, 0)
+    stated: "StatedRate | None" = None
+    rate_said_ms: int = -1
+    limited_until_ms: int = 0
     movers: set[t.Callable[[], None]] = dataclasses.field(default_factory=set)
     _failures: float = 0.0
     _failed_ms: int = 0
--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -16,6 +16,8 @@
 
 #: Requests that may wait at one entry for one service.
 MAX_WAITING = 256
+#: Upstreams in need that are asked for a permit for one request, one after the other.
+MOST_ASKED = 3
 #: Cost of a request in the fair queue, whose unit doesn't matter here.
 QUEUE_COST = 1.0
 
@@ -33,13 +35,21 @@
     ----------
     fleet : Fleet
     clock : Clock
+    ask_permit : coroutine function, optional
+        Returns 0 where a request may go to an upstream now, or when to ask again.
     """
 
-    __slots__ = ("_clock", "_fleet", "_numbers", "_queues", "_waiters")
+    __slots__ = ("_ask_permit", "_clock", "_fleet", "_numbers", "_queues", "_waiters")
 
-    def __init__(self, fleet: "Fleet", clock: "Clock") -> None:
+    def __init__(
+        self,
+        fleet: "Fleet",
+        clock: "Clock",
+        ask_permit: t.Callable[["Upstream"], t.Awaitable[int]] | None = None,
+    ) -> None:
         self._fleet = fleet
         self._clock = clock
+        self._ask_permit = ask_permit
         self._numbers = itertools.count(1)
         self._queues: dict[str, FairQueue] = {}
         self._waiters: dict[int, _Waiter] = {}
@@ -62,8 +72,54 @@
         Raises
         ------
         RefusedError
-            When there is none within the time to wait.
+            When there is none within the time to wait; at once where all upstreams
+            name a rate and none of them takes a request more now.
         """
+        ends_ms = self._clock.now_ms() + wait_ms
+        for _ in range(MOST_ASKED):
+            self._check_permits(service)
+            left_ms = max(ends_ms - self._clock.now_ms(), 1.0)
+            upstream = await self._take_place(service, team, urgency, tried, left_ms)
+            if await self._has_permit(upstream):
+                return upstream
+        # Enough have been asked; one that names no rate may have a place.
+        upstream = self._fleet.choose(service, tried, only_unlimited=True)
+        if upstream is None:
+            self._check_permits(service)
+            raise RefusedError("upstreams take no more now", Code.RATE_REACHED)
+        upstream.own += 1
+        return upstream
+
+    def _check_permits(self, service: str) -> None:
+        """Refuse at once what nobody could be sent to before a permit comes."""
+        permit_ms = self._fleet.permit_wait_ms(service)
+        if permit_ms is not None:
+            detail = "all upstreams take no more now"
+            raise RefusedError(detail, Code.RATE_REACHED, retry_after_ms=permit_ms)
+
+    async def _has_permit(self, upstream: "Upstream") -> bool:
+        """Return whether a request may go there; give the place back if not."""
+        if upstream.stated is None or self._ask_permit is None:
+            return True
+        try:
+            wait_ms = await self._ask_permit(upstream)
+        except BaseException:
+            self.give_back(upstream)
+            raise
+        if not wait_ms:
+            return True
+        upstream.limited_until_ms = self._clock.now_ms() + wait_ms
+        self.give_back(upstream)
+        return False
+
+    async def _take_place(
+        self,
+        service: str,
+        team: str,
+        urgency: int,
+        tried: t.Collection[str],
+        wait_ms: float,
+    ) -> "Upstream":
         queue = self._queues.setdefault(service, FairQueue(MAX_WAITING))
         if not len(queue):
             upstream = self._fleet.choose(service, tried)
--- a/packages/gateway/src/fuchsiahatch_gateway/plan_searches.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/plan_searches.py
@@ -119,7 +119,8 @@
         now_ms : int
         """
         lack = self._find_lack()
-        self._readiness.note(lack, now_ms)
+        # A group without requests makes no passes, and needs no other map.
+        self._readiness.note(lack if pass_ms else None, now_ms)
         planner = self._planner
         if lack is not None or planner is None:
             return
