--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -24,6 +24,7 @@
 from fuchsiahatch_standins.fleet_store import PAGE_ITEMS, make_upstream_entry
 from fuchsiahatch_standins.platform_demo import EXPERTS
 from tests.adapter.test_json_calls import Served
+from tests.gateway.led_groups import LedGroup
 from tests.gateway.sites import Site, answers, dump, make_configuration, until, upstream
 from tests.gateway.test_agents import Group
 from tests.loopback import run
@@ -357,6 +358,27 @@
         self.assertEqual(run(play()), (False, False, [LEADERS_PREFIX + "g"]))
 
 
+class TestLeaderThatIsNotAlone(unittest.TestCase):
+    def lead(self, alone):
+        async def play():
+            group = LedGroup(8, 6, 64, 11)
+            group.alone, group.silent = alone, {3}
+            group.leader._silent.note_heard(3, "10.0.0.3:80", 0)
+            await group.run(1_500)
+            return group.leader._may_switch(), group.asked, group.leader.may_lead()
+
+        return run(play())
+
+    def test_begins_no_switch_and_speaks_with_no_engine(self):
+        # Behind the store's return two leaders speak with a silent agent's engine.
+        self.assertEqual(self.lead(False), (False, [], True))
+
+    def test_does_both_once_it_is(self):
+        may_switch, asked, _ = self.lead(True)
+        self.assertTrue(may_switch)
+        self.assertEqual(set(asked), {"10.0.0.3:80"})
+
+
 class TestRegistrations(unittest.TestCase):
     def register(self, work):
         async def play():
