--- a/packages/experts/src/fuchsiahatch_experts/switching.py
+++ b/packages/experts/src/fuchsiahatch_experts/switching.py
@@ -33,6 +33,7 @@
     Placement,
     RankReport,
 )
+from fuchsiahatch_experts.sent_orders import SentOrders
 from fuchsiahatch_experts.switch_versions import (
     NUMBERS_PER_TERM,
     is_last_unarmed,
@@ -49,12 +50,6 @@
 #: may still be carried out late; it names a pass at most `HOLD_AHEAD` beyond the last
 #: one begun, so that it can't end a later hold too soon.
 TAKEOVER_PASSES = 4
-#: Time after which an order without an effect is sent again: a message to an agent and
-#: its answer, of a few ms, and one order that is asked twice.
-RESEND_MS = 80
-#: Time after which a copy without an effect is sent again; it is refused or has no
-#: effect where the first one arrived.
-RESEND_COPY_MS = 600
 #: Time that the copies may take; one of 1.7 GB takes 150 ms over the engines' links.
 COPY_LIMIT_MS = 2_000
 #: Time for which passes may be held back before a switch is given up. Callers of a
@@ -79,10 +74,6 @@
     CLEARING = "clearing"
 
 
-#: An order's identity: its rank, kind, version and step.
-_OrderKey = tuple[int, OrderKind, int, int]
-
-
 class Switch:
     """The switches of one group under one term.
 
@@ -110,7 +101,6 @@
 
     __slots__ = (
         "_absent",
-        "_accepted",
         "_arm_until_ms",
         "_armed_version",
         "_clear_version",
@@ -125,12 +115,11 @@
         "_ranks",
         "_reports",
         "_seen_ms",
-        "_sent_ms",
+        "_sent",
         "_settling_ms",
         "_standby",
         "_step",
         "_target",
-        "_unsure",
         "_version",
         "abandoned",
         "epoch",
@@ -186,16 +175,10 @@
         """Take in a rank's answer to an order."""
         if order.epoch != self.epoch:
             return
-        key = _key(order)
-        if result is OrderResult.BEGUN:
-            self._accepted.add(key)
-            if order.kind is OrderKind.COMMIT:
-                self._committed = order.version
-        elif result is OrderResult.UNKNOWN:
-            # It is sent again at once; one that comes late as well has no effect.
-            self._unsure.add(key)
-            self._sent_ms.pop(key, None)
-        else:
+        self._sent.note_answer(order, result)
+        if result is OrderResult.BEGUN and order.kind is OrderKind.COMMIT:
+            self._committed = order.version
+        elif result is OrderResult.REFUSED:
             self._refused(order, now_ms)
         self._advance(now_ms)
 
@@ -277,10 +260,10 @@
         self._advance(now_ms)
         if self.replaced:
             return []
-        wanted = (order for order in self._wanted() if self._is_due(order, now_ms))
+        wanted = (order for order in self._wanted() if self._sent.is_due(order, now_ms))
         due = list(itertools.islice(wanted, most))
         for order in due:
-            self._sent_ms[_key(order)] = now_ms
+            self._sent.note_sent(order, now_ms)
         return due
 
     def _reset(self) -> None:
@@ -296,9 +279,7 @@
         self._settling_ms = None
         self._copy_until_ms = 0
         self._arm_until_ms = 0
-        self._sent_ms: dict[_OrderKey, int] = {}
-        self._accepted: set[_OrderKey] = set()
-        self._unsure: set[_OrderKey] = set()
+        self._sent = SentOrders()
 
     def _advance(self, now_ms: int) -> None:
         if self._settling_ms is None:
@@ -395,7 +376,7 @@
         else:
             self.abandoned += 1
         self._target = None
-        self._forget_orders()
+        self._sent.forget()
         if self._first_step < 0:
             self._end_settling()
         self.phase = Phase.IDLE
@@ -425,7 +406,7 @@
     def _abandon(self) -> None:
         self.abandoned += 1
         self._target = None
-        self._forget_orders()
+        self._sent.forget()
         self.phase = Phase.IDLE
 
     def _clear(self, version: int) -> None:
@@ -448,7 +429,6 @@
         return max(report.step for report in self._reports.values())
 
     def _refused(self, order: Order, now_ms: int) -> None:
-        self._sent_ms.pop(_key(order), None)
         if order.kind is OrderKind.HOLD and self.phase is Phase.HOLDING:
             if order.step == self._step:
                 self._choose_step()
@@ -460,9 +440,9 @@
             self._clear(self._version)
         elif order.kind is OrderKind.PREPARE and self.phase is Phase.COPYING:
             # One whose first answer was lost may be refused because it is under way.
-            if order.version == self._version and _key(order) not in self._unsure:
+            if order.version == self._version and not self._sent.is_unsure(order):
                 self._abandon()
-            self._sent_ms[_key(order)] = now_ms
+            self._sent.note_sent(order, now_ms)
 
     def _wanted(self) -> t.Iterator[Order]:
         reports = self._present()
@@ -572,16 +552,6 @@
         )
         return tuple(zip(*(held[rank] for rank in range(self._ranks)), strict=True))
 
-    def _is_due(self, order: Order, now_ms: int) -> bool:
-        key = _key(order)
-        sent_ms = self._sent_ms.get(key)
-        if sent_ms is None:
-            return True
-        copying = order.kind is OrderKind.PREPARE
-        if copying and key in self._accepted:
-            return False
-        return now_ms - sent_ms >= (RESEND_COPY_MS if copying else RESEND_MS)
-
     def _is_current(self, now_ms: int) -> bool:
         return len(self._seen_ms) >= self._ranks and all(
             now_ms - seen_ms <= REPORT_LIMIT_MS for seen_ms in self._seen_ms.values()
@@ -596,11 +566,6 @@
         self._next_number += 1
         return make_version(self.term, number, standby, last)
 
-    def _forget_orders(self) -> None:
-        self._sent_ms.clear()
-        self._accepted.clear()
-        self._unsure.clear()
-
 
 #: Phases in which one rank may be gone on without.
 _PHASES_WITHOUT_ONE = (Phase.SETTLING, Phase.CLEARING, Phase.IDLE)
@@ -617,7 +582,3 @@
     Phase.RELEASING: "_release",
     Phase.CLEARING: "_clear_arms",
 }
-
-
-def _key(order: Order) -> _OrderKey:
-    return (order.rank, order.kind, order.version, order.step)
