Permits by the entries that are there; versions of maps below 2^63 in any era

An entry that stops, or is silent while the store is away, gives out no permits for three seconds otherwise, and nothing goes to its upstreams. A stream under way isn't given up for an upstream that may have no permit. Eras that begin with any number would have made versions that no order can carry: terms begin anew behind era 4,095. No effect where no answer names an era or a rate.

--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -106,7 +106,7 @@
         self.fleet.engine_of = self.routes.engine_of
         self.permits = Permits(
             settings.node,
-            lambda: self._entries,
+            self._present_entries,
             self.datagrams,
             clock,
             lambda instance: self.fleet.upstreams.get(instance),
@@ -317,6 +317,13 @@
             return None
         return sum(node < own for node in self._entries)
 
+    def _present_entries(self) -> dict[str, EntryRecord]:
+        """Return the registered entries, less those that have left or are silent."""
+        others = self._beats.present(self._entries, self._clock.now_ms())
+        present = {one.node: one for one in others}
+        own = self._process.settings.node
+        return present | {own: self.record} if own in self._entries else present
+
     def _note_head(self, upstream: "Upstream", head: "Head") -> None:
         self.rates.note_answer(upstream, head.header(RATE_LIMIT))
 
--- a/packages/gateway/src/fuchsiahatch_gateway/leadership.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/leadership.py
@@ -35,6 +35,9 @@
 #: most: a minute of 3,200 writes a second. Each era's terms begin behind those of the
 #: era before it, as long as no more are lost.
 REVISIONS_PER_ERA = 200_000
+#: Eras behind which terms begin anew, so that versions of maps, which are made of them,
+#: stay below 2^63 whatever number the store begins with.
+ERAS_IN_TERMS = 4_096
 #: Time kept back from the lease, as clocks and answers are late.
 LEASE_RESERVE_MS = 200
 
@@ -74,7 +77,7 @@
     again: a later leader's term would be lower, and no agent would obey it, or the same
     as an earlier one's, and two leaders would switch maps under one term.
     """
-    return 2 * (era * REVISIONS_PER_ERA + revision)
+    return 2 * (era % ERAS_IN_TERMS * REVISIONS_PER_ERA + revision)
 
 
 def takeover_term(term: int) -> int:
--- a/packages/gateway/src/fuchsiahatch_gateway/permit_issuer.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/permit_issuer.py
@@ -16,6 +16,9 @@
 #: haven't heard of this one yet.
 WARM_UP_MS = 4_000
 WARM_UP_SHARE = 0.25
+#: Time without a question behind which an upstream is forgotten: its need is over, or
+#: another entry was asked meanwhile.
+IDLE_MS = 8_000
 #: Longest time that somebody is told to wait for a permit.
 MOST_WAIT_MS = 2_000
 
@@ -102,8 +105,12 @@
         self, instance: str, rate_per_s: float, said_ms: int, now_ms: int
     ) -> _Meter:
         meter = self._meters.get(instance)
-        if meter is None or now_ms - meter.next_ms > 2 * WARM_UP_MS:
-            # Nobody has asked for long: another entry may have been asked meanwhile.
+        if meter is None or now_ms - meter.next_ms > IDLE_MS:
+            self._meters = {
+                name: one
+                for name, one in self._meters.items()
+                if now_ms - one.next_ms <= IDLE_MS
+            }
             meter = _Meter(rate_per_s, said_ms, now_ms, now_ms, now_ms)
             self._meters[instance] = meter
         elif said_ms > meter.said_ms:
--- a/packages/gateway/src/fuchsiahatch_gateway/permits.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/permits.py
@@ -29,13 +29,13 @@
     """Asks for permits, and answers other entries that do.
 
     The entries agree on who gives out an upstream's permits without a word: it has the
-    highest hash with it among all that are registered.
+    highest hash with it among all that are there.
 
     Parameters
     ----------
     node : str
     entries : callable
-        Returns all registered entries, by node.
+        Returns all entries that are there, by node.
     datagrams : DatagramPort
     clock : Clock
     upstream_of : callable
--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -138,8 +138,12 @@
         return self._fleet.is_usable(upstream)
 
     def has_place(self, service: str) -> bool:
-        """Return whether a request would get a place at once."""
-        return self._fleet.choose(service, ()) is not None
+        """Return whether a request would get a place at once.
+
+        At an upstream that names no rate: a stream under way isn't given up for one
+        that may have no permit left.
+        """
+        return self._fleet.choose(service, (), only_unlimited=True) is not None
 
     def give_back(self, upstream: "Upstream") -> None:
         """Free a place."""
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -10,6 +10,7 @@
     StoreRestoredError,
 )
 from fuchsiahatch_core.clock import Clock, ManualClock
+from fuchsiahatch_experts.switch_versions import NUMBERS_PER_TERM, make_version
 from fuchsiahatch_gateway import registration
 from fuchsiahatch_gateway.defaults import (
     LAPSE_MS,
@@ -18,7 +19,12 @@
 )
 from fuchsiahatch_gateway.fleet import Fleet, newest_by_address
 from fuchsiahatch_gateway.following import Follower, StoreHealth
-from fuchsiahatch_gateway.leadership import REVISIONS_PER_ERA, Leadership, term_of
+from fuchsiahatch_gateway.leadership import (
+    REVISIONS_PER_ERA,
+    Leadership,
+    takeover_term,
+    term_of,
+)
 from fuchsiahatch_gateway.registration import Registration
 from fuchsiahatch_gateway.routes import RouteTable
 from fuchsiahatch_standins.fleet_store import PAGE_ITEMS, make_upstream_entry
@@ -285,6 +291,16 @@
         self.assertGreater(term_of(2, 1_000), term_of(1, 1_000 + lost))
         self.assertNotEqual(term_of(2, 1_000), term_of(1, 1_000))
 
+    def test_versions_of_maps_stay_within_63_bits(self):
+        # A store whose eras begin with any number: no order could be encoded.
+        for era in (0, 1, 33, 4_095, 1_770_342_559):
+            with self.subTest(era=era):
+                term = takeover_term(term_of(era, 5_000_000))
+                version = make_version(term, NUMBERS_PER_TERM - 1, 255, 255)
+                self.assertLess(version, 2**63)
+        last = make_version(term_of(33, 100_000), NUMBERS_PER_TERM - 1, 255, 255)
+        self.assertLess(last, 2**53)
+
     def elect(self, work):
         async def play():
             async with Served() as served:
