--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -158,6 +158,23 @@
 
         self.assertTrue(self.follow(work))
 
+    def test_what_is_written_again_behind_the_reading_is_taken(self):
+        # The same, and it registers a second after the others have read all anew: it is
+        # dropped at the end of the time for which it was held.
+        async def work(store, follower):
+            copy = store.copy()
+            for number in range(10):
+                store.put("s/b", b"lost %d" % number)
+            await until(lambda: value_of(follower, "b") == b"lost 9")
+            store.restore(copy)
+            await until(lambda: follower._era == 2)
+            store.put("s/b", b"again")
+            await until(lambda: value_of(follower, "b") == b"again", 2.0)
+            await asyncio.sleep(LAPSE_MS / 1000 + 0.3)
+            return value_of(follower, "b")
+
+        self.assertEqual(self.follow(work), b"again")
+
     def test_what_is_missing_is_held_until_its_owner_could_have_written_it(self):
         async def work(store, follower):
             copy = store.copy()
