A leader that has stopped works no more

Work that was due in the same turn of the loop sent orders of a lost term once more; all agents refuse them, a silent agent's engine would not. Test first: test_a_leader_that_stops_orders_nothing_more.

--- a/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
@@ -146,6 +146,7 @@
         self._held: dict[int, tuple[int, int, HeldExperts]] = {}
         self._tasks = Tasks()
         self._stopping = False
+        self._stopped = False
         self._work_due = False
         self._phase = Phase.SETTLING
         self._phase_ms = clock.now_ms()
@@ -228,6 +229,9 @@
         has cleared.
         """
         self._work_due = False
+        if self._stopped:
+            # A datagram came in the turn of the loop in which the term was lost.
+            return
         now_ms = self._clock.now_ms()
         self._hearing.look(now_ms)
         if not self.may_lead():
@@ -280,7 +284,8 @@
         return self.switch.replaced or (self._takes_over and phase is Phase.IDLE)
 
     def stop(self) -> None:
-        """Do nothing more."""
+        """Do nothing more, also where work is due already."""
+        self._stopped = True
         self._silent.stop()
         self.plans.stop()
         self._tasks.cancel()
--- a/tests/gateway/test_late_leader.py
+++ b/tests/gateway/test_late_leader.py
@@ -3,6 +3,7 @@
 from unittest import mock
 
 from fuchsiahatch_experts import planning
+from fuchsiahatch_experts.switching import Switch
 from fuchsiahatch_gateway import silent_agents
 from tests.gateway.led_groups import LedGroup
 from tests.loopback import run
@@ -95,3 +96,18 @@
             return set(group.asked)
 
         self.assertEqual(len(run(play())), 29)
+
+    def test_a_leader_that_stops_orders_nothing_more(self):
+        # A leader that has lost its lease sends orders once more: a state came in the
+        # same turn of the loop.
+        async def play():
+            group = LedGroup(8, 6, 64, 11)
+            await group.run(500)
+            group.leader.take_state(group.state(1), ("10.0.0.1", 1))
+            group.leader.stop()
+            with mock.patch.object(Switch, "orders") as orders:
+                await asyncio.sleep(0)
+                await asyncio.sleep(0)
+            return orders.call_count
+
+        self.assertEqual(run(play()), 0)
