--- a/packages/gateway/src/fuchsiahatch_gateway/inspection.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/inspection.py
@@ -28,8 +28,6 @@
 #: Exit codes: what was checked is wrong; the store can't be read.
 EXIT_WRONG = 1
 EXIT_UNREADABLE = 2
-#: History that the store keeps at least; nothing is watched here.
-_HISTORY_MS = 20_000
 
 
 class Inspection:
@@ -150,7 +148,7 @@
     from fuchsiahatch_http1.client import ConnectionPool
 
     reactor.startRunning(installSignalHandlers=False)
-    access = StoreAccess(parse_address(address), _HISTORY_MS, 1_000)
+    access = StoreAccess(parse_address(address), 1_000)
     store = StoreClient(access, ConnectionPool(Clock()))
     return loop.run_until_complete(work(store))
 
