--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -296,13 +296,17 @@
             return
         headers = []
         if status == _UNAVAILABLE:
-            after_s = RETRY_AFTER_S
-            if fault.retry_after_ms is not None:
-                after_s = fault.retry_after_ms / 1000
-            after_s *= self._rng.uniform(*RETRY_AFTER_SPREAD)
+            after_s = self._retry_after_s(fault.retry_after_ms)
             headers.append((names.RETRY_AFTER, b"%.2f" % after_s))
         exchange.respond(status, headers, f"{fault}\n".encode())
 
+    def _retry_after_s(self, known_ms: int | None) -> float:
+        """Return when to come back: not before a time that is known, or some time."""
+        earliest, latest = RETRY_AFTER_SPREAD
+        if known_ms is not None:
+            return known_ms / 1000 * self._rng.uniform(1.0, latest)
+        return RETRY_AFTER_S * self._rng.uniform(earliest, latest)
+
     def _version(self) -> int:
         known = self._routes.configuration
         return 0 if known is None else known.version
--- a/packages/gateway/src/fuchsiahatch_gateway/engine_figures.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/engine_figures.py
@@ -26,8 +26,8 @@
 WRITERS = 3
 #: Pause between one writer and the next, in which the first has written.
 STAGGER_MS = 250
-#: How often an entry looks whether it has become one of them.
-PLACE_POLL_MS = 500
+#: How often another entry looks whether it has become one of them.
+PLACE_POLL_MS = 2_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -109,7 +109,7 @@
             self._present_entries,
             self.datagrams,
             clock,
-            lambda instance: self.fleet.upstreams.get(instance),
+            self.fleet.upstreams.get,
         )
         self.rates = StatedRates(clock, self._tell_others)
         self.placer = Placer(self.fleet, clock, self.permits.ask)
