--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -24,7 +24,7 @@
     async def __aenter__(self):
         self.store = FleetStore()
         port = await self.store.listen()
-        access = StoreAccess(Address("127.0.0.1", port), 20_000, 1_000)
+        access = StoreAccess(Address("127.0.0.1", port), 1_000)
         self.clock = Clock()
         self.client = StoreClient(access, ConnectionPool(self.clock))
         self.health = StoreHealth()
--- a/tests/gateway/test_late_leader.py
+++ b/tests/gateway/test_late_leader.py
@@ -102,7 +102,8 @@
         # same turn of the loop.
         async def play():
             group = LedGroup(8, 6, 64, 11)
-            await group.run(500)
+            with mock.patch.object(planning, "plan_change", group.plan):
+                await group.run(500)
             group.leader.take_state(group.state(1), ("10.0.0.1", 1))
             group.leader.stop()
             with mock.patch.object(Switch, "orders") as orders:
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -10,6 +10,7 @@
     StoreRestoredError,
 )
 from fuchsiahatch_core.clock import Clock, ManualClock
+from fuchsiahatch_experts import planning
 from fuchsiahatch_experts.switch_versions import NUMBERS_PER_TERM, make_version
 from fuchsiahatch_gateway import registration
 from fuchsiahatch_gateway.defaults import (
@@ -397,7 +398,8 @@
             group = LedGroup(8, 6, 64, 11)
             group.alone, group.silent = alone, {3}
             group.leader._silent.note_heard(3, "10.0.0.3:80", 0)
-            await group.run(1_500)
+            with mock.patch.object(planning, "plan_change", group.plan):
+                await group.run(1_500)
             return group.leader._may_switch(), group.asked, group.leader.may_lead()
 
         return run(play())
--- a/tests/processes/test_restored_store.py
+++ b/tests/processes/test_restored_store.py
@@ -17,6 +17,8 @@
 BACK_S = 2.0
 #: Time for which the store is away in the drill.
 AWAY_S = 0.5
+#: Answers of one of two upstreams in a row that show that the other gets nothing more.
+KEPT_IN_A_ROW = 14
 
 
 class TestEntryThroughARestore(unittest.TestCase):
@@ -43,6 +45,7 @@
                 store.put("servers/i-1", leaving)
                 store.put("op/config", make_configuration(2, keys=("new",)))
                 await self.ask_until(lambda reply: reply.status == 401)
+                await self.until_one_is_left()
                 store.faults.status = 503
                 await asyncio.sleep(AWAY_S)
                 store.faults.status = 0
@@ -57,13 +60,25 @@
                 store.put("op/config", make_configuration(3, keys=("newest",)))
                 await self.ask_until(lambda reply: reply.status == 200, "newest")
                 await kept.close()
-                return back_s, statuses, bodies
+                entry.process.kill()
+                _, events = await entry.end()
+                return back_s, statuses, bodies, events
 
-        back_s, statuses, bodies = run(play())
+        back_s, statuses, bodies, events = run(play())
+        self.assertIn("upstream_leaving", events)
         self.assertLess(back_s, BACK_S)
         self.assertEqual(statuses, {401})
         self.assertEqual(bodies, {b"kept"})
 
+    async def until_one_is_left(self):
+        """Wait until the entry has heard that an upstream leaves, by what it does."""
+        kept = 0
+        for _ in range(200):
+            kept = kept + 1 if (await self.ask("new")).body == b"kept" else 0
+            if kept == KEPT_IN_A_ROW:
+                return
+        raise AssertionError("requests go on to the upstream that leaves")
+
     async def ask(self, key="key-of-team-a"):
         self.asked = getattr(self, "asked", 0) + 1
         reader, writer = await ask_front(
