--- a/tests/experts/test_restored_leaders.py
+++ b/tests/experts/test_restored_leaders.py
@@ -9,6 +9,8 @@
 FIRST_SEED = int(os.environ.get("RESTORED_FIRST", "0"))
 #: Schedules after which a guard that is taken out must have been found.
 GUARDLESS_SCHEDULES = 3_000
+#: Schedules that mix maps where the later leader begins switches at once: one of 1,300.
+WITHOUT_WAIT = (879,)
 
 
 def play(seed, **guards):
@@ -53,3 +55,9 @@
 
     def test_a_term_that_comes_twice_is_found(self):
         self.assertIsNotNone(find_mixed(eras=False))
+
+    def test_a_later_leader_that_does_not_wait_is_found(self):
+        for seed in WITHOUT_WAIT:
+            play(seed)
+            with self.assertRaises(MixedMaps):
+                play(seed, waits=False)
