Requests' lines name what they hold: a fingerprint of team, place and body

With it the lines tell one body under many ids (hypothesis 1) from upstreams that end without it (3). No decision is changed.

--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -17,6 +17,7 @@
 from fuchsiahatch_gateway.attempts import Outcome, Try, run_try
 from fuchsiahatch_gateway.defaults import RETRY_AFTER_S, RETRY_AFTER_SPREAD
 from fuchsiahatch_gateway.event_stream import EventCutter
+from fuchsiahatch_gateway.fingerprints import fingerprint_of
 from fuchsiahatch_gateway.jobs import Job, silence_ms, wait_ms
 from fuchsiahatch_gateway.next_steps import (
     Progress,
@@ -139,6 +140,7 @@
             request,
             match,
             service,
+            fingerprint_of(exchange, request.host, match.team.name),
             arrived_ms,
             arrived_ms + limit_ms,
             events,
--- a/packages/gateway/src/fuchsiahatch_gateway/jobs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/jobs.py
@@ -38,6 +38,8 @@
     request : CallerRequest
     match : Match
     service : str
+    fingerprint : str
+        The same for the same request under another id.
     arrived_ms, ends_ms : int
         When it came, and when its time is over.
     events : EventCutter or None
@@ -61,6 +63,7 @@
     request: "CallerRequest"
     match: "Match"
     service: str
+    fingerprint: str
     arrived_ms: int
     ends_ms: int
     events: "EventCutter | None"
--- a/packages/gateway/src/fuchsiahatch_gateway/request_log.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/request_log.py
@@ -48,6 +48,7 @@
         log_event(
             Event.REQUEST_ENDED,
             request=job.request.request_id.decode("latin-1"),
+            fingerprint=job.fingerprint,
             route=job.match.route.name,
             team=job.match.team.name,
             version=job.match.version,
@@ -71,6 +72,7 @@
         log_event(
             Event.ATTEMPT_RETRIED,
             request=job.request.request_id.decode("latin-1"),
+            fingerprint=job.fingerprint,
             upstream=upstream.entry.instance,
             result=outcome.result.value,
             detail=outcome.detail,
