A request under which three upstreams have crashed is held back, at all entries

Sixteen sends of eight arrivals in the test; 4 sends behind the third crash and 8 ended in the users' record.

Cause: nothing remembered a request beyond its answer, or told of it; and the end of an upstream under a request was an answer that broke, which is sent again at once. The class: a retry that carries a fault to whoever is still well.

Change: entries know a request again by a fingerprint; a broken answer whose upstream's process has ended is a crash, counted once for each life, over all entries by datagrams; a whole answer anywhere clears. Three hold it back for ten minutes, in the store as well, for entries that start or heard nothing. No second send of what took a rank group down before its first event, nor of what two upstreams crashed under.

--- a/packages/core/src/fuchsiahatch_core/codes.py
+++ b/packages/core/src/fuchsiahatch_core/codes.py
@@ -38,6 +38,8 @@
     LEDGER_FULL = 209
     # All upstreams name the rate that they take, and it is reached.
     RATE_REACHED = 210
+    # Upstreams have crashed under this very request.
+    CRASHES_UPSTREAMS = 211
 
     # What became of an attempt.
     NOT_RUN = 300
--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -44,6 +44,12 @@
         Of a whole answer that was not passed on yet.
     passed_on : bool
         Whether the whole answer has gone to the caller already.
+    cut : bool
+        Whether the upstream's end of the connection closed before a whole answer.
+    events : bool
+        Whether events of its answer were passed on.
+    group_crashed : bool
+        Whether the upstream, a rank of a group, crashed before any of them.
     """
 
     result: Result
@@ -51,6 +57,9 @@
     head: Head | None = None
     body: bytes = b""
     passed_on: bool = False
+    cut: bool = False
+    events: bool = False
+    group_crashed: bool = False
 
     @property
     def status(self) -> int:
@@ -127,8 +136,9 @@
     try:
         outcome = await _converse(exchange, connection, one)
     except AnswerBroken as fault:
+        cut = connection.lost
         connection.abort()
-        return Outcome(Result.BROKEN, str(fault))
+        return Outcome(Result.BROKEN, str(fault), cut=cut)
     except BaseException:
         connection.abort()
         raise
--- a/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
@@ -26,6 +26,13 @@
 _Pace = t.Annotated[float, msgspec.Meta(gt=0, lt=1e9)]
 
 
+#: Crashes that are told of one request at most, the last ones.
+MOST_CRASHES_TOLD = 8
+_Fingerprint = t.Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+_Life = t.Annotated[str, msgspec.Meta(max_length=128)]
+_Lives = t.Annotated[tuple[_Life, ...], msgspec.Meta(max_length=MOST_CRASHES_TOLD)]
+
+
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag=0):
     """Load of one upstream, from the agent beside it.
 
@@ -257,6 +264,26 @@
     age_ms: _Count
 
 
+class CrashNotice(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """Word of an entry to all others that upstreams have crashed under a request.
+
+    Attributes
+    ----------
+    fingerprint : str
+    lives : tuple of str
+        All that it knows of, so that the next notice makes up for a lost one.
+    """
+
+    fingerprint: _Fingerprint
+    lives: _Lives
+
+
+class Clearance(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """Word of an entry to all others that a request got a whole answer after all."""
+
+    fingerprint: _Fingerprint
+
+
 Message = (
     LoadReport
     | RankState
@@ -269,6 +296,8 @@
     | PermitRequest
     | PermitReply
     | RateNotice
+    | CrashNotice
+    | Clearance
 )
 
 _DECODER = msgspec.msgpack.Decoder(Message)
--- a/packages/gateway/src/fuchsiahatch_gateway/defaults.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/defaults.py
@@ -32,6 +32,9 @@
 LEADERS_PREFIX = KEY_PREFIX + "leaders/"
 #: What leaders of rank groups need of the configuration, by service.
 ENGINES_PREFIX = KEY_PREFIX + "engines/"
+#: Requests that are held back, by fingerprint. Outside `KEY_PREFIX`, which each agent
+#: follows: they are no matter of agents.
+HELD_PREFIX = "fuchsiahatch-held/"
 #: Time that callers may keep a lookup answer.
 LOOKUP_TTL_S = 2
 #: Entries that one lookup answer names at most.
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -30,10 +30,12 @@
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
+    from fuchsiahatch_gateway.crashing_requests import CrashingRequests
     from fuchsiahatch_gateway.known_upstream import Upstream
     from fuchsiahatch_gateway.placing import Placer
     from fuchsiahatch_gateway.request_log import RequestLog
     from fuchsiahatch_gateway.retry_budget import RetryBudget
+    from fuchsiahatch_gateway.upstream_crashes import UpstreamCrashes
     from fuchsiahatch_http1.client import ConnectionPool, Head
     from fuchsiahatch_http1.server import Exchange
 
@@ -60,6 +62,8 @@
     pool : ConnectionPool
     budget : RetryBudget
     log : RequestLog
+    crashing : CrashingRequests
+    crashes : UpstreamCrashes
     clock : Clock
     rng : random.Random
     on_head : callable, optional
@@ -69,6 +73,8 @@
     __slots__ = (
         "_budget",
         "_clock",
+        "_crashes",
+        "_crashing",
         "_log",
         "_on_head",
         "_placer",
@@ -84,6 +90,8 @@
         pool: "ConnectionPool",
         budget: "RetryBudget",
         log: "RequestLog",
+        crashing: "CrashingRequests",
+        crashes: "UpstreamCrashes",
         clock: "Clock",
         rng: random.Random,
         on_head: t.Callable[["Upstream", "Head"], None] = lambda upstream, head: None,
@@ -94,6 +102,8 @@
         self._pool = pool
         self._budget = budget
         self._log = log
+        self._crashing = crashing
+        self._crashes = crashes
         self._clock = clock
         self._rng = rng
 
@@ -108,6 +118,7 @@
         try:
             limit_s = (job.ends_ms - arrived_ms) / 1000
             async with asyncio.timeout(limit_s):
+                self._check_held(job)
                 await self._deliver(job)
         except TimeoutError:
             self._time_over(job)
@@ -149,7 +160,9 @@
     async def _deliver(self, job: Job) -> None:
         while True:
             upstream = await self._place(job)
+            self._check_held(job, upstream)
             outcome = await self._try(job, upstream)
+            await self._note_whole_or_crash(job, upstream, outcome)
             step = decide(outcome.result, self._progress(job, outcome))
             if step is Step.RETRY and not self._may_spend(job, outcome):
                 step = conclude(outcome.result, job.may_have_run)
@@ -159,6 +172,34 @@
             self._end(job, step, outcome)
             return
 
+    def _check_held(self, job: Job, upstream: "Upstream | None" = None) -> None:
+        """Refuse a request that crashes upstreams; give its place back if it has one.
+
+        Raises
+        ------
+        RefusedError
+        """
+        held_ms = self._crashing.held_ms(job.fingerprint)
+        if not held_ms:
+            return
+        if upstream is not None:
+            self._placer.give_back(upstream)
+        detail = "upstreams have crashed under this request"
+        raise RefusedError(detail, Code.CRASHES_UPSTREAMS, retry_after_ms=held_ms)
+
+    async def _note_whole_or_crash(
+        self, job: Job, upstream: "Upstream", outcome: Outcome
+    ) -> None:
+        if outcome.result is Result.ANSWERED:
+            self._crashing.note_whole(job.fingerprint)
+        elif outcome.cut:
+            crashed = await self._crashes.examine(job.fingerprint, upstream)
+            outcome.group_crashed = (
+                crashed and bool(upstream.group) and not outcome.events
+            )
+        elif outcome.result is Result.BROKEN:
+            self._crashes.note_silence(job.fingerprint, upstream)
+
     def _may_spend(self, job: Job, outcome: Outcome) -> bool:
         # Where no connection came about, the next send is the first that arrives.
         return outcome.result is Result.UNSENT or self._budget.spend(job.service)
@@ -201,6 +242,7 @@
         finally:
             job.may_have_run = job.may_have_run or may_have_run
             self._placer.give_back(upstream)
+        outcome.events = job.last_event_ms is not None and job.last_event_ms >= sent_ms
         if outcome.result is Result.UNSENT:
             job.unsent += 1
             job.tried.pop()
@@ -246,6 +288,8 @@
             may_have_run=job.may_have_run,
             upstream_failed=outcome.upstream_failed,
             time_left=left_ms > LEAST_TRY_MS,
+            crashes=self._crashing.crashes(job.fingerprint),
+            group_crashed=outcome.group_crashed,
         )
 
     def _end(self, job: Job, step: Step, outcome: Outcome) -> None:
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -14,7 +14,10 @@
 )
 from fuchsiahatch_adapter.store import StoreClient
 from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_gateway.crashing_requests import CrashingRequests
 from fuchsiahatch_gateway.datagrams import (
+    Clearance,
+    CrashNotice,
     DatagramPort,
     EntryBeat,
     LoadReport,
@@ -27,6 +30,7 @@
 from fuchsiahatch_gateway.defaults import (
     ENTRIES_PREFIX,
     GRACE_RESERVE_MS,
+    HELD_PREFIX,
     LINGER_MS,
     LOOKUP_TTL_S,
 )
@@ -35,6 +39,7 @@
 from fuchsiahatch_gateway.entry_beats import BEAT_MS, EntryBeats
 from fuchsiahatch_gateway.fleet import FIRST_REPORT_MS, Fleet
 from fuchsiahatch_gateway.following import Follower, StoreHealth
+from fuchsiahatch_gateway.held_requests import HeldRequests
 from fuchsiahatch_gateway.item_decoding import ItemDecoder
 from fuchsiahatch_gateway.lookups import (
     EntryRecord,
@@ -49,6 +54,7 @@
 from fuchsiahatch_gateway.retry_budget import RetryBudget
 from fuchsiahatch_gateway.routes import RouteTable
 from fuchsiahatch_gateway.stated_rates import StatedRates
+from fuchsiahatch_gateway.upstream_crashes import UpstreamCrashes
 from fuchsiahatch_http1.client import ConnectionPool
 from fuchsiahatch_http1.server import Exchange, HttpServer
 
@@ -122,12 +128,18 @@
             lambda: len(self._entries.keys() | {settings.node}),
             settings.first_start,
         )
+        self.crashing = CrashingRequests(clock, self._tell_others)
+        self.crashes = UpstreamCrashes(self.crashing, self.pool.is_refused, clock)
+        self.fleet.on_restarted = self.crashes.note_restart
+        self.held = HeldRequests(self.store, self.crashing, self._place)
         self.delivery = Delivery(
             self.routes,
             self.placer,
             self.pool,
             self.budget,
             RequestLog(RequestMetrics(process.registry), clock, self._rng),
+            self.crashing,
+            self.crashes,
             clock,
             self._rng,
             self._note_head,
@@ -152,13 +164,15 @@
         self._config = self._follow(CONFIGURATION_KEY, self._apply_configuration)
         self._upstreams = self._follow(UPSTREAMS_PREFIX, self._apply_upstreams)
         self._others = self._follow(ENTRIES_PREFIX, self._apply_entries)
+        self._held_items = self._follow(HELD_PREFIX, self._apply_held)
 
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what is open."""
         process, settings = self._process, self._process.settings
-        for follower in (self._config, self._upstreams, self._others):
+        for follower in self.followers:
             process.keep_running(follower.run())
         process.keep_running(self.figures.run())
+        process.keep_running(self.held.run())
         port = settings.internal_ports[0]
         reactor.listenUDP(port, self.datagrams, interface=settings.ip)
         self._add_gauges()
@@ -184,8 +198,17 @@
 
     @property
     def informed(self) -> bool:
-        """Whether the configuration and the upstreams are known."""
-        return self.routes.configuration is not None and self._upstreams.synced
+        """Whether the configuration, the upstreams and what is held are known."""
+        return (
+            self.routes.configuration is not None
+            and self._upstreams.synced
+            and self._held_items.synced
+        )
+
+    @property
+    def followers(self) -> tuple[Follower, ...]:
+        """What this entry follows in the store."""
+        return self._config, self._upstreams, self._others, self._held_items
 
     async def _wait_informed(self) -> None:
         while not self.informed and not self._process.stopping.is_set():
@@ -292,6 +315,9 @@
             log_event(Event.ENTRIES_CHANGED, entries=sorted(fresh))
         self._entries = fresh
 
+    def _apply_held(self) -> None:
+        self.held.apply(self._held_items.items)
+
     def _take_message(self, message: Message, peer: Peer) -> None:
         if isinstance(message, LoadReport):
             self.fleet.observe(message)
@@ -309,6 +335,10 @@
             upstream = self.fleet.upstreams.get(message.upstream)
             if upstream is not None:
                 self.rates.note_notice(upstream, message)
+        elif isinstance(message, CrashNotice):
+            self.crashing.take_notice(message)
+        elif isinstance(message, Clearance):
+            self.crashing.take_clearance(message)
 
     def _place(self) -> int | None:
         """Return this entry's place among all that live, or None before it is one."""
@@ -327,7 +357,7 @@
     def _note_head(self, upstream: "Upstream", head: "Head") -> None:
         self.rates.note_answer(upstream, head.header(RATE_LIMIT))
 
-    def _tell_others(self, notice: RateNotice) -> None:
+    def _tell_others(self, notice: RateNotice | CrashNotice | Clearance) -> None:
         for peer in self._beats.peers(self._entries):
             self.datagrams.send(notice, peer)
 
@@ -362,4 +392,14 @@
             "Questions for permits without an answer.",
             lambda: self.permits.unanswered,
         )
+        add(
+            "fuchsiahatch_suspects",
+            "Requests under which an upstream has crashed.",
+            lambda: self.crashing.suspects,
+        )
+        add(
+            "fuchsiahatch_held_requests",
+            "Requests that are held back for it.",
+            lambda: self.crashing.held,
+        )
         add("fuchsiahatch_log_dropped", "Lines.", lambda: self._process.log.dropped)
--- a/packages/gateway/src/fuchsiahatch_gateway/explain.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/explain.py
@@ -15,10 +15,13 @@
     "upstream_gone": "an upstream's entry was removed",
     "upstream_leaving": "an upstream began to leave",
     "upstream_misplaced": "another upstream answered at an address",
+    "upstream_crashed": "an upstream's process had ended",
     "stopping": "the process was told to stop",
     "started": "the process started",
     "internal_error": "a fault of our own",
 }
+#: Events about a request that is known by its fingerprint, at any entry.
+CRASH_LINES = ("crash_counted", "request_held", "suspect_cleared", "hold_written")
 #: Time before a request's end in which other events are shown.
 BACKGROUND_MS = 10_000
 #: Fields that say nothing of the request.
@@ -59,7 +62,8 @@
     own.sort(key=lambda line: line["t_ms"])
     ended = own[-1]
     about = [line for line in known if _is_background(line, ended)]
-    shown = sorted([*own, *about], key=lambda line: line["t_ms"])
+    alike = [line for line in known if _is_of_the_same(line, ended)]
+    shown = sorted([*own, *about, *alike], key=lambda line: line["t_ms"])
     return [_describe(line, ended) for line in shown]
 
 
@@ -69,6 +73,13 @@
     return 0 <= ended["t_ms"] - line["t_ms"] <= BACKGROUND_MS
 
 
+def _is_of_the_same(line: Line, ended: Line) -> bool:
+    """Return whether a line tells of crashes under the same request."""
+    if line["message_type"] not in CRASH_LINES:
+        return False
+    return line.get("fingerprint") == ended.get("fingerprint")
+
+
 def _describe(line: Line, ended: Line) -> str:
     before_ms = ended["t_ms"] - line["t_ms"]
     kind = line["message_type"]
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -66,6 +66,8 @@
         By instance.
     on_gone : callable
         Is given the entry of each upstream that is gone.
+    on_restarted : callable
+        Is given the former life of each upstream that has begun another.
     engine_of : callable
         Returns how a service's model engines work, whose agents report their load;
         None for a plain service.
@@ -83,6 +85,7 @@
         "_zone",
         "engine_of",
         "on_gone",
+        "on_restarted",
         "upstreams",
     )
 
@@ -99,6 +102,7 @@
         self._opened_ms: dict[str, int] = {}
         self.upstreams: dict[str, Upstream] = {}
         self.on_gone: t.Callable[[UpstreamEntry], None] = lambda entry: None
+        self.on_restarted: t.Callable[[Upstream], None] = lambda former: None
         self.engine_of: t.Callable[[str], Engine | None] = lambda service: None
 
     def apply(self, items: t.Mapping[str, "Item"]) -> None:
@@ -346,6 +350,7 @@
             born_ms=born_ms,
         )
         self.on_gone(former.entry)
+        self.on_restarted(former)
         fresh = Upstream(
             dataclasses.replace(entry, leaving=False),
             born_ms=born_ms,
--- a/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
@@ -93,6 +93,11 @@
         """Whether it may get new requests."""
         return self.open and not self.misplaced and not self.entry.leaving
 
+    @property
+    def life(self) -> str:
+        """Name of this life of the upstream; a later one has another."""
+        return f"{self.entry.instance}@{self.born_ms}"
+
     def load(self, now_ms: int) -> int:
         """Return the requests that are believed to be there."""
         if self.reported_ms is None or now_ms - self.reported_ms > LOAD_LIMIT_MS:
--- a/packages/gateway/src/fuchsiahatch_gateway/next_steps.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/next_steps.py
@@ -65,6 +65,10 @@
         Whether the whole answer is a failure of the upstream's own.
     time_left : bool
         Whether another try could still be answered.
+    crashes : int
+        Upstreams that have crashed under this request, or under the same one before.
+    group_crashed : bool
+        Whether the try took down a rank group before anything of its answer came.
     """
 
     repeatable: bool
@@ -74,10 +78,15 @@
     may_have_run: bool
     upstream_failed: bool
     time_left: bool
+    crashes: int = 0
+    group_crashed: bool = False
 
 
 #: Tries without a connection before a request is refused.
 MAX_UNSENT = 3
+#: Crashes behind which a request is sent no second time for one caller: one may be an
+#: upstream's own fault.
+CRASHES_FOR_ONE_SEND = 2
 
 
 def decide(result: Result, progress: Progress) -> Step:
@@ -87,6 +96,9 @@
     -----
     A request that isn't repeatable goes to a second upstream only after a promise that
     the first did not run it, and is refused only when no try may have run.
+
+    One that may crash whoever runs it isn't sent on by itself: a second rank group
+    would be lost for the caller's one request, half of a service of two groups.
     """
     succeeded = result is Result.ANSWERED and not progress.upstream_failed
     if not succeeded and progress.time_left and _may_try_again(result, progress):
@@ -106,4 +118,6 @@
         return False
     if result is Result.UNSENT:
         return progress.unsent < MAX_UNSENT
+    if progress.group_crashed or progress.crashes >= CRASHES_FOR_ONE_SEND:
+        return False
     return progress.sends < progress.max_sends
--- a/packages/http1/src/fuchsiahatch_http1/client.py
+++ b/packages/http1/src/fuchsiahatch_http1/client.py
@@ -27,7 +27,18 @@
 
 
 class ConnectFailed(Exception):
-    """No connection came about, so nothing was sent."""
+    """No connection came about, so nothing was sent.
+
+    Parameters
+    ----------
+    detail : str
+    refused : bool, optional
+        Whether nobody listens at the address.
+    """
+
+    def __init__(self, detail: str, refused: bool = False) -> None:
+        super().__init__(detail)
+        self.refused = refused
 
 
 class AnswerBroken(Exception):
@@ -273,6 +284,19 @@
             connection.abort()
         return await self._open(ip, port)
 
+    async def is_refused(self, ip: str, port: int) -> bool:
+        """Return whether nobody listens at an address.
+
+        A connection that comes about is kept for the next call.
+        """
+        try:
+            connection = await self._open(ip, port)
+        except ConnectFailed as fault:
+            return fault.refused
+        connection.idle_since_ms = self._clock.now_ms()
+        self._idle.setdefault((ip, port), []).append(connection)
+        return False
+
     def release(self, connection: ClientConnection, ip: str, port: int) -> None:
         """Keep a connection whose answer had a clean end, or reset it."""
         if not connection.reusable:
@@ -297,7 +321,9 @@
             connecting.cancel()
             raise
         except Exception as fault:
-            raise ConnectFailed(f"{ip}:{port}: {type(fault).__name__}") from fault
+            refused = isinstance(fault, error.ConnectionRefusedError)
+            detail = f"{ip}:{port}: {type(fault).__name__}"
+            raise ConnectFailed(detail, refused) from fault
 
     def _drop_idle(self, connection: ClientConnection) -> None:
         for kept in self._idle.values():
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -1,6 +1,22 @@
 import asyncio
 import unittest
 
+from fuchsiahatch_core.clock import ManualClock
+from fuchsiahatch_gateway.crashing_requests import (
+    HOLD_MS,
+    MOST_CRASHES,
+    MOST_SUSPECTS,
+    SUSPECT_MS,
+    WHOLE_MS,
+    CrashingRequests,
+)
+from fuchsiahatch_gateway.datagrams import (
+    MOST_CRASHES_TOLD,
+    Clearance,
+    CrashNotice,
+    decode,
+    encode,
+)
 from tests.gateway.mortal_upstreams import DEADLY, MortalUpstream, deadly_sends
 from tests.gateway.sites import Site, until
 from tests.loopback import run
@@ -39,5 +55,104 @@
         self.assertEqual(other, 200)
 
 
+class TestCount(unittest.TestCase):
+    def setUp(self):
+        self.clock = ManualClock(1_000)
+        self.told = []
+        self.requests = CrashingRequests(self.clock, self.told.append)
+
+    def crash(self, *lives, fingerprint="f"):
+        for life in lives:
+            self.requests.note_crash(fingerprint, life)
+
+    def test_the_third_life_holds_a_request_back(self):
+        self.crash("a@1", "b@1")
+        self.assertEqual(self.requests.held_ms("f"), 0)
+        self.crash("c@1")
+        self.assertEqual(self.requests.held_ms("f"), HOLD_MS)
+        self.assertEqual(self.requests.held_ms("another"), 0)
+
+    def test_one_life_counts_once_whoever_saw_it_end(self):
+        self.crash("a@1", "a@1", "b@1")
+        self.requests.take_notice(CrashNotice("f", ("a@1", "b@1")))
+        self.assertEqual(self.requests.crashes("f"), 2)
+
+    def test_a_later_life_of_the_same_instance_counts(self):
+        self.crash("a@1", "a@2", "a@3")
+        self.assertGreater(self.requests.held_ms("f"), 0)
+
+    def test_a_lost_notice_is_made_up_for_by_the_next(self):
+        self.crash("a@1", "b@1", "c@1")
+        other = CrashingRequests(self.clock, lambda message: None)
+        other.take_notice(decode(encode(self.told[-1])))
+        self.assertEqual(other.held_ms("f"), HOLD_MS)
+
+    def test_a_whole_answer_clears_a_suspect_at_all_entries(self):
+        self.crash("a@1", "b@1")
+        self.requests.note_whole("f")
+        self.assertEqual(self.requests.crashes("f"), 0)
+        other = CrashingRequests(self.clock, lambda message: None)
+        other.take_notice(CrashNotice("f", ("a@1", "b@1", "c@1")))
+        other.take_clearance(decode(encode(self.told[-1])))
+        self.assertEqual((other.crashes("f"), other.held_ms("f")), (0, 0))
+
+    def test_a_popular_request_stays_served_as_a_rack_loses_power(self):
+        # It ran on all upstreams of the rack, and had whole answers a moment ago.
+        self.requests.note_whole("f")
+        self.clock.advance(WHOLE_MS - 1)
+        self.crash("a@1", "b@1", "c@1", "d@1")
+        self.requests.take_notice(CrashNotice("f", ("e@1", "g@1", "h@1")))
+        self.assertEqual(self.requests.held_ms("f"), 0)
+
+    def test_a_request_that_crashes_a_new_version_is_found_later(self):
+        self.requests.note_whole("f")
+        self.clock.advance(WHOLE_MS)
+        self.crash("a@1", "b@1", "c@1")
+        self.assertGreater(self.requests.held_ms("f"), 0)
+
+    def test_whole_answers_of_others_are_told_nobody(self):
+        self.requests.note_whole("f")
+        self.assertEqual(self.told, [])
+
+    def test_one_more_crash_behind_a_hold_holds_anew(self):
+        self.crash("a@1", "b@1", "c@1")
+        self.clock.advance(HOLD_MS)
+        self.assertEqual(self.requests.held_ms("f"), 0)
+        self.crash("d@1")
+        self.assertEqual(self.requests.held_ms("f"), HOLD_MS)
+
+    def test_old_crashes_are_forgotten(self):
+        self.crash("a@1", "b@1")
+        self.clock.advance(SUSPECT_MS + 1)
+        self.crash("c@1")
+        self.assertEqual(self.requests.crashes("f"), 1)
+
+    def test_many_suspects_and_lives_take_no_more_memory(self):
+        for number in range(MOST_SUSPECTS + 10):
+            self.crash("a@1", fingerprint=f"f{number}")
+        self.assertEqual(self.requests.suspects, MOST_SUSPECTS)
+        self.crash(*(f"{number}@1" for number in range(3 * MOST_CRASHES_TOLD)))
+        self.assertEqual(self.requests.crashes("f"), MOST_CRASHES_TOLD)
+        decode(encode(self.told[-1]))
+
+    def test_what_the_store_holds_is_held_as_long_as_it_says_so(self):
+        self.requests.take_stored({"f"}, set())
+        self.assertEqual(self.requests.held_ms("f"), HOLD_MS)
+        self.assertEqual(self.requests.crashes("f"), MOST_CRASHES)
+        self.clock.advance(2 * HOLD_MS)
+        self.assertGreater(self.requests.held_ms("f"), 0)
+        self.requests.take_stored(set(), set())
+        self.assertEqual(self.requests.held_ms("f"), 0)
+
+    def test_the_store_clears_what_was_counted(self):
+        self.crash("a@1", "b@1", "c@1")
+        self.requests.take_stored(set(), {"f"})
+        self.assertEqual(self.requests.held_ms("f"), 0)
+
+    def test_a_clearance_of_nothing_is_nothing(self):
+        self.requests.take_clearance(Clearance("f"))
+        self.assertEqual(self.requests.suspects, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -27,5 +27,15 @@
         self.assertIn("-500 ms  front-1  attempt retried", found[1])
         self.assertIn("request ended", found[2])
 
+    def test_a_held_request_shows_the_crashes_under_its_other_ids(self):
+        lines = [
+            line("crash_counted", 900, node="front-2", fingerprint="f", crashes=3),
+            line("crash_counted", 900, node="front-2", fingerprint="g", crashes=1),
+            line("request_ended", 2_000, request="q-1", fingerprint="f", end="503"),
+        ]
+        found = explain_request("q-1", read_lines(lines))
+        self.assertEqual(len(found), 2)
+        self.assertIn("front-2  crash counted", found[0])
+
     def test_a_request_that_no_line_names(self):
         self.assertIn("sampled", explain_request("q-9", [])[0])
--- a/tests/gateway/test_next_steps.py
+++ b/tests/gateway/test_next_steps.py
@@ -1,7 +1,9 @@
+import dataclasses
 import itertools
 import unittest
 
 from fuchsiahatch_gateway.next_steps import (
+    CRASHES_FOR_ONE_SEND,
     MAX_UNSENT,
     Progress,
     Result,
@@ -70,6 +72,19 @@
             if step is Step.RETRY:
                 self.assertTrue(progress.time_left)
 
+    def test_whoever_crashed_two_upstreams_or_a_group_is_sent_on_by_nobody(self):
+        for result, progress, step in all_cases():
+            if step is not Step.RETRY or result is Result.UNSENT:
+                continue
+            twice = dataclasses.replace(progress, crashes=CRASHES_FOR_ONE_SEND)
+            group = dataclasses.replace(progress, group_crashed=True)
+            self.assertIsNot(decide(result, twice), Step.RETRY)
+            self.assertIsNot(decide(result, group), Step.RETRY)
+
+    def test_a_crash_of_one_plain_upstream_is_made_up_for(self):
+        progress = Progress(True, 1, 2, 0, True, False, True, crashes=1)
+        self.assertIs(decide(Result.BROKEN, progress), Step.RETRY)
+
     def test_tries_without_a_connection_end(self):
         for result, progress, step in all_cases():
             if result is Result.UNSENT and progress.unsent >= MAX_UNSENT:
