Popular requests beside a crash are cleared at once; a played fleet of 3 to 99 entries

Found by the model: at 41 entries, four crashing requests, a request that many ask for was held back for a moment: entries that had no whole answer to it within the last minute counted three crashes. Whoever had one answers a notice now, and who sent it tells all.

--- a/packages/gateway/src/fuchsiahatch_gateway/crashing_requests.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/crashing_requests.py
@@ -26,11 +26,15 @@
 
 @dataclasses.dataclass(slots=True)
 class _Suspect:
-    """The lives of upstreams that crashed under a request; until when it is held."""
+    """The lives of upstreams that crashed under a request; until when it is held.
+
+    `told` says whether this entry has told others of it.
+    """
 
     lives: dict[str, None]
     crashed_ms: int
     held_until_ms: int = 0
+    told: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,12 +95,21 @@
             return
         suspect = self._count(fingerprint, (life,), "own answer")
         if suspect is not None:
+            suspect.told = True
             self._tell_others(CrashNotice(fingerprint, tuple(suspect.lives)))
 
-    def take_notice(self, notice: CrashNotice) -> None:
-        """Take in what another entry knows of a request."""
-        if not self._is_whole(notice.fingerprint):
-            self._count(notice.fingerprint, notice.lives, "another entry")
+    def take_notice(self, notice: CrashNotice) -> Clearance | None:
+        """Take in what another entry knows of a request.
+
+        Returns
+        -------
+        answer : Clearance or None
+            For that entry, where the request had a whole answer here.
+        """
+        if self._is_whole(notice.fingerprint):
+            return Clearance(notice.fingerprint)
+        self._count(notice.fingerprint, notice.lives, "another entry")
+        return None
 
     def note_whole(self, fingerprint: str) -> None:
         """Note that a request got a whole answer: it crashes nobody."""
@@ -108,8 +121,14 @@
             self._tell_others(Clearance(fingerprint))
 
     def take_clearance(self, clearance: Clearance) -> None:
-        """Take in that another entry had a whole answer to a request."""
+        """Take in that another entry had a whole answer to a request.
+
+        Whoever made it a suspect hears of that alone, and passes it on once.
+        """
+        suspect = self._suspects.get(clearance.fingerprint)
         self._clear(clearance.fingerprint, "another entry")
+        if suspect is not None and suspect.told:
+            self._tell_others(clearance)
 
     def take_stored(self, held: set[str], cleared: set[str]) -> None:
         """Take in which requests the store says are held back, and which are not."""
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -336,7 +336,9 @@
             if upstream is not None:
                 self.rates.note_notice(upstream, message)
         elif isinstance(message, CrashNotice):
-            self.crashing.take_notice(message)
+            answer = self.crashing.take_notice(message)
+            if answer is not None:
+                self.datagrams.send(answer, peer)
         elif isinstance(message, Clearance):
             self.crashing.take_clearance(message)
 
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -17,6 +17,7 @@
     decode,
     encode,
 )
+from tests.gateway.crash_model import Play
 from tests.gateway.mortal_upstreams import DEADLY, MortalUpstream, deadly_sends
 from tests.gateway.sites import Site, until
 from tests.loopback import run
@@ -110,6 +111,17 @@
         self.crash("a@1", "b@1", "c@1")
         self.assertGreater(self.requests.held_ms("f"), 0)
 
+    def test_whoever_made_it_a_suspect_is_told_better_and_tells_all(self):
+        # Popular at 41 entries, and whole at this one no minute ago: others counted it.
+        self.crash("a@1")
+        other = CrashingRequests(self.clock, lambda message: None)
+        other.note_whole("f")
+        answer = other.take_notice(self.told[-1])
+        self.requests.take_clearance(answer)
+        self.requests.take_clearance(answer)
+        self.assertEqual(self.requests.crashes("f"), 0)
+        self.assertEqual(self.told[1:], [Clearance("f")])
+
     def test_whole_answers_of_others_are_told_nobody(self):
         self.requests.note_whole("f")
         self.assertEqual(self.told, [])
@@ -154,5 +166,58 @@
         self.assertEqual(self.requests.suspects, 0)
 
 
+def lose_a_rack(play):
+    """Let half of the upstreams lose power at the same moment."""
+    for life in tuple(play.lives)[::2]:
+        play.crash(life)
+
+
+def lose_a_rack_in_steps(play):
+    """Let all upstreams but two go, one each 0.3 s."""
+    for number, life in enumerate(tuple(play.lives)[2:]):
+        play.loop.call_later(0.3 * number, play.crash, life)
+
+
+class TestPlayed(unittest.TestCase):
+    """Crashing requests among innocent ones, at 3 to 99 entries, in virtual time."""
+
+    def check(self, play, most_refused=0):
+        for number in range(play.crashers):
+            behind = play.sends_behind(number)
+            self.assertLessEqual(behind, MOST_SENDS_BEHIND, f"crasher {number}")
+        self.assertLessEqual(play.ends["refused"], most_refused)
+        self.assertGreater(play.ends["whole"], 1_000)
+
+    def test_crashers_are_held_back_and_nobody_else(self):
+        for entries in (3, 6, 41, 99):
+            for crashers, at_once in ((1, 1), (1, 3), (4, 2)):
+                with self.subTest(entries=entries, crashers=crashers, at_once=at_once):
+                    self.check(Play(entries, 16, 2, crashers, at_once).play())
+
+    def test_a_tenth_of_the_notices_is_lost(self):
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                play = Play(41, crashers=2, at_once=2, lost_share=0.1, seed=seed)
+                self.check(play.play())
+
+    def test_ordinary_crashes_hold_nobody_back(self):
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                self.check(Play(6, crashers=0, ordinary_s=0.4, seed=seed).play())
+
+    def test_a_rack_that_loses_power_holds_nobody_back(self):
+        for lose in (lose_a_rack, lose_a_rack_in_steps):
+            events = {at_s: lose for at_s in (5.0, 12.0, 19.0)}
+            for seed in range(4):
+                with self.subTest(lose=lose.__name__, seed=seed):
+                    play = Play(6, crashers=1, events=events, seed=seed)
+                    self.check(play.play())
+
+    def test_a_crasher_costs_few_datagrams(self):
+        # Three crashes, a few requests beside each, told to 98 others.
+        play = Play(99, crashers=1).play()
+        self.assertLess(play.bytes / play.entry_count, 3_000)
+
+
 if __name__ == "__main__":
     unittest.main()
