--- a/packages/gateway/src/fuchsiahatch_gateway/held_requests.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/held_requests.py
@@ -1,9 +1,10 @@
 """Held requests in the store: for entries that start, and those that heard nothing."""
 
 import asyncio
+import contextlib
+import dataclasses
 import typing as t
 
-import msgspec
 import orjson
 
 from fuchsiahatch_adapter.forms import read_json
@@ -27,7 +28,8 @@
 LEAST_LEASE_MS = 2_000
 
 
-class HeldRecord(msgspec.Struct, frozen=True):
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldRecord:
     """What the store says of one request.
 
     Attributes
@@ -102,11 +104,9 @@
     async def run(self) -> None:
         """Write what the store lacks, for ever."""
         while True:
-            try:
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(LOOK_MS / 1000):
                     await self._due.wait()
-            except TimeoutError:
-                pass
             self._due.clear()
             try:
                 await self._write_cleared()
@@ -153,7 +153,7 @@
         known = self._items.get(fingerprint)
         revision = 0 if known is None else known.revision
         key = HELD_PREFIX + fingerprint
-        value = orjson.dumps(msgspec.to_builtins(record))
+        value = orjson.dumps(record)
         await self._store.put(key, value, lease, expected=revision)
         # Until the watch tells of it; its revision is taken over from there.
         self._records[fingerprint] = record
--- a/tests/gateway/sites.py
+++ b/tests/gateway/sites.py
@@ -218,7 +218,7 @@
             await wire.event(number)
         if end:
             await wire.end_stream()
-        else:
+        elif end is not None:
             wire.reset()
 
     return script
