--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -8,7 +8,7 @@
         --target "$deps" -r deploy/requirements.txt
     touch "$deps/.installed"
 fi
-for package in core http1 routing experts gateway; do
+for package in core http1 routing delivery experts gateway; do
     cp -r "packages/$package/src/." "$deps"
 done
 cp -r platform/src/. "$deps"
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -14,10 +14,10 @@
     RefusedError,
     RequestError,
 )
+from fuchsiahatch_delivery.keys import fingerprint_of
 from fuchsiahatch_gateway.attempts import Outcome, Try, run_try
 from fuchsiahatch_gateway.defaults import RETRY_AFTER_S, RETRY_AFTER_SPREAD
 from fuchsiahatch_gateway.event_stream import EventCutter
-from fuchsiahatch_gateway.fingerprints import fingerprint_of
 from fuchsiahatch_gateway.jobs import Job, silence_ms, wait_ms
 from fuchsiahatch_gateway.next_steps import (
     Progress,
@@ -151,7 +151,7 @@
             request,
             match,
             service,
-            fingerprint_of(exchange, request.host, match.team.name),
+            _fingerprint_of(exchange, request.host, match.team.name),
             arrived_ms,
             arrived_ms + limit_ms,
             events,
@@ -358,6 +358,18 @@
         return 0 if known is None else known.version
 
 
+def _fingerprint_of(exchange: "Exchange", host: str, team: str) -> str:
+    """Return what tells a team's request again under another id, at each entry.
+
+    Headers don't count: callers draw some of them anew.
+    """
+    method, target = (
+        exchange.method.decode("latin-1"),
+        exchange.target.decode("latin-1"),
+    )
+    return fingerprint_of(method, target, f"{team}@{host}", exchange.body).hex()
+
+
 def _status_of(fault: FuchsiahatchError) -> int:
     if fault.result in _STATUS:
         return _STATUS[fault.result]
--- a/packages/gateway/src/fuchsiahatch_gateway/upstream_crashes.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/upstream_crashes.py
@@ -89,8 +89,10 @@
 
     def note_restart(self, former: "Upstream") -> None:
         """Note that an upstream has begun another life."""
-        if not former.entry.leaving:
-            self.note_over(former.life)
+        life = former.life
+        broke = any(one.life == life for one in self._breaks)
+        if broke and not former.entry.leaving:
+            self.note_over(life)
 
     def note_over(self, life: str) -> None:
         """Note that a life of an upstream has ended, and count it where it broke."""
--- a/tests/gateway/test_upstream_crashes.py
+++ b/tests/gateway/test_upstream_crashes.py
@@ -98,6 +98,13 @@
 
         self.play(work, refused=False)
 
+    def test_a_restart_under_no_request_of_ours_is_no_crash(self):
+        async def work():
+            self.crashes.note_restart(make_life())
+            self.assertEqual(self.crashes._over, {})
+
+        self.play(work)
+
     def test_an_old_break_has_nothing_to_do_with_a_restart(self):
         async def work():
             await self.crashes.examine("f", make_life())
