--- a/packages/gateway/src/fuchsiahatch_gateway/settled_era.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/settled_era.py
@@ -55,8 +55,12 @@
 
     @property
     def settled(self) -> bool:
-        """Whether the era has lasted so long, by its own sight or another's word."""
-        return self.seen or 0 < self._told == self._store.era
+        """Whether the era has lasted so long, by its own sight or another's word.
+
+        A store whose answers name no era is none that comes back from copies.
+        """
+        era = self._store.era
+        return not era or era == self._told or self.seen
 
     @property
     def lacking(self) -> bool:
