An upstream that left unsaid counts against no request

Read in the diff: some upstreams never say that they leave; their entry is removed, and they serve on for a while. As they exited, what ran there broke, nobody listened, and each of its requests was a suspect. An instance that isn't listed any more ends as planned. Test first: test_one_that_left_unsaid_counts_against_nobody. CrashingRequests.is_whole stood twice under two names.

--- a/packages/gateway/src/fuchsiahatch_gateway/crashing_requests.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/crashing_requests.py
@@ -91,7 +91,7 @@
 
     def note_crash(self, fingerprint: str, life: str) -> None:
         """Note that an upstream's process ended while it had a request."""
-        if self._is_whole(fingerprint):
+        if self.is_whole(fingerprint):
             return
         suspect = self._count(fingerprint, (life,), "own answer")
         if suspect is not None:
@@ -106,7 +106,7 @@
         answer : Clearance or None
             For that entry, where the request had a whole answer here.
         """
-        if self._is_whole(notice.fingerprint):
+        if self.is_whole(notice.fingerprint):
             return Clearance(notice.fingerprint)
         self._count(notice.fingerprint, notice.lives, "another entry")
         return None
@@ -170,9 +170,10 @@
             if one.held_until_ms > now_ms
         ]
 
-    def is_cleared(self, fingerprint: str) -> bool:
+    def is_whole(self, fingerprint: str) -> bool:
         """Return whether this entry had a whole answer to a request of late."""
-        return self._is_whole(fingerprint)
+        whole_ms = self._whole.get(fingerprint)
+        return whole_ms is not None and self._clock.now_ms() - whole_ms < WHOLE_MS
 
     @property
     def held(self) -> int:
@@ -239,10 +240,6 @@
         if was_held:
             self.changed()
 
-    def _is_whole(self, fingerprint: str) -> bool:
-        whole_ms = self._whole.get(fingerprint)
-        return whole_ms is not None and self._clock.now_ms() - whole_ms < WHOLE_MS
-
     def _forget_old(self, now_ms: int) -> None:
         old = itertools.takewhile(
             lambda one: now_ms - one[1].crashed_ms > SUSPECT_MS, self._suspects.items()
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -129,7 +129,12 @@
             settings.first_start,
         )
         self.crashing = CrashingRequests(clock, self._tell_others)
-        self.crashes = UpstreamCrashes(self.crashing, self.pool.is_refused, clock)
+        self.crashes = UpstreamCrashes(
+            self.crashing,
+            self.pool.is_refused,
+            lambda instance: instance in self.fleet.upstreams,
+            clock,
+        )
         self.fleet.on_restarted = self.crashes.note_restart
         self.held = HeldRequests(self.store, self.crashing, self._place)
         self.delivery = Delivery(
--- a/packages/gateway/src/fuchsiahatch_gateway/held_requests.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/held_requests.py
@@ -143,7 +143,7 @@
         wrong = [
             name
             for name, one in self._records.items()
-            if one.held and self._requests.is_cleared(name)
+            if one.held and self._requests.is_whole(name)
         ]
         for name in wrong:
             lease = await self._store.grant(HOLD_MS)
--- a/packages/gateway/src/fuchsiahatch_gateway/upstream_crashes.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/upstream_crashes.py
@@ -36,26 +36,39 @@
 
     A reset, a cut link or an upstream that breaks off one answer ends nobody. A process
     has ended where nobody listens at its address any more, or where its instance lives
-    anew. One that leaves ends as planned, and counts against no request.
+    anew. One that leaves, or is listed no more, ends as planned, and counts against no
+    request.
 
     Parameters
     ----------
     requests : CrashingRequests
     is_refused : coroutine function
         Returns whether nobody listens at an IP number and port.
+    is_listed : callable
+        Returns whether an instance is among the known upstreams.
     clock : Clock
     """
 
-    __slots__ = ("_asked", "_breaks", "_clock", "_is_refused", "_over", "_requests")
+    __slots__ = (
+        "_asked",
+        "_breaks",
+        "_clock",
+        "_is_listed",
+        "_is_refused",
+        "_over",
+        "_requests",
+    )
 
     def __init__(
         self,
         requests: "CrashingRequests",
         is_refused: t.Callable[[str, int], t.Awaitable[bool]],
+        is_listed: t.Callable[[str], bool],
         clock: "Clock",
     ) -> None:
         self._requests = requests
         self._is_refused = is_refused
+        self._is_listed = is_listed
         self._clock = clock
         self._breaks: collections.deque[_Break] = collections.deque(maxlen=MOST_BREAKS)
         self._asked: dict[str, asyncio.Task[None]] = {}
@@ -71,7 +84,8 @@
         upstream : Upstream
             Its connection was closed before the answer was whole.
         """
-        if upstream.entry.leaving:
+        entry = upstream.entry
+        if entry.leaving or not self._is_listed(entry.instance):
             return False
         life = upstream.life
         self._breaks.append(_Break(fingerprint, life, self._clock.now_ms()))
--- a/tests/gateway/crash_model.py
+++ b/tests/gateway/crash_model.py
@@ -35,7 +35,9 @@
     def __post_init__(self):
         self.life = f"{self.name}@{self.born}"
         address = types.SimpleNamespace(ip=self.life, port=1)
-        self.entry = types.SimpleNamespace(leaving=False, address=address)
+        self.entry = types.SimpleNamespace(
+            instance=self.name, leaving=False, address=address
+        )
         self.runs = {}
 
 
@@ -46,7 +48,9 @@
         self.number, self.play = number, play
         clock = play.loop.make_clock()
         self.requests = CrashingRequests(clock, self.tell_others)
-        self.crashes = UpstreamCrashes(self.requests, play.is_refused, clock)
+        self.crashes = UpstreamCrashes(
+            self.requests, play.is_refused, lambda instance: True, clock
+        )
 
     def tell_others(self, message):
         for other in self.play.entries:
--- a/tests/gateway/delivery_model.py
+++ b/tests/gateway/delivery_model.py
@@ -150,7 +150,12 @@
             budget,
             self.log,
             crashing,
-            UpstreamCrashes(crashing, self.pool.is_refused, self.clock),
+            UpstreamCrashes(
+                crashing,
+                self.pool.is_refused,
+                lambda instance: instance in self.fleet.upstreams,
+                self.clock,
+            ),
             self.clock,
             rng,
         )
--- a/tests/gateway/test_upstream_crashes.py
+++ b/tests/gateway/test_upstream_crashes.py
@@ -21,7 +21,7 @@
 
 def make_life(life="a@1", leaving=False):
     address = types.SimpleNamespace(ip="10.0.0.1", port=80)
-    entry = types.SimpleNamespace(leaving=leaving, address=address)
+    entry = types.SimpleNamespace(instance="a", leaving=leaving, address=address)
     return types.SimpleNamespace(life=life, entry=entry)
 
 
@@ -37,7 +37,10 @@
                 await asyncio.sleep(takes_ms / 1000)
                 return refused
 
-            self.crashes = UpstreamCrashes(self.requests, is_refused, clock)
+            self.listed = True
+            self.crashes = UpstreamCrashes(
+                self.requests, is_refused, lambda instance: self.listed, clock
+            )
             await work()
 
         run_virtually(play)
@@ -87,6 +90,15 @@
 
         self.play(work)
 
+    def test_one_that_left_unsaid_counts_against_nobody(self):
+        # Its entry was removed, and it served on for a while before it exited.
+        async def work():
+            self.listed = False
+            self.assertFalse(await self.crashes.examine("f", make_life()))
+            self.assertEqual((self.asked, self.requests.suspects), (0, 0))
+
+        self.play(work)
+
     def test_a_later_life_shows_that_the_former_one_ended(self):
         async def work():
             self.assertFalse(await self.crashes.examine("cut", make_life()))
