The first era that is named behind other answers is a return of the store

Read while the wait for eras was changed: 0 stood for no era at all, so that a store that begins with era 0, or names one from its first drill on, came back from its first copy unheard: terms could come twice, a dropped route could be back.

--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -62,6 +62,22 @@
 
         self.assertEqual(run(read()), ([6], 6))
 
+    def test_the_first_era_that_is_named_behind_other_answers_is_a_restore(self):
+        # A dropped route was back behind the first drill of a store that begins with 0.
+        async def read(first):
+            async with Served() as served:
+                restored = []
+                served.client.on_restored = lambda: restored.append(served.client.era)
+                served.store.era = first
+                await served.client.ping()
+                served.store.era = 1
+                await served.client.ping()
+                return restored
+
+        for first in (0, None):
+            with self.subTest(first=first):
+                self.assertEqual(run(read(first)), [1])
+
 
 def value_of(follower, name):
     found = follower.items.get(name)
