A test of a moved stream waited for the wrong moment

Traced: it let the rank become slow once the stream could be moved, which is as soon as its head is waited for; beside load the first event came later, and the stream was moved before it. The second upstream was scripted to begin with event 2, whatever it was asked for. With 50 ms before the first event the old test fails each time. The entry's behaviour is right: nothing was passed on, so nothing is resumed behind.

The test reads the first event itself now, and checks as well behind which event the second upstream was asked to go on. With the same 50 ms it passes.

--- a/tests/gateway/test_delivery.py
+++ b/tests/gateway/test_delivery.py
@@ -302,14 +302,19 @@
                 ranks = [fleet.upstreams[f"i-{number}"] for number in range(2)]
                 fleet.observe(make_load(ranks[0], pace=1.0))
                 fleet.observe(make_load(ranks[1], pace=1.0, running=5))
-                asking = asyncio.ensure_future(site.ask("/chat/"))
-                await until(lambda: ranks[0].movers)
+                reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
+                writer.write(encode_request("/chat/"))
+                begun = await reader.readuntil(b"id: 1\ndata: piece 1\n\n")
                 fleet.observe(make_load(ranks[0], pace=12.0, running=1))
-                return await asyncio.wait_for(asking, 0.5)
+                rest = await asyncio.wait_for(reader.read(-1), 0.5)
+                writer.close()
+                (moved,) = sound.received
+                return Reply(begun + rest), moved.headers.get("last-event-id")
 
-        reply = run(asks())
+        reply, resumed_behind = run(asks())
         self.assertEqual(event_ids(reply.body), [1, 2, 3, 4])
         self.assertTrue(reply.whole)
+        self.assertEqual(resumed_behind, "1")
 
     def test_a_silent_upstream_costs_half_of_the_time(self):
         # A cancellation notice is lost with an upstream that takes it and is silent.
