--- a/packages/gateway/src/fuchsiahatch_gateway/inspection.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/inspection.py
@@ -18,7 +18,11 @@
     read_node_settings,
 )
 from fuchsiahatch_core.exceptions import FormError, PlatformError, SettingsError
-from fuchsiahatch_gateway.defaults import ENTRIES_PREFIX, LEADERS_PREFIX
+from fuchsiahatch_gateway.defaults import (
+    ENTRIES_PREFIX,
+    HELD_PREFIX,
+    LEADERS_PREFIX,
+)
 from fuchsiahatch_gateway.explain import explain, read_lines
 from fuchsiahatch_gateway.losses import describe_losses
 
@@ -58,7 +62,7 @@
         print(f"version {known.version}: {len(known.routes)} routes, in order")
 
     def status(self, store: str, as_json: bool = False) -> None:
-        """Show entries, leaders and upstreams from the store; 2 when it can't be read.
+        """Show entries, leaders, upstreams and held requests; 2 without the store.
 
         Parameters
         ----------
@@ -108,6 +112,7 @@
         "entries": await _read_below(store, ENTRIES_PREFIX),
         "leaders": await _read_below(store, LEADERS_PREFIX),
         "upstreams": await _read_below(store, UPSTREAMS_PREFIX),
+        "held_requests": await _read_below(store, HELD_PREFIX),
     }
 
 
@@ -121,6 +126,10 @@
     for instance, one in found["upstreams"].items():
         fields = (one.get(name) for name in ("service", "zone", "address", "state"))
         yield f"upstream {instance}: {' '.join(map(str, fields))}"
+    for fingerprint, one in found["held_requests"].items():
+        if one.get("held"):
+            crashed = " ".join(one.get("upstreams", ()))
+            yield f"held request {fingerprint}: crashed {crashed}"
 
 
 async def _read_below(store: "StoreClient", prefix: str) -> dict[str, t.Any]:
--- a/tests/gateway/test_inspection.py
+++ b/tests/gateway/test_inspection.py
@@ -63,6 +63,9 @@
             store.put("fuchsiahatch/entries/e-1", {"zone": "a", "callers": "1:2"})
             store.put("fuchsiahatch/leaders/g-1", {"node": "s-1"})
             store.put("servers/i-1", {"service": "svc", "state": "ready"})
+            held = {"held": True, "upstreams": ["i-1@5", "i-2@7"]}
+            store.put("fuchsiahatch-held/f-1", held)
+            store.put("fuchsiahatch-held/f-2", {"held": False, "upstreams": []})
             loop = asyncio.get_running_loop()
             address = f"127.0.0.1:{port}"
             found = await loop.run_in_executor(None, call, "status", address)
@@ -77,6 +80,8 @@
         self.assertIn("entry e-1: a 1:2", found.stdout)
         self.assertIn("group g-1: led by s-1", found.stdout)
         self.assertIn("upstream i-1: svc None None ready", found.stdout)
+        self.assertIn("held request f-1: crashed i-1@5 i-2@7", found.stdout)
+        self.assertNotIn("f-2", found.stdout)
         self.assertEqual(json.loads(plain.stdout)["version"], 7)
 
     def test_no_store(self):
