A test paused an agent before its answer had begun

Traced: it paused the home as soon as the engine had counted the run; the first token had not passed the agent then, and 502, of which nothing is known, is the right word.

--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -80,7 +80,7 @@
         path = f"/lookup?team={TEAM}&model={MODEL}"
         return json.loads(ask(self.address(entry), "GET", path)[1])
 
-    def send(self, entry, key, ticket, tokens=4):
+    def send(self, entry, key, ticket, tokens=4, on_head=lambda: None):
         """Send a keyed, streamed chat; status 0 when it broke off."""
         question = {"role": "user", "content": f"a trainer for {key}"}
         body = {"model": MODEL, "stream": True, "max_tokens": tokens}
@@ -89,7 +89,7 @@
             headers["Fuchsiahatch-Ticket"] = ticket
         document = json.dumps(body | {"messages": [question]})
         path = "/v1/chat/completions"
-        return ask(self.address(entry), "POST", path, document, headers)
+        return ask(self.address(entry), "POST", path, document, headers, on_head)
 
     def runs(self):
         """Return the runs of each key at each engine, as the engines count them."""
@@ -129,12 +129,13 @@
         log.close()
 
 
-def ask(address, method, path, body=None, headers=None):
+def ask(address, method, path, body=None, headers=None, on_head=lambda: None):
     """Make one HTTP call; status 0 when no whole answer came."""
     connection = http.client.HTTPConnection(address, timeout=_BOUND_S)
     try:
         connection.request(method, path, body, headers or {})
         response = connection.getresponse()
+        on_head()
         return response.status, response.read()
     except (OSError, http.client.HTTPException):
         return 0, b""
--- a/tests/processes/test_signals.py
+++ b/tests/processes/test_signals.py
@@ -2,6 +2,7 @@
 import itertools
 import json
 import signal
+import threading
 import unittest
 
 from fuchsiahatch_delivery.tickets import decode_ticket
@@ -21,9 +22,13 @@
         self.addCleanup(self.pool.shutdown)
 
     def begin(self, key, tokens=SLOW_TOKENS):
-        """Send a slow request in the background and wait until it runs."""
-        sent = self.pool.submit(self.fleet.send, FIRST, key, self.ticket, tokens)
+        """Send a slow request in the background and wait until its answer begins."""
+        begun = threading.Event()
+        sent = self.pool.submit(
+            self.fleet.send, FIRST, key, self.ticket, tokens, begun.set
+        )
         home = wait_until(lambda: self.fleet.home_of(key), f"{key} runs")
+        wait_until(begun.is_set, f"the answer to {key} begins")
         return sent, home
 
     def verdict(self, content):
