--- a/packages/gateway/src/fuchsiahatch_gateway/process.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/process.py
@@ -25,7 +25,7 @@
 #: How often the settings file is looked at for a change without a signal.
 SETTINGS_POLL_MS = 5_000
 #: How often the calls to the store are logged.
-CALLS_LOG_MS = 20_000
+CALLS_LOG_MS = 5_000
 #: Where metrics are served; the deploy file names the same port and path.
 METRICS_PORT = 9464
 METRICS_PATH = b"/metrics"
--- a/tests/adapter/test_json_calls.py
+++ b/tests/adapter/test_json_calls.py
@@ -72,6 +72,22 @@
         self.assertIn("no answer", run(write()).detail)
 
 
+class TestCounts(unittest.TestCase):
+    def test_calls_are_counted_by_what_they_ask_for(self):
+        # The dearest price of a large day is for calls, and nobody could say whose.
+        async def ask():
+            async with Served() as served:
+                await served.client.read_all("a/")
+                await served.client.read_all("b/")
+                await served.client.ping()
+                return served.client.calls
+
+        calls = run(ask())
+        self.assertEqual(calls["store range a/ 200"], 1)
+        self.assertEqual(calls["store range b/ 200"], 1)
+        self.assertEqual(calls["store key 404"], 1)
+
+
 class TestLongAnswers(unittest.TestCase):
     """Answers that grow with the deployment come whole, however slow the link.
 
