--- a/packages/experts/src/fuchsiahatch_experts/switching.py
+++ b/packages/experts/src/fuchsiahatch_experts/switching.py
@@ -46,10 +46,12 @@
 #: Passes between the one last begun and the one that is held. With one, the hold often
 #: comes too late and is refused; with two, the arms are mostly out before it is due.
 HOLD_AHEAD = 2
+#: Most passes in between, for a group whose ranks take long to arm.
+MOST_AHEAD = 4
 #: Passes that a new leader lets begin before its first hold. An earlier leader's `go`
-#: may still be carried out late; it names a pass at most `HOLD_AHEAD` beyond the last
+#: may still be carried out late; it names a pass at most `MOST_AHEAD` beyond the last
 #: one begun, so that it can't end a later hold too soon.
-TAKEOVER_PASSES = 4
+TAKEOVER_PASSES = MOST_AHEAD
 #: Time that the copies may take; one of 1.7 GB takes 150 ms over the engines' links.
 COPY_LIMIT_MS = 2_000
 #: Time for which passes may be held back before a switch is given up. Callers of a
@@ -230,7 +232,7 @@
         placement : Placement
         now_ms : int
         hold_ahead : int, optional
-            Passes between the one last begun and the one that is held, `HOLD_AHEAD`
+            Passes between the one last begun and the one that is held, `MOST_AHEAD`
             at most.
         standby : int, optional
             Rank that holds passes; the one behind the leader's own by default.
--- a/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
@@ -13,7 +13,7 @@
     OrderKind,
     RankReport,
 )
-from fuchsiahatch_experts.switching import HOLD_AHEAD, Phase, Switch
+from fuchsiahatch_experts.switching import Phase, Switch
 from fuchsiahatch_gateway.datagrams import (
     DatagramPort,
     OrderReply,
@@ -23,6 +23,7 @@
     TakeoverNotice,
 )
 from fuchsiahatch_gateway.hearing import Hearing
+from fuchsiahatch_gateway.hold_timing import HoldTiming
 from fuchsiahatch_gateway.order_pacing import OrderPacer
 from fuchsiahatch_gateway.order_sender import OrderSender
 from fuchsiahatch_gateway.plan_searches import PlanSearches
@@ -43,9 +44,6 @@
 FINISH_POLL_MS = 10
 #: Time that a leader which stops gives its switch.
 FINISH_LIMIT_MS = 2_000
-#: Passes of this length or more leave time to hold the very next one: a hold and its
-#: arms take some 20 ms. Holding the second next would cost a pass of up to 1.5 s more.
-LONG_PASS_MS = 200
 #: Pause between two notices to the standby, or to agents that don't obey it yet.
 NOTICE_MS = 20
 #: Experts of a rank, by layer.
@@ -150,6 +148,8 @@
         self._work_due = False
         self._phase = Phase.SETTLING
         self._phase_ms = clock.now_ms()
+        self._timing = HoldTiming()
+        self._held_ms = clock.now_ms()
         self.switch = Switch(term, rank, ranks, may_start=not takes_over)
         self.switch.known_map = lambda version: own.known_map(version, ranks)
         self._sender = OrderSender(
@@ -331,7 +331,7 @@
         standby = self._silent.heard_behind(self._rank)
         if standby is None or self._stopping or not self._may_switch():
             return False
-        ahead = 1 if passes.pass_ms >= LONG_PASS_MS else HOLD_AHEAD
+        ahead = self._timing.passes_ahead(passes.pass_ms)
         now_ms = self._clock.now_ms()
         if not self.switch.start(plan.placement, now_ms, ahead, standby):
             return False
@@ -408,5 +408,9 @@
             switched=self.switch.switched,
             abandoned=self.switch.abandoned,
         )
+        if phase is Phase.HOLDING:
+            self._held_ms = now_ms
+        elif self._phase is Phase.ARMING and phase is Phase.RELEASING:
+            self._timing.note(now_ms - self._held_ms)
         self._phase = phase
         self._phase_ms = now_ms
--- a/tests/experts/test_switching.py
+++ b/tests/experts/test_switching.py
@@ -10,7 +10,7 @@
     RankReport,
 )
 from fuchsiahatch_experts.switch_versions import last_rank, newest_version
-from fuchsiahatch_experts.switching import Phase, Switch
+from fuchsiahatch_experts.switching import MOST_AHEAD, Phase, Switch
 from fuchsiahatch_standins.rank_rules import MixedMaps
 from tests.experts.switch_model import RANKS, Leader, Model
 
@@ -110,7 +110,19 @@
         self._end_settling()
 
 
+class HoldsFarAhead(Switch):
+    __slots__ = ()
+
+    def start(self, placement, now_ms, hold_ahead=MOST_AHEAD, standby=None):
+        return super().start(placement, now_ms, MOST_AHEAD, standby)
+
+
 class TestSwitch(unittest.TestCase):
+    def test_a_late_go_of_a_hold_far_ahead_ends_no_later_hold(self):
+        for seed in range(SCHEDULES // 2):
+            with self.subTest(seed):
+                play(seed, HoldsFarAhead)
+
     def test_no_pass_begins_with_mixed_maps(self):
         # A member's answer mixes two maps' experts when a pass begins while some ranks
         # have switched and others have not: leaders die and wake, orders are carried
