--- a/packages/gateway/src/fuchsiahatch_gateway/agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/agent.py
@@ -8,7 +8,7 @@
 from fuchsiahatch_adapter.model_engine import ModelEngine
 from fuchsiahatch_adapter.names import UPSTREAMS_PREFIX
 from fuchsiahatch_adapter.node_settings import parse_address
-from fuchsiahatch_adapter.store import Item, StoreClient
+from fuchsiahatch_adapter.store import StoreClient
 from fuchsiahatch_adapter.upstreams import decode_upstream_entry
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import PlatformError
@@ -35,8 +35,9 @@
 )
 from fuchsiahatch_gateway.engine_figures import EngineFigures, decode_engine_figures
 from fuchsiahatch_gateway.fleet import newest_by_address
-from fuchsiahatch_gateway.following import Follower, StoreHealth
+from fuchsiahatch_gateway.following import Follower
 from fuchsiahatch_gateway.group_leader import Authority, GroupLeader
+from fuchsiahatch_gateway.item_copies import ItemCopy
 from fuchsiahatch_gateway.item_decoding import ItemDecoder
 from fuchsiahatch_gateway.leadership import (
     LeaderRecord,
@@ -48,6 +49,7 @@
 from fuchsiahatch_gateway.order_relays import request_of
 from fuchsiahatch_gateway.rank_agent import RankAgent
 from fuchsiahatch_gateway.reporting import ChoicesTurn, Reporter
+from fuchsiahatch_gateway.store_health import StoreHealth
 from fuchsiahatch_gateway.takeovers import Takeovers
 from fuchsiahatch_http1.client import ConnectionPool
 
@@ -100,9 +102,16 @@
         self._reporter = Reporter(
             self.rank, self.datagrams, clock, settings.link_bytes_per_s
         )
-        # One watch for entries, leaders and figures: each that waits is a priced call.
+        self._entry_copy = self._copy(ENTRIES_PREFIX, self._apply_entries)
+        self._leader_copy = self._copy(LEADERS_PREFIX, self._apply_leaders)
+        self._figure_copy = self._copy(ENGINES_PREFIX, self._apply_figures)
+        self._era_copy = self._copy(SETTLED_ERA_KEY, self._apply_era)
         self._follower = Follower(
-            self.store, KEY_PREFIX, self.health, clock, self._apply_items
+            self.store,
+            KEY_PREFIX,
+            self.health,
+            clock,
+            (self._entry_copy, self._leader_copy, self._figure_copy, self._era_copy),
         )
         self._failing = False
         self.store.on_restored = self._note_restored
@@ -329,19 +338,27 @@
             self.leader = None
             await self.leadership.give_up()
 
-    def _apply_items(self) -> None:
-        self._entries = self._records.decode_all(self._items_below(ENTRIES_PREFIX))
-        led = self._items_below(LEADERS_PREFIX)
+    def _copy(self, prefix: str, apply: t.Callable[[], None]) -> ItemCopy:
+        return ItemCopy(prefix, self.health, self._clock, apply)
+
+    def _apply_entries(self) -> None:
+        self._entries = self._records.decode_all(self._entry_copy.items)
+
+    def _apply_leaders(self) -> None:
+        led = self._leader_copy.items
         self._leaders = {
             group: LeaderRecord(group, term_of(era, led[group].created), peer)
             for group, (peer, era) in self._leader_items.decode_all(led).items()
         }
-        self._figures = self._figure_items.decode_all(self._items_below(ENGINES_PREFIX))
-        era = self._follower.items.get(SETTLED_ERA_KEY.removeprefix(KEY_PREFIX))
-        self.leadership.settled_era.take(era)
-        self._tell_figures()
         self._note_leader()
 
+    def _apply_figures(self) -> None:
+        self._figures = self._figure_items.decode_all(self._figure_copy.items)
+        self._tell_figures()
+
+    def _apply_era(self) -> None:
+        self.leadership.settled_era.take(self._era_copy.items.get(""))
+
     def _connect_engine(self, address: str) -> ModelEngine:
         return ModelEngine(parse_address(address), self._engines_pool)
 
@@ -356,14 +373,6 @@
             if entry.service == service
         ]
 
-    def _items_below(self, prefix: str) -> dict[str, Item]:
-        below = prefix.removeprefix(KEY_PREFIX)
-        return {
-            name.removeprefix(below): item
-            for name, item in self._follower.items.items()
-            if name.startswith(below)
-        }
-
     def _note_leader(self) -> None:
         # Asked before each report too: an agent that learns of the leader before it
         # knows its own group would never tell that leader that it obeys its term, and
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -38,8 +38,9 @@
 from fuchsiahatch_gateway.engine_figures import FiguresWriter
 from fuchsiahatch_gateway.entry_beats import BEAT_MS, EntryBeats
 from fuchsiahatch_gateway.fleet import FIRST_REPORT_MS, Fleet
-from fuchsiahatch_gateway.following import Follower, StoreHealth
+from fuchsiahatch_gateway.following import Follower
 from fuchsiahatch_gateway.held_requests import HeldRequests
+from fuchsiahatch_gateway.item_copies import ItemCopy
 from fuchsiahatch_gateway.item_decoding import ItemDecoder
 from fuchsiahatch_gateway.lookups import (
     EntryRecord,
@@ -54,6 +55,7 @@
 from fuchsiahatch_gateway.retry_budget import RetryBudget
 from fuchsiahatch_gateway.routes import RouteTable
 from fuchsiahatch_gateway.stated_rates import StatedRates
+from fuchsiahatch_gateway.store_health import StoreHealth
 from fuchsiahatch_gateway.upstream_crashes import UpstreamCrashes
 from fuchsiahatch_http1.client import ConnectionPool
 from fuchsiahatch_http1.server import Exchange, HttpServer
@@ -66,6 +68,8 @@
     from fuchsiahatch_gateway.process import Process
     from fuchsiahatch_http1.client import Head
 
+#: What an entry follows: little else is in the store.
+ALL_ITEMS = ""
 #: Time that a connection to an upstream may take; usual are some 3 ms. A dark host
 #: answers nothing, and its request goes to another upstream.
 CONNECT_MS = 300
@@ -166,16 +170,22 @@
         self.callers = HttpServer(self.delivery.handle)
         self.side_calls = HttpServer(self._answer_side_call)
         self.store.on_restored = self._note_restored
-        self._config = self._follow(CONFIGURATION_KEY, self._apply_configuration)
-        self._upstreams = self._follow(UPSTREAMS_PREFIX, self._apply_upstreams)
-        self._others = self._follow(ENTRIES_PREFIX, self._apply_entries)
-        self._held_items = self._follow(HELD_PREFIX, self._apply_held)
+        self._config = self._copy(CONFIGURATION_KEY, self._apply_configuration)
+        self._upstreams = self._copy(UPSTREAMS_PREFIX, self._apply_upstreams)
+        self._others = self._copy(ENTRIES_PREFIX, self._apply_entries)
+        self._held_items = self._copy(HELD_PREFIX, self._apply_held)
+        self.follower = Follower(
+            self.store,
+            ALL_ITEMS,
+            self.health,
+            clock,
+            (self._config, self._upstreams, self._others, self._held_items),
+        )
 
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what is open."""
         process, settings = self._process, self._process.settings
-        for follower in self.followers:
-            process.keep_running(follower.run())
+        process.keep_running(self.follower.run())
         process.keep_running(self.figures.run())
         process.keep_running(self.held.run())
         port = settings.internal_ports[0]
@@ -204,16 +214,7 @@
     @property
     def informed(self) -> bool:
         """Whether the configuration, the upstreams and what is held are known."""
-        return (
-            self.routes.configuration is not None
-            and self._upstreams.synced
-            and self._held_items.synced
-        )
-
-    @property
-    def followers(self) -> tuple[Follower, ...]:
-        """What this entry follows in the store."""
-        return self._config, self._upstreams, self._others, self._held_items
+        return self.routes.configuration is not None and self.follower.synced
 
     async def _wait_informed(self) -> None:
         while not self.informed and not self._process.stopping.is_set():
@@ -285,8 +286,8 @@
         headers = [(b"content-type", b"application/json")]
         exchange.respond(200, headers, encode_lookup(addresses, LOOKUP_TTL_S))
 
-    def _follow(self, prefix: str, apply: t.Callable[[], None]) -> Follower:
-        return Follower(self.store, prefix, self.health, self._clock, apply)
+    def _copy(self, prefix: str, apply: t.Callable[[], None]) -> ItemCopy:
+        return ItemCopy(prefix, self.health, self._clock, apply)
 
     def _note_restored(self) -> None:
         """Write and read anew what the store has forgotten."""
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/store_health.py
@@ -0,0 +1,74 @@
+"""Whether the store answers this process, and since when."""
+
+import asyncio
+import dataclasses
+
+from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_gateway.defaults import LAPSE_MS
+
+
+@dataclasses.dataclass(slots=True)
+class StoreHealth:
+    """When the store last failed and last answered this process.
+
+    Attributes
+    ----------
+    failed_ms, answered_ms, regained_ms : int or None
+        The last failure, the last answer, and the first answer behind a failure.
+    regained : asyncio.Event
+        Set, and replaced by another, when the store answers again.
+    """
+
+    failed_ms: int | None = None
+    answered_ms: int | None = None
+    regained_ms: int | None = None
+    regained: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    def note_answer(self, now_ms: int) -> None:
+        """Note that a call was answered."""
+        if self.failed_ms is not None and not self.answers:
+            log_event(Event.STORE_REGAINED, silent_ms=now_ms - self.failed_ms)
+            self.regained_ms = now_ms
+            self.regained.set()
+            self.regained = asyncio.Event()
+        self.answered_ms = now_ms
+
+    def note_lapse(self, now_ms: int, deleted: int) -> None:
+        """Note that the store has forgotten its leases."""
+        log_event(Event.LEASES_LAPSED, deleted=deleted)
+        self.regained_ms = now_ms
+
+    def note_restored(self, now_ms: int) -> None:
+        """Note that the store came back from an older copy, without its leases.
+
+        Others' registrations are missing until they have written them again, as behind
+        an outage; and whoever waits for the store's return reads all anew.
+        """
+        self.regained_ms = now_ms
+        self.regained.set()
+        self.regained = asyncio.Event()
+
+    def note_failure(self, now_ms: int, detail: str) -> None:
+        """Note that a call failed."""
+        if self.answers:
+            log_event(Event.STORE_LOST, detail=detail)
+        self.failed_ms = now_ms
+
+    @property
+    def answers(self) -> bool:
+        """Whether the last call was answered."""
+        if self.failed_ms is None:
+            return True
+        return self.answered_ms is not None and self.answered_ms > self.failed_ms
+
+    def settles_in_ms(self, now_ms: int) -> int:
+        """Return when to look again whether what is gone is gone, at the least."""
+        if not self.answers or self.regained_ms is None:
+            return LAPSE_MS // 4
+        return max(self.regained_ms + LAPSE_MS - now_ms, 0)
+
+    def settled(self, now_ms: int) -> bool:
+        """Whether the store has answered for so long that what is gone is gone."""
+        if self.regained_ms is None:
+            return self.failed_ms is None
+        return self.answers and now_ms - self.regained_ms >= LAPSE_MS
--- a/packages/standins/src/fuchsiahatch_standins/fleet_store.py
+++ b/packages/standins/src/fuchsiahatch_standins/fleet_store.py
@@ -183,7 +183,7 @@
         if self.faults.status or refused:
             exchange.respond(self.faults.status or 503, self._era_header())
             return
-        fields = dict(urllib.parse.parse_qsl(query))
+        fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         body = orjson.loads(exchange.body) if exchange.body else {}
         status, answer = await self._serve(path, fields, body)
         if self.faults.lose_writes and exchange.method != b"GET":
--- a/tests/gateway/sites.py
+++ b/tests/gateway/sites.py
@@ -84,21 +84,13 @@
         null = os.open(os.devnull, os.O_WRONLY)
         process = Process(make_settings(store_port), LineWriter(null, lambda: 0))
         self.entry = Entry(process)
-        self._followers = [
-            asyncio.ensure_future(follower.run())
-            for follower in (
-                self.entry._config,
-                self.entry._upstreams,
-                self.entry._held_items,
-            )
-        ]
+        self._following = asyncio.ensure_future(self.entry.follower.run())
         await until(lambda: self.entry.informed)
         self.port = await self.entry.callers.listen("127.0.0.1", 0)
         return self
 
     async def __aexit__(self, *exc_info):
-        for follower in self._followers:
-            follower.cancel()
+        self._following.cancel()
         await self.entry.callers.stop_accepting()
         for connection in tuple(self.entry.callers.connections):
             connection.abort()
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -5,12 +5,14 @@
 from fuchsiahatch_adapter.node_settings import Address, StoreAccess
 from fuchsiahatch_adapter.store import StoreClient
 from fuchsiahatch_core.clock import Clock
-from fuchsiahatch_gateway import following
-from fuchsiahatch_gateway.following import Follower, StoreHealth
+from fuchsiahatch_gateway import following, store_health
+from fuchsiahatch_gateway.following import Follower
+from fuchsiahatch_gateway.item_copies import ItemCopy
 from fuchsiahatch_gateway.registration import Registration
+from fuchsiahatch_gateway.store_health import StoreHealth
 from fuchsiahatch_http1.client import ConnectionPool
-from fuchsiahatch_standins.fleet_store import FleetStore
-from tests.gateway.sites import until
+from fuchsiahatch_standins.fleet_store import FleetStore, make_upstream_entry
+from tests.gateway.sites import Site, until
 from tests.loopback import run
 
 LAPSE_MS = 300
@@ -28,9 +30,7 @@
         self.clock = Clock()
         self.client = StoreClient(access, ConnectionPool(self.clock))
         self.health = StoreHealth()
-        self.follower = Follower(
-            self.client, "servers/", self.health, self.clock, lambda: None
-        )
+        self.follower, self.copy = self.follow("servers/")
         self.tasks = [asyncio.ensure_future(self.follower.run())]
         await until(lambda: self.follower.synced)
         return self
@@ -40,6 +40,12 @@
             task.cancel()
         await self.store.close()
 
+    def follow(self, prefix):
+        """Return a follower of the items below a prefix, and its copy."""
+        copy = ItemCopy(prefix, self.health, self.clock, lambda: None)
+        follower = Follower(self.client, prefix, self.health, self.clock, [copy])
+        return follower, copy
+
     def register(self):
         """Keep a registration in the store beside the follower."""
         own = Registration(
@@ -50,7 +56,7 @@
 
     @property
     def names(self):
-        return sorted(self.follower.items)
+        return sorted(self.copy.items)
 
 
 class TestFollower(unittest.TestCase):
@@ -113,6 +119,41 @@
 
         self.assertLessEqual(run(follow()), 6)
 
+    def test_a_loss_of_history_costs_one_watch_and_one_range_for_all_copies(self):
+        # Each entry watched four parts of the store: behind a loss of history and each
+        # start of a fleet it made four times the calls that one watch makes.
+        async def follow():
+            async with Site() as site:
+                upstreams = site.entry.fleet.upstreams
+                entry = make_upstream_entry("svc", "10.0.0.9:80")
+                site.store.put("servers/seen", entry)
+                await until(lambda: "seen" in upstreams)
+                before = len(site.store.calls)
+                site.store.put("servers/missed", entry)
+                site.store.compact()
+                await until(lambda: "missed" in upstreams)
+                await asyncio.sleep(0.3)
+                return site.store.calls[before:]
+
+        calls = run(follow())
+        self.assertLessEqual(len(calls), 3, calls)
+
+    def test_changes_in_series_are_asked_for_less_and_less_often(self):
+        # A storm of configurations, one each 80 ms for two seconds, cost ten calls of
+        # each process, and a stop of one host after the other one each.
+        async def follow():
+            async with Following() as one:
+                await asyncio.sleep(0.05)
+                before = len(one.store.calls)
+                for number in range(40):
+                    one.store.put("servers/a", {"n": number})
+                    await asyncio.sleep(0.08)
+                newest = b'{"n":39}'
+                await until(lambda: one.copy.items["a"].value == newest)
+                return len(one.store.calls) - before
+
+        self.assertLessEqual(run(follow()), 8)
+
     def test_what_lapsed_while_the_store_was_away_is_waited_for(self):
         # Every member is refused for two seconds after the store's return: the leases
         # of all upstreams ran out meanwhile, and their entries were gone for a moment.
@@ -132,7 +173,7 @@
                 one.store.put("servers/back", {})
                 await until(lambda: one.names == ["back"])
 
-        with mock.patch.object(following, "LAPSE_MS", LAPSE_MS):
+        with mock.patch.object(store_health, "LAPSE_MS", LAPSE_MS):
             run(follow())
 
     def test_what_goes_long_behind_a_return_is_waited_for_no_longer_than_the_rest(self):
@@ -150,7 +191,7 @@
                 await asyncio.sleep(0.4 * LONG_LAPSE_MS / 1000)
                 self.assertEqual(one.names, [])
 
-        with mock.patch.object(following, "LAPSE_MS", LONG_LAPSE_MS):
+        with mock.patch.object(store_health, "LAPSE_MS", LONG_LAPSE_MS):
             run(follow())
 
     def test_a_lapse_is_noticed_without_a_failed_call(self):
@@ -169,7 +210,7 @@
                 one.store.put("servers/0", {})
                 await until(lambda: one.names == ["0", "5"])
 
-        with mock.patch.object(following, "LAPSE_MS", LAPSE_MS):
+        with mock.patch.object(store_health, "LAPSE_MS", LAPSE_MS):
             run(follow())
 
     def test_a_watch_that_began_in_silence_is_begun_anew(self):
@@ -210,9 +251,7 @@
             async with Following() as one:
                 one.register()
                 for prefix in ("a/", "b/"):
-                    other = Follower(
-                        one.client, prefix, one.health, one.clock, lambda: None
-                    )
+                    other, _ = one.follow(prefix)
                     one.tasks.append(asyncio.ensure_future(other.run()))
                 await until(lambda: one.store.keys("fuchsiahatch/"))
                 one.store.faults.status = 503
@@ -267,7 +306,7 @@
         health.note_answer(9_000)
         # Nobody asked for eight seconds: the store may be back for a moment only.
         self.assertFalse(health.settled(9_000))
-        self.assertTrue(health.settled(9_000 + following.LAPSE_MS))
+        self.assertTrue(health.settled(9_000 + store_health.LAPSE_MS))
         health.note_failure(9_500, "503")
         health.note_answer(9_600)
         self.assertFalse(health.settled(9_700))
--- a/tests/gateway/test_held_requests.py
+++ b/tests/gateway/test_held_requests.py
@@ -6,13 +6,15 @@
 from fuchsiahatch_gateway.crashing_requests import HOLD_MS, CrashingRequests
 from fuchsiahatch_gateway.datagrams import CrashNotice
 from fuchsiahatch_gateway.defaults import HELD_PREFIX
-from fuchsiahatch_gateway.following import Follower, StoreHealth
+from fuchsiahatch_gateway.following import Follower
 from fuchsiahatch_gateway.held_requests import (
     WRITERS,
     HeldRecord,
     HeldRequests,
     decode_held_record,
 )
+from fuchsiahatch_gateway.item_copies import ItemCopy
+from fuchsiahatch_gateway.store_health import StoreHealth
 from tests.adapter.test_json_calls import Served
 from tests.gateway.sites import until
 from tests.loopback import run
@@ -27,16 +29,16 @@
         clock = Clock()
         self.requests = CrashingRequests(clock, lambda message: None)
         self.held = HeldRequests(store, self.requests, lambda: place)
-        self.follower = Follower(
-            store, HELD_PREFIX, StoreHealth(), clock, self.note_change
-        )
+        health = StoreHealth()
+        self.copy = ItemCopy(HELD_PREFIX, health, clock, self.note_change)
+        self.follower = Follower(store, HELD_PREFIX, health, clock, [self.copy])
         self.works = [
             asyncio.ensure_future(work)
             for work in (self.follower.run(), self.held.run())
         ]
 
     def note_change(self):
-        self.held.apply(self.follower.items)
+        self.held.apply(self.copy.items)
 
     @property
     def holds(self):
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -13,9 +13,11 @@
     LAPSE_MS,
 )
 from fuchsiahatch_gateway.fleet import Fleet, newest_by_address
-from fuchsiahatch_gateway.following import Follower, StoreHealth
+from fuchsiahatch_gateway.following import Follower
+from fuchsiahatch_gateway.item_copies import ItemCopy
 from fuchsiahatch_gateway.registration import Registration
 from fuchsiahatch_gateway.routes import RouteTable
+from fuchsiahatch_gateway.store_health import StoreHealth
 from fuchsiahatch_standins.fleet_store import PAGE_ITEMS, make_upstream_entry
 from tests.adapter.test_json_calls import Served
 from tests.gateway.sites import Site, answers, dump, make_configuration, until, upstream
@@ -79,17 +81,17 @@
                 self.assertEqual(run(read(first)), [1])
 
 
-def value_of(follower, name):
-    found = follower.items.get(name)
+def value_of(copy, name):
+    found = copy.items.get(name)
     return None if found is None else found.value
 
 
-async def lose_ten(store, follower):
+async def lose_ten(store, followed):
     """Let the store come back without the last ten changes that a follower has seen."""
     copy = store.copy()
     for number in range(10):
         store.put("s/b", b"lost %d" % number)
-    await until(lambda: value_of(follower, "b") == b"lost 9")
+    await until(lambda: value_of(followed, "b") == b"lost 9")
     store.restore(copy)
 
 
@@ -103,12 +105,13 @@
                 served.client.on_restored = lambda: health.note_restored(
                     Clock().now_ms()
                 )
-                follower = Follower(served.client, "s/", health, Clock(), lambda: None)
+                copy = ItemCopy("s/", health, Clock(), lambda: None)
+                follower = Follower(served.client, "s/", health, Clock(), [copy])
                 served.store.put("s/a", b"first")
                 task = asyncio.ensure_future(follower.run())
                 await until(lambda: follower.synced)
                 try:
-                    return await work(served.store, follower)
+                    return await work(served.store, copy, follower)
                 finally:
                     task.cancel()
 
@@ -118,8 +121,8 @@
         # An operator's change is in force everywhere but on one host: it was cut off
         # while the store went back by ten revisions and gave them out again, and its
         # watch goes on behind all that was written meanwhile.
-        async def work(store, follower):
-            await lose_ten(store, follower)
+        async def work(store, followed, follower):
+            await lose_ten(store, followed)
             store.put("s/c", b"second time")
             for number in range(20):
                 store.put("other", b"%d" % number)
@@ -127,32 +130,32 @@
             await until(lambda: store.calls[-1].endswith("watch"))
             await asyncio.sleep(0.1)
             store.put("s/d", b"above")
-            await until(lambda: "c" in follower.items)
-            return follower.items["c"].value
+            await until(lambda: "c" in followed.items)
+            return followed.items["c"].value
 
         self.assertEqual(self.follow(work), b"second time")
 
     def test_a_watch_that_waits_is_given_up_once_any_call_tells_the_era(self):
         # The same, and nothing else is written for half a minute.
-        async def work(store, follower):
-            await lose_ten(store, follower)
+        async def work(store, followed, follower):
+            await lose_ten(store, followed)
             store.put("s/c", b"second time")
             for number in range(20):
                 store.put("other", b"%d" % number)
             await asyncio.sleep(1.2)
             await follower._store.ping()
-            await until(lambda: "c" in follower.items)
-            return follower.items["c"].value
+            await until(lambda: "c" in followed.items)
+            return followed.items["c"].value
 
         self.assertEqual(self.follow(work), b"second time")
 
     def test_what_is_written_again_at_a_lower_revision_is_taken(self):
         # An entry is named by no lookup for as long as it lives: it has registered
         # again, at a revision below the one that others know of it.
-        async def work(store, follower):
-            await lose_ten(store, follower)
+        async def work(store, followed, follower):
+            await lose_ten(store, followed)
             store.put("s/b", b"again")
-            await until(lambda: value_of(follower, "b") == b"again")
+            await until(lambda: value_of(followed, "b") == b"again")
             return True
 
         self.assertTrue(self.follow(work))
@@ -160,39 +163,39 @@
     def test_what_is_written_again_behind_the_reading_is_taken(self):
         # The same, and it registers a second after the others have read all anew: it is
         # dropped at the end of the time for which it was held.
-        async def work(store, follower):
-            await lose_ten(store, follower)
+        async def work(store, followed, follower):
+            await lose_ten(store, followed)
             await until(lambda: follower._era == 2)
             store.put("s/b", b"again")
-            await until(lambda: value_of(follower, "b") == b"again", 2.0)
+            await until(lambda: value_of(followed, "b") == b"again", 2.0)
             await asyncio.sleep(LAPSE_MS / 1000 + 0.3)
-            return value_of(follower, "b")
+            return value_of(followed, "b")
 
         self.assertEqual(self.follow(work), b"again")
 
     def test_what_is_missing_is_held_until_its_owner_could_have_written_it(self):
-        async def work(store, follower):
+        async def work(store, followed, follower):
             copy = store.copy()
             store.put("s/b", b"lost")
-            await until(lambda: "b" in follower.items)
+            await until(lambda: "b" in followed.items)
             store.restore(copy)
             await until(lambda: follower._era == 2)
             await asyncio.sleep(LAPSE_MS / 2000)
-            held = "b" in follower.items
-            await until(lambda: "b" not in follower.items, LAPSE_MS / 1000)
+            held = "b" in followed.items
+            await until(lambda: "b" not in followed.items, LAPSE_MS / 1000)
             return held
 
         self.assertTrue(self.follow(work))
 
     def test_two_returns_in_a_row(self):
-        async def work(store, follower):
+        async def work(store, followed, follower):
             copy = store.copy()
             store.put("s/b", b"lost")
             store.restore(copy)
             await asyncio.sleep(0.05)
             store.restore(copy)
             store.put("s/d", b"here")
-            await until(lambda: "d" in follower.items)
+            await until(lambda: "d" in followed.items)
             return follower._era
 
         self.assertEqual(self.follow(work), 3)
