--- a/packages/gateway/src/fuchsiahatch_gateway/agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/agent.py
@@ -15,6 +15,7 @@
 from fuchsiahatch_experts.rank_orders import OrderResult
 from fuchsiahatch_gateway.datagrams import (
     DatagramPort,
+    EntryBeat,
     Message,
     OrderRelay,
     OrderReply,
@@ -25,8 +26,8 @@
     TakeoverNotice,
 )
 from fuchsiahatch_gateway.defaults import (
+    AGENT_PORT_OFFSET,
     ENGINES_PREFIX,
-    ENTRIES_PREFIX,
     KEY_PREFIX,
     LEADERS_PREFIX,
     REPORT_MS,
@@ -34,6 +35,7 @@
     STORE_RETRY_MS,
 )
 from fuchsiahatch_gateway.engine_figures import EngineFigures, decode_engine_figures
+from fuchsiahatch_gateway.entry_peers import EntryPeers
 from fuchsiahatch_gateway.fleet import newest_by_address
 from fuchsiahatch_gateway.following import Follower
 from fuchsiahatch_gateway.group_leader import Authority, GroupLeader
@@ -45,7 +47,6 @@
     decode_leader,
     term_of,
 )
-from fuchsiahatch_gateway.lookups import EntryRecord, decode_entry
 from fuchsiahatch_gateway.order_relays import request_of
 from fuchsiahatch_gateway.rank_agent import RankAgent
 from fuchsiahatch_gateway.reporting import ChoicesTurn, Reporter
@@ -57,8 +58,6 @@
     from fuchsiahatch_adapter.upstreams import EngineReport
     from fuchsiahatch_gateway.process import Process
 
-#: Port of agents' datagrams among the internal ones; entries use the first.
-AGENT_PORT_OFFSET = 1
 #: How often an agent asks the store for little. An entry renews a lease each second,
 #: an agent would not notice that the store is back before its watch ends.
 STORE_POLL_MS = 2_000
@@ -77,8 +76,6 @@
         assert settings.beside is not None
         self._process = process
         self._clock = clock
-        self._entries: dict[str, EntryRecord] = {}
-        self._records = ItemDecoder(decode_entry)
         self._leader_items = ItemDecoder(decode_leader)
         self._leaders: dict[str, LeaderRecord] = {}
         self._figure_items = ItemDecoder(decode_engine_figures)
@@ -86,6 +83,7 @@
         self._upstream_address = str(settings.beside)
         self.store = StoreClient(settings.store, ConnectionPool(clock))
         self._engines_pool = ConnectionPool(clock)
+        self._entries = EntryPeers(self.store, clock)
         self.upstream = ModelEngine(settings.beside, self._engines_pool)
         self.health = StoreHealth()
         self.datagrams = DatagramPort(self._take_message)
@@ -102,7 +100,6 @@
         self._reporter = Reporter(
             self.rank, self.datagrams, clock, settings.link_bytes_per_s
         )
-        self._entry_copy = self._copy(ENTRIES_PREFIX, self._apply_entries)
         self._leader_copy = self._copy(LEADERS_PREFIX, self._apply_leaders)
         self._figure_copy = self._copy(ENGINES_PREFIX, self._apply_figures)
         self._era_copy = self._copy(SETTLED_ERA_KEY, self._apply_era)
@@ -111,7 +108,7 @@
             KEY_PREFIX,
             self.health,
             clock,
-            (self._entry_copy, self._leader_copy, self._figure_copy, self._era_copy),
+            (self._leader_copy, self._figure_copy, self._era_copy),
         )
         self._failing = False
         self.store.on_restored = self._note_restored
@@ -120,6 +117,7 @@
         """Report and take orders until SIGTERM."""
         process, settings = self._process, self._process.settings
         process.keep_running(self._follower.run())
+        process.keep_running(self._entries.read_for_ever())
         ip, port = self.peer
         reactor.listenUDP(port, self.datagrams, interface=ip)
         self._add_gauges()
@@ -166,7 +164,7 @@
         if self._failing:
             log_event(Event.UPSTREAM_ANSWERS, epoch=state.report.epoch)
         self._failing = False
-        self._reporter.send_load(self._entries.values())
+        self._reporter.send_load(self._entries.peers)
         self._send_state(state)
 
     def _send_state(self, state: RankState) -> None:
@@ -341,9 +339,6 @@
     def _copy(self, prefix: str, apply: t.Callable[[], None]) -> ItemCopy:
         return ItemCopy(prefix, self.health, self._clock, apply)
 
-    def _apply_entries(self) -> None:
-        self._entries = self._records.decode_all(self._entry_copy.items)
-
     def _apply_leaders(self) -> None:
         led = self._leader_copy.items
         self._leaders = {
@@ -386,6 +381,9 @@
         if isinstance(message, RankState):
             for own in self._led():
                 own.take_state(message, peer)
+        elif isinstance(message, EntryBeat):
+            self._entries.take(message, peer)
+            self._reporter.answer(peer)
         elif isinstance(message, StandbyNotice):
             self.takeovers.note(message)
         elif isinstance(message, TakeoverNotice) and self._follower.synced:
--- a/packages/gateway/src/fuchsiahatch_gateway/defaults.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/defaults.py
@@ -24,10 +24,11 @@
 REPORT_MS = 100
 #: Age beyond which an upstream's load report counts for nothing.
 LOAD_LIMIT_MS = 1_000
-#: Prefix of all our keys in the store.
+#: Prefix of the keys in the store that each agent follows.
 KEY_PREFIX = "fuchsiahatch/"
-#: Registrations of entries, by node.
-ENTRIES_PREFIX = KEY_PREFIX + "entries/"
+#: Registrations of entries, by node. Outside `KEY_PREFIX`: each start and end of one
+#: would be a call of each agent.
+ENTRIES_PREFIX = "fuchsiahatch-entries/"
 #: Leaders of rank groups, by group.
 LEADERS_PREFIX = KEY_PREFIX + "leaders/"
 #: What leaders of rank groups need of the configuration, by service.
@@ -37,6 +38,8 @@
 #: Requests that are held back, by fingerprint. Outside `KEY_PREFIX`, which each agent
 #: follows: they are no matter of agents.
 HELD_PREFIX = "fuchsiahatch-held/"
+#: Port of agents' datagrams among the internal ones; entries use the first.
+AGENT_PORT_OFFSET = 1
 #: Time that callers may keep a lookup answer.
 LOOKUP_TTL_S = 2
 #: Entries that one lookup answer names at most.
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -14,6 +14,7 @@
 )
 from fuchsiahatch_adapter.store import StoreClient
 from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_gateway.agent_greeter import AgentGreeter
 from fuchsiahatch_gateway.crashing_requests import CrashingRequests
 from fuchsiahatch_gateway.datagrams import (
     Clearance,
@@ -28,6 +29,7 @@
     RateNotice,
 )
 from fuchsiahatch_gateway.defaults import (
+    AGENT_PORT_OFFSET,
     ENTRIES_PREFIX,
     GRACE_RESERVE_MS,
     HELD_PREFIX,
@@ -75,9 +77,12 @@
 CONNECT_MS = 300
 #: How often a starting entry looks whether it knows enough to serve.
 INFORMED_POLL_MS = 10
-#: Time behind the start for which callers wait for an entry that isn't informed yet. A
-#: caller leaves a request that isn't read within a third of its time, of 1 s at least.
+#: Time behind the start for which callers wait for an entry that isn't informed yet:
+#: together with the 0.2 s of loading before it, less than the second in which a caller
+#: leaves what isn't read. Whoever is refused meanwhile has one try left.
 EARLY_LIMIT_MS = 300
+#: How often an entry looks whether agents are to be told of it.
+GREET_POLL_MS = 100
 #: How often a stopping entry looks whether it is idle.
 IDLE_POLL_MS = 50
 
@@ -112,6 +117,13 @@
         self.store = StoreClient(settings.store, ConnectionPool(clock))
         self.health = StoreHealth()
         self.fleet = Fleet(settings.zone, clock, self._rng)
+        self.greeter = AgentGreeter(
+            settings.node,
+            self.fleet,
+            self.datagrams,
+            settings.internal_ports[0] + AGENT_PORT_OFFSET,
+            clock,
+        )
         self.fleet.on_gone = self._drop_connections
         self.fleet.engine_of = self.routes.engine_of
         self.permits = Permits(
@@ -190,6 +202,7 @@
         process.keep_running(self.held.run())
         port = settings.internal_ports[0]
         reactor.listenUDP(port, self.datagrams, interface=settings.ip)
+        process.keep_running(self._greet_for_ever())
         self._add_gauges()
         process.keep_running(process.log_store_calls(self.store.calls))
         await process.serve_metrics()
@@ -239,6 +252,11 @@
             self._early = None
         self._listening = True
 
+    async def _greet_for_ever(self) -> None:
+        while not self._leaving:
+            self.greeter.greet()
+            await asyncio.sleep(GREET_POLL_MS / 1000)
+
     async def _beat_for_ever(self) -> None:
         """Tell other entries of this one while the store can't."""
         while True:
--- a/packages/gateway/src/fuchsiahatch_gateway/reporting.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/reporting.py
@@ -5,12 +5,18 @@
 
 from msgspec import structs
 
-from fuchsiahatch_gateway.datagrams import DatagramPort, LoadReport, RankState, encode
+from fuchsiahatch_gateway.datagrams import (
+    DatagramPort,
+    LoadReport,
+    Peer,
+    RankState,
+    encode,
+)
 from fuchsiahatch_gateway.defaults import REPORT_MS
 
 if t.TYPE_CHECKING:
+    from fuchsiahatch_adapter.upstreams import EngineReport
     from fuchsiahatch_core.clock import Clock
-    from fuchsiahatch_gateway.lookups import EntryRecord
     from fuchsiahatch_gateway.rank_agent import RankAgent
 
 #: Share of the leader's link that all ranks' choices may take together. At 63 ranks of
@@ -136,7 +142,7 @@
             return state
         return structs.replace(state, report=structs.replace(report, experts=None))
 
-    def send_load(self, entries: t.Collection["EntryRecord"]) -> None:
+    def send_load(self, entries: t.Collection[Peer]) -> None:
         """Tell the entries of the engine's load, if they are due to hear of it."""
         seen, now_ms = self._rank.seen, self._clock.now_ms()
         if seen is None:
@@ -150,6 +156,16 @@
         self._load_ms = now_ms
         self._told_load = seen.queued + seen.running
         self._told_open = seen.open
+        data = self._encode_load(seen)
+        for peer in entries:
+            self._datagrams.send_encoded(data, peer)
+
+    def answer(self, entry: Peer) -> None:
+        """Tell an entry that has asked of the engine's load."""
+        if self._rank.seen is not None:
+            self._datagrams.send_encoded(self._encode_load(self._rank.seen), entry)
+
+    def _encode_load(self, seen: "EngineReport") -> bytes:
         load = LoadReport(
             self._rank.address,
             seen.queued,
@@ -160,9 +176,7 @@
             round(self._rank.pass_ms, 1),
             seen.born_ms,
         )
-        data = encode(load)
-        for entry in entries:
-            self._datagrams.send_encoded(data, entry.peer)
+        return encode(load)
 
     def _matters(self, load: int) -> bool:
         """Return whether a load differs from what was told, near the last place."""
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -49,7 +49,7 @@
     def register(self):
         """Keep a registration in the store beside the follower."""
         own = Registration(
-            self.client, "fuchsiahatch/entries/e", b"{}", self.health, self.clock
+            self.client, "fuchsiahatch-entries/e", b"{}", self.health, self.clock
         )
         self.tasks.append(asyncio.ensure_future(own.run()))
         return own
@@ -220,7 +220,7 @@
         async def follow():
             async with Following() as one:
                 one.register()
-                await until(lambda: one.store.keys("fuchsiahatch/"))
+                await until(lambda: one.store.keys("fuchsiahatch-entries/"))
                 one.store.faults.silent = True
                 one.store.cut()
                 await asyncio.sleep(1.5)
@@ -253,7 +253,7 @@
                 for prefix in ("a/", "b/"):
                     other, _ = one.follow(prefix)
                     one.tasks.append(asyncio.ensure_future(other.run()))
-                await until(lambda: one.store.keys("fuchsiahatch/"))
+                await until(lambda: one.store.keys("fuchsiahatch-entries/"))
                 one.store.faults.status = 503
                 one.store.cut()
                 before = len(one.store.calls)
@@ -274,12 +274,12 @@
         async def register():
             async with Following() as one:
                 own = one.register()
-                await until(lambda: one.store.keys("fuchsiahatch/"))
+                await until(lambda: one.store.keys("fuchsiahatch-entries/"))
                 one.store.end_leases()
-                self.assertEqual(one.store.keys("fuchsiahatch/"), [])
-                await until(lambda: one.store.keys("fuchsiahatch/"), 2.0)
+                self.assertEqual(one.store.keys("fuchsiahatch-entries/"), [])
+                await until(lambda: one.store.keys("fuchsiahatch-entries/"), 2.0)
                 await own.withdraw()
-                await until(lambda: not one.store.keys("fuchsiahatch/"), 1.0)
+                await until(lambda: not one.store.keys("fuchsiahatch-entries/"), 1.0)
 
         run(register())
 
@@ -289,10 +289,10 @@
         async def register():
             async with Following() as one:
                 own = one.register()
-                await until(lambda: one.store.keys("fuchsiahatch/"))
+                await until(lambda: one.store.keys("fuchsiahatch-entries/"))
                 await own.withdraw()
                 await asyncio.sleep(1.5)
-                return one.store.keys("fuchsiahatch/")
+                return one.store.keys("fuchsiahatch-entries/")
 
         self.assertEqual(run(register()), [])
 
--- a/tests/gateway/test_inspection.py
+++ b/tests/gateway/test_inspection.py
@@ -60,7 +60,7 @@
             store = FleetStore()
             port = await store.listen()
             store.put("op/config", make_configuration(7))
-            store.put("fuchsiahatch/entries/e-1", {"zone": "a", "callers": "1:2"})
+            store.put("fuchsiahatch-entries/e-1", {"zone": "a", "callers": "1:2"})
             store.put("fuchsiahatch/leaders/g-1", {"node": "s-1"})
             store.put("servers/i-1", {"service": "svc", "state": "ready"})
             held = {"held": True, "upstreams": ["i-1@5", "i-2@7"]}
--- a/tests/gateway/test_reporting.py
+++ b/tests/gateway/test_reporting.py
@@ -12,7 +12,7 @@
     Reporter,
 )
 
-ENTRIES = [types.SimpleNamespace(peer=("10.0.0.1", port)) for port in range(30)]
+ENTRIES = [("10.0.0.1", port) for port in range(30)]
 
 
 class TestReporter(unittest.TestCase):
--- a/tests/gateway/test_spread.py
+++ b/tests/gateway/test_spread.py
@@ -120,7 +120,7 @@
 
     def __init__(self, entries, engines, places, per_s, seed=1):
         super().__init__(entries, engines, places, per_s, REPORT_MS, seed)
-        self.entries = [types.SimpleNamespace(peer=fleet) for fleet in self.fleets]
+        self.entries = list(self.fleets)
         self.sent = 0
         port = types.SimpleNamespace(send_encoded=self.deliver)
         self.ranks = [
--- a/tests/processes/test_crashing_requests.py
+++ b/tests/processes/test_crashing_requests.py
@@ -37,7 +37,7 @@
         for ip in IPS:
             await self.until_ready(ip)
         # Each must know where to tell the others.
-        await until(lambda: len(self.store.keys("fuchsiahatch/entries/")) == len(IPS))
+        await until(lambda: len(self.store.keys("fuchsiahatch-entries/")) == len(IPS))
         await asyncio.sleep(1.2)
         return self
 
--- a/tests/processes/test_restored_store.py
+++ b/tests/processes/test_restored_store.py
@@ -51,7 +51,7 @@
                 store.faults.status = 0
                 store.restore(copy)
                 began = time.monotonic()
-                await until(lambda: store.keys("fuchsiahatch/entries/"), BACK_S)
+                await until(lambda: store.keys("fuchsiahatch-entries/"), BACK_S)
                 back_s = time.monotonic() - began
                 statuses, bodies = set(), set()
                 while time.monotonic() - began < 2 * BACK_S:
