--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -80,7 +80,7 @@
 #: Time behind the start for which callers wait for an entry that isn't informed yet:
 #: together with the 0.2 s of loading before it, less than the second in which a caller
 #: leaves what isn't read. Whoever is refused meanwhile has one try left.
-EARLY_LIMIT_MS = 300
+EARLY_LIMIT_MS = 700
 #: How often an entry looks whether agents are to be told of it.
 GREET_POLL_MS = 100
 #: How often a stopping entry looks whether it is idle.
