--- a/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
@@ -284,6 +284,21 @@
     fingerprint: _Fingerprint
 
 
+class LateNotice(msgspec.Struct, frozen=True, array_like=True, tag=13):
+    """Word of an entry to all others that an upstream owes it an answer for too long.
+
+    Attributes
+    ----------
+    upstream : str
+        Its instance.
+    born_ms : int
+        Start of the life that owes it.
+    """
+
+    upstream: str
+    born_ms: _Count
+
+
 Message = (
     LoadReport
     | RankState
@@ -298,6 +313,7 @@
     | RateNotice
     | CrashNotice
     | Clearance
+    | LateNotice
 )
 
 _DECODER = msgspec.msgpack.Decoder(Message)
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -32,6 +32,7 @@
     from fuchsiahatch_core.clock import Clock
     from fuchsiahatch_gateway.crashing_requests import CrashingRequests
     from fuchsiahatch_gateway.known_upstream import Upstream
+    from fuchsiahatch_gateway.late_upstreams import LateUpstreams
     from fuchsiahatch_gateway.placing import Placer
     from fuchsiahatch_gateway.request_log import RequestLog
     from fuchsiahatch_gateway.retry_budget import RetryBudget
@@ -64,6 +65,7 @@
     log : RequestLog
     crashing : CrashingRequests
     crashes : UpstreamCrashes
+    late : LateUpstreams
     clock : Clock
     rng : random.Random
     on_head : callable, optional
@@ -75,6 +77,7 @@
         "_clock",
         "_crashes",
         "_crashing",
+        "_late",
         "_log",
         "_on_head",
         "_placer",
@@ -92,6 +95,7 @@
         log: "RequestLog",
         crashing: "CrashingRequests",
         crashes: "UpstreamCrashes",
+        late: "LateUpstreams",
         clock: "Clock",
         rng: random.Random,
         on_head: t.Callable[["Upstream", "Head"], None] = lambda upstream, head: None,
@@ -104,6 +108,7 @@
         self._log = log
         self._crashing = crashing
         self._crashes = crashes
+        self._late = late
         self._clock = clock
         self._rng = rng
 
@@ -218,6 +223,13 @@
     async def _try(self, job: Job, upstream: "Upstream") -> Outcome:
         sent_ms = self._clock.now_ms()
         left_ms = job.ends_ms - sent_ms
+        late = self._expect_answer(job, upstream)
+
+        def note_head(head: "Head") -> None:
+            if late is not None:
+                late.cancel()
+            self._on_head(upstream, head)
+
         one = Try(
             upstream,
             job.match.team.name,
@@ -228,7 +240,7 @@
             lambda: self._could_move(job),
             job.events,
             lambda: job.note_event(self._clock.now_ms()),
-            lambda head: self._on_head(upstream, head),
+            note_head,
         )
         was_started = job.exchange.started
         may_have_run = True
@@ -240,6 +252,8 @@
             outcome = await run_try(job.exchange, self._pool, one)
             may_have_run = outcome.result in (Result.ANSWERED, Result.BROKEN)
         finally:
+            if late is not None:
+                late.cancel()
             job.may_have_run = job.may_have_run or may_have_run
             self._placer.give_back(upstream)
         outcome.events = job.last_event_ms is not None and job.last_event_ms >= sent_ms
@@ -249,6 +263,14 @@
         self._learn(upstream, outcome, sent_ms, was_started)
         return outcome
 
+    def _expect_answer(
+        self, job: Job, upstream: "Upstream"
+    ) -> asyncio.TimerHandle | None:
+        if job.events is not None:
+            # An agent tells of an engine, and all ranks of its group are late together.
+            return None
+        return self._late.expect(upstream, job.match.route.objective_ms)
+
     def _could_move(self, job: Job) -> bool:
         # Only a stream: whatever else runs is nearly done.
         return job.events is not None and self._could_be_sent_again(job)
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -21,6 +21,7 @@
     CrashNotice,
     DatagramPort,
     EntryBeat,
+    LateNotice,
     LoadReport,
     Message,
     Peer,
@@ -44,6 +45,7 @@
 from fuchsiahatch_gateway.held_requests import HeldRequests
 from fuchsiahatch_gateway.item_copies import ItemCopy
 from fuchsiahatch_gateway.item_decoding import ItemDecoder
+from fuchsiahatch_gateway.late_upstreams import LateUpstreams
 from fuchsiahatch_gateway.lookups import (
     EntryRecord,
     choose_addresses,
@@ -152,6 +154,7 @@
             clock,
         )
         self.fleet.on_restarted = self.crashes.note_restart
+        self.late = LateUpstreams(clock, self.fleet.upstreams, self._tell_others)
         self.held = HeldRequests(self.store, self.crashing, self._place)
         self.delivery = Delivery(
             self.routes,
@@ -161,6 +164,7 @@
             RequestLog(RequestMetrics(process.registry), clock, self._rng),
             self.crashing,
             self.crashes,
+            self.late,
             clock,
             self._rng,
             self._note_head,
@@ -365,6 +369,8 @@
                 self.datagrams.send(answer, peer)
         elif isinstance(message, Clearance):
             self.crashing.take_clearance(message)
+        elif isinstance(message, LateNotice):
+            self.late.take(message)
 
     def _place(self) -> int | None:
         """Return this entry's place among all that live, or None before it is one."""
@@ -383,7 +389,9 @@
     def _note_head(self, upstream: "Upstream", head: "Head") -> None:
         self.rates.note_answer(upstream, head.header(RATE_LIMIT))
 
-    def _tell_others(self, notice: RateNotice | CrashNotice | Clearance) -> None:
+    def _tell_others(
+        self, notice: RateNotice | CrashNotice | Clearance | LateNotice
+    ) -> None:
         for peer in self._beats.peers(self._entries):
             self.datagrams.send(notice, peer)
 
--- a/tests/gateway/delivery_model.py
+++ b/tests/gateway/delivery_model.py
@@ -15,6 +15,7 @@
 from fuchsiahatch_gateway.crashing_requests import CrashingRequests
 from fuchsiahatch_gateway.delivery import Delivery
 from fuchsiahatch_gateway.fleet import Fleet
+from fuchsiahatch_gateway.late_upstreams import LateUpstreams
 from fuchsiahatch_gateway.placing import Placer
 from fuchsiahatch_gateway.retry_budget import RetryBudget
 from fuchsiahatch_gateway.routes import RouteTable
@@ -156,6 +157,7 @@
                 lambda instance: instance in self.fleet.upstreams,
                 self.clock,
             ),
+            LateUpstreams(self.clock, self.fleet.upstreams, lambda notice: None),
             self.clock,
             rng,
         )
--- /dev/null
+++ b/tests/gateway/test_late_upstreams.py
@@ -0,0 +1,152 @@
+import asyncio
+import heapq
+import itertools
+import random
+import unittest
+from unittest import mock
+
+import orjson
+
+from fuchsiahatch_adapter.store import Item
+from fuchsiahatch_core.clock import ManualClock
+from fuchsiahatch_gateway.datagrams import LateNotice
+from fuchsiahatch_gateway.fleet import Fleet
+from fuchsiahatch_gateway.late_upstreams import TELL_PAUSE_MS, LateUpstreams
+from fuchsiahatch_standins.fleet_store import make_upstream_entry
+from tests.gateway.sites import Site, answers, upstream
+from tests.loopback import run
+
+ENTRIES, UPSTREAMS = 38, 3
+#: Holds of a booking a second, the objective of one, and its time limit.
+PER_S, OBJECTIVE_MS, LIMIT_MS = 15.2, 257, 1_200
+ANSWER_MS = (20, 110)
+#: When one upstream begins to answer nothing, and for how long.
+HANGS_MS, HANGS_FOR_MS = 8_000, 6_400
+
+
+def answers_late(delay_s):
+    async def script(request, wire):
+        await asyncio.sleep(delay_s)
+        await answers()(request, wire)
+
+    return script
+
+
+class PlayedHolds:
+    """Entries that send holds to three upstreams, one of which answers none."""
+
+    def __init__(self, seed, told):
+        self.rng = random.Random(seed)
+        self.clock = ManualClock()
+        self.started_ms = self.clock.now_ms()
+        self.told = told
+        items = {}
+        for at in range(UPSTREAMS):
+            fields = make_upstream_entry(
+                "svc", f"10.0.0.{at}:80", slots=6, zone="abc"[at]
+            )
+            items[f"i{at}"] = Item(f"servers/i{at}", orjson.dumps(fields), 1, 1)
+        self.fleets, self.late = [], []
+        for at in range(ENTRIES):
+            fleet = Fleet("abc"[at % 3], self.clock, random.Random(seed + at))
+            fleet.apply(items)
+            self.fleets.append(fleet)
+            self.late.append(
+                LateUpstreams(
+                    self.clock,
+                    fleet.upstreams,
+                    lambda notice, at=at: self.tell(at, notice),
+                )
+            )
+        self.turns = []
+        self.numbers = itertools.count()
+        self.lost = 0
+
+    def play(self):
+        """Return how many holds were sent to an upstream that answered none."""
+        self.plan(0, self.arrive)
+        while self.turns[0][0] < HANGS_MS + HANGS_FOR_MS:
+            at_ms, _, act, arguments = heapq.heappop(self.turns)
+            self.clock.advance(at_ms - self.now_ms)
+            act(*arguments)
+        return self.lost
+
+    @property
+    def now_ms(self):
+        return self.clock.now_ms() - self.started_ms
+
+    def plan(self, after_ms, act, *arguments):
+        turn = (self.now_ms + after_ms, next(self.numbers), act, arguments)
+        heapq.heappush(self.turns, turn)
+
+    def arrive(self):
+        self.plan(round(self.rng.expovariate(PER_S) * 1000), self.arrive)
+        at = self.rng.randrange(ENTRIES)
+        chosen = self.fleets[at].choose("svc", ())
+        chosen.own += 1
+        if chosen.entry.instance == "i0" and self.now_ms >= HANGS_MS:
+            self.lost += 1
+            self.plan(OBJECTIVE_MS, self.late[at].note, chosen)
+            self.plan(LIMIT_MS, self.fail, chosen)
+            return
+        took_ms = self.rng.randint(*ANSWER_MS)
+        self.plan(took_ms, self.answer, chosen, took_ms)
+
+    def answer(self, chosen, took_ms):
+        chosen.own -= 1
+        chosen.note_latency(took_ms)
+
+    def fail(self, chosen):
+        chosen.own -= 1
+        chosen.note_failure(self.clock.now_ms())
+
+    def tell(self, sender, notice):
+        for at, late in enumerate(self.late):
+            if self.told and at != sender and self.rng.random() > 0.025:
+                late.take(notice)
+
+
+class TestLateUpstreams(unittest.TestCase):
+    def test_holds_lost_to_an_upstream_that_answers_none_are_few(self):
+        # 15 holds of a booking failed in six seconds: each of 38 entries learnt by its
+        # own loss that one of three upstreams took requests and answered none.
+        alone = sum(PlayedHolds(seed, told=False).play() for seed in range(10))
+        told = sum(PlayedHolds(seed, told=True).play() for seed in range(10))
+        self.assertGreater(alone, 100)
+        self.assertLess(told, alone / 2)
+
+    def test_another_life_of_the_upstream_is_not_blamed(self):
+        played = PlayedHolds(1, told=True)
+        played.late[0].take(LateNotice("i0", 77))
+        first = played.fleets[0].upstreams["i0"]
+        self.assertEqual(first.failures(played.clock.now_ms()), 0.0)
+
+    def test_others_are_told_once_in_a_while(self):
+        sent = []
+        played = PlayedHolds(1, told=True)
+        known = played.fleets[0].upstreams
+        late = LateUpstreams(played.clock, known, sent.append)
+        late.note(known["i0"])
+        late.note(known["i0"])
+        played.clock.advance(TELL_PAUSE_MS)
+        late.note(known["i0"])
+        self.assertEqual(sent, [LateNotice("i0", 0)] * 2)
+
+
+class TestEntry(unittest.TestCase):
+    def count_late(self, path, delay_s):
+        async def play():
+            one = upstream(answers_late(delay_s))
+            async with Site(one) as site:
+                await site.ask(path)
+
+        with mock.patch.object(LateUpstreams, "note") as noted:
+            run(play())
+        return noted.call_count
+
+    def test_an_answer_behind_the_objective_is_noted_while_it_is_owed(self):
+        self.assertEqual(self.count_late("/hold/", 0.5), 1)
+        self.assertEqual(self.count_late("/hold/", 0.0), 0)
+
+    def test_streams_are_left_to_the_agents(self):
+        self.assertEqual(self.count_late("/brief/", 0.5), 0)
