--- a/packages/gateway/src/fuchsiahatch_gateway/order_sender.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/order_sender.py
@@ -237,6 +237,10 @@
         if in_force is None:
             return NO_BASE, None
         base, known = in_force
+        if self._own.known_map(base, self._ranks) is None:
+            # This agent has started anew, and so may have all others: asked one by one
+            # whether they know the map, they are told whole ones one by one.
+            return NO_BASE, None
         if base == 0 and known != first_map(
             len(known), self._own.experts_per_layer, self._ranks
         ):
--- a/tests/gateway/test_order_sender.py
+++ b/tests/gateway/test_order_sender.py
@@ -26,11 +26,14 @@
                 (order.rank, result)
             ),
         )
+        self.own = types.SimpleNamespace(
+            experts_per_layer=EXPERTS, known_map=lambda version, ranks: MAP
+        )
         self.sender = OrderSender(
             "g",
             40,
             RANKS,
-            types.SimpleNamespace(experts_per_layer=EXPERTS),
+            self.own,
             self.port,
             self.switch,
             OrderPacer(LINK_BYTES_PER_S, 0),
@@ -84,6 +87,18 @@
         told = {target.rank for message in relays for target in message.targets}
         self.assertEqual(told, set(range(1, RANKS)))
 
+    def test_a_leader_that_has_started_anew_tells_whole_maps_at_once(self):
+        # Behind a kill of all processes the first change of 72 ranks took 1.6 s: each
+        # agent was asked whether it knew the map, and told the whole one by itself.
+        self.switch.phase = Phase.COPYING
+        self.own.known_map = lambda version, ranks: None
+        sent = self.clear(0)
+        self.assertLess(sum(map(len, sent)), 0.1 * LINK_BYTES_PER_S)
+        relays = [message for message, _ in self.port.sent]
+        self.assertEqual({message.change.base for message in relays}, {NO_BASE})
+        told = {target.rank for message in relays for target in message.targets}
+        self.assertEqual(told, set(range(1, RANKS)))
+
     def test_some_that_lack_the_map_do_not_change_what_others_are_told(self):
         self.clear(0)
         lacking = self.port.sent[0][0].targets[0]
