--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -40,6 +40,7 @@
 from fuchsiahatch_gateway.delivery import Delivery
 from fuchsiahatch_gateway.engine_figures import FiguresWriter
 from fuchsiahatch_gateway.entry_beats import BEAT_MS, EntryBeats
+from fuchsiahatch_gateway.entry_gauges import add_gauges
 from fuchsiahatch_gateway.fleet import FIRST_REPORT_MS, Fleet
 from fuchsiahatch_gateway.following import Follower
 from fuchsiahatch_gateway.held_requests import HeldRequests
@@ -113,7 +114,7 @@
         self._leaving = False
         self._listening = False
         self._entries: dict[str, EntryRecord] = {}
-        self._records = ItemDecoder(decode_entry)
+        self.records = ItemDecoder(decode_entry)
         self.routes = RouteTable()
         self.pool = ConnectionPool(clock, CONNECT_MS)
         self.store = StoreClient(settings.store, ConnectionPool(clock))
@@ -186,6 +187,16 @@
         self.callers = HttpServer(self.delivery.handle)
         self.side_calls = HttpServer(self._answer_side_call)
         self.store.on_restored = self._note_restored
+        self._takers: dict[type, t.Callable[[t.Any, Peer], None]] = {
+            LoadReport: self._take_load,
+            EntryBeat: self._take_beat,
+            PermitRequest: self.permits.take_request,
+            PermitReply: lambda reply, peer: self.permits.take_reply(reply),
+            RateNotice: self._take_rate,
+            CrashNotice: self._take_crash,
+            Clearance: lambda notice, peer: self.crashing.take_clearance(notice),
+            LateNotice: lambda notice, peer: self.late.take(notice),
+        }
         self._config = self._copy(CONFIGURATION_KEY, self._apply_configuration)
         self._upstreams = self._copy(UPSTREAMS_PREFIX, self._apply_upstreams)
         self._others = self._copy(ENTRIES_PREFIX, self._apply_entries)
@@ -207,7 +218,7 @@
         port = settings.internal_ports[0]
         reactor.listenUDP(port, self.datagrams, interface=settings.ip)
         process.keep_running(self._greet_for_ever())
-        self._add_gauges()
+        add_gauges(self, process)
         process.keep_running(process.log_store_calls(self.store.calls))
         await process.serve_metrics()
         for address in (settings.ready, settings.lookup):
@@ -338,7 +349,7 @@
         self.placer.serve_waiting()
 
     def _apply_entries(self) -> None:
-        fresh = self._records.decode_all(self._others.items)
+        fresh = self.records.decode_all(self._others.items)
         if fresh.keys() != self._entries.keys():
             log_event(Event.ENTRIES_CHANGED, entries=sorted(fresh))
         self._entries = fresh
@@ -347,30 +358,29 @@
         self.held.apply(self._held_items.items)
 
     def _take_message(self, message: Message, peer: Peer) -> None:
-        if isinstance(message, LoadReport):
-            self.fleet.observe(message)
-            self.placer.serve_waiting()
-        elif isinstance(message, EntryBeat):
-            answers = self._beats.take(message, self._clock.now_ms())
-            if answers and self.ready:
-                own = EntryBeat(self._process.settings.node, True)
-                self.datagrams.send(own, peer)
-        elif isinstance(message, PermitRequest):
-            self.permits.take_request(message, peer)
-        elif isinstance(message, PermitReply):
-            self.permits.take_reply(message)
-        elif isinstance(message, RateNotice):
-            upstream = self.fleet.upstreams.get(message.upstream)
-            if upstream is not None:
-                self.rates.note_notice(upstream, message)
-        elif isinstance(message, CrashNotice):
-            answer = self.crashing.take_notice(message)
-            if answer is not None:
-                self.datagrams.send(answer, peer)
-        elif isinstance(message, Clearance):
-            self.crashing.take_clearance(message)
-        elif isinstance(message, LateNotice):
-            self.late.take(message)
+        take = self._takers.get(type(message))
+        if take is not None:
+            take(message, peer)
+
+    def _take_load(self, load: LoadReport, peer: Peer) -> None:
+        self.fleet.observe(load)
+        self.placer.serve_waiting()
+
+    def _take_beat(self, beat: EntryBeat, peer: Peer) -> None:
+        answers = self._beats.take(beat, self._clock.now_ms())
+        if answers and self.ready:
+            own = EntryBeat(self._process.settings.node, True)
+            self.datagrams.send(own, peer)
+
+    def _take_rate(self, notice: RateNotice, peer: Peer) -> None:
+        upstream = self.fleet.upstreams.get(notice.upstream)
+        if upstream is not None:
+            self.rates.note_notice(upstream, notice)
+
+    def _take_crash(self, notice: CrashNotice, peer: Peer) -> None:
+        answer = self.crashing.take_notice(notice)
+        if answer is not None:
+            self.datagrams.send(answer, peer)
 
     def _place(self) -> int | None:
         """Return this entry's place among all that live, or None before it is one."""
@@ -397,43 +407,3 @@
 
     def _drop_connections(self, entry: "UpstreamEntry") -> None:
         self.pool.forget(entry.address.ip, entry.address.port)
-
-    def _add_gauges(self) -> None:
-        add = self._process.add_gauge
-        add("fuchsiahatch_waiting", "Requests that wait.", lambda: self.placer.waiting)
-        add("fuchsiahatch_opened", "Connections opened.", lambda: self.pool.opened)
-        add("fuchsiahatch_retries", "Second sends.", lambda: self.budget.spent)
-        add(
-            "fuchsiahatch_retries_refused",
-            "Second sends over budget.",
-            lambda: self.budget.refused,
-        )
-        add(
-            "fuchsiahatch_store_calls",
-            "Calls to the store.",
-            lambda: self.store.calls.total(),
-        )
-        add(
-            "fuchsiahatch_unreadable_items",
-            "Items of the store that were passed over.",
-            lambda: self.fleet.unreadable + self._records.unreadable,
-        )
-        issuer = self.permits.issuer
-        add("fuchsiahatch_permits_issued", "Permits.", lambda: issuer.issued)
-        add("fuchsiahatch_permits_refused", "Permits.", lambda: issuer.refused)
-        add(
-            "fuchsiahatch_permits_unanswered",
-            "Questions for permits without an answer.",
-            lambda: self.permits.unanswered,
-        )
-        add(
-            "fuchsiahatch_suspects",
-            "Requests under which an upstream has crashed.",
-            lambda: self.crashing.suspects,
-        )
-        add(
-            "fuchsiahatch_held_requests",
-            "Requests that are held back for it.",
-            lambda: self.crashing.held,
-        )
-        add("fuchsiahatch_log_dropped", "Lines.", lambda: self._process.log.dropped)
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry_gauges.py
@@ -0,0 +1,49 @@
+"""Figures of an entry on the metrics address."""
+
+import typing as t
+
+if t.TYPE_CHECKING:
+    from fuchsiahatch_gateway.entry import Entry
+    from fuchsiahatch_gateway.process import Process
+
+
+def add_gauges(entry: "Entry", process: "Process") -> None:
+    """Show an entry's figures, read when metrics are asked for."""
+    add = process.add_gauge
+    add("fuchsiahatch_waiting", "Requests that wait.", lambda: entry.placer.waiting)
+    add("fuchsiahatch_opened", "Connections opened.", lambda: entry.pool.opened)
+    add("fuchsiahatch_retries", "Second sends.", lambda: entry.budget.spent)
+    add(
+        "fuchsiahatch_retries_refused",
+        "Second sends over budget.",
+        lambda: entry.budget.refused,
+    )
+    add(
+        "fuchsiahatch_store_calls",
+        "Calls to the store.",
+        lambda: entry.store.calls.total(),
+    )
+    add(
+        "fuchsiahatch_unreadable_items",
+        "Items of the store that were passed over.",
+        lambda: entry.fleet.unreadable + entry.records.unreadable,
+    )
+    issuer = entry.permits.issuer
+    add("fuchsiahatch_permits_issued", "Permits.", lambda: issuer.issued)
+    add("fuchsiahatch_permits_refused", "Permits.", lambda: issuer.refused)
+    add(
+        "fuchsiahatch_permits_unanswered",
+        "Questions for permits without an answer.",
+        lambda: entry.permits.unanswered,
+    )
+    add(
+        "fuchsiahatch_suspects",
+        "Requests under which an upstream has crashed.",
+        lambda: entry.crashing.suspects,
+    )
+    add(
+        "fuchsiahatch_held_requests",
+        "Requests that are held back for it.",
+        lambda: entry.crashing.held,
+    )
+    add("fuchsiahatch_log_dropped", "Lines.", lambda: process.log.dropped)
--- a/tools/check_docs.py
+++ b/tools/check_docs.py
@@ -20,7 +20,12 @@
 DOCS = ROOT / "docs"
 DAEMON = ROOT / "packages/daemon/src/fuchsiahatch_daemon"
 GATEWAY = ROOT / "packages/gateway/src/fuchsiahatch_gateway"
-_GATEWAY_MODULES = ("request_metrics.py", "loop_watch.py", "entry.py", "agent.py")
+_GATEWAY_MODULES = (
+    "request_metrics.py",
+    "loop_watch.py",
+    "entry_gauges.py",
+    "agent.py",
+)
 METRICS_MODULES = [
     *sorted(DAEMON.glob("*metrics.py")),
     *(GATEWAY / name for name in _GATEWAY_MODULES),
