--- a/packages/experts/src/fuchsiahatch_experts/planning.py
+++ b/packages/experts/src/fuchsiahatch_experts/planning.py
@@ -31,8 +31,9 @@
 #: moment in which ranks that answer late hold a pass, and with it all streams; streams
 #: whose passes are far below the pause gain nothing by shorter ones.
 NEAR_PASS_SHARE = 0.6
-#: Fall in the mean skew that pays there: what a shift of demand makes.
-EASY_GAIN = 0.25
+#: Fall in the mean skew that pays there. A demand that moves brings that within some
+#: 100 ms: more would leave the first part of a move to grow.
+EASY_GAIN = 0.1
 #: Pause between two looks at the demand. One takes 0.03 ms with 96 ranks.
 LOOK_PAUSE_MS = 20
 #: Pause behind a plan that didn't pay, unless the skew has grown meanwhile. A plan
