--- a/packages/experts/src/fuchsiahatch_experts/drift.py
+++ b/packages/experts/src/fuchsiahatch_experts/drift.py
@@ -32,9 +32,16 @@
 FEW_REQUESTS = 32
 #: Time constant of the demand that is compared with it.
 RECENT_MS = 160.0
-#: Sum of the differences of all experts' shares of a layer that counts as a shift; it
-#: lies between 0 and 2. The mix of requests alone makes some 0.2.
+#: Sum of the differences of all experts' shares of a layer that counts as a shift in
+#: any case; it lies between 0 and 2. A mix of few requests alone makes some 0.2.
 SHIFT_CHANGE = 0.35
+#: Times the usual difference that counts as one too, and the least that does. Where
+#: most experts are chosen by all requests alike, a shift that doubles the load of the
+#: slowest rank makes 0.1, and the mix 0.02.
+SHIFT_TIMES_USUAL = 3.0
+LEAST_SHIFT_CHANGE = 0.06
+#: Time constant of the usual difference.
+USUAL_CHANGE_MS = 3_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
@@ -100,6 +107,8 @@
     __slots__ = (
         "_decayed_ms",
         "_recent",
+        "_usual_change",
+        "_usual_noted_ms",
         "memory_ms",
         "shifts",
         "weight",
@@ -113,6 +122,10 @@
         self.weights = np.zeros((layers, experts))
         self.weight = 0.0
         self.shifts = 0
+        #: Difference of the layer in the middle of all, of late; before it is known,
+        #: the one of a mix of few requests.
+        self._usual_change = SHIFT_CHANGE / SHIFT_TIMES_USUAL
+        self._usual_noted_ms: int | None = None
 
     def add(self, shares: "npt.NDArray[np.float64]", running: int, now_ms: int) -> None:
         """Count one rank's choices since its last state.
@@ -133,9 +146,23 @@
     def forget_shifted(self) -> None:
         """Let the layers whose demand has shifted forget what was before."""
         change = np.abs(_normal(self._recent) - _normal(self.weights)).sum(axis=1)
-        shifted = change > SHIFT_CHANGE
+        shifted = change > self._shift_change()
         self.weights[shifted] = self._recent[shifted]
         self.shifts += int(shifted.sum())
+        self._note_usual(float(np.median(change)))
+
+    def _shift_change(self) -> float:
+        """Return the difference of a layer that counts as a shift of it."""
+        least = max(SHIFT_TIMES_USUAL * self._usual_change, LEAST_SHIFT_CHANGE)
+        return min(least, SHIFT_CHANGE)
+
+    def _note_usual(self, change: float) -> None:
+        now_ms, noted_ms = self._decayed_ms, self._usual_noted_ms
+        self._usual_noted_ms = now_ms
+        if now_ms is None or noted_ms is None:
+            return
+        weight = 1.0 - math.exp((noted_ms - now_ms) / USUAL_CHANGE_MS)
+        self._usual_change += weight * (change - self._usual_change)
 
     def _decay(self, now_ms: int) -> None:
         if self._decayed_ms is not None:
--- a/tests/experts/test_drift.py
+++ b/tests/experts/test_drift.py
@@ -153,6 +153,26 @@
             demand.forget_shifted()
         self.assertEqual(demand.shifts, 0)
 
+    def move(self, common):
+        """Return the layers that have shifted 0.2 s behind a move of the rest.
+
+        A share of all choices is common to all requests and stays.
+        """
+        demand = Demand(LAYERS, EXPERTS)
+        for at_ms in range(0, 10_200, 20):
+            hot = 3 if at_ms < 10_000 else 9
+            mixed = common * shares(5) + (1 - common) * shares(hot)
+            demand.add(mixed, 6, at_ms)
+            demand.forget_shifted()
+        return demand.shifts
+
+    def test_a_shift_of_a_small_part_is_seen_where_the_mix_is_steady(self):
+        # Each move of the demand was followed in two changes 0.4 s apart: with three
+        # quarters of all choices common to all requests no move ever counted as one.
+        self.assertGreaterEqual(self.move(0.0), LAYERS)
+        self.assertGreaterEqual(self.move(0.85), LAYERS)
+        self.assertEqual(self.move(0.99), 0)
+
     def test_prompts_that_are_read_weigh_no_more_than_answers(self):
         # A rank that read a long prompt says more choices than seven that write.
         demand = Demand(LAYERS, EXPERTS)
