--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -148,7 +148,7 @@
             async with Following(history_ms=400) as one:
                 one.store.put("servers/a", {})
                 await until(lambda: one.names == ["a"])
-                await asyncio.sleep(0.9)
+                await asyncio.sleep(1.5)
                 return one.client.calls
 
         calls = run(follow())
