--- a/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_leader.py
@@ -149,7 +149,7 @@
         self._phase = Phase.SETTLING
         self._phase_ms = clock.now_ms()
         self._timing = HoldTiming()
-        self._held_ms = clock.now_ms()
+        self._copied_ms = clock.now_ms()
         self.switch = Switch(term, rank, ranks, may_start=not takes_over)
         self.switch.known_map = lambda version: own.known_map(version, ranks)
         self._sender = OrderSender(
@@ -246,7 +246,7 @@
         for order in self.switch.orders(now_ms, self._sender.room(now_ms)):
             self._send(order, now_ms)
         self._sender.flush(now_ms)
-        self._log_phase(now_ms)
+        self._note_phase(now_ms)
 
     def may_lead(self) -> bool:
         """Return whether orders may be given now.
@@ -394,7 +394,7 @@
         result = await speaker.give_order(order)
         self.switch.answered(order, result, self._clock.now_ms())
 
-    def _log_phase(self, now_ms: int) -> None:
+    def _note_phase(self, now_ms: int) -> None:
         phase = self.switch.phase
         if phase is self._phase:
             return
@@ -408,9 +408,9 @@
             switched=self.switch.switched,
             abandoned=self.switch.abandoned,
         )
-        if phase is Phase.HOLDING:
-            self._held_ms = now_ms
-        elif self._phase is Phase.ARMING and phase is Phase.RELEASING:
-            self._timing.note(now_ms - self._held_ms)
+        if self._phase is Phase.COPYING:
+            self._copied_ms = now_ms
+        elif phase is Phase.RELEASING and self._phase is not Phase.SETTLING:
+            self._timing.note(now_ms - self._copied_ms)
         self._phase = phase
         self._phase_ms = now_ms
--- a/tests/gateway/test_hold_timing.py
+++ b/tests/gateway/test_hold_timing.py
@@ -1,7 +1,9 @@
 import unittest
 
-from fuchsiahatch_experts.switching import HOLD_AHEAD, MOST_AHEAD
+from fuchsiahatch_experts.switching import HOLD_AHEAD, MOST_AHEAD, Phase
 from fuchsiahatch_gateway.hold_timing import HoldTiming
+from tests.gateway.led_groups import LedGroup
+from tests.loopback import run
 
 PASS_MS = 60.0
 #: Arms of 72 ranks with and without a tenth of the orders unanswered.
@@ -40,3 +42,23 @@
         timing = HoldTiming()
         timing.note(SLOW_MS)
         self.assertEqual(timing.passes_ahead(1_500.0), 1)
+
+
+class TestLeader(unittest.TestCase):
+    def test_a_phase_that_passed_unseen_makes_no_switch_look_slow(self):
+        # The hold is taken and all ranks are heard armed between two looks.
+        async def play():
+            group = LedGroup(8, 6, 64, 11)
+            leader = group.leader
+            for phase, after_ms in (
+                (Phase.COPYING, 60_000),
+                (Phase.ARMING, 100),
+                (Phase.RELEASING, 50),
+                (Phase.IDLE, 20),
+            ):
+                group.clock.advance(after_ms)
+                leader.switch.phase = phase
+                leader._note_phase(group.clock.now_ms())
+            return leader._timing.arms_ms
+
+        self.assertEqual(run(play()), 50)
