--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 .PHONY: install demo demo-keep demo-platform failed-requests test check settings-page bench-config \
     bench-slopes capacity bench-placement bench-experts tune-experts \
-    bench-delivery bench-overload bench-path bench-routing search-grants
+    bench-delivery bench-overload bench-path bench-entry bench-routing search-grants
 
 install: .venv/installed
 
@@ -73,6 +73,9 @@
 bench-overload: install
 	.venv/bin/python -m fuchsiahatch_bench.overload
 
+bench-entry: install
+	.venv/bin/python -m fuchsiahatch_bench.entry_profile
+
 bench-routing: install
 	.venv/bin/python -m fuchsiahatch_bench.routing_bench
 
