--- a/packages/bench/src/fuchsiahatch_bench/entry_profile.py
+++ b/packages/bench/src/fuchsiahatch_bench/entry_profile.py
@@ -8,15 +8,13 @@
 import orjson
 
 from fuchsiahatch_adapter.caller_requests import CallerRequest
-from fuchsiahatch_adapter.names import UPSTREAMS_PREFIX
-from fuchsiahatch_adapter.store import Item
 from fuchsiahatch_bench.tables import load_average, make_table, write_result
 from fuchsiahatch_core.clock import Clock
 from fuchsiahatch_delivery.keys import fingerprint_of
 from fuchsiahatch_gateway.event_stream import EventCutter
 from fuchsiahatch_gateway.fleet import Fleet
 from fuchsiahatch_gateway.routes import RouteTable
-from fuchsiahatch_standins.fleet_store import make_upstream_entry
+from fuchsiahatch_standins.fleet_store import make_upstream_item
 
 #: Calls of each decision, and those before them that aren't counted.
 CALLS = 2_000
@@ -115,11 +113,8 @@
 def _make_fleet(count: int) -> Fleet:
     fleet = Fleet("a", Clock(), random.Random(1))
     items = {
-        f"i{at}": Item(
-            f"{UPSTREAMS_PREFIX}i{at}",
-            orjson.dumps(make_upstream_entry("svc", f"10.0.{at // 200}.{at % 200}:80")),
-            1,
-            1,
+        f"i{at}": make_upstream_item(
+            f"i{at}", "svc", f"10.0.{at // 200}.{at % 200}:80", places=5
         )
         for at in range(count)
     }
