--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -75,6 +75,7 @@
         self.assertEqual(settings.link_bytes_per_s, 1_000_000)
         self.assertEqual(str(settings.store.address), "10.200.1.7:8223")
         self.assertEqual(settings.store.least_lease_ms, 1_000)
+        self.assertEqual(settings.store.history_ms, 20_000)
 
     def test_what_is_wrong_is_named(self):
         without = {name: SETTINGS[name] for name in SETTINGS if name != "zone"}
--- a/tests/adapter/test_json_calls.py
+++ b/tests/adapter/test_json_calls.py
@@ -4,7 +4,7 @@
 
 from fuchsiahatch_adapter import json_calls
 from fuchsiahatch_adapter.json_calls import SILENCE_MS
-from fuchsiahatch_adapter.node_settings import parse_address
+from fuchsiahatch_adapter.node_settings import StoreAccess, parse_address
 from fuchsiahatch_adapter.store import CALL_MS, RangeRead, StoreClient
 from fuchsiahatch_core.clock import Clock
 from fuchsiahatch_core.codes import Code
@@ -18,20 +18,14 @@
 from tests.loopback import LOOP, run
 
 
-class Access:
-    """How a client reaches the stand-in."""
-
-    def __init__(self, port):
-        self.address = parse_address(f"127.0.0.1:{port}")
-
-
 class Served:
     """The stand-in of the store with a client, for the time of a context."""
 
     async def __aenter__(self):
         self.store = FleetStore()
         port = await self.store.listen()
-        self.client = StoreClient(Access(port), ConnectionPool(Clock()))
+        access = StoreAccess(parse_address(f"127.0.0.1:{port}"), 1_000, 20_000)
+        self.client = StoreClient(access, ConnectionPool(Clock()))
         return self
 
     async def __aexit__(self, *exc_info):
