--- a/packages/gateway/src/fuchsiahatch_gateway/following.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/following.py
@@ -27,13 +27,15 @@
 #: Pause behind an answered watch; what changes meanwhile comes with the next answer.
 #: The first change behind a quiet time is still told at once.
 WATCH_PAUSE_MS = 200
-#: Longest such pause. Each answer that follows closely on the one before doubles it:
-#: processes start or end one after the other, or configurations come in series, and
-#: each process asks again behind each change. What leaves meanwhile is told that late,
-#: of the 2 s in which an upstream that leaves must get nothing more.
-LONGEST_PAUSE_MS = 800
-#: Changes in one answer behind which the pause is the longest at once.
+#: Pause behind an answer that follows closely on the one before: configurations come
+#: in series, or processes start one after the other, and each process asks again behind
+#: each change. Whoever starts is known to all others that late.
+SERIES_PAUSE_MS = 400
+#: Changes in one answer behind which the pause is longer: none of the processes that
+#: start together can be of use before the rest has started. What leaves meanwhile is
+#: told that late, of the 2 s in which an upstream that leaves must get nothing more.
 BURST_CHANGES = 5
+BURST_PAUSE_MS = 800
 #: Time without a change behind which the store counts as quiet.
 QUIET_MS = 1_500
 
@@ -185,8 +187,8 @@
             return
         before_ms, self._changed_ms = self._changed_ms, self._clock.now_ms()
         if count >= BURST_CHANGES:
-            self._pause_ms = LONGEST_PAUSE_MS
+            self._pause_ms = BURST_PAUSE_MS
         elif self._changed_ms - before_ms - self._pause_ms > QUIET_MS:
             self._pause_ms = WATCH_PAUSE_MS
         else:
-            self._pause_ms = min(2 * self._pause_ms, LONGEST_PAUSE_MS)
+            self._pause_ms = SERIES_PAUSE_MS
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -52,7 +52,7 @@
     ),
     Mechanism(
         "next pass held where passes are long",
-        f"{GATEWAY}/group_leader.py",
+        f"{GATEWAY}/hold_timing.py",
         "LONG_PASS_MS = 200",
         "LONG_PASS_MS = 1_000_000_000",
     ),
@@ -95,8 +95,8 @@
     Mechanism(
         "shift detection",
         f"{EXPERTS}/drift.py",
-        "SHIFT_CHANGE = 0.35",
-        "SHIFT_CHANGE = 9.0",
+        "        shifted = change > self._shift_change()",
+        "        shifted = change > 9.0",
     ),
     Mechanism(
         "easy passes left alone",
