--- a/packages/gateway/src/fuchsiahatch_gateway/following.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/following.py
@@ -27,17 +27,11 @@
 #: Pause behind an answered watch; what changes meanwhile comes with the next answer.
 #: The first change behind a quiet time is still told at once.
 WATCH_PAUSE_MS = 200
-#: Pause behind an answer that follows closely on the one before: configurations come
-#: in series, or processes start one after the other, and each process asks again behind
-#: each change. Whoever starts is known to all others that late.
-SERIES_PAUSE_MS = 400
 #: Changes in one answer behind which the pause is longer: none of the processes that
 #: start together can be of use before the rest has started. What leaves meanwhile is
 #: told that late, of the 2 s in which an upstream that leaves must get nothing more.
 BURST_CHANGES = 5
 BURST_PAUSE_MS = 800
-#: Time without a change behind which the store counts as quiet.
-QUIET_MS = 1_500
 
 
 class Follower:
@@ -72,7 +66,6 @@
     """
 
     __slots__ = (
-        "_changed_ms",
         "_clock",
         "_copies",
         "_era",
@@ -100,7 +93,6 @@
         self._copies = copies
         self._era = 0
         self._pause_ms = WATCH_PAUSE_MS
-        self._changed_ms = 0
         #: A read of all items that a failure has cut short.
         self._reading: RangeRead | None = None
         self.synced = False
@@ -176,19 +168,7 @@
             raise HistoryLostError(f"revision {self.revision} is of another era")
         self._health.note_answer(self._clock.now_ms())
         self.revision = max(self.revision, changes.revision)
-        self._note_changes(len(changes.items))
+        is_burst = len(changes.items) >= BURST_CHANGES
+        self._pause_ms = BURST_PAUSE_MS if is_burst else WATCH_PAUSE_MS
         for copy in self._copies:
             copy.take_changes(changes.items)
-
-    def _note_changes(self, count: int) -> None:
-        """Choose the pause behind an answer with so many changes."""
-        if not count:
-            self._pause_ms = WATCH_PAUSE_MS
-            return
-        before_ms, self._changed_ms = self._changed_ms, self._clock.now_ms()
-        if count >= BURST_CHANGES:
-            self._pause_ms = BURST_PAUSE_MS
-        elif self._changed_ms - before_ms - self._pause_ms > QUIET_MS:
-            self._pause_ms = WATCH_PAUSE_MS
-        else:
-            self._pause_ms = SERIES_PAUSE_MS
