--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -14,7 +14,6 @@
 )
 from fuchsiahatch_adapter.store import StoreClient
 from fuchsiahatch_core.events import Event, log_event
-from fuchsiahatch_gateway.agent_greeter import AgentGreeter
 from fuchsiahatch_gateway.crashing_requests import CrashingRequests
 from fuchsiahatch_gateway.datagrams import (
     Clearance,
@@ -39,6 +38,7 @@
 )
 from fuchsiahatch_gateway.delivery import Delivery
 from fuchsiahatch_gateway.engine_figures import FiguresWriter
+from fuchsiahatch_gateway.entry_announcer import EntryAnnouncer
 from fuchsiahatch_gateway.entry_beats import BEAT_MS, EntryBeats
 from fuchsiahatch_gateway.entry_gauges import add_gauges
 from fuchsiahatch_gateway.fleet import FIRST_REPORT_MS, Fleet
@@ -85,7 +85,7 @@
 #: leaves what isn't read. Whoever is refused meanwhile has one try left.
 EARLY_LIMIT_MS = 700
 #: How often an entry looks whether agents are to be told of it.
-GREET_POLL_MS = 100
+ANNOUNCE_POLL_MS = 100
 #: How often a stopping entry looks whether it is idle.
 IDLE_POLL_MS = 50
 
@@ -120,7 +120,7 @@
         self.store = StoreClient(settings.store, ConnectionPool(clock))
         self.health = StoreHealth()
         self.fleet = Fleet(settings.zone, clock, self._rng)
-        self.greeter = AgentGreeter(
+        self.announcer = EntryAnnouncer(
             settings.node,
             self.fleet,
             self.datagrams,
@@ -217,7 +217,7 @@
         process.keep_running(self.held.run())
         port = settings.internal_ports[0]
         reactor.listenUDP(port, self.datagrams, interface=settings.ip)
-        process.keep_running(self._greet_for_ever())
+        process.keep_running(self._announce_for_ever())
         add_gauges(self, process)
         process.keep_running(process.log_store_calls(self.store.calls))
         await process.serve_metrics()
@@ -267,10 +267,10 @@
             self._early = None
         self._listening = True
 
-    async def _greet_for_ever(self) -> None:
+    async def _announce_for_ever(self) -> None:
         while not self._leaving:
-            self.greeter.greet()
-            await asyncio.sleep(GREET_POLL_MS / 1000)
+            self.announcer.announce()
+            await asyncio.sleep(ANNOUNCE_POLL_MS / 1000)
 
     async def _beat_for_ever(self) -> None:
         """Tell other entries of this one while the store can't."""
--- a/packages/gateway/src/fuchsiahatch_gateway/entry_peers.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry_peers.py
@@ -14,15 +14,15 @@
     from fuchsiahatch_core.clock import Clock
     from fuchsiahatch_gateway.datagrams import EntryBeat, Peer
 
-#: Pause between two reads of the entries' registrations. Entries that start tell of
-#: themselves: a read finds those whose word was lost, and drops those that are gone.
+#: Pause between two reads of the entries' registrations. Entries that start announce
+#: themselves: a read drops those that are gone.
 READ_MS = 10_000
-#: Time for which an entry's own word counts where no registration has been read.
+#: Time for which an announcement counts where no registration has been read.
 HEARD_MS = 2 * READ_MS
 
 
 class EntryPeers:
-    """The entries that an agent knows, by their own word and by the store.
+    """The entries that an agent knows, by their announcements and by the store.
 
     Followed with a watch instead, each start and end of an entry is a call of each
     agent, most of the calls that a large fleet makes.
@@ -40,7 +40,7 @@
         self._clock = clock
         self._items = ItemDecoder(decode_entry)
         self._registered: dict[str, Peer] = {}
-        #: By node: where an entry that told of itself takes datagrams, and when.
+        #: By node: where an entry that announced itself takes datagrams, and when.
         self._heard: dict[str, tuple[Peer, int]] = {}
 
     @property
@@ -49,7 +49,7 @@
         return {*self._registered.values(), *(peer for peer, _ in self._heard.values())}
 
     def take(self, beat: "EntryBeat", peer: "Peer") -> None:
-        """Take in an entry's own word."""
+        """Take in an entry's announcement, or that it leaves."""
         if beat.serving:
             self._heard[beat.node] = peer, self._clock.now_ms()
         else:
--- a/packages/gateway/src/fuchsiahatch_gateway/late_upstreams.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/late_upstreams.py
@@ -10,16 +10,16 @@
     from fuchsiahatch_core.clock import Clock
     from fuchsiahatch_gateway.known_upstream import Upstream
 
-#: Pause between two words of one entry on the same upstream.
+#: Pause between two notices of one entry on the same upstream.
 TELL_PAUSE_MS = 250
 
 
 class LateUpstreams:
     """Tells all entries of upstreams that owe an answer for too long.
 
-    Each of 40 entries sends an upstream of its own service a request every few seconds.
-    Learnt by each entry alone, one that takes requests and answers none got 15 holds of
-    a booking within six seconds, none of which may be sent again.
+    Each of many entries sends a plain upstream a request every few seconds. Learnt by
+    each entry alone, one that takes requests and answers none costs each of them a
+    request that may not be sent again.
 
     Parameters
     ----------
--- a/tests/gateway/test_entry_peers.py
+++ b/tests/gateway/test_entry_peers.py
@@ -3,14 +3,14 @@
 import unittest
 
 from fuchsiahatch_core.clock import Clock, ManualClock
-from fuchsiahatch_gateway.agent_greeter import (
-    GREET_MS,
-    GREET_SELDOM_MS,
-    NEW_MS,
-    AgentGreeter,
-)
 from fuchsiahatch_gateway.datagrams import EntryBeat
 from fuchsiahatch_gateway.defaults import ENTRIES_PREFIX
+from fuchsiahatch_gateway.entry_announcer import (
+    ANNOUNCE_MS,
+    ANNOUNCE_SELDOM_MS,
+    NEW_MS,
+    EntryAnnouncer,
+)
 from fuchsiahatch_gateway.entry_peers import EntryPeers
 from fuchsiahatch_gateway.known_upstream import Upstream
 from fuchsiahatch_gateway.lookups import EntryRecord
@@ -72,7 +72,7 @@
         self.assertEqual(later, set())
 
 
-class TestAgentGreeter(unittest.TestCase):
+class TestEntryAnnouncer(unittest.TestCase):
     def setUp(self):
         self.clock = ManualClock()
         self.sent = []
@@ -83,22 +83,22 @@
             upstreams={"i-1": self.upstream}, engine_of=lambda service: object()
         )
         port = types.SimpleNamespace(send=lambda *sent: self.sent.append(sent))
-        self.greeter = AgentGreeter("e-1", fleet, port, AGENT_PORT, self.clock)
+        self.announcer = EntryAnnouncer("e-1", fleet, port, AGENT_PORT, self.clock)
 
-    def greet_for(self, time_ms):
+    def announce_for(self, time_ms):
         """Return how many words went out in a time."""
         self.sent.clear()
         for _ in range(time_ms // 100):
-            self.greeter.greet()
+            self.announcer.announce()
             self.clock.advance(100)
         return len(self.sent)
 
     def test_a_lost_word_is_said_again(self):
-        self.assertEqual(self.greet_for(NEW_MS), NEW_MS // GREET_MS)
+        self.assertEqual(self.announce_for(NEW_MS), NEW_MS // ANNOUNCE_MS)
         self.assertEqual(self.sent[0], (EntryBeat("e-1", True), ("10.0.0.9", 7341)))
 
     def test_an_agent_that_reports_is_left_alone_until_it_is_silent(self):
         self.upstream.note_report(self.clock.now_ms())
-        self.assertEqual(self.greet_for(300), 0)
+        self.assertEqual(self.announce_for(300), 0)
         self.clock.advance(10_000)
-        self.assertEqual(self.greet_for(2 * GREET_SELDOM_MS), 2)
+        self.assertEqual(self.announce_for(2 * ANNOUNCE_SELDOM_MS), 2)
