--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -66,6 +66,15 @@
         """Status of the upstream's answer; 0 without one."""
         return 0 if self.head is None else self.head.status
 
+    @property
+    def retry_after(self) -> list[str]:
+        """Retry-After values of the upstream's answer, as sent."""
+        if self.head is None:
+            return []
+        return [
+            value.decode("latin-1") for value in self.head.values(names.RETRY_AFTER)
+        ]
+
     @property
     def misplaced(self) -> bool:
         """Whether another upstream answered at the address."""
--- a/packages/http1/src/fuchsiahatch_http1/client.py
+++ b/packages/http1/src/fuchsiahatch_http1/client.py
@@ -53,7 +53,11 @@
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header."""
-        return next((value for key, value in self.headers if key == name), None)
+        return next(iter(self.values(name)), None)
+
+    def values(self, name: bytes) -> list[bytes]:
+        """Return all values of a header, in their order."""
+        return [value for key, value in self.headers if key == name]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
