An upstream gets no request before the end that its Retry-After names

Cause: nobody read the header. A rejection counted as one failure, which halves in 2 s and is outweighed by the load of others.

Now an upstream in a backoff period is no candidate. The latest end of all answers holds, by incarnation: it survives a lapse of the registration and is forgotten where the upstream restarted, but for answers that the new process gave before its restart was known. Every way to an upstream passes through the choice, and is checked again just before the bytes go out; a slot that was assigned before is given back. 503 and 429 count, also as late answers to earlier requests, not 421. Where all upstreams are in such a period, a request that can wait for the first end waits in the fair queue and is woken then; any other is refused at once, with that end as Retry-After, 30 s at most.

--- a/packages/core/src/fuchsiahatch_core/codes.py
+++ b/packages/core/src/fuchsiahatch_core/codes.py
@@ -40,6 +40,8 @@
     RATE_REACHED = 210
     # Upstreams have crashed under this very request.
     CRASHES_UPSTREAMS = 211
+    # All upstreams have asked for a backoff period that ends later.
+    BACKING_OFF = 212
 
     # What became of an attempt.
     NOT_RUN = 300
--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -50,6 +50,8 @@
         Whether events of its answer were relayed to the caller.
     group_crashed : bool
         Whether the upstream, a rank of a group, crashed before any event was relayed.
+    withdrawn : bool
+        Whether the upstream stopped accepting requests before anything was sent.
     """
 
     result: Result
@@ -60,6 +62,7 @@
     closed_early: bool = False
     events_relayed: bool = False
     group_crashed: bool = False
+    withdrawn: bool = False
 
     @property
     def status(self) -> int:
@@ -112,6 +115,8 @@
     on_head : callable
         Called with the head of the upstream's answer when it arrives, unless another
         upstream answered.
+    on_skipped_head : callable
+        Called with the head of its answer to an earlier request.
     """
 
     upstream: "Upstream"
@@ -124,6 +129,7 @@
     events: EventSplitter | None
     on_event: t.Callable[[], None]
     on_head: t.Callable[[Head], None]
+    on_skipped_head: t.Callable[[Head], None]
 
 
 async def run_attempt(
@@ -143,9 +149,11 @@
         return Outcome(Result.UNSENT, str(fault))
     if not attempt.may_send():
         # It began to leave while the connection was being opened, which may take the
-        # whole connect timeout, and might end in the middle of the request.
+        # whole connect timeout, and might end in the middle of the request. Or it has
+        # asked for a backoff period.
         connection.abort()
-        return Outcome(Result.UNSENT, "the upstream has left")
+        detail = "the upstream no longer accepts requests"
+        return Outcome(Result.UNSENT, detail, withdrawn=True)
     try:
         outcome = await _send_and_receive(exchange, connection, attempt)
     except AnswerBroken as fault:
@@ -174,7 +182,9 @@
         last_id,
     )
     connection.send(Call(exchange.method, exchange.target, headers, exchange.body))
-    head = await _limit_silence(_matching_head(exchange, connection), attempt)
+    head = await _limit_silence(
+        _matching_head(exchange, connection, attempt.on_skipped_head), attempt
+    )
     if head.status != _MISPLACED:
         attempt.on_head(head)
     if head.header(names.NOT_EXECUTED) is not None or head.status == _MISPLACED:
@@ -191,7 +201,11 @@
     return Outcome(Result.ANSWERED, f"status {head.status}", head, body)
 
 
-async def _matching_head(exchange: "Exchange", connection: ClientConnection) -> Head:
+async def _matching_head(
+    exchange: "Exchange",
+    connection: ClientConnection,
+    on_skipped_head: t.Callable[[Head], None],
+) -> Head:
     """Return the head of the answer to this request; skip answers to other requests.
 
     An upstream may send a second answer to an earlier request, which arrives where the
@@ -207,6 +221,7 @@
         if answer_id is None and (head.status == _MISPLACED or head.status >= 400):
             # A refusal before the request was read names no request.
             return head
+        on_skipped_head(head)
         await connection.body()
         connection.expect_next_answer()
     raise AnswerBroken("only other requests' answers came")
--- a/packages/gateway/src/fuchsiahatch_gateway/defaults.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/defaults.py
@@ -51,6 +51,8 @@
 GRACE_RESERVE_MS = 700
 #: Base of the Retry-After that a refused caller gets.
 RETRY_AFTER_S = 0.4
+#: Longest Retry-After without that factor: another upstream may register meanwhile.
+MAX_RETRY_AFTER_MS = 30_000
 #: Bounds of the random factor on `RETRY_AFTER_S`: callers that were refused at the same
 #: time would otherwise retry at the same time and be refused again.
 RETRY_AFTER_SPREAD = (0.75, 1.5)
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -53,6 +53,13 @@
 _UNAVAILABLE = 503
 
 
+HeadCallback = t.Callable[["Upstream", "Head"], None]
+
+
+def _ignore_head(upstream: "Upstream", head: "Head") -> None:
+    """Do nothing with the head of an answer."""
+
+
 class Delivery:
     """Answers callers' requests.
 
@@ -70,6 +77,8 @@
     rng : random.Random
     on_head : callable, optional
         Called with an upstream and the head of each of its answers.
+    on_skipped_head : callable, optional
+        Called with an upstream and the head of a late answer to an earlier request.
     """
 
     __slots__ = (
@@ -80,6 +89,7 @@
         "_late",
         "_log",
         "_on_head",
+        "_on_skipped_head",
         "_placer",
         "_pool",
         "_rng",
@@ -98,9 +108,11 @@
         late: "LateUpstreams",
         clock: "Clock",
         rng: random.Random,
-        on_head: t.Callable[["Upstream", "Head"], None] = lambda upstream, head: None,
+        on_head: HeadCallback = _ignore_head,
+        on_skipped_head: HeadCallback = _ignore_head,
     ) -> None:
         self._on_head = on_head
+        self._on_skipped_head = on_skipped_head
         self._routes = routes
         self._placer = placer
         self._pool = pool
@@ -219,6 +231,7 @@
             )
         finally:
             job.waited_ms += self._clock.now_ms() - began_ms
+            job.backing_off = self._placer.backing_off(job.service)
 
     async def _attempt(self, job: Job, upstream: "Upstream") -> Outcome:
         sent_ms = self._clock.now_ms()
@@ -241,6 +254,7 @@
             job.events,
             lambda: job.note_event(self._clock.now_ms()),
             note_head,
+            lambda head: self._on_skipped_head(upstream, head),
         )
         was_started = job.exchange.started
         may_have_run = True
@@ -293,6 +307,8 @@
         if outcome.misplaced:
             upstream.misplaced = True
             log_event(Event.UPSTREAM_MISPLACED, upstream=upstream.entry.instance)
+        elif outcome.withdrawn:
+            return
         elif outcome.result is not Result.ANSWERED or outcome.upstream_failed:
             upstream.note_failure(now_ms)
         elif not outcome.relayed and not was_started:
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -14,6 +14,7 @@
 )
 from fuchsiahatch_adapter.store import StoreClient
 from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_gateway.backoffs import Backoffs
 from fuchsiahatch_gateway.crashing_requests import CrashingRequests
 from fuchsiahatch_gateway.datagrams import (
     Clearance,
@@ -138,6 +139,9 @@
         )
         self.rates = StatedRates(clock, self._notify_peers)
         self.placer = Placer(self.fleet, clock, self.permits.ask)
+        self.backoffs = Backoffs(
+            clock, self.placer.refuse_waiting, self.placer.serve_waiting
+        )
         bounds = settings.bounds
         self.budget = RetryBudget(
             bounds.retry_ratio,
@@ -169,6 +173,7 @@
             clock,
             self._rng,
             self._note_head,
+            self.backoffs.note_head,
         )
         self.record = EntryRecord(
             settings.node,
@@ -405,6 +410,7 @@
 
     def _note_head(self, upstream: "Upstream", head: "Head") -> None:
         self.rates.note_answer(upstream, head.header(RATE_LIMIT))
+        self.backoffs.note_head(upstream, head)
 
     def _notify_peers(
         self, notice: RateNotice | CrashNotice | Clearance | LateNotice
--- a/packages/gateway/src/fuchsiahatch_gateway/entry_gauges.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry_gauges.py
@@ -46,4 +46,14 @@
         "Requests that are held back for it.",
         lambda: entry.crashing.held,
     )
+    add(
+        "fuchsiahatch_backoffs",
+        "Backoff periods that upstreams asked for.",
+        lambda: entry.backoffs.begun,
+    )
+    add(
+        "fuchsiahatch_upstreams_backing_off",
+        "Upstreams in a backoff period.",
+        lambda: entry.fleet.backing_off_count,
+    )
     add("fuchsiahatch_log_dropped", "Lines.", lambda: process.log.dropped)
--- a/packages/gateway/src/fuchsiahatch_gateway/explain.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/explain.py
@@ -15,6 +15,8 @@
     "upstream_gone": "an upstream's entry was removed",
     "upstream_leaving": "an upstream began to leave",
     "upstream_misplaced": "another upstream answered at an upstream's address",
+    "upstream_backoff": "an upstream asked for a backoff period",
+    "upstream_backoff_ended": "an upstream's backoff period ended",
     "upstream_crashed": "an upstream's process had crashed",
     "stopping": "the process began to stop",
     "started": "the process started",
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -6,6 +6,7 @@
 
 from fuchsiahatch_adapter.upstreams import UpstreamEntry, decode_upstream_entry
 from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_gateway.answer_statements import StatementRecords
 from fuchsiahatch_gateway.departed_upstreams import DepartedUpstreams
 from fuchsiahatch_gateway.item_decoding import ItemDecoder
 from fuchsiahatch_gateway.known_upstream import Upstream
@@ -43,6 +44,22 @@
 OPENING_DELAY_MS = 100
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unavailability:
+    """That no upstream of a service accepts a request now, and until when.
+
+    Attributes
+    ----------
+    wait_ms : int
+        Time until the first one accepts requests again.
+    needs_permit : bool
+        Whether a permit has to be asked for then.
+    """
+
+    wait_ms: int
+    needs_permit: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Fastest:
     """The lowest times among the candidates; 0 where none is known."""
@@ -60,6 +77,8 @@
         Zone of this entry.
     clock : Clock
     rng : random.Random
+    time_of_day : Clock, optional
+        Unix time.
 
     Attributes
     ----------
@@ -84,6 +103,7 @@
         "_opened_ms",
         "_reporting",
         "_rng",
+        "_statements",
         "_zone",
         "engine_of",
         "on_departed",
@@ -91,7 +111,13 @@
         "upstreams",
     )
 
-    def __init__(self, zone: str, clock: "Clock", rng: random.Random) -> None:
+    def __init__(
+        self,
+        zone: str,
+        clock: "Clock",
+        rng: random.Random,
+        time_of_day: "Clock | None" = None,
+    ) -> None:
         self._zone = zone
         self._clock = clock
         self._rng = rng
@@ -99,6 +125,7 @@
         self._by_service: dict[str, list[Upstream]] = {}
         self._decoder = ItemDecoder(decode_upstream_entry)
         self._departed = DepartedUpstreams(clock)
+        self._statements = StatementRecords(clock, time_of_day)
         self._reporting: set[str] = set()
         #: When a service's first engine opened while no other was usable.
         self._opened_ms: dict[str, int] = {}
@@ -116,6 +143,7 @@
                 Event.UPSTREAM_GONE, upstream=instance, own=removed.local_requests
             )
             self._departed.note(removed)
+            self._statements.keep(removed)
             self.on_departed(removed.entry)
         for instance, entry in latest.items():
             if not self._departed.is_outdated(entry, items[instance]):
@@ -150,6 +178,14 @@
         """Entries that were skipped."""
         return self._decoder.unreadable
 
+    @property
+    def backing_off_count(self) -> int:
+        """Upstreams that have asked for a backoff period which hasn't ended."""
+        now_ms = self._clock.now_ms()
+        return sum(
+            upstream.backoff_left_ms(now_ms) > 0 for upstream in self.upstreams.values()
+        )
+
     def _relieve_slow_rank(self, upstream: Upstream) -> None:
         """Move requests away from a rank that slows down its whole group.
 
@@ -215,7 +251,9 @@
     def is_usable(self, upstream: Upstream) -> bool:
         """Return whether an upstream may still get new requests."""
         current = self.upstreams.get(upstream.entry.instance)
-        return current is upstream and upstream.accepts_requests
+        if current is not upstream or not upstream.accepts_requests:
+            return False
+        return not upstream.backoff_left_ms(self._clock.now_ms())
 
     def choose(
         self, service: str, tried: t.Collection[str], only_unlimited: bool = False
@@ -238,6 +276,7 @@
             upstream
             for upstream in usable
             if upstream.limited_until_ms <= now_ms
+            and not upstream.backoff_left_ms(now_ms)
             and not (only_unlimited and upstream.stated)
             and upstream.load(now_ms) < upstream.places(engine, paces[upstream.group])
         ]
@@ -250,18 +289,30 @@
         drawn = self._rng.sample(candidates, min(SAMPLE_SIZE, len(candidates)))
         return min(drawn, key=lambda choice: self._cost(choice, now_ms, fastest))
 
-    def permit_wait_ms(self, service: str) -> int | None:
-        """Return the time until a permit may be asked for, if every upstream needs one.
+    def unavailability(self, service: str) -> Unavailability | None:
+        """Return when the first upstream accepts requests again.
 
-        None where some upstream needs no permit, even if it is full now.
+        None where one accepts requests now, even a full one, and where there is none.
         """
         now_ms = self._clock.now_ms()
-        waits_ms = [
-            upstream.limited_until_ms - now_ms for upstream in self.usable(service)
-        ]
-        if not waits_ms or min(waits_ms) <= 0:
+        first = min(
+            self.usable(service),
+            key=lambda upstream: _closed_for_ms(upstream, now_ms),
+            default=None,
+        )
+        if first is None or not _closed_for_ms(first, now_ms):
             return None
-        return min(waits_ms)
+        wait_ms = _closed_for_ms(first, now_ms)
+        return Unavailability(wait_ms, wait_ms > first.backoff_left_ms(now_ms))
+
+    def backing_off(self, service: str) -> dict[str, int]:
+        """Return the remaining backoff periods of a service's upstreams, in ms."""
+        now_ms = self._clock.now_ms()
+        return {
+            upstream.entry.instance: left_ms
+            for upstream in self._by_service.get(service, ())
+            if (left_ms := upstream.backoff_left_ms(now_ms))
+        }
 
     def _of_known_load(self, candidates: list[Upstream], now_ms: int) -> list[Upstream]:
         """Skip candidates of unknown load, if others are left.
@@ -329,6 +380,7 @@
                 born_ms=entry.born_ms,
                 seen_ms=now_ms,
                 entry_version=item.change_order,
+                statements=self._statements.take(entry),
             )
             log_event(Event.UPSTREAM_SEEN, upstream=instance, service=entry.service)
             return
@@ -374,10 +426,12 @@
         )
         self.on_departed(former.entry)
         self.on_restarted(former)
+        self._statements.note_restart(former.statements, born_ms)
         restarted = Upstream(
             dataclasses.replace(entry, leaving=False),
             born_ms=born_ms,
             seen_ms=self._clock.now_ms(),
+            statements=former.statements,
         )
         self.upstreams[instance] = restarted
         self._rebuild_indexes()
@@ -392,6 +446,12 @@
             self._by_service.setdefault(upstream.entry.service, []).append(upstream)
 
 
+def _closed_for_ms(upstream: Upstream, now_ms: int) -> int:
+    """Return for how long an upstream needs a permit or accepts no request."""
+    limited_ms = upstream.limited_until_ms - now_ms
+    return max(limited_ms, upstream.backoff_left_ms(now_ms), 0)
+
+
 def _fastest_paces(upstreams: t.Iterable[Upstream]) -> dict[str, float]:
     """Return the pace of the fastest upstream of each group."""
     paces: dict[str, float] = {}
--- a/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
@@ -3,6 +3,7 @@
 import dataclasses
 import typing as t
 
+from fuchsiahatch_gateway.answer_statements import Statements
 from fuchsiahatch_gateway.defaults import MAX_LOAD_AGE_MS, REPORT_INTERVAL_MS
 
 if t.TYPE_CHECKING:
@@ -67,6 +68,8 @@
         When a permit to send there may be asked for again.
     movers : set of callable
         Each moves one request in flight there to another upstream, if that is allowed.
+    statements : Statements
+        What this incarnation has stated in its answers.
     """
 
     entry: "UpstreamEntry"
@@ -87,6 +90,7 @@
     rate_stated_ms: int = -1
     limited_until_ms: int = 0
     movers: set[t.Callable[[], None]] = dataclasses.field(default_factory=set)
+    statements: Statements = dataclasses.field(default_factory=Statements)
     _failures: float = 0.0
     _failed_ms: int = 0
 
@@ -95,6 +99,10 @@
         """Whether it may be sent new requests."""
         return self.open and not self.misplaced and not self.entry.leaving
 
+    def backoff_left_ms(self, now_ms: int) -> int:
+        """Return for how long it accepts no further request of this entry."""
+        return max(0, self.statements.backoff_until_ms - now_ms)
+
     @property
     def incarnation(self) -> str:
         """Identifier of this incarnation of the upstream."""
--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -7,6 +7,7 @@
 
 from fuchsiahatch_core.codes import Code
 from fuchsiahatch_core.exceptions import RefusedError
+from fuchsiahatch_gateway.defaults import MAX_RETRY_AFTER_MS
 from fuchsiahatch_routing.queues import FairQueue, QueuedRequest
 
 if t.TYPE_CHECKING:
@@ -79,29 +80,49 @@
         ------
         RefusedError
             If no slot becomes free within `wait_ms`; at once if all upstreams state a
-            rate and none of them accepts another request now.
+            rate and none of them accepts another request now, or if all of them have
+            asked for backoff periods that end later.
         """
         ends_ms = self._clock.now_ms() + wait_ms
         for _ in range(MAX_PERMIT_REQUESTS):
-            self._check_permits(service)
-            left_ms = max(ends_ms - self._clock.now_ms(), 1.0)
-            upstream = await self._acquire_slot(service, team, urgency, tried, left_ms)
+            upstream = await self._acquire_usable(
+                service, team, urgency, tried, ends_ms
+            )
             if await self._request_permit(upstream):
                 return upstream
         # No more permits are requested; an upstream without a stated rate may be free.
         upstream = self._fleet.choose(service, tried, only_unlimited=True)
         if upstream is None:
-            self._check_permits(service)
+            self._check_available(service, ends_ms)
             raise RefusedError("upstreams take no more now", Code.RATE_REACHED)
         upstream.local_requests += 1
         return upstream
 
-    def _check_permits(self, service: str) -> None:
-        """Refuse at once if no upstream accepts a request before a permit is due."""
-        permit_ms = self._fleet.permit_wait_ms(service)
-        if permit_ms is not None:
+    def _check_available(self, service: str, ends_ms: float) -> None:
+        """Refuse a request at once if no upstream accepts it in time."""
+        closed = self._fleet.unavailability(service)
+        if closed is None:
+            return
+        if closed.needs_permit:
             detail = "all upstreams take no more now"
-            raise RefusedError(detail, Code.RATE_REACHED, retry_after_ms=permit_ms)
+            raise RefusedError(detail, Code.RATE_REACHED, retry_after_ms=closed.wait_ms)
+        if self._clock.now_ms() + closed.wait_ms >= ends_ms:
+            raise _backing_off(closed.wait_ms)
+
+    def refuse_waiting(self, service: str) -> None:
+        """Refuse the waiting requests that no upstream of a service accepts in time."""
+        queue = self._queues.get(service)
+        closed = self._fleet.unavailability(service)
+        if queue is None or closed is None or closed.needs_permit:
+            return
+        opens_ms = self._clock.now_ms() + closed.wait_ms
+        for waiting in [one for one in queue if one.expires_ms <= opens_ms]:
+            queue.remove(waiting.ticket)
+            self._refuse(waiting.ticket, _backing_off(closed.wait_ms))
+
+    def backing_off(self, service: str) -> dict[str, int]:
+        """Return the remaining backoff periods of a service's upstreams, in ms."""
+        return self._fleet.backing_off(service)
 
     async def _request_permit(self, upstream: "Upstream") -> bool:
         """Return whether a request may go there; release the slot if not."""
@@ -118,6 +139,23 @@
         self.release(upstream)
         return False
 
+    async def _acquire_usable(
+        self,
+        service: str,
+        team: str,
+        urgency: int,
+        tried: t.Collection[str],
+        ends_ms: float,
+    ) -> "Upstream":
+        while True:
+            self._check_available(service, ends_ms)
+            left_ms = max(ends_ms - self._clock.now_ms(), 1.0)
+            upstream = await self._acquire_slot(service, team, urgency, tried, left_ms)
+            if self.is_usable(upstream):
+                return upstream
+            # It began to leave, or asked for a backoff, after the slot was assigned.
+            self.release(upstream)
+
     async def _acquire_slot(
         self,
         service: str,
@@ -132,12 +170,7 @@
             if upstream is not None:
                 upstream.local_requests += 1
                 return upstream
-        upstream = await self._wait(queue, service, team, urgency, tried, wait_ms)
-        if not self.is_usable(upstream):
-            # It began to leave after the slot was assigned.
-            self.release(upstream)
-            raise RefusedError("the upstream has left", Code.NO_LIVE_UPSTREAM)
-        return upstream
+        return await self._wait(queue, service, team, urgency, tried, wait_ms)
 
     def is_usable(self, upstream: "Upstream") -> bool:
         """Return whether an upstream may still receive new requests."""
@@ -195,7 +228,8 @@
         self._waiters[number] = waiter
         evicted = queue.push(QueuedRequest(number, team, urgency, now_ms, expires_ms))
         if evicted is not None:
-            self._refuse(evicted.ticket)
+            fault = RefusedError("too many requests wait", Code.OVERLOADED)
+            self._refuse(evicted.ticket, fault)
         try:
             # asyncio.wait_for would swallow the cancellation by a caller that
             # disconnects in the same iteration of the loop in which the slot is
@@ -212,8 +246,15 @@
             raise RefusedError("no place came free", Code.OVERLOADED)
         return waiter.future.result()
 
-    def _refuse(self, number: int) -> None:
+    def _refuse(self, number: int, fault: RefusedError) -> None:
         waiter = self._waiters.pop(number, None)
         if waiter is not None and not waiter.future.done():
-            fault = RefusedError("too many requests wait", Code.OVERLOADED)
             waiter.future.set_exception(fault)
+
+
+def _backing_off(wait_ms: int) -> RefusedError:
+    return RefusedError(
+        "all upstreams have asked for a backoff period",
+        Code.BACKING_OFF,
+        retry_after_ms=min(wait_ms, MAX_RETRY_AFTER_MS),
+    )
--- a/tests/gateway/delivery_model.py
+++ b/tests/gateway/delivery_model.py
@@ -119,6 +119,32 @@
         await asyncio.sleep(0)
 
 
+def make_delivery(routes, fleet, placer, pool, budget, clock, rng, *callbacks):
+    """Return the real delivery of an entry without peers."""
+    log = types.SimpleNamespace(
+        note_end=lambda *end: None, note_retry=lambda *retry: None
+    )
+    crashing = CrashingRequests(clock, lambda message: None)
+    return Delivery(
+        routes,
+        placer,
+        pool,
+        budget,
+        log,
+        crashing,
+        UpstreamCrashes(
+            crashing,
+            pool.is_refused,
+            lambda instance: instance in fleet.upstreams,
+            clock,
+        ),
+        LateUpstreams(clock, fleet.upstreams, lambda notice: None),
+        clock,
+        rng,
+        *callbacks,
+    )
+
+
 class World:
     """The run of one scenario, with its state and the violations found."""
 
@@ -140,26 +166,8 @@
         )
         self.placer = Placer(self.fleet, self.clock)
         budget = RetryBudget(0.2, scenario.slack, 10_000, self.clock, lambda: 1, True)
-        self.log = types.SimpleNamespace(
-            note_end=lambda *end: None, note_retry=lambda *retry: None
-        )
-        crashing = CrashingRequests(self.clock, lambda message: None)
-        self.delivery = Delivery(
-            routes,
-            self.placer,
-            self.pool,
-            budget,
-            self.log,
-            crashing,
-            UpstreamCrashes(
-                crashing,
-                self.pool.is_refused,
-                lambda instance: instance in self.fleet.upstreams,
-                self.clock,
-            ),
-            LateUpstreams(self.clock, self.fleet.upstreams, lambda notice: None),
-            self.clock,
-            rng,
+        self.delivery = make_delivery(
+            routes, self.fleet, self.placer, self.pool, budget, self.clock, rng
         )
         self._leaving = dict.fromkeys(range(scenario.upstreams), False)
         self._apply_fleet()
--- a/tests/gateway/played_upstreams.py
+++ b/tests/gateway/played_upstreams.py
@@ -226,16 +226,17 @@
 class SimulatedPool(ConnectionPool):
     """The real pool, with new connections that lead to simulated upstreams."""
 
-    def __init__(self, world, clock):
+    def __init__(self, world, clock, make_wire=Wire):
         super().__init__(clock, CONNECT_MS)
         self._world = world
+        self._make_wire = make_wire
 
     async def _open(self, ip, port):
         await asyncio.sleep(0.001)
         if self._world.refuses_connection():
             raise ConnectFailed("no connection")
         connection = ClientConnection(self._drop_idle)
-        wire = Wire(self._world, port - FIRST_PORT)
+        wire = self._make_wire(self._world, port - FIRST_PORT)
         wire.client = connection
         connection.makeConnection(wire)
         return connection
--- a/tests/gateway/test_delivery_search.py
+++ b/tests/gateway/test_delivery_search.py
@@ -135,7 +135,7 @@
     return progress.sends < progress.max_sends
 
 
-async def _accept_any_head(exchange, connection):
+async def _accept_any_head(exchange, connection, on_skipped_head):
     return await connection.head()
 
 
