One limit for repeated log lines about one upstream

The lines of stated rates and of backoff periods had the same limit twice. The event of an unreadable Retry-After is named STATEMENT_UNREADABLE, for further headers.

--- a/packages/gateway/src/fuchsiahatch_gateway/backoffs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/backoffs.py
@@ -7,6 +7,7 @@
 from fuchsiahatch_adapter.upstreams import decode_retry_after_ms
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import FormError
+from fuchsiahatch_gateway.line_limits import LineLimit
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
@@ -17,8 +18,6 @@
 REJECTIONS = (429, 503)
 #: The clock's reading is up to this much less than the time.
 CLOCK_STEP_MS = 1
-#: Minimum interval between two log lines about one upstream's Retry-After.
-LOG_INTERVAL_MS = 1_000
 
 
 class Backoffs:
@@ -40,7 +39,7 @@
         Backoff periods so far.
     """
 
-    __slots__ = ("_clock", "_logged_ms", "_on_begun", "_on_ended", "begun")
+    __slots__ = ("_clock", "_lines", "_on_begun", "_on_ended", "begun")
 
     def __init__(
         self,
@@ -51,7 +50,7 @@
         self._clock = clock
         self._on_begun = on_begun
         self._on_ended = on_ended
-        self._logged_ms: dict[str, int] = {}
+        self._lines = LineLimit(clock)
         self.begun = 0
 
     def note_head(self, upstream: "Upstream", head: "Head") -> None:
@@ -67,7 +66,7 @@
         self.begun += begins
         upstream.statements.backoff_until_ms = until_ms
         upstream.statements.backoff_stated_ms = now_ms
-        if begins or self._may_log(upstream, now_ms):
+        if self._lines.allows(upstream.entry.instance) or begins:
             _log_begin(upstream, head, delay_ms)
         loop = asyncio.get_running_loop()
         loop.call_later((until_ms - now_ms) / 1000, self._end, upstream, until_ms)
@@ -78,10 +77,11 @@
             try:
                 yield decode_retry_after_ms(value)
             except FormError as fault:
-                if self._may_log(upstream, self._clock.now_ms()):
+                instance = upstream.entry.instance
+                if self._lines.allows(instance):
                     log_event(
-                        Event.RETRY_AFTER_UNREADABLE,
-                        upstream=upstream.entry.instance,
+                        Event.STATEMENT_UNREADABLE,
+                        upstream=instance,
                         detail=fault.detail,
                     )
 
@@ -92,19 +92,6 @@
         log_event(Event.UPSTREAM_BACKOFF_ENDED, upstream=upstream.entry.instance)
         self._on_ended(upstream.entry.service)
 
-    def _may_log(self, upstream: "Upstream", now_ms: int) -> bool:
-        instance = upstream.entry.instance
-        logged_ms = self._logged_ms.get(instance)
-        if logged_ms is not None and now_ms - logged_ms < LOG_INTERVAL_MS:
-            return False
-        self._logged_ms = {
-            name: at_ms
-            for name, at_ms in self._logged_ms.items()
-            if now_ms - at_ms < LOG_INTERVAL_MS
-        }
-        self._logged_ms[instance] = now_ms
-        return True
-
 
 def _log_begin(upstream: "Upstream", head: "Head", delay_ms: int) -> None:
     log_event(
--- a/packages/gateway/src/fuchsiahatch_gateway/stated_rates.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/stated_rates.py
@@ -7,6 +7,7 @@
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import FormError
 from fuchsiahatch_gateway.datagrams import RateNotice
+from fuchsiahatch_gateway.line_limits import LineLimit
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
@@ -15,8 +16,6 @@
 #: Time after an answer received here for which it takes precedence over another entry's
 #: notice without a rate: the upstream may have sent the two answers in either order.
 LOCAL_PRECEDENCE_MS = 100
-#: Minimum interval between two log lines about one upstream's rate.
-LOG_INTERVAL_MS = 1_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -49,14 +48,14 @@
         Sends a notice to all other entries.
     """
 
-    __slots__ = ("_broadcast", "_clock", "_logged_ms")
+    __slots__ = ("_broadcast", "_clock", "_lines")
 
     def __init__(
         self, clock: "Clock", broadcast: t.Callable[[RateNotice], None]
     ) -> None:
         self._clock = clock
         self._broadcast = broadcast
-        self._logged_ms: dict[str, int] = {}
+        self._lines = LineLimit(clock)
 
     def note_answer(self, upstream: "Upstream", value: bytes | None) -> None:
         """Apply the rate that an upstream's answer states.
@@ -72,7 +71,7 @@
         try:
             rate_per_s = decode_stated_rate(value)
         except FormError as fault:
-            if self._may_log(instance, now_ms):
+            if self._lines.allows(instance):
                 log_event(Event.RATE_UNREADABLE, upstream=instance, detail=fault.detail)
             rate_per_s = None
         previous = upstream.stated
@@ -86,7 +85,7 @@
         if previous is None:
             self._broadcast(RateNotice(instance, upstream.born_ms, rate_per_s, 0))
         if previous is None or previous.rate_per_s != rate_per_s:
-            self._log_rate(upstream, "own answer", now_ms)
+            self._log_rate(upstream, "own answer")
 
     def receive_notice(self, upstream: "Upstream", notice: RateNotice) -> None:
         """Apply another entry's notice, unless newer information is known here."""
@@ -101,7 +100,7 @@
             return
         upstream.rate_stated_ms = stated_ms
         upstream.stated = StatedRate(notice.rate_per_s, stated_ms)
-        self._log_rate(upstream, "another entry", now_ms)
+        self._log_rate(upstream, "another entry")
 
     def _end_statement(self, upstream: "Upstream", now_ms: int) -> None:
         if upstream.stated is None:
@@ -112,20 +111,12 @@
         instance = upstream.entry.instance
         log_event(Event.RATE_ENDED, upstream=instance, said_before_ms=stated_before_ms)
 
-    def _log_rate(self, upstream: "Upstream", source: str, now_ms: int) -> None:
+    def _log_rate(self, upstream: "Upstream", source: str) -> None:
         instance = upstream.entry.instance
-        if upstream.stated is not None and self._may_log(instance, now_ms):
+        if upstream.stated is not None and self._lines.allows(instance):
             log_event(
                 Event.RATE_STATED,
                 upstream=instance,
                 rate_per_s=upstream.stated.rate_per_s,
                 source=source,
             )
-
-    def _may_log(self, instance: str, now_ms: int) -> bool:
-        """Return whether a log line is due; the rate may change with each answer."""
-        logged_ms = self._logged_ms.get(instance)
-        if logged_ms is not None and now_ms - logged_ms < LOG_INTERVAL_MS:
-            return False
-        self._logged_ms[instance] = now_ms
-        return True
--- a/tests/gateway/test_backoff.py
+++ b/tests/gateway/test_backoff.py
@@ -175,9 +175,7 @@
             names = [call.args[0].name for call in write.call_args_list]
             return names
 
-        self.assertEqual(
-            self.play(steps), ["RETRY_AFTER_UNREADABLE", "UPSTREAM_BACKOFF"]
-        )
+        self.assertEqual(self.play(steps), ["STATEMENT_UNREADABLE", "UPSTREAM_BACKOFF"])
 
     def test_each_period_has_one_line_and_each_second_one_extension(self):
         async def steps():
