An upstream whose answers say that it leaves gets no further request

The users' new rule (DRAIN): a leaving upstream says Server-Leaving: 1 in all its answers, and later than drainMs after an entry passed one on, none of its requests may reach it, in touch with the store or not. Nobody read the header: leaving came from the entry in the store alone, which may be late, missing, or an older copy's. Same class of fault as the ignored Retry-After, found by looking for statements in answers that nobody reads.

Now each head but a 421 counts, of successes, errors, streams, rejections and late answers to earlier requests. It is final for the incarnation: a lapse, an outage of the store or a restored older copy changes nothing; a new process under the instance starts without it. Idle connections are dropped at once; what runs there is finished. A crash of such an upstream counts against no request, as before for those that leave by their entry.

In test_upstream_crashes and crash_model the stand-ins of an upstream say leaving themselves, as the code asks the upstream and no more its entry.

--- a/packages/gateway/src/fuchsiahatch_gateway/answer_statements.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/answer_statements.py
@@ -27,15 +27,23 @@
         Until when it accepts no further request of this entry.
     backoff_stated_ms : int
         When an answer last named that time.
+    leaving : bool
+        Whether it leaves.
+    leaving_stated_ms : int
+        When an answer last said so.
     """
 
     backoff_until_ms: int = 0
     backoff_stated_ms: int = 0
+    leaving: bool = False
+    leaving_stated_ms: int = 0
 
     def forget_before(self, earliest_ms: int) -> None:
         """Forget what was stated before a time, by a former incarnation."""
         if self.backoff_stated_ms < earliest_ms:
             self.backoff_until_ms = 0
+        if self.leaving_stated_ms < earliest_ms:
+            self.leaving = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -60,6 +60,7 @@
 from fuchsiahatch_gateway.request_metrics import RequestMetrics
 from fuchsiahatch_gateway.retry_budget import RetryBudget
 from fuchsiahatch_gateway.routes import RouteTable
+from fuchsiahatch_gateway.stated_leaving import StatedLeaving
 from fuchsiahatch_gateway.stated_rates import StatedRates
 from fuchsiahatch_gateway.store_health import StoreHealth
 from fuchsiahatch_gateway.upstream_crashes import UpstreamCrashes
@@ -142,6 +143,7 @@
         self.backoffs = Backoffs(
             clock, self.placer.refuse_waiting, self.placer.serve_waiting
         )
+        self.stated_leaving = StatedLeaving(clock, self._drop_connections)
         bounds = settings.bounds
         self.budget = RetryBudget(
             bounds.retry_ratio,
@@ -173,7 +175,7 @@
             clock,
             self._rng,
             self._note_head,
-            self.backoffs.note_head,
+            self._note_statements,
         )
         self.record = EntryRecord(
             settings.node,
@@ -410,7 +412,12 @@
 
     def _note_head(self, upstream: "Upstream", head: "Head") -> None:
         self.rates.note_answer(upstream, head.header(RATE_LIMIT))
+        self._note_statements(upstream, head)
+
+    def _note_statements(self, upstream: "Upstream", head: "Head") -> None:
+        """Apply what an answer states that an answer to a later request doesn't end."""
         self.backoffs.note_head(upstream, head)
+        self.stated_leaving.note_head(upstream, head)
 
     def _notify_peers(
         self, notice: RateNotice | CrashNotice | Clearance | LateNotice
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -391,7 +391,10 @@
             upstream = self._start_incarnation(upstream, entry, entry.born_ms)
         if entry.leaving and not upstream.entry.leaving:
             log_event(
-                Event.UPSTREAM_LEAVING, upstream=instance, own=upstream.local_requests
+                Event.UPSTREAM_LEAVING,
+                upstream=instance,
+                own=upstream.local_requests,
+                source="store",
             )
             self.on_departed(entry)
         elif upstream.entry.leaving and item.era > upstream.entry_version[0]:
--- a/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
@@ -97,7 +97,12 @@
     @property
     def accepts_requests(self) -> bool:
         """Whether it may be sent new requests."""
-        return self.open and not self.misplaced and not self.entry.leaving
+        return self.open and not self.misplaced and not self.leaving
+
+    @property
+    def leaving(self) -> bool:
+        """Whether it leaves, by its entry in the store or by its own answers."""
+        return self.entry.leaving or self.statements.leaving
 
     def backoff_left_ms(self, now_ms: int) -> int:
         """Return for how long it accepts no further request of this entry."""
--- a/packages/gateway/src/fuchsiahatch_gateway/upstream_crashes.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/upstream_crashes.py
@@ -87,7 +87,7 @@
             Its connection was closed before the answer was complete.
         """
         entry = upstream.entry
-        if entry.leaving or not self._is_listed(entry.instance):
+        if upstream.leaving or not self._is_listed(entry.instance):
             return False
         incarnation = upstream.incarnation
         self._broken_answers.append(
@@ -113,7 +113,7 @@
         broke = any(
             answer.incarnation == incarnation for answer in self._broken_answers
         )
-        if broke and not former.entry.leaving:
+        if broke and not former.leaving:
             self.note_ended(incarnation)
 
     def note_ended(self, incarnation: str) -> None:
--- a/tests/gateway/crash_model.py
+++ b/tests/gateway/crash_model.py
@@ -31,13 +31,12 @@
     number: int
     group: str
     alive: bool = True
+    leaving: bool = False
 
     def __post_init__(self):
         self.incarnation = f"{self.name}@{self.number}"
         address = types.SimpleNamespace(ip=self.incarnation, port=1)
-        self.entry = types.SimpleNamespace(
-            instance=self.name, leaving=False, address=address
-        )
+        self.entry = types.SimpleNamespace(instance=self.name, address=address)
         self.runs = {}
 
 
--- a/tests/gateway/test_upstream_crashes.py
+++ b/tests/gateway/test_upstream_crashes.py
@@ -25,8 +25,8 @@
 
 def make_upstream(incarnation="a@1", leaving=False):
     address = types.SimpleNamespace(ip="10.0.0.1", port=80)
-    entry = types.SimpleNamespace(instance="a", leaving=leaving, address=address)
-    return types.SimpleNamespace(incarnation=incarnation, entry=entry)
+    entry = types.SimpleNamespace(instance="a", address=address)
+    return types.SimpleNamespace(incarnation=incarnation, entry=entry, leaving=leaving)
 
 
 class TestCrashDetection(unittest.TestCase):
