A retry that no upstream accepts leaves the retry budget as it was

A retry is taken from the budget before its slot is looked for. Where all other upstreams were full, leaving or in a backoff period the request was refused and the retry counted as sent, so that a service in need used up the budget of those requests that could still have been sent elsewhere. Now the retry is given back where the request gets no slot, also when its caller leaves meanwhile.

--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -175,19 +175,17 @@
         )
 
     async def _deliver(self, job: Job) -> None:
+        upstream = await self._acquire_slot(job)
         while True:
-            upstream = await self._acquire_slot(job)
             self._check_held(job, upstream)
             outcome = await self._attempt(job, upstream)
             await self._note_answer_or_crash(job, upstream, outcome)
-            step = decide(outcome.result, self._progress(job, outcome))
-            if step is Step.RETRY and not self._spend_retry(job, outcome):
+            following = await self._choose_retry(job, upstream, outcome)
+            if following is None:
                 step = conclude(outcome.result, job.may_have_run)
-            if step is Step.RETRY:
-                self._log.note_retry(job, upstream, outcome)
-                continue
-            self._finish(job, step, outcome)
-            return
+                self._finish(job, step, outcome)
+                return
+            upstream = following
 
     def _check_held(self, job: Job, upstream: "Upstream | None" = None) -> None:
         """Refuse a held request, one that crashes upstreams; release its slot if given.
@@ -217,9 +215,29 @@
         elif outcome.result is Result.BROKEN:
             self._crashes.note_unanswered(job.fingerprint, upstream)
 
-    def _spend_retry(self, job: Job, outcome: Outcome) -> bool:
+    async def _choose_retry(
+        self, job: Job, upstream: "Upstream", outcome: Outcome
+    ) -> "Upstream | None":
+        """Return the upstream for a retry; None to end with the outcome as it is.
+
+        Raises
+        ------
+        RefusedError
+            If no upstream accepts the request.
+        """
+        if decide(outcome.result, self._progress(job, outcome)) is not Step.RETRY:
+            return None
         # Without a connection nothing was sent, so the next attempt isn't a retry.
-        return outcome.result is Result.UNSENT or self._budget.spend(job.service)
+        is_retry = outcome.result is not Result.UNSENT
+        if is_retry and not self._budget.spend(job.service):
+            return None
+        self._log.note_retry(job, upstream, outcome)
+        try:
+            return await self._acquire_slot(job)
+        except BaseException:
+            if is_retry:
+                self._budget.refund(job.service)
+            raise
 
     async def _acquire_slot(self, job: Job) -> "Upstream":
         team = job.match.team.name
--- a/packages/gateway/src/fuchsiahatch_gateway/retry_budget.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/retry_budget.py
@@ -82,6 +82,13 @@
         self.spent += 1
         return True
 
+    def refund(self, service: str) -> None:
+        """Give back a retry that was not sent."""
+        retries = self._recent(self._retries, service)
+        if retries:
+            retries.pop()
+        self.spent -= 1
+
     def has_retry_left(self, service: str) -> bool:
         """Return whether a retry is left in the window."""
         retries = self._recent(self._retries, service)
--- a/tests/gateway/test_backoff.py
+++ b/tests/gateway/test_backoff.py
@@ -19,7 +19,7 @@
 from fuchsiahatch_http1.client import Head
 from fuchsiahatch_standins.virtual_time import run_virtually
 from tests.gateway.backoff_model import HANDLING_MS, Simulation
-from tests.gateway.sites import Site, answers, until, upstream
+from tests.gateway.sites import Site, answers, until, upstream, waits
 from tests.gateway.test_fleet import item
 from tests.loopback import run
 
@@ -426,6 +426,18 @@
 
         self.assertEqual(run(play()), 0)
 
+    def test_a_retry_that_has_nowhere_to_go_leaves_the_retry_budget_as_it_was(self):
+        async def play():
+            async with Site(upstream(rejects([], "5")), upstream(waits)) as site:
+                site.store.remove("servers/i-1")
+                await until(lambda: len(site.entry.fleet.upstreams) == 1)
+                reply = await site.ask("/twice/x", request_id="q-1")
+                return reply, site.entry.budget.spent
+
+        reply, spent = run(play())
+        self.assertEqual((reply.status, spent), (503, 0))
+        self.assertIn(b"BACKING_OFF", reply.body)
+
 
 async def rejects_as_another(request, wire):
     headers = {"Fuchsiahatch-Not-Executed": "1", "Retry-After": "5"}
