An upstream's error is relayed if no other upstream accepts the retry

A repeatable request whose upstream answered with an error of its own was sent to another one; if that got no slot, the caller got 502 of ours in place of the answer that lay ready. Now the upstream's answer is relayed, with its status, headers and signature.

Test, failed before (502, [301 UNKNOWN]): test_an_error_of_an_upstream_is_relayed_if_no_other_accepts_a_retry.

--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -223,7 +223,7 @@
         Raises
         ------
         RefusedError
-            If no upstream accepts the request.
+            If no upstream accepts the request, and there is no answer to relay.
         """
         if decide(outcome.result, self._progress(job, outcome)) is not Step.RETRY:
             return None
@@ -234,9 +234,11 @@
         self._log.note_retry(job, upstream, outcome)
         try:
             return await self._acquire_slot(job)
-        except BaseException:
+        except BaseException as fault:
             if is_retry:
                 self._budget.refund(job.service)
+            if isinstance(fault, RefusedError) and outcome.result is Result.ANSWERED:
+                return None
             raise
 
     async def _acquire_slot(self, job: Job) -> "Upstream":
--- a/tests/gateway/test_backoff.py
+++ b/tests/gateway/test_backoff.py
@@ -438,6 +438,22 @@
         self.assertEqual((reply.status, spent), (503, 0))
         self.assertIn(b"BACKING_OFF", reply.body)
 
+    def test_an_error_of_an_upstream_is_relayed_if_no_other_accepts_a_retry(self):
+        async def play():
+            headers = {"X-Own": "kept", "Server-Leaving": "1"}
+            fails = answers(500, b"failed", **headers)
+            async with Site(upstream(fails), upstream(rejects([], "5"))) as site:
+                site.store.remove("servers/i-0")
+                await until(lambda: len(site.entry.fleet.upstreams) == 1)
+                await site.ask("/hold/x", request_id="q-1")
+                site.put_upstream("i-0", site.upstreams[0].port)
+                await until(lambda: len(site.entry.fleet.upstreams) == 2)
+                return await site.ask("/safe/x", request_id="q-2")
+
+        reply = run(play())
+        self.assertEqual((reply.status, reply.body), (500, b"failed"))
+        self.assertEqual(reply.headers["x-own"], "kept")
+
 
 async def rejects_as_another(request, wire):
     headers = {"Fuchsiahatch-Not-Executed": "1", "Retry-After": "5"}
