Requests return slowly to an upstream after its backoff period

All entries may have been rejected together, and return together: each took the upstream for empty and sent as many requests as it has slots. Now an entry sends one at first, and twice as many after each answer that is no rejection, until the slots are reached.

Unavailability of a service ends at the first upstream that is available, and the backoff periods are collected only for lines that are written, as both are asked for each request.

--- a/packages/gateway/src/fuchsiahatch_gateway/backoffs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/backoffs.py
@@ -56,6 +56,7 @@
     def note_head(self, upstream: "Upstream", head: "Head") -> None:
         """Apply the Retry-After of an upstream's answer, if it is a rejection."""
         if head.status not in REJECTIONS:
+            upstream.note_accepted()
             return
         delay_ms = max(self._decode_delays_ms(upstream, head), default=0)
         now_ms = self._clock.now_ms()
@@ -66,6 +67,7 @@
         self.begun += begins
         upstream.statements.backoff_until_ms = until_ms
         upstream.statements.backoff_stated_ms = now_ms
+        upstream.start_slowly()
         if self._lines.allows(upstream.entry.instance) or begins:
             _log_begin(upstream, head, delay_ms)
         loop = asyncio.get_running_loop()
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -251,7 +251,6 @@
             )
         finally:
             job.waited_ms += self._clock.now_ms() - began_ms
-            job.backing_off = self._placer.backing_off(job.service)
 
     async def _attempt(self, job: Job, upstream: "Upstream") -> Outcome:
         sent_ms = self._clock.now_ms()
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -168,7 +168,12 @@
             self.placer,
             self.pool,
             self.budget,
-            RequestLog(RequestMetrics(process.registry), clock, self._rng),
+            RequestLog(
+                RequestMetrics(process.registry),
+                clock,
+                self._rng,
+                self.fleet.backing_off,
+            ),
             self.crashing,
             self.crashes,
             self.late,
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -276,7 +276,8 @@
             upstream
             for upstream in usable
             if upstream.limited_until_ms <= now_ms
-            and not upstream.backoff_left_ms(now_ms)
+            and upstream.statements.backoff_until_ms <= now_ms
+            and upstream.local_requests < upstream.max_local_requests
             and not (only_unlimited and upstream.stated)
             and upstream.load(now_ms) < upstream.places(engine, paces[upstream.group])
         ]
@@ -295,15 +296,16 @@
         None where one accepts requests now, even a full one, and where there is none.
         """
         now_ms = self._clock.now_ms()
-        first = min(
-            self.usable(service),
-            key=lambda upstream: _closed_for_ms(upstream, now_ms),
-            default=None,
-        )
-        if first is None or not _closed_for_ms(first, now_ms):
-            return None
-        wait_ms = _closed_for_ms(first, now_ms)
-        return Unavailability(wait_ms, wait_ms > first.backoff_left_ms(now_ms))
+        first: Unavailability | None = None
+        for upstream in self.usable(service):
+            limited_ms = max(0, upstream.limited_until_ms - now_ms)
+            backoff_ms = upstream.backoff_left_ms(now_ms)
+            wait_ms = max(limited_ms, backoff_ms)
+            if not wait_ms:
+                return None
+            if first is None or wait_ms < first.wait_ms:
+                first = Unavailability(wait_ms, limited_ms > backoff_ms)
+        return first
 
     def backing_off(self, service: str) -> dict[str, int]:
         """Return the remaining backoff periods of a service's upstreams, in ms."""
@@ -449,12 +451,6 @@
             self._by_service.setdefault(upstream.entry.service, []).append(upstream)
 
 
-def _closed_for_ms(upstream: Upstream, now_ms: int) -> int:
-    """Return for how long an upstream needs a permit or accepts no request."""
-    limited_ms = upstream.limited_until_ms - now_ms
-    return max(limited_ms, upstream.backoff_left_ms(now_ms), 0)
-
-
 def _fastest_paces(upstreams: t.Iterable[Upstream]) -> dict[str, float]:
     """Return the pace of the fastest upstream of each group."""
     paces: dict[str, float] = {}
--- a/packages/gateway/src/fuchsiahatch_gateway/jobs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/jobs.py
@@ -62,9 +62,6 @@
         including this one.
     report_age_ms : int or None
         Age of the load report used for that estimate; None without one.
-    backing_off : dict of str to int
-        Upstreams of its service that had asked for a backoff period when its latest
-        upstream was chosen, with the remaining time in milliseconds.
     """
 
     exchange: "Exchange"
@@ -84,7 +81,6 @@
     waited_ms: int = 0
     load_then: int = 0
     report_age_ms: int | None = None
-    backing_off: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def is_on_time(self, now_ms: int) -> bool:
         """Return whether an answer that ends now meets the route's objectives."""
--- a/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
@@ -1,6 +1,7 @@
 """One upstream, as an entry sees it."""
 
 import dataclasses
+import math
 import typing as t
 
 from fuchsiahatch_gateway.answer_statements import Statements
@@ -21,6 +22,8 @@
 #: requests would go to an unreachable engine.
 SILENCE_REPORT_INTERVALS = 4.0
 MIN_SILENCE_MS = 300
+#: Growth of the limit on an entry's requests, per answer, after a backoff period.
+SLOW_START_FACTOR = 2
 #: Weight of the latest interval between two reports in their running mean.
 REPORT_INTERVAL_WEIGHT = 0.2
 #: Weight of a plain upstream's latest latency in the running mean.
@@ -70,6 +73,8 @@
         Each moves one request in flight there to another upstream, if that is allowed.
     statements : Statements
         What this incarnation has stated in its answers.
+    max_local_requests : float
+        Limit on the requests of this entry in flight there, low after a backoff period.
     """
 
     entry: "UpstreamEntry"
@@ -91,6 +96,7 @@
     limited_until_ms: int = 0
     movers: set[t.Callable[[], None]] = dataclasses.field(default_factory=set)
     statements: Statements = dataclasses.field(default_factory=Statements)
+    max_local_requests: float = math.inf
     _failures: float = 0.0
     _failed_ms: int = 0
 
@@ -104,6 +110,17 @@
         """Whether it leaves, by its entry in the store or by its own answers."""
         return self.entry.leaving or self.statements.leaving
 
+    def start_slowly(self) -> None:
+        """Limit the requests of this entry until the upstream has answered some."""
+        self.max_local_requests = 1
+
+    def note_accepted(self) -> None:
+        """Raise the limit on the requests of this entry after an answer."""
+        if self.max_local_requests < self.entry.places:
+            self.max_local_requests *= SLOW_START_FACTOR
+        else:
+            self.max_local_requests = math.inf
+
     def backoff_left_ms(self, now_ms: int) -> int:
         """Return for how long it accepts no further request of this entry."""
         return max(0, self.statements.backoff_until_ms - now_ms)
--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -120,10 +120,6 @@
             queue.remove(waiting.ticket)
             self._refuse(waiting.ticket, _backing_off(closed.wait_ms))
 
-    def backing_off(self, service: str) -> dict[str, int]:
-        """Return the remaining backoff periods of a service's upstreams, in ms."""
-        return self._fleet.backing_off(service)
-
     async def _request_permit(self, upstream: "Upstream") -> bool:
         """Return whether a request may go there; release the slot if not."""
         if upstream.stated is None or self._ask_permit is None:
--- a/packages/gateway/src/fuchsiahatch_gateway/request_log.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/request_log.py
@@ -24,13 +24,20 @@
     metrics : RequestMetrics
     clock : Clock
     rng : random.Random
+    backing_off : callable
+        Returns the remaining backoff periods of a service's upstreams, in ms.
     """
 
-    __slots__ = ("_clock", "_metrics", "_rng")
+    __slots__ = ("_backing_off", "_clock", "_metrics", "_rng")
 
     def __init__(
-        self, metrics: "RequestMetrics", clock: "Clock", rng: random.Random
+        self,
+        metrics: "RequestMetrics",
+        clock: "Clock",
+        rng: random.Random,
+        backing_off: t.Callable[[str], dict[str, int]],
     ) -> None:
+        self._backing_off = backing_off
         self._metrics = metrics
         self._clock = clock
         self._rng = rng
@@ -56,7 +63,7 @@
             end=end,
             status=None if outcome is None else outcome.status,
             retry_after=None if outcome is None else outcome.retry_after,
-            backing_off=job.backing_off,
+            backing_off=self._backing_off(job.service),
             took_ms=now_ms - job.arrived_ms,
             waited_ms=job.waited_ms,
             first_event_ms=None if first_ms is None else first_ms - job.arrived_ms,
@@ -79,7 +86,7 @@
             result=outcome.result.value,
             detail=outcome.detail,
             retry_after=outcome.retry_after,
-            backing_off=job.backing_off,
+            backing_off=self._backing_off(job.service),
             left_ms=job.ends_ms - now_ms,
             load_then=job.load_then,
             report_age_ms=job.report_age_ms,
--- a/tests/gateway/backoff_model.py
+++ b/tests/gateway/backoff_model.py
@@ -41,8 +41,9 @@
 class Life:
     """One incarnation of an upstream.
 
-    `arrivals` and `rejections` have the times of requests and of answers with
-    Retry-After by entry; a rejection's second figure is the span in ms.
+    It runs as many requests as it has slots and queues as many more. `arrivals` and
+    `rejections` have the times of requests and of answers with Retry-After by entry;
+    a rejection's second figure is the span in ms.
     """
 
     number: int
@@ -50,7 +51,7 @@
     born_ms: int
     places: int
     listed: bool = True
-    running: int = 0
+    present: int = 0
     wires: set = dataclasses.field(default_factory=set)
     arrivals: collections.defaultdict = dataclasses.field(
         default_factory=lambda: collections.defaultdict(list)
@@ -59,6 +60,9 @@
         default_factory=lambda: collections.defaultdict(list)
     )
 
+    def __post_init__(self):
+        self.slots = asyncio.Semaphore(self.places)
+
     def item(self, revision):
         fields = make_upstream_entry(
             "svc",
@@ -293,15 +297,16 @@
             wire.reject(run, 421)
             return
         life.arrivals[entry.node].append(now_ms)
-        if life.number in self.overloaded or life.running >= life.places:
+        if life.number in self.overloaded or life.present >= 2 * life.places:
             await asyncio.sleep(self.rng.choice((0.001, 0.001, 0.005, 0.2)))
             self._reject(wire, entry, run)
             return
-        life.running += 1
+        life.present += 1
         try:
-            await asyncio.sleep(self.rng.uniform(0.03, 0.12))
+            async with life.slots:
+                await asyncio.sleep(self.rng.uniform(0.03, 0.12))
         finally:
-            life.running -= 1
+            life.present -= 1
         wire.succeed(run)
 
     def _reject(self, wire, entry, run):
--- a/tests/gateway/test_backoff.py
+++ b/tests/gateway/test_backoff.py
@@ -369,6 +369,26 @@
 
         self.assertEqual(self.play(steps), (Code.OVERLOADED, 500))
 
+    def test_requests_return_slowly_to_an_upstream_after_its_period(self):
+        async def steps():
+            self.fleet.apply({"a": item("a", 1, slots=6)})
+            self.note("a", b"0.5")
+            await asyncio.sleep(0.51)
+            counts = []
+            for _ in range(4):
+                held = []
+                while (chosen := self.fleet.choose("svc", ())) is not None:
+                    chosen.local_requests += 1
+                    held.append(chosen)
+                counts.append(len(held))
+                for chosen in held:
+                    self.placer.release(chosen)
+                answer = Head(200, ())
+                self.backoffs.note_head(self.fleet.upstreams["a"], answer)
+            return counts
+
+        self.assertEqual(self.play(steps), [1, 2, 4, 6])
+
     def test_callers_are_asked_to_return_before_an_hour_has_passed(self):
         async def steps():
             self.note("a", b"3600")
--- a/tests/gateway/test_request_log.py
+++ b/tests/gateway/test_request_log.py
@@ -16,7 +16,9 @@
         head = Head(503, ((b"retry-after", b"3"), (b"retry-after", b"0.5")))
         upstream = mock.MagicMock()
         job = mock.MagicMock(ends_ms=0)
-        log = RequestLog(types.SimpleNamespace(), ManualClock(), random.Random(1))
+        log = RequestLog(
+            types.SimpleNamespace(), ManualClock(), random.Random(1), lambda name: {}
+        )
         with mock.patch.object(request_log, "log_event") as write:
             log.note_retry(job, upstream, Outcome(Result.NOT_RUN, "status 503", head))
             log.note_retry(job, upstream, Outcome(Result.BROKEN, "reset"))
