--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -3,7 +3,7 @@
 from unittest import mock
 
 from fuchsiahatch_adapter.node_settings import Address, StoreAccess
-from fuchsiahatch_adapter.store import StoreClient
+from fuchsiahatch_adapter.store import Item, StoreClient
 from fuchsiahatch_core.clock import Clock
 from fuchsiahatch_gateway import following, store_health
 from fuchsiahatch_gateway.following import Follower
@@ -12,12 +12,20 @@
 from fuchsiahatch_gateway.store_health import StoreHealth
 from fuchsiahatch_http1.client import ConnectionPool
 from fuchsiahatch_standins.fleet_store import FleetStore, make_upstream_entry
+from fuchsiahatch_standins.virtual_time import run_virtually
 from tests.gateway.sites import Site, until
 from tests.loopback import run
 
 LAPSE_GRACE_MS = 300
 #: Long enough to tell parts of it apart while other tests load the machine.
 LONG_LAPSE_MS = 1_000
+#: Time after a reset from which an entry must not send to an upstream that left so long
+#: ago.
+STABLE_MS, DRAIN_MS = 3_000, 2_000
+
+
+def make_item(name, value, revision):
+    return Item(f"servers/{name}", value, revision, 1)
 
 
 class FollowedStore:
@@ -197,6 +205,27 @@
         with mock.patch.object(store_health, "LAPSE_GRACE_MS", LONG_LAPSE_MS):
             run(follow())
 
+    def test_a_departure_just_after_a_short_cut_is_applied_within_the_drain_time(self):
+        # A request reached an upstream 2.2 s after it had left, 3 s after a reset.
+        async def follow(loop):
+            clock, health = loop.make_clock(), StoreHealth()
+            copy = ItemCopy("servers/", health, clock, lambda: None)
+            copy.apply_changes([make_item("gone", b"{}", 1)])
+            health.note_answer(clock.now_ms())
+            await asyncio.sleep(1)
+            health.note_failure(clock.now_ms(), "a reset")
+            reset_ms = clock.now_ms()
+            await asyncio.sleep(0.757)
+            health.note_answer(clock.now_ms())
+            await asyncio.sleep(0.045)
+            copy.apply_changes([make_item("gone", None, 2)])
+            left_ms = clock.now_ms()
+            bound_ms = max(reset_ms + STABLE_MS, left_ms + DRAIN_MS)
+            await asyncio.sleep((bound_ms - clock.now_ms()) / 1000)
+            return sorted(copy.items)
+
+        self.assertEqual(run_virtually(follow), [])
+
     def test_a_lapse_is_noticed_without_a_failed_call(self):
         # Guards against a short outage that no call fails in: the store was down for a
         # second and lost its leases; an entry whose only call was a pending watch saw
