--- a/tests/gateway/crash_model.py
+++ b/tests/gateway/crash_model.py
@@ -109,6 +109,10 @@
         Share of the datagrams that are lost.
     ordinary_s : float, optional
         Mean time between two crashes that no request causes; 0 for none.
+    deadly_share : float, optional
+        Share of the callers who send one more such request, "deadly-0".
+    deadly_s : (float, float), optional
+        Begin and end of the time in which they do.
     events : dict of float to callable, optional
         Each is called with the simulation at its time in seconds.
     """
@@ -126,7 +130,10 @@
         per_s=60.0,
         for_s=30.0,
         seed=1,
+        deadly_share=0.0,
+        deadly_s=(0.0, 0.0),
     ):
+        self.deadly_share, self.deadly_s = deadly_share, deadly_s
         self.entry_count, self.upstream_count = entries, upstreams
         self.group_count, self.crashers, self.at_once = groups, crashers, at_once
         self.lost_share, self.ordinary_s = lost_share, ordinary_s
@@ -224,6 +231,9 @@
             # A fifth of the requests are for one of 3 popular prompts.
             popular = self.rng.random() < 0.2
             name = f"popular-{self.rng.randrange(3)}" if popular else f"own-{number}"
+            begin_s, end_s = self.deadly_s
+            if begin_s <= self.loop.time() < end_s:
+                name = "deadly-0" if self.rng.random() < self.deadly_share else name
             running.add(asyncio.ensure_future(self._send_request(name)))
             await asyncio.sleep(self.rng.expovariate(self.per_s))
         await asyncio.gather(*running)
@@ -234,7 +244,8 @@
             if end in ("whole", "refused"):
                 break
             await asyncio.sleep(0.1)
-        self.ends[end] += 1
+        if not name.startswith("deadly"):
+            self.ends[end] += 1
 
     async def _send_crasher(self, number):
         await asyncio.sleep(self.rng.uniform(1, 4))
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -216,6 +216,18 @@
                     simulation = Simulation(6, crashers=1, events=events, seed=seed)
                     self.check(simulation.play())
 
+    def test_a_share_of_the_callers_sends_a_crasher_at_any_time(self):
+        for seed, (share, deadly_s) in enumerate(
+            ((0.03, (5.0, 25.0)), (0.01, (2.0, 26.0)), (0.1, (9.0, 21.0)))
+        ):
+            with self.subTest(share=share, deadly_s=deadly_s):
+                simulation = Simulation(
+                    6, crashers=0, deadly_share=share, deadly_s=deadly_s, seed=seed
+                ).play()
+                self.check(simulation)
+                self.assertGreaterEqual(len(simulation.crashed_ms["deadly-0"]), 3)
+                self.assertLessEqual(simulation.sends_after(0), MAX_SENDS_AFTER)
+
     def test_a_crasher_costs_few_datagrams(self):
         # Notices of 3 crashes and of a few requests beside each, to 98 entries.
         simulation = Simulation(99, crashers=1).play()
