Deletions are withheld only after an absence in which leases can expire

Cause: every return of the store, however short its absence, began a grace time of 2.3 s in which deletions wait, as they may come from leases that expired meanwhile. After a reset and 0.8 s no lease can have expired, and the deletion was real.

Change: the absence is measured from the last answer to the first one after the failure. Below the shortest time in which a renewed lease expires (an entry's registration of 3 s, renewed each 0.9 s; an upstream's entry lasts three heartbeats) no grace time begins, unless one is running. Many deletions at once still count as a lapse, whatever the absence.

Test: test_a_departure_just_after_a_short_cut_is_applied_within_the_drain_time failed before (known red), passes now; two more for both sides of the limit. Tests that scale the grace time down to a fraction of a second scale that limit too.

--- a/packages/gateway/src/fuchsiahatch_gateway/store_health.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/store_health.py
@@ -4,7 +4,15 @@
 import dataclasses
 
 from fuchsiahatch_core.events import Event, log_event
-from fuchsiahatch_gateway.defaults import LAPSE_GRACE_MS
+from fuchsiahatch_gateway.defaults import (
+    LAPSE_GRACE_MS,
+    LEASE_RENEWAL_INTERVAL_MS,
+    REGISTRATION_TTL_MS,
+)
+
+#: Shortest absence of the store in which a lease that is renewed regularly may expire.
+#: Upstreams' entries last for three heartbeats, longer than an entry's registration.
+MIN_LAPSE_MS = REGISTRATION_TTL_MS - LEASE_RENEWAL_INTERVAL_MS
 
 
 @dataclasses.dataclass(slots=True)
@@ -13,8 +21,10 @@
 
     Attributes
     ----------
-    failed_ms, answered_ms, regained_ms : int or None
-        The last failure, the last answer, and the first answer after a failure.
+    failed_ms, answered_ms : int or None
+        The last failure and the last answer.
+    regained_ms : int or None
+        The first answer after an absence in which leases may have expired.
     regained : asyncio.Event
         Set, and replaced by a new one, when the store answers again.
     """
@@ -28,7 +38,8 @@
         """Note that a call was answered."""
         if self.failed_ms is not None and not self.answers:
             log_event(Event.STORE_REGAINED, silent_ms=now_ms - self.failed_ms)
-            self.regained_ms = now_ms
+            if self._may_have_lapsed(now_ms):
+                self.regained_ms = now_ms
             self.regained.set()
             self.regained = asyncio.Event()
         self.answered_ms = now_ms
@@ -64,12 +75,26 @@
 
     def settles_in_ms(self, now_ms: int) -> int:
         """Return the minimum time until a deletion may count as final."""
-        if not self.answers or self.regained_ms is None:
+        if not self.answers:
             return LAPSE_GRACE_MS // 4
-        return max(self.regained_ms + LAPSE_GRACE_MS - now_ms, 0)
+        return self._grace_left_ms(now_ms)
 
     def settled(self, now_ms: int) -> bool:
-        """Whether the store has answered for so long that deletions are final."""
+        """Whether deletions are final: no owner is about to renew an expired lease."""
+        return self.answers and not self._grace_left_ms(now_ms)
+
+    def _may_have_lapsed(self, now_ms: int) -> bool:
+        """Return whether leases may have expired in the absence that ends now.
+
+        After a shorter one deletions are real: to withhold them sent requests to an
+        upstream 2.2 s after it had left, though the store was gone for only 0.8 s.
+        """
+        if self._grace_left_ms(now_ms):
+            return True
+        since_ms = self.failed_ms if self.answered_ms is None else self.answered_ms
+        return since_ms is None or now_ms - since_ms >= MIN_LAPSE_MS
+
+    def _grace_left_ms(self, now_ms: int) -> int:
         if self.regained_ms is None:
-            return self.failed_ms is None
-        return self.answers and now_ms - self.regained_ms >= LAPSE_GRACE_MS
+            return 0
+        return max(self.regained_ms + LAPSE_GRACE_MS - now_ms, 0)
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -24,6 +24,11 @@
 STABLE_MS, DRAIN_MS = 3_000, 2_000
 
 
+def scaled_lapses(grace_ms):
+    """Scale the grace time down, and the absence in which leases expire to nothing."""
+    return mock.patch.multiple(store_health, LAPSE_GRACE_MS=grace_ms, MIN_LAPSE_MS=0)
+
+
 def make_item(name, value, revision):
     return Item(f"servers/{name}", value, revision, 1)
 
@@ -183,7 +188,7 @@
                 followed.store.put("servers/back", {})
                 await until(lambda: followed.names == ["back"])
 
-        with mock.patch.object(store_health, "LAPSE_GRACE_MS", LAPSE_GRACE_MS):
+        with scaled_lapses(LAPSE_GRACE_MS):
             run(follow())
 
     def test_a_late_deletion_does_not_start_a_new_grace_time(self):
@@ -202,7 +207,7 @@
                 await asyncio.sleep(0.4 * LONG_LAPSE_MS / 1000)
                 self.assertEqual(followed.names, [])
 
-        with mock.patch.object(store_health, "LAPSE_GRACE_MS", LONG_LAPSE_MS):
+        with scaled_lapses(LONG_LAPSE_MS):
             run(follow())
 
     def test_a_departure_just_after_a_short_cut_is_applied_within_the_drain_time(self):
@@ -348,3 +353,20 @@
         health.note_failure(9_500, "503")
         health.note_answer(9_600)
         self.assertFalse(health.settled(9_700))
+        # The store was back for half a second only, so that the grace time begins anew.
+        self.assertFalse(health.settled(9_500 + store_health.LAPSE_GRACE_MS))
+
+    def test_an_absence_shorter_than_any_lease_withholds_no_deletion(self):
+        health = StoreHealth()
+        health.note_answer(1_000)
+        health.note_failure(1_900, "reset")
+        self.assertFalse(health.settled(2_000))
+        health.note_answer(1_000 + store_health.MIN_LAPSE_MS - 1)
+        self.assertTrue(health.settled(1_000 + store_health.MIN_LAPSE_MS))
+
+    def test_an_absence_as_long_as_a_lease_withholds_deletions(self):
+        health = StoreHealth()
+        health.note_answer(1_000)
+        health.note_failure(2_900, "reset")
+        health.note_answer(1_000 + store_health.MIN_LAPSE_MS)
+        self.assertFalse(health.settled(1_000 + store_health.MIN_LAPSE_MS))
