--- a/packages/bench/src/fuchsiahatch_bench/overload.py
+++ b/packages/bench/src/fuchsiahatch_bench/overload.py
@@ -23,6 +23,7 @@
 from fuchsiahatch_gateway.fleet import Fleet
 from fuchsiahatch_gateway.jobs import STREAM_PATIENCE_MS, WAIT_SHARE
 from fuchsiahatch_gateway.placing import Placer
+from fuchsiahatch_gateway.request_traits import ANY_REQUEST, RequestTraits
 from fuchsiahatch_standins.fleet_store import make_upstream_item
 from fuchsiahatch_standins.virtual_time import VirtualLoop, run_virtually
 
@@ -95,10 +96,16 @@
         super().__init__(zone, clock, rng)
         self.times_us = HdrHistogram(1, _LARGEST_US, 3)
 
-    def choose(self, service: str, tried: t.Collection[str]) -> t.Any:
+    def choose(
+        self,
+        service: str,
+        tried: t.Collection[str],
+        traits: RequestTraits = ANY_REQUEST,
+        only_unlimited: bool = False,
+    ) -> t.Any:
         """Choose, and note how long that took."""
         began_ns = time.perf_counter_ns()
-        chosen = super().choose(service, tried)
+        chosen = super().choose(service, tried, traits, only_unlimited)
         took_us = (time.perf_counter_ns() - began_ns) // 1_000
         self.times_us.record_value(max(min(took_us, _LARGEST_US), 1))
         return chosen
@@ -153,7 +160,8 @@
         began_ms = self._clock.now_ms()
         wait_ms = WAIT_SHARE * STREAM_PATIENCE_MS
         try:
-            upstream = await placer.acquire(SERVICE, f"team-{team}", 1, (), wait_ms)
+            traits = RequestTraits(f"team-{team}", 1)
+            upstream = await placer.acquire(SERVICE, traits, (), wait_ms)
         except RefusedError:
             # It came back with 503: nothing is earned.
             return
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -242,12 +242,10 @@
             raise
 
     async def _acquire_slot(self, job: Job) -> "Upstream":
-        team = job.match.team.name
-        urgency = job.match.urgency
         began_ms = self._clock.now_ms()
         try:
             return await self._placer.acquire(
-                job.service, team, urgency, job.tried, wait_ms(job, began_ms)
+                job.service, job.traits, job.tried, wait_ms(job, began_ms)
             )
         finally:
             job.waited_ms += self._clock.now_ms() - began_ms
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -10,6 +10,12 @@
 from fuchsiahatch_gateway.departed_upstreams import DepartedUpstreams
 from fuchsiahatch_gateway.item_decoding import ItemDecoder
 from fuchsiahatch_gateway.known_upstream import Upstream
+from fuchsiahatch_gateway.request_traits import ANY_REQUEST, RequestTraits
+from fuchsiahatch_gateway.upstream_comparison import (
+    Comparison,
+    fastest_paces,
+    untried,
+)
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.configuration import Engine
@@ -17,24 +23,6 @@
     from fuchsiahatch_core.clock import Clock
     from fuchsiahatch_gateway.datagrams import LoadReport
 
-#: Cost of one recent failure when upstreams are compared; all costs are in requests.
-FAILURE_COST = 3.0
-#: Cost of an upstream without any load report, where others of its service have one:
-#: after a power loss, a group that has not formed yet sends none.
-UNKNOWN_COST = 4.0
-#: Cost of an upstream whose agent is silent: more than any upstream has slots.
-SILENT_COST = 50.0
-#: Cost of an upstream in another zone: it only breaks ties.
-ZONE_COST = 0.2
-#: Upstreams compared for one choice, drawn at random. Load reports are stale: with 64
-#: engines some 40 streams are placed between two reports of an engine, and if each of
-#: 33 entries takes the least loaded one, the streams meet at the same few engines while
-#: others have free slots. At 131 streams per second and reports every 300 ms, the
-#: share of streams that wait 250 ms or more for a slot is 0.38 for the least loaded of
-#: all, 0.019 for the best of 2, 0.024 of 3, 0.031 of 4 and 0.064 of 6. With reports
-#: every 100 ms, 2 are worse than 3: 0.0049 against 0.0030, and 0.0020 against 0.0013
-#: with 7 entries and 16 engines.
-SAMPLE_SIZE = 3
 #: Time after an engine is first seen for which its first load report is awaited.
 #: Reports come every 100 ms; after a power loss a rank group needs some 600 ms to form,
 #: and refuses every request until then.
@@ -60,14 +48,6 @@
     needs_permit: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Fastest:
-    """The lowest times among the candidates; 0 where none is known."""
-
-    latency_ms: float
-    pass_ms: float
-
-
 class Fleet:
     """All known upstreams.
 
@@ -195,7 +175,7 @@
         if not upstream.movers or not upstream.group:
             return
         usable = self.usable(upstream.entry.service)
-        paces = _fastest_paces(usable)
+        paces = fastest_paces(usable)
         engine = self.engine_of(upstream.entry.service)
         fastest = paces.get(upstream.group, upstream.pace)
         if upstream.places(engine, fastest) >= 1.0:
@@ -256,7 +236,11 @@
         return not upstream.backoff_left_ms(self._clock.now_ms())
 
     def choose(
-        self, service: str, tried: t.Collection[str], only_unlimited: bool = False
+        self,
+        service: str,
+        tried: t.Collection[str],
+        traits: RequestTraits = ANY_REQUEST,
+        only_unlimited: bool = False,
     ) -> Upstream | None:
         """Return an upstream that is expected to answer soon, if any has a free slot.
 
@@ -265,13 +249,15 @@
         service : str
         tried : collection of str
             Instances that are chosen only when there is no other.
+        traits : RequestTraits, optional
+            Of the request that needs the upstream.
         only_unlimited : bool, optional
             Whether to skip upstreams with a stated rate.
         """
         now_ms = self._clock.now_ms()
         usable = self.usable(service)
         engine = self.engine_of(service)
-        paces = _fastest_paces(usable)
+        paces = fastest_paces(usable)
         free = [
             upstream
             for upstream in usable
@@ -281,14 +267,14 @@
             and not (only_unlimited and upstream.stated)
             and upstream.load(now_ms) < upstream.places(engine, paces[upstream.group])
         ]
-        candidates = self._of_known_load(self._untried(free, tried), now_ms)
-        if not candidates:
-            return None
-        latencies = [choice.latency_ms for choice in candidates if choice.latency_ms]
-        passes = [choice.pass_ms for choice in candidates if choice.pass_ms]
-        fastest = _Fastest(min(latencies, default=0.0), min(passes, default=0.0))
-        drawn = self._rng.sample(candidates, min(SAMPLE_SIZE, len(candidates)))
-        return min(drawn, key=lambda choice: self._cost(choice, now_ms, fastest))
+        groups = {
+            self.upstreams[instance].group
+            for instance in tried
+            if instance in self.upstreams
+        }
+        candidates = untried(free, tried, groups)
+        comparison = Comparison(self._zone, now_ms, service in self._reporting)
+        return comparison.choose(candidates, self._rng)
 
     def unavailability(self, service: str) -> Unavailability | None:
         """Return when the first upstream accepts requests again.
@@ -316,62 +302,6 @@
             if (left_ms := upstream.backoff_left_ms(now_ms))
         }
 
-    def _of_known_load(self, candidates: list[Upstream], now_ms: int) -> list[Upstream]:
-        """Skip candidates of unknown load, if others are left.
-
-        Where many agents are silent at once, a small random sample could otherwise
-        consist of unreachable upstreams only.
-        """
-        known_load = [
-            upstream
-            for upstream in candidates
-            if not self._unknown_load_cost(upstream, now_ms)
-        ]
-        return known_load or candidates
-
-    def _unknown_load_cost(self, upstream: Upstream, now_ms: int) -> float:
-        """Return the cost of a missing or overdue load report."""
-        if upstream.reported_ms is None:
-            return UNKNOWN_COST if upstream.entry.service in self._reporting else 0.0
-        return SILENT_COST if upstream.is_silent(now_ms) else 0.0
-
-    def _untried(
-        self, free: list[Upstream], tried: t.Collection[str]
-    ) -> list[Upstream]:
-        """Skip upstreams that were tried, and their groups, if others are left.
-
-        All ranks of a group stall together when one of them dies.
-        """
-        untried = [
-            upstream for upstream in free if upstream.entry.instance not in tried
-        ]
-        groups = {
-            self.upstreams[instance].group
-            for instance in tried
-            if instance in self.upstreams
-        }
-        elsewhere = [
-            upstream
-            for upstream in untried
-            if not upstream.group or upstream.group not in groups
-        ]
-        return elsewhere or untried or free
-
-    def _cost(self, upstream: Upstream, now_ms: int, fastest: "_Fastest") -> float:
-        # A group is as slow as its slowest rank: one slow engine delays the streams of
-        # the 7 others.
-        slowness = upstream.pace
-        if upstream.pass_ms:
-            slowness = max(slowness, upstream.pass_ms / fastest.pass_ms)
-        cost = (upstream.load(now_ms) + 1) * slowness
-        cost += self._unknown_load_cost(upstream, now_ms)
-        cost += FAILURE_COST * upstream.failures(now_ms)
-        if upstream.entry.zone != self._zone:
-            cost += ZONE_COST
-        if upstream.latency_ms and fastest.latency_ms:
-            cost += upstream.latency_ms / fastest.latency_ms - 1.0
-        return cost
-
     def _apply_entry(self, entry: UpstreamEntry, item: "Item") -> None:
         instance = entry.instance
         upstream = self.upstreams.get(instance)
@@ -451,16 +381,6 @@
             self._by_service.setdefault(upstream.entry.service, []).append(upstream)
 
 
-def _fastest_paces(upstreams: t.Iterable[Upstream]) -> dict[str, float]:
-    """Return the pace of the fastest upstream of each group."""
-    paces: dict[str, float] = {}
-    for upstream in upstreams:
-        paces[upstream.group] = min(
-            upstream.pace, paces.get(upstream.group, upstream.pace)
-        )
-    return paces
-
-
 def newest_by_address(
     entries: t.Mapping[str, UpstreamEntry], items: t.Mapping[str, "Item"]
 ) -> dict[str, UpstreamEntry]:
--- a/packages/gateway/src/fuchsiahatch_gateway/jobs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/jobs.py
@@ -3,6 +3,8 @@
 import dataclasses
 import typing as t
 
+from fuchsiahatch_gateway.request_traits import RequestTraits
+
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.caller_requests import CallerRequest
     from fuchsiahatch_adapter.configuration import Route
@@ -82,6 +84,16 @@
     load_then: int = 0
     report_age_ms: int | None = None
 
+    @property
+    def traits(self) -> RequestTraits:
+        """What the choice of an upstream may know of the request."""
+        return RequestTraits(
+            self.match.team.name,
+            self.match.urgency,
+            self.request.prompt_tokens,
+            self.request.answer_tokens,
+        )
+
     def is_on_time(self, now_ms: int) -> bool:
         """Return whether an answer that ends now meets the route's objectives."""
         route = self.match.route
--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -14,6 +14,7 @@
     from fuchsiahatch_core.clock import Clock
     from fuchsiahatch_gateway.fleet import Fleet
     from fuchsiahatch_gateway.known_upstream import Upstream
+    from fuchsiahatch_gateway.request_traits import RequestTraits
 
 #: Requests that may wait for a slot of a service at one entry.
 MAX_WAITING = 256
@@ -27,6 +28,7 @@
 @dataclasses.dataclass(slots=True, eq=False)
 class _Waiter:
     future: "asyncio.Future[Upstream]"
+    traits: "RequestTraits"
     tried: t.Collection[str]
 
 
@@ -69,8 +71,7 @@
     async def acquire(
         self,
         service: str,
-        team: str,
-        urgency: int,
+        traits: "RequestTraits",
         tried: t.Collection[str],
         wait_ms: float,
     ) -> "Upstream":
@@ -85,13 +86,11 @@
         """
         ends_ms = self._clock.now_ms() + wait_ms
         for _ in range(MAX_PERMIT_REQUESTS):
-            upstream = await self._acquire_usable(
-                service, team, urgency, tried, ends_ms
-            )
+            upstream = await self._acquire_usable(service, traits, tried, ends_ms)
             if await self._request_permit(upstream):
                 return upstream
         # No more permits are requested; an upstream without a stated rate may be free.
-        upstream = self._fleet.choose(service, tried, only_unlimited=True)
+        upstream = self._fleet.choose(service, tried, traits, only_unlimited=True)
         if upstream is None:
             self._check_available(service, ends_ms)
             raise RefusedError("upstreams take no more now", Code.RATE_REACHED)
@@ -138,15 +137,14 @@
     async def _acquire_usable(
         self,
         service: str,
-        team: str,
-        urgency: int,
+        traits: "RequestTraits",
         tried: t.Collection[str],
         ends_ms: float,
     ) -> "Upstream":
         while True:
             self._check_available(service, ends_ms)
             left_ms = max(ends_ms - self._clock.now_ms(), 1.0)
-            upstream = await self._acquire_slot(service, team, urgency, tried, left_ms)
+            upstream = await self._acquire_slot(service, traits, tried, left_ms)
             if self.is_usable(upstream):
                 return upstream
             # It began to leave, or asked for a backoff, after the slot was assigned.
@@ -155,18 +153,17 @@
     async def _acquire_slot(
         self,
         service: str,
-        team: str,
-        urgency: int,
+        traits: "RequestTraits",
         tried: t.Collection[str],
         wait_ms: float,
     ) -> "Upstream":
         queue = self._queues.setdefault(service, FairQueue(MAX_WAITING))
         if not len(queue):
-            upstream = self._fleet.choose(service, tried)
+            upstream = self._fleet.choose(service, tried, traits)
             if upstream is not None:
                 upstream.local_requests += 1
                 return upstream
-        return await self._wait(queue, service, team, urgency, tried, wait_ms)
+        return await self._wait(queue, service, traits, tried, wait_ms)
 
     def is_usable(self, upstream: "Upstream") -> bool:
         """Return whether an upstream may still receive new requests."""
@@ -203,7 +200,9 @@
         if waiter is None or waiter.future.done():
             return True
         if upstream.entry.instance in waiter.tried:
-            upstream = self._fleet.choose(service, waiter.tried) or upstream
+            upstream = (
+                self._fleet.choose(service, waiter.tried, waiter.traits) or upstream
+            )
         upstream.local_requests += 1
         waiter.future.set_result(upstream)
         return True
@@ -212,17 +211,18 @@
         self,
         queue: FairQueue,
         service: str,
-        team: str,
-        urgency: int,
+        traits: "RequestTraits",
         tried: t.Collection[str],
         wait_ms: float,
     ) -> "Upstream":
         number = next(self._numbers)
         now_ms = self._clock.now_ms()
         expires_ms = now_ms + int(wait_ms)
-        waiter = _Waiter(asyncio.get_running_loop().create_future(), tried)
+        waiter = _Waiter(asyncio.get_running_loop().create_future(), traits, tried)
         self._waiters[number] = waiter
-        evicted = queue.push(QueuedRequest(number, team, urgency, now_ms, expires_ms))
+        evicted = queue.push(
+            QueuedRequest(number, traits.team, traits.urgency, now_ms, expires_ms)
+        )
         if evicted is not None:
             fault = RefusedError("too many requests wait", Code.OVERLOADED)
             self._refuse(evicted.ticket, fault)
--- a/tests/gateway/test_backoff_periods.py
+++ b/tests/gateway/test_backoff_periods.py
@@ -14,6 +14,7 @@
 from fuchsiahatch_gateway.fleet import Fleet
 from fuchsiahatch_gateway.known_upstream import Upstream
 from fuchsiahatch_gateway.placing import Placer
+from fuchsiahatch_gateway.request_traits import RequestTraits
 from fuchsiahatch_http1.client import Head
 from fuchsiahatch_standins.virtual_time import run_virtually
 from tests.gateway.test_fleet import item
@@ -233,7 +234,7 @@
         self.backoffs.note_head(self.fleet.upstreams[name], make_head(retry_after))
 
     def acquire(self, wait_ms=500):
-        return self.placer.acquire("svc", "t", 1, (), wait_ms)
+        return self.placer.acquire("svc", RequestTraits("t", 1), (), wait_ms)
 
     def check_refusal(self, fault, earliest_ms):
         self.assertEqual(fault.result, Code.BACKING_OFF)
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -6,6 +6,7 @@
 from fuchsiahatch_core.exceptions import RefusedError
 from fuchsiahatch_gateway.fleet import Fleet
 from fuchsiahatch_gateway.placing import Placer
+from fuchsiahatch_gateway.request_traits import RequestTraits
 from tests.gateway.test_fleet import item
 from tests.loopback import run
 
@@ -18,7 +19,7 @@
         self.upstream = self.fleet.upstreams["a"]
 
     def acquire(self, team="t", urgency=1, wait_ms=500):
-        return self.placer.acquire("svc", team, urgency, (), wait_ms)
+        return self.placer.acquire("svc", RequestTraits(team, urgency), (), wait_ms)
 
     def test_released_slot_goes_to_a_waiting_request(self):
         async def wait():
--- a/tests/gateway/test_stated_rates.py
+++ b/tests/gateway/test_stated_rates.py
@@ -18,6 +18,7 @@
 )
 from fuchsiahatch_gateway.permits import Permits
 from fuchsiahatch_gateway.placing import Placer
+from fuchsiahatch_gateway.request_traits import RequestTraits
 from fuchsiahatch_gateway.stated_rates import StatedRate, StatedRates
 from fuchsiahatch_standins.fleet_store import make_upstream_item
 from fuchsiahatch_standins.virtual_time import run_virtually
@@ -102,7 +103,7 @@
         """Send one request where that is allowed; return its refusal, if any."""
         simulation = self.simulation
         try:
-            chosen = await self.placer.acquire("svc", "t", 1, (), 500)
+            chosen = await self.placer.acquire("svc", RequestTraits("t", 1), (), 500)
         except RefusedError as fault:
             return fault
         instance = chosen.entry.instance
