--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -70,7 +70,7 @@
     ),
     Mechanism(
         "silent agents chosen last",
-        f"{GATEWAY}/fleet.py",
+        f"{GATEWAY}/upstream_comparison.py",
         "SILENT_COST = 50.0",
         "SILENT_COST = 0.0",
     ),
@@ -106,7 +106,7 @@
     ),
     Mechanism(
         "failures' cost",
-        f"{GATEWAY}/fleet.py",
+        f"{GATEWAY}/upstream_comparison.py",
         "FAILURE_COST = 3.0",
         "FAILURE_COST = 0.0",
     ),
@@ -118,13 +118,13 @@
     ),
     Mechanism(
         "zone cost",
-        f"{GATEWAY}/fleet.py",
+        f"{GATEWAY}/upstream_comparison.py",
         "ZONE_COST = 0.2",
         "ZONE_COST = 0.0",
     ),
     Mechanism(
         "latency mean",
-        f"{GATEWAY}/fleet.py",
+        f"{GATEWAY}/upstream_comparison.py",
         "        if upstream.latency_ms and fastest.latency_ms:",
         "        if False:",
     ),
