RouteTable.urgencies: the distinct priorities of a service's routes

Cause: order of waiting requests, reserved room and the urgency header apply only where the routes of a service differ in priority, so several modules ask which they are.

Change: RouteTable computes them once for each configuration that it applies, and answers from a dictionary. Priorities of teams don't count, as every route of a service would otherwise have the classes of all teams.

Evidence: a test of the answers over two configurations; tests.gateway.test_routes passes (7).

--- a/packages/gateway/src/fuchsiahatch_gateway/routes.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/routes.py
@@ -45,13 +45,14 @@
         None until the first one is applied.
     """
 
-    __slots__ = ("_by_host", "_era", "_value", "configuration")
+    __slots__ = ("_by_host", "_era", "_urgencies", "_value", "configuration")
 
     def __init__(self) -> None:
         self._era = 0
         self._value = b""
         self.configuration: Configuration | None = None
         self._by_host: dict[str, list[Route]] = {}
+        self._urgencies: dict[str, tuple[int, ...]] = {}
 
     def apply(self, value: bytes, era: int = 0) -> bool:
         """Activate a configuration unless it is outdated; return whether that was done.
@@ -87,6 +88,7 @@
         self.configuration = candidate
         self._era, self._value = era, value
         self._by_host = _group_by_host(candidate.routes)
+        self._urgencies = _urgencies_by_service(candidate.routes)
         log_event(
             Event.CONFIGURATION_APPLIED,
             version=candidate.version,
@@ -102,6 +104,13 @@
         )
         return None if definition is None else definition.engine
 
+    def urgencies(self, service: str) -> tuple[int, ...]:
+        """Return the distinct priorities of a service's routes, the most urgent first.
+
+        Priorities of teams don't count. A service without routes has none.
+        """
+        return self._urgencies.get(service, ())
+
     def match(self, request: "CallerRequest") -> Match:
         """Return a request's route and team.
 
@@ -157,3 +166,13 @@
     for route in sorted(routes, key=lambda route: -len(route.prefix)):
         by_host.setdefault(route.host.lower(), []).append(route)
     return by_host
+
+
+def _urgencies_by_service(routes: t.Iterable[Route]) -> dict[str, tuple[int, ...]]:
+    by_service: dict[str, set[int]] = {}
+    for route in routes:
+        for service, _ in route.services:
+            by_service.setdefault(service, set()).add(route.urgency)
+    return {
+        service: tuple(sorted(urgencies)) for service, urgencies in by_service.items()
+    }
--- a/tests/gateway/test_routes.py
+++ b/tests/gateway/test_routes.py
@@ -40,6 +40,23 @@
         self.assertEqual(self.table.match(request("/safe/")).urgency, 0)
         self.assertEqual(self.table.match(request("/open/", "")).urgency, 1)
 
+    def test_urgencies_are_those_of_the_latest_configuration(self):
+        """Guards against classes that outlive the routes that stated them."""
+        split = [{"service": "m", "weight": 1}, {"service": "n", "weight": 1}]
+        self.assertEqual(self.table.urgencies("m"), ())
+        routes = [
+            make_route("/a/", "safe", "m", priority=5),
+            make_route("/b/", "safe", "m", priority=0),
+            make_route("/c/", "safe", priority=1, backends=split),
+            make_route("/d/", "safe", "m", priority=0),
+        ]
+        self.apply(1, routes=routes)
+        self.assertEqual(self.table.urgencies("m"), (0, 1, 5))
+        self.assertEqual(self.table.urgencies("n"), (1,))
+        self.apply(2, routes=routes[1:2])
+        self.assertEqual(self.table.urgencies("m"), (0,))
+        self.assertEqual(self.table.urgencies("n"), ())
+
     def test_host_and_prefix_must_match(self):
         self.apply()
         for path, host in (("/saf", HOST), ("/safe", HOST), ("/safe/", "other")):
