ClassQueue: strict classes, with one turn in eight for the passed over

Cause: in FairQueue a priority class is at most two requests ahead of its team's others.

Change: a queue with one fair queue for each class. The most urgent class goes first; one in eight requests that leave is the oldest of the less urgent classes and is charged to its team. A full queue evicts from its least urgent class, never a class's last request. pop() takes a test of the classes that may leave, for rooms that are reserved by class. Nothing uses the queue yet.

Evidence: tests.routing.test_queues and test_limits pass (24). Without the one-in-eight rule, the spared last request or the charge, one or two of the new tests fail.

--- a/packages/routing/src/fuchsiahatch_routing/queues.py
+++ b/packages/routing/src/fuchsiahatch_routing/queues.py
@@ -15,6 +15,9 @@
 CLASS_ADVANCE = (2.0, 0.0, -2.0)
 #: Times in a row that a higher-priority request may overtake its team's oldest one.
 MAX_OVERTAKES = 8
+#: Of this many requests in a row that leave a queue with strict classes, one is the
+#: oldest of those that the others passed over.
+PASSED_OVER_INTERVAL = 8
 
 
 def equal_shares(team: str) -> float:
@@ -219,7 +222,7 @@
         self._size += 1
         if self._size <= self._max_waiting:
             return None
-        return self._evict()
+        return self.evict()
 
     def pop(self, cost_ms: float) -> QueuedRequest | None:
         """Remove the next request and charge its team an expected cost."""
@@ -280,7 +283,8 @@
         # A flow with a share of 0 would never be served.
         return max(self._share_of(team), _MIN_SHARE)
 
-    def _evict(self) -> QueuedRequest:
+    def evict(self) -> QueuedRequest:
+        """Remove the newest request of the flow that is longest for its share."""
         flow = max(self._flows.values(), key=lambda flow: flow.size / flow.weight)
         self._size -= 1
         return flow.drop_newest()
@@ -295,9 +299,108 @@
             del self._flows[team]
 
 
+def _admit_all(priority: int) -> bool:
+    return True
+
+
+class ClassQueue:
+    """Strict priority classes, with fair queueing over the teams of each class.
+
+    Parameters
+    ----------
+    max_waiting : int
+        Maximum of queued requests over all classes.
+    share_of : callable
+        Returns a team's share; only the ratios between teams matter.
+
+    Notes
+    -----
+    The most urgent class goes first, whichever team is next. In `FairQueue` a class is
+    at most `CLASS_ADVANCE` requests ahead of its team's others, so a burst of urgent
+    requests waits among the rest and is served too late to count.
+
+    One in `PASSED_OVER_INTERVAL` requests that leave is the oldest of the less urgent
+    classes, whatever its team, and is charged to that team. A full queue evicts from
+    its least urgent class, but not the last request of a class. Both keep a lasting
+    burst from starving a class.
+
+    .. versionadded:: 0.1
+    """
+
+    __slots__ = ("_by_class", "_max_waiting", "_passes", "_share_of")
+
+    def __init__(self, max_waiting: int, share_of: ShareOf = equal_shares) -> None:
+        self._max_waiting = max_waiting
+        self._share_of = share_of
+        self._by_class: dict[int, FairQueue] = {}
+        #: Requests in a row that left while less urgent ones waited.
+        self._passes = 0
+
+    def __len__(self) -> int:
+        return sum(map(len, self._by_class.values()))
+
+    def __iter__(self) -> t.Iterator[QueuedRequest]:
+        return itertools.chain.from_iterable(list(self._by_class.values()))
+
+    def push(self, waiting: QueuedRequest) -> QueuedRequest | None:
+        """Add a request; return the one that is evicted when the queue is full."""
+        queue = self._by_class.get(waiting.priority)
+        if queue is None:
+            queue = FairQueue(self._max_waiting, self._share_of)
+            self._by_class[waiting.priority] = queue
+        evicted = queue.push(waiting)
+        if evicted is not None or len(self) <= self._max_waiting:
+            return evicted
+        return self._evict()
+
+    def pop(
+        self, cost_ms: float, admits: t.Callable[[int], bool] = _admit_all
+    ) -> QueuedRequest | None:
+        """Remove the next request and charge its team an expected cost.
+
+        Parameters
+        ----------
+        cost_ms : float
+        admits : callable, optional
+            Returns whether requests of a class may leave now; the others keep waiting
+            and don't count as passed over.
+        """
+        waiting = [
+            queue
+            for priority, queue in sorted(self._by_class.items())
+            if len(queue) and admits(priority)
+        ]
+        if not waiting:
+            return None
+        most_urgent, *passed_over = waiting
+        self._passes = self._passes + 1 if passed_over else 0
+        if self._passes < PASSED_OVER_INTERVAL:
+            return most_urgent.pop(cost_ms)
+        self._passes = 0
+        return _take_oldest(passed_over, cost_ms)
+
+    def remove(self, ticket: int) -> QueuedRequest | None:
+        """Remove one request out of turn and return it."""
+        removals = (queue.remove(ticket) for queue in self._by_class.values())
+        return next((removed for removed in removals if removed is not None), None)
+
+    def _evict(self) -> QueuedRequest:
+        waiting = [queue for _, queue in sorted(self._by_class.items()) if len(queue)]
+        spare = [queue for queue in waiting if len(queue) > 1]
+        return (spare or waiting)[-1].evict()
+
+
 _MIN_SHARE = 0.01
 
 
+def _take_oldest(queues: list[FairQueue], cost_ms: float) -> QueuedRequest:
+    """Remove the oldest request of several queues and charge its team."""
+    oldest = min(itertools.chain(*queues), key=lambda waiting: waiting.ticket)
+    (queue,) = (queue for queue in queues if queue.remove(oldest.ticket))
+    queue.adjust_charge(oldest.team, cost_ms)
+    return oldest
+
+
 def _class_of(waiting: QueuedRequest) -> int:
     return min(max(waiting.priority, 0), PRIORITY_CLASSES - 1)
 
--- a/tests/routing/test_queues.py
+++ b/tests/routing/test_queues.py
@@ -3,7 +3,12 @@
 import random
 import unittest
 
-from fuchsiahatch_routing.queues import FairQueue, QueuedRequest
+from fuchsiahatch_routing.queues import (
+    PASSED_OVER_INTERVAL,
+    ClassQueue,
+    FairQueue,
+    QueuedRequest,
+)
 
 TICKETS = itertools.count(1)
 
@@ -83,3 +88,97 @@
         fill(queue, "patient", 200, priority=2)
         turns = collections.Counter(one.team for one in served(queue, 100))
         self.assertAlmostEqual(turns["patient"], 50, delta=3)
+
+
+def classes_of(requests):
+    return [request.priority for request in requests]
+
+
+class TestStrictClasses(unittest.TestCase):
+    def test_a_burst_of_one_team_does_not_delay_the_urgent_class_of_another(self):
+        """Guards against urgent requests that wait for a burst of less urgent ones."""
+        queue = ClassQueue(1_000)
+        fill(queue, "busy", 50, priority=2)
+        fill(queue, "busy", 5, priority=1)
+        fill(queue, "quiet", 3, priority=0)
+        fill(queue, "busy", 3, priority=0)
+        self.assertEqual(classes_of(served(queue, 7)), [0] * 6 + [1])
+
+    def test_teams_share_a_class_in_fair_order(self):
+        """Guards against a team whose flood delays the other teams of its class."""
+        shares = {"a": 60.0, "b": 30.0, "c": 10.0}
+        queue = ClassQueue(1_000, shares.__getitem__)
+        for team in shares:
+            fill(queue, team, 200, priority=0)
+        turns = collections.Counter(one.team for one in served(queue, 100))
+        for team, share in shares.items():
+            self.assertAlmostEqual(turns[team], share, delta=2)
+
+    def test_one_in_eight_is_the_oldest_of_those_passed_over(self):
+        """Guards against a lasting burst of urgent requests that starves the others."""
+        queue = ClassQueue(1_000)
+        fill(queue, "batch", 2, priority=2)
+        fill(queue, "chat", 1, priority=1)
+        fill(queue, "other", 1, priority=2)
+        fill(queue, "urgent", 100, priority=0)
+        turns = served(queue, 4 * PASSED_OVER_INTERVAL)
+        self.assertEqual(classes_of(turns[:7]), [0] * 7)
+        passed_over = turns[PASSED_OVER_INTERVAL - 1 :: PASSED_OVER_INTERVAL]
+        self.assertEqual(classes_of(passed_over), [2, 2, 1, 2])
+        tickets = [one.ticket for one in passed_over]
+        self.assertEqual(tickets, sorted(tickets))
+        self.assertEqual(classes_of(turns).count(0), 28)
+
+    def test_a_request_out_of_turn_is_charged_to_its_team(self):
+        """Guards against a team that gains service from turns for the passed over."""
+        queue = ClassQueue(1_000)
+        fill(queue, "old", 3, priority=1)
+        fill(queue, "new", 3, priority=1)
+        fill(queue, "urgent", PASSED_OVER_INTERVAL, priority=0)
+        turns = [one.team for one in served(queue, PASSED_OVER_INTERVAL + 2)]
+        self.assertEqual(turns[-3:], ["old", "urgent", "new"])
+
+    def test_classes_that_are_not_admitted_wait_and_take_no_turn(self):
+        """Guards against a turn for the passed over that leaves a free slot unused."""
+        queue = ClassQueue(1_000)
+        fill(queue, "batch", 1, priority=2)
+        fill(queue, "urgent", 20, priority=0)
+        urgent = [queue.pop(1.0, lambda priority: priority < 2) for _ in range(20)]
+        self.assertEqual(classes_of(urgent), [0] * 20)
+        self.assertIsNone(queue.pop(1.0, lambda priority: priority < 2))
+        self.assertEqual(queue.pop(1.0).priority, 2)
+
+    def test_a_full_queue_evicts_the_least_urgent_but_never_all_of_a_class(self):
+        """Guards against a burst that fills the queue and leaves a class no turn."""
+        queue = ClassQueue(4)
+        fill(queue, "batch", 3, priority=2)
+        evicted = fill(queue, "urgent", 6, priority=0)
+        self.assertEqual(classes_of(evicted[1:]), [2, 2, 0, 0, 0])
+        self.assertEqual(sorted(classes_of(queue)), [0, 0, 0, 2])
+        self.assertEqual(classes_of(fill(queue, "batch", 1, priority=2)), [2])
+
+    def test_random_operations_lose_no_request_and_starve_no_class(self):
+        rng = random.Random(7)
+        queue = ClassQueue(30, lambda team: 1.0 + len(team))
+        known, overtakes = set(), 0
+        for _ in range(5_000):
+            priority = rng.choice((0, 0, 0, 1, 2))
+            if rng.random() < 0.5:
+                (evicted,) = fill(queue, "abcd"[: rng.randint(1, 4)], 1, priority)
+                left = evicted
+            elif rng.random() < 0.1 and len(queue):
+                left = queue.remove(rng.choice(list(queue)).ticket)
+            else:
+                before = {one.priority for one in queue}
+                left = queue.pop(rng.uniform(1, 50))
+                is_urgent = left is not None and left.priority == min(before)
+                overtakes = overtakes + 1 if is_urgent and len(before) > 1 else 0
+            self.assertLess(overtakes, PASSED_OVER_INTERVAL)
+            waiting = {one.ticket for one in queue}
+            self.assertEqual(len(queue), len(waiting))
+            self.assertLessEqual(len(queue), 30)
+            if left is not None:
+                self.assertNotIn(left.ticket, waiting)
+                known.discard(left.ticket)
+            self.assertLessEqual(known, waiting)
+            known = waiting
