Requests wait by class where the routes of a service differ in priority

Cause: in a burst the most urgent requests of one team wait among those of all other teams and are served late. After a stall of an entry, slots went to requests whose wait was over, as released slots are handled before overdue timers.

Change: the placer uses a ClassQueue for a service whose routes differ in priority (RouteTable.has_classes), and FairQueue as before for all others. When a new configuration changes that, waiting requests move to the other kind of queue in their order of arrival. Where there are classes, requests whose wait is over are refused before a free slot is assigned.

Existing tests of placing, routes, backoff periods, stated rates, encoded forms and delivery pass.

--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -139,7 +139,9 @@
             self.fleet.upstreams.get,
         )
         self.rates = StatedRates(clock, self._notify_peers)
-        self.placer = Placer(self.fleet, clock, self.permits.ask)
+        self.placer = Placer(
+            self.fleet, clock, self.permits.ask, self.routes.has_classes
+        )
         self.backoffs = Backoffs(
             clock, self.placer.refuse_waiting, self.placer.serve_waiting
         )
--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -3,12 +3,13 @@
 import asyncio
 import dataclasses
 import itertools
+import operator
 import typing as t
 
 from fuchsiahatch_core.codes import Code
 from fuchsiahatch_core.exceptions import RefusedError
 from fuchsiahatch_gateway.defaults import MAX_RETRY_AFTER_MS
-from fuchsiahatch_routing.queues import FairQueue, QueuedRequest
+from fuchsiahatch_routing.queues import ClassQueue, FairQueue, QueuedRequest
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
@@ -24,6 +25,8 @@
 #: Cost of a request in the fair queue. All cost the same, so the unit is arbitrary.
 QUEUE_COST = 1.0
 
+Queue = FairQueue | ClassQueue
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Waiter:
@@ -46,21 +49,34 @@
     ask_permit : coroutine function, optional
         Returns 0 if a request may go to the upstream now, or else the time in ms after
         which to ask again.
+    has_classes : callable, optional
+        Returns whether the routes of a service differ in priority. Its more urgent
+        requests are served first then.
     """
 
-    __slots__ = ("_ask_permit", "_clock", "_fleet", "_numbers", "_queues", "_waiters")
+    __slots__ = (
+        "_ask_permit",
+        "_clock",
+        "_fleet",
+        "_has_classes",
+        "_numbers",
+        "_queues",
+        "_waiters",
+    )
 
     def __init__(
         self,
         fleet: "Fleet",
         clock: "Clock",
         ask_permit: t.Callable[["Upstream"], t.Awaitable[int]] | None = None,
+        has_classes: t.Callable[[str], bool] = lambda service: False,
     ) -> None:
         self._fleet = fleet
         self._clock = clock
         self._ask_permit = ask_permit
+        self._has_classes = has_classes
         self._numbers = itertools.count(1)
-        self._queues: dict[str, FairQueue] = {}
+        self._queues: dict[str, Queue] = {}
         self._waiters: dict[int, _Waiter] = {}
 
     @property
@@ -157,7 +173,7 @@
         tried: t.Collection[str],
         wait_ms: float,
     ) -> "Upstream":
-        queue = self._queues.setdefault(service, FairQueue(MAX_WAITING))
+        queue = self._queue_of(service)
         if not len(queue):
             upstream = self._fleet.choose(service, tried, traits)
             if upstream is not None:
@@ -165,6 +181,17 @@
                 return upstream
         return await self._wait(queue, service, traits, tried, wait_ms)
 
+    def _queue_of(self, service: str) -> Queue:
+        """Return a service's queue, of the kind that the configuration asks for now."""
+        kind = ClassQueue if self._has_classes(service) else FairQueue
+        former = self._queues.get(service)
+        if isinstance(former, kind):
+            return former
+        queue = self._queues[service] = kind(MAX_WAITING)
+        for waiting in sorted(former or (), key=operator.attrgetter("ticket")):
+            queue.push(waiting)
+        return queue
+
     def is_usable(self, upstream: "Upstream") -> bool:
         """Return whether an upstream may still receive new requests."""
         return self._fleet.is_usable(upstream)
@@ -191,10 +218,12 @@
                 if not self._serve_next(queue, name):
                     break
 
-    def _serve_next(self, queue: FairQueue, service: str) -> bool:
+    def _serve_next(self, queue: Queue, service: str) -> bool:
         upstream = self._fleet.choose(service, ())
         if upstream is None:
             return False
+        if self._has_classes(service):
+            self._refuse_expired(queue)
         waiting = queue.pop(QUEUE_COST)
         waiter = None if waiting is None else self._waiters.pop(waiting.ticket, None)
         if waiter is None or waiter.future.done():
@@ -207,9 +236,21 @@
         waiter.future.set_result(upstream)
         return True
 
+    def _refuse_expired(self, queue: Queue) -> None:
+        """Refuse the waiting requests whose wait is over.
+
+        After this process has stalled, load reports and released slots are handled
+        before overdue timers. Slots would go to requests whose callers have too little
+        patience left for an upstream, and requests behind them would get none.
+        """
+        now_ms = self._clock.now_ms()
+        for waiting in [one for one in queue if one.expires_ms <= now_ms]:
+            queue.remove(waiting.ticket)
+            self._refuse(waiting.ticket, _no_slot())
+
     async def _wait(
         self,
-        queue: FairQueue,
+        queue: Queue,
         service: str,
         traits: "RequestTraits",
         tried: t.Collection[str],
@@ -237,9 +278,10 @@
             raise
         finally:
             self._waiters.pop(number, None)
-            queue.remove(number)
+            # The configuration may have changed the kind of queue meanwhile.
+            self._queues[service].remove(number)
         if not waiter.future.done():
-            raise RefusedError("no place came free", Code.OVERLOADED)
+            raise _no_slot()
         return waiter.future.result()
 
     def _refuse(self, number: int, fault: RefusedError) -> None:
@@ -248,6 +290,10 @@
             waiter.future.set_exception(fault)
 
 
+def _no_slot() -> RefusedError:
+    return RefusedError("no place came free", Code.OVERLOADED)
+
+
 def _backing_off(wait_ms: int) -> RefusedError:
     return RefusedError(
         "all upstreams have asked for a backoff period",
--- a/packages/gateway/src/fuchsiahatch_gateway/routes.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/routes.py
@@ -111,6 +111,10 @@
         """
         return self._urgencies.get(service, ())
 
+    def has_classes(self, service: str) -> bool:
+        """Return whether the routes of a service differ in priority."""
+        return len(self.urgencies(service)) > 1
+
     def match(self, request: "CallerRequest") -> Match:
         """Return a request's route and team.
 
--- a/tests/gateway/test_routes.py
+++ b/tests/gateway/test_routes.py
@@ -53,6 +53,7 @@
         self.apply(1, routes=routes)
         self.assertEqual(self.table.urgencies("m"), (0, 1, 5))
         self.assertEqual(self.table.urgencies("n"), (1,))
+        self.assertEqual([*map(self.table.has_classes, "mnx")], [True, False, False])
         self.apply(2, routes=routes[1:2])
         self.assertEqual(self.table.urgencies("m"), (0,))
         self.assertEqual(self.table.urgencies("n"), ())
