A patient caller's stream waits longer where routes differ in priority

Cause: a stream waits for 0.4 of its caller's patience. Less urgent streams whose callers wait 4 s are refused after 1.6 s, in the burst of a more urgent class (3 to 7 s), though 2.4 s would be left for an upstream that needs some 0.8 s under load.

Change: where the routes of a service differ in priority, the wait is at least what the patience leaves beside 1.2 s for the upstream. With a patience of 2 s both are 0.8 s.

Evidence: tests.gateway.test_jobs (4) and test_delivery pass.

--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -243,9 +243,10 @@
 
     async def _acquire_slot(self, job: Job) -> "Upstream":
         began_ms = self._clock.now_ms()
+        limit_ms = wait_ms(job, began_ms, self._routes.has_classes(job.service))
         try:
             return await self._placer.acquire(
-                job.service, job.traits, job.tried, wait_ms(job, began_ms)
+                job.service, job.traits, job.tried, limit_ms
             )
         finally:
             job.waited_ms += self._clock.now_ms() - began_ms
--- a/packages/gateway/src/fuchsiahatch_gateway/jobs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/jobs.py
@@ -22,6 +22,9 @@
 #: for the upstream, which takes some 200 ms to the first event and 800 under load. With
 #: 0.6, callers left just after their requests had been sent to an upstream.
 WAIT_SHARE = 0.4
+#: Part of a caller's patience that a longer wait leaves for the upstream; as much as
+#: `WAIT_SHARE` leaves of `STREAM_PATIENCE_MS`.
+UPSTREAM_PATIENCE_MS = 1_200
 #: Share of a caller's patience after which a silent resumable stream moves to another
 #: upstream. Gaps are usually some 80 ms; a group with a dead rank stalls for 1,500 ms,
 #: most of a patience of 2,000.
@@ -112,12 +115,23 @@
         self.last_event_ms = now_ms
 
 
-def wait_ms(job: Job, now_ms: int) -> float:
-    """Return how long a request may wait for a slot."""
+def wait_ms(job: Job, now_ms: int, has_classes: bool = False) -> float:
+    """Return how long a request may wait for a slot.
+
+    Parameters
+    ----------
+    job : Job
+    now_ms : int
+    has_classes : bool, optional
+        Whether the routes of its service differ in priority. A stream whose caller is
+        patient may wait longer then: for the end of a burst of a more urgent class.
+    """
     left_ms = float(job.ends_ms - now_ms)
-    if job.events is not None:
-        left_ms = min(left_ms, patience_ms(job.match.route) - (now_ms - job.arrived_ms))
-    return max(WAIT_SHARE * left_ms, 1.0)
+    if job.events is None:
+        return max(WAIT_SHARE * left_ms, 1.0)
+    left_ms = min(left_ms, patience_ms(job.match.route) - (now_ms - job.arrived_ms))
+    longer_ms = left_ms - UPSTREAM_PATIENCE_MS if has_classes else 0.0
+    return max(WAIT_SHARE * left_ms, longer_ms, 1.0)
 
 
 def patience_ms(route: "Route") -> int:
