Upstreams are told the class of a request where routes differ in priority

Cause: an upstream's own admission follows the priority in a request's header, 5 where there is none. The entry drops the caller's value and set none, so that urgent requests waited at the upstream among all others.

Change: upstream_headers states the request's class, in the range of 0 to 9, where the routes of its service differ in priority; otherwise no header is sent, as before. Retried and resumed requests keep their class.

--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -117,6 +117,8 @@
         upstream answered.
     on_skipped_head : callable
         Called with the head of its answer to an earlier request.
+    urgency : int or None
+        Priority class that the upstream is told; None to tell it none.
     """
 
     upstream: "Upstream"
@@ -130,6 +132,7 @@
     on_event: t.Callable[[], None]
     on_head: t.Callable[[Head], None]
     on_skipped_head: t.Callable[[Head], None]
+    urgency: int | None = None
 
 
 async def run_attempt(
@@ -180,6 +183,7 @@
         attempt.team,
         attempt.left_ms,
         last_id,
+        attempt.urgency,
     )
     connection.send(Call(exchange.method, exchange.target, headers, exchange.body))
     head = await _limit_silence(
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -273,6 +273,7 @@
             lambda: job.note_event(self._clock.now_ms()),
             note_head,
             lambda head: self._on_skipped_head(upstream, head),
+            job.match.urgency if self._routes.has_classes(job.service) else None,
         )
         was_started = job.exchange.started
         may_have_run = True
--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -189,6 +189,14 @@
         self.assertEqual(headers[b"last-event-id"], b"3")
         self.assertNotIn(b"fuchsiahatch-tenant", headers)
 
+    def test_the_urgency_is_the_load_balancers_and_in_the_range_of_upstreams(self):
+        exchange = FakeExchange(fuchsiahatch_request_priority="0")
+        for urgency, value in ((None, None), (0, b"0"), (2, b"2"), (12, b"9")):
+            headers = upstream_headers(exchange, "i-1", "t", 50, None, urgency)
+            name = b"fuchsiahatch-request-priority"
+            values = [one for header, one in headers if header == name]
+            self.assertEqual(values, [] if value is None else [value])
+
 
 class TestLookups(unittest.TestCase):
     def test_lookups_and_readiness_checks(self):
