Retry-After grows with the class's queue; known times are never undershot

Cause: a request that was refused after a wait got a Retry-After of 0.3 to 0.6 s however many waited, and came back into the queue that had refused it. A known time (of a permit or a backoff period) was rounded to two decimals and could be up to 5 ms early.

Change: return_times estimates when the slots that came free within 2 s would have served the requests of the class and of more urgent ones that wait, from 0.4 s to 2.5 s. The placer feeds it and puts the estimate into refusals after a wait and for a full queue, where the routes of a service differ in priority. Slots that are released without a request don't count. Callers follow at most a third of the time they have left, so delivery limits an estimate to that, jitter included; known times aren't shortened, and are rounded up to the two decimals.

Evidence: tests.gateway.test_return_times and test_request_order pass (20). Without the rounding up, the allowance for jitter, or the more urgent requests in the estimate, one to three of them fail; an entry that doesn't pass has_classes to its placer fails as well. Tests of placing, routes, backoff periods, stated rates, encoded forms and delivery pass.

--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -16,7 +16,6 @@
 )
 from fuchsiahatch_delivery.keys import fingerprint_of
 from fuchsiahatch_gateway.attempts import Attempt, Outcome, run_attempt
-from fuchsiahatch_gateway.defaults import RETRY_AFTER_S, RETRY_AFTER_SPREAD
 from fuchsiahatch_gateway.event_stream import EventSplitter
 from fuchsiahatch_gateway.jobs import Job, silence_ms, wait_ms
 from fuchsiahatch_gateway.next_steps import (
@@ -26,6 +25,7 @@
     conclude,
     decide,
 )
+from fuchsiahatch_gateway.return_times import limit_to_followed, retry_after_s
 from fuchsiahatch_gateway.routes import RouteTable, choose_service
 
 if t.TYPE_CHECKING:
@@ -401,16 +401,17 @@
             return
         headers = []
         if status == _UNAVAILABLE:
-            retry_after_s = self._retry_after_s(fault.retry_after_ms)
-            headers.append((names.RETRY_AFTER, b"%.2f" % retry_after_s))
+            delay_s = retry_after_s(self._return_ms(fault, job), self._rng)
+            headers.append((names.RETRY_AFTER, b"%.2f" % delay_s))
         exchange.respond(status, headers, f"{fault}\n".encode())
 
-    def _retry_after_s(self, known_ms: int | None) -> float:
-        """Return the Retry-After time, with jitter; never before a known time."""
-        earliest, latest = RETRY_AFTER_SPREAD
-        if known_ms is not None:
-            return known_ms / 1000 * self._rng.uniform(1.0, latest)
-        return RETRY_AFTER_S * self._rng.uniform(earliest, latest)
+    def _return_ms(self, fault: FuchsiahatchError, job: Job | None) -> int | None:
+        """Return after which time the caller may return; None where that is unknown."""
+        return_ms = fault.retry_after_ms
+        if return_ms is None or job is None or fault.result is not Code.OVERLOADED:
+            return return_ms
+        # An estimate. Other codes state known times, which aren't shortened.
+        return limit_to_followed(return_ms, job.ends_ms - self._clock.now_ms())
 
     def _version(self) -> int:
         configuration = self._routes.configuration
--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -9,6 +9,7 @@
 from fuchsiahatch_core.codes import Code
 from fuchsiahatch_core.exceptions import RefusedError
 from fuchsiahatch_gateway.defaults import MAX_RETRY_AFTER_MS
+from fuchsiahatch_gateway.return_times import ReturnTimes
 from fuchsiahatch_routing.queues import ClassQueue, FairQueue, QueuedRequest
 
 if t.TYPE_CHECKING:
@@ -61,6 +62,7 @@
         "_has_classes",
         "_numbers",
         "_queues",
+        "_return_times",
         "_waiters",
     )
 
@@ -77,6 +79,7 @@
         self._has_classes = has_classes
         self._numbers = itertools.count(1)
         self._queues: dict[str, Queue] = {}
+        self._return_times = ReturnTimes()
         self._waiters: dict[int, _Waiter] = {}
 
     @property
@@ -142,12 +145,12 @@
         try:
             wait_ms = await self._ask_permit(upstream)
         except BaseException:
-            self.release(upstream)
+            self._release_unused(upstream)
             raise
         if not wait_ms:
             return True
         upstream.limited_until_ms = self._clock.now_ms() + wait_ms
-        self.release(upstream)
+        self._release_unused(upstream)
         return False
 
     async def _acquire_usable(
@@ -164,7 +167,7 @@
             if self.is_usable(upstream):
                 return upstream
             # It began to leave, or asked for a backoff, after the slot was assigned.
-            self.release(upstream)
+            self._release_unused(upstream)
 
     async def _acquire_slot(
         self,
@@ -206,6 +209,12 @@
 
     def release(self, upstream: "Upstream") -> None:
         """Free a slot and assign it to a waiting request."""
+        service = upstream.entry.service
+        self._return_times.note_freed_slot(service, self._clock.now_ms())
+        self._release_unused(upstream)
+
+    def _release_unused(self, upstream: "Upstream") -> None:
+        """Free a slot to which no request was sent; it says nothing of the rate."""
         upstream.local_requests -= 1
         self.serve_waiting(upstream.entry.service)
 
@@ -223,7 +232,7 @@
         if upstream is None:
             return False
         if self._has_classes(service):
-            self._refuse_expired(queue)
+            self._refuse_expired(queue, service)
         waiting = queue.pop(QUEUE_COST)
         waiter = None if waiting is None else self._waiters.pop(waiting.ticket, None)
         if waiter is None or waiter.future.done():
@@ -236,7 +245,7 @@
         waiter.future.set_result(upstream)
         return True
 
-    def _refuse_expired(self, queue: Queue) -> None:
+    def _refuse_expired(self, queue: Queue, service: str) -> None:
         """Refuse the waiting requests whose wait is over.
 
         After this process has stalled, load reports and released slots are handled
@@ -246,7 +255,7 @@
         now_ms = self._clock.now_ms()
         for waiting in [one for one in queue if one.expires_ms <= now_ms]:
             queue.remove(waiting.ticket)
-            self._refuse(waiting.ticket, _no_slot())
+            self._refuse(waiting.ticket, self._no_slot(service, waiting.priority))
 
     async def _wait(
         self,
@@ -265,7 +274,11 @@
             QueuedRequest(number, traits.team, traits.urgency, now_ms, expires_ms)
         )
         if evicted is not None:
-            fault = RefusedError("too many requests wait", Code.OVERLOADED)
+            fault = RefusedError(
+                "too many requests wait",
+                Code.OVERLOADED,
+                self._return_ms(service, evicted.priority),
+            )
             self._refuse(evicted.ticket, fault)
         try:
             # asyncio.wait_for would swallow the cancellation by a caller that
@@ -274,26 +287,33 @@
             await asyncio.wait({waiter.future}, timeout=wait_ms / 1000)
         except asyncio.CancelledError:
             if waiter.future.done() and not waiter.future.exception():
-                self.release(waiter.future.result())
+                self._release_unused(waiter.future.result())
             raise
         finally:
             self._waiters.pop(number, None)
             # The configuration may have changed the kind of queue meanwhile.
             self._queues[service].remove(number)
         if not waiter.future.done():
-            raise _no_slot()
+            raise self._no_slot(service, traits.urgency)
         return waiter.future.result()
 
+    def _no_slot(self, service: str, urgency: int) -> RefusedError:
+        return_ms = self._return_ms(service, urgency)
+        return RefusedError("no place came free", Code.OVERLOADED, return_ms)
+
+    def _return_ms(self, service: str, urgency: int) -> int | None:
+        """Estimate when a refused request would find a slot; None without classes."""
+        if not self._has_classes(service):
+            return None
+        waiting = sum(one.priority <= urgency for one in self._queues[service])
+        return self._return_times.estimate_ms(service, waiting, self._clock.now_ms())
+
     def _refuse(self, number: int, fault: RefusedError) -> None:
         waiter = self._waiters.pop(number, None)
         if waiter is not None and not waiter.future.done():
             waiter.future.set_exception(fault)
 
 
-def _no_slot() -> RefusedError:
-    return RefusedError("no place came free", Code.OVERLOADED)
-
-
 def _backing_off(wait_ms: int) -> RefusedError:
     return RefusedError(
         "all upstreams have asked for a backoff period",
--- a/tests/gateway/test_request_order.py
+++ b/tests/gateway/test_request_order.py
@@ -5,6 +5,7 @@
 import dataclasses
 import itertools
 import random
+import statistics
 import unittest
 
 from fuchsiahatch_core.clock import ManualClock
@@ -14,7 +15,16 @@
 from fuchsiahatch_gateway.placing import Placer
 from fuchsiahatch_gateway.request_traits import RequestTraits
 from fuchsiahatch_routing.queues import PASSED_OVER_INTERVAL
+from fuchsiahatch_standins.fleet_store import make_upstream_entry
 from fuchsiahatch_standins.virtual_time import run_virtually
+from tests.gateway.sites import (
+    Site,
+    answers,
+    make_configuration,
+    make_route,
+    until,
+    upstream,
+)
 from tests.gateway.test_fleet import item
 from tests.loopback import run
 
@@ -176,6 +186,44 @@
             self.assertAlmostEqual(one.ended_ms - one.arrived_ms, 800, delta=3)
 
 
+class TestReturnTimes(unittest.TestCase):
+    def test_the_time_follows_the_queue_of_the_class(self):
+        """Guards against callers that return into the queue that refused them."""
+        refused = Burst(*URGENT_BURST).play().refused(0)
+        # In the burst some 80 wait, and the upstreams serve 50 per second.
+        in_burst_ms = refused[len(refused) // 2].fault.retry_after_ms
+        self.assertAlmostEqual(in_burst_ms, 1_600, delta=150)
+        # The last ones are refused after the burst, when few others wait.
+        self.assertEqual(refused[-1].fault.retry_after_ms, 400)
+
+    def test_less_urgent_requests_return_later(self):
+        """Guards against an estimate that leaves out the more urgent requests."""
+        burst = Burst(
+            Stream(0, 100.0, 0.0, 4.0, wait_ms=800),
+            Stream(2, 40.0, 0.0, 4.0, wait_ms=800),
+        ).play()
+        medians_ms = [
+            statistics.median(
+                one.fault.retry_after_ms
+                for one in burst.refused(urgency)
+                if 2_000 <= one.ended_ms < 4_000
+            )
+            for urgency in (0, 2)
+        ]
+        self.assertGreater(medians_ms[1], medians_ms[0] + 300)
+
+    def test_evicted_requests_get_one_too(self):
+        burst = Burst(Stream(0, 500.0, 0.0, 2.0, wait_ms=5_000)).play()
+        evicted = burst.refused(0)[0]
+        self.assertIn("too many", evicted.fault.detail)
+        self.assertEqual(evicted.fault.retry_after_ms, 2_500)
+
+    def test_none_is_estimated_where_all_routes_have_the_same_priority(self):
+        burst = Burst(*URGENT_BURST, has_classes=False).play()
+        refused = burst.refused(0) + burst.refused(2)
+        self.assertEqual({one.fault.retry_after_ms for one in refused}, {None})
+
+
 class TestWaitingRequests(unittest.TestCase):
     def setUp(self):
         self.clock = ManualClock()
@@ -241,4 +289,46 @@
         await asyncio.wait({expiring})
         self.assertIsInstance(expiring.exception(), RefusedError)
         self.assertEqual(self.placer.waiting, 3)
+        self.assertEqual(len(self.placer._queues["svc"]), 3)
         return await self.serve(slot, waiting)
+
+
+class TestEntry(unittest.TestCase):
+    def test_an_entry_serves_by_the_priorities_of_its_routes(self):
+        """Guards against an entry whose placer doesn't follow the configuration."""
+        batch = make_route("/batch/", "safe", priority=2)
+        routes = [batch, make_route("/urgent/", "safe", priority=0)]
+        self.assertEqual(run(self._ask(routes)), ["/urgent/"] * 6 + ["/batch/"] * 2)
+        # In fair order a team's urgent requests are at most two ahead of another team.
+        routes = [batch, make_route("/urgent/", "safe", priority=2)]
+        order = run(self._ask(routes))
+        self.assertEqual(order[:4].count("/batch/"), 2)
+
+    async def _ask(self, routes):
+        """Return the paths in the order in which an upstream with one slot got them."""
+        free = asyncio.Event()
+
+        async def answers_when_free(request, wire):
+            await free.wait()
+            await answers()(request, wire)
+
+        server = upstream(answers_when_free)
+        document = make_configuration(2, routes)
+        document["tenants"].append({"name": "team-b", "apiKeys": ["key-b"]})
+        async with Site(server) as site:
+            address = f"127.0.0.1:{server.port}"
+            fields = make_upstream_entry("svc", address, zone="kl-a", slots=1)
+            site.store.put("servers/i-0", fields)
+            site.store.put("op/config", document)
+            fleet, placer = site.entry.fleet, site.entry.placer
+            await until(lambda: site.entry.routes.configuration.version == 2)
+            await until(lambda: fleet.upstreams["i-0"].entry.places == 1)
+            first = asyncio.ensure_future(site.ask("/batch/"))
+            await until(lambda: server.received)
+            waiting = [site.ask("/batch/") for _ in range(2)]
+            waiting += [site.ask("/urgent/", key="key-b") for _ in range(6)]
+            answered = asyncio.gather(first, *waiting)
+            await until(lambda: placer.waiting == len(waiting))
+            free.set()
+            await answered
+        return [request.target for request in server.received[1:]]
