Test of the placer's order under random departures and changes of the routes

Cause: queues of both kinds exchange their waiting requests while callers leave, also in the moment in which they get a slot. A slot that is held by nobody would stay lost.

Change: 20 seeded schedules in virtual time of 600 requests each. At the end nothing waits, no queue holds a request and no slot is held.

--- a/tests/gateway/test_request_order.py
+++ b/tests/gateway/test_request_order.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import functools
 import itertools
 import random
 import statistics
@@ -186,6 +187,50 @@
             self.assertAlmostEqual(one.ended_ms - one.arrived_ms, 800, delta=3)
 
 
+class TestSchedules(unittest.TestCase):
+    def test_no_slot_or_request_is_lost_as_callers_leave_and_routes_change(self):
+        """Guards against a slot that is held by nobody, or a request without an end."""
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                ended, left = run_virtually(functools.partial(self._play, seed))
+                self.assertEqual(ended + left, 600)
+                self.assertGreater(min(ended, left), 20)
+
+    async def _play(self, seed, loop):
+        rng, clock = random.Random(seed), loop.make_clock()
+        fleet = Fleet("a", clock, random.Random(seed))
+        fleet.apply({name: item(name, ord(name), slots=SLOTS) for name in "ab"})
+        placer = Placer(fleet, clock, has_classes=lambda service: has_classes)
+        has_classes, requests = True, []
+
+        async def send():
+            traits = RequestTraits(rng.choice("xyz"), rng.choice((0, 0, 1, 2)))
+            wait_ms = rng.choice((1, 300, 2_000))
+            try:
+                upstream = await placer.acquire("svc", traits, (), wait_ms)
+            except RefusedError:
+                return
+            try:
+                await asyncio.sleep(rng.uniform(0, 0.3))
+            finally:
+                placer.release(upstream)
+                # One that was just assigned the slot leaves, or one that still waits.
+                if rng.random() < 0.3:
+                    rng.choice(requests[-50:]).cancel()
+
+        for _ in range(600):
+            requests.append(asyncio.ensure_future(send()))
+            await asyncio.sleep(rng.expovariate(200.0))
+            if rng.random() < 0.02:
+                has_classes = not has_classes
+        ends = await asyncio.gather(*requests, return_exceptions=True)
+        self.assertEqual(placer.waiting, 0)
+        self.assertEqual(len(placer._queues["svc"]), 0)
+        self.assertFalse(any(one.local_requests for one in fleet.upstreams.values()))
+        left = sum(isinstance(end, asyncio.CancelledError) for end in ends)
+        return ends.count(None), left
+
+
 class TestReturnTimes(unittest.TestCase):
     def test_the_time_follows_the_queue_of_the_class(self):
         """Guards against callers that return into the queue that refused them."""
