ClassQueue's notes name the teams that FairQueue lets ahead

Cause: the notes said that a class is ahead of its team's other requests; the offset in FairQueue counts between teams.

Change: the sentence. Evidence: tests.routing.test_queues passes (14).

--- a/packages/routing/src/fuchsiahatch_routing/queues.py
+++ b/packages/routing/src/fuchsiahatch_routing/queues.py
@@ -316,8 +316,8 @@
     Notes
     -----
     The most urgent class goes first, whichever team is next. In `FairQueue` a class is
-    at most `CLASS_ADVANCE` requests ahead of its team's others, so a burst of urgent
-    requests waits among the rest and is served too late to count.
+    at most `CLASS_ADVANCE` requests ahead of other teams, so a burst of urgent requests
+    waits among all others and is served late.
 
     One in `PASSED_OVER_INTERVAL` requests that leave is the oldest of the less urgent
     classes, whatever its team, and is charged to that team. A full queue evicts from
