Classes rank by the team's priority, then the route's; routes without a key make none

Change: a request's class at a service is the rank of (team's priority, route's priority) among all that its configuration allows; only routes that require a key decide whether there are classes. The event of an applied configuration names the services with classes.

--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -168,6 +168,7 @@
             request,
             match,
             service,
+            self._routes.class_of(match, service),
             _fingerprint_of(exchange, request.host, match.team.name),
             arrived_ms,
             arrived_ms + limit_ms,
@@ -273,7 +274,7 @@
             lambda: job.note_event(self._clock.now_ms()),
             note_head,
             lambda head: self._on_skipped_head(upstream, head),
-            job.match.urgency if self._routes.has_classes(job.service) else None,
+            job.priority_class if self._routes.has_classes(job.service) else None,
         )
         was_started = job.exchange.started
         may_have_run = True
--- a/packages/gateway/src/fuchsiahatch_gateway/jobs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/jobs.py
@@ -44,6 +44,8 @@
     request : CallerRequest
     match : Match
     service : str
+    priority_class : int
+        At its service, 0 first.
     fingerprint : str
         Identifies the request independent of its id.
     arrived_ms, ends_ms : int
@@ -73,6 +75,7 @@
     request: "CallerRequest"
     match: "Match"
     service: str
+    priority_class: int
     fingerprint: str
     arrived_ms: int
     ends_ms: int
@@ -92,7 +95,7 @@
         """What the choice of an upstream may know of the request."""
         return RequestTraits(
             self.match.team.name,
-            self.match.urgency,
+            self.priority_class,
             self.request.prompt_tokens,
             self.request.answer_tokens,
         )
--- a/packages/gateway/src/fuchsiahatch_gateway/routes.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/routes.py
@@ -1,6 +1,8 @@
 """Matching of requests to routes and teams of the active configuration."""
 
+import bisect
 import dataclasses
+import itertools
 import random
 import typing as t
 
@@ -35,6 +37,11 @@
         """Priority class of the request, 0 first; the team's overrides the route's."""
         return self.route.urgency if self.team.urgency is None else self.team.urgency
 
+    @property
+    def precedence(self) -> tuple[int, int]:
+        """Sort key by priority: the team's, then the route's among equals."""
+        return self.urgency, self.route.urgency
+
 
 class RouteTable:
     """The active configuration, with its routes by host.
@@ -45,14 +52,15 @@
         None until the first one is applied.
     """
 
-    __slots__ = ("_by_host", "_era", "_urgencies", "_value", "configuration")
+    __slots__ = ("_by_host", "_classes", "_era", "_value", "configuration")
 
     def __init__(self) -> None:
         self._era = 0
         self._value = b""
         self.configuration: Configuration | None = None
         self._by_host: dict[str, list[Route]] = {}
-        self._urgencies: dict[str, tuple[int, ...]] = {}
+        #: Sorted precedences of requests, for services whose routes differ in priority.
+        self._classes: dict[str, list[tuple[int, int]]] = {}
 
     def apply(self, value: bytes, era: int = 0) -> bool:
         """Activate a configuration unless it is outdated; return whether that was done.
@@ -88,11 +96,12 @@
         self.configuration = candidate
         self._era, self._value = era, value
         self._by_host = _group_by_host(candidate.routes)
-        self._urgencies = _urgencies_by_service(candidate.routes)
+        self._classes = _classes_by_service(candidate)
         log_event(
             Event.CONFIGURATION_APPLIED,
             version=candidate.version,
             routes=len(candidate.routes),
+            classes={name: len(ranks) for name, ranks in self._classes.items()},
         )
         return True
 
@@ -104,16 +113,25 @@
         )
         return None if definition is None else definition.engine
 
-    def urgencies(self, service: str) -> tuple[int, ...]:
-        """Return the distinct priorities of a service's routes, the most urgent first.
-
-        Priorities of teams don't count. A service without routes has none.
-        """
-        return self._urgencies.get(service, ())
-
     def has_classes(self, service: str) -> bool:
         """Return whether the routes of a service differ in priority."""
-        return len(self.urgencies(service)) > 1
+        return service in self._classes
+
+    def class_count(self, service: str) -> int:
+        """Return the number of priority classes of a service; 1 without any."""
+        return len(self._classes.get(service, ())) or 1
+
+    def class_of(self, match: Match, service: str) -> int:
+        """Return a request's priority class at a service, 0 first.
+
+        Where the service's routes differ in priority, classes are numbered by the
+        team's priority and then the route's. Elsewhere the team's overrides the
+        route's.
+        """
+        classes = self._classes.get(service)
+        if classes is None:
+            return match.urgency
+        return bisect.bisect_left(classes, match.precedence)
 
     def match(self, request: "CallerRequest") -> Match:
         """Return a request's route and team.
@@ -172,11 +190,33 @@
     return by_host
 
 
-def _urgencies_by_service(routes: t.Iterable[Route]) -> dict[str, tuple[int, ...]]:
+def _classes_by_service(
+    configuration: Configuration,
+) -> dict[str, list[tuple[int, int]]]:
+    """Return the sorted precedences of each service whose routes differ in priority.
+
+    Only routes that require a key count where there are teams: requests without one
+    belong to no team that others compete with.
+    """
+    teams = configuration.teams
     by_service: dict[str, set[int]] = {}
-    for route in routes:
-        for service, _ in route.services:
-            by_service.setdefault(service, set()).add(route.urgency)
+    for route in configuration.routes:
+        if teams is None or not route.public:
+            for service, _ in route.services:
+                by_service.setdefault(service, set()).add(route.urgency)
+    levels = {team.urgency for team in (teams or {"": NO_TEAM}).values()}
     return {
-        service: tuple(sorted(urgencies)) for service, urgencies in by_service.items()
+        service: _precedences(levels, urgencies)
+        for service, urgencies in by_service.items()
+        if len(urgencies) > 1
+    }
+
+
+def _precedences(
+    levels: t.Iterable[int | None], urgencies: t.Iterable[int]
+) -> list[tuple[int, int]]:
+    precedences = {
+        (urgency if level is None else level, urgency)
+        for level, urgency in itertools.product(levels, urgencies)
     }
+    return sorted(precedences)
--- a/tests/gateway/test_routes.py
+++ b/tests/gateway/test_routes.py
@@ -40,10 +40,10 @@
         self.assertEqual(self.table.match(request("/safe/")).urgency, 0)
         self.assertEqual(self.table.match(request("/open/", "")).urgency, 1)
 
-    def test_urgencies_are_those_of_the_latest_configuration(self):
+    def test_classes_are_those_of_the_latest_configuration(self):
         """Guards against classes that outlive the routes that stated them."""
         split = [{"service": "m", "weight": 1}, {"service": "n", "weight": 1}]
-        self.assertEqual(self.table.urgencies("m"), ())
+        self.assertFalse(self.table.has_classes("m"))
         routes = [
             make_route("/a/", "safe", "m", priority=5),
             make_route("/b/", "safe", "m", priority=0),
@@ -51,12 +51,41 @@
             make_route("/d/", "safe", "m", priority=0),
         ]
         self.apply(1, routes=routes)
-        self.assertEqual(self.table.urgencies("m"), (0, 1, 5))
-        self.assertEqual(self.table.urgencies("n"), (1,))
+        self.assertEqual([*map(self.table.class_count, "mnx")], [3, 1, 1])
         self.assertEqual([*map(self.table.has_classes, "mnx")], [True, False, False])
         self.apply(2, routes=routes[1:2])
-        self.assertEqual(self.table.urgencies("m"), (0,))
-        self.assertEqual(self.table.urgencies("n"), ())
+        self.assertEqual([*map(self.table.has_classes, "mn")], [False, False])
+
+    def test_classes_go_by_the_teams_priority_and_then_the_routes(self):
+        """Guards against a team's priority that makes all its requests alike."""
+        document = make_configuration(
+            routes=[
+                make_route("/urgent/", "safe", priority=0),
+                make_route("/usual/", "safe", priority=2),
+                make_route("/open/", "safe", priority=1, public=True),
+            ]
+        )
+        document["tenants"][0]["priority"] = 1
+        document["tenants"].append({"name": "b", "apiKeys": ["b"], "priority": 0})
+        self.table.apply(dump(document))
+        classes = [
+            self.table.class_of(self.table.match(request(path, key)), "svc")
+            for key in ("b", KEY)
+            for path in ("/urgent/", "/usual/")
+        ]
+        self.assertEqual(classes, [0, 1, 2, 3])
+        self.assertEqual(self.table.class_count("svc"), 4)
+
+    def test_routes_without_a_key_make_no_classes(self):
+        """Guards against classes that only routes outside all teams would ask for."""
+        routes = [
+            make_route("/usual/", "safe", priority=2),
+            make_route("/open/", "safe", priority=0, public=True),
+        ]
+        self.apply(routes=routes)
+        self.assertFalse(self.table.has_classes("svc"))
+        match = self.table.match(request("/usual/"))
+        self.assertEqual(self.table.class_of(match, "svc"), 2)
 
     def test_host_and_prefix_must_match(self):
         self.apply()
