Zone drain: no new request goes to a zone that the operator has drained

Operators take whole availability zones out of use and need entries to stop sending there within 5 s, with the store away or not. Nothing read their items.

Each entry keeps a copy of the items under op/evacuate/, by its one watch; the key alone counts. One gate, Fleet._obstacle, now has all conditions on an upstream for new requests: departed, zone drained, closed or without its first report, backing off. The choice and the check before the send use it; the check is also made after a permit has come. A service whose upstreams are all in drained zones refuses its requests, waiting ones too (code 213). Deletions of items without leases are no longer deferred after an outage, and several of them at once are no sign of lost leases. Fleet.drain_ended_ms tells other parts when a zone's drain was seen to end.

Ruled out: a second watch for these items.

--- a/packages/core/src/fuchsiahatch_core/codes.py
+++ b/packages/core/src/fuchsiahatch_core/codes.py
@@ -42,6 +42,8 @@
     CRASHES_UPSTREAMS = 211
     # All upstreams have asked for a backoff period that ends later.
     BACKING_OFF = 212
+    # All upstreams are in zones that the operator has drained.
+    ZONE_DRAINED = 213
 
     # What became of an attempt.
     NOT_RUN = 300
--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -150,7 +150,7 @@
     if not attempt.may_send():
         # It began to leave while the connection was being opened, which may take the
         # whole connect timeout, and might end in the middle of the request. Or it has
-        # asked for a backoff period.
+        # asked for a backoff period, or its zone was drained.
         connection.abort()
         detail = "the upstream no longer accepts requests"
         return Outcome(Result.UNSENT, detail, withdrawn=True)
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -9,6 +9,7 @@
 from fuchsiahatch_adapter.lookup_calls import encode_lookup, is_ready_check, lookup_zone
 from fuchsiahatch_adapter.names import (
     CONFIGURATION_KEY,
+    DRAINED_ZONES_PREFIX,
     RATE_LIMIT,
     UPSTREAMS_PREFIX,
 )
@@ -215,6 +216,9 @@
         self._upstream_copy = self._make_copy(UPSTREAMS_PREFIX, self._apply_upstreams)
         self._entry_copy = self._make_copy(ENTRIES_PREFIX, self._apply_entries)
         self._held_copy = self._make_copy(HELD_PREFIX, self._apply_held)
+        self._drain_copy = self._make_copy(
+            DRAINED_ZONES_PREFIX, self._apply_drains, leased=False
+        )
         self.follower = Follower(
             self.store,
             WATCHED_PREFIX,
@@ -225,6 +229,7 @@
                 self._upstream_copy,
                 self._entry_copy,
                 self._held_copy,
+                self._drain_copy,
             ),
         )
 
@@ -338,8 +343,10 @@
         headers = [(b"content-type", b"application/json")]
         exchange.respond(200, headers, encode_lookup(addresses, LOOKUP_TTL_S))
 
-    def _make_copy(self, prefix: str, apply: t.Callable[[], None]) -> ItemCopy:
-        return ItemCopy(prefix, self.health, self._clock, apply)
+    def _make_copy(
+        self, prefix: str, apply: t.Callable[[], None], leased: bool = True
+    ) -> ItemCopy:
+        return ItemCopy(prefix, self.health, self._clock, apply, leased)
 
     def _note_restored(self) -> None:
         """Write and read again what the restored store has lost."""
@@ -367,6 +374,11 @@
         self.fleet.apply(self._upstream_copy.items)
         self.placer.serve_waiting()
 
+    def _apply_drains(self) -> None:
+        entry_zones = {entry.zone for entry in self._entries.values()}
+        self.fleet.apply_drains(self._drain_copy.items, entry_zones)
+        self.placer.serve_waiting()
+
     def _apply_entries(self) -> None:
         entries = self.entry_decoder.decode_all(self._entry_copy.items)
         if entries.keys() != self._entries.keys():
--- a/packages/gateway/src/fuchsiahatch_gateway/entry_gauges.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry_gauges.py
@@ -56,4 +56,9 @@
         "Upstreams in a backoff period.",
         lambda: entry.fleet.backing_off_count,
     )
+    add(
+        "fuchsiahatch_drained_zones",
+        "Zones that the operator has drained.",
+        lambda: len(entry.fleet.drains.zones),
+    )
     add("fuchsiahatch_log_dropped", "Lines.", lambda: process.log.dropped)
--- a/packages/gateway/src/fuchsiahatch_gateway/explain.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/explain.py
@@ -12,6 +12,8 @@
     "store_regained": "the store answered again",
     "history_lost": "the store lost its history",
     "configuration_applied": "a configuration was applied",
+    "zone_drain_begun": "the operator drained a zone",
+    "zone_drain_ended": "the drain of a zone ended",
     "upstream_gone": "an upstream's entry was removed",
     "upstream_leaving": "an upstream began to leave",
     "upstream_misplaced": "another upstream answered at an upstream's address",
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -1,5 +1,6 @@
 """The upstreams known to this entry, their estimated load and the choice among them."""
 
+import collections
 import dataclasses
 import random
 import typing as t
@@ -10,12 +11,14 @@
 from fuchsiahatch_gateway.departed_upstreams import DepartedUpstreams
 from fuchsiahatch_gateway.item_decoding import ItemDecoder
 from fuchsiahatch_gateway.known_upstream import Upstream
+from fuchsiahatch_gateway.obstacles import Obstacle
 from fuchsiahatch_gateway.request_traits import ANY_REQUEST, RequestTraits
 from fuchsiahatch_gateway.upstream_comparison import (
     Comparison,
     fastest_paces,
     untried,
 )
+from fuchsiahatch_gateway.zone_drains import ZoneDrains
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.configuration import Engine
@@ -64,6 +67,8 @@
     ----------
     upstreams : dict of str to Upstream
         By instance.
+    drains : ZoneDrains
+        The drained zones, whose upstreams get no new requests.
     on_departed : callable
         Called with the entry of each upstream that leaves, is removed or restarts.
     on_restarted : callable
@@ -85,6 +90,7 @@
         "_rng",
         "_statements",
         "_zone",
+        "drains",
         "engine_of",
         "on_departed",
         "on_restarted",
@@ -110,6 +116,7 @@
         #: When a service's first engine opened while no other was usable.
         self._opened_ms: dict[str, int] = {}
         self.upstreams: dict[str, Upstream] = {}
+        self.drains = ZoneDrains(clock)
         self.on_departed: t.Callable[[UpstreamEntry], None] = lambda entry: None
         self.on_restarted: t.Callable[[Upstream], None] = lambda former: None
         self.engine_of: t.Callable[[str], Engine | None] = lambda service: None
@@ -130,6 +137,27 @@
                 self._apply_entry(entry, items[instance])
         self._rebuild_indexes()
 
+    def apply_drains(
+        self, zones: t.Iterable[str], known_zones: t.Iterable[str] = ()
+    ) -> None:
+        """Apply the drained zones of the store.
+
+        Parameters
+        ----------
+        zones : iterable of str
+        known_zones : iterable of str, optional
+            Zones that exist besides those of the entry and the upstreams.
+        """
+        counts = collections.Counter(
+            upstream.entry.zone for upstream in self.upstreams.values()
+        )
+        known = {zone: counts[zone] for zone in (self._zone, *known_zones, *counts)}
+        self.drains.apply(zones, known)
+
+    def drain_ended_ms(self, zone: str) -> int | None:
+        """Return when the latest drain of a zone was seen to end; None without one."""
+        return self.drains.ended_ms(zone)
+
     def observe(self, load: "LoadReport") -> None:
         """Apply a load report."""
         upstream = self._by_address.get(load.upstream)
@@ -184,34 +212,73 @@
             move()
 
     def usable(self, service: str) -> list[Upstream]:
-        """Return the upstreams of a service that may get new requests."""
+        """Return the upstreams of a service that may get new requests.
+
+        Those in a backoff period are among them.
+        """
         usable = self._open_upstreams(service)
-        unavailable = len(self._by_service.get(service, ())) - len(usable)
-        return [] if self._delays_opening(service, unavailable) else usable
+        return [] if self._delays_opening(service, len(usable)) else usable
 
     def _open_upstreams(self, service: str) -> list[Upstream]:
-        """Return the upstreams of a service that are open, during the delay too.
+        """Return the upstreams that would be usable without the delay at opening.
 
         If those that are delayed didn't count as open, each further one would restart
         the delay, and engines that open 50 ms apart would be withheld until the last
         one is open.
         """
+        now_ms = self._clock.now_ms()
         return [
             upstream
             for upstream in self._by_service.get(service, ())
-            if upstream.accepts_requests and not self._awaits_report(upstream)
+            if self._obstacle(upstream, now_ms) in (None, Obstacle.BACKING_OFF)
         ]
 
-    def _delays_opening(self, service: str, unavailable: int) -> bool:
+    def _obstacle(self, upstream: Upstream, now_ms: int) -> Obstacle | None:
+        """Return what keeps new requests from an upstream, the most lasting first.
+
+        All requests pass this gate: when an upstream is chosen, and by `is_usable` once
+        more before they are sent.
+        """
+        if upstream.departed:
+            return Obstacle.DEPARTED
+        if upstream.entry.zone in self.drains.zones:
+            return Obstacle.ZONE_DRAINED
+        if not upstream.accepts_requests or self._awaits_report(upstream):
+            return Obstacle.CLOSED
+        if upstream.backoff_left_ms(now_ms):
+            return Obstacle.BACKING_OFF
+        return None
+
+    def is_drained(self, service: str) -> bool:
+        """Return whether all upstreams that could serve a service are in drained zones.
+
+        Upstreams that are closed count as such that could. Otherwise, when a rank group
+        opens or closes, the report of a rank in a drained zone that comes first would
+        have all waiting requests refused.
+        """
+        if not self.drains.zones:
+            return False
+        now_ms = self._clock.now_ms()
+        obstacles = {
+            self._obstacle(upstream, now_ms)
+            for upstream in self._by_service.get(service, ())
+        }
+        return obstacles - {Obstacle.DEPARTED} == {Obstacle.ZONE_DRAINED}
+
+    def _delays_opening(self, service: str, usable: int) -> bool:
         """Return whether further engines are about to open after the first one.
 
         Otherwise the first one gets every request that waits at any entry: of some 200
         requests for 5 slots a hundred are refused, and the rest are late.
         """
         opened_ms = self._opened_ms.get(service)
-        if opened_ms is None or not unavailable:
+        if opened_ms is None or self._clock.now_ms() - opened_ms >= OPENING_DELAY_MS:
             return False
-        return self._clock.now_ms() - opened_ms < OPENING_DELAY_MS
+        expected = sum(
+            upstream.entry.zone not in self.drains.zones
+            for upstream in self._by_service.get(service, ())
+        )
+        return usable < expected
 
     def _awaits_report(self, upstream: Upstream) -> bool:
         """Return whether requests to an engine must wait for its first load report.
@@ -230,10 +297,9 @@
 
     def is_usable(self, upstream: Upstream) -> bool:
         """Return whether an upstream may still get new requests."""
-        current = self.upstreams.get(upstream.entry.instance)
-        if current is not upstream or not upstream.accepts_requests:
+        if self.upstreams.get(upstream.entry.instance) is not upstream:
             return False
-        return not upstream.backoff_left_ms(self._clock.now_ms())
+        return self._obstacle(upstream, self._clock.now_ms()) is None
 
     def choose(
         self,
@@ -262,10 +328,10 @@
             upstream
             for upstream in usable
             if upstream.limited_until_ms <= now_ms
-            and upstream.statements.backoff_until_ms <= now_ms
             and upstream.local_requests < upstream.max_local_requests
             and not (only_unlimited and upstream.stated)
             and upstream.load(now_ms) < upstream.places(engine, paces[upstream.group])
+            and self._obstacle(upstream, now_ms) is None
         ]
         groups = {
             self.upstreams[instance].group
--- a/packages/gateway/src/fuchsiahatch_gateway/inspection.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/inspection.py
@@ -11,7 +11,11 @@
 from twisted.internet import asyncioreactor
 
 from fuchsiahatch_adapter.configuration import decode_configuration
-from fuchsiahatch_adapter.names import CONFIGURATION_KEY, UPSTREAMS_PREFIX
+from fuchsiahatch_adapter.names import (
+    CONFIGURATION_KEY,
+    DRAINED_ZONES_PREFIX,
+    UPSTREAMS_PREFIX,
+)
 from fuchsiahatch_adapter.node_settings import (
     StoreAccess,
     parse_address,
@@ -62,7 +66,9 @@
         print(f"version {config.version}: {len(config.routes)} routes, valid")
 
     def status(self, store: str, as_json: bool = False) -> None:
-        """Show entries, leaders, upstreams and held requests; exit 2 without the store.
+        """Show the contents of the store; exit 2 without it.
+
+        These are entries, leaders, upstreams, drained zones and held requests.
 
         Parameters
         ----------
@@ -112,6 +118,7 @@
         "entries": await _read_prefix(store, ENTRIES_PREFIX),
         "leaders": await _read_prefix(store, LEADERS_PREFIX),
         "upstreams": await _read_prefix(store, UPSTREAMS_PREFIX),
+        "drained_zones": await _read_names(store, DRAINED_ZONES_PREFIX),
         "held_requests": await _read_prefix(store, HELD_PREFIX),
     }
 
@@ -126,12 +133,20 @@
     for instance, record in status["upstreams"].items():
         fields = (record.get(name) for name in ("service", "zone", "address", "state"))
         yield f"upstream {instance}: {' '.join(map(str, fields))}"
+    for zone in status["drained_zones"]:
+        yield f"zone {zone}: drained"
     for fingerprint, record in status["held_requests"].items():
         if record.get("held"):
             crashed = " ".join(record.get("upstreams", ()))
             yield f"held request {fingerprint}: crashed {crashed}"
 
 
+async def _read_names(store: "StoreClient", prefix: str) -> list[str]:
+    """Return the names of items whose values don't count."""
+    result = await store.read_all(prefix)
+    return [item.key.removeprefix(prefix) for item in result.items]
+
+
 async def _read_prefix(store: "StoreClient", prefix: str) -> dict[str, t.Any]:
     result = await store.read_all(prefix)
     return {
--- a/packages/gateway/src/fuchsiahatch_gateway/item_copies.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/item_copies.py
@@ -24,6 +24,9 @@
     clock : Clock
     on_change : callable
         Called after each change, without arguments.
+    leased : bool, optional
+        Whether the items have leases. Deletions of others are never deferred: the store
+        doesn't lose these items.
 
     Attributes
     ----------
@@ -41,7 +44,15 @@
     at once is the sign.
     """
 
-    __slots__ = ("_clock", "_health", "_lapsed", "_on_change", "_prefix", "items")
+    __slots__ = (
+        "_clock",
+        "_health",
+        "_lapsed",
+        "_leased",
+        "_on_change",
+        "_prefix",
+        "items",
+    )
 
     def __init__(
         self,
@@ -49,11 +60,13 @@
         health: "StoreHealth",
         clock: "Clock",
         on_change: t.Callable[[], None],
+        leased: bool = True,
     ) -> None:
         self._prefix = prefix
         self._health = health
         self._clock = clock
         self._on_change = on_change
+        self._leased = leased
         self._lapsed: set[str] = set()
         self.items: dict[str, Item] = {}
 
@@ -81,7 +94,7 @@
         return [item for item in items if item.key.startswith(self._prefix)]
 
     def _check_for_lapse(self, deleted: int) -> None:
-        if deleted >= max(MIN_LAPSED, LAPSE_SHARE * len(self.items)):
+        if self._leased and deleted >= max(MIN_LAPSED, LAPSE_SHARE * len(self.items)):
             self._health.note_lapse(self._clock.now_ms(), deleted)
 
     def _apply(self, item: "Item") -> None:
@@ -98,7 +111,7 @@
     def _apply_deletion(self, name: str) -> None:
         if name not in self.items:
             return
-        if self._health.settled(self._clock.now_ms()):
+        if not self._leased or self._health.settled(self._clock.now_ms()):
             del self.items[name]
             return
         self._lapsed.add(name)
--- a/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
@@ -102,8 +102,16 @@
 
     @property
     def accepts_requests(self) -> bool:
-        """Whether it may be sent new requests."""
-        return self.open and not self.misplaced and not self.leaving
+        """Whether nothing in its own state keeps new requests from it.
+
+        `Fleet.is_usable` applies all conditions.
+        """
+        return self.open and not self.departed
+
+    @property
+    def departed(self) -> bool:
+        """Whether this incarnation never gets new requests again."""
+        return self.misplaced or self.leaving
 
     @property
     def leaving(self) -> bool:
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/obstacles.py
@@ -0,0 +1,24 @@
+"""What keeps new requests from an upstream."""
+
+import enum
+
+
+class Obstacle(enum.Enum):
+    """Why an upstream may not be sent new requests.
+
+    Attributes
+    ----------
+    DEPARTED
+        It leaves, or another upstream answers at its address; final for an incarnation.
+    ZONE_DRAINED
+        The operator has drained its zone.
+    CLOSED
+        Its rank group isn't working, or its first load report is awaited.
+    BACKING_OFF
+        It has asked for a backoff period.
+    """
+
+    DEPARTED = enum.auto()
+    ZONE_DRAINED = enum.auto()
+    CLOSED = enum.auto()
+    BACKING_OFF = enum.auto()
--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -81,14 +81,18 @@
         ------
         RefusedError
             If no slot becomes free within `wait_ms`; at once if all upstreams state a
-            rate and none of them accepts another request now, or if all of them have
-            asked for backoff periods that end later.
+            rate and none of them accepts another request now, if all of them have
+            asked for backoff periods that end later, or if all are in drained zones.
         """
         ends_ms = self._clock.now_ms() + wait_ms
         for _ in range(MAX_PERMIT_REQUESTS):
             upstream = await self._acquire_usable(service, traits, tried, ends_ms)
-            if await self._request_permit(upstream):
+            if not await self._request_permit(upstream):
+                continue
+            if self.is_usable(upstream):
                 return upstream
+            # Its zone was drained, or it began to leave, while the permit was awaited.
+            self.release(upstream)
         # No more permits are requested; an upstream without a stated rate may be free.
         upstream = self._fleet.choose(service, tried, traits, only_unlimited=True)
         if upstream is None:
@@ -99,6 +103,8 @@
 
     def _check_available(self, service: str, ends_ms: float) -> None:
         """Refuse a request at once if no upstream accepts it in time."""
+        if self._fleet.is_drained(service):
+            raise _zone_drained()
         closed = self._fleet.unavailability(service)
         if closed is None:
             return
@@ -119,6 +125,17 @@
             queue.remove(waiting.ticket)
             self._refuse(waiting.ticket, _backing_off(closed.wait_ms))
 
+    def _refuse_drained(self, queue: FairQueue, service: str) -> None:
+        """Refuse all waiting requests if a service has only upstreams that are drained.
+
+        The drains of minutes outlast any wait.
+        """
+        if not self._fleet.is_drained(service):
+            return
+        for waiting in queue:
+            queue.remove(waiting.ticket)
+            self._refuse(waiting.ticket, _zone_drained())
+
     async def _request_permit(self, upstream: "Upstream") -> bool:
         """Return whether a request may go there; release the slot if not."""
         if upstream.stated is None or self._ask_permit is None:
@@ -147,7 +164,8 @@
             upstream = await self._acquire_slot(service, traits, tried, left_ms)
             if self.is_usable(upstream):
                 return upstream
-            # It began to leave, or asked for a backoff, after the slot was assigned.
+            # It began to leave, asked for a backoff, or its zone was drained, after the
+            # slot was assigned.
             self.release(upstream)
 
     async def _acquire_slot(
@@ -189,6 +207,7 @@
             queue = self._queues.get(name)
             while queue is not None and len(queue):
                 if not self._serve_next(queue, name):
+                    self._refuse_drained(queue, name)
                     break
 
     def _serve_next(self, queue: FairQueue, service: str) -> bool:
@@ -248,6 +267,11 @@
             waiter.future.set_exception(fault)
 
 
+def _zone_drained() -> RefusedError:
+    detail = "all upstreams are in drained zones"
+    return RefusedError(detail, Code.ZONE_DRAINED)
+
+
 def _backing_off(wait_ms: int) -> RefusedError:
     return RefusedError(
         "all upstreams have asked for a backoff period",
--- a/tests/gateway/sites.py
+++ b/tests/gateway/sites.py
@@ -98,19 +98,25 @@
             await upstream.close()
         await self.store.close()
 
-    async def add_upstream(self, instance, upstream, state="ready", service="svc"):
+    async def add_upstream(
+        self, instance, upstream, state="ready", service="svc", zone="kl-a"
+    ):
         port = (
             await upstream.listen()
             if not getattr(upstream, "port", 0)
             else upstream.port
         )
         upstream.port = port
-        self.put_upstream(instance, port, state, service)
+        self.put_upstream(instance, port, state, service, zone)
 
-    def put_upstream(self, instance, port, state="ready", service="svc"):
+    def put_upstream(
+        self, instance, port, state="ready", service="svc", zone="kl-a", **changes
+    ):
         self.store.put(
             f"servers/{instance}",
-            make_upstream_entry(service, f"127.0.0.1:{port}", zone="kl-a", state=state),
+            make_upstream_entry(
+                service, f"127.0.0.1:{port}", zone=zone, state=state, **changes
+            ),
         )
 
     async def ask(self, path, **options):
--- a/tests/gateway/test_inspection.py
+++ b/tests/gateway/test_inspection.py
@@ -65,6 +65,7 @@
             store.put("servers/i-1", {"service": "svc", "state": "ready"})
             held = {"held": True, "upstreams": ["i-1@5", "i-2@7"]}
             store.put("fuchsiahatch-held/f-1", held)
+            store.put("op/evacuate/kl-a", b"\xff, not JSON")
             store.put("fuchsiahatch-held/f-2", {"held": False, "upstreams": []})
             loop = asyncio.get_running_loop()
             address = f"127.0.0.1:{port}"
@@ -81,6 +82,7 @@
         self.assertIn("group g-1: led by s-1", found.stdout)
         self.assertIn("upstream i-1: svc None None ready", found.stdout)
         self.assertIn("held request f-1: crashed i-1@5 i-2@7", found.stdout)
+        self.assertIn("zone kl-a: drained", found.stdout)
         self.assertNotIn("f-2", found.stdout)
         self.assertEqual(json.loads(plain.stdout)["version"], 7)
 
--- a/tests/processes/entries.py
+++ b/tests/processes/entries.py
@@ -68,8 +68,8 @@
         await self.store.close()
         self._folder.cleanup()
 
-    def put_upstream(self, instance, port):
-        entry = make_upstream_entry("svc", f"127.0.0.1:{port}", zone="kl-a")
+    def put_upstream(self, instance, port, zone="kl-a"):
+        entry = make_upstream_entry("svc", f"127.0.0.1:{port}", zone=zone)
         self.store.put(f"servers/{instance}", entry)
 
     def start(self, ip):
--- a/tests/processes/test_upstream_statements.py
+++ b/tests/processes/test_upstream_statements.py
@@ -18,6 +18,10 @@
 IN_FLIGHT_S, MAX_IN_FLIGHT = 0.5, 2
 #: Time after an answer that says that its upstream leaves, from which nothing arrives.
 DRAIN_S = 0.5
+#: When the zone of one upstream is drained, the time after which nothing arrives there
+#: through an outage or a restart of an entry, and the end of the drain. The platform
+#: allows 5 s.
+ZONE_BEGIN_S, ZONE_KNOWN_S, ZONE_END_S = 0.6, 2.0, 5.0
 SPANS_S = (0.7, 1.5, 3.0)
 #: Kept connections to each entry, and the time for which it is disturbed.
 CALLERS, SOAK_S = 5, 6.0
@@ -31,6 +35,10 @@
 
     Attributes
     ----------
+    zone : str
+        A zone of its own.
+    all_arrivals_s : list of float
+        Times of all requests, also of entries that have ended.
     arrivals : dict of str to list of float
         Times of requests by the entry that sent them.
     rejections : dict of str to list of (float, float)
@@ -44,6 +52,8 @@
     def __init__(self, entries, name, rng):
         super().__init__(self._work)
         self.entries, self.name, self.rng = entries, name, rng
+        self.zone = f"kl-{name}"
+        self.all_arrivals_s = []
         self.overloaded = self.leaving = False
         self.rejected = self.left = 0
         self.arrivals = collections.defaultdict(list)
@@ -53,7 +63,10 @@
 
     async def start(self):
         self.port = await self.listen()
-        self.entries.put_upstream(self.name, self.port)
+        self.register()
+
+    def register(self):
+        self.entries.put_upstream(self.name, self.port, self.zone)
 
     async def overload_at_random(self):
         while True:
@@ -66,6 +79,7 @@
         ip = request.request_id.split("-")[0]
         ended = self.ended[ip]
         self.arrivals[ip].append(time.monotonic())
+        self.all_arrivals_s.append(time.monotonic())
         if not self.overloaded:
             await asyncio.sleep(self.rng.uniform(0.005, 0.05))
         headers = {"Server-Leaving": "1"} if self.leaving else {}
@@ -117,13 +131,14 @@
         self.entries, self.rng = entries, rng
         self.statuses = collections.Counter()
         self.most, self.version = 0, 1
+        self.in_drained_zone = self.before_drain = 0
         self.numbers = collections.Counter()
 
     async def play(self):
         tasks = [self._call(ip) for ip in IPS for _ in range(CALLERS)]
         tasks += [one.overload_at_random() for one in self.entries.upstreams]
         running = [asyncio.ensure_future(task) for task in tasks]
-        await asyncio.gather(self._disturb(), self._leave())
+        await asyncio.gather(self._disturb(), self._leave(), self._drain_zone())
         for task in running:
             task.cancel()
         ended = await asyncio.gather(*running, return_exceptions=True)
@@ -188,7 +203,7 @@
         one = self.rng.choice(self.entries.upstreams)
         self.entries.store.remove(f"servers/{one.name}")
         await asyncio.sleep(self.rng.uniform(0.05, 0.4))
-        self.entries.put_upstream(one.name, one.port)
+        one.register()
 
     async def _outage(self):
         self.entries.store.faults.status = 503
@@ -206,6 +221,17 @@
             one.forget_entry(ip)
         self.entries.start(ip)
 
+    async def _drain_zone(self):
+        """Drain one upstream's zone, and count what arrives there later."""
+        drained, store = self.entries.upstreams[0], self.entries.store
+        await asyncio.sleep(ZONE_BEGIN_S)
+        self.before_drain = len(drained.all_arrivals_s)
+        store.put(f"op/evacuate/{drained.zone}", b"not read")
+        known_s = time.monotonic() + ZONE_KNOWN_S
+        await asyncio.sleep(ZONE_END_S - ZONE_BEGIN_S)
+        self.in_drained_zone = sum(at > known_s for at in drained.all_arrivals_s)
+        store.remove(f"op/evacuate/{drained.zone}")
+
     async def _leave(self):
         """Have one upstream leave by its answers, while its entry goes on as ready."""
         await asyncio.sleep(0.4 * SOAK_S)
@@ -238,9 +264,12 @@
         self.assertEqual(faults, [])
         self.assertLessEqual(soak.most, MAX_IN_FLIGHT)
         self.assertEqual(after, 0)
+        self.assertGreater(soak.before_drain, 0)
+        self.assertEqual(soak.in_drained_zone, 0)
         self.assertGreater(rejected, 0)
         self.assertGreater(soak.statuses[200], 50)
         self.assertIn("upstream_backoff", kinds)
+        self.assertIn("zone_drain_begun", kinds)
         self.assertEqual(left > 0, "upstream_leaving" in kinds)
         self.assertNotIn("internal_error", kinds)
 
