Allowed regions: requests are handled only where their route and team allow

A route and a team may name the regions in which requests may be handled. An entry knew neither these nor the regions of zones.

Settings give each zone its region. The gate for new requests has the limit as its first condition, and resolves it from the configuration of that moment, by the names of route and team in RequestTraits: a change binds waiting requests, retries and resumed streams. Waiting requests are queued by service and regions; the queues of a service take turns. Limits in an unreadable form reject their configuration. Lookups name entries of the caller's region before others where its zone has fewer than two. Fleet.refusal replaces is_drained and answers for both reasons.

The gate is evaluated once for each upstream of a choice.

Two tests that replace Fleet.is_usable have its new signature; all others are unchanged.

--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -265,7 +265,7 @@
             job.match.team.name,
             left_ms,
             silence_ms(job, left_ms),
-            lambda: self._placer.is_usable(upstream),
+            lambda: self._placer.is_usable(upstream, job.traits),
             lambda: self._could_retry(job),
             lambda: self._could_move(job),
             job.events,
@@ -314,7 +314,7 @@
         return (
             decide(Result.BROKEN, progress) is Step.RETRY
             and self._budget.has_retry_left(job.service)
-            and self._placer.has_free_slot(job.service)
+            and self._placer.has_free_slot(job.service, job.traits)
         )
 
     def _record_result(
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -15,6 +15,7 @@
 )
 from fuchsiahatch_adapter.store import StoreClient
 from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_gateway.allowed_regions import AllowedRegions
 from fuchsiahatch_gateway.backoffs import Backoffs
 from fuchsiahatch_gateway.crashing_requests import CrashingRequests
 from fuchsiahatch_gateway.datagrams import (
@@ -132,6 +133,7 @@
         )
         self.fleet.on_departed = self._drop_connections
         self.fleet.engine_of = self.routes.engine_of
+        self.fleet.regions = AllowedRegions(lambda: process.settings.zones)
         self.permits = Permits(
             settings.node,
             self._present_entries,
@@ -336,7 +338,8 @@
             return
         peers = self._liveness.present(self._entries, self._clock.now_ms())
         local = self.record if self.ready else None
-        addresses = choose_addresses(peers, local, zone)
+        regions = self._process.settings.zones
+        addresses = choose_addresses(peers, local, zone, regions)
         if not addresses:
             exchange.respond(503)
             return
@@ -363,6 +366,8 @@
             return
         configuration = self.routes.configuration
         assert configuration is not None
+        self.fleet.regions.apply(configuration)
+        self.placer.requeue_waiting()
         self.figures.note_configuration(configuration)
         limits = self.callers.limits
         limits.header_bytes = configuration.limits.header_bytes
@@ -376,7 +381,8 @@
 
     def _apply_drains(self) -> None:
         entry_zones = {entry.zone for entry in self._entries.values()}
-        self.fleet.apply_drains(self._drain_copy.items, entry_zones)
+        known_zones = entry_zones | self._process.settings.zones.keys()
+        self.fleet.apply_drains(self._drain_copy.items, known_zones)
         self.placer.serve_waiting()
 
     def _apply_entries(self) -> None:
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -6,7 +6,9 @@
 import typing as t
 
 from fuchsiahatch_adapter.upstreams import UpstreamEntry, decode_upstream_entry
+from fuchsiahatch_core.codes import Code
 from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_gateway.allowed_regions import AllowedRegions
 from fuchsiahatch_gateway.answer_statements import StatementRecords
 from fuchsiahatch_gateway.departed_upstreams import DepartedUpstreams
 from fuchsiahatch_gateway.item_decoding import ItemDecoder
@@ -24,6 +26,7 @@
     from fuchsiahatch_adapter.configuration import Engine
     from fuchsiahatch_adapter.store import Item
     from fuchsiahatch_core.clock import Clock
+    from fuchsiahatch_gateway.allowed_regions import Regions
     from fuchsiahatch_gateway.datagrams import LoadReport
 
 #: Time after an engine is first seen for which its first load report is awaited.
@@ -33,6 +36,8 @@
 #: Time for which a service's engines get no request after the first of them opens. All
 #: ranks of its group open together, and each reports it within 100 ms.
 OPENING_DELAY_MS = 100
+#: Obstacles of upstreams that don't open for a request, whatever their state.
+_OUT_OF_REACH = (Obstacle.NOT_ALLOWED, Obstacle.ZONE_DRAINED)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,6 +74,8 @@
         By instance.
     drains : ZoneDrains
         The drained zones, whose upstreams get no new requests.
+    regions : AllowedRegions
+        The regions in which requests may be handled.
     on_departed : callable
         Called with the entry of each upstream that leaves, is removed or restarts.
     on_restarted : callable
@@ -94,6 +101,7 @@
         "engine_of",
         "on_departed",
         "on_restarted",
+        "regions",
         "upstreams",
     )
 
@@ -117,6 +125,7 @@
         self._opened_ms: dict[str, int] = {}
         self.upstreams: dict[str, Upstream] = {}
         self.drains = ZoneDrains(clock)
+        self.regions = AllowedRegions()
         self.on_departed: t.Callable[[UpstreamEntry], None] = lambda entry: None
         self.on_restarted: t.Callable[[Upstream], None] = lambda former: None
         self.engine_of: t.Callable[[str], Engine | None] = lambda service: None
@@ -168,7 +177,7 @@
             upstream = self._start_incarnation(upstream, upstream.entry, load.born_ms)
         service = upstream.entry.service
         opens = load.open and (upstream.reported_ms is None or not upstream.open)
-        if opens and load.group and not self._open_upstreams(service):
+        if opens and load.group and not any(self._without_delay(service, None)):
             self._opened_ms[service] = self._clock.now_ms()
         self._reporting.add(service)
         upstream.peer_requests = max(
@@ -211,76 +220,109 @@
         for move in tuple(upstream.movers):
             move()
 
-    def usable(self, service: str) -> list[Upstream]:
+    def usable(self, service: str, regions: "Regions" = None) -> list[Upstream]:
         """Return the upstreams of a service that may get new requests.
 
         Those in a backoff period are among them.
-        """
-        usable = self._open_upstreams(service)
-        return [] if self._delays_opening(service, len(usable)) else usable
 
-    def _open_upstreams(self, service: str) -> list[Upstream]:
-        """Return the upstreams that would be usable without the delay at opening.
+        Parameters
+        ----------
+        service : str
+        regions : frozenset of str or None, optional
+            Regions in which the requests may be handled.
+        """
+        ready, backing_off = self._open_upstreams(service, regions)
+        return [*ready, *backing_off]
+
+    def _open_upstreams(
+        self, service: str, regions: "Regions"
+    ) -> tuple[list[Upstream], list[Upstream]]:
+        """Return the usable upstreams of a service, those in a backoff period apart."""
+        ready, backing_off = self._without_delay(service, regions)
+        if self._delays_opening(service, regions, len(ready) + len(backing_off)):
+            return [], []
+        return ready, backing_off
+
+    def _without_delay(
+        self, service: str, regions: "Regions"
+    ) -> tuple[list[Upstream], list[Upstream]]:
+        """Return what `_open_upstreams` does, during the delay at opening too.
 
         If those that are delayed didn't count as open, each further one would restart
         the delay, and engines that open 50 ms apart would be withheld until the last
         one is open.
         """
         now_ms = self._clock.now_ms()
-        return [
-            upstream
-            for upstream in self._by_service.get(service, ())
-            if self._obstacle(upstream, now_ms) in (None, Obstacle.BACKING_OFF)
-        ]
-
-    def _obstacle(self, upstream: Upstream, now_ms: int) -> Obstacle | None:
+        ready: list[Upstream] = []
+        backing_off: list[Upstream] = []
+        for upstream in self._by_service.get(service, ()):
+            obstacle = self._obstacle(upstream, now_ms, regions)
+            if obstacle is None:
+                ready.append(upstream)
+            elif obstacle is Obstacle.BACKING_OFF:
+                backing_off.append(upstream)
+        return ready, backing_off
+
+    def _obstacle(
+        self, upstream: Upstream, now_ms: int, regions: "Regions"
+    ) -> Obstacle | None:
         """Return what keeps new requests from an upstream, the most lasting first.
 
         All requests pass this gate: when an upstream is chosen, and by `is_usable` once
         more before they are sent.
         """
-        if upstream.departed:
+        zone = upstream.entry.zone
+        if regions is not None and not self.regions.have_zone(regions, zone):
+            return Obstacle.NOT_ALLOWED
+        accepts_requests = upstream.accepts_requests
+        if not accepts_requests and upstream.departed:
             return Obstacle.DEPARTED
-        if upstream.entry.zone in self.drains.zones:
+        if zone in self.drains.zones:
             return Obstacle.ZONE_DRAINED
-        if not upstream.accepts_requests or self._awaits_report(upstream):
+        if not accepts_requests or self._awaits_report(upstream, now_ms):
             return Obstacle.CLOSED
         if upstream.backoff_left_ms(now_ms):
             return Obstacle.BACKING_OFF
         return None
 
-    def is_drained(self, service: str) -> bool:
-        """Return whether all upstreams that could serve a service are in drained zones.
+    def refusal(self, service: str, regions: "Regions" = None) -> Code | None:
+        """Return why a service's requests are refused at once; None if they may wait.
 
-        Upstreams that are closed count as such that could. Otherwise, when a rank group
-        opens or closes, the report of a rank in a drained zone that comes first would
-        have all waiting requests refused.
+        They are where no upstream is in an allowed region, or all that could serve them
+        are in drained zones. Upstreams that are closed count as such that could.
+        Otherwise, when a rank group opens or closes, the report of a rank in a drained
+        zone that comes first would have all waiting requests refused.
         """
-        if not self.drains.zones:
-            return False
+        if regions is None and not self.drains.zones:
+            return None
         now_ms = self._clock.now_ms()
         obstacles = {
-            self._obstacle(upstream, now_ms)
+            self._obstacle(upstream, now_ms, regions)
             for upstream in self._by_service.get(service, ())
-        }
-        return obstacles - {Obstacle.DEPARTED} == {Obstacle.ZONE_DRAINED}
+        } - {Obstacle.NOT_ALLOWED}
+        if regions is not None and not obstacles:
+            return Code.NO_ALLOWED_PLACE
+        if obstacles - {Obstacle.DEPARTED} == {Obstacle.ZONE_DRAINED}:
+            return Code.ZONE_DRAINED
+        return None
 
-    def _delays_opening(self, service: str, usable: int) -> bool:
+    def _delays_opening(self, service: str, regions: "Regions", usable: int) -> bool:
         """Return whether further engines are about to open after the first one.
 
         Otherwise the first one gets every request that waits at any entry: of some 200
         requests for 5 slots a hundred are refused, and the rest are late.
         """
         opened_ms = self._opened_ms.get(service)
-        if opened_ms is None or self._clock.now_ms() - opened_ms >= OPENING_DELAY_MS:
+        now_ms = self._clock.now_ms()
+        if opened_ms is None or now_ms - opened_ms >= OPENING_DELAY_MS:
             return False
         expected = sum(
-            upstream.entry.zone not in self.drains.zones
+            self._obstacle(upstream, now_ms, regions) not in _OUT_OF_REACH
             for upstream in self._by_service.get(service, ())
         )
         return usable < expected
 
-    def _awaits_report(self, upstream: Upstream) -> bool:
+    def _awaits_report(self, upstream: Upstream, now_ms: int) -> bool:
         """Return whether requests to an engine must wait for its first load report.
 
         When everything restarts at once, an entry serves some 500 ms before the rank
@@ -291,15 +333,18 @@
         """
         if upstream.reported_ms is not None:
             return False
-        if self._clock.now_ms() - upstream.seen_ms >= FIRST_REPORT_TIMEOUT_MS:
+        if now_ms - upstream.seen_ms >= FIRST_REPORT_TIMEOUT_MS:
             return False
         return self.engine_of(upstream.entry.service) is not None
 
-    def is_usable(self, upstream: Upstream) -> bool:
-        """Return whether an upstream may still get new requests."""
+    def is_usable(
+        self, upstream: Upstream, traits: RequestTraits = ANY_REQUEST
+    ) -> bool:
+        """Return whether an upstream may still get a new request."""
         if self.upstreams.get(upstream.entry.instance) is not upstream:
             return False
-        return self._obstacle(upstream, self._clock.now_ms()) is None
+        regions = self.regions.of(traits)
+        return self._obstacle(upstream, self._clock.now_ms(), regions) is None
 
     def choose(
         self,
@@ -321,17 +366,17 @@
             Whether to skip upstreams with a stated rate.
         """
         now_ms = self._clock.now_ms()
-        usable = self.usable(service)
+        regions = self.regions.of(traits)
+        ready, backing_off = self._open_upstreams(service, regions)
         engine = self.engine_of(service)
-        paces = fastest_paces(usable)
+        paces = fastest_paces([*ready, *backing_off])
         free = [
             upstream
-            for upstream in usable
+            for upstream in ready
             if upstream.limited_until_ms <= now_ms
             and upstream.local_requests < upstream.max_local_requests
             and not (only_unlimited and upstream.stated)
             and upstream.load(now_ms) < upstream.places(engine, paces[upstream.group])
-            and self._obstacle(upstream, now_ms) is None
         ]
         groups = {
             self.upstreams[instance].group
@@ -342,14 +387,16 @@
         comparison = Comparison(self._zone, now_ms, service in self._reporting)
         return comparison.choose(candidates, self._rng)
 
-    def unavailability(self, service: str) -> Unavailability | None:
+    def unavailability(
+        self, service: str, regions: "Regions" = None
+    ) -> Unavailability | None:
         """Return when the first upstream accepts requests again.
 
         None where one accepts requests now, even a full one, and where there is none.
         """
         now_ms = self._clock.now_ms()
         first: Unavailability | None = None
-        for upstream in self.usable(service):
+        for upstream in self.usable(service, regions):
             limited_ms = max(0, upstream.limited_until_ms - now_ms)
             backoff_ms = upstream.backoff_left_ms(now_ms)
             wait_ms = max(limited_ms, backoff_ms)
--- a/packages/gateway/src/fuchsiahatch_gateway/jobs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/jobs.py
@@ -92,6 +92,8 @@
             self.match.urgency,
             self.request.prompt_tokens,
             self.request.answer_tokens,
+            self.match.route.name,
+            self.match.allowed_regions,
         )
 
     def is_on_time(self, now_ms: int) -> bool:
--- a/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
@@ -106,7 +106,7 @@
 
         `Fleet.is_usable` applies all conditions.
         """
-        return self.open and not self.departed
+        return self.open and not self.misplaced and not self.leaving
 
     @property
     def departed(self) -> bool:
@@ -131,7 +131,8 @@
 
     def backoff_left_ms(self, now_ms: int) -> int:
         """Return for how long it accepts no further request of this entry."""
-        return max(0, self.statements.backoff_until_ms - now_ms)
+        left_ms = self.statements.backoff_until_ms - now_ms
+        return left_ms if left_ms > 0 else 0
 
     @property
     def incarnation(self) -> str:
--- a/packages/gateway/src/fuchsiahatch_gateway/lookups.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/lookups.py
@@ -54,9 +54,14 @@
 
 
 def choose_addresses(
-    entries: t.Iterable[EntryRecord], local: EntryRecord | None, zone: str
+    entries: t.Iterable[EntryRecord],
+    local: EntryRecord | None,
+    zone: str,
+    regions: t.Mapping[str, str] | None = None,
 ) -> list[str]:
-    """Return the entry addresses for a caller, only those of its zone if they suffice.
+    """Return the entry addresses for a caller: only of its zone if they suffice.
+
+    Those of its region follow if they don't, and all others if these don't either.
 
     Parameters
     ----------
@@ -66,11 +71,23 @@
         doesn't list it, as it is known to be alive.
     zone : str
         Zone of the caller.
+    regions : mapping of str to str, optional
+        Region of each zone; where that of the caller isn't known, all other entries
+        follow those of its zone.
     """
     by_address = {entry.callers: entry for entry in entries}
     if local is not None:
         by_address[local.callers] = local
+    region_of = regions or {}
+    region = region_of.get(zone)
     same_zone = [address for address, entry in by_address.items() if entry.zone == zone]
-    if len(same_zone) >= MIN_LOOKUP_ENTRIES:
-        return same_zone[:MAX_LOOKUP_ENTRIES]
-    return [*same_zone, *(by_address.keys() - set(same_zone))][:MAX_LOOKUP_ENTRIES]
+    same_region = [
+        address
+        for address, entry in by_address.items()
+        if entry.zone != zone and region and region_of.get(entry.zone) == region
+    ]
+    addresses = same_zone
+    for others in (same_region, by_address):
+        if len(addresses) < MIN_LOOKUP_ENTRIES:
+            addresses = [*addresses, *(set(others) - set(addresses))]
+    return addresses[:MAX_LOOKUP_ENTRIES]
--- a/packages/gateway/src/fuchsiahatch_gateway/obstacles.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/obstacles.py
@@ -8,6 +8,8 @@
 
     Attributes
     ----------
+    NOT_ALLOWED
+        Its zone is in no region in which the request may be handled.
     DEPARTED
         It leaves, or another upstream answers at its address; final for an incarnation.
     ZONE_DRAINED
@@ -18,6 +20,7 @@
         It has asked for a backoff period.
     """
 
+    NOT_ALLOWED = enum.auto()
     DEPARTED = enum.auto()
     ZONE_DRAINED = enum.auto()
     CLOSED = enum.auto()
--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -8,27 +8,37 @@
 from fuchsiahatch_core.codes import Code
 from fuchsiahatch_core.exceptions import RefusedError
 from fuchsiahatch_gateway.defaults import MAX_RETRY_AFTER_MS
+from fuchsiahatch_gateway.request_traits import ANY_REQUEST, RequestTraits
 from fuchsiahatch_routing.queues import FairQueue, QueuedRequest
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
+    from fuchsiahatch_gateway.allowed_regions import Regions
     from fuchsiahatch_gateway.fleet import Fleet
     from fuchsiahatch_gateway.known_upstream import Upstream
-    from fuchsiahatch_gateway.request_traits import RequestTraits
 
-#: Requests that may wait for a slot of a service at one entry.
+#: Requests that may wait for a slot of a service in the same regions at one entry.
 MAX_WAITING = 256
 #: Permits that are requested for one request, one after the other, from upstreams with
 #: a stated rate.
 MAX_PERMIT_REQUESTS = 3
 #: Cost of a request in the fair queue. All cost the same, so the unit is arbitrary.
 QUEUE_COST = 1.0
+#: Details of refusals without any wait.
+_REFUSALS = {
+    Code.NO_ALLOWED_PLACE: "no upstream is in an allowed region",
+    Code.ZONE_DRAINED: "all upstreams are in drained zones",
+}
+
+#: A service, and the regions in which the requests of a queue may be handled.
+_QueueKey: t.TypeAlias = "tuple[str, Regions]"
 
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Waiter:
+    key: _QueueKey
     future: "asyncio.Future[Upstream]"
-    traits: "RequestTraits"
+    traits: RequestTraits
     tried: t.Collection[str]
 
 
@@ -60,7 +70,8 @@
         self._clock = clock
         self._ask_permit = ask_permit
         self._numbers = itertools.count(1)
-        self._queues: dict[str, FairQueue] = {}
+        #: The queue that was served last is the last one.
+        self._queues: dict[_QueueKey, FairQueue] = {}
         self._waiters: dict[int, _Waiter] = {}
 
     @property
@@ -71,7 +82,7 @@
     async def acquire(
         self,
         service: str,
-        traits: "RequestTraits",
+        traits: RequestTraits,
         tried: t.Collection[str],
         wait_ms: float,
     ) -> "Upstream":
@@ -82,30 +93,35 @@
         RefusedError
             If no slot becomes free within `wait_ms`; at once if all upstreams state a
             rate and none of them accepts another request now, if all of them have
-            asked for backoff periods that end later, or if all are in drained zones.
+            asked for backoff periods that end later, or if all are in drained zones or
+            in regions that aren't allowed.
         """
         ends_ms = self._clock.now_ms() + wait_ms
         for _ in range(MAX_PERMIT_REQUESTS):
             upstream = await self._acquire_usable(service, traits, tried, ends_ms)
             if not await self._request_permit(upstream):
                 continue
-            if self.is_usable(upstream):
+            if self.is_usable(upstream, traits):
                 return upstream
             # Its zone was drained, or it began to leave, while the permit was awaited.
             self.release(upstream)
         # No more permits are requested; an upstream without a stated rate may be free.
         upstream = self._fleet.choose(service, tried, traits, only_unlimited=True)
         if upstream is None:
-            self._check_available(service, ends_ms)
+            self._check_available(service, traits, ends_ms)
             raise RefusedError("upstreams take no more now", Code.RATE_REACHED)
         upstream.local_requests += 1
         return upstream
 
-    def _check_available(self, service: str, ends_ms: float) -> None:
+    def _check_available(
+        self, service: str, traits: RequestTraits, ends_ms: float
+    ) -> None:
         """Refuse a request at once if no upstream accepts it in time."""
-        if self._fleet.is_drained(service):
-            raise _zone_drained()
-        closed = self._fleet.unavailability(service)
+        regions = self._fleet.regions.of(traits)
+        refusal = self._fleet.refusal(service, regions)
+        if refusal is not None:
+            raise RefusedError(_REFUSALS[refusal], refusal)
+        closed = self._fleet.unavailability(service, regions)
         if closed is None:
             return
         if closed.needs_permit:
@@ -116,25 +132,58 @@
 
     def refuse_waiting(self, service: str) -> None:
         """Refuse the waiting requests that no upstream of a service accepts in time."""
-        queue = self._queues.get(service)
-        closed = self._fleet.unavailability(service)
-        if queue is None or closed is None or closed.needs_permit:
-            return
-        opens_ms = self._clock.now_ms() + closed.wait_ms
-        for waiting in [one for one in queue if one.expires_ms <= opens_ms]:
-            queue.remove(waiting.ticket)
-            self._refuse(waiting.ticket, _backing_off(closed.wait_ms))
+        for key in self._keys(service):
+            queue, closed = self._queues[key], self._fleet.unavailability(*key)
+            if closed is None or closed.needs_permit:
+                continue
+            opens_ms = self._clock.now_ms() + closed.wait_ms
+            for waiting in [one for one in queue if one.expires_ms <= opens_ms]:
+                queue.remove(waiting.ticket)
+                self._refuse(waiting.ticket, _backing_off(closed.wait_ms))
 
-    def _refuse_drained(self, queue: FairQueue, service: str) -> None:
-        """Refuse all waiting requests if a service has only upstreams that are drained.
+    def _refuse_queue(self, key: _QueueKey) -> None:
+        """Refuse all requests of a queue if no upstream may serve them for long.
 
-        The drains of minutes outlast any wait.
+        Drains take minutes, which is longer than any request waits.
         """
-        if not self._fleet.is_drained(service):
+        refusal = self._fleet.refusal(*key)
+        if refusal is None:
             return
+        queue = self._queues[key]
         for waiting in queue:
             queue.remove(waiting.ticket)
-            self._refuse(waiting.ticket, _zone_drained())
+            self._refuse(waiting.ticket, RefusedError(_REFUSALS[refusal], refusal))
+
+    def requeue_waiting(self) -> None:
+        """Move waiting requests whose allowed regions have changed to other queues."""
+        for number, waiter in list(self._waiters.items()):
+            key = waiter.key[0], self._fleet.regions.of(waiter.traits)
+            if key != waiter.key:
+                queued = self._queues[waiter.key].remove(number)
+                waiter.key = key
+                if queued is not None:
+                    self._push(key, queued)
+        self._queues = {
+            key: queue
+            for key, queue in self._queues.items()
+            if len(queue) or key[1] is None
+        }
+        self.serve_waiting()
+
+    def _push(self, key: _QueueKey, queued: QueuedRequest) -> None:
+        queue = self._queues.setdefault(key, FairQueue(MAX_WAITING))
+        evicted = queue.push(queued)
+        if evicted is not None:
+            fault = RefusedError("too many requests wait", Code.OVERLOADED)
+            self._refuse(evicted.ticket, fault)
+
+    def _keys(self, service: str | None) -> list[_QueueKey]:
+        """Return the keys of the queues with requests, of one service or of all."""
+        return [
+            key
+            for key, queue in self._queues.items()
+            if len(queue) and service in (None, key[0])
+        ]
 
     async def _request_permit(self, upstream: "Upstream") -> bool:
         """Return whether a request may go there; release the slot if not."""
@@ -154,15 +203,15 @@
     async def _acquire_usable(
         self,
         service: str,
-        traits: "RequestTraits",
+        traits: RequestTraits,
         tried: t.Collection[str],
         ends_ms: float,
     ) -> "Upstream":
         while True:
-            self._check_available(service, ends_ms)
+            self._check_available(service, traits, ends_ms)
             left_ms = max(ends_ms - self._clock.now_ms(), 1.0)
             upstream = await self._acquire_slot(service, traits, tried, left_ms)
-            if self.is_usable(upstream):
+            if self.is_usable(upstream, traits):
                 return upstream
             # It began to leave, asked for a backoff, or its zone was drained, after the
             # slot was assigned.
@@ -171,29 +220,31 @@
     async def _acquire_slot(
         self,
         service: str,
-        traits: "RequestTraits",
+        traits: RequestTraits,
         tried: t.Collection[str],
         wait_ms: float,
     ) -> "Upstream":
-        queue = self._queues.setdefault(service, FairQueue(MAX_WAITING))
-        if not len(queue):
+        key = service, self._fleet.regions.of(traits)
+        queue = self._queues.get(key)
+        if queue is None or not len(queue):
             upstream = self._fleet.choose(service, tried, traits)
             if upstream is not None:
                 upstream.local_requests += 1
                 return upstream
-        return await self._wait(queue, service, traits, tried, wait_ms)
+        return await self._wait(key, traits, tried, wait_ms)
 
-    def is_usable(self, upstream: "Upstream") -> bool:
-        """Return whether an upstream may still receive new requests."""
-        return self._fleet.is_usable(upstream)
+    def is_usable(self, upstream: "Upstream", traits: RequestTraits) -> bool:
+        """Return whether an upstream may still receive a new request."""
+        return self._fleet.is_usable(upstream, traits)
 
-    def has_free_slot(self, service: str) -> bool:
+    def has_free_slot(self, service: str, traits: RequestTraits = ANY_REQUEST) -> bool:
         """Return whether a request would get a slot at once.
 
         Only upstreams without a stated rate count: a stream in progress isn't abandoned
         for one that may have no permit left.
         """
-        return self._fleet.choose(service, (), only_unlimited=True) is not None
+        chosen = self._fleet.choose(service, (), traits, only_unlimited=True)
+        return chosen is not None
 
     def release(self, upstream: "Upstream") -> None:
         """Free a slot and assign it to a waiting request."""
@@ -201,19 +252,23 @@
         self.serve_waiting(upstream.entry.service)
 
     def serve_waiting(self, service: str | None = None) -> None:
-        """Assign free slots to waiting requests, of one service or of all."""
-        services = list(self._queues) if service is None else [service]
-        for name in services:
-            queue = self._queues.get(name)
-            while queue is not None and len(queue):
-                if not self._serve_next(queue, name):
-                    self._refuse_drained(queue, name)
-                    break
-
-    def _serve_next(self, queue: FairQueue, service: str) -> bool:
-        upstream = self._fleet.choose(service, ())
+        """Assign free slots to waiting requests, of one service or of all.
+
+        The queues of a service take turns, and one without a usable slot is skipped.
+        """
+        keys = self._keys(service)
+        while keys:
+            served = [key for key in keys if self._serve_next(key)]
+            keys = [key for key in served if len(self._queues[key])]
+
+    def _serve_next(self, key: _QueueKey) -> bool:
+        service, regions = key
+        any_request = RequestTraits(allowed_regions=regions)
+        upstream = self._fleet.choose(service, (), any_request)
         if upstream is None:
+            self._refuse_queue(key)
             return False
+        queue = self._queues[key] = self._queues.pop(key)
         waiting = queue.pop(QUEUE_COST)
         waiter = None if waiting is None else self._waiters.pop(waiting.ticket, None)
         if waiter is None or waiter.future.done():
@@ -228,23 +283,19 @@
 
     async def _wait(
         self,
-        queue: FairQueue,
-        service: str,
-        traits: "RequestTraits",
+        key: _QueueKey,
+        traits: RequestTraits,
         tried: t.Collection[str],
         wait_ms: float,
     ) -> "Upstream":
         number = next(self._numbers)
         now_ms = self._clock.now_ms()
         expires_ms = now_ms + int(wait_ms)
-        waiter = _Waiter(asyncio.get_running_loop().create_future(), traits, tried)
-        self._waiters[number] = waiter
-        evicted = queue.push(
-            QueuedRequest(number, traits.team, traits.urgency, now_ms, expires_ms)
+        future = asyncio.get_running_loop().create_future()
+        waiter = self._waiters[number] = _Waiter(key, future, traits, tried)
+        self._push(
+            key, QueuedRequest(number, traits.team, traits.urgency, now_ms, expires_ms)
         )
-        if evicted is not None:
-            fault = RefusedError("too many requests wait", Code.OVERLOADED)
-            self._refuse(evicted.ticket, fault)
         try:
             # asyncio.wait_for would swallow the cancellation by a caller that
             # disconnects in the same iteration of the loop in which the slot is
@@ -256,7 +307,9 @@
             raise
         finally:
             self._waiters.pop(number, None)
-            queue.remove(number)
+            queue = self._queues.get(waiter.key)
+            if queue is not None:
+                queue.remove(number)
         if not waiter.future.done():
             raise RefusedError("no place came free", Code.OVERLOADED)
         return waiter.future.result()
@@ -267,11 +320,6 @@
             waiter.future.set_exception(fault)
 
 
-def _zone_drained() -> RefusedError:
-    detail = "all upstreams are in drained zones"
-    return RefusedError(detail, Code.ZONE_DRAINED)
-
-
 def _backing_off(wait_ms: int) -> RefusedError:
     return RefusedError(
         "all upstreams have asked for a backoff period",
--- a/packages/gateway/src/fuchsiahatch_gateway/routes.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/routes.py
@@ -14,6 +14,7 @@
 from fuchsiahatch_core.codes import Code
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import FormError, RefusedError, RequestError
+from fuchsiahatch_gateway.allowed_regions import Regions, common_regions
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.caller_requests import CallerRequest
@@ -35,6 +36,11 @@
         """Priority class of the request, 0 first; the team's overrides the route's."""
         return self.route.urgency if self.team.urgency is None else self.team.urgency
 
+    @property
+    def allowed_regions(self) -> Regions:
+        """Regions that both the route and the team allow; None for no limit."""
+        return common_regions(self.route.allowed_regions, self.team.allowed_regions)
+
 
 class RouteTable:
     """The active configuration, with its routes by host.
--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -77,6 +77,15 @@
         self.assertEqual(settings.store.min_lease_ms, 1_000)
         self.assertEqual(settings.store.history_ms, 20_000)
 
+    def test_zones_have_regions_where_they_are_given(self):
+        self.assertEqual(self.read(json.dumps(SETTINGS)).zones, {})
+        zones = {"kl-a": "klang-valley", "pg-a": "penang"}
+        read = self.read(json.dumps({**SETTINGS, "zones": zones}))
+        self.assertEqual(read.zones, zones)
+        for wrong in (["kl-a"], {"kl-a": None}, {"kl-a": ""}):
+            with self.subTest(zones=wrong), self.assertRaises(SettingsError):
+                self.read(json.dumps({**SETTINGS, "zones": wrong}))
+
     def test_the_error_names_the_fault(self):
         without = {name: SETTINGS[name] for name in SETTINGS if name != "zone"}
         for text, word in (
@@ -121,6 +130,25 @@
         self.assertEqual(self.decode().teams["k2"].name, "t")
         self.assertIsNone(self.decode(tenants=None).teams)
 
+    def test_allowed_regions_of_routes_and_teams_are_decoded(self):
+        team = {"name": "t", "apiKeys": ["k1"]}
+        for stated, regions in (
+            ({}, None),
+            ({"allowedRegions": []}, None),
+            ({"allowedRegions": None}, None),
+            ({"allowedRegions": ["x", "y", "x"]}, frozenset("xy")),
+        ):
+            with self.subTest(stated=stated):
+                decoded = self.decode(routes=[ROUTE | stated], tenants=[team | stated])
+                self.assertEqual(decoded.routes[0].allowed_regions, regions)
+                self.assertEqual(decoded.teams["k1"].allowed_regions, regions)
+
+    def test_allowed_regions_in_another_form_are_rejected(self):
+        # Ignored, they would let requests into regions that the operator has excluded.
+        for stated in ("x", {"x": 1}, [1], [""], 5, False):
+            with self.subTest(stated=stated), self.assertRaises(FormError):
+                self.decode(routes=[{**ROUTE, "allowedRegions": stated}])
+
     def test_an_unknown_kind_of_route_is_rejected(self):
         with self.assertRaises(FormError):
             self.decode(routes=[{**ROUTE, "kind": "else"}])
--- a/tests/gateway/sites.py
+++ b/tests/gateway/sites.py
@@ -68,10 +68,18 @@
 
 
 class Site:
-    """An entry with its upstreams, for the time of a context."""
+    """An entry with its upstreams, for the time of a context.
 
-    def __init__(self, *upstreams):
+    Parameters
+    ----------
+    *upstreams : ScriptedUpstream
+    **settings
+        Changes of the entry's settings.
+    """
+
+    def __init__(self, *upstreams, **settings):
         self.upstreams = upstreams
+        self.settings = settings
         self.store = FleetStore()
         self.entry = None
         self.port = 0
@@ -82,7 +90,8 @@
         for number, upstream in enumerate(self.upstreams):
             await self.add_upstream(f"i-{number}", upstream)
         null = os.open(os.devnull, os.O_WRONLY)
-        process = Process(make_settings(store_port), LineWriter(null, lambda: 0))
+        settings = make_settings(store_port, **self.settings)
+        process = Process(settings, LineWriter(null, lambda: 0))
         self.entry = Entry(process)
         self._following = asyncio.ensure_future(self.entry.follower.run())
         await until(lambda: self.entry.synced)
--- a/tests/gateway/test_backoff.py
+++ b/tests/gateway/test_backoff.py
@@ -177,7 +177,7 @@
             "a slot that was assigned before is checked again": mock.patch.object(
                 Fleet,
                 "is_usable",
-                lambda self, upstream: upstream.accepts_requests,
+                lambda self, upstream, traits: upstream.accepts_requests,
             ),
             "a period survives a lapse": mock.patch.object(
                 StatementRecords, "take", lambda self, entry: Statements()
--- a/tests/gateway/test_delivery_search.py
+++ b/tests/gateway/test_delivery_search.py
@@ -195,7 +195,7 @@
         ClientConnection, "abort", lambda self: None
     ),
     "a leaving upstream gets no requests": mock.patch.object(
-        Fleet, "is_usable", lambda self, upstream: True
+        Fleet, "is_usable", lambda self, upstream, traits: True
     ),
     "a slot is released when its waiter disconnects": mock.patch.object(
         Placer, "_wait", _wait_shielded
--- a/tests/gateway/test_small_parts.py
+++ b/tests/gateway/test_small_parts.py
@@ -40,6 +40,27 @@
         found = choose_addresses(entries, None, "b")
         self.assertEqual(found, ["10.0.0.2:80", "10.0.0.1:80"])
 
+    def test_entries_of_the_region_suffice_if_those_of_the_zone_do_not(self):
+        regions = {"a": "x", "b": "x", "c": "y"}
+        entries = [record("1", "a"), record("2", "c"), record("3", "b")]
+        found = choose_addresses(entries, None, "a", regions)
+        self.assertEqual(found, ["10.0.0.1:80", "10.0.0.3:80"])
+        self.assertEqual(choose_addresses(entries, None, "b", regions), found[::-1])
+
+    def test_other_regions_follow_if_the_region_has_fewer_than_two_entries(self):
+        # Callers in a region whose only entry fails need the address of another one.
+        regions = {"a": "x", "b": "x", "c": "y"}
+        entries = [record("1", "a"), record("2", "c"), record("3", "b")]
+        found = choose_addresses(entries, None, "c", regions)
+        self.assertEqual(found[0], "10.0.0.2:80")
+        self.assertEqual(len(found), 3)
+
+    def test_zones_without_a_region_are_not_in_one_region(self):
+        entries = [record("1", "a"), record("2", "b"), record("3", "c")]
+        found = choose_addresses(entries, None, "a", {"c": "x"})
+        self.assertEqual(len(found), 3)
+        self.assertEqual(found[0], "10.0.0.1:80")
+
     def test_the_answering_entry_if_no_other_is_listed(self):
         # The store had lost every registration, and lookup answers were empty although
         # an entry was serving.
--- a/tests/gateway/test_zone_drains.py
+++ b/tests/gateway/test_zone_drains.py
@@ -101,17 +101,17 @@
         self.assertEqual(self.fleet.drain_ended_ms("a"), 10_000)
 
     def test_a_service_is_drained_if_all_its_upstreams_are_that_do_not_leave(self):
-        self.assertFalse(self.fleet.is_drained("svc"))
+        self.assertIsNone(self.fleet.refusal("svc"))
         self.fleet.apply_drains({"a"})
-        self.assertFalse(self.fleet.is_drained("svc"))
+        self.assertIsNone(self.fleet.refusal("svc"))
         self.fleet.upstreams["j"].misplaced = True
-        self.assertTrue(self.fleet.is_drained("svc"))
-        self.assertFalse(self.fleet.is_drained("other"))
+        self.assertEqual(self.fleet.refusal("svc"), Code.ZONE_DRAINED)
+        self.assertIsNone(self.fleet.refusal("other"))
 
     def test_a_service_with_a_backoff_elsewhere_is_not_drained(self):
         self.fleet.apply_drains({"a"})
         self.fleet.upstreams["j"].statements.backoff_until_ms = 60_000
-        self.assertFalse(self.fleet.is_drained("svc"))
+        self.assertIsNone(self.fleet.refusal("svc"))
         self.assertEqual(self.fleet.unavailability("svc").wait_ms, 50_000)
 
     def test_a_service_whose_group_opens_again_is_not_drained(self):
@@ -124,12 +124,12 @@
         for port in (1, 2):
             self.fleet.observe(load(port, is_open=False, group="g"))
         self.fleet.observe(load(1, group="g"))
-        self.assertFalse(self.fleet.is_drained("svc"))
+        self.assertIsNone(self.fleet.refusal("svc"))
 
     def test_a_service_whose_first_load_reports_are_awaited_is_not_drained(self):
         self.fleet.engine_of = lambda service: ENGINE
         self.fleet.apply_drains({"a"})
-        self.assertFalse(self.fleet.is_drained("svc"))
+        self.assertIsNone(self.fleet.refusal("svc"))
 
     def test_ranks_in_a_drained_zone_do_not_delay_a_group_that_opens(self):
         # All ranks outside the drained zone are open; the delay at opening waits for
