--- a/packages/gateway/src/fuchsiahatch_gateway/jobs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/jobs.py
@@ -98,6 +98,8 @@
             self.priority_class,
             self.request.prompt_tokens,
             self.request.answer_tokens,
+            self.match.route.name,
+            self.match.allowed_regions,
         )
 
     def is_on_time(self, now_ms: int) -> bool:
--- a/tests/gateway/test_request_order.py
+++ b/tests/gateway/test_request_order.py
@@ -225,7 +225,7 @@
                 has_classes = not has_classes
         ends = await asyncio.gather(*requests, return_exceptions=True)
         self.assertEqual(placer.waiting, 0)
-        self.assertEqual(len(placer._queues["svc"]), 0)
+        self.assertEqual(len(placer._queues["svc", None]), 0)
         self.assertFalse(any(one.local_requests for one in fleet.upstreams.values()))
         left = sum(isinstance(end, asyncio.CancelledError) for end in ends)
         return ends.count(None), left
@@ -334,7 +334,7 @@
         await asyncio.wait({expiring})
         self.assertIsInstance(expiring.exception(), RefusedError)
         self.assertEqual(self.placer.waiting, 3)
-        self.assertEqual(len(self.placer._queues["svc"]), 3)
+        self.assertEqual(len(self.placer._queues["svc", None]), 3)
         return await self.serve(slot, waiting)
 
 
