Figures of cold upstreams are decoded

Cause: an upstream that starts bears few requests for some seconds. Its item says for how long it still is cold, which was dropped; the figures of services and settings were not read.

Change: UpstreamEntry.cold_remaining_ms (at most 60 s are believed), Service.cold_start from coldStartS and coldPerS where both are stated, and Bounds.cold_over and cold_slack, which older settings lack. RouteTable.cold_start_of returns a service's figures. Nothing uses them yet.

--- a/packages/gateway/src/fuchsiahatch_gateway/routes.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/routes.py
@@ -5,9 +5,11 @@
 import typing as t
 
 from fuchsiahatch_adapter.configuration import (
+    ColdStart,
     Configuration,
     Engine,
     Route,
+    Service,
     Team,
     decode_configuration,
 )
@@ -96,12 +98,18 @@
 
     def engine_of(self, service: str) -> Engine | None:
         """Return the engine settings of a service; None if it has no model engines."""
-        configuration = self.configuration
-        definition = (
-            None if configuration is None else configuration.services.get(service)
-        )
+        definition = self._definition(service)
         return None if definition is None else definition.engine
 
+    def cold_start_of(self, service: str) -> ColdStart | None:
+        """Return a service's figures for cold upstreams; None if it states none."""
+        definition = self._definition(service)
+        return None if definition is None else definition.cold_start
+
+    def _definition(self, service: str) -> Service | None:
+        configuration = self.configuration
+        return None if configuration is None else configuration.services.get(service)
+
     def match(self, request: "CallerRequest") -> Match:
         """Return a request's route and team.
 
--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -4,10 +4,14 @@
 import unittest
 
 from fuchsiahatch_adapter.caller_requests import decode_request, upstream_headers
-from fuchsiahatch_adapter.configuration import Kind, decode_configuration
+from fuchsiahatch_adapter.configuration import ColdStart, Kind, decode_configuration
 from fuchsiahatch_adapter.lookup_calls import encode_lookup, is_ready_check, lookup_zone
 from fuchsiahatch_adapter.node_settings import read_node_settings
-from fuchsiahatch_adapter.upstreams import decode_report, decode_upstream_entry
+from fuchsiahatch_adapter.upstreams import (
+    MAX_COLD_MS,
+    decode_report,
+    decode_upstream_entry,
+)
 from fuchsiahatch_core.exceptions import FormError, SettingsError
 from fuchsiahatch_experts.rank_orders import Armed
 from fuchsiahatch_standins.fleet_store import make_upstream_entry
@@ -77,6 +81,14 @@
         self.assertEqual(settings.store.min_lease_ms, 1_000)
         self.assertEqual(settings.store.history_ms, 20_000)
 
+    def test_bounds_of_cold_upstreams_are_optional(self):
+        # Settings of a deployment without cold starts state none.
+        bounds = self.read(json.dumps(SETTINGS)).bounds
+        self.assertEqual((bounds.cold_over, bounds.cold_slack), (None, None))
+        stated = {**SETTINGS["bounds"], "coldOver": 1.5, "coldSlack": 5}
+        bounds = self.read(json.dumps({**SETTINGS, "bounds": stated})).bounds
+        self.assertEqual((bounds.cold_over, bounds.cold_slack), (1.5, 5.0))
+
     def test_the_error_names_the_fault(self):
         without = {name: SETTINGS[name] for name in SETTINGS if name != "zone"}
         for text, word in (
@@ -105,6 +117,20 @@
         self.assertEqual(route.services, (("a", 90.0), ("b", 10.0)))
         self.assertEqual((route.objective_ms, route.gap_ms), (502, 120))
 
+    def decode_cold_start(self, **figures):
+        services = [{"name": "a", "maxConnections": 100, **figures}]
+        return self.decode(services=services).services["a"].cold_start
+
+    def test_figures_of_cold_upstreams_are_decoded_if_both_are_stated(self):
+        both = {"coldStartS": 3.0, "coldPerS": 15.0}
+        self.assertEqual(self.decode_cold_start(**both), ColdStart(3_000, 15.0))
+        for name in both:
+            self.assertIsNone(self.decode_cold_start(**{name: both[name]}))
+            self.assertIsNone(self.decode_cold_start(**{**both, name: 0}))
+            for wrong in (-1, "nan", "inf", [3]):
+                with self.assertRaises(FormError):
+                    self.decode_cold_start(**{**both, name: wrong})
+
     def test_only_idempotent_routes_and_resumable_streams_are_repeatable(self):
         for kind, resumable, repeatable in (
             ("safe", False, True),
@@ -134,6 +160,14 @@
         self.assertEqual(str(entry.address), "10.0.0.1:80")
         self.assertEqual(entry.born_ms, 17)
 
+    def test_the_remaining_time_of_a_cold_upstream_is_decoded(self):
+        for remaining_ms, expected in ((0, 0), (1_799.2, 1_800), (1e300, MAX_COLD_MS)):
+            value = make_upstream_entry(
+                "a", "10.0.0.1:80", coldRemainingMs=remaining_ms
+            )
+            entry = decode_upstream_entry("i-1", json.dumps(value).encode())
+            self.assertEqual(entry.cold_remaining_ms, expected)
+
     def test_a_report_of_a_rank_is_decoded(self):
         report = decode_report(
             {
