Cold upstreams get requests by permit only, at a rate that two issuers may both issue

Cause: a cold upstream crashes if all entries together send it more than coldPerS * coldOver + coldSlack requests in any second, 27.5. An issuer also begins with a quarter for 4 s after the first request for a permit, longer than an upstream is cold.

Change: ColdStarts says which upstreams are cold, by their item, their start and the end of the drain of their zone (Fleet.note_zone_returned), and limits an entry's own sends where that isn't known. A second PermitIssuer without a burst issues their permits, at 7.8 a second; IssuerTerms says since when this entry is the issuer by its own view, and without that it issues none. A permit expires after 300 ms, checked just before the send. A request that finds no permit waits for one if its wait allows; for stated rates it is refused at once as before. Streams in progress aren't moved to a cold upstream. Without figures in configuration and settings nothing changes.

Ruled out: shares by entry, 0.9 a second each whoever has the callers; one meter for both kinds of permits, as the burst of the one breaks the other.

Evidence: tests.gateway.test_cold_search, test_cold_starts.

--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/cold_starts.py
@@ -0,0 +1,298 @@
+"""Which upstreams are cold and until when, and what they may be sent meanwhile."""
+
+import collections
+import dataclasses
+import math
+import time
+import typing as t
+
+from fuchsiahatch_core.clock import Clock
+from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_gateway.answer_statements import MAX_CLOCK_SKEW_MS
+from fuchsiahatch_gateway.line_limits import LineLimit
+from fuchsiahatch_gateway.stated_rates import StatedRate
+
+if t.TYPE_CHECKING:
+    from fuchsiahatch_adapter.configuration import ColdStart
+    from fuchsiahatch_gateway.known_upstream import Upstream
+
+#: Time over which requests to a cold upstream are counted.
+WINDOW_MS = 1_000
+#: Share of the limit that the permits of one issuer may use. Two entries that both
+#: issue at the full rate, and a third one that has just begun and issues at a quarter
+#: of it, together stay below the limit.
+ISSUER_SHARE = 0.44
+#: Age up to which a permit is valid: a connection takes up to 300 ms. A host that
+#: stalls with some permits would otherwise use them together with those that follow.
+MAX_PERMIT_AGE_MS = 300
+#: Most by which the times from the issue of a permit until the request arrives differ:
+#: the answer of the issuer counts for 120 ms. Permits of a longer time may therefore
+#: arrive in one second.
+MAX_DELAY_SPREAD_MS = 120 + MAX_PERMIT_AGE_MS
+
+
+@dataclasses.dataclass(slots=True)
+class ColdFacts:
+    """What an entry knows of the cold periods of an upstream's incarnation.
+
+    Attributes
+    ----------
+    seen_ms : int
+        When the incarnation was first seen.
+    age_ms : float
+        Its age then; infinite where it may be any.
+    item_version : (int, int) or None
+        Version of its item in the store; None before it was read.
+    item_seen_ms, item_until_ms : int
+        When the first item of a cold period was seen, and until when the upstream is
+        cold by its items.
+    sends_ms : deque of int
+        Latest requests that this entry has sent there without a permit.
+    """
+
+    seen_ms: int = 0
+    age_ms: float = math.inf
+    item_version: tuple[int, int] | None = None
+    item_seen_ms: int = 0
+    item_until_ms: int = 0
+    sends_ms: collections.deque[int] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdLimits:
+    """The limits on requests to the cold upstreams of a service.
+
+    Attributes
+    ----------
+    duration_ms : int
+        How long an upstream is cold after its start.
+    limit_per_s : float
+        Most requests in any second, of all entries together.
+    permit_rate_per_s : float
+        Rate of the permits of one issuer.
+    """
+
+    duration_ms: int
+    limit_per_s: float
+    permit_rate_per_s: float
+
+
+class _Period(t.NamedTuple):
+    until_ms: int
+    begin_ms: int
+    source: str
+
+
+class ColdStarts:
+    """Decides which upstreams are cold, and what this entry may send them.
+
+    Nothing is limited where a service or the settings state no figures.
+
+    Parameters
+    ----------
+    clock : Clock
+    figures_of : callable, optional
+        Returns the `ColdStart` of a service, or None.
+    over, slack : float or None, optional
+        As `Bounds.cold_over` and `Bounds.cold_slack`.
+    count_entries : callable, optional
+        Returns the number of live entries.
+    time_of_day : Clock, optional
+        Unix time.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_count_entries",
+        "_figures_of",
+        "_limits",
+        "_lines",
+        "_over",
+        "_slack",
+        "_synced",
+        "_time_of_day",
+        "_zones_returned_ms",
+    )
+
+    def __init__(
+        self,
+        clock: Clock,
+        figures_of: "t.Callable[[str], ColdStart | None]" = lambda service: None,
+        over: float | None = None,
+        slack: float | None = None,
+        count_entries: t.Callable[[], int] = lambda: 1,
+        time_of_day: Clock | None = None,
+    ) -> None:
+        self._clock = clock
+        self._figures_of = figures_of
+        self._over = over
+        self._slack = slack
+        self._count_entries = count_entries
+        self._time_of_day = time_of_day or Clock(time.time_ns)
+        self._lines = LineLimit(clock)
+        self._limits: dict[str, tuple[ColdStart, ColdLimits]] = {}
+        self._synced = False
+        self._zones_returned_ms: dict[str, int] = {}
+
+    def note_synced(self) -> None:
+        """Note that all items were read: one that comes later is of a new upstream."""
+        self._synced = True
+
+    def note_incarnation(self, upstream: "Upstream") -> None:
+        """Note that an incarnation of an upstream is seen for the first time."""
+        upstream.cold.seen_ms = self._clock.now_ms()
+        upstream.cold.age_ms = self._age_ms(upstream.born_ms)
+        self._log_begin(upstream)
+
+    def note_item(self, upstream: "Upstream", version: tuple[int, int]) -> None:
+        """Note the remaining cold time of an upstream's item, if it has changed."""
+        facts = upstream.cold
+        if facts.item_version == version:
+            return
+        was_cold = self.is_cold(upstream)
+        now_ms = self._clock.now_ms()
+        until_ms = now_ms + upstream.entry.cold_remaining_ms
+        facts.item_version = version
+        if facts.item_until_ms <= now_ms:
+            facts.item_seen_ms = now_ms
+        facts.item_until_ms = max(facts.item_until_ms, until_ms)
+        if not was_cold:
+            self._log_begin(upstream)
+
+    def note_zone_returned(self, zone: str, upstreams: t.Iterable["Upstream"]) -> None:
+        """Note that the drain of a zone has ended, which leaves its upstreams cold."""
+        known = [upstream for upstream in upstreams if upstream.entry.zone == zone]
+        warm = [upstream for upstream in known if not self.is_cold(upstream)]
+        self._zones_returned_ms[zone] = self._clock.now_ms()
+        for upstream in warm:
+            self._log_begin(upstream)
+
+    def limits_of(self, service: str) -> ColdLimits | None:
+        """Return the limits of a service; None where it has none."""
+        figures = self._figures_of(service)
+        if figures is None or self._over is None or self._slack is None:
+            return None
+        known = self._limits.get(service)
+        if known is None or known[0] is not figures:
+            limits = _make_limits(figures, self._over, self._slack)
+            known = self._limits[service] = figures, limits
+        return known[1]
+
+    def is_cold(self, upstream: "Upstream") -> bool:
+        """Return whether an upstream is known to be cold now."""
+        limits = self.limits_of(upstream.entry.service)
+        return limits is not None and self._period(upstream, limits) is not None
+
+    def permit_rate(self, upstream: "Upstream") -> StatedRate | None:
+        """Return the rate of a cold upstream's permits; None where it isn't cold.
+
+        A lower rate that the upstream states takes precedence.
+        """
+        limits = self.limits_of(upstream.entry.service)
+        if limits is None:
+            return None
+        period = self._period(upstream, limits)
+        if period is None:
+            return None
+        stated = upstream.stated
+        if stated is not None and stated.rate_per_s < limits.permit_rate_per_s:
+            return stated
+        return StatedRate(limits.permit_rate_per_s, period.begin_ms)
+
+    def is_permit_valid(self, upstream: "Upstream", reserved_ms: int) -> bool:
+        """Return whether a request may still go to an upstream, cold or not.
+
+        Parameters
+        ----------
+        upstream : Upstream
+        reserved_ms : int
+            When the request got its slot, and its permit if it needed one then.
+        """
+        limits = self.limits_of(upstream.entry.service)
+        period = None if limits is None else self._period(upstream, limits)
+        if period is None:
+            return True
+        age_ms = self._clock.now_ms() - reserved_ms
+        return period.begin_ms <= reserved_ms and age_ms <= MAX_PERMIT_AGE_MS
+
+    def may_send(self, upstream: "Upstream") -> bool:
+        """Return whether this entry may send one more request there now.
+
+        An upstream may be cold without being known to be. Without this limit each of
+        many entries could send it some requests before they learn of that. A cold
+        upstream needs a permit instead.
+        """
+        limits = self.limits_of(upstream.entry.service)
+        if limits is None or self._period(upstream, limits) is not None:
+            return True
+        return len(self._latest_sends(upstream)) < self._own_limit(limits)
+
+    def note_send(self, upstream: "Upstream") -> int:
+        """Count a request that is sent without a permit.
+
+        Returns
+        -------
+        wait_ms : int
+            Time until the next one may follow; 0 where it may follow at once.
+        """
+        limits = self.limits_of(upstream.entry.service)
+        if limits is None or self._period(upstream, limits) is not None:
+            return 0
+        now_ms = self._clock.now_ms()
+        sends_ms = self._latest_sends(upstream)
+        sends_ms.append(now_ms)
+        if len(sends_ms) < self._own_limit(limits):
+            return 0
+        return sends_ms[0] + WINDOW_MS - now_ms
+
+    def _own_limit(self, limits: ColdLimits) -> int:
+        return max(1, int(limits.limit_per_s / max(1, self._count_entries())))
+
+    def _latest_sends(self, upstream: "Upstream") -> collections.deque[int]:
+        sends_ms = upstream.cold.sends_ms
+        earliest_ms = self._clock.now_ms() - WINDOW_MS
+        while sends_ms and sends_ms[0] <= earliest_ms:
+            sends_ms.popleft()
+        return sends_ms
+
+    def _period(self, upstream: "Upstream", limits: ColdLimits) -> _Period | None:
+        """Return the current cold period that ends last; None where there is none."""
+        period = max(self._periods(upstream, limits.duration_ms))
+        return period if period.until_ms > self._clock.now_ms() else None
+
+    def _periods(self, upstream: "Upstream", duration_ms: int) -> t.Iterator[_Period]:
+        facts = upstream.cold
+        yield _Period(facts.item_until_ms, facts.item_seen_ms, "item")
+        if facts.age_ms < duration_ms + MAX_CLOCK_SKEW_MS:
+            yield _Period(facts.seen_ms + duration_ms, facts.seen_ms, "start")
+        returned_ms = self._zones_returned_ms.get(upstream.entry.zone)
+        if returned_ms is not None:
+            yield _Period(returned_ms + duration_ms, returned_ms, "drain")
+
+    def _age_ms(self, born_ms: int) -> float:
+        if born_ms:
+            return self._time_of_day.now_ms() - born_ms
+        return 0 if self._synced else math.inf
+
+    def _log_begin(self, upstream: "Upstream") -> None:
+        limits = self.limits_of(upstream.entry.service)
+        period = None if limits is None else self._period(upstream, limits)
+        instance = upstream.entry.instance
+        if period is not None and self._lines.allows(instance):
+            log_event(
+                Event.UPSTREAM_COLD,
+                upstream=instance,
+                cold_ms=period.until_ms - self._clock.now_ms(),
+                source=period.source,
+            )
+
+
+def _make_limits(figures: "ColdStart", over: float, slack: float) -> ColdLimits:
+    limit_per_s = figures.rate_per_s * over + slack
+    counted_s = (WINDOW_MS + MAX_DELAY_SPREAD_MS) / 1000
+    # Of evenly spaced permits, some windows have one more than the rate yields.
+    reserved_per_s = (ISSUER_SHARE * limit_per_s - 1) / counted_s
+    permit_rate_per_s = max(0.0, min(figures.rate_per_s, reserved_per_s))
+    return ColdLimits(figures.duration_ms, limit_per_s, permit_rate_per_s)
--- a/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
@@ -304,6 +304,27 @@
     born_ms: _Count
 
 
+class ColdPermitRequest(msgspec.Struct, frozen=True, array_like=True, tag=14):
+    """Request of an entry for a permit to send a request to a cold upstream.
+
+    Attributes
+    ----------
+    number : int
+        Identifies this request in the reply, a `PermitReply`.
+    upstream : str
+        Its instance.
+    rate_per_s : float
+        Rate at which one issuer may issue its permits, as known to the sender.
+    age_ms : int
+        For how long the sender has known of that rate.
+    """
+
+    number: int
+    upstream: str
+    rate_per_s: _Rate
+    age_ms: _Count
+
+
 Message = (
     LoadReport
     | RankState
@@ -319,6 +340,7 @@
     | CrashNotice
     | Clearance
     | LateNotice
+    | ColdPermitRequest
 )
 
 _DECODER = msgspec.msgpack.Decoder(Message)
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -265,7 +265,7 @@
             job.match.team.name,
             left_ms,
             silence_ms(job, left_ms),
-            lambda: self._placer.is_usable(upstream),
+            lambda: self._placer.may_still_send(upstream, sent_ms),
             lambda: self._could_retry(job),
             lambda: self._could_move(job),
             job.events,
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -15,9 +15,11 @@
 from fuchsiahatch_adapter.store import StoreClient
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_gateway.backoffs import Backoffs
+from fuchsiahatch_gateway.cold_starts import ColdStarts
 from fuchsiahatch_gateway.crashing_requests import CrashingRequests
 from fuchsiahatch_gateway.datagrams import (
     Clearance,
+    ColdPermitRequest,
     CrashNotice,
     DatagramPort,
     EntryHeartbeat,
@@ -131,12 +133,21 @@
         )
         self.fleet.on_departed = self._drop_connections
         self.fleet.engine_of = self.routes.engine_of
+        bounds = settings.bounds
+        self.fleet.cold_starts = ColdStarts(
+            clock,
+            self.routes.cold_start_of,
+            bounds.cold_over,
+            bounds.cold_slack,
+            lambda: len(self._entries.keys() | {settings.node}),
+        )
         self.permits = Permits(
             settings.node,
             self._present_entries,
             self.datagrams,
             clock,
             self.fleet.upstreams.get,
+            self.fleet.cold_starts.permit_rate,
         )
         self.rates = StatedRates(clock, self._notify_peers)
         self.placer = Placer(self.fleet, clock, self.permits.ask)
@@ -144,7 +155,6 @@
             clock, self.placer.refuse_waiting, self.placer.serve_waiting
         )
         self.stated_leaving = StatedLeaving(clock, self._drop_connections)
-        bounds = settings.bounds
         self.budget = RetryBudget(
             bounds.retry_ratio,
             bounds.retry_slack,
@@ -203,6 +213,7 @@
             LoadReport: self._handle_load,
             EntryHeartbeat: self._handle_heartbeat,
             PermitRequest: self.permits.receive_request,
+            ColdPermitRequest: self.permits.receive_cold_request,
             PermitReply: lambda reply, peer: self.permits.receive_reply(reply),
             RateNotice: self._handle_rate,
             CrashNotice: self._handle_crash,
@@ -289,6 +300,7 @@
     async def _announce_forever(self) -> None:
         while not self._leaving:
             self.announcer.announce()
+            self.permits.note_entries()
             await asyncio.sleep(ANNOUNCE_POLL_INTERVAL_MS / 1000)
 
     async def _send_heartbeats_forever(self) -> None:
--- a/packages/gateway/src/fuchsiahatch_gateway/entry_gauges.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry_gauges.py
@@ -36,6 +36,17 @@
         "Questions for permits without an answer.",
         lambda: entry.permits.unanswered,
     )
+    cold_issuer = entry.permits.cold_issuer
+    add(
+        "fuchsiahatch_cold_permits_issued",
+        "Permits of cold upstreams.",
+        lambda: cold_issuer.issued,
+    )
+    add(
+        "fuchsiahatch_upstreams_cold",
+        "Upstreams that are known to be cold.",
+        lambda: entry.fleet.cold_count,
+    )
     add(
         "fuchsiahatch_suspects",
         "Requests under which an upstream has crashed.",
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -7,6 +7,7 @@
 from fuchsiahatch_adapter.upstreams import UpstreamEntry, decode_upstream_entry
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_gateway.answer_statements import StatementRecords
+from fuchsiahatch_gateway.cold_starts import ColdStarts
 from fuchsiahatch_gateway.departed_upstreams import DepartedUpstreams
 from fuchsiahatch_gateway.item_decoding import ItemDecoder
 from fuchsiahatch_gateway.known_upstream import Upstream
@@ -42,10 +43,13 @@
         Time until the first one accepts requests again.
     needs_permit : bool
         Whether a permit has to be asked for then.
+    may_wait : bool
+        Whether a request may wait for that, rather than be refused at once.
     """
 
     wait_ms: int
     needs_permit: bool
+    may_wait: bool = True
 
 
 class Fleet:
@@ -72,6 +76,7 @@
     engine_of : callable
         Returns the engine model of a service whose agents report the load of its
         engines; None for a plain service.
+    cold_starts : ColdStarts
     """
 
     __slots__ = (
@@ -85,6 +90,7 @@
         "_rng",
         "_statements",
         "_zone",
+        "cold_starts",
         "engine_of",
         "on_departed",
         "on_restarted",
@@ -106,6 +112,7 @@
         self._decoder = ItemDecoder(decode_upstream_entry)
         self._departed = DepartedUpstreams(clock)
         self._statements = StatementRecords(clock, time_of_day)
+        self.cold_starts = ColdStarts(clock)
         self._reporting: set[str] = set()
         #: When a service's first engine opened while no other was usable.
         self._opened_ms: dict[str, int] = {}
@@ -129,6 +136,7 @@
             if not self._departed.is_outdated(entry, items[instance]):
                 self._apply_entry(entry, items[instance])
         self._rebuild_indexes()
+        self.cold_starts.note_synced()
 
     def observe(self, load: "LoadReport") -> None:
         """Apply a load report."""
@@ -166,6 +174,19 @@
             upstream.backoff_left_ms(now_ms) > 0 for upstream in self.upstreams.values()
         )
 
+    @property
+    def cold_count(self) -> int:
+        """Upstreams that are known to be cold."""
+        return sum(map(self.cold_starts.is_cold, self.upstreams.values()))
+
+    def note_zone_returned(self, zone: str) -> None:
+        """Note that the drain of a zone has ended."""
+        self.cold_starts.note_zone_returned(zone, self.upstreams.values())
+
+    def needs_permit(self, upstream: Upstream) -> bool:
+        """Return whether a request to an upstream needs a permit."""
+        return upstream.stated is not None or self.cold_starts.is_cold(upstream)
+
     def _relieve_slow_rank(self, upstream: Upstream) -> None:
         """Move requests away from a rank that slows down its whole group.
 
@@ -252,7 +273,7 @@
         traits : RequestTraits, optional
             Of the request that needs the upstream.
         only_unlimited : bool, optional
-            Whether to skip upstreams with a stated rate.
+            Whether to skip upstreams that need a permit.
         """
         now_ms = self._clock.now_ms()
         usable = self.usable(service)
@@ -264,8 +285,9 @@
             if upstream.limited_until_ms <= now_ms
             and upstream.statements.backoff_until_ms <= now_ms
             and upstream.local_requests < upstream.max_local_requests
-            and not (only_unlimited and upstream.stated)
+            and not (only_unlimited and self.needs_permit(upstream))
             and upstream.load(now_ms) < upstream.places(engine, paces[upstream.group])
+            and self.cold_starts.may_send(upstream)
         ]
         groups = {
             self.upstreams[instance].group
@@ -280,18 +302,26 @@
         """Return when the first upstream accepts requests again.
 
         None where one accepts requests now, even a full one, and where there is none.
+        For a permit of an upstream with a stated rate no request waits; for one of a
+        cold upstream it may, as those become due soon.
         """
         now_ms = self._clock.now_ms()
-        first: Unavailability | None = None
+        closed: list[Unavailability] = []
         for upstream in self.usable(service):
             limited_ms = max(0, upstream.limited_until_ms - now_ms)
             backoff_ms = upstream.backoff_left_ms(now_ms)
             wait_ms = max(limited_ms, backoff_ms)
             if not wait_ms:
                 return None
-            if first is None or wait_ms < first.wait_ms:
-                first = Unavailability(wait_ms, limited_ms > backoff_ms)
-        return first
+            needs_permit = limited_ms > backoff_ms
+            may_wait = not needs_permit or upstream.stated is None
+            closed.append(Unavailability(wait_ms, needs_permit, may_wait))
+        closed.sort(key=lambda one: one.wait_ms)
+        cold = (one for one in closed if one.needs_permit and one.may_wait)
+        first = next(iter(closed), None)
+        if first is None or first.may_wait:
+            return first
+        return next(cold, first)
 
     def backing_off(self, service: str) -> dict[str, int]:
         """Return the remaining backoff periods of a service's upstreams, in ms."""
@@ -315,6 +345,8 @@
                 statements=self._statements.take(entry),
             )
             log_event(Event.UPSTREAM_SEEN, upstream=instance, service=entry.service)
+            self.cold_starts.note_incarnation(self.upstreams[instance])
+            self.cold_starts.note_item(self.upstreams[instance], item.change_order)
             return
         if 0 < entry.born_ms < upstream.born_ms:
             # Of a previous incarnation; the agent has already reported the current one.
@@ -336,6 +368,7 @@
         else:
             upstream.entry_version = item.change_order
         upstream.entry = entry
+        self.cold_starts.note_item(upstream, item.change_order)
 
     def _start_incarnation(
         self, former: Upstream, entry: UpstreamEntry, born_ms: int
@@ -369,6 +402,7 @@
             statements=former.statements,
         )
         self.upstreams[instance] = restarted
+        self.cold_starts.note_incarnation(restarted)
         self._rebuild_indexes()
         return restarted
 
--- a/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
@@ -5,6 +5,7 @@
 import typing as t
 
 from fuchsiahatch_gateway.answer_statements import Statements
+from fuchsiahatch_gateway.cold_starts import ColdFacts
 from fuchsiahatch_gateway.defaults import MAX_LOAD_AGE_MS, REPORT_INTERVAL_MS
 
 if t.TYPE_CHECKING:
@@ -73,6 +74,8 @@
         Each moves one request in flight there to another upstream, if that is allowed.
     statements : Statements
         What this incarnation has stated in its answers.
+    cold : ColdFacts
+        What is known of the cold periods of this incarnation.
     max_local_requests : float
         Limit on the requests of this entry in flight there, low after a backoff period.
     """
@@ -96,6 +99,7 @@
     limited_until_ms: int = 0
     movers: set[t.Callable[[], None]] = dataclasses.field(default_factory=set)
     statements: Statements = dataclasses.field(default_factory=Statements)
+    cold: ColdFacts = dataclasses.field(default_factory=ColdFacts)
     max_local_requests: float = math.inf
     _failures: float = 0.0
     _failed_ms: int = 0
--- a/packages/gateway/src/fuchsiahatch_gateway/permit_issuer.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/permit_issuer.py
@@ -33,7 +33,7 @@
     stated_ms : int
         When the upstream stated it.
     began_ms : int
-        When the first permit was asked for.
+        When this process began to issue its permits.
     next_ms : float
         When the next permit is due.
     promised_ms : float
@@ -56,21 +56,38 @@
     Parameters
     ----------
     clock : Clock
+    burst_ms : int, optional
+        Unused permits that may accumulate, as time at the stated rate.
+    max_wait_ms : int, optional
+        Maximum wait for a permit that is sent to an entry.
 
     Attributes
     ----------
     issued, refused : int
     """
 
-    __slots__ = ("_clock", "_meters", "issued", "refused")
+    __slots__ = ("_burst_ms", "_clock", "_max_wait_ms", "_meters", "issued", "refused")
 
-    def __init__(self, clock: "Clock") -> None:
+    def __init__(
+        self,
+        clock: "Clock",
+        burst_ms: int = BURST_MS,
+        max_wait_ms: int = MAX_WAIT_MS,
+    ) -> None:
         self._clock = clock
+        self._burst_ms = burst_ms
+        self._max_wait_ms = max_wait_ms
         self._meters: dict[str, _Meter] = {}
         self.issued = 0
         self.refused = 0
 
-    def issue(self, instance: str, rate_per_s: float, age_ms: int) -> int:
+    def issue(
+        self,
+        instance: str,
+        rate_per_s: float,
+        age_ms: int,
+        began_ms: int | None = None,
+    ) -> int:
         """Issue a permit if one is due.
 
         Parameters
@@ -81,6 +98,9 @@
             Its stated rate, as known to the entry that asks.
         age_ms : int
             Time since the upstream stated it.
+        began_ms : int, optional
+            When this process became the issuer; by default when the first permit was
+            asked for.
 
         Returns
         -------
@@ -89,16 +109,18 @@
         """
         now_ms = self._clock.now_ms()
         meter = self._get_meter(instance, rate_per_s, now_ms - age_ms, now_ms)
+        if began_ms is not None:
+            meter.began_ms = began_ms
         interval_ms = 1_000 / self._permit_rate(meter, now_ms)
         if meter.next_ms <= now_ms:
-            meter.next_ms = max(meter.next_ms, now_ms - BURST_MS) + interval_ms
+            meter.next_ms = max(meter.next_ms, now_ms - self._burst_ms) + interval_ms
             self.issued += 1
             return 0
         self.refused += 1
         # Each gets a different wait, so that they don't retry for the same permit.
         due_ms = max(meter.promised_ms, meter.next_ms)
-        wait_ms = max(min(due_ms - now_ms, MAX_WAIT_MS), 1)
-        if wait_ms < MAX_WAIT_MS:
+        wait_ms = max(min(due_ms - now_ms, self._max_wait_ms), 1)
+        if wait_ms < self._max_wait_ms:
             meter.promised_ms = due_ms + interval_ms
         return int(wait_ms)
 
--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -36,8 +36,8 @@
     """Assigns requests to upstream slots.
 
     A slot is room for one request at an upstream; log lines call slots `places`. An
-    upstream may state the rate of requests that it accepts, and then a request needs a
-    permit as well.
+    upstream may state the rate of requests that it accepts, or be cold, and then a
+    request needs a permit as well.
 
     Parameters
     ----------
@@ -82,31 +82,44 @@
         RefusedError
             If no slot becomes free within `wait_ms`; at once if all upstreams state a
             rate and none of them accepts another request now, or if all of them have
-            asked for backoff periods that end later.
+            asked for backoff periods, or wait for permits of cold upstreams, that end
+            later.
         """
         ends_ms = self._clock.now_ms() + wait_ms
-        for _ in range(MAX_PERMIT_REQUESTS):
-            upstream = await self._acquire_usable(service, traits, tried, ends_ms)
-            if await self._request_permit(upstream):
-                return upstream
-        # No more permits are requested; an upstream without a stated rate may be free.
-        upstream = self._fleet.choose(service, tried, traits, only_unlimited=True)
-        if upstream is None:
+        while True:
+            for _ in range(MAX_PERMIT_REQUESTS):
+                upstream = await self._acquire_usable(service, traits, tried, ends_ms)
+                if await self._request_permit(upstream):
+                    return upstream
+            # No more permits are requested; an upstream that needs none may be free.
+            free = self._fleet.choose(service, tried, traits, only_unlimited=True)
+            if free is not None:
+                self._reserve(free)
+                return free
             self._check_available(service, ends_ms)
-            raise RefusedError("upstreams take no more now", Code.RATE_REACHED)
-        upstream.local_requests += 1
-        return upstream
+            if not self._may_await_permit(service, ends_ms):
+                raise RefusedError("upstreams take no more now", Code.RATE_REACHED)
+
+    def _may_await_permit(self, service: str, ends_ms: float) -> bool:
+        """Return whether a cold upstream of a service may issue a permit in time."""
+        if self._clock.now_ms() >= ends_ms:
+            return False
+        return any(
+            self._fleet.needs_permit(upstream) and upstream.stated is None
+            for upstream in self._fleet.usable(service)
+        )
 
     def _check_available(self, service: str, ends_ms: float) -> None:
         """Refuse a request at once if no upstream accepts it in time."""
         closed = self._fleet.unavailability(service)
         if closed is None:
             return
+        if closed.may_wait and self._clock.now_ms() + closed.wait_ms < ends_ms:
+            return
         if closed.needs_permit:
             detail = "all upstreams take no more now"
             raise RefusedError(detail, Code.RATE_REACHED, retry_after_ms=closed.wait_ms)
-        if self._clock.now_ms() + closed.wait_ms >= ends_ms:
-            raise _backing_off(closed.wait_ms)
+        raise _backing_off(closed.wait_ms)
 
     def refuse_waiting(self, service: str) -> None:
         """Refuse the waiting requests that no upstream of a service accepts in time."""
@@ -121,7 +134,7 @@
 
     async def _request_permit(self, upstream: "Upstream") -> bool:
         """Return whether a request may go there; release the slot if not."""
-        if upstream.stated is None or self._ask_permit is None:
+        if self._ask_permit is None or not self._fleet.needs_permit(upstream):
             return True
         try:
             wait_ms = await self._ask_permit(upstream)
@@ -130,10 +143,32 @@
             raise
         if not wait_ms:
             return True
-        upstream.limited_until_ms = self._clock.now_ms() + wait_ms
+        self._note_limited(upstream, wait_ms)
         self.release(upstream)
         return False
 
+    def _note_limited(self, upstream: "Upstream", wait_ms: int) -> None:
+        now_ms = self._clock.now_ms()
+        until_ms = now_ms + wait_ms
+        if upstream.stated is None:
+            # Each of the requests that asked at once was given another time, and they
+            # wait for the earliest.
+            if upstream.limited_until_ms > now_ms:
+                until_ms = min(until_ms, upstream.limited_until_ms)
+            self._serve_later(upstream.entry.service, wait_ms)
+        upstream.limited_until_ms = until_ms
+
+    def _serve_later(self, service: str, wait_ms: int) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(wait_ms / 1000, self.serve_waiting, service)
+
+    def _reserve(self, upstream: "Upstream") -> None:
+        """Reserve a slot for a request that is sent at once or asks for a permit."""
+        upstream.local_requests += 1
+        wait_ms = self._fleet.cold_starts.note_send(upstream)
+        if wait_ms:
+            self._serve_later(upstream.entry.service, wait_ms)
+
     async def _acquire_usable(
         self,
         service: str,
@@ -161,7 +196,7 @@
         if not len(queue):
             upstream = self._fleet.choose(service, tried, traits)
             if upstream is not None:
-                upstream.local_requests += 1
+                self._reserve(upstream)
                 return upstream
         return await self._wait(queue, service, traits, tried, wait_ms)
 
@@ -169,10 +204,24 @@
         """Return whether an upstream may still receive new requests."""
         return self._fleet.is_usable(upstream)
 
+    def may_still_send(self, upstream: "Upstream", reserved_ms: int) -> bool:
+        """Return whether a request may go to its upstream, just before it does.
+
+        Parameters
+        ----------
+        upstream : Upstream
+        reserved_ms : int
+            When `acquire` returned.
+        """
+        cold_starts = self._fleet.cold_starts
+        return self.is_usable(upstream) and cold_starts.is_permit_valid(
+            upstream, reserved_ms
+        )
+
     def has_free_slot(self, service: str) -> bool:
         """Return whether a request would get a slot at once.
 
-        Only upstreams without a stated rate count: a stream in progress isn't abandoned
+        Only upstreams that need no permit count: a stream in progress isn't abandoned
         for one that may have no permit left.
         """
         return self._fleet.choose(service, (), only_unlimited=True) is not None
@@ -203,7 +252,7 @@
             upstream = (
                 self._fleet.choose(service, waiter.tried, waiter.traits) or upstream
             )
-        upstream.local_requests += 1
+        self._reserve(upstream)
         waiter.future.set_result(upstream)
         return True
 
