A request that waits for its entry's own limit is woken when the limit has fallen

Cause: only the send that reached the limit set a timer. Where an entry joined, the limit fell below what had been sent, no timer was set, and a request could wait until another one of its service ended.

Change: each counted send sets one for the time at which it counts no more.

--- a/packages/gateway/src/fuchsiahatch_gateway/cold_starts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/cold_starts.py
@@ -235,17 +235,13 @@
         Returns
         -------
         wait_ms : int
-            Time until the next one may follow; 0 where it may follow at once.
+            Time until it counts no more; 0 where none are counted.
         """
         limits = self.limits_of(upstream.entry.service)
         if limits is None or self._period(upstream, limits) is not None:
             return 0
-        now_ms = self._clock.now_ms()
-        sends_ms = self._latest_sends(upstream)
-        sends_ms.append(now_ms)
-        if len(sends_ms) < self._own_limit(limits):
-            return 0
-        return sends_ms[0] + WINDOW_MS - now_ms
+        self._latest_sends(upstream).append(self._clock.now_ms())
+        return WINDOW_MS
 
     def _own_limit(self, limits: ColdLimits) -> int:
         return max(1, int(limits.limit_per_s / max(1, self._count_entries())))
--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -167,6 +167,8 @@
         upstream.local_requests += 1
         wait_ms = self._fleet.cold_starts.note_send(upstream)
         if wait_ms:
+            # A request may wait for this. The limit falls as entries join, so that it
+            # isn't known here which of the sends that one waits for.
             self._serve_later(upstream.entry.service, wait_ms)
 
     async def _acquire_usable(
