--- a/packages/gateway/src/fuchsiahatch_gateway/zone_drains.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/zone_drains.py
@@ -9,7 +9,7 @@
 
 
 class ZoneDrains:
-    """Keeps the drained zones, and when each drain ended.
+    """Keeps the drained zones, and since when each is drained.
 
     Parameters
     ----------
@@ -21,12 +21,11 @@
         The drained zones.
     """
 
-    __slots__ = ("_began_ms", "_clock", "_ended_ms", "zones")
+    __slots__ = ("_began_ms", "_clock", "zones")
 
     def __init__(self, clock: "Clock") -> None:
         self._clock = clock
         self._began_ms: dict[str, int] = {}
-        self._ended_ms: dict[str, int] = {}
         self.zones: frozenset[str] = frozenset()
 
     def apply(
@@ -51,10 +50,6 @@
         for zone in sorted(former - current):
             self._end(zone)
 
-    def ended_ms(self, zone: str) -> int | None:
-        """Return when the latest drain of a zone was seen to end; None without one."""
-        return self._ended_ms.get(zone)
-
     def _begin(self, zone: str, upstream_counts: t.Mapping[str, int]) -> None:
         self._began_ms[zone] = self._clock.now_ms()
         if zone not in upstream_counts:
@@ -63,7 +58,5 @@
         log_event(Event.ZONE_DRAIN_BEGUN, zone=zone, upstreams=upstreams)
 
     def _end(self, zone: str) -> None:
-        now_ms = self._clock.now_ms()
-        self._ended_ms[zone] = now_ms
-        took_ms = now_ms - self._began_ms.pop(zone)
+        took_ms = self._clock.now_ms() - self._began_ms.pop(zone)
         log_event(Event.ZONE_DRAIN_ENDED, zone=zone, took_ms=took_ms)
