Retry-After counts the requests that wait for a service in all its queues

Cause: queues are kept by service and allowed regions; the slots that came free are counted for the service, so that one queue alone gave too early a return. Test: tests.gateway.test_request_order passes; no case there has two queues.

--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -428,8 +428,9 @@
         service, _ = key
         if not self._has_classes(service):
             return None
-        queue = self._queues.get(key, ())
-        waiting = sum(one.priority <= refused.priority for one in queue)
+        queues = [self._queues[other] for other in self._keys(service)]
+        requests = itertools.chain.from_iterable(queues)
+        waiting = sum(one.priority <= refused.priority for one in requests)
         return self._return_times.estimate_ms(service, waiting, self._clock.now_ms())
 
     def _refuse(self, number: int, fault: RefusedError) -> None:
