--- a/packages/routing/src/fuchsiahatch_routing/queues.py
+++ b/packages/routing/src/fuchsiahatch_routing/queues.py
@@ -223,19 +223,24 @@
 
     def pop(self, cost_ms: float) -> QueuedRequest | None:
         """Remove the next request and charge its team an expected cost."""
-        backlogged = [flow for flow in self._flows.values() if flow.size]
-        if not backlogged:
+        flow = self._next_flow(cost_ms)
+        if flow is None:
             return None
         self._virtual_time = max(
-            self._virtual_time, min(flow.start_tag for flow in backlogged)
+            self._virtual_time,
+            min(flow.start_tag for flow in self._flows.values() if flow.size),
         )
-        flow = min(backlogged, key=lambda flow: _start_order(flow, cost_ms))
         taken = flow.take()
         flow.start_tag += cost_ms / flow.weight
         self._size -= 1
         self._drop_idle_teams()
         return taken
 
+    def peek(self, cost_ms: float = 1.0) -> QueuedRequest | None:
+        """Return the request that `pop` would return for the same cost."""
+        flow = self._next_flow(cost_ms)
+        return None if flow is None else flow.classes[flow.next_class()][0]
+
     def remove(self, ticket: int) -> QueuedRequest | None:
         """Remove one request out of turn and return it."""
         removed = next((waiting for waiting in self if waiting.ticket == ticket), None)
@@ -270,6 +275,12 @@
         self._flows.clear()
         self._virtual_time = 0.0
 
+    def _next_flow(self, cost_ms: float) -> _Flow | None:
+        backlogged = [flow for flow in self._flows.values() if flow.size]
+        return min(
+            backlogged, key=lambda flow: _start_order(flow, cost_ms), default=None
+        )
+
     def _flow(self, team: str) -> _Flow:
         flow = self._flows.get(team)
         if flow is None:
--- a/tests/routing/test_queues.py
+++ b/tests/routing/test_queues.py
@@ -83,3 +83,17 @@
         fill(queue, "patient", 200, priority=2)
         turns = collections.Counter(one.team for one in served(queue, 100))
         self.assertAlmostEqual(turns["patient"], 50, delta=3)
+
+
+class TestPeek(unittest.TestCase):
+    def test_it_returns_what_pop_would_return_and_changes_nothing(self):
+        rng = random.Random(3)
+        queue = FairQueue(100)
+        for _ in range(200):
+            fill(queue, rng.choice("abc"), rng.randint(0, 2), rng.randint(0, 2))
+            peeked = queue.peek(10.0)
+            self.assertIs(queue.peek(10.0), peeked)
+            self.assertIs(queue.pop(10.0), peeked)
+
+    def test_an_empty_queue_has_no_next_request(self):
+        self.assertIsNone(FairQueue(1).peek())
