Entries keep the room of rank groups and reserve a part for urgent requests

Cause: 31 entries learn of a free slot by the same report and of one another's requests 100 to 300 ms later. Above what a group serves in time, each of them fills each slot: streams queue at the engines, whatever their priority, and most are late.

Change: GroupRooms adds up the loads of each group's ranks and answers Fleet.choose which groups are full for a request, and the placer whether a waiting request has its turn. A request that ends at an entry is replaced there at once. A waiting request that is held back doesn't stop more urgent ones. Without load reports, groups or a pause objective, only slots count as before.

--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -314,7 +314,7 @@
         return (
             decide(Result.BROKEN, progress) is Step.RETRY
             and self._budget.has_retry_left(job.service)
-            and self._placer.has_free_slot(job.service)
+            and self._placer.has_free_slot(job.service, job.traits)
         )
 
     def _record_result(
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -44,6 +44,7 @@
 from fuchsiahatch_gateway.entry_liveness import HEARTBEAT_INTERVAL_MS, EntryLiveness
 from fuchsiahatch_gateway.fleet import FIRST_REPORT_TIMEOUT_MS, Fleet
 from fuchsiahatch_gateway.following import Follower
+from fuchsiahatch_gateway.group_rooms import GroupRooms
 from fuchsiahatch_gateway.held_requests import HeldRequests
 from fuchsiahatch_gateway.item_copies import ItemCopy
 from fuchsiahatch_gateway.item_decoding import ItemDecoder
@@ -131,6 +132,16 @@
         )
         self.fleet.on_departed = self._drop_connections
         self.fleet.engine_of = self.routes.engine_of
+        self.rooms = GroupRooms(
+            self.routes,
+            self.fleet.of_service,
+            lambda: len(self._entries.keys() | {settings.node}),
+            clock,
+            self._rng,
+        )
+        self.fleet.on_reported = self.rooms.note_report
+        self.fleet.full_groups = self.rooms.full_groups
+        self.fleet.takes_turn = self.rooms.takes_turn
         self.permits = Permits(
             settings.node,
             self._present_entries,
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -72,6 +72,13 @@
     engine_of : callable
         Returns the engine model of a service whose agents report the load of its
         engines; None for a plain service.
+    on_reported : callable
+        Called with each upstream whose load report was applied.
+    full_groups : callable
+        Returns the rank groups of a service without room for a request of given traits.
+    takes_turn : callable
+        Returns whether a waiting request of given traits may be sent to an upstream
+        now, with regard to the other entries.
     """
 
     __slots__ = (
@@ -86,8 +93,11 @@
         "_statements",
         "_zone",
         "engine_of",
+        "full_groups",
         "on_departed",
+        "on_reported",
         "on_restarted",
+        "takes_turn",
         "upstreams",
     )
 
@@ -113,6 +123,13 @@
         self.on_departed: t.Callable[[UpstreamEntry], None] = lambda entry: None
         self.on_restarted: t.Callable[[Upstream], None] = lambda former: None
         self.engine_of: t.Callable[[str], Engine | None] = lambda service: None
+        self.on_reported: t.Callable[[Upstream], None] = lambda upstream: None
+        self.full_groups: t.Callable[[str, RequestTraits], t.Collection[str]] = (
+            lambda service, traits: ()
+        )
+        self.takes_turn: t.Callable[[Upstream, RequestTraits], bool] = (
+            lambda upstream, traits: True
+        )
 
     def apply(self, items: t.Mapping[str, "Item"]) -> None:
         """Apply the current upstream entries of the store."""
@@ -151,6 +168,7 @@
         upstream.open = load.open
         upstream.group = load.group
         upstream.pass_ms = load.pass_ms
+        self.on_reported(upstream)
         self._relieve_slow_rank(upstream)
 
     @property
@@ -183,6 +201,10 @@
         for move in tuple(upstream.movers):
             move()
 
+    def of_service(self, service: str) -> t.Sequence[Upstream]:
+        """Return all upstreams of a service, usable or not."""
+        return self._by_service.get(service, ())
+
     def usable(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that may get new requests."""
         usable = self._open_upstreams(service)
@@ -258,10 +280,12 @@
         usable = self.usable(service)
         engine = self.engine_of(service)
         paces = fastest_paces(usable)
+        full_groups = self.full_groups(service, traits)
         free = [
             upstream
             for upstream in usable
-            if upstream.limited_until_ms <= now_ms
+            if upstream.group not in full_groups
+            and upstream.limited_until_ms <= now_ms
             and upstream.statements.backoff_until_ms <= now_ms
             and upstream.local_requests < upstream.max_local_requests
             and not (only_unlimited and upstream.stated)
--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -169,18 +169,27 @@
         """Return whether an upstream may still receive new requests."""
         return self._fleet.is_usable(upstream)
 
-    def has_free_slot(self, service: str) -> bool:
+    def has_free_slot(self, service: str, traits: "RequestTraits") -> bool:
         """Return whether a request would get a slot at once.
 
         Only upstreams without a stated rate count: a stream in progress isn't abandoned
         for one that may have no permit left.
         """
-        return self._fleet.choose(service, (), only_unlimited=True) is not None
+        chosen = self._fleet.choose(service, (), traits, only_unlimited=True)
+        return chosen is not None
 
     def release(self, upstream: "Upstream") -> None:
-        """Free a slot and assign it to a waiting request."""
+        """Free a slot and assign it to a waiting request.
+
+        One request replaces the one that ended, without awaiting this entry's turn: the
+        load of all entries together stays the same.
+        """
         upstream.local_requests -= 1
-        self.serve_waiting(upstream.entry.service)
+        service = upstream.entry.service
+        queue = self._queues.get(service)
+        if queue is not None and len(queue):
+            self._serve_next(queue, service, awaits_turn=False)
+        self.serve_waiting(service)
 
     def serve_waiting(self, service: str | None = None) -> None:
         """Assign free slots to waiting requests, of one service or of all."""
@@ -191,22 +200,49 @@
                 if not self._serve_next(queue, name):
                     break
 
-    def _serve_next(self, queue: FairQueue, service: str) -> bool:
-        upstream = self._fleet.choose(service, ())
+    def _serve_next(
+        self, queue: FairQueue, service: str, awaits_turn: bool = True
+    ) -> bool:
+        """Assign a slot to the next request that may have one; return whether any may.
+
+        The next one of the queue may have to wait for room that is open to more urgent
+        requests only, which then go before it.
+        """
+        first = queue.peek(QUEUE_COST)
+        if first is None:
+            return False
+        waiting, upstream = first, self._choose_for(first, service)
+        if upstream is None:
+            waiting = min(queue, key=_urgency_order)
+            if waiting.priority >= first.priority:
+                return False
+            upstream = self._choose_for(waiting, service)
         if upstream is None:
             return False
-        waiting = queue.pop(QUEUE_COST)
-        waiter = None if waiting is None else self._waiters.pop(waiting.ticket, None)
-        if waiter is None or waiter.future.done():
-            return True
-        if upstream.entry.instance in waiter.tried:
-            upstream = (
-                self._fleet.choose(service, waiter.tried, waiter.traits) or upstream
-            )
-        upstream.local_requests += 1
-        waiter.future.set_result(upstream)
+        waiter = self._waiters[waiting.ticket]
+        if awaits_turn and not self._fleet.takes_turn(upstream, waiter.traits):
+            return False
+        if waiting is first:
+            queue.pop(QUEUE_COST)
+        else:
+            queue.remove(waiting.ticket)
+            queue.adjust_charge(waiting.team, QUEUE_COST)
+        del self._waiters[waiting.ticket]
+        if not waiter.future.done():
+            upstream.local_requests += 1
+            waiter.future.set_result(upstream)
         return True
 
+    def _choose_for(
+        self, waiting: QueuedRequest, service: str
+    ) -> t.Optional["Upstream"]:
+        """Return an upstream for a waiting request, if any has a free slot."""
+        waiter = self._waiters[waiting.ticket]
+        upstream = self._fleet.choose(service, (), waiter.traits)
+        if upstream is None or upstream.entry.instance not in waiter.tried:
+            return upstream
+        return self._fleet.choose(service, waiter.tried, waiter.traits) or upstream
+
     async def _wait(
         self,
         queue: FairQueue,
@@ -226,6 +262,8 @@
         if evicted is not None:
             fault = RefusedError("too many requests wait", Code.OVERLOADED)
             self._refuse(evicted.ticket, fault)
+        # Those that wait may be less urgent, and held back from room that is free.
+        self._serve_next(queue, service, awaits_turn=False)
         try:
             # asyncio.wait_for would swallow the cancellation by a caller that
             # disconnects in the same iteration of the loop in which the slot is
@@ -248,6 +286,10 @@
             waiter.future.set_exception(fault)
 
 
+def _urgency_order(waiting: QueuedRequest) -> tuple[int, int]:
+    return waiting.priority, waiting.ticket
+
+
 def _backing_off(wait_ms: int) -> RefusedError:
     return RefusedError(
         "all upstreams have asked for a backoff period",
--- a/packages/gateway/src/fuchsiahatch_gateway/routes.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/routes.py
@@ -45,13 +45,23 @@
         None until the first one is applied.
     """
 
-    __slots__ = ("_by_host", "_era", "_value", "configuration")
+    __slots__ = (
+        "_by_host",
+        "_era",
+        "_gaps_ms",
+        "_urgencies",
+        "_value",
+        "configuration",
+    )
 
     def __init__(self) -> None:
         self._era = 0
         self._value = b""
         self.configuration: Configuration | None = None
         self._by_host: dict[str, list[Route]] = {}
+        #: Pause objective and priorities by service, which each choice asks for.
+        self._gaps_ms: dict[str, int] = {}
+        self._urgencies: dict[str, tuple[int, ...]] = {}
 
     def apply(self, value: bytes, era: int = 0) -> bool:
         """Activate a configuration unless it is outdated; return whether that was done.
@@ -87,6 +97,14 @@
         self.configuration = candidate
         self._era, self._value = era, value
         self._by_host = _group_by_host(candidate.routes)
+        self._gaps_ms = {
+            service: shortest_gap_ms(candidate.routes, service)
+            for service in candidate.services
+        }
+        self._urgencies = {
+            service: route_urgencies(candidate.routes, service)
+            for service in candidate.services
+        }
         log_event(
             Event.CONFIGURATION_APPLIED,
             version=candidate.version,
@@ -102,6 +120,14 @@
         )
         return None if definition is None else definition.engine
 
+    def gap_ms_of(self, service: str) -> int:
+        """Return the shortest event gap objective of a service's routes; 0 without."""
+        return self._gaps_ms.get(service, 0)
+
+    def urgencies_of(self, service: str) -> tuple[int, ...]:
+        """Return the priority classes of a service's routes, most urgent first."""
+        return self._urgencies.get(service, ())
+
     def match(self, request: "CallerRequest") -> Match:
         """Return a request's route and team.
 
@@ -152,6 +178,12 @@
     return min(gaps, default=0)
 
 
+def route_urgencies(routes: t.Iterable[Route], service: str) -> tuple[int, ...]:
+    """Return the distinct priority classes of a service's routes, ascending."""
+    urgencies = {route.urgency for route in routes if service in dict(route.services)}
+    return tuple(sorted(urgencies))
+
+
 def _group_by_host(routes: t.Iterable[Route]) -> dict[str, list[Route]]:
     by_host: dict[str, list[Route]] = {}
     for route in sorted(routes, key=lambda route: -len(route.prefix)):
--- a/tests/gateway/test_routes.py
+++ b/tests/gateway/test_routes.py
@@ -7,6 +7,7 @@
 from fuchsiahatch_gateway.routes import (
     RouteTable,
     choose_service,
+    route_urgencies,
     shortest_gap_ms,
 )
 from tests.gateway.sites import HOST, KEY, dump, make_configuration, make_route
@@ -68,3 +69,24 @@
         )
         self.assertEqual(shortest_gap_ms(routes, "m"), 120)
         self.assertEqual(shortest_gap_ms(routes, "none"), 0)
+
+    def test_priorities_of_a_services_routes(self):
+        routes = self.routes(
+            make_route("/a/", "streaming", "m", priority=2),
+            make_route("/b/", "streaming", "m", priority=0),
+            make_route("/c/", "safe", "m", priority=2),
+            make_route("/d/", "safe", "n", priority=1),
+        )
+        self.assertEqual(route_urgencies(routes, "m"), (0, 2))
+        self.assertEqual(route_urgencies(routes, "none"), ())
+
+    def test_a_later_configuration_replaces_what_is_known_of_services(self):
+        # Rooms would be computed by an objective that the operator has changed.
+        table = RouteTable()
+        for version, gap_ms in ((1, 150), (2, 200)):
+            routes = [make_route("/a/", "streaming", gapAimMs=gap_ms, priority=version)]
+            table.apply(dump(make_configuration(version, routes=routes)))
+            self.assertEqual(table.gap_ms_of("svc"), gap_ms)
+            self.assertEqual(table.urgencies_of("svc"), (version,))
+        self.assertEqual(table.gap_ms_of("other"), 0)
+        self.assertEqual(table.urgencies_of("other"), ())
