--- a/tests/gateway/test_routes.py
+++ b/tests/gateway/test_routes.py
@@ -115,3 +115,12 @@
         )
         self.assertEqual(shortest_gap_ms(routes, "m"), 120)
         self.assertEqual(shortest_gap_ms(routes, "none"), 0)
+
+    def test_a_later_configuration_replaces_what_is_known_of_services(self):
+        # Rooms would be computed by an objective that the operator has changed.
+        table = RouteTable()
+        for version, gap_ms in ((1, 150), (2, 200)):
+            routes = [make_route("/a/", "streaming", gapAimMs=gap_ms)]
+            table.apply(dump(make_configuration(version, routes=routes)))
+            self.assertEqual(table.gap_ms_of("svc"), gap_ms)
+        self.assertEqual(table.gap_ms_of("other"), 0)
--- a/tests/routing/test_queues.py
+++ b/tests/routing/test_queues.py
@@ -182,3 +182,28 @@
                 known.discard(left.ticket)
             self.assertLessEqual(known, waiting)
             known = waiting
+
+
+class TestPeek(unittest.TestCase):
+    def test_classes_with_a_turn_for_the_passed_over_are_foreseen(self):
+        # Guards against a slot chosen for one class and given to a request of another.
+        rng = random.Random(5)
+        queue = ClassQueue(100)
+        for _ in range(400):
+            fill(queue, rng.choice("abc"), rng.randint(0, 2), rng.choice((0, 0, 1, 2)))
+            admitted = rng.randint(0, 2)
+            peeked = queue.peek(10.0, lambda priority, top=admitted: priority <= top)
+            popped = queue.pop(10.0, lambda priority, top=admitted: priority <= top)
+            self.assertIs(popped, peeked)
+
+    def test_it_returns_what_pop_would_return_and_changes_nothing(self):
+        rng = random.Random(3)
+        queue = FairQueue(100)
+        for _ in range(200):
+            fill(queue, rng.choice("abc"), rng.randint(0, 2), rng.randint(0, 2))
+            peeked = queue.peek(10.0)
+            self.assertIs(queue.peek(10.0), peeked)
+            self.assertIs(queue.pop(10.0), peeked)
+
+    def test_an_empty_queue_has_no_next_request(self):
+        self.assertIsNone(FairQueue(1).peek(1.0))
