Engines without a time per request have no room limit

Cause: a configuration may state a per_seq_ms of 0, as placing by slots allows. The imbalance that a pass implies is then a quotient by zero, and so is the room. Each load report and each choice of an upstream of the service raised ZeroDivisionError.

Change: the groups of such a service have no limit besides their slots, as the length of their passes doesn't depend on the requests.

Evidence: the new test of test_group_rooms fails before with ZeroDivisionError and passes after.

--- a/packages/gateway/src/fuchsiahatch_gateway/group_rooms.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_rooms.py
@@ -166,10 +166,15 @@
         }
 
     def _figures_of(self, service: str) -> RoomFigures | None:
-        """Return a service's figures; None where its groups have no limit."""
+        """Return a service's figures; None where its groups have no limit.
+
+        Nothing limits engines whose requests don't lengthen their passes.
+        """
         gap_ms = self._routes.gap_ms_of(service)
         engine = self._routes.engine_of(service) if gap_ms else None
-        return None if engine is None else _room_figures(engine, gap_ms)
+        if engine is None or not engine.step_ms_per_request:
+            return None
+        return _room_figures(engine, gap_ms)
 
     def _share_of(self, service: str, traits: "RequestTraits") -> float:
         return admitted_share(self._routes.class_count(service), traits.urgency)
--- a/tests/gateway/rank_group_model.py
+++ b/tests/gateway/rank_group_model.py
@@ -57,21 +57,21 @@
 }
 
 
-def make_document(urgencies=(0, 1, 2), gap_ms=GAP_MS):
+def make_document(urgencies=(0, 1, 2), gap_ms=GAP_MS, engine=ENGINE):
     """Return a configuration whose routes have these priorities."""
     routes = [
         make_route(f"/p{urgency}/", "streaming", priority=urgency, gapAimMs=gap_ms)
         for urgency in urgencies
     ]
     document = make_configuration(routes=routes)
-    document["services"][0]["engine"] = ENGINE
+    document["services"][0]["engine"] = engine
     return document
 
 
-def make_routes(urgencies=(0, 1, 2), gap_ms=GAP_MS):
+def make_routes(urgencies=(0, 1, 2), gap_ms=GAP_MS, engine=ENGINE):
     """Return the route table of such a configuration."""
     table = RouteTable()
-    table.apply(orjson.dumps(make_document(urgencies, gap_ms)))
+    table.apply(orjson.dumps(make_document(urgencies, gap_ms, engine)))
     return table
 
 
--- a/tests/gateway/test_group_rooms.py
+++ b/tests/gateway/test_group_rooms.py
@@ -19,7 +19,7 @@
 from fuchsiahatch_gateway.process import METRICS_PATH, Process
 from fuchsiahatch_gateway.request_traits import RequestTraits
 from fuchsiahatch_routing.pass_model import INITIAL_IMBALANCE
-from tests.gateway.rank_group_model import SLOTS, make_document, make_routes
+from tests.gateway.rank_group_model import ENGINE, SLOTS, make_document, make_routes
 from tests.gateway.sites import make_settings
 from tests.gateway.test_fleet import item
 from tests.loopback import run
@@ -158,6 +158,13 @@
         self.assertEqual(self.admitted(), [0, 1, 2])
         self.assertEqual(self.rooms.readings(), {})
 
+    def test_engines_without_a_time_per_request_are_limited_by_their_slots(self):
+        # The imbalance would be a quotient by zero: each load report and each choice
+        # of an upstream would fail, and no request of the service would be served.
+        self.start(make_routes(engine={**ENGINE, "per_seq_ms": 0.0}))
+        self.report(*[5] * (RANKS - 1), 4, pass_ms=EVEN_MS)
+        self.assertEqual(self.admitted(), [0, 1, 2])
+
     def test_routes_of_one_priority_reserve_nothing(self):
         self.start(make_routes(urgencies=(2,)))
         self.report(*[4] * RANKS)
