Room is reserved in the slots that a drained zone leaves

Cause: the free slots of ranks in a drained zone, and of ranks that leave, count as room. With a third of a group's ranks drained the load never reaches 0.85 of the room: less urgent requests fill all slots that are left, and none is kept for urgent ones.

Change: a group's room is at most the slots of the ranks that get new requests and the present requests of the others. Nothing changes where all ranks get new requests.

--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -151,6 +151,7 @@
             lambda: len(self._entries.keys() | {settings.node}),
             clock,
             self._rng,
+            lambda: self.fleet.drains.zones,
         )
         self.fleet.on_reported = self.rooms.note_report
         self.fleet.full_groups = self.rooms.full_groups
--- a/packages/gateway/src/fuchsiahatch_gateway/group_rooms.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_rooms.py
@@ -81,11 +81,14 @@
         Returns the number of live entries, this one included.
     clock : Clock
     rng : random.Random
+    drained_zones : callable, optional
+        Returns the zones whose upstreams get no new requests.
     """
 
     __slots__ = (
         "_clock",
         "_count_entries",
+        "_drained_zones",
         "_groups",
         "_lines",
         "_rng",
@@ -100,7 +103,9 @@
         count_entries: t.Callable[[], int],
         clock: "Clock",
         rng: random.Random,
+        drained_zones: t.Callable[[], t.Collection[str]] = frozenset,
     ) -> None:
+        self._drained_zones = drained_zones
         self._routes = routes
         self._upstreams_of = upstreams_of
         self._count_entries = count_entries
@@ -190,13 +195,14 @@
     def _loads_of(self, service: str) -> dict[str, GroupLoad]:
         """Return the load of each rank group of a service."""
         now_ms = self._clock.now_ms()
+        drained_zones = self._drained_zones()
         loads: dict[str, GroupLoad] = {}
         for upstream in self._upstreams_of(service):
             if not upstream.group:
                 continue
             load = loads.get(upstream.group)
             if load is None:
-                load = loads[upstream.group] = GroupLoad()
+                load = loads[upstream.group] = GroupLoad(capacity=0)
             reported_ms = upstream.reported_ms
             if reported_ms is None or now_ms - reported_ms > MAX_LOAD_AGE_MS:
                 load.silent += 1
@@ -204,7 +210,12 @@
             requests = upstream.local_requests + upstream.peer_requests
             load.ranks += 1
             load.requests += requests
-            load.running += min(requests, upstream.entry.places)
+            entry = upstream.entry
+            load.running += min(requests, entry.places)
+            if upstream.accepts_requests and entry.zone not in drained_zones:
+                load.capacity += max(requests, entry.places)
+            else:
+                load.capacity += requests
             if upstream.pass_ms:
                 load.measured += 1
                 load.passes_ms += upstream.pass_ms
--- a/packages/routing/src/fuchsiahatch_routing/group_room.py
+++ b/packages/routing/src/fuchsiahatch_routing/group_room.py
@@ -1,6 +1,7 @@
 """Room of a rank group: requests with which its passes meet the pause objective."""
 
 import dataclasses
+import math
 import typing as t
 
 if t.TYPE_CHECKING:
@@ -53,6 +54,9 @@
         Running and queued on all these ranks.
     running : int
         Those that fit their slots.
+    capacity : float
+        Requests that these ranks can have: the slots of those that get new requests,
+        and the present requests of the others.
     silent : int
         Further ranks, whose load isn't known.
     measured : int
@@ -64,6 +68,7 @@
     ranks: int = 0
     requests: int = 0
     running: int = 0
+    capacity: float = math.inf
     silent: int = 0
     measured: int = 0
     passes_ms: float = 0.0
@@ -86,6 +91,11 @@
 def free_room(load: GroupLoad, room_per_rank: float, share: float) -> float:
     """Return how many further requests a group may get.
 
+    Where some ranks get no new requests, as in a drained zone, the others may have
+    fewer slots than the group has room, and a share of the capacity is open. With a
+    third of the ranks drained, the load never reaches 0.85 of the room, and nothing
+    would be reserved.
+
     Parameters
     ----------
     load : GroupLoad
@@ -100,4 +110,5 @@
 
     .. versionadded:: 0.1
     """
-    return max(1.0, share * room_per_rank * load.ranks) - load.requests
+    room = min(room_per_rank * load.ranks, load.capacity)
+    return max(1.0, share * room) - load.requests
--- a/tests/gateway/test_group_rooms.py
+++ b/tests/gateway/test_group_rooms.py
@@ -44,6 +44,7 @@
             lambda: entries,
             self.clock,
             random.Random(2),
+            lambda: self.fleet.drains.zones,
         )
         self.fleet.on_reported = self.rooms.note_report
         self.fleet.full_groups = self.rooms.full_groups
@@ -127,6 +128,22 @@
         self.report(*[4] * RANKS)
         self.assertEqual(self.admitted(), [0, 1])
 
+    def test_room_is_reserved_beside_ranks_in_a_drained_zone(self):
+        # Their free slots count as room, and the other ranks have fewer slots than 0.85
+        # of it: less urgent requests would fill all of them in a burst.
+        zones = {f"i{n}": "b" if n < 4 else "a" for n in range(RANKS)}
+        self.fleet.apply(
+            {
+                name: item(name, port, slots=SLOTS, zone=zone)
+                for port, (name, zone) in enumerate(zones.items(), 1)
+            }
+        )
+        self.fleet.apply_drains({"b"})
+        self.report(*[0] * 4, *[4] * 3, 5)
+        self.assertEqual(self.admitted(), [0, 1])
+        self.report(*[0] * 4, *[5] * 3, 3)
+        self.assertEqual(self.admitted(), [0])
+
     def test_another_group_is_used_instead(self):
         self.report(*[5] * 4, group="full")
         for port in range(5, RANKS + 1):
@@ -247,6 +264,24 @@
         self.report(4)
         self.assertIsNone(self.entry.fleet.choose("svc", (), RequestTraits()))
 
+    def test_it_reserves_room_beside_a_drained_zone(self):
+        # 10 slots are left of three ranks with room for 13.6 requests.
+        zones = {"i0": "a", "i1": "a", "i2": "b"}
+        self.entry.fleet.apply(
+            {
+                name: item(name, port, slots=SLOTS, zone=zone)
+                for port, (name, zone) in enumerate(zones.items(), 1)
+            }
+        )
+        self.entry.fleet.apply_drains({"b"})
+        for port, running in ((1, 4), (2, 4), (3, 0)):
+            address = f"10.0.0.1:{port}"
+            load = LoadReport(address, 0, running, 1.0, True, "g", 0.0, 0)
+            self.entry._handle_load(load, None)
+        choose = self.entry.fleet.choose
+        self.assertIsNotNone(choose("svc", (), RequestTraits(urgency=0)))
+        self.assertIsNone(choose("svc", (), RequestTraits(urgency=2)))
+
     def test_its_metrics_have_each_group(self):
         add_gauges(self.entry, self.process)
         self.report(4)
--- a/tests/routing/test_group_room.py
+++ b/tests/routing/test_group_room.py
@@ -32,6 +32,13 @@
         self.assertAlmostEqual(free_room(load, 4.5, 1.0), 4.0)
         self.assertLess(free_room(load, 4.5, 0.92), 0.0)
 
+    def test_room_is_reserved_in_the_slots_that_get_new_requests(self):
+        # 11 of 32 ranks are in a drained zone. A load of 105 would never reach 0.85 of
+        # the room, which is 136.
+        load = GroupLoad(ranks=32, requests=100, capacity=105)
+        self.assertAlmostEqual(free_room(load, 5.0, 1.0), 5.0)
+        self.assertLess(free_room(load, 5.0, 0.85), 0.0)
+
     def test_a_less_urgent_request_is_served_by_an_idle_group_of_one_slot(self):
         self.assertEqual(free_room(GroupLoad(ranks=1), 1.0, 0.85), 1.0)
         self.assertEqual(free_room(GroupLoad(ranks=1, requests=1), 1.0, 0.85), 0.0)
