A class without room costs no other class its turn in the queue

Cause: one in eight requests that leave a queue with classes is the oldest of those passed over. If its class had no room, the turn went to the most urgent class again. While the load stays between the shares of the second and the third class, an older request of the third kept the second from all its turns in a burst of the first.

Change: the turn goes to the oldest of the classes that may leave.

Evidence: the new test of test_queues fails before (eight urgent requests in a row) and passes after; test_request_order passes.

--- a/packages/routing/src/fuchsiahatch_routing/queues.py
+++ b/packages/routing/src/fuchsiahatch_routing/queues.py
@@ -345,9 +345,9 @@
     waits among all others and is served late.
 
     One in `PASSED_OVER_INTERVAL` requests that leave is the oldest of the less urgent
-    classes, whatever its team, and is charged to that team. A full queue evicts from
-    its least urgent class, but not the last request of a class. Both keep a lasting
-    burst from starving a class.
+    classes that may leave, whatever its team, and is charged to that team. A full queue
+    evicts from its least urgent class, but not the last request of a class. Both keep a
+    lasting burst from starving a class.
 
     .. versionadded:: 0.1
     """
@@ -424,8 +424,8 @@
         if not passed_over or self._passes + further < PASSED_OVER_INTERVAL:
             return None
         waiting = itertools.chain.from_iterable(passed_over)
-        oldest = min(waiting, key=lambda request: request.ticket)
-        return oldest if admits(oldest.priority) else None
+        admitted = (request for request in waiting if admits(request.priority))
+        return min(admitted, key=lambda request: request.ticket, default=None)
 
     def _evict(self) -> QueuedRequest:
         waiting = self._nonempty()
--- a/tests/routing/test_queues.py
+++ b/tests/routing/test_queues.py
@@ -148,6 +148,15 @@
         self.assertIsNone(queue.pop(1.0, lambda priority: priority < 2))
         self.assertEqual(queue.pop(1.0).priority, 2)
 
+    def test_a_class_that_is_not_admitted_costs_no_other_its_turn(self):
+        """Guards against a class that starves behind an older one with no room left."""
+        queue = ClassQueue(1_000)
+        fill(queue, "batch", 1, priority=2)
+        fill(queue, "chat", 1, priority=1)
+        fill(queue, "urgent", 20, priority=0)
+        turns = [queue.pop(1.0, lambda priority: priority < 2) for _ in range(8)]
+        self.assertEqual(classes_of(turns), [0] * 7 + [1])
+
     def test_a_full_queue_evicts_the_least_urgent_but_never_all_of_a_class(self):
         """Guards against a burst that fills the queue and leaves a class no turn."""
         queue = ClassQueue(4)
