A request that ends at a closed group is replaced elsewhere in turn only

Cause: a slot that an entry's request frees goes to a waiting request without awaiting the entry's turn, as the load of all entries together stays the same. When a rank dies, all streams of its group end at once, and their replacements went to the other group: each entry filled the room that all see there, and its own retries came on top.

Change: without a turn only if the upstream of the request that ended still gets new requests. Otherwise waiting requests await their turn, as after a load report.

Evidence: the new test of test_placing fails before (the waiting request is sent to the other upstream) and passes after; test_request_order, test_cold_starts and test_allowed_regions pass.

--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -336,7 +336,8 @@
         """Free a slot and assign it to a waiting request.
 
         One request replaces the one that ended, without awaiting this entry's turn: the
-        load of all entries together stays the same.
+        load of all entries together stays the same. Not so if the upstream gets no new
+        requests: then the replacement adds to the load of another one.
         """
         service = upstream.entry.service
         self._return_times.note_freed_slot(service, self._clock.now_ms())
@@ -346,8 +347,9 @@
         """Free a slot to which no request was sent; it says nothing of the rate."""
         upstream.local_requests -= 1
         service = upstream.entry.service
-        for key in self._keys(service)[:1]:
-            self._serve_next(key, awaits_turn=False)
+        if self._fleet.is_usable(upstream):
+            for key in self._keys(service)[:1]:
+                self._serve_next(key, awaits_turn=False)
         self.serve_waiting(service)
 
     def serve_waiting(self, service: str | None = None) -> None:
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -167,3 +167,20 @@
             return (await waiting).local_requests
 
         self.assertEqual(run(wait()), 1)
+
+    def test_a_request_that_ends_at_a_closed_group_is_not_replaced_at_another(self):
+        # When a rank dies, all streams of its group end at once, and each of 31 entries
+        # would replace its own ones in the room that the other group has left.
+        async def wait():
+            await self.acquire()
+            closing = self.fleet.upstreams["a"]
+            waiting = asyncio.ensure_future(self.acquire())
+            await asyncio.sleep(0.01)
+            self.fleet.apply({"a": item("a", 1, slots=1), "b": item("b", 2, slots=1)})
+            closing.open = False
+            self.placer.release(closing)
+            with self.assertRaises(RefusedError):
+                await waiting
+            return self.fleet.upstreams["b"].local_requests
+
+        self.assertEqual(run(wait()), 0)
