Loads of rank groups are added up with fewer property reads

Cause: each choice of an upstream adds up the loads of all ranks. Whether a rank gets new requests was read for full ones too, and each condition by its own chain of properties.

Change: a rank without a free slot isn't examined further; local names for the rest.

--- a/packages/gateway/src/fuchsiahatch_gateway/group_rooms.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_rooms.py
@@ -193,27 +193,37 @@
         return free_room(load, group.room_per_rank, share)
 
     def _loads_of(self, service: str) -> dict[str, GroupLoad]:
-        """Return the load of each rank group of a service."""
-        now_ms = self._clock.now_ms()
+        """Return the load of each rank group of a service.
+
+        This is done for each choice of an upstream, over up to 192 of them.
+        """
+        earliest_ms = self._clock.now_ms() - MAX_LOAD_AGE_MS
         drained_zones = self._drained_zones()
         loads: dict[str, GroupLoad] = {}
         for upstream in self._upstreams_of(service):
-            if not upstream.group:
+            name = upstream.group
+            if not name:
                 continue
-            load = loads.get(upstream.group)
+            load = loads.get(name)
             if load is None:
-                load = loads[upstream.group] = GroupLoad(capacity=0)
+                load = loads[name] = GroupLoad(capacity=0)
             reported_ms = upstream.reported_ms
-            if reported_ms is None or now_ms - reported_ms > MAX_LOAD_AGE_MS:
+            if reported_ms is None or reported_ms < earliest_ms:
                 load.silent += 1
                 continue
+            entry = upstream.entry
+            slots = entry.places
             requests = upstream.local_requests + upstream.peer_requests
+            has_free_slot = requests < slots
             load.ranks += 1
             load.requests += requests
-            entry = upstream.entry
-            load.running += min(requests, entry.places)
-            if upstream.accepts_requests and entry.zone not in drained_zones:
-                load.capacity += max(requests, entry.places)
+            load.running += requests if has_free_slot else slots
+            if (
+                has_free_slot
+                and entry.zone not in drained_zones
+                and upstream.accepts_requests
+            ):
+                load.capacity += slots
             else:
                 load.capacity += requests
             if upstream.pass_ms:
