A choice of an upstream asks once whether its service limits cold starts

Cause: choose asked ColdStarts.may_send for each free upstream, which looks up the figures of the service each time, also where it states none.

Change: the figures are looked up once for each choice.

--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -413,6 +413,7 @@
         engine = self.engine_of(service)
         paces = fastest_paces([*ready, *backing_off])
         full_groups = self.full_groups(service, traits)
+        has_cold_starts = self.cold_starts.limits_of(service) is not None
         free = [
             upstream
             for upstream in ready
@@ -421,7 +422,7 @@
             and upstream.local_requests < upstream.max_local_requests
             and not (only_unlimited and self.needs_permit(upstream))
             and upstream.load(now_ms) < upstream.places(engine, paces[upstream.group])
-            and self.cold_starts.may_send(upstream)
+            and (not has_cold_starts or self.cold_starts.may_send(upstream))
         ]
         groups = {
             self.upstreams[instance].group
