Waiting requests are served at an interval, without any event

Cause: waiting requests are looked at when a load report arrives, a slot is released or another request arrives. A request that left free room in the last report to other entries, or whose agents fell silent, was not looked at again, although only slots count once the reports are 1 s old. With waits of up to 2.8 s it was refused beside free slots.

Change: an entry serves waiting requests each 100 ms as well.

Evidence: the new test of test_group_rooms fails without the call (refused after 2 s) and passes with it.

--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -95,6 +95,8 @@
 #: Interval at which an entry checks whether announcements to agents are due.
 ANNOUNCE_POLL_INTERVAL_MS = 100
 IDLE_POLL_INTERVAL_MS = 50
+#: Interval at which free slots are assigned to waiting requests without any event.
+SERVE_INTERVAL_MS = 100
 
 
 class Entry:
@@ -278,6 +280,7 @@
         # Callers are accepted once routes and upstreams are known.
         await self._wait_until_synced()
         await self._accept_callers()
+        process.keep_running(self._serve_waiting_forever())
         process.keep_running(self._send_heartbeats_forever())
         # Requests wait for the first load reports no longer than this.
         reactor.callLater(FIRST_REPORT_TIMEOUT_MS / 1000, self.placer.serve_waiting)
@@ -324,6 +327,16 @@
             self.permits.note_entries()
             await asyncio.sleep(ANNOUNCE_POLL_INTERVAL_MS / 1000)
 
+    async def _serve_waiting_forever(self) -> None:
+        """Serve waiting requests while no load report arrives and no slot is released.
+
+        Otherwise a request that left a slot to other entries in the last report of an
+        agent, or whose upstream's load is unknown since, is refused beside free slots.
+        """
+        while True:
+            await asyncio.sleep(SERVE_INTERVAL_MS / 1000)
+            self.placer.serve_waiting()
+
     async def _send_heartbeats_forever(self) -> None:
         """Send heartbeats to other entries while the store is down."""
         while True:
--- a/tests/gateway/test_group_rooms.py
+++ b/tests/gateway/test_group_rooms.py
@@ -1,3 +1,4 @@
+import asyncio
 import os
 import random
 import types
@@ -282,6 +283,25 @@
         self.assertIsNotNone(choose("svc", (), RequestTraits(urgency=0)))
         self.assertIsNone(choose("svc", (), RequestTraits(urgency=2)))
 
+    def test_a_request_that_waits_when_agents_fall_silent_is_served(self):
+        # Only slots count once the last reports are too old, but no event says so. A
+        # patient caller's request would wait beside free slots until it is refused.
+        async def wait():
+            self.report(SLOTS)
+            serving = asyncio.ensure_future(self.entry._serve_waiting_forever())
+            traits = RequestTraits("t", 2)
+            waiting = asyncio.ensure_future(
+                self.entry.placer.acquire("svc", traits, (), 2_000)
+            )
+            await asyncio.sleep(0.01)
+            self.entry.fleet.upstreams["i0"].reported_ms -= MAX_LOAD_AGE_MS
+            try:
+                return (await waiting).local_requests
+            finally:
+                serving.cancel()
+
+        self.assertEqual(run(wait()), 1)
+
     def test_its_metrics_have_each_group(self):
         add_gauges(self.entry, self.process)
         self.report(4)
