A group without reports is no longer shown in the metrics

Cause: groups were dropped at a report of another group only. When all agents fell silent, or the configuration no longer limited a service's groups, the last room and load stayed in the metrics for ever.

Evidence: the new test of test_group_rooms fails before and passes after.

--- a/packages/gateway/src/fuchsiahatch_gateway/group_rooms.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_rooms.py
@@ -160,6 +160,7 @@
 
     def readings(self) -> dict[str, GroupReading]:
         """Return each group's room, load and imbalance at its latest evaluation."""
+        self._forget_silent(self._clock.now_ms())
         return {
             name: GroupReading(
                 group.room_per_rank * group.load.ranks,
--- a/tests/gateway/test_group_rooms.py
+++ b/tests/gateway/test_group_rooms.py
@@ -244,6 +244,13 @@
         self.report(*[3] * RANKS)
         self.assertEqual(list(self.rooms.readings()), ["g"])
 
+    def test_a_group_without_reports_has_no_reading(self):
+        # Once all agents are silent, or the limit is removed from the configuration,
+        # no further report drops the group: its last load would be shown for ever.
+        self.report(*[3] * RANKS)
+        self.clock.advance(group_rooms.FORGET_MS + 1)
+        self.assertEqual(self.rooms.readings(), {})
+
 
 class TestEntry(unittest.TestCase):
     def setUp(self):
