--- a/packages/gateway/src/fuchsiahatch_gateway/group_rooms.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_rooms.py
@@ -81,11 +81,14 @@
         Returns the number of live entries, this one included.
     clock : Clock
     rng : random.Random
+    drained_zones : callable, optional
+        Returns the zones whose upstreams get no new requests.
     """
 
     __slots__ = (
         "_clock",
         "_count_entries",
+        "_drained_zones",
         "_groups",
         "_lines",
         "_rng",
@@ -100,7 +103,9 @@
         count_entries: t.Callable[[], int],
         clock: "Clock",
         rng: random.Random,
+        drained_zones: t.Callable[[], t.Collection[str]] = frozenset,
     ) -> None:
+        self._drained_zones = drained_zones
         self._routes = routes
         self._upstreams_of = upstreams_of
         self._count_entries = count_entries
@@ -155,6 +160,7 @@
 
     def readings(self) -> dict[str, GroupReading]:
         """Return each group's room, load and imbalance at its latest evaluation."""
+        self._forget_silent(self._clock.now_ms())
         return {
             name: GroupReading(
                 group.room_per_rank * group.load.ranks,
@@ -166,10 +172,15 @@
         }
 
     def _figures_of(self, service: str) -> RoomFigures | None:
-        """Return a service's figures; None where its groups have no limit."""
+        """Return a service's figures; None where its groups have no limit.
+
+        Nothing limits engines whose requests don't lengthen their passes.
+        """
         gap_ms = self._routes.gap_ms_of(service)
         engine = self._routes.engine_of(service) if gap_ms else None
-        return None if engine is None else _room_figures(engine, gap_ms)
+        if engine is None or not engine.step_ms_per_request:
+            return None
+        return _room_figures(engine, gap_ms)
 
     def _share_of(self, service: str, traits: "RequestTraits") -> float:
         return admitted_share(self._routes.class_count(service), traits.urgency)
@@ -183,23 +194,39 @@
         return free_room(load, group.room_per_rank, share)
 
     def _loads_of(self, service: str) -> dict[str, GroupLoad]:
-        """Return the load of each rank group of a service."""
-        now_ms = self._clock.now_ms()
+        """Return the load of each rank group of a service.
+
+        This is done for each choice of an upstream, over up to 192 of them.
+        """
+        earliest_ms = self._clock.now_ms() - MAX_LOAD_AGE_MS
+        drained_zones = self._drained_zones()
         loads: dict[str, GroupLoad] = {}
         for upstream in self._upstreams_of(service):
-            if not upstream.group:
+            name = upstream.group
+            if not name:
                 continue
-            load = loads.get(upstream.group)
+            load = loads.get(name)
             if load is None:
-                load = loads[upstream.group] = GroupLoad()
+                load = loads[name] = GroupLoad(capacity=0)
             reported_ms = upstream.reported_ms
-            if reported_ms is None or now_ms - reported_ms > MAX_LOAD_AGE_MS:
+            if reported_ms is None or reported_ms < earliest_ms:
                 load.silent += 1
                 continue
+            entry = upstream.entry
+            slots = entry.places
             requests = upstream.local_requests + upstream.peer_requests
+            has_free_slot = requests < slots
             load.ranks += 1
             load.requests += requests
-            load.running += min(requests, upstream.entry.places)
+            load.running += requests if has_free_slot else slots
+            if (
+                has_free_slot
+                and entry.zone not in drained_zones
+                and upstream.accepts_requests
+            ):
+                load.capacity += slots
+            else:
+                load.capacity += requests
             if upstream.pass_ms:
                 load.measured += 1
                 load.passes_ms += upstream.pass_ms
--- a/tests/gateway/test_group_rooms.py
+++ b/tests/gateway/test_group_rooms.py
@@ -1,3 +1,4 @@
+import asyncio
 import os
 import random
 import types
@@ -19,7 +20,7 @@
 from fuchsiahatch_gateway.process import METRICS_PATH, Process
 from fuchsiahatch_gateway.request_traits import RequestTraits
 from fuchsiahatch_routing.pass_model import INITIAL_IMBALANCE
-from tests.gateway.rank_group_model import SLOTS, make_document, make_routes
+from tests.gateway.rank_group_model import ENGINE, SLOTS, make_document, make_routes
 from tests.gateway.sites import make_settings
 from tests.gateway.test_fleet import item
 from tests.loopback import run
@@ -44,6 +45,7 @@
             lambda: entries,
             self.clock,
             random.Random(2),
+            lambda: self.fleet.drains.zones,
         )
         self.fleet.on_reported = self.rooms.note_report
         self.fleet.full_groups = self.rooms.full_groups
@@ -127,6 +129,22 @@
         self.report(*[4] * RANKS)
         self.assertEqual(self.admitted(), [0, 1])
 
+    def test_room_is_reserved_beside_ranks_in_a_drained_zone(self):
+        # Their free slots count as room, and the other ranks have fewer slots than 0.85
+        # of it: less urgent requests would fill all of them in a burst.
+        zones = {f"i{n}": "b" if n < 4 else "a" for n in range(RANKS)}
+        self.fleet.apply(
+            {
+                name: item(name, port, slots=SLOTS, zone=zone)
+                for port, (name, zone) in enumerate(zones.items(), 1)
+            }
+        )
+        self.fleet.apply_drains({"b"})
+        self.report(*[0] * 4, *[4] * 3, 5)
+        self.assertEqual(self.admitted(), [0, 1])
+        self.report(*[0] * 4, *[5] * 3, 3)
+        self.assertEqual(self.admitted(), [0])
+
     def test_another_group_is_used_instead(self):
         self.report(*[5] * 4, group="full")
         for port in range(5, RANKS + 1):
@@ -158,6 +176,13 @@
         self.assertEqual(self.admitted(), [0, 1, 2])
         self.assertEqual(self.rooms.readings(), {})
 
+    def test_engines_without_a_time_per_request_are_limited_by_their_slots(self):
+        # The imbalance would be a quotient by zero: each load report and each choice
+        # of an upstream would fail, and no request of the service would be served.
+        self.start(make_routes(engine={**ENGINE, "per_seq_ms": 0.0}))
+        self.report(*[5] * (RANKS - 1), 4, pass_ms=EVEN_MS)
+        self.assertEqual(self.admitted(), [0, 1, 2])
+
     def test_routes_of_one_priority_reserve_nothing(self):
         self.start(make_routes(urgencies=(2,)))
         self.report(*[4] * RANKS)
@@ -219,6 +244,13 @@
         self.report(*[3] * RANKS)
         self.assertEqual(list(self.rooms.readings()), ["g"])
 
+    def test_a_group_without_reports_has_no_reading(self):
+        # Once all agents are silent, or the limit is removed from the configuration,
+        # no further report drops the group: its last load would be shown for ever.
+        self.report(*[3] * RANKS)
+        self.clock.advance(group_rooms.FORGET_MS + 1)
+        self.assertEqual(self.rooms.readings(), {})
+
 
 class TestEntry(unittest.TestCase):
     def setUp(self):
@@ -240,6 +272,43 @@
         self.report(4)
         self.assertIsNone(self.entry.fleet.choose("svc", (), RequestTraits()))
 
+    def test_it_reserves_room_beside_a_drained_zone(self):
+        # 10 slots are left of three ranks with room for 13.6 requests.
+        zones = {"i0": "a", "i1": "a", "i2": "b"}
+        self.entry.fleet.apply(
+            {
+                name: item(name, port, slots=SLOTS, zone=zone)
+                for port, (name, zone) in enumerate(zones.items(), 1)
+            }
+        )
+        self.entry.fleet.apply_drains({"b"})
+        for port, running in ((1, 4), (2, 4), (3, 0)):
+            address = f"10.0.0.1:{port}"
+            load = LoadReport(address, 0, running, 1.0, True, "g", 0.0, 0)
+            self.entry._handle_load(load, None)
+        choose = self.entry.fleet.choose
+        self.assertIsNotNone(choose("svc", (), RequestTraits(urgency=0)))
+        self.assertIsNone(choose("svc", (), RequestTraits(urgency=2)))
+
+    def test_a_request_that_waits_when_agents_fall_silent_is_served(self):
+        # Only slots count once the last reports are too old, but no event says so. A
+        # patient caller's request would wait beside free slots until it is refused.
+        async def wait():
+            self.report(SLOTS)
+            serving = asyncio.ensure_future(self.entry._serve_waiting_forever())
+            traits = RequestTraits("t", 2)
+            waiting = asyncio.ensure_future(
+                self.entry.placer.acquire("svc", traits, (), 2_000)
+            )
+            await asyncio.sleep(0.01)
+            self.entry.fleet.upstreams["i0"].reported_ms -= MAX_LOAD_AGE_MS
+            try:
+                return (await waiting).local_requests
+            finally:
+                serving.cancel()
+
+        self.assertEqual(run(wait()), 1)
+
     def test_its_metrics_have_each_group(self):
         add_gauges(self.entry, self.process)
         self.report(4)
