A choice of an upstream no longer counts the entries for each upstream

Cause: with cold-start figures, each choice asked for every free upstream of the service how many requests this entry may send it, and counted the live entries and built all three cold periods for that. An entry with waiting requests chooses anew at each of 200 load reports a second.

Change: an upstream without a recent send of this entry passes at once, as the limit is at least one; only current cold periods are built.

--- a/packages/gateway/src/fuchsiahatch_gateway/cold_starts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/cold_starts.py
@@ -224,6 +224,10 @@
         many entries could send it some requests before they learn of that. A cold
         upstream needs a permit instead.
         """
+        if not upstream.cold.sends_ms:
+            # The limit is at least one. Most upstreams pass here, as each choice asks
+            # for all of a service.
+            return True
         limits = self.limits_of(upstream.entry.service)
         if limits is None or self._period(upstream, limits) is not None:
             return True
@@ -255,16 +259,19 @@
 
     def _period(self, upstream: "Upstream", limits: ColdLimits) -> _Period | None:
         """Return the current cold period that ends last; None where there is none."""
-        period = max(self._periods(upstream, limits.duration_ms))
-        return period if period.until_ms > self._clock.now_ms() else None
+        return max(self._periods(upstream, limits.duration_ms), default=None)
 
     def _periods(self, upstream: "Upstream", duration_ms: int) -> t.Iterator[_Period]:
-        facts = upstream.cold
-        yield _Period(facts.item_until_ms, facts.item_seen_ms, "item")
-        if facts.age_ms < duration_ms + MAX_CLOCK_SKEW_MS:
+        """Yield the current cold periods."""
+        facts, now_ms = upstream.cold, self._clock.now_ms()
+        earliest_ms = now_ms - duration_ms
+        if facts.item_until_ms > now_ms:
+            yield _Period(facts.item_until_ms, facts.item_seen_ms, "item")
+        born_lately = facts.age_ms < duration_ms + MAX_CLOCK_SKEW_MS
+        if born_lately and facts.seen_ms > earliest_ms:
             yield _Period(facts.seen_ms + duration_ms, facts.seen_ms, "start")
         returned_ms = self._zones_returned_ms.get(upstream.entry.zone)
-        if returned_ms is not None:
+        if returned_ms is not None and returned_ms > earliest_ms:
             yield _Period(returned_ms + duration_ms, returned_ms, "drain")
 
     def _age_ms(self, born_ms: int) -> float:
--- a/tests/gateway/test_cold_starts.py
+++ b/tests/gateway/test_cold_starts.py
@@ -275,6 +275,20 @@
         self.assertEqual(self.send(20), [0] * 20)
         self.assertIsNotNone(self.fleet.choose("svc", ()))
 
+    def test_entries_are_counted_only_for_upstreams_with_a_recent_send(self):
+        # Each choice among 64 upstreams would count the entries 64 times, which takes
+        # an entry with waiting requests a tenth of a core: it chooses anew at each of
+        # 200 load reports a second.
+        counted = mock.Mock(return_value=31)
+        self.fleet.cold_starts = ColdStarts(
+            self.clock, lambda service: FIGURES, OVER, SLACK, counted
+        )
+        self.apply(**{f"i{port}": item(f"i{port}", port) for port in range(1, 65)})
+        self.send(1, "i7")
+        counted.reset_mock()
+        self.fleet.choose("svc", ())
+        self.assertEqual(counted.call_count, 1)
+
     def test_a_request_waits_until_the_next_may_be_sent(self):
         async def play(loop):
             clock = loop.make_clock()
