A refused permit of a stated rate no longer counts as a send of this entry

Cause: the limit on an entry's own sends to an upstream of a service with cold-start figures counted a request when it got its slot, before it asked for the permit of a stated rate. With 31 entries the limit is one a second, so after each refusal the entry left the upstream out for a second, and the permit that the issuer had promised it was not used.

Change: a request that needs a permit counts when it has got it. Permits that come together are checked against the limit then; those beyond it are not used.

Evidence: the first new test waited 1,002 ms for a permit that was due after 50 ms. The second one holds before and after: two permits that come together are used a second apart. test_cold_starts, test_stated_rates and test_placing pass.

--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -229,9 +229,13 @@
         except BaseException:
             self._release_unused(upstream)
             raise
-        if not wait_ms:
+        if not wait_ms and self._fleet.cold_starts.may_send(upstream):
+            self._note_send(upstream)
             return True
-        self._note_limited(upstream, wait_ms)
+        if wait_ms:
+            self._note_limited(upstream, wait_ms)
+        # Without a wait, permits for several requests have come together, and exceed
+        # the limit on this entry's own sends.
         self._release_unused(upstream)
         return False
 
@@ -253,6 +257,15 @@
     def _reserve(self, upstream: "Upstream") -> None:
         """Reserve a slot for a request that is sent at once or asks for a permit."""
         upstream.local_requests += 1
+        if not self._fleet.needs_permit(upstream):
+            self._note_send(upstream)
+
+    def _note_send(self, upstream: "Upstream") -> None:
+        """Count a send; one that needs a permit counts when it has got it.
+
+        Otherwise a refused permit would keep this entry from an upstream for a second,
+        beyond the time of the next permit.
+        """
         wait_ms = self._fleet.cold_starts.note_send(upstream)
         if wait_ms:
             # A request may wait for this. The limit falls as entries join, so that it
--- a/tests/gateway/test_cold_starts.py
+++ b/tests/gateway/test_cold_starts.py
@@ -301,6 +301,51 @@
 
         self.assertIn(run_virtually(play), range(2_000, 2_010))
 
+    def test_a_permit_of_a_stated_rate_that_was_refused_is_no_send(self):
+        # The upstream would be left out for a second after each refusal, so that the
+        # permit that was promised meanwhile is used by nobody.
+        async def play(loop):
+            clock, waits = loop.make_clock(), iter([50, 0])
+
+            async def ask(one):
+                await asyncio.sleep(0.002)
+                return next(waits)
+
+            self.fleet = make_fleet(clock, 31)
+            self.apply(a=item("a", 1))
+            self.fleet.upstreams["a"].stated = StatedRate(10.0, 0)
+            placer = Placer(self.fleet, clock, ask)
+            with self.assertRaises(RefusedError):
+                await placer.acquire("svc", RequestTraits("t", 1), (), 1_500)
+            await asyncio.sleep(0.06)
+            await placer.acquire("svc", RequestTraits("t", 1), (), 1_500)
+            return clock.now_ms()
+
+        self.assertLess(run_virtually(play), 100)
+
+    def test_permits_of_a_stated_rate_that_come_together_do_not_exceed_it(self):
+        async def play(loop):
+            async def ask(one):
+                await asyncio.sleep(0.002)
+                return 0
+
+            clock = loop.make_clock()
+            self.fleet = make_fleet(clock, 31)
+            self.apply(a=item("a", 1))
+            self.fleet.upstreams["a"].stated = StatedRate(10.0, 0)
+            placer = Placer(self.fleet, clock, ask)
+
+            async def request():
+                await placer.acquire("svc", RequestTraits("t", 1), (), 2_500)
+                return clock.now_ms()
+
+            ends_ms = await asyncio.gather(request(), request())
+            return ends_ms, self.fleet.upstreams["a"].local_requests
+
+        (first_ms, second_ms), local_requests = run_virtually(play)
+        self.assertGreaterEqual(second_ms - first_ms, 1_000)
+        self.assertEqual(local_requests, 2)
+
     def test_a_request_waits_no_longer_where_entries_join_meanwhile(self):
         # The limit falls from three to one, and no send reaches the lower one.
         async def play(loop):
