A request isn't refused because a cold period ends while it asks for permits

Cause: after three refused permits a request waited only if some upstream was cold at that moment. If the period had just ended, the request was refused, though the upstream takes requests without permits as soon as the time until its next permit is over.

Change: an upstream without a stated rate whose next permit is awaited counts as well.

Evidence: the new test was refused with RATE_REACHED before. test_cold_starts passes.

--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -138,12 +138,20 @@
     def _may_await_permit(
         self, service: str, traits: RequestTraits, ends_ms: float
     ) -> bool:
-        """Return whether a cold upstream of a service may issue a permit in time."""
-        if self._clock.now_ms() >= ends_ms:
+        """Return whether a permit of a cold upstream may be issued in time.
+
+        One whose cold period has just ended counts too: it needs no permit once the
+        time until its next one is over.
+        """
+        now_ms = self._clock.now_ms()
+        if now_ms >= ends_ms:
             return False
         regions = self._fleet.regions.of(traits)
         return any(
-            self._fleet.needs_permit(upstream) and upstream.stated is None
+            upstream.stated is None
+            and (
+                upstream.limited_until_ms > now_ms or self._fleet.needs_permit(upstream)
+            )
             for upstream in self._fleet.usable(service, regions)
         )
 
--- a/tests/gateway/test_cold_starts.py
+++ b/tests/gateway/test_cold_starts.py
@@ -445,6 +445,24 @@
         self.assertEqual((end.result, waiting), (Code.RATE_REACHED, 0))
         self.assertGreater(end.retry_after_ms, 590)
 
+    def test_it_is_not_refused_because_the_cold_period_ends_while_it_asks(self):
+        # The third permit is refused just after the period ended, and the upstream
+        # takes requests without permits as soon as that answer's wait is over.
+        async def play(loop):
+            clock, waits = loop.make_clock(), iter([1, 1, 100])
+
+            async def ask(one):
+                await asyncio.sleep(0.002)
+                return next(waits)
+
+            self.fleet = make_fleet(clock)
+            self.apply(a=item("a", 1, coldRemainingMs=7))
+            placer = Placer(self.fleet, clock, ask)
+            await placer.acquire("svc", RequestTraits("t", 1), (), 500)
+            return clock.now_ms()
+
+        self.assertIn(run_virtually(play), range(100, 115))
+
     def test_it_is_refused_after_its_wait(self):
         at_ms, end, waiting, _ = self.play(itertools.repeat(60))
         self.assertLess(at_ms, 520)
