An upstream is cold by a start time that its agent reports after its item was read

Cause: the age of an incarnation was noted once, when its item was first seen. Where the item names no start time and the entry had just started, the age counted as unknown for good, also when a load report named a recent start.

Change: the age is noted anew when the start time becomes known. One that has counted as new until then stays cold.

Evidence: the new test found the upstream warm before. test_cold_starts and test_fleet pass.

--- a/packages/gateway/src/fuchsiahatch_gateway/cold_starts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/cold_starts.py
@@ -146,6 +146,16 @@
         upstream.cold.age_ms = self._age_ms(upstream.born_ms)
         self._log_begin(upstream)
 
+    def note_start_time(self, upstream: "Upstream") -> None:
+        """Note that the start time of an incarnation has become known."""
+        facts, was_cold = upstream.cold, self.is_cold(upstream)
+        since_seen_ms = self._clock.now_ms() - facts.seen_ms
+        age_ms = self._age_ms(upstream.born_ms) - since_seen_ms
+        # One that has counted as new until now stays cold for its time.
+        facts.age_ms = min(facts.age_ms, age_ms)
+        if not was_cold:
+            self._log_begin(upstream)
+
     def note_item(self, upstream: "Upstream", version: tuple[int, int]) -> None:
         """Note the remaining cold time of an upstream's item, if it has changed."""
         facts = upstream.cold
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -519,6 +519,7 @@
         if not former.born_ms and entry.address == former.entry.address:
             # The first known start time: the state is of this incarnation.
             former.born_ms = born_ms
+            self.cold_starts.note_start_time(former)
             return former
         instance = entry.instance
         log_event(
--- a/tests/gateway/test_cold_starts.py
+++ b/tests/gateway/test_cold_starts.py
@@ -124,6 +124,14 @@
         self.fleet.observe(load(1, born_ms=NOW_MS - 500))
         self.assert_cold_for(FIGURES.duration_ms)
 
+    def test_a_start_that_the_agent_tells_later_than_the_item_makes_it_cold(self):
+        # An entry that starts beside the upstream, whose item doesn't name its start,
+        # would send to it as to a warm one, though the agent reports the start.
+        self.apply(a=item("a", 1))
+        self.clock.advance(200)
+        self.fleet.observe(load(1, born_ms=NOW_MS - 500))
+        self.assert_cold_for(FIGURES.duration_ms - 200)
+
     def test_upstreams_of_a_zone_are_cold_when_its_drain_ends(self):
         self.apply(a=item("a", 1, zone="a"), b=item("b", 2, zone="b"))
         self.fleet.note_zone_returned("a")
