A request that waits beside a stated rate is woken when its next permit is due

Cause: a request waits where one upstream is full and the stated rate of another one is reached. The time of the next permit was noted, and nothing served the queue then: in a service without load reports the request waited until another one ended. Cold upstreams were served at that time already.

Change: the queue is served after each wait that an issuer names.

Evidence: the new test was refused after its whole wait before.

--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -255,8 +255,9 @@
             # wait for the earliest.
             if upstream.limited_until_ms > now_ms:
                 until_ms = min(until_ms, upstream.limited_until_ms)
-            self._serve_later(upstream.entry.service, wait_ms)
         upstream.limited_until_ms = until_ms
+        # Requests that wait for full upstreams may use this one from then on.
+        self._serve_later(upstream.entry.service, wait_ms)
 
     def _serve_later(self, service: str, wait_ms: int) -> None:
         loop = asyncio.get_running_loop()
--- a/tests/gateway/test_cold_starts.py
+++ b/tests/gateway/test_cold_starts.py
@@ -488,6 +488,25 @@
             )
             self.assertEqual(end, "b")
 
+    def test_a_request_that_waits_beside_a_stated_rate_gets_the_next_permit(self):
+        # Its wait would last until another request ends: nothing else of a service
+        # without load reports shows that the time of the next permit has come.
+        async def play(loop):
+            clock, waits = loop.make_clock(), iter([100, 0])
+
+            async def ask(one):
+                return next(waits)
+
+            self.fleet = make_fleet(clock, figures=None)
+            self.apply(a=item("a", 1), full=item("full", 2, slots=1))
+            self.fleet.upstreams["a"].stated = StatedRate(5.0, 0)
+            self.fleet.upstreams["full"].local_requests = 1
+            placer = Placer(self.fleet, clock, ask)
+            await placer.acquire("svc", RequestTraits("t", 1), (), 500)
+            return clock.now_ms()
+
+        self.assertIn(run_virtually(play), range(100, 110))
+
     def test_a_cold_one_is_awaited_beside_one_whose_stated_rate_is_reached(self):
         async def play(loop):
             clock = loop.make_clock()
