--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -138,12 +138,20 @@
     def _may_await_permit(
         self, service: str, traits: RequestTraits, ends_ms: float
     ) -> bool:
-        """Return whether a cold upstream of a service may issue a permit in time."""
-        if self._clock.now_ms() >= ends_ms:
+        """Return whether a permit of a cold upstream may be issued in time.
+
+        One whose cold period has just ended counts too: it needs no permit once the
+        time until its next one is over.
+        """
+        now_ms = self._clock.now_ms()
+        if now_ms >= ends_ms:
             return False
         regions = self._fleet.regions.of(traits)
         return any(
-            self._fleet.needs_permit(upstream) and upstream.stated is None
+            upstream.stated is None
+            and (
+                upstream.limited_until_ms > now_ms or self._fleet.needs_permit(upstream)
+            )
             for upstream in self._fleet.usable(service, regions)
         )
 
@@ -229,9 +237,13 @@
         except BaseException:
             self._release_unused(upstream)
             raise
-        if not wait_ms:
+        if not wait_ms and self._fleet.cold_starts.may_send(upstream):
+            self._note_send(upstream)
             return True
-        self._note_limited(upstream, wait_ms)
+        if wait_ms:
+            self._note_limited(upstream, wait_ms)
+        # Without a wait, permits for several requests have come together, and exceed
+        # the limit on this entry's own sends.
         self._release_unused(upstream)
         return False
 
@@ -243,8 +255,9 @@
             # wait for the earliest.
             if upstream.limited_until_ms > now_ms:
                 until_ms = min(until_ms, upstream.limited_until_ms)
-            self._serve_later(upstream.entry.service, wait_ms)
         upstream.limited_until_ms = until_ms
+        # Requests that wait for full upstreams may use this one from then on.
+        self._serve_later(upstream.entry.service, wait_ms)
 
     def _serve_later(self, service: str, wait_ms: int) -> None:
         loop = asyncio.get_running_loop()
@@ -253,6 +266,15 @@
     def _reserve(self, upstream: "Upstream") -> None:
         """Reserve a slot for a request that is sent at once or asks for a permit."""
         upstream.local_requests += 1
+        if not self._fleet.needs_permit(upstream):
+            self._note_send(upstream)
+
+    def _note_send(self, upstream: "Upstream") -> None:
+        """Count a send; one that needs a permit counts when it has got it.
+
+        Otherwise a refused permit would keep this entry from an upstream for a second,
+        beyond the time of the next permit.
+        """
         wait_ms = self._fleet.cold_starts.note_send(upstream)
         if wait_ms:
             # A request may wait for this. The limit falls as entries join, so that it
--- a/tests/gateway/test_cold_starts.py
+++ b/tests/gateway/test_cold_starts.py
@@ -124,6 +124,14 @@
         self.fleet.observe(load(1, born_ms=NOW_MS - 500))
         self.assert_cold_for(FIGURES.duration_ms)
 
+    def test_a_start_that_the_agent_tells_later_than_the_item_makes_it_cold(self):
+        # An entry that starts beside the upstream, whose item doesn't name its start,
+        # would send to it as to a warm one, though the agent reports the start.
+        self.apply(a=item("a", 1))
+        self.clock.advance(200)
+        self.fleet.observe(load(1, born_ms=NOW_MS - 500))
+        self.assert_cold_for(FIGURES.duration_ms - 200)
+
     def test_upstreams_of_a_zone_are_cold_when_its_drain_ends(self):
         self.apply(a=item("a", 1, zone="a"), b=item("b", 2, zone="b"))
         self.fleet.note_zone_returned("a")
@@ -275,6 +283,20 @@
         self.assertEqual(self.send(20), [0] * 20)
         self.assertIsNotNone(self.fleet.choose("svc", ()))
 
+    def test_entries_are_counted_only_for_upstreams_with_a_recent_send(self):
+        # Each choice among 64 upstreams would count the entries 64 times, which takes
+        # an entry with waiting requests a tenth of a core: it chooses anew at each of
+        # 200 load reports a second.
+        counted = mock.Mock(return_value=31)
+        self.fleet.cold_starts = ColdStarts(
+            self.clock, lambda service: FIGURES, OVER, SLACK, counted
+        )
+        self.apply(**{f"i{port}": item(f"i{port}", port) for port in range(1, 65)})
+        self.send(1, "i7")
+        counted.reset_mock()
+        self.fleet.choose("svc", ())
+        self.assertEqual(counted.call_count, 1)
+
     def test_a_request_waits_until_the_next_may_be_sent(self):
         async def play(loop):
             clock = loop.make_clock()
@@ -287,6 +309,51 @@
 
         self.assertIn(run_virtually(play), range(2_000, 2_010))
 
+    def test_a_permit_of_a_stated_rate_that_was_refused_is_no_send(self):
+        # The upstream would be left out for a second after each refusal, so that the
+        # permit that was promised meanwhile is used by nobody.
+        async def play(loop):
+            clock, waits = loop.make_clock(), iter([50, 0])
+
+            async def ask(one):
+                await asyncio.sleep(0.002)
+                return next(waits)
+
+            self.fleet = make_fleet(clock, 31)
+            self.apply(a=item("a", 1))
+            self.fleet.upstreams["a"].stated = StatedRate(10.0, 0)
+            placer = Placer(self.fleet, clock, ask)
+            with self.assertRaises(RefusedError):
+                await placer.acquire("svc", RequestTraits("t", 1), (), 1_500)
+            await asyncio.sleep(0.06)
+            await placer.acquire("svc", RequestTraits("t", 1), (), 1_500)
+            return clock.now_ms()
+
+        self.assertLess(run_virtually(play), 100)
+
+    def test_permits_of_a_stated_rate_that_come_together_do_not_exceed_it(self):
+        async def play(loop):
+            async def ask(one):
+                await asyncio.sleep(0.002)
+                return 0
+
+            clock = loop.make_clock()
+            self.fleet = make_fleet(clock, 31)
+            self.apply(a=item("a", 1))
+            self.fleet.upstreams["a"].stated = StatedRate(10.0, 0)
+            placer = Placer(self.fleet, clock, ask)
+
+            async def request():
+                await placer.acquire("svc", RequestTraits("t", 1), (), 2_500)
+                return clock.now_ms()
+
+            ends_ms = await asyncio.gather(request(), request())
+            return ends_ms, self.fleet.upstreams["a"].local_requests
+
+        (first_ms, second_ms), local_requests = run_virtually(play)
+        self.assertGreaterEqual(second_ms - first_ms, 1_000)
+        self.assertEqual(local_requests, 2)
+
     def test_a_request_waits_no_longer_where_entries_join_meanwhile(self):
         # The limit falls from three to one, and no send reaches the lower one.
         async def play(loop):
@@ -386,6 +453,24 @@
         self.assertEqual((end.result, waiting), (Code.RATE_REACHED, 0))
         self.assertGreater(end.retry_after_ms, 590)
 
+    def test_it_is_not_refused_because_the_cold_period_ends_while_it_asks(self):
+        # The third permit is refused just after the period ended, and the upstream
+        # takes requests without permits as soon as that answer's wait is over.
+        async def play(loop):
+            clock, waits = loop.make_clock(), iter([1, 1, 100])
+
+            async def ask(one):
+                await asyncio.sleep(0.002)
+                return next(waits)
+
+            self.fleet = make_fleet(clock)
+            self.apply(a=item("a", 1, coldRemainingMs=7))
+            placer = Placer(self.fleet, clock, ask)
+            await placer.acquire("svc", RequestTraits("t", 1), (), 500)
+            return clock.now_ms()
+
+        self.assertIn(run_virtually(play), range(100, 115))
+
     def test_it_is_refused_after_its_wait(self):
         at_ms, end, waiting, _ = self.play(itertools.repeat(60))
         self.assertLess(at_ms, 520)
@@ -403,6 +488,25 @@
             )
             self.assertEqual(end, "b")
 
+    def test_a_request_that_waits_beside_a_stated_rate_gets_the_next_permit(self):
+        # Its wait would last until another request ends: nothing else of a service
+        # without load reports shows that the time of the next permit has come.
+        async def play(loop):
+            clock, waits = loop.make_clock(), iter([100, 0])
+
+            async def ask(one):
+                return next(waits)
+
+            self.fleet = make_fleet(clock, figures=None)
+            self.apply(a=item("a", 1), full=item("full", 2, slots=1))
+            self.fleet.upstreams["a"].stated = StatedRate(5.0, 0)
+            self.fleet.upstreams["full"].local_requests = 1
+            placer = Placer(self.fleet, clock, ask)
+            await placer.acquire("svc", RequestTraits("t", 1), (), 500)
+            return clock.now_ms()
+
+        self.assertIn(run_virtually(play), range(100, 110))
+
     def test_a_cold_one_is_awaited_beside_one_whose_stated_rate_is_reached(self):
         async def play(loop):
             clock = loop.make_clock()
