Rank groups have a room limit only where routes differ in priority

All their streams have one priority: a request that is held back starts as late as a long pass would have made it, and nobody more urgent gains.

Change: no limit, no reserve and no turns where the routes that require a key have one priority.

--- a/packages/gateway/src/fuchsiahatch_gateway/group_rooms.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_rooms.py
@@ -174,10 +174,13 @@
     def _figures_of(self, service: str) -> RoomFigures | None:
         """Return a service's figures; None where its groups have no limit.
 
-        Nothing limits engines whose requests don't lengthen their passes.
+        Nothing limits engines whose requests don't lengthen their passes, nor services
+        whose routes don't differ in priority: held back, a request of the only class is
+        as late as in a pass that is too long.
         """
         gap_ms = self._routes.gap_ms_of(service)
-        engine = self._routes.engine_of(service) if gap_ms else None
+        limited = gap_ms and self._routes.has_classes(service)
+        engine = self._routes.engine_of(service) if limited else None
         if engine is None or not engine.step_ms_per_request:
             return None
         return _room_figures(engine, gap_ms)
