--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -495,10 +495,6 @@
             waiter.future.set_exception(fault)
 
 
-def _urgency_order(waiting: QueuedRequest) -> tuple[int, int]:
-    return waiting.priority, waiting.ticket
-
-
 def _backing_off(wait_ms: int) -> RefusedError:
     return RefusedError(
         "all upstreams have asked for a backoff period",
