--- a/packages/gateway/src/fuchsiahatch_gateway/group_rooms.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/group_rooms.py
@@ -142,7 +142,8 @@
     def takes_turn(self, upstream: "Upstream", traits: "RequestTraits") -> bool:
         """Return whether a waiting request may be sent to an upstream's group now.
 
-        It counts as sent then. Otherwise the next load report is awaited.
+        It counts as sent then. Otherwise it waits on, for a later report or the end of
+        another request.
         """
         service = upstream.entry.service
         figures = self._figures_of(service)
