--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -46,7 +46,7 @@
 from fuchsiahatch_gateway.entry_announcer import EntryAnnouncer
 from fuchsiahatch_gateway.entry_gauges import add_gauges
 from fuchsiahatch_gateway.entry_liveness import HEARTBEAT_INTERVAL_MS, EntryLiveness
-from fuchsiahatch_gateway.fleet import FIRST_REPORT_TIMEOUT_MS, Fleet
+from fuchsiahatch_gateway.fleet import Fleet
 from fuchsiahatch_gateway.following import Follower
 from fuchsiahatch_gateway.group_rooms import GroupRooms
 from fuchsiahatch_gateway.held_requests import HeldRequests
@@ -69,6 +69,7 @@
 from fuchsiahatch_gateway.stated_rates import StatedRates
 from fuchsiahatch_gateway.store_health import StoreHealth
 from fuchsiahatch_gateway.upstream_crashes import UpstreamCrashes
+from fuchsiahatch_gateway.upstream_gate import FIRST_REPORT_TIMEOUT_MS
 from fuchsiahatch_http1.client import ConnectionPool
 from fuchsiahatch_http1.server import Exchange, HttpServer
 
@@ -128,7 +129,12 @@
         self.pool = ConnectionPool(clock, CONNECT_TIMEOUT_MS)
         self.store = StoreClient(settings.store, ConnectionPool(clock))
         self.health = StoreHealth()
-        self.fleet = Fleet(settings.zone, clock, self._rng)
+        self.fleet = Fleet(
+            settings.zone,
+            clock,
+            self._rng,
+            regions=AllowedRegions(lambda: process.settings.zones),
+        )
         self.announcer = EntryAnnouncer(
             settings.node,
             self.fleet,
@@ -138,7 +144,6 @@
         )
         self.fleet.on_departed = self._drop_connections
         self.fleet.engine_of = self.routes.engine_of
-        self.fleet.regions = AllowedRegions(lambda: process.settings.zones)
         bounds = settings.bounds
         self.fleet.cold_starts = ColdStarts(
             clock,
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -6,7 +6,6 @@
 import typing as t
 
 from fuchsiahatch_adapter.upstreams import UpstreamEntry, decode_upstream_entry
-from fuchsiahatch_core.codes import Code
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_gateway.allowed_regions import AllowedRegions
 from fuchsiahatch_gateway.answer_statements import StatementRecords
@@ -14,51 +13,21 @@
 from fuchsiahatch_gateway.departed_upstreams import DepartedUpstreams
 from fuchsiahatch_gateway.item_decoding import ItemDecoder
 from fuchsiahatch_gateway.known_upstream import Upstream
-from fuchsiahatch_gateway.obstacles import Obstacle
 from fuchsiahatch_gateway.request_traits import ANY_REQUEST, RequestTraits
 from fuchsiahatch_gateway.upstream_comparison import (
     Comparison,
     fastest_paces,
     untried,
 )
+from fuchsiahatch_gateway.upstream_gate import UpstreamGate
 from fuchsiahatch_gateway.zone_drains import ZoneDrains
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.configuration import Engine
     from fuchsiahatch_adapter.store import Item
     from fuchsiahatch_core.clock import Clock
-    from fuchsiahatch_gateway.allowed_regions import Regions
     from fuchsiahatch_gateway.datagrams import LoadReport
 
-#: Time after an engine is first seen for which its first load report is awaited.
-#: Reports come every 100 ms; after a power loss a rank group needs some 600 ms to form,
-#: and refuses every request until then.
-FIRST_REPORT_TIMEOUT_MS = 700
-#: Time for which a service's engines get no request after the first of them opens. All
-#: ranks of its group open together, and each reports it within 100 ms.
-OPENING_DELAY_MS = 100
-#: Obstacles of upstreams that don't open for a request, whatever their state.
-_OUT_OF_REACH = (Obstacle.NOT_ALLOWED, Obstacle.ZONE_DRAINED)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Unavailability:
-    """That no upstream of a service accepts a request now, and until when.
-
-    Attributes
-    ----------
-    wait_ms : int
-        Time until the first one accepts requests again.
-    needs_permit : bool
-        Whether a permit has to be asked for then.
-    may_wait : bool
-        Whether a request may wait for that, rather than be refused at once.
-    """
-
-    wait_ms: int
-    needs_permit: bool
-    may_wait: bool = True
-
 
 class Fleet:
     """All known upstreams.
@@ -71,6 +40,8 @@
     rng : random.Random
     time_of_day : Clock, optional
         Unix time.
+    regions : AllowedRegions, optional
+        The regions in which requests may be handled.
 
     Attributes
     ----------
@@ -79,7 +50,8 @@
     drains : ZoneDrains
         The drained zones, whose upstreams get no new requests.
     regions : AllowedRegions
-        The regions in which requests may be handled.
+    gate : UpstreamGate
+        Decides which upstreams may get new requests.
     on_departed : callable
         Called with the entry of each upstream that leaves, is removed or restarts.
     on_restarted : callable
@@ -104,7 +76,6 @@
         "_clock",
         "_decoder",
         "_departed",
-        "_opened_ms",
         "_reporting",
         "_rng",
         "_statements",
@@ -113,6 +84,7 @@
         "drains",
         "engine_of",
         "full_groups",
+        "gate",
         "on_departed",
         "on_reported",
         "on_restarted",
@@ -127,6 +99,7 @@
         clock: "Clock",
         rng: random.Random,
         time_of_day: "Clock | None" = None,
+        regions: AllowedRegions | None = None,
     ) -> None:
         self._zone = zone
         self._clock = clock
@@ -138,11 +111,16 @@
         self._statements = StatementRecords(clock, time_of_day)
         self.cold_starts = ColdStarts(clock)
         self._reporting: set[str] = set()
-        #: When a service's first engine opened while no other was usable.
-        self._opened_ms: dict[str, int] = {}
         self.upstreams: dict[str, Upstream] = {}
         self.drains = ZoneDrains(clock)
-        self.regions = AllowedRegions()
+        self.regions = regions or AllowedRegions()
+        self.gate = UpstreamGate(
+            clock,
+            self.drains,
+            self.regions,
+            self.of_service,
+            lambda service: self.engine_of(service) is not None,
+        )
         self.on_departed: t.Callable[[UpstreamEntry], None] = lambda entry: None
         self.on_restarted: t.Callable[[Upstream], None] = lambda former: None
         self.engine_of: t.Callable[[str], Engine | None] = lambda service: None
@@ -201,8 +179,8 @@
             upstream = self._start_incarnation(upstream, upstream.entry, load.born_ms)
         service = upstream.entry.service
         opens = load.open and (upstream.reported_ms is None or not upstream.open)
-        if opens and load.group and not any(self._without_delay(service, None)):
-            self._opened_ms[service] = self._clock.now_ms()
+        if opens and load.group:
+            self.gate.note_opening(service)
         self._reporting.add(service)
         upstream.peer_requests = max(
             0, load.running + load.queued - upstream.local_requests
@@ -249,7 +227,7 @@
         """
         if not upstream.movers or not upstream.group:
             return
-        usable = self.usable(upstream.entry.service)
+        usable = self.gate.usable(upstream.entry.service)
         paces = fastest_paces(usable)
         engine = self.engine_of(upstream.entry.service)
         fastest = paces.get(upstream.group, upstream.pace)
@@ -262,123 +240,6 @@
         """Return all upstreams of a service, usable or not."""
         return self._by_service.get(service, ())
 
-    def usable(self, service: str, regions: "Regions" = None) -> list[Upstream]:
-        """Return the upstreams of a service that may get new requests.
-
-        Those in a backoff period are among them.
-
-        Parameters
-        ----------
-        service : str
-        regions : frozenset of str or None, optional
-            Regions in which the requests may be handled.
-        """
-        ready, backing_off = self._open_upstreams(service, regions)
-        return [*ready, *backing_off]
-
-    def _open_upstreams(
-        self, service: str, regions: "Regions"
-    ) -> tuple[list[Upstream], list[Upstream]]:
-        """Return the usable upstreams of a service, those in a backoff period apart."""
-        ready, backing_off = self._without_delay(service, regions)
-        if self._delays_opening(service, regions, len(ready) + len(backing_off)):
-            return [], []
-        return ready, backing_off
-
-    def _without_delay(
-        self, service: str, regions: "Regions"
-    ) -> tuple[list[Upstream], list[Upstream]]:
-        """Return what `_open_upstreams` does, during the delay at opening too.
-
-        If those that are delayed didn't count as open, each further one would restart
-        the delay, and engines that open 50 ms apart would be withheld until the last
-        one is open.
-        """
-        now_ms = self._clock.now_ms()
-        ready: list[Upstream] = []
-        backing_off: list[Upstream] = []
-        for upstream in self._by_service.get(service, ()):
-            obstacle = self._obstacle(upstream, now_ms, regions)
-            if obstacle is None:
-                ready.append(upstream)
-            elif obstacle is Obstacle.BACKING_OFF:
-                backing_off.append(upstream)
-        return ready, backing_off
-
-    def _obstacle(
-        self, upstream: Upstream, now_ms: int, regions: "Regions"
-    ) -> Obstacle | None:
-        """Return what keeps new requests from an upstream, the most lasting first.
-
-        All requests pass this gate: when an upstream is chosen, and by `is_usable` once
-        more before they are sent.
-        """
-        zone = upstream.entry.zone
-        if regions is not None and not self.regions.have_zone(regions, zone):
-            return Obstacle.NOT_ALLOWED
-        accepts_requests = upstream.accepts_requests
-        if not accepts_requests and upstream.departed:
-            return Obstacle.DEPARTED
-        if zone in self.drains.zones:
-            return Obstacle.ZONE_DRAINED
-        if not accepts_requests or self._awaits_report(upstream, now_ms):
-            return Obstacle.CLOSED
-        if upstream.backoff_left_ms(now_ms):
-            return Obstacle.BACKING_OFF
-        return None
-
-    def refusal(self, service: str, regions: "Regions" = None) -> Code | None:
-        """Return why a service's requests are refused at once; None if they may wait.
-
-        They are where no upstream is in an allowed region, or all that could serve them
-        are in drained zones. Upstreams that are closed count as such that could.
-        Otherwise, when a rank group opens or closes, the report of a rank in a drained
-        zone that comes first would have all waiting requests refused.
-        """
-        if regions is None and not self.drains.zones:
-            return None
-        now_ms = self._clock.now_ms()
-        obstacles = {
-            self._obstacle(upstream, now_ms, regions)
-            for upstream in self._by_service.get(service, ())
-        } - {Obstacle.NOT_ALLOWED}
-        if regions is not None and not obstacles:
-            return Code.NO_ALLOWED_PLACE
-        if obstacles - {Obstacle.DEPARTED} == {Obstacle.ZONE_DRAINED}:
-            return Code.ZONE_DRAINED
-        return None
-
-    def _delays_opening(self, service: str, regions: "Regions", usable: int) -> bool:
-        """Return whether further engines are about to open after the first one.
-
-        Otherwise the first one gets every request that waits at any entry: of some 200
-        requests for 5 slots a hundred are refused, and the rest are late.
-        """
-        opened_ms = self._opened_ms.get(service)
-        now_ms = self._clock.now_ms()
-        if opened_ms is None or now_ms - opened_ms >= OPENING_DELAY_MS:
-            return False
-        expected = sum(
-            self._obstacle(upstream, now_ms, regions) not in _OUT_OF_REACH
-            for upstream in self._by_service.get(service, ())
-        )
-        return usable < expected
-
-    def _awaits_report(self, upstream: Upstream, now_ms: int) -> bool:
-        """Return whether requests to an engine must wait for its first load report.
-
-        When everything restarts at once, an entry serves some 500 ms before the rank
-        groups have formed. Each request that it sends there is refused, which uses up
-        the small retry budget of a new process. Each engine's own report is awaited:
-        agents start over half a second, and while the first of them report that their
-        groups are forming, the other engines would get 400 requests and refuse them.
-        """
-        if upstream.reported_ms is not None:
-            return False
-        if now_ms - upstream.seen_ms >= FIRST_REPORT_TIMEOUT_MS:
-            return False
-        return self.engine_of(upstream.entry.service) is not None
-
     def is_usable(
         self, upstream: Upstream, traits: RequestTraits = ANY_REQUEST
     ) -> bool:
@@ -386,7 +247,7 @@
         if self.upstreams.get(upstream.entry.instance) is not upstream:
             return False
         regions = self.regions.of(traits)
-        return self._obstacle(upstream, self._clock.now_ms(), regions) is None
+        return self.gate.obstacle(upstream, self._clock.now_ms(), regions) is None
 
     def choose(
         self,
@@ -409,7 +270,7 @@
         """
         now_ms = self._clock.now_ms()
         regions = self.regions.of(traits)
-        ready, backing_off = self._open_upstreams(service, regions)
+        ready, backing_off = self.gate.open_upstreams(service, regions)
         engine = self.engine_of(service)
         paces = fastest_paces([*ready, *backing_off])
         full_groups = self.full_groups(service, traits)
@@ -433,33 +294,6 @@
         comparison = Comparison(self._zone, now_ms, service in self._reporting)
         return comparison.choose(candidates, self._rng)
 
-    def unavailability(
-        self, service: str, regions: "Regions" = None
-    ) -> Unavailability | None:
-        """Return when the first upstream accepts requests again.
-
-        None where one accepts requests now, even a full one, and where there is none.
-        For a permit of an upstream with a stated rate no request waits; for one of a
-        cold upstream it may, as those become due soon.
-        """
-        now_ms = self._clock.now_ms()
-        closed: list[Unavailability] = []
-        for upstream in self.usable(service, regions):
-            limited_ms = max(0, upstream.limited_until_ms - now_ms)
-            backoff_ms = upstream.backoff_left_ms(now_ms)
-            wait_ms = max(limited_ms, backoff_ms)
-            if not wait_ms:
-                return None
-            needs_permit = limited_ms > backoff_ms
-            may_wait = not needs_permit or upstream.stated is None
-            closed.append(Unavailability(wait_ms, needs_permit, may_wait))
-        closed.sort(key=lambda one: one.wait_ms)
-        cold = (one for one in closed if one.needs_permit and one.may_wait)
-        first = next(iter(closed), None)
-        if first is None or first.may_wait:
-            return first
-        return next(cold, first)
-
     def backing_off(self, service: str) -> dict[str, int]:
         """Return the remaining backoff periods of a service's upstreams, in ms."""
         now_ms = self._clock.now_ms()
--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -152,7 +152,7 @@
             and (
                 upstream.limited_until_ms > now_ms or self._fleet.needs_permit(upstream)
             )
-            for upstream in self._fleet.usable(service, regions)
+            for upstream in self._fleet.gate.usable(service, regions)
         )
 
     def _check_available(
@@ -160,10 +160,10 @@
     ) -> None:
         """Refuse a request at once if no upstream accepts it in time."""
         regions = self._fleet.regions.of(traits)
-        refusal = self._fleet.refusal(service, regions)
+        refusal = self._fleet.gate.refusal(service, regions)
         if refusal is not None:
             raise RefusedError(_REFUSALS[refusal], refusal)
-        closed = self._fleet.unavailability(service, regions)
+        closed = self._fleet.gate.unavailability(service, regions)
         if closed is None:
             return
         if closed.may_wait and self._clock.now_ms() + closed.wait_ms < ends_ms:
@@ -176,7 +176,7 @@
     def refuse_waiting(self, service: str) -> None:
         """Refuse the waiting requests that no upstream of a service accepts in time."""
         for key in self._keys(service):
-            queue, closed = self._queues[key], self._fleet.unavailability(*key)
+            queue, closed = self._queues[key], self._fleet.gate.unavailability(*key)
             if closed is None or closed.needs_permit:
                 continue
             opens_ms = self._clock.now_ms() + closed.wait_ms
@@ -189,7 +189,7 @@
 
         Drains take minutes, which is longer than any request waits.
         """
-        refusal = self._fleet.refusal(*key)
+        refusal = self._fleet.gate.refusal(*key)
         if refusal is None:
             return
         queue = self._queues[key]
--- a/tests/gateway/backoff_model.py
+++ b/tests/gateway/backoff_model.py
@@ -283,7 +283,7 @@
         if b"BACKING_OFF" not in exchange.answer:
             return
         self.retry_afters_s.append(float(retry_after))
-        usable = entry.fleet.usable("svc")
+        usable = entry.fleet.gate.usable("svc")
         room = [one for one in usable if one.local_requests < one.entry.places]
         self.refused_with_room += any(
             not one.backoff_left_ms(self.clock.now_ms()) for one in room
--- a/tests/gateway/test_allowed_regions.py
+++ b/tests/gateway/test_allowed_regions.py
@@ -115,8 +115,9 @@
 class TestFleet(unittest.TestCase):
     def setUp(self):
         self.clock = ManualClock(10_000)
-        self.fleet = Fleet("a", self.clock, random.Random(1), self.clock)
-        self.fleet.regions = AllowedRegions(lambda: ZONES)
+        regions = AllowedRegions(lambda: ZONES)
+        rng = random.Random(1)
+        self.fleet = Fleet("a", self.clock, rng, self.clock, regions)
         names = {"i": "a", "j": "b", "k": "c"}
         self.fleet.apply(
             {
@@ -145,26 +146,30 @@
         self.assertFalse(self.fleet.is_usable(self.fleet.upstreams["j"], traits("x")))
 
     def test_refusals(self):
-        self.assertIsNone(self.fleet.refusal("svc", frozenset("x")))
+        self.assertIsNone(self.fleet.gate.refusal("svc", frozenset("x")))
         no_place = Code.NO_ALLOWED_PLACE
-        self.assertEqual(self.fleet.refusal("svc", frozenset("z")), no_place)
-        self.assertEqual(self.fleet.refusal("svc", frozenset()), no_place)
-        self.assertEqual(self.fleet.refusal("unknown", frozenset("x")), no_place)
-        self.assertIsNone(self.fleet.refusal("unknown", None))
+        self.assertEqual(self.fleet.gate.refusal("svc", frozenset("z")), no_place)
+        self.assertEqual(self.fleet.gate.refusal("svc", frozenset()), no_place)
+        self.assertEqual(self.fleet.gate.refusal("unknown", frozenset("x")), no_place)
+        self.assertIsNone(self.fleet.gate.refusal("unknown", None))
 
     def test_an_allowed_upstream_that_leaves_is_no_reason_to_refuse_at_once(self):
         self.fleet.upstreams["i"].statements.leaving = True
-        self.assertIsNone(self.fleet.refusal("svc", frozenset("x")))
+        self.assertIsNone(self.fleet.gate.refusal("svc", frozenset("x")))
 
     def test_a_drained_zone_counts_among_the_allowed_ones(self):
         self.fleet.apply_drains({"a"})
-        self.assertEqual(self.fleet.refusal("svc", frozenset("x")), Code.ZONE_DRAINED)
-        self.assertIsNone(self.fleet.refusal("svc", frozenset("xy")))
+        self.assertEqual(
+            self.fleet.gate.refusal("svc", frozenset("x")), Code.ZONE_DRAINED
+        )
+        self.assertIsNone(self.fleet.gate.refusal("svc", frozenset("xy")))
 
     def test_backoff_periods_elsewhere_do_not_count(self):
         self.fleet.upstreams["i"].statements.backoff_until_ms = 12_000
-        self.assertIsNone(self.fleet.unavailability("svc"))
-        self.assertEqual(self.fleet.unavailability("svc", frozenset("x")).wait_ms, 2000)
+        self.assertIsNone(self.fleet.gate.unavailability("svc"))
+        self.assertEqual(
+            self.fleet.gate.unavailability("svc", frozenset("x")).wait_ms, 2000
+        )
 
     def test_engines_in_other_regions_do_not_delay_those_that_open(self):
         self.fleet.engine_of = lambda service: ENGINE
@@ -184,8 +189,8 @@
     def play(self, steps, ask_permit=None):
         async def play(loop):
             clock = loop.make_clock()
-            self.fleet = Fleet("a", clock, random.Random(1))
-            self.fleet.regions = AllowedRegions(lambda: ZONES)
+            regions = AllowedRegions(lambda: ZONES)
+            self.fleet = Fleet("a", clock, random.Random(1), regions=regions)
             self.fleet.apply(
                 {
                     "i": item("i", 1, zone="a", slots=1),
@@ -370,7 +375,7 @@
 
     def test_requests_without_a_limit_go_to_all_upstreams(self):
         async def steps(site):
-            return len(site.entry.fleet.usable("svc")), await self.bodies(site)
+            return len(site.entry.fleet.gate.usable("svc")), await self.bodies(site)
 
         usable, bodies = self.play(steps)
         self.assertEqual(usable, 3)
--- a/tests/gateway/test_cold_starts.py
+++ b/tests/gateway/test_cold_starts.py
@@ -515,7 +515,7 @@
             cold, stated = (self.fleet.upstreams[name] for name in "ab")
             stated.stated, stated.limited_until_ms = StatedRate(1.0, 0), 100
             cold.limited_until_ms = 200
-            closed = self.fleet.unavailability("svc")
+            closed = self.fleet.gate.unavailability("svc")
             return closed.wait_ms, closed.may_wait
 
         self.assertEqual(run_virtually(play), (200, True))
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -5,7 +5,7 @@
 
 from fuchsiahatch_adapter.store import Item
 from fuchsiahatch_core.clock import ManualClock
-from fuchsiahatch_gateway import fleet
+from fuchsiahatch_gateway import upstream_gate
 from fuchsiahatch_gateway.datagrams import LoadReport
 from fuchsiahatch_gateway.fleet import Fleet
 from fuchsiahatch_gateway.known_upstream import places_of_rank
@@ -72,7 +72,7 @@
         self.fleet.observe(load(1, is_open=False))
         self.assertIsNone(self.choose())
         self.fleet.observe(load(2, is_open=False))
-        self.clock.advance(fleet.FIRST_REPORT_TIMEOUT_MS)
+        self.clock.advance(upstream_gate.FIRST_REPORT_TIMEOUT_MS)
         self.assertIsNone(self.choose())
         self.fleet.observe(load(2))
         self.assertEqual(self.choose(), "b")
@@ -89,7 +89,7 @@
             self.fleet.observe(load(port, is_open=False, group="g"))
         self.fleet.observe(load(1, group="g"))
         self.assertIsNone(self.choose())
-        self.clock.advance(fleet.OPENING_DELAY_MS)
+        self.clock.advance(upstream_gate.OPENING_DELAY_MS)
         self.fleet.observe(load(2, group="g"))
         self.assertIn(self.choose(), ("a", "b"))
 
@@ -103,10 +103,12 @@
         for port in (1, 2, 3, 4):
             self.fleet.observe(load(port, is_open=False, group="g"))
         self.fleet.observe(load(1, group="g"))
-        self.clock.advance(fleet.OPENING_DELAY_MS // 2)
+        self.clock.advance(upstream_gate.OPENING_DELAY_MS // 2)
         self.fleet.observe(load(2, group="g"))
         self.assertIsNone(self.choose())
-        self.clock.advance(fleet.OPENING_DELAY_MS - fleet.OPENING_DELAY_MS // 2)
+        self.clock.advance(
+            upstream_gate.OPENING_DELAY_MS - upstream_gate.OPENING_DELAY_MS // 2
+        )
         self.fleet.observe(load(3, group="g"))
         self.assertIn(self.choose(), ("a", "b", "c"))
 
@@ -117,12 +119,12 @@
         self.apply(a=item("a", 1), b=item("b", 2))
         self.fleet.observe(load(1, group="g"))
         self.fleet.observe(load(2, group="g"))
-        self.clock.advance(10 * fleet.OPENING_DELAY_MS)
+        self.clock.advance(10 * upstream_gate.OPENING_DELAY_MS)
         for port in (1, 2):
             self.fleet.observe(load(port, is_open=False, group="g"))
         self.fleet.observe(load(2, group="g"))
         self.assertIsNone(self.choose())
-        self.clock.advance(fleet.OPENING_DELAY_MS)
+        self.clock.advance(upstream_gate.OPENING_DELAY_MS)
         self.assertEqual(self.choose(), "b")
 
     def test_there_is_no_delay_once_all_are_open(self):
@@ -137,7 +139,7 @@
     def test_an_engine_that_opens_while_others_are_open_is_used_at_once(self):
         self.fleet.engine_of = lambda service: ENGINE
         self.apply(a=item("a", 1), b=item("b", 2), c=item("c", 3))
-        self.clock.advance(fleet.FIRST_REPORT_TIMEOUT_MS)
+        self.clock.advance(upstream_gate.FIRST_REPORT_TIMEOUT_MS)
         self.fleet.observe(load(1, running=6, group="g"))
         self.fleet.observe(load(2, is_open=False, group="h"))
         self.fleet.observe(load(3, is_open=False, group="h"))
@@ -163,7 +165,7 @@
         self.fleet.engine_of = lambda service: ENGINE
         self.apply(a=item("a", 1))
         self.assertIsNone(self.choose())
-        self.clock.advance(fleet.FIRST_REPORT_TIMEOUT_MS)
+        self.clock.advance(upstream_gate.FIRST_REPORT_TIMEOUT_MS)
         self.assertEqual(self.choose(), "a")
 
     def test_leaving_and_closed_upstreams_get_no_request(self):
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -257,7 +257,7 @@
 
     def usable(self, **items):
         self.fleet.apply(items)
-        return [upstream.entry.instance for upstream in self.fleet.usable("svc")]
+        return [upstream.entry.instance for upstream in self.fleet.gate.usable("svc")]
 
     def test_a_leaving_upstream_stays_leaving(self):
         self.usable(a=item("a", 40, 1, "draining", born=7))
--- a/tests/gateway/test_zone_drains.py
+++ b/tests/gateway/test_zone_drains.py
@@ -9,12 +9,13 @@
 from fuchsiahatch_core.events import Event
 from fuchsiahatch_core.exceptions import RefusedError
 from fuchsiahatch_gateway import zone_drains
-from fuchsiahatch_gateway.fleet import FIRST_REPORT_TIMEOUT_MS, Fleet
+from fuchsiahatch_gateway.fleet import Fleet
 from fuchsiahatch_gateway.item_copies import ItemCopy
 from fuchsiahatch_gateway.placing import Placer
 from fuchsiahatch_gateway.request_traits import RequestTraits
 from fuchsiahatch_gateway.stated_rates import StatedRate
 from fuchsiahatch_gateway.store_health import StoreHealth
+from fuchsiahatch_gateway.upstream_gate import FIRST_REPORT_TIMEOUT_MS
 from fuchsiahatch_gateway.zone_drains import ZoneDrains
 from fuchsiahatch_standins.virtual_time import run_virtually
 from tests.gateway.sites import ENGINE, Site, answers, event_ids, until, upstream
@@ -86,18 +87,18 @@
         self.assertEqual(self.chosen(), {"i"})
 
     def test_a_service_is_drained_if_all_its_upstreams_are_that_do_not_leave(self):
-        self.assertIsNone(self.fleet.refusal("svc"))
+        self.assertIsNone(self.fleet.gate.refusal("svc"))
         self.fleet.apply_drains({"a"})
-        self.assertIsNone(self.fleet.refusal("svc"))
+        self.assertIsNone(self.fleet.gate.refusal("svc"))
         self.fleet.upstreams["j"].misplaced = True
-        self.assertEqual(self.fleet.refusal("svc"), Code.ZONE_DRAINED)
-        self.assertIsNone(self.fleet.refusal("other"))
+        self.assertEqual(self.fleet.gate.refusal("svc"), Code.ZONE_DRAINED)
+        self.assertIsNone(self.fleet.gate.refusal("other"))
 
     def test_a_service_with_a_backoff_elsewhere_is_not_drained(self):
         self.fleet.apply_drains({"a"})
         self.fleet.upstreams["j"].statements.backoff_until_ms = 60_000
-        self.assertIsNone(self.fleet.refusal("svc"))
-        self.assertEqual(self.fleet.unavailability("svc").wait_ms, 50_000)
+        self.assertIsNone(self.fleet.gate.refusal("svc"))
+        self.assertEqual(self.fleet.gate.unavailability("svc").wait_ms, 50_000)
 
     def test_a_service_whose_group_opens_again_is_not_drained(self):
         # The group of all upstreams opens again, and the report of its rank in the
@@ -109,12 +110,12 @@
         for port in (1, 2):
             self.fleet.observe(load(port, is_open=False, group="g"))
         self.fleet.observe(load(1, group="g"))
-        self.assertIsNone(self.fleet.refusal("svc"))
+        self.assertIsNone(self.fleet.gate.refusal("svc"))
 
     def test_a_service_whose_first_load_reports_are_awaited_is_not_drained(self):
         self.fleet.engine_of = lambda service: ENGINE
         self.fleet.apply_drains({"a"})
-        self.assertIsNone(self.fleet.refusal("svc"))
+        self.assertIsNone(self.fleet.gate.refusal("svc"))
 
     def test_ranks_in_a_drained_zone_do_not_delay_a_group_that_opens(self):
         # All ranks outside the drained zone are open; the delay at opening waits for
@@ -265,7 +266,7 @@
         async def steps(site):
             await self.drain(site, "nowhere", "")
             reply, fleet = await self.ask(site), site.entry.fleet
-            return reply.status, len(fleet.usable("svc"))
+            return reply.status, len(fleet.gate.usable("svc"))
 
         self.assertEqual(self.play(steps), (200, 2))
 
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -112,7 +112,7 @@
     ),
     Mechanism(
         "first reports awaited",
-        f"{GATEWAY}/fleet.py",
+        f"{GATEWAY}/upstream_gate.py",
         "FIRST_REPORT_TIMEOUT_MS = 700",
         "FIRST_REPORT_TIMEOUT_MS = 0",
     ),
