The request that replaces one that ended is looked for in all queues of a service

Cause: a freed slot goes to one waiting request without a turn, which was looked for in one of the service's queues. Where that one's requests may not use the slot, for their allowed regions, those of other queues had to await a turn of this entry.

Change: the queues are tried in their order until one is served.

Evidence: the new test left the slot free before. test_allowed_regions, test_placing, test_group_rooms and test_group_rooms_under_load pass.

--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -368,8 +368,9 @@
         """Free a slot to which no request was sent; it says nothing of the rate."""
         upstream.local_requests -= 1
         service = upstream.entry.service
-        for key in self._keys(service)[:1]:
-            self._serve_next(key, awaits_turn=False)
+        for key in self._keys(service):
+            if self._serve_next(key, awaits_turn=False):
+                break
         self.serve_waiting(service)
 
     def serve_waiting(self, service: str | None = None) -> None:
