A permit holds when a further cold period follows without a pause

Cause: a permit counted as issued before the upstream was cold if it was older than the period that ends last. When a drain ends, or an upstream starts, the item that names a later end begins such a period, and permits whose connection was awaited were lost.

Change: the begin of the earliest current period counts, since which it has been cold.

Evidence: the new test found the permit invalid before. test_cold_starts and test_cold_search pass.

--- a/packages/gateway/src/fuchsiahatch_gateway/cold_starts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/cold_starts.py
@@ -221,11 +221,15 @@
             When the request got its slot, and its permit if it needed one then.
         """
         limits = self.limits_of(upstream.entry.service)
-        period = None if limits is None else self._period(upstream, limits)
-        if period is None:
+        if limits is None:
+            return True
+        periods = self._periods(upstream, limits.duration_ms)
+        # Periods overlap: it has been cold since the earliest of them began.
+        cold_since_ms = min((period.begin_ms for period in periods), default=None)
+        if cold_since_ms is None:
             return True
         age_ms = self._clock.now_ms() - reserved_ms
-        return period.begin_ms <= reserved_ms and age_ms <= MAX_PERMIT_AGE_MS
+        return cold_since_ms <= reserved_ms and age_ms <= MAX_PERMIT_AGE_MS
 
     def may_send(self, upstream: "Upstream") -> bool:
         """Return whether this entry may send one more request there now.
--- a/tests/gateway/test_cold_starts.py
+++ b/tests/gateway/test_cold_starts.py
@@ -403,6 +403,17 @@
         self.clock.advance(10)
         self.assertTrue(self.is_valid(1_150))
 
+    def test_a_period_that_follows_another_without_a_pause_does_not_end_permits(self):
+        # The first item after the end of a drain names a later end than the drain does.
+        # Permits whose connection is awaited then would be lost.
+        self.apply(a=item("a", 1))
+        self.fleet.note_zone_returned("a")
+        self.clock.advance(500)
+        self.apply(a=item("a", 1, created=2, coldRemainingMs=2_900))
+        self.clock.advance(10)
+        self.assertTrue(self.is_valid(490))
+        self.assertFalse(self.is_valid(-1))
+
     def test_a_warm_upstream_sets_no_limit(self):
         self.apply(a=item("a", 1))
         self.clock.advance(5_000)
