--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -370,8 +370,9 @@
         upstream.local_requests -= 1
         service = upstream.entry.service
         if self._fleet.is_usable(upstream):
-            for key in self._keys(service)[:1]:
-                self._serve_next(key, awaits_turn=False)
+            for key in self._keys(service):
+                if self._serve_next(key, awaits_turn=False):
+                    break
         self.serve_waiting(service)
 
     def serve_waiting(self, service: str | None = None) -> None:
--- a/tests/gateway/test_allowed_regions.py
+++ b/tests/gateway/test_allowed_regions.py
@@ -9,10 +9,11 @@
 from fuchsiahatch_core.codes import Code
 from fuchsiahatch_core.exceptions import RefusedError
 from fuchsiahatch_gateway.allowed_regions import AllowedRegions, common_regions
-from fuchsiahatch_gateway.fleet import FIRST_REPORT_TIMEOUT_MS, OPENING_DELAY_MS, Fleet
+from fuchsiahatch_gateway.fleet import Fleet
 from fuchsiahatch_gateway.placing import Placer
 from fuchsiahatch_gateway.request_traits import ANY_REQUEST, RequestTraits
 from fuchsiahatch_gateway.stated_rates import StatedRate
+from fuchsiahatch_gateway.upstream_gate import FIRST_REPORT_TIMEOUT_MS, OPENING_DELAY_MS
 from fuchsiahatch_standins.virtual_time import run_virtually
 from tests.gateway.sites import (
     ENGINE,
@@ -230,6 +231,25 @@
 
         self.assertEqual(self.play(steps), ({"j"}, False, 1))
 
+    def test_one_that_cannot_use_a_slot_does_not_use_up_the_replacement(self):
+        # One waiting request replaces the one that ended, without a turn. If it were
+        # looked for in the first queue alone, the slot would stay free until this
+        # entry's next turn.
+        async def steps():
+            upstreams = await self.fill()
+            self.fleet.takes_turn = lambda upstream, of_request: False
+            blocked, other = self.begin(traits("x")), self.begin(traits("y"))
+            await asyncio.sleep(0.01)
+            self.placer.release(upstreams["j"])
+            await asyncio.sleep(0.01)
+            found = other.done(), blocked.done()
+            blocked.cancel()
+            other.cancel()
+            await settle([blocked, other])
+            return found
+
+        self.assertEqual(self.play(steps), (True, False))
+
     def test_queues_of_one_service_take_turns(self):
         # With a fixed order, the requests of the first queue would get each free slot
         # for as long as it has any.
