RequestTraits: remove the unused token counts; urgency is priority_class

Nothing has read the token counts since the room limit of rank groups was removed. The field held a request's class at its service, not the urgency of its route, and Job and the queues have other words for it.

--- a/packages/gateway/src/fuchsiahatch_gateway/jobs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/jobs.py
@@ -94,12 +94,10 @@
     def traits(self) -> RequestTraits:
         """What the choice of an upstream may know of the request."""
         return RequestTraits(
-            self.match.team.name,
-            self.priority_class,
-            self.request.prompt_tokens,
-            self.request.answer_tokens,
-            self.match.route.name,
-            self.match.allowed_regions,
+            team=self.match.team.name,
+            priority_class=self.priority_class,
+            route=self.match.route.name,
+            allowed_regions=self.match.allowed_regions,
         )
 
     def is_on_time(self, now_ms: int) -> bool:
--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -426,7 +426,9 @@
         expires_ms = now_ms + int(wait_ms)
         future = asyncio.get_running_loop().create_future()
         waiter = self._waiters[number] = _Waiter(key, future, traits, tried)
-        queued = QueuedRequest(number, traits.team, traits.urgency, now_ms, expires_ms)
+        queued = QueuedRequest(
+            number, traits.team, traits.priority_class, now_ms, expires_ms
+        )
         self._push(key, queued)
         try:
             # asyncio.wait_for would swallow the cancellation by a caller that
--- a/packages/gateway/src/fuchsiahatch_gateway/request_traits.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/request_traits.py
@@ -14,23 +14,20 @@
     Attributes
     ----------
     team : str
-    urgency : int
-        Priority class, 0 first.
-    prompt_tokens, answer_tokens : int
-        Size of a generation: its prompt, and the maximum of its output.
+        Empty for requests without a team.
+    priority_class : int
+        Class at the service, 0 first; see `RouteTable.class_of`.
     route : str
     allowed_regions : frozenset of str or None
-        Regions in which it might be handled when it was matched to its route; None for
-        no limit. `AllowedRegions.of` returns those of the present configuration.
+        Regions that its route and team allowed when it was admitted; None for no
+        limit. `AllowedRegions.of` returns those of the present configuration.
     """
 
     team: str = ""
-    urgency: int = 0
-    prompt_tokens: int = 0
-    answer_tokens: int = 0
+    priority_class: int = 0
     route: str = ""
     allowed_regions: "Regions" = None
 
 
-#: For questions that aren't about a particular request.
+#: Traits where no particular request is meant.
 ANY_REQUEST = RequestTraits()
