--- a/packages/gateway/src/fuchsiahatch_gateway/upstream_gate.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/upstream_gate.py
@@ -19,22 +19,22 @@
 #: Time for which a service's engines get no request after the first of them opens. All
 #: ranks of its group open together, and each reports it within 100 ms.
 OPENING_DELAY_MS = 100
-#: Obstacles of upstreams that don't open for a request, whatever their state.
-_OUT_OF_REACH = (Obstacle.NOT_ALLOWED, Obstacle.ZONE_DRAINED)
+#: Obstacles of upstreams whose opening no request waits for.
+_NOT_AWAITED = (Obstacle.NOT_ALLOWED, Obstacle.ZONE_DRAINED)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unavailability:
-    """That no upstream of a service accepts a request now, and until when.
+    """When an upstream accepts requests again, if none of its service does now.
 
     Attributes
     ----------
     wait_ms : int
-        Time until the first one accepts requests again.
+        Time until then.
     needs_permit : bool
-        Whether a permit has to be asked for then.
+        Whether it is the time until its next permit, not the rest of a backoff period.
     may_wait : bool
-        Whether a request may wait for that, rather than be refused at once.
+        Whether a request may wait until then; if not, it is refused at once.
     """
 
     wait_ms: int
@@ -109,26 +109,6 @@
             return [], []
         return ready, backing_off
 
-    def _without_delay(
-        self, service: str, regions: "Regions"
-    ) -> "tuple[list[Upstream], list[Upstream]]":
-        """Return what `open_upstreams` does, during the delay at opening too.
-
-        If those that are delayed didn't count as open, each further one would restart
-        the delay, and engines that open 50 ms apart would be withheld until the last
-        one is open.
-        """
-        now_ms = self._clock.now_ms()
-        ready: list[Upstream] = []
-        backing_off: list[Upstream] = []
-        for upstream in self._upstreams_of(service):
-            obstacle = self.obstacle(upstream, now_ms, regions)
-            if obstacle is None:
-                ready.append(upstream)
-            elif obstacle is Obstacle.BACKING_OFF:
-                backing_off.append(upstream)
-        return ready, backing_off
-
     def obstacle(
         self, upstream: "Upstream", now_ms: int, regions: "Regions"
     ) -> Obstacle | None:
@@ -154,10 +134,23 @@
     def refusal(self, service: str, regions: "Regions" = None) -> Code | None:
         """Return why a service's requests are refused at once; None if they may wait.
 
-        They are where no upstream is in an allowed region, or all that could serve them
-        are in drained zones. Upstreams that are closed count as such that could.
-        Otherwise, when a rank group opens or closes, the report of a rank in a drained
-        zone that comes first would have all waiting requests refused.
+        Parameters
+        ----------
+        service : str
+        regions : frozenset of str or None, optional
+            Regions in which the requests may be handled.
+
+        Returns
+        -------
+        code : Code or None
+            `NO_ALLOWED_PLACE` if no upstream is in an allowed region; `ZONE_DRAINED` if
+            some are and all of them that haven't departed are in drained zones.
+
+        Notes
+        -----
+        Closed upstreams in other zones prevent a refusal. Otherwise, when a rank group
+        opens or closes, all waiting requests would be refused if the report of a rank
+        in a drained zone came first.
         """
         if regions is None and not self._drains.zones:
             return None
@@ -172,8 +165,69 @@
             return Code.ZONE_DRAINED
         return None
 
-    def _delays_opening(self, service: str, regions: "Regions", usable: int) -> bool:
-        """Return whether further engines are about to open after the first one.
+    def unavailability(
+        self, service: str, regions: "Regions" = None
+    ) -> Unavailability | None:
+        """Return when the first upstream accepts requests again.
+
+        Parameters
+        ----------
+        service : str
+        regions : frozenset of str or None, optional
+            Regions in which the requests may be handled.
+
+        Returns
+        -------
+        unavailability : Unavailability or None
+            None if one accepts requests now, even a full one, or if none is usable.
+
+        Notes
+        -----
+        Requests wait for permits of cold upstreams, which become due soon, but not for
+        those of upstreams with a stated rate.
+        """
+        now_ms = self._clock.now_ms()
+        closed: list[Unavailability] = []
+        for upstream in self.usable(service, regions):
+            limited_ms = max(0, upstream.limited_until_ms - now_ms)
+            backoff_ms = upstream.backoff_left_ms(now_ms)
+            wait_ms = max(limited_ms, backoff_ms)
+            if not wait_ms:
+                return None
+            needs_permit = limited_ms > backoff_ms
+            may_wait = not needs_permit or upstream.stated is None
+            closed.append(Unavailability(wait_ms, needs_permit, may_wait))
+        closed.sort(key=lambda one: one.wait_ms)
+        first = next(iter(closed), None)
+        if first is None or first.may_wait:
+            return first
+        cold = (one for one in closed if one.needs_permit and one.may_wait)
+        return next(cold, first)
+
+    def _without_delay(
+        self, service: str, regions: "Regions"
+    ) -> "tuple[list[Upstream], list[Upstream]]":
+        """Return the same as `open_upstreams`, but without the delay at opening.
+
+        `note_opening` counts delayed upstreams as open. Otherwise each further one
+        would restart the delay, and engines that open 50 ms apart would be withheld
+        until the last one is open.
+        """
+        now_ms = self._clock.now_ms()
+        ready: list[Upstream] = []
+        backing_off: list[Upstream] = []
+        for upstream in self._upstreams_of(service):
+            obstacle = self.obstacle(upstream, now_ms, regions)
+            if obstacle is None:
+                ready.append(upstream)
+            elif obstacle is Obstacle.BACKING_OFF:
+                backing_off.append(upstream)
+        return ready, backing_off
+
+    def _delays_opening(
+        self, service: str, regions: "Regions", open_count: int
+    ) -> bool:
+        """Return whether requests wait for further engines to open after the first one.
 
         Otherwise the first one gets every request that waits at any entry: of some 200
         requests for 5 slots a hundred are refused, and the rest are late.
@@ -183,10 +237,10 @@
         if opened_ms is None or now_ms - opened_ms >= OPENING_DELAY_MS:
             return False
         expected = sum(
-            self.obstacle(upstream, now_ms, regions) not in _OUT_OF_REACH
+            self.obstacle(upstream, now_ms, regions) not in _NOT_AWAITED
             for upstream in self._upstreams_of(service)
         )
-        return usable < expected
+        return open_count < expected
 
     def _awaits_report(self, upstream: "Upstream", now_ms: int) -> bool:
         """Return whether requests to an engine must wait for its first load report.
@@ -202,30 +256,3 @@
         if now_ms - upstream.seen_ms >= FIRST_REPORT_TIMEOUT_MS:
             return False
         return self._has_engines(upstream.entry.service)
-
-    def unavailability(
-        self, service: str, regions: "Regions" = None
-    ) -> Unavailability | None:
-        """Return when the first upstream accepts requests again.
-
-        None where one accepts requests now, even a full one, and where there is none.
-        For a permit of an upstream with a stated rate no request waits; for one of a
-        cold upstream it may, as those become due soon.
-        """
-        now_ms = self._clock.now_ms()
-        closed: list[Unavailability] = []
-        for upstream in self.usable(service, regions):
-            limited_ms = max(0, upstream.limited_until_ms - now_ms)
-            backoff_ms = upstream.backoff_left_ms(now_ms)
-            wait_ms = max(limited_ms, backoff_ms)
-            if not wait_ms:
-                return None
-            needs_permit = limited_ms > backoff_ms
-            may_wait = not needs_permit or upstream.stated is None
-            closed.append(Unavailability(wait_ms, needs_permit, may_wait))
-        closed.sort(key=lambda one: one.wait_ms)
-        cold = (one for one in closed if one.needs_permit and one.may_wait)
-        first = next(iter(closed), None)
-        if first is None or first.may_wait:
-            return first
-        return next(cold, first)
