Placer: acquire is split, its doc comment names the codes of refusals

The limit of permit requests holds for cold upstreams too. The wrapper of Fleet.is_usable is removed. Keys of queues are no longer taken for API keys.

--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -21,8 +21,8 @@
 
 #: Requests that may wait for a slot of a service in the same regions at one entry.
 MAX_WAITING = 256
-#: Permits that are requested for one request, one after the other, from upstreams with
-#: a stated rate.
+#: Permits that are requested for one request, one after the other, before it tries
+#: upstreams that need none.
 MAX_PERMIT_REQUESTS = 3
 #: Cost of a request in the fair queue. All cost the same, so the unit is arbitrary.
 QUEUE_COST = 1.0
@@ -33,13 +33,14 @@
 }
 
 #: A service, and the regions in which the requests of a queue may be handled.
-_QueueKey = tuple[str, Regions]
-
-Queue = FairQueue | ClassQueue
+_QueueKey: t.TypeAlias = tuple[str, Regions]
+_Queue: t.TypeAlias = FairQueue | ClassQueue
 
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Waiter:
+    """A waiting request; the result of `future` is the upstream of its slot."""
+
     key: _QueueKey
     future: "asyncio.Future[Upstream]"
     traits: RequestTraits
@@ -89,7 +90,7 @@
         self._has_classes = has_classes
         self._numbers = itertools.count(1)
         #: The queue that was served last is the last one.
-        self._queues: dict[_QueueKey, Queue] = {}
+        self._queues: dict[_QueueKey, _Queue] = {}
         self._return_times = ReturnTimes()
         self._waiters: dict[int, _Waiter] = {}
 
@@ -107,26 +108,29 @@
     ) -> "Upstream":
         """Return an upstream with a slot reserved for the request; `release` frees it.
 
+        Parameters
+        ----------
+        service : str
+        traits : RequestTraits
+        tried : collection of str
+            Instances that are chosen only when there is no other.
+        wait_ms : float
+            Maximum time to wait for a slot and a permit.
+
         Raises
         ------
         RefusedError
-            If no slot becomes free within `wait_ms`; at once if all upstreams state a
-            rate and none of them accepts another request now, if all of them have
-            asked for backoff periods, or wait for permits of cold upstreams, that end
-            later, or if all are in drained zones or in regions that aren't allowed.
+            `OVERLOADED` if no slot becomes free within `wait_ms`, or if too many
+            requests wait. `RATE_REACHED` if no permit is issued: at once if all
+            upstreams state a rate, or if those of cold ones come too late. The others
+            at once: `BACKING_OFF` if all backoff periods end later, `ZONE_DRAINED` if
+            all upstreams are in drained zones, and `NO_ALLOWED_PLACE`.
         """
         ends_ms = self._clock.now_ms() + wait_ms
         while True:
-            for _ in range(MAX_PERMIT_REQUESTS):
-                upstream = await self._acquire_usable(service, traits, tried, ends_ms)
-                if not await self._request_permit(upstream):
-                    continue
-                if self.is_usable(upstream, traits):
-                    return upstream
-                # Its zone was drained, or it began to leave, while the permit was
-                # awaited.
-                self._release_unused(upstream)
-            # No more permits are requested; an upstream that needs none may be free.
+            upstream = await self._acquire_permitted(service, traits, tried, ends_ms)
+            if upstream is not None:
+                return upstream
             free = self._fleet.choose(service, tried, traits, only_unlimited=True)
             if free is not None:
                 self._reserve(free)
@@ -135,6 +139,24 @@
             if not self._may_await_permit(service, traits, ends_ms):
                 raise RefusedError("upstreams take no more now", Code.RATE_REACHED)
 
+    async def _acquire_permitted(
+        self,
+        service: str,
+        traits: RequestTraits,
+        tried: t.Collection[str],
+        ends_ms: float,
+    ) -> "Upstream | None":
+        """Reserve a slot, with a permit if needed; None if no permit was issued."""
+        for _ in range(MAX_PERMIT_REQUESTS):
+            upstream = await self._acquire_usable(service, traits, tried, ends_ms)
+            if not await self._request_permit(upstream):
+                continue
+            if self._fleet.is_usable(upstream, traits):
+                return upstream
+            # Its zone was drained, or it began to leave, while the permit was awaited.
+            self._release_unused(upstream)
+        return None
+
     def _may_await_permit(
         self, service: str, traits: RequestTraits, ends_ms: float
     ) -> bool:
@@ -175,17 +197,18 @@
 
     def refuse_waiting(self, service: str) -> None:
         """Refuse the waiting requests that no upstream of a service accepts in time."""
-        for key in self._keys(service):
-            queue, closed = self._queues[key], self._fleet.gate.unavailability(*key)
+        for key in self._queue_keys(service):
+            closed = self._fleet.gate.unavailability(*key)
             if closed is None or closed.needs_permit:
                 continue
+            queue = self._queues[key]
             opens_ms = self._clock.now_ms() + closed.wait_ms
             for waiting in [one for one in queue if one.expires_ms <= opens_ms]:
                 queue.remove(waiting.ticket)
                 self._refuse(waiting.ticket, _backing_off(closed.wait_ms))
 
     def _refuse_queue(self, key: _QueueKey) -> None:
-        """Refuse all requests of a queue if no upstream may serve them for long.
+        """Refuse all requests of a queue if the gate refuses such requests at once.
 
         Drains take minutes, which is longer than any request waits.
         """
@@ -206,6 +229,7 @@
                 waiter.key = key
                 if queued is not None:
                     self._push(key, queued)
+        # Empty queues of regions may belong to limits that no longer exist.
         self._queues = {
             key: queue
             for key, queue in self._queues.items()
@@ -216,11 +240,11 @@
     def _push(self, key: _QueueKey, queued: QueuedRequest) -> None:
         evicted = self._queue_of(key).push(queued)
         if evicted is not None:
-            detail, return_ms = "too many requests wait", self._return_ms(key, evicted)
-            fault = RefusedError(detail, Code.OVERLOADED, return_ms)
+            return_ms = self._return_ms(key, evicted)
+            fault = RefusedError("too many requests wait", Code.OVERLOADED, return_ms)
             self._refuse(evicted.ticket, fault)
 
-    def _keys(self, service: str | None) -> list[_QueueKey]:
+    def _queue_keys(self, service: str | None) -> list[_QueueKey]:
         """Return the keys of the queues with requests, of one service or of all."""
         return [
             key
@@ -250,11 +274,10 @@
     def _note_limited(self, upstream: "Upstream", wait_ms: int) -> None:
         now_ms = self._clock.now_ms()
         until_ms = now_ms + wait_ms
-        if upstream.stated is None:
-            # Each of the requests that asked at once was given another time, and they
-            # wait for the earliest.
-            if upstream.limited_until_ms > now_ms:
-                until_ms = min(until_ms, upstream.limited_until_ms)
+        if upstream.stated is None and upstream.limited_until_ms > now_ms:
+            # Each of the requests that asked together for a cold upstream's permit was
+            # given another time, and they wait for the earliest.
+            until_ms = min(until_ms, upstream.limited_until_ms)
         upstream.limited_until_ms = until_ms
         # Requests that wait for full upstreams may use this one from then on.
         self._serve_later(upstream.entry.service, wait_ms)
@@ -277,8 +300,8 @@
         """
         wait_ms = self._fleet.cold_starts.note_send(upstream)
         if wait_ms:
-            # A request may wait for this. The limit falls as entries join, so that it
-            # isn't known here which of the sends that one waits for.
+            # A request may wait until this send counts no more. As the limit falls when
+            # entries join, it isn't known for which of the sends that is.
             self._serve_later(upstream.entry.service, wait_ms)
 
     async def _acquire_usable(
@@ -288,11 +311,12 @@
         tried: t.Collection[str],
         ends_ms: float,
     ) -> "Upstream":
+        """Reserve a slot of an upstream that is still usable after the wait."""
         while True:
             self._check_available(service, traits, ends_ms)
             left_ms = max(ends_ms - self._clock.now_ms(), 1.0)
             upstream = await self._acquire_slot(service, traits, tried, left_ms)
-            if self.is_usable(upstream, traits):
+            if self._fleet.is_usable(upstream, traits):
                 return upstream
             # It began to leave, asked for a backoff, or its zone was drained, after the
             # slot was assigned.
@@ -313,7 +337,7 @@
                 return upstream
         return await self._wait(key, traits, tried, wait_ms)
 
-    def _queue_of(self, key: _QueueKey) -> Queue:
+    def _queue_of(self, key: _QueueKey) -> _Queue:
         """Return a queue, of the kind that the configuration asks for now."""
         kind = ClassQueue if self._has_classes(key[0]) else FairQueue
         former = self._queues.get(key)
@@ -324,10 +348,6 @@
             queue.push(waiting)
         return queue
 
-    def is_usable(self, upstream: "Upstream", traits: RequestTraits) -> bool:
-        """Return whether an upstream may still receive a new request."""
-        return self._fleet.is_usable(upstream, traits)
-
     def may_still_send(
         self, upstream: "Upstream", traits: RequestTraits, reserved_ms: int
     ) -> bool:
@@ -340,10 +360,9 @@
         reserved_ms : int
             When `acquire` returned.
         """
-        cold_starts = self._fleet.cold_starts
-        return self.is_usable(upstream, traits) and cold_starts.is_permit_valid(
-            upstream, reserved_ms
-        )
+        if not self._fleet.is_usable(upstream, traits):
+            return False
+        return self._fleet.cold_starts.is_permit_valid(upstream, reserved_ms)
 
     def has_free_slot(self, service: str, traits: RequestTraits = ANY_REQUEST) -> bool:
         """Return whether a request would get a slot at once.
@@ -370,7 +389,7 @@
 
         The queues of a service take turns, and one without a usable slot is skipped.
         """
-        keys = self._keys(service)
+        keys = self._queue_keys(service)
         while keys:
             served = [key for key in keys if self._serve_next(key)]
             keys = [key for key in served if len(self._queues[key])]
@@ -381,8 +400,8 @@
         queue = self._queues[key] = self._queues.pop(key)
         if self._has_classes(service):
             self._refuse_expired(key)
-        any_request = RequestTraits(allowed_regions=regions)
-        upstream = self._fleet.choose(service, (), any_request)
+        queue_traits = RequestTraits(allowed_regions=regions)
+        upstream = self._fleet.choose(service, (), queue_traits)
         if upstream is None:
             self._refuse_queue(key)
             return False
@@ -457,7 +476,7 @@
         service, _ = key
         if not self._has_classes(service):
             return None
-        queues = [self._queues[other] for other in self._keys(service)]
+        queues = [self._queues[other] for other in self._queue_keys(service)]
         requests = itertools.chain.from_iterable(queues)
         waiting = sum(one.priority <= refused.priority for one in requests)
         return self._return_times.estimate_ms(service, waiting, self._clock.now_ms())
--- a/tests/gateway/test_allowed_regions.py
+++ b/tests/gateway/test_allowed_regions.py
@@ -320,7 +320,7 @@
             left.cancel()
             await asyncio.wait({late, left})
             self.assertEqual(late.exception().result, Code.OVERLOADED)
-            self.assertEqual(self.placer._keys(None), [])
+            self.assertEqual(self.placer._queue_keys(None), [])
             return self.placer.waiting
 
         self.assertEqual(self.play(steps), 0)
