ColdStarts: the check of limits and period stands once

is_permit_valid is also asked for requests that needed no permit, so it is is_reservation_valid. Doc comments say units and what unknown ages mean.

--- a/packages/gateway/src/fuchsiahatch_gateway/cold_starts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/cold_starts.py
@@ -22,12 +22,12 @@
 #: issue at the full rate, and a third one that has just begun and issues at a quarter
 #: of it, together stay below the limit.
 ISSUER_SHARE = 0.44
-#: Age up to which a permit is valid: a connection takes up to 300 ms. A host that
-#: stalls with some permits would otherwise use them together with those that follow.
+#: Age up to which a permit is valid: connecting takes up to 300 ms. Without a limit, a
+#: host that stalls would use its permits together with those that are issued later.
 MAX_PERMIT_AGE_MS = 300
-#: Most by which the times from the issue of a permit until the request arrives differ:
-#: the answer of the issuer counts for 120 ms. Permits of a longer time may therefore
-#: arrive in one second.
+#: Largest difference between the times from the issue of a permit to the arrival of its
+#: request: an issuer's reply is used for up to 120 ms. The requests of one second may
+#: therefore have permits that were issued over a longer time.
 MAX_DELAY_SPREAD_MS = 120 + MAX_PERMIT_AGE_MS
 
 
@@ -35,12 +35,14 @@
 class ColdFacts:
     """What an entry knows of the cold periods of an upstream's incarnation.
 
+    All times are of the entry's own clock.
+
     Attributes
     ----------
     seen_ms : int
         When the incarnation was first seen.
     age_ms : float
-        Its age then; infinite where it may be any.
+        Its age then; infinite if unknown and not known to be new.
     item_version : (int, int) or None
         Version of its item in the store; None before it was read.
     item_seen_ms, item_until_ms : int
@@ -80,6 +82,8 @@
 
 
 class _Period(t.NamedTuple):
+    """A cold period; periods compare by their ends first."""
+
     until_ms: int
     begin_ms: int
     source: str
@@ -163,18 +167,21 @@
             return
         was_cold = self.is_cold(upstream)
         now_ms = self._clock.now_ms()
-        until_ms = now_ms + upstream.entry.cold_remaining_ms
         facts.item_version = version
         if facts.item_until_ms <= now_ms:
             facts.item_seen_ms = now_ms
+        until_ms = now_ms + upstream.entry.cold_remaining_ms
         facts.item_until_ms = max(facts.item_until_ms, until_ms)
         if not was_cold:
             self._log_begin(upstream)
 
     def note_zone_returned(self, zone: str, upstreams: t.Iterable["Upstream"]) -> None:
         """Note that the drain of a zone has ended, which leaves its upstreams cold."""
-        known = [upstream for upstream in upstreams if upstream.entry.zone == zone]
-        warm = [upstream for upstream in known if not self.is_cold(upstream)]
+        warm = [
+            upstream
+            for upstream in upstreams
+            if upstream.entry.zone == zone and not self.is_cold(upstream)
+        ]
         self._zones_returned_ms[zone] = self._clock.now_ms()
         for upstream in warm:
             self._log_begin(upstream)
@@ -192,8 +199,7 @@
 
     def is_cold(self, upstream: "Upstream") -> bool:
         """Return whether an upstream is known to be cold now."""
-        limits = self.limits_of(upstream.entry.service)
-        return limits is not None and self._period(upstream, limits) is not None
+        return self._period(upstream) is not None
 
     def permit_rate(self, upstream: "Upstream") -> StatedRate | None:
         """Return the rate of a cold upstream's permits; None where it isn't cold.
@@ -201,18 +207,19 @@
         A lower rate that the upstream states takes precedence.
         """
         limits = self.limits_of(upstream.entry.service)
-        if limits is None:
-            return None
-        period = self._period(upstream, limits)
-        if period is None:
+        period = self._period(upstream)
+        if limits is None or period is None:
             return None
         stated = upstream.stated
         if stated is not None and stated.rate_per_s < limits.permit_rate_per_s:
             return stated
         return StatedRate(limits.permit_rate_per_s, period.begin_ms)
 
-    def is_permit_valid(self, upstream: "Upstream", reserved_ms: int) -> bool:
-        """Return whether a request may still go to an upstream, cold or not.
+    def is_reservation_valid(self, upstream: "Upstream", reserved_ms: int) -> bool:
+        """Return whether a request with a reserved slot may still be sent.
+
+        It may not if its permit has expired, or if it needed none and the upstream has
+        become cold since.
 
         Parameters
         ----------
@@ -239,11 +246,11 @@
         upstream needs a permit instead.
         """
         if not upstream.cold.sends_ms:
-            # The limit is at least one. Most upstreams pass here, as each choice asks
-            # for all of a service.
+            # The limit is at least one. As most upstreams of a service pass here, a
+            # choice doesn't count the entries for each of them.
             return True
         limits = self.limits_of(upstream.entry.service)
-        if limits is None or self._period(upstream, limits) is not None:
+        if limits is None or self.is_cold(upstream):
             return True
         return len(self._latest_sends(upstream)) < self._own_limit(limits)
 
@@ -256,23 +263,28 @@
             Time until it counts no more; 0 where none are counted.
         """
         limits = self.limits_of(upstream.entry.service)
-        if limits is None or self._period(upstream, limits) is not None:
+        if limits is None or self.is_cold(upstream):
             return 0
         self._latest_sends(upstream).append(self._clock.now_ms())
         return WINDOW_MS
 
     def _own_limit(self, limits: ColdLimits) -> int:
+        """Return this entry's share of the limit, in requests per `WINDOW_MS`."""
         return max(1, int(limits.limit_per_s / max(1, self._count_entries())))
 
     def _latest_sends(self, upstream: "Upstream") -> collections.deque[int]:
+        """Return the times of the sends that still count; drop older ones."""
         sends_ms = upstream.cold.sends_ms
         earliest_ms = self._clock.now_ms() - WINDOW_MS
         while sends_ms and sends_ms[0] <= earliest_ms:
             sends_ms.popleft()
         return sends_ms
 
-    def _period(self, upstream: "Upstream", limits: ColdLimits) -> _Period | None:
+    def _period(self, upstream: "Upstream") -> _Period | None:
         """Return the current cold period that ends last; None where there is none."""
+        limits = self.limits_of(upstream.entry.service)
+        if limits is None:
+            return None
         return max(self._periods(upstream, limits.duration_ms), default=None)
 
     def _periods(self, upstream: "Upstream", duration_ms: int) -> t.Iterator[_Period]:
@@ -281,21 +293,21 @@
         earliest_ms = now_ms - duration_ms
         if facts.item_until_ms > now_ms:
             yield _Period(facts.item_until_ms, facts.item_seen_ms, "item")
-        born_lately = facts.age_ms < duration_ms + MAX_CLOCK_SKEW_MS
-        if born_lately and facts.seen_ms > earliest_ms:
+        was_new = facts.age_ms < duration_ms + MAX_CLOCK_SKEW_MS
+        if was_new and facts.seen_ms > earliest_ms:
             yield _Period(facts.seen_ms + duration_ms, facts.seen_ms, "start")
         returned_ms = self._zones_returned_ms.get(upstream.entry.zone)
         if returned_ms is not None and returned_ms > earliest_ms:
             yield _Period(returned_ms + duration_ms, returned_ms, "drain")
 
     def _age_ms(self, born_ms: int) -> float:
+        """Return the age of an upstream; `born_ms` is Unix time, 0 if unknown."""
         if born_ms:
             return self._time_of_day.now_ms() - born_ms
         return 0 if self._synced else math.inf
 
     def _log_begin(self, upstream: "Upstream") -> None:
-        limits = self.limits_of(upstream.entry.service)
-        period = None if limits is None else self._period(upstream, limits)
+        period = self._period(upstream)
         instance = upstream.entry.instance
         if period is not None and self._lines.allows(instance):
             log_event(
@@ -308,8 +320,9 @@
 
 def _make_limits(figures: "ColdStart", over: float, slack: float) -> ColdLimits:
     limit_per_s = figures.rate_per_s * over + slack
-    counted_s = (WINDOW_MS + MAX_DELAY_SPREAD_MS) / 1000
+    # The requests of one window have permits that were issued within this time.
+    issue_window_s = (WINDOW_MS + MAX_DELAY_SPREAD_MS) / 1000
     # Of evenly spaced permits, some windows have one more than the rate yields.
-    reserved_per_s = (ISSUER_SHARE * limit_per_s - 1) / counted_s
-    permit_rate_per_s = max(0.0, min(figures.rate_per_s, reserved_per_s))
+    share_per_s = (ISSUER_SHARE * limit_per_s - 1) / issue_window_s
+    permit_rate_per_s = max(0.0, min(figures.rate_per_s, share_per_s))
     return ColdLimits(figures.duration_ms, limit_per_s, permit_rate_per_s)
--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -362,7 +362,7 @@
         """
         if not self._fleet.is_usable(upstream, traits):
             return False
-        return self._fleet.cold_starts.is_permit_valid(upstream, reserved_ms)
+        return self._fleet.cold_starts.is_reservation_valid(upstream, reserved_ms)
 
     def has_free_slot(self, service: str, traits: RequestTraits = ANY_REQUEST) -> bool:
         """Return whether a request would get a slot at once.
