--- a/packages/routing/src/fuchsiahatch_routing/queues.py
+++ b/packages/routing/src/fuchsiahatch_routing/queues.py
@@ -15,8 +15,8 @@
 CLASS_ADVANCE = (2.0, 0.0, -2.0)
 #: Times in a row that a higher-priority request may overtake its team's oldest one.
 MAX_OVERTAKES = 8
-#: Of this many requests in a row that leave a queue with strict classes, one is the
-#: oldest of those that the others passed over.
+#: One in this many requests that leave a `ClassQueue` is the oldest of the less urgent
+#: classes, as long as any of these wait.
 PASSED_OVER_INTERVAL = 8
 
 
@@ -224,6 +224,15 @@
             return None
         return self.evict()
 
+    def evict(self) -> QueuedRequest:
+        """Remove the newest request of the flow that is longest for its share.
+
+        The queue must not be empty.
+        """
+        flow = max(self._flows.values(), key=lambda flow: flow.size / flow.weight)
+        self._size -= 1
+        return flow.drop_newest()
+
     def pop(self, cost_ms: float) -> QueuedRequest | None:
         """Remove the next request and charge its team an expected cost."""
         backlogged = [flow for flow in self._flows.values() if flow.size]
@@ -283,12 +292,6 @@
         # A flow with a share of 0 would never be served.
         return max(self._share_of(team), _MIN_SHARE)
 
-    def evict(self) -> QueuedRequest:
-        """Remove the newest request of the flow that is longest for its share."""
-        flow = max(self._flows.values(), key=lambda flow: flow.size / flow.weight)
-        self._size -= 1
-        return flow.drop_newest()
-
     def _drop_idle_teams(self) -> None:
         idle = [
             team
@@ -329,7 +332,7 @@
         self._max_waiting = max_waiting
         self._share_of = share_of
         self._by_class: dict[int, FairQueue] = {}
-        #: Requests in a row that left while less urgent ones waited.
+        #: Requests in a row that left ahead of waiting ones of less urgent classes.
         self._passes = 0
 
     def __len__(self) -> int:
@@ -351,10 +354,10 @@
 
     def pop(self, cost_ms: float) -> QueuedRequest | None:
         """Remove the next request and charge its team an expected cost."""
-        waiting = [queue for _, queue in sorted(self._by_class.items()) if len(queue)]
-        if not waiting:
+        queues = self._queues_by_urgency()
+        if not queues:
             return None
-        most_urgent, *passed_over = waiting
+        most_urgent, *passed_over = queues
         self._passes = self._passes + 1 if passed_over else 0
         if self._passes < PASSED_OVER_INTERVAL:
             return most_urgent.pop(cost_ms)
@@ -367,9 +370,13 @@
         return next((removed for removed in removals if removed is not None), None)
 
     def _evict(self) -> QueuedRequest:
-        waiting = [queue for _, queue in sorted(self._by_class.items()) if len(queue)]
-        spare = [queue for queue in waiting if len(queue) > 1]
-        return (spare or waiting)[-1].evict()
+        queues = self._queues_by_urgency()
+        longer = [queue for queue in queues if len(queue) > 1]
+        return (longer or queues)[-1].evict()
+
+    def _queues_by_urgency(self) -> list[FairQueue]:
+        """Return the queues that aren't empty, that of the most urgent class first."""
+        return [queue for _, queue in sorted(self._by_class.items()) if len(queue)]
 
 
 _MIN_SHARE = 0.01
@@ -378,6 +385,7 @@
 def _take_oldest(queues: list[FairQueue], cost_ms: float) -> QueuedRequest:
     """Remove the oldest request of several queues and charge its team."""
     oldest = min(itertools.chain(*queues), key=lambda waiting: waiting.ticket)
+    # Only the queue that has the request returns it.
     (queue,) = (queue for queue in queues if queue.remove(oldest.ticket))
     queue.adjust_charge(oldest.team, cost_ms)
     return oldest
