Permits: one way to ask for both kinds of permits

The time in which an issuer's reply counts stood in permits and, as a number, in cold_starts; it is MAX_PERMIT_REPLY_MS of defaults. IssuerTerms says what it answers.

--- a/packages/gateway/src/fuchsiahatch_gateway/cold_starts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/cold_starts.py
@@ -9,6 +9,7 @@
 from fuchsiahatch_core.clock import Clock
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_gateway.answer_statements import MAX_CLOCK_SKEW_MS
+from fuchsiahatch_gateway.defaults import MAX_PERMIT_REPLY_MS
 from fuchsiahatch_gateway.line_limits import LineLimit
 from fuchsiahatch_gateway.stated_rates import StatedRate
 
@@ -26,9 +27,9 @@
 #: host that stalls would use its permits together with those that are issued later.
 MAX_PERMIT_AGE_MS = 300
 #: Largest difference between the times from the issue of a permit to the arrival of its
-#: request: an issuer's reply is used for up to 120 ms. The requests of one second may
-#: therefore have permits that were issued over a longer time.
-MAX_DELAY_SPREAD_MS = 120 + MAX_PERMIT_AGE_MS
+#: request. The requests of one second may have permits that were issued over a time
+#: that is longer by it.
+MAX_DELAY_SPREAD_MS = MAX_PERMIT_REPLY_MS + MAX_PERMIT_AGE_MS
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/gateway/src/fuchsiahatch_gateway/defaults.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/defaults.py
@@ -49,6 +49,9 @@
 #: Part of the platform's grace period kept in reserve, so that the process exits by
 #: itself before it is killed.
 GRACE_RESERVE_MS = 700
+#: Time from asking for a permit in which the issuer's reply counts. After a longer
+#: stall of this host the permit is for an earlier time.
+MAX_PERMIT_REPLY_MS = 120
 #: Base of the Retry-After that a refused caller gets.
 RETRY_AFTER_S = 0.4
 #: Longest Retry-After without that factor: another upstream may register meanwhile.
--- a/packages/gateway/src/fuchsiahatch_gateway/issuer_terms.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/issuer_terms.py
@@ -1,4 +1,4 @@
-"""Since when an entry has been the issuer of an upstream's permits, by its own view."""
+"""Terms of an entry as the issuer of upstreams' permits, by its own view."""
 
 import dataclasses
 import typing as t
@@ -6,16 +6,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _View:
+    """The live entries, and when this set of them was first seen."""
+
     seen_ms: int
     nodes: frozenset[str]
 
 
 class IssuerTerms:
-    """Keeps the latest views of the live entries.
+    """Tells since when this entry has been the issuer of an upstream's permits.
 
-    An entry that has just become an issuer issues fewer permits for a while, as the
-    previous one may still issue some. Counted from the first request for a permit, that
-    time would be longer than an upstream is cold.
+    An entry that has just become the issuer issues fewer permits for a while, as the
+    previous one may still issue some. If that time began with the first request for a
+    permit, it would last longer than an upstream is cold.
 
     Parameters
     ----------
@@ -24,7 +26,8 @@
     choose_issuer : callable
         Returns the issuer among some nodes for an upstream's instance.
     kept_ms : int
-        How long views are kept.
+        How long a former view is kept. A term that is older than this may seem younger,
+        but not younger than this.
     """
 
     __slots__ = ("_choose_issuer", "_kept_ms", "_node", "_views")
@@ -49,7 +52,7 @@
             del self._views[0]
 
     def began_ms(self, instance: str) -> int | None:
-        """Return since when this entry is an upstream's issuer; None if it isn't."""
+        """Return when this entry became an upstream's issuer; None if it isn't."""
         began_ms = None
         for view in reversed(self._views):
             if self._choose_issuer(view.nodes, instance) != self._node:
--- a/packages/gateway/src/fuchsiahatch_gateway/permits.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/permits.py
@@ -1,4 +1,4 @@
-"""An entry's permits to send requests to upstreams that state a rate."""
+"""An entry's permits to send requests to cold upstreams and those that state a rate."""
 
 import asyncio
 import hashlib
@@ -12,6 +12,7 @@
     PermitReply,
     PermitRequest,
 )
+from fuchsiahatch_gateway.defaults import MAX_PERMIT_REPLY_MS
 from fuchsiahatch_gateway.issuer_terms import IssuerTerms
 from fuchsiahatch_gateway.permit_issuer import WARM_UP_MS, PermitIssuer
 from fuchsiahatch_gateway.stated_rates import LOCAL_PRECEDENCE_MS, StatedRate
@@ -53,7 +54,7 @@
     ----------
     issuer, cold_issuer : PermitIssuer
         Issue the permits for which this entry is responsible: of upstreams that state a
-        rate, and of cold ones, which bear no burst.
+        rate, and of cold ones, whose permits don't accumulate.
     unanswered : int
         Permit requests without a timely reply.
     """
@@ -80,7 +81,9 @@
         datagrams: DatagramPort,
         clock: "Clock",
         upstream_of: t.Callable[[str], "Upstream | None"],
-        cold_rate_of: t.Callable[["Upstream"], StatedRate | None] = lambda cold: None,
+        cold_rate_of: t.Callable[["Upstream"], StatedRate | None] = lambda upstream: (
+            None
+        ),
     ) -> None:
         self._cold_rate_of = cold_rate_of
         self._upstream_of = upstream_of
@@ -110,45 +113,40 @@
         instance = upstream.entry.instance
         issuer = self._find_issuer(instance)
         now_ms = self._clock.now_ms()
-        cold = self._cold_rate_of(upstream)
-        if cold is not None:
-            age_ms = now_ms - cold.stated_ms
-            if issuer is None:
-                return self._issue_cold(instance, cold.rate_per_s, age_ms)
+        cold_rate = self._cold_rate_of(upstream)
+        rate = upstream.stated if cold_rate is None else cold_rate
+        if rate is None:
+            return 0
+        age_ms = now_ms - rate.stated_ms
+        if issuer is not None:
+            kind = PermitRequest if cold_rate is None else ColdPermitRequest
             return await self._ask_entry(
-                issuer, ColdPermitRequest, instance, cold.rate_per_s, age_ms
+                issuer, kind, instance, rate.rate_per_s, age_ms
             )
-        stated = upstream.stated
-        if stated is None:
-            return 0
-        age_ms = now_ms - stated.stated_ms
-        if issuer is None:
-            return self.issuer.issue(instance, stated.rate_per_s, age_ms)
-        return await self._ask_entry(
-            issuer, PermitRequest, instance, stated.rate_per_s, age_ms
-        )
+        issue = self.issuer.issue if cold_rate is None else self._issue_cold
+        return issue(instance, rate.rate_per_s, age_ms)
 
     async def _ask_entry(
         self,
         issuer: Peer,
-        make_request: type[PermitRequest] | type[ColdPermitRequest],
+        kind: type[PermitRequest] | type[ColdPermitRequest],
         instance: str,
         rate_per_s: float,
         age_ms: int,
     ) -> int:
+        """Ask another entry; return the wait as `ask` does."""
         began_ms = self._clock.now_ms()
         number = next(self._numbers)
         future = asyncio.get_running_loop().create_future()
         self._pending[number] = future
         try:
-            request = make_request(number, instance, rate_per_s, age_ms)
+            request = kind(number, instance, rate_per_s, age_ms)
             self._datagrams.send(request, issuer)
             await asyncio.wait({future}, timeout=REPLY_TIMEOUT_MS / 1000)
         finally:
             del self._pending[number]
-        # After a stall of this host the permit is for an earlier time.
         took_ms = self._clock.now_ms() - began_ms
-        if not future.done() or took_ms > 2 * REPLY_TIMEOUT_MS:
+        if not future.done() or took_ms > MAX_PERMIT_REPLY_MS:
             self.unanswered += 1
             return NO_REPLY_DELAY_MS
         return future.result()
@@ -170,7 +168,7 @@
         self._datagrams.send(PermitReply(request.number, wait_ms), peer)
 
     def receive_cold_request(self, request: ColdPermitRequest, peer: Peer) -> None:
-        """Answer another entry's request for a permit of a cold upstream."""
+        """Answer another entry, by the rate known here where that is lower."""
         upstream = self._upstream_of(request.upstream)
         known = None if upstream is None else self._cold_rate_of(upstream)
         rate_per_s, age_ms = request.rate_per_s, request.age_ms
