--- a/packages/gateway/src/fuchsiahatch_gateway/allowed_regions.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/allowed_regions.py
@@ -18,12 +18,12 @@
 
 
 class AllowedRegions:
-    """Answers in which regions a request may be handled now, and which zones they have.
+    """The present limits of routes and teams, and the regions of zones.
 
     Parameters
     ----------
     read_zones : callable, optional
-        Returns the region of each zone.
+        Returns the region of each zone, by zone.
 
     Notes
     -----
@@ -53,15 +53,18 @@
             self._teams.get(traits.team, traits.allowed_regions),
         )
 
-    def have_zone(self, regions: Regions, zone: str) -> bool:
-        """Return whether a zone is in one of the regions; a zone may be in none."""
+    def include_zone(self, regions: Regions, zone: str) -> bool:
+        """Return whether a zone is in one of the regions.
+
+        A zone of unknown region is in no region; None includes all zones.
+        """
         return regions is None or self._read_zones().get(zone) in regions
 
 
-def _regions_by_name(limited: "t.Iterable[Route | Team]") -> dict[str, Regions]:
-    """Return the limit of each name; all limits apply to one that occurs repeatedly."""
+def _regions_by_name(owners: "t.Iterable[Route | Team]") -> dict[str, Regions]:
+    """Return the limit of each name; routes of one name have their limits in common."""
     regions: dict[str, Regions] = {}
-    for one in limited:
-        former = regions.get(one.name)
-        regions[one.name] = common_regions(former, one.allowed_regions)
+    for owner in owners:
+        former = regions.get(owner.name)
+        regions[owner.name] = common_regions(former, owner.allowed_regions)
     return regions
--- a/packages/gateway/src/fuchsiahatch_gateway/item_copies.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/item_copies.py
@@ -25,8 +25,8 @@
     on_change : callable
         Called after each change, without arguments.
     leased : bool, optional
-        Whether the items have leases. Deletions of others are never deferred: the store
-        doesn't lose these items.
+        Whether the items have leases. Deletions of items without leases are final at
+        once: they can't be due to an expired lease.
 
     Attributes
     ----------
--- a/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
@@ -106,15 +106,15 @@
 
     @property
     def accepts_requests(self) -> bool:
-        """Whether nothing in its own state keeps new requests from it.
+        """Whether it is open and hasn't departed.
 
-        `Fleet.is_usable` applies all conditions.
+        `Fleet.is_usable` applies all conditions for new requests.
         """
         return self.open and not self.misplaced and not self.leaving
 
     @property
     def departed(self) -> bool:
-        """Whether this incarnation never gets new requests again."""
+        """Whether it leaves or is misplaced, which is final for this incarnation."""
         return self.misplaced or self.leaving
 
     @property
--- a/packages/gateway/src/fuchsiahatch_gateway/obstacles.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/obstacles.py
@@ -1,4 +1,4 @@
-"""What keeps new requests from an upstream."""
+"""Reasons for which an upstream gets no new requests."""
 
 import enum
 
@@ -11,13 +11,14 @@
     NOT_ALLOWED
         Its zone is in no region in which the request may be handled.
     DEPARTED
-        It leaves, or another upstream answers at its address; final for an incarnation.
+        It leaves, or another upstream answers at its address. This is final for its
+        incarnation.
     ZONE_DRAINED
         The operator has drained its zone.
     CLOSED
         Its rank group isn't working, or its first load report is awaited.
     BACKING_OFF
-        It has asked for a backoff period.
+        It has asked for a backoff period, which hasn't ended.
     """
 
     NOT_ALLOWED = enum.auto()
--- a/packages/gateway/src/fuchsiahatch_gateway/upstream_gate.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/upstream_gate.py
@@ -118,7 +118,7 @@
         they are sent, by `Fleet.is_usable`.
         """
         zone = upstream.entry.zone
-        if regions is not None and not self._regions.have_zone(regions, zone):
+        if regions is not None and not self._regions.include_zone(regions, zone):
             return Obstacle.NOT_ALLOWED
         accepts_requests = upstream.accepts_requests
         if not accepts_requests and upstream.departed:
--- a/packages/gateway/src/fuchsiahatch_gateway/zone_drains.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/zone_drains.py
@@ -31,17 +31,17 @@
     def apply(
         self, zones: t.Iterable[str], upstream_counts: t.Mapping[str, int]
     ) -> None:
-        """Apply the zones that are drained now.
+        """Apply the current set of drained zones.
 
         Parameters
         ----------
         zones : iterable of str
         upstream_counts : mapping of str to int
-            Number of upstreams of each known zone.
+            Number of upstreams of each known zone, for the log.
 
         Notes
         -----
-        A zone that isn't known counts as drained too: its upstreams may register later.
+        Unknown zones count as well: their upstreams may register later.
         """
         current = frozenset(zones)
         former, self.zones = self.zones, current
--- a/tests/gateway/test_allowed_regions.py
+++ b/tests/gateway/test_allowed_regions.py
@@ -106,11 +106,11 @@
         self.assertEqual(self.of(), {"y"})
 
     def test_a_zone_that_is_not_listed_is_in_no_region(self):
-        self.assertTrue(self.regions.have_zone(frozenset("x"), "a"))
-        self.assertFalse(self.regions.have_zone(frozenset("x"), "b"))
-        self.assertFalse(self.regions.have_zone(frozenset("x"), "c"))
-        self.assertFalse(self.regions.have_zone(frozenset(), "a"))
-        self.assertTrue(self.regions.have_zone(None, "c"))
+        self.assertTrue(self.regions.include_zone(frozenset("x"), "a"))
+        self.assertFalse(self.regions.include_zone(frozenset("x"), "b"))
+        self.assertFalse(self.regions.include_zone(frozenset("x"), "c"))
+        self.assertFalse(self.regions.include_zone(frozenset(), "a"))
+        self.assertTrue(self.regions.include_zone(None, "c"))
 
 
 class TestFleet(unittest.TestCase):
