--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -145,7 +145,7 @@
         traits: RequestTraits,
         tried: t.Collection[str],
         ends_ms: float,
-    ) -> "Upstream | None":
+    ) -> t.Optional["Upstream"]:
         """Reserve a slot, with a permit if needed; None if no permit was issued."""
         for _ in range(MAX_PERMIT_REQUESTS):
             upstream = await self._acquire_usable(service, traits, tried, ends_ms)
