--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -48,6 +48,7 @@
 from fuchsiahatch_gateway.entry_liveness import HEARTBEAT_INTERVAL_MS, EntryLiveness
 from fuchsiahatch_gateway.fleet import Fleet
 from fuchsiahatch_gateway.following import Follower
+from fuchsiahatch_gateway.group_rooms import GroupRooms
 from fuchsiahatch_gateway.held_requests import HeldRequests
 from fuchsiahatch_gateway.item_copies import ItemCopy
 from fuchsiahatch_gateway.item_decoding import ItemDecoder
@@ -95,6 +96,8 @@
 #: Interval at which an entry checks whether announcements to agents are due.
 ANNOUNCE_POLL_INTERVAL_MS = 100
 IDLE_POLL_INTERVAL_MS = 50
+#: Interval at which free slots are assigned to waiting requests without any event.
+SERVE_INTERVAL_MS = 100
 
 
 class Entry:
@@ -149,6 +152,17 @@
             bounds.cold_slack,
             lambda: len(self._entries.keys() | {settings.node}),
         )
+        self.rooms = GroupRooms(
+            self.routes,
+            self.fleet.of_service,
+            lambda: len(self._entries.keys() | {settings.node}),
+            clock,
+            self._rng,
+            lambda: self.fleet.drains.zones,
+        )
+        self.fleet.on_reported = self.rooms.note_report
+        self.fleet.full_groups = self.rooms.full_groups
+        self.fleet.takes_turn = self.rooms.takes_turn
         self.permits = Permits(
             settings.node,
             self._present_entries,
@@ -271,6 +285,7 @@
         # Callers are accepted once routes and upstreams are known.
         await self._wait_until_synced()
         await self._accept_callers()
+        process.keep_running(self._serve_waiting_forever())
         process.keep_running(self._send_heartbeats_forever())
         # Requests wait for the first load reports no longer than this.
         reactor.callLater(FIRST_REPORT_TIMEOUT_MS / 1000, self.placer.serve_waiting)
@@ -317,6 +332,16 @@
             self.permits.note_entries()
             await asyncio.sleep(ANNOUNCE_POLL_INTERVAL_MS / 1000)
 
+    async def _serve_waiting_forever(self) -> None:
+        """Serve waiting requests while no load report arrives and no slot is released.
+
+        Otherwise a request that left a slot to other entries in the last report of an
+        agent, or whose upstream's load is unknown since, is refused beside free slots.
+        """
+        while True:
+            await asyncio.sleep(SERVE_INTERVAL_MS / 1000)
+            self.placer.serve_waiting()
+
     async def _send_heartbeats_forever(self) -> None:
         """Send heartbeats to other entries while the store is down."""
         while True:
--- a/packages/gateway/src/fuchsiahatch_gateway/entry_gauges.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry_gauges.py
@@ -72,4 +72,20 @@
         "Zones that the operator has drained.",
         lambda: len(entry.fleet.drains.zones),
     )
+    add_by_group = process.add_gauge_by_group
+    add_by_group(
+        "fuchsiahatch_group_room",
+        "Requests that a rank group has room for.",
+        lambda: {name: one.room for name, one in entry.rooms.readings().items()},
+    )
+    add_by_group(
+        "fuchsiahatch_group_load",
+        "Requests on a rank group.",
+        lambda: {name: one.load for name, one in entry.rooms.readings().items()},
+    )
+    add_by_group(
+        "fuchsiahatch_group_imbalance",
+        "Estimated expert load of a group's most loaded rank over the mean.",
+        lambda: {name: one.imbalance for name, one in entry.rooms.readings().items()},
+    )
     add("fuchsiahatch_log_dropped", "Lines.", lambda: process.log.dropped)
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -61,6 +61,13 @@
         Returns the engine model of a service whose agents report the load of its
         engines; None for a plain service.
     cold_starts : ColdStarts
+    on_reported : callable
+        Called with each upstream whose load report was applied.
+    full_groups : callable
+        Returns the rank groups of a service without room for a request of given traits.
+    takes_turn : callable
+        Returns whether a waiting request of given traits may be sent to an upstream
+        now, with regard to the other entries.
     """
 
     __slots__ = (
@@ -76,10 +83,13 @@
         "cold_starts",
         "drains",
         "engine_of",
+        "full_groups",
         "gate",
         "on_departed",
+        "on_reported",
         "on_restarted",
         "regions",
+        "takes_turn",
         "upstreams",
     )
 
@@ -114,6 +124,13 @@
         self.on_departed: t.Callable[[UpstreamEntry], None] = lambda entry: None
         self.on_restarted: t.Callable[[Upstream], None] = lambda former: None
         self.engine_of: t.Callable[[str], Engine | None] = lambda service: None
+        self.on_reported: t.Callable[[Upstream], None] = lambda upstream: None
+        self.full_groups: t.Callable[[str, RequestTraits], t.Collection[str]] = (
+            lambda service, traits: ()
+        )
+        self.takes_turn: t.Callable[[Upstream, RequestTraits], bool] = (
+            lambda upstream, traits: True
+        )
 
     def apply(self, items: t.Mapping[str, "Item"]) -> None:
         """Apply the current upstream entries of the store."""
@@ -173,6 +190,7 @@
         upstream.open = load.open
         upstream.group = load.group
         upstream.pass_ms = load.pass_ms
+        self.on_reported(upstream)
         self._relieve_slow_rank(upstream)
 
     @property
@@ -255,11 +273,13 @@
         ready, backing_off = self.gate.open_upstreams(service, regions)
         engine = self.engine_of(service)
         paces = fastest_paces([*ready, *backing_off])
+        full_groups = self.full_groups(service, traits)
         has_cold_starts = self.cold_starts.limits_of(service) is not None
         free = [
             upstream
             for upstream in ready
-            if upstream.limited_until_ms <= now_ms
+            if upstream.group not in full_groups
+            and upstream.limited_until_ms <= now_ms
             and upstream.local_requests < upstream.max_local_requests
             and not (only_unlimited and self.needs_permit(upstream))
             and upstream.load(now_ms) < upstream.places(engine, paces[upstream.group])
--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -145,7 +145,7 @@
         traits: RequestTraits,
         tried: t.Collection[str],
         ends_ms: float,
-    ) -> "Upstream | None":
+    ) -> t.Optional["Upstream"]:
         """Reserve a slot, with a permit if needed; None if no permit was issued."""
         for _ in range(MAX_PERMIT_REQUESTS):
             upstream = await self._acquire_usable(service, traits, tried, ends_ms)
@@ -374,7 +374,12 @@
         return chosen is not None
 
     def release(self, upstream: "Upstream") -> None:
-        """Free a slot and assign it to a waiting request."""
+        """Free a slot and assign it to a waiting request.
+
+        One request replaces the one that ended, without awaiting this entry's turn: the
+        load of all entries together stays the same. Not so if the upstream gets no new
+        requests: then the replacement adds to the load of another one.
+        """
         service = upstream.entry.service
         self._return_times.note_freed_slot(service, self._clock.now_ms())
         self._release_unused(upstream)
@@ -382,7 +387,12 @@
     def _release_unused(self, upstream: "Upstream") -> None:
         """Free a slot to which no request was sent; it says nothing of the rate."""
         upstream.local_requests -= 1
-        self.serve_waiting(upstream.entry.service)
+        service = upstream.entry.service
+        if self._fleet.is_usable(upstream):
+            for key in self._queue_keys(service):
+                if self._serve_next(key, awaits_turn=False):
+                    break
+        self.serve_waiting(service)
 
     def serve_waiting(self, service: str | None = None) -> None:
         """Assign free slots to waiting requests, of one service or of all.
@@ -394,24 +404,41 @@
             served = [key for key in keys if self._serve_next(key)]
             keys = [key for key in served if len(self._queues[key])]
 
-    def _serve_next(self, key: _QueueKey) -> bool:
-        """Assign a slot to the next request of a queue; return whether one was free."""
+    def _serve_next(self, key: _QueueKey, awaits_turn: bool = True) -> bool:
+        """Assign a slot to the next request that may have one; return whether any may.
+
+        Parameters
+        ----------
+        key : (str, Regions)
+            Of the queue.
+        awaits_turn : bool, optional
+            Whether the request may have to leave the slot to other entries.
+        """
         service, regions = key
         queue = self._queues[key] = self._queues.pop(key)
         if self._has_classes(service):
             self._refuse_expired(key)
-        queue_traits = RequestTraits(allowed_regions=regions)
-        upstream = self._fleet.choose(service, (), queue_traits)
-        if upstream is None:
+        chosen: dict[int, Upstream | None] = {}
+
+        def admits(priority: int) -> bool:
+            if priority not in chosen:
+                traits = RequestTraits(priority_class=priority, allowed_regions=regions)
+                chosen[priority] = self._fleet.choose(service, (), traits)
+            return chosen[priority] is not None
+
+        waiting = queue.peek(QUEUE_COST, admits)
+        if waiting is None:
             self._refuse_queue(key)
             return False
-        waiting = queue.pop(QUEUE_COST)
-        waiter = None if waiting is None else self._waiters.pop(waiting.ticket, None)
-        if waiter is None or waiter.future.done():
-            return True
-        upstream = self._prefer_untried(service, waiter, upstream)
-        self._reserve(upstream)
-        waiter.future.set_result(upstream)
+        waiter = self._waiters[waiting.ticket]
+        upstream = self._prefer_untried(service, waiter, chosen[waiting.priority])
+        if awaits_turn and not self._fleet.takes_turn(upstream, waiter.traits):
+            return False
+        queue.pop(QUEUE_COST, admits)
+        del self._waiters[waiting.ticket]
+        if not waiter.future.done():
+            self._reserve(upstream)
+            waiter.future.set_result(upstream)
         return True
 
     def _prefer_untried(
@@ -449,6 +476,9 @@
             number, traits.team, traits.priority_class, now_ms, expires_ms
         )
         self._push(key, queued)
+        if len(self._queues[key]) > 1:
+            # The others may be less urgent, and held back from room that is free.
+            self._serve_next(key, awaits_turn=False)
         try:
             # asyncio.wait_for would swallow the cancellation by a caller that
             # disconnects in the same iteration of the loop in which the slot is
--- a/packages/gateway/src/fuchsiahatch_gateway/process.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/process.py
@@ -30,6 +30,7 @@
 METRICS_PATH = b"/metrics"
 
 Gauge = t.Callable[[], float]
+GaugeByGroup = t.Callable[[], t.Mapping[str, float]]
 
 
 class Process:
@@ -59,6 +60,7 @@
         self.stopping = asyncio.Event()
         self.servers: list[HttpServer] = []
         self._gauges: list[tuple[aioprometheus.Gauge, Gauge]] = []
+        self._gauges_by_group: list[tuple[aioprometheus.Gauge, GaugeByGroup]] = []
         self._tasks = Tasks()
         self._file_version: tuple[int, int] | None = None
 
@@ -81,6 +83,11 @@
         gauge = aioprometheus.Gauge(name, doc, registry=self.registry)
         self._gauges.append((gauge, read))
 
+    def add_gauge_by_group(self, name: str, doc: str, read: GaugeByGroup) -> None:
+        """Add a gauge with a value for each rank group, read at each scrape."""
+        gauge = aioprometheus.Gauge(name, doc, registry=self.registry)
+        self._gauges_by_group.append((gauge, read))
+
     async def log_store_calls(self, calls: collections.Counter[str]) -> None:
         """Log the calls to the store by kind at regular intervals.
 
@@ -107,6 +114,10 @@
             return
         for gauge, read in self._gauges:
             gauge.set({}, read())
+        for gauge, read_by_group in self._gauges_by_group:
+            gauge.values.clear()
+            for group, value in read_by_group().items():
+                gauge.set({"group": group}, value)
         body = text.TextFormatter().marshall(self.registry)
         exchange.respond(200, [(b"content-type", b"text/plain; version=0.0.4")], body)
 
--- a/packages/gateway/src/fuchsiahatch_gateway/routes.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/routes.py
@@ -64,6 +64,7 @@
         "_by_host",
         "_classes",
         "_era",
+        "_gaps_ms",
         "_value",
         "configuration",
     )
@@ -75,6 +76,8 @@
         self._by_host: dict[str, list[Route]] = {}
         #: Sorted precedences of requests, for services whose routes differ in priority.
         self._classes: dict[str, list[tuple[int, int]]] = {}
+        #: Shortest event gap objective by service.
+        self._gaps_ms: dict[str, int] = {}
 
     def apply(self, value: bytes, era: int = 0) -> bool:
         """Activate a configuration unless it is outdated; return whether that was done.
@@ -111,6 +114,10 @@
         self._era, self._value = era, value
         self._by_host = _group_by_host(candidate.routes)
         self._classes = _classes_by_service(candidate)
+        self._gaps_ms = {
+            service: shortest_gap_ms(candidate.routes, service)
+            for service in candidate.services
+        }
         log_event(
             Event.CONFIGURATION_APPLIED,
             version=candidate.version,
@@ -128,6 +135,10 @@
         """Return whether the routes of a service differ in priority."""
         return service in self._classes
 
+    def class_count(self, service: str) -> int:
+        """Return the number of priority classes of a service; 1 without any."""
+        return len(self._classes.get(service, ())) or 1
+
     def class_of(self, match: Match, service: str) -> int:
         """Return a request's priority class at a service, 0 first.
 
@@ -149,6 +160,10 @@
         configuration = self.configuration
         return None if configuration is None else configuration.services.get(service)
 
+    def gap_ms_of(self, service: str) -> int:
+        """Return the shortest event gap objective of a service's routes; 0 without."""
+        return self._gaps_ms.get(service, 0)
+
     def match(self, request: "CallerRequest") -> Match:
         """Return a request's route and team.
 
--- a/packages/routing/src/fuchsiahatch_routing/queues.py
+++ b/packages/routing/src/fuchsiahatch_routing/queues.py
@@ -6,6 +6,7 @@
 import typing as t
 
 ShareOf = t.Callable[[str], float]
+Admits = t.Callable[[int], bool]
 
 #: Number of priority classes; a larger priority counts as the last class.
 PRIORITY_CLASSES = 3
@@ -20,6 +21,11 @@
 PASSED_OVER_INTERVAL = 8
 
 
+def admit_all(priority: int) -> bool:
+    """Admit the requests of every priority."""
+    return True
+
+
 def equal_shares(team: str) -> float:
     """Return the same share for every team."""
     return 1.0
@@ -156,6 +162,9 @@
             return waiting[0]
         return min(waiting, key=lambda number: self.classes[number][0].ticket)
 
+    def first(self) -> QueuedRequest:
+        return self.classes[self.next_class()][0]
+
     def take(self) -> QueuedRequest:
         taken = self.classes[self.next_class()].popleft()
         self.size -= 1
@@ -233,21 +242,35 @@
         self._size -= 1
         return flow.drop_newest()
 
-    def pop(self, cost_ms: float) -> QueuedRequest | None:
-        """Remove the next request and charge its team an expected cost."""
-        backlogged = [flow for flow in self._flows.values() if flow.size]
-        if not backlogged:
+    def pop(self, cost_ms: float, admits: Admits = admit_all) -> QueuedRequest | None:
+        """Remove the next request and charge its team an expected cost.
+
+        Parameters
+        ----------
+        cost_ms : float
+        admits : callable, optional
+            Returns whether requests of a priority may leave now.
+        """
+        flow = self._next_flow(cost_ms)
+        if flow is None or not admits(flow.first().priority):
             return None
         self._virtual_time = max(
-            self._virtual_time, min(flow.start_tag for flow in backlogged)
+            self._virtual_time,
+            min(flow.start_tag for flow in self._flows.values() if flow.size),
         )
-        flow = min(backlogged, key=lambda flow: _start_order(flow, cost_ms))
         taken = flow.take()
         flow.start_tag += cost_ms / flow.weight
         self._size -= 1
         self._drop_idle_teams()
         return taken
 
+    def peek(self, cost_ms: float, admits: Admits = admit_all) -> QueuedRequest | None:
+        """Return the request that `pop` would return for the same arguments."""
+        flow = self._next_flow(cost_ms)
+        if flow is None or not admits(flow.first().priority):
+            return None
+        return flow.first()
+
     def remove(self, ticket: int) -> QueuedRequest | None:
         """Remove one request out of turn and return it."""
         removed = next((waiting for waiting in self if waiting.ticket == ticket), None)
@@ -282,6 +305,12 @@
         self._flows.clear()
         self._virtual_time = 0.0
 
+    def _next_flow(self, cost_ms: float) -> _Flow | None:
+        backlogged = [flow for flow in self._flows.values() if flow.size]
+        return min(
+            backlogged, key=lambda flow: _start_order(flow, cost_ms), default=None
+        )
+
     def _flow(self, team: str) -> _Flow:
         flow = self._flows.get(team)
         if flow is None:
@@ -319,9 +348,9 @@
     waits among all others and is served late.
 
     One in `PASSED_OVER_INTERVAL` requests that leave is the oldest of the less urgent
-    classes, whatever its team, and is charged to that team. A full queue evicts from
-    its least urgent class, but not the last request of a class. Both keep a lasting
-    burst from starving a class.
+    classes that may leave, whatever its team, and is charged to that team. A full queue
+    evicts from its least urgent class, but not the last request of a class. Both keep a
+    lasting burst from starving a class.
 
     .. versionadded:: 0.1
     """
@@ -352,43 +381,62 @@
             return evicted
         return self._evict()
 
-    def pop(self, cost_ms: float) -> QueuedRequest | None:
-        """Remove the next request and charge its team an expected cost."""
-        queues = self._queues_by_urgency()
-        if not queues:
+    def pop(self, cost_ms: float, admits: Admits = admit_all) -> QueuedRequest | None:
+        """Remove the next request and charge its team an expected cost.
+
+        Parameters
+        ----------
+        cost_ms : float
+        admits : callable, optional
+            Returns whether requests of a class may leave now. A class that may not
+            holds back all less urgent ones.
+        """
+        most_urgent, *passed_over = self._queues_by_urgency() or (None,)
+        if most_urgent is None or not admits(most_urgent.peek(cost_ms).priority):
             return None
-        most_urgent, *passed_over = queues
         self._passes = self._passes + 1 if passed_over else 0
-        if self._passes < PASSED_OVER_INTERVAL:
+        oldest = self._due(passed_over, admits)
+        if oldest is None:
             return most_urgent.pop(cost_ms)
         self._passes = 0
-        return _take_oldest(passed_over, cost_ms)
+        queue = self._by_class[oldest.priority]
+        queue.remove(oldest.ticket)
+        queue.adjust_charge(oldest.team, cost_ms)
+        return oldest
+
+    def peek(self, cost_ms: float, admits: Admits = admit_all) -> QueuedRequest | None:
+        """Return the request that `pop` would return for the same arguments."""
+        most_urgent, *passed_over = self._queues_by_urgency() or (None,)
+        if most_urgent is None or not admits(most_urgent.peek(cost_ms).priority):
+            return None
+        return self._due(passed_over, admits, 1) or most_urgent.peek(cost_ms)
 
     def remove(self, ticket: int) -> QueuedRequest | None:
         """Remove one request out of turn and return it."""
         removals = (queue.remove(ticket) for queue in self._by_class.values())
         return next((removed for removed in removals if removed is not None), None)
 
-    def _evict(self) -> QueuedRequest:
-        queues = self._queues_by_urgency()
-        longer = [queue for queue in queues if len(queue) > 1]
-        return (longer or queues)[-1].evict()
-
     def _queues_by_urgency(self) -> list[FairQueue]:
-        """Return the queues that aren't empty, that of the most urgent class first."""
+        """Return the queues of the classes that wait, the most urgent first."""
         return [queue for _, queue in sorted(self._by_class.items()) if len(queue)]
 
+    def _due(
+        self, passed_over: list[FairQueue], admits: Admits, further: int = 0
+    ) -> QueuedRequest | None:
+        """Return the oldest request that was passed over, if its turn has come."""
+        if not passed_over or self._passes + further < PASSED_OVER_INTERVAL:
+            return None
+        waiting = itertools.chain.from_iterable(passed_over)
+        admitted = (request for request in waiting if admits(request.priority))
+        return min(admitted, key=lambda request: request.ticket, default=None)
 
-_MIN_SHARE = 0.01
+    def _evict(self) -> QueuedRequest:
+        waiting = self._queues_by_urgency()
+        spare = [queue for queue in waiting if len(queue) > 1]
+        return (spare or waiting)[-1].evict()
 
 
-def _take_oldest(queues: list[FairQueue], cost_ms: float) -> QueuedRequest:
-    """Remove the oldest request of several queues and charge its team."""
-    oldest = min(itertools.chain(*queues), key=lambda waiting: waiting.ticket)
-    # Only the queue that has the request returns it.
-    (queue,) = (queue for queue in queues if queue.remove(oldest.ticket))
-    queue.adjust_charge(oldest.team, cost_ms)
-    return oldest
+_MIN_SHARE = 0.01
 
 
 def _class_of(waiting: QueuedRequest) -> int:
--- a/tests/gateway/test_allowed_regions.py
+++ b/tests/gateway/test_allowed_regions.py
@@ -231,6 +231,25 @@
 
         self.assertEqual(self.play(steps), ({"j"}, False, 1))
 
+    def test_one_that_cannot_use_a_slot_does_not_use_up_the_replacement(self):
+        # One waiting request replaces the one that ended, without a turn. If it were
+        # looked for in the first queue alone, the slot would stay free until this
+        # entry's next turn.
+        async def steps():
+            upstreams = await self.fill()
+            self.fleet.takes_turn = lambda upstream, of_request: False
+            blocked, other = self.begin(traits("x")), self.begin(traits("y"))
+            await asyncio.sleep(0.01)
+            self.placer.release(upstreams["j"])
+            await asyncio.sleep(0.01)
+            found = other.done(), blocked.done()
+            blocked.cancel()
+            other.cancel()
+            await settle([blocked, other])
+            return found
+
+        self.assertEqual(self.play(steps), (True, False))
+
     def test_queues_of_one_service_take_turns(self):
         # With a fixed order, the requests of the first queue would get each free slot
         # for as long as it has any.
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -88,3 +88,99 @@
             return order.index("quiet")
 
         self.assertLessEqual(run(wait()), 3)
+
+
+class TestRoomForUrgentRequests(unittest.TestCase):
+    """Requests of priority 2 are held back; those of priority 0 have room."""
+
+    def setUp(self):
+        self.fleet = Fleet("a", Clock(), random.Random(1))
+        self.fleet.apply({"a": item("a", 1, slots=1)})
+        self.fleet.full_groups = lambda service, traits: (
+            () if traits.priority_class == 0 else {""}
+        )
+        self.placer = Placer(self.fleet, Clock())
+
+    def acquire(self, team, urgency, wait_ms=500):
+        return self.placer.acquire("svc", RequestTraits(team, urgency), (), wait_ms)
+
+    def test_an_urgent_request_does_not_wait_behind_one_that_is_held_back(self):
+        # The queue stops at the less urgent request, and urgent streams are late beside
+        # free room: none of them asks for a slot itself once another request waits.
+        async def wait():
+            held = asyncio.ensure_future(self.acquire("batch", 2))
+            await asyncio.sleep(0.01)
+            upstream = await self.acquire("urgent", 0)
+            held.cancel()
+            return upstream.local_requests
+
+        self.assertEqual(run(wait()), 1)
+
+    def test_urgent_requests_that_wait_are_served_before_those_held_back(self):
+        async def wait():
+            slot = await self.acquire("urgent", 0)
+            held = asyncio.ensure_future(self.acquire("batch", 2))
+            await asyncio.sleep(0.01)
+            urgent = asyncio.ensure_future(self.acquire("urgent", 0))
+            await asyncio.sleep(0.01)
+            self.placer.release(slot)
+            await urgent
+            self.assertFalse(held.done())
+            held.cancel()
+            return self.placer.waiting
+
+        self.assertEqual(run(wait()), 1)
+
+    def test_a_request_that_is_held_back_is_refused_after_its_wait(self):
+        with self.assertRaises(RefusedError):
+            run(self.acquire("batch", 2, wait_ms=20))
+
+    def test_a_stream_is_not_moved_where_its_class_has_no_room(self):
+        # It would be broken off, and wait for a slot while its caller sees a pause.
+        self.assertTrue(self.placer.has_free_slot("svc", RequestTraits("t", 0)))
+        self.assertFalse(self.placer.has_free_slot("svc", RequestTraits("t", 2)))
+
+
+class TestTurns(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet("a", Clock(), random.Random(1))
+        self.fleet.apply({"a": item("a", 1, slots=1)})
+        self.fleet.takes_turn = lambda upstream, traits: False
+        self.placer = Placer(self.fleet, Clock())
+
+    def acquire(self):
+        return self.placer.acquire("svc", RequestTraits("t", 0), (), 200)
+
+    def test_room_in_a_report_is_used_in_turn_and_an_own_slot_at_once(self):
+        # All entries see the same free slot in a report, and each would fill it. A slot
+        # that this entry's request frees is seen by no other one yet.
+        async def wait():
+            slot = await self.acquire()
+            waiting = asyncio.ensure_future(self.acquire())
+            await asyncio.sleep(0.01)
+            self.fleet.upstreams["a"].local_requests = 0
+            self.placer.serve_waiting()
+            await asyncio.sleep(0.01)
+            self.assertFalse(waiting.done())
+            self.fleet.upstreams["a"].local_requests = 1
+            self.placer.release(slot)
+            return (await waiting).local_requests
+
+        self.assertEqual(run(wait()), 1)
+
+    def test_a_request_that_ends_at_a_closed_group_is_not_replaced_at_another(self):
+        # When a rank dies, all streams of its group end at once, and each of 31 entries
+        # would replace its own ones in the room that the other group has left.
+        async def wait():
+            await self.acquire()
+            closing = self.fleet.upstreams["a"]
+            waiting = asyncio.ensure_future(self.acquire())
+            await asyncio.sleep(0.01)
+            self.fleet.apply({"a": item("a", 1, slots=1), "b": item("b", 2, slots=1)})
+            closing.open = False
+            self.placer.release(closing)
+            with self.assertRaises(RefusedError):
+                await waiting
+            return self.fleet.upstreams["b"].local_requests
+
+        self.assertEqual(run(wait()), 0)
--- a/tests/gateway/test_routes.py
+++ b/tests/gateway/test_routes.py
@@ -51,6 +51,7 @@
             make_route("/d/", "safe", "m", priority=0),
         ]
         self.apply(1, routes=routes)
+        self.assertEqual([*map(self.table.class_count, "mnx")], [3, 1, 1])
         self.assertEqual([*map(self.table.has_classes, "mnx")], [True, False, False])
         self.apply(2, routes=routes[1:2])
         self.assertEqual([*map(self.table.has_classes, "mn")], [False, False])
@@ -73,6 +74,7 @@
             for path in ("/urgent/", "/usual/")
         ]
         self.assertEqual(classes, [0, 1, 2, 3])
+        self.assertEqual(self.table.class_count("svc"), 4)
 
     def test_routes_without_a_key_make_no_classes(self):
         """Guards against classes that only routes outside all teams would ask for."""
@@ -113,3 +115,12 @@
         )
         self.assertEqual(shortest_gap_ms(routes, "m"), 120)
         self.assertEqual(shortest_gap_ms(routes, "none"), 0)
+
+    def test_a_later_configuration_replaces_what_is_known_of_services(self):
+        # Rooms would be computed by an objective that the operator has changed.
+        table = RouteTable()
+        for version, gap_ms in ((1, 150), (2, 200)):
+            routes = [make_route("/a/", "streaming", gapAimMs=gap_ms)]
+            table.apply(dump(make_configuration(version, routes=routes)))
+            self.assertEqual(table.gap_ms_of("svc"), gap_ms)
+        self.assertEqual(table.gap_ms_of("other"), 0)
--- a/tests/routing/test_queues.py
+++ b/tests/routing/test_queues.py
@@ -138,6 +138,25 @@
         turns = [one.team for one in served(queue, PASSED_OVER_INTERVAL + 2)]
         self.assertEqual(turns[-3:], ["old", "urgent", "new"])
 
+    def test_classes_that_are_not_admitted_wait_and_take_no_turn(self):
+        """Guards against a turn for the passed over that leaves a free slot unused."""
+        queue = ClassQueue(1_000)
+        fill(queue, "batch", 1, priority=2)
+        fill(queue, "urgent", 20, priority=0)
+        urgent = [queue.pop(1.0, lambda priority: priority < 2) for _ in range(20)]
+        self.assertEqual(classes_of(urgent), [0] * 20)
+        self.assertIsNone(queue.pop(1.0, lambda priority: priority < 2))
+        self.assertEqual(queue.pop(1.0).priority, 2)
+
+    def test_a_class_that_is_not_admitted_costs_no_other_its_turn(self):
+        """Guards against a class that starves behind an older one with no room left."""
+        queue = ClassQueue(1_000)
+        fill(queue, "batch", 1, priority=2)
+        fill(queue, "chat", 1, priority=1)
+        fill(queue, "urgent", 20, priority=0)
+        turns = [queue.pop(1.0, lambda priority: priority < 2) for _ in range(8)]
+        self.assertEqual(classes_of(turns), [0] * 7 + [1])
+
     def test_a_full_queue_evicts_the_least_urgent_but_never_all_of_a_class(self):
         """Guards against a burst that fills the queue and leaves a class no turn."""
         queue = ClassQueue(4)
@@ -172,3 +191,28 @@
                 known.discard(left.ticket)
             self.assertLessEqual(known, waiting)
             known = waiting
+
+
+class TestPeek(unittest.TestCase):
+    def test_classes_with_a_turn_for_the_passed_over_are_foreseen(self):
+        # Guards against a slot chosen for one class and given to a request of another.
+        rng = random.Random(5)
+        queue = ClassQueue(100)
+        for _ in range(400):
+            fill(queue, rng.choice("abc"), rng.randint(0, 2), rng.choice((0, 0, 1, 2)))
+            admitted = rng.randint(0, 2)
+            peeked = queue.peek(10.0, lambda priority, top=admitted: priority <= top)
+            popped = queue.pop(10.0, lambda priority, top=admitted: priority <= top)
+            self.assertIs(popped, peeked)
+
+    def test_it_returns_what_pop_would_return_and_changes_nothing(self):
+        rng = random.Random(3)
+        queue = FairQueue(100)
+        for _ in range(200):
+            fill(queue, rng.choice("abc"), rng.randint(0, 2), rng.randint(0, 2))
+            peeked = queue.peek(10.0)
+            self.assertIs(queue.peek(10.0), peeked)
+            self.assertIs(queue.pop(10.0), peeked)
+
+    def test_an_empty_queue_has_no_next_request(self):
+        self.assertIsNone(FairQueue(1).peek(1.0))
