The test of a leaving upstream through an outage polls the store as an entry does

A running entry's registration polls the store each 0.35 s.

Change: the test runs the registration too. What it asserts is the same.

--- a/tests/gateway/test_stated_leaving.py
+++ b/tests/gateway/test_stated_leaving.py
@@ -113,6 +113,8 @@
         async def play():
             leaving, other = upstream(answers(**LEAVING)), upstream(answers())
             async with Site(leaving) as site:
+                # Polls the store through the outage, as in an entry that runs.
+                polling = asyncio.ensure_future(site.entry.registration.run())
                 copy = site.store.copy()
                 await site.ask("/hold/x", request_id="q-0")
                 site.store.faults.status = 503
@@ -128,6 +130,7 @@
                 for number in range(1, 9):
                     await site.ask("/hold/x", request_id=f"q-{number}")
                 await other.close()
+                polling.cancel()
                 return len(leaving.received)
 
         self.assertEqual(run(play()), 1)
