--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/answer_ends.py
@@ -0,0 +1,61 @@
+"""How the answers of upstreams end."""
+
+import dataclasses
+import typing as t
+
+from fuchsiahatch_http1.client import Framing
+
+if t.TYPE_CHECKING:
+    from fuchsiahatch_gateway.event_stream import EventSplitter
+    from fuchsiahatch_http1.client import ClientConnection
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ending:
+    """How an attempt's answer ended, for the log and the metrics.
+
+    Attributes
+    ----------
+    framing : str
+        How it stated where its body ends; empty without a head.
+    end : str
+        What ended it on its connection; empty if this side gave it up.
+    partial_bytes : int
+        Bytes of a stream after its last complete event.
+    last_event_id : str or None
+        Id of the last complete event of a stream.
+    """
+
+    framing: str
+    end: str
+    partial_bytes: int = 0
+    last_event_id: str | None = None
+
+
+def describe_ending(
+    connection: "ClientConnection", events: "EventSplitter | None"
+) -> Ending:
+    """Return how the current answer on a connection ended."""
+    framing = "" if connection.framing is None else connection.framing.value
+    end = "" if connection.end is None else connection.end.value
+    if events is None:
+        return Ending(framing, end)
+    last_id = None if events.last_id is None else events.last_id.decode("latin-1")
+    return Ending(framing, end, events.partial_bytes, last_id)
+
+
+def is_framed(ending: Ending | None) -> bool:
+    """Return whether an answer stated where its body ends."""
+    return ending is None or ending.framing != Framing.UNTIL_CLOSE.value
+
+
+def ending_fields(ending: Ending | None) -> dict[str, t.Any]:
+    """Return the fields of a log line that say how an answer ended."""
+    if ending is None:
+        return {}
+    return {
+        "framing": ending.framing,
+        "answer_end": ending.end,
+        "partial_bytes": ending.partial_bytes,
+        "last_event_id": ending.last_event_id,
+    }
--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -6,6 +6,7 @@
 
 from fuchsiahatch_adapter import names
 from fuchsiahatch_adapter.caller_requests import caller_headers, upstream_headers
+from fuchsiahatch_gateway.answer_ends import Ending, describe_ending
 from fuchsiahatch_gateway.event_stream import EventSplitter
 from fuchsiahatch_gateway.next_steps import Result
 from fuchsiahatch_http1.client import (
@@ -52,6 +53,8 @@
         Whether the upstream, a rank of a group, crashed before any event was relayed.
     withdrawn : bool
         Whether the upstream stopped accepting requests before anything was sent.
+    ending : Ending or None
+        How the upstream's answer ended; None if nothing was sent.
     """
 
     result: Result
@@ -63,6 +66,7 @@
     events_relayed: bool = False
     group_crashed: bool = False
     withdrawn: bool = False
+    ending: Ending | None = None
 
     @property
     def status(self) -> int:
@@ -160,12 +164,12 @@
     try:
         outcome = await _send_and_receive(exchange, connection, attempt)
     except AnswerBroken as fault:
-        closed_early = connection.lost
-        connection.abort()
-        return Outcome(Result.BROKEN, str(fault), closed_early=closed_early)
+        outcome = Outcome(Result.BROKEN, str(fault), closed_early=connection.lost)
     except BaseException:
         connection.abort()
         raise
+    if outcome.ending is None:
+        outcome.ending = describe_ending(connection, attempt.events)
     if outcome.result is Result.BROKEN:
         connection.abort()
     else:
@@ -285,11 +289,12 @@
             _write_events(exchange, head, whole)
             attempt.on_event()
             await exchange.drained()
+    ending = describe_ending(connection, events)
     rest = events.take_remainder()
     if rest or not exchange.started:
         _write_events(exchange, head, rest)
     exchange.finish()
-    return Outcome(Result.ANSWERED, "whole", head, relayed=True)
+    return Outcome(Result.ANSWERED, "whole", head, relayed=True, ending=ending)
 
 
 def _write_events(exchange: "Exchange", head: Head, data: bytes) -> None:
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -282,9 +282,11 @@
         job.tried.append(upstream.entry.instance)
         job.load_then = upstream.load(sent_ms)
         job.report_age_ms = upstream.report_age_ms(sent_ms)
+        job.ending = None
         try:
             outcome = await run_attempt(job.exchange, self._pool, attempt)
             may_have_run = outcome.result in (Result.ANSWERED, Result.BROKEN)
+            job.ending = outcome.ending
         finally:
             if late_timer is not None:
                 late_timer.cancel()
@@ -297,6 +299,8 @@
             job.unsent += 1
             job.tried.pop()
         self._record_result(upstream, outcome, sent_ms, was_started)
+        if outcome.result is Result.BROKEN:
+            self._log.note_broken_answer(job)
         return outcome
 
     def _expect_answer(
--- a/packages/gateway/src/fuchsiahatch_gateway/event_stream.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/event_stream.py
@@ -36,6 +36,11 @@
             self.last_id = event_id
         return whole
 
+    @property
+    def partial_bytes(self) -> int:
+        """Number of bytes after the last complete event."""
+        return len(self._buffer)
+
     def take_remainder(self) -> bytes:
         """Return and clear the bytes after the last complete event."""
         rest, self._buffer = self._buffer, b""
--- a/packages/gateway/src/fuchsiahatch_gateway/jobs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/jobs.py
@@ -8,6 +8,7 @@
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.caller_requests import CallerRequest
     from fuchsiahatch_adapter.configuration import Route
+    from fuchsiahatch_gateway.answer_ends import Ending
     from fuchsiahatch_gateway.event_stream import EventSplitter
     from fuchsiahatch_gateway.routes import Match
     from fuchsiahatch_http1.server import Exchange
@@ -69,6 +70,8 @@
         including this one.
     report_age_ms : int or None
         Age of the load report used for that estimate; None without one.
+    ending : Ending or None
+        How the answer of its latest upstream ended; None while there is none.
     """
 
     exchange: "Exchange"
@@ -89,6 +92,7 @@
     waited_ms: int = 0
     load_then: int = 0
     report_age_ms: int | None = None
+    ending: "Ending | None" = None
 
     @property
     def traits(self) -> RequestTraits:
--- a/packages/gateway/src/fuchsiahatch_gateway/request_log.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/request_log.py
@@ -4,6 +4,7 @@
 import typing as t
 
 from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_gateway.answer_ends import ending_fields, is_framed
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
@@ -43,12 +44,15 @@
         self._rng = rng
 
     def note_end(self, job: "Job", end: str, outcome: "Outcome | None" = None) -> None:
-        """Record how a request ended; plain successes in time are logged by sample."""
+        """Record how a request ended; plain successes in time are logged by sample.
+
+        An answer that ended with its connection has a line each time.
+        """
         now_ms = self._clock.now_ms()
         self._metrics.note(job, end, now_ms)
         answered = outcome is not None and outcome.status < 400
         on_time = answered and job.is_on_time(now_ms)
-        plain = on_time and len(job.tried) == 1
+        plain = on_time and len(job.tried) == 1 and is_framed(job.ending)
         if plain and self._rng.randrange(SUCCESS_SAMPLE):
             return
         first_ms = job.first_event_ms
@@ -69,8 +73,13 @@
             first_event_ms=None if first_ms is None else first_ms - job.arrived_ms,
             longest_gap_ms=job.longest_gap_ms,
             on_time=on_time,
+            **ending_fields(job.ending),
         )
 
+    def note_broken_answer(self, job: "Job") -> None:
+        """Count an answer that broke off, by its framing and its end."""
+        self._metrics.note_broken_answer(job.ending)
+
     def note_retry(self, job: "Job", upstream: "Upstream", outcome: "Outcome") -> None:
         """Record that a request goes to another upstream.
 
@@ -92,4 +101,5 @@
             report_age_ms=job.report_age_ms,
             load_now=upstream.load(now_ms),
             places=upstream.entry.places,
+            **ending_fields(job.ending),
         )
--- a/packages/gateway/src/fuchsiahatch_gateway/request_metrics.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/request_metrics.py
@@ -6,6 +6,7 @@
 from aioprometheus import histogram
 
 if t.TYPE_CHECKING:
+    from fuchsiahatch_gateway.answer_ends import Ending
     from fuchsiahatch_gateway.jobs import Job
 
 #: Upper bounds of the histograms' buckets.
@@ -21,7 +22,7 @@
     registry : aioprometheus.Registry
     """
 
-    __slots__ = ("_ends", "_first_event", "_gaps", "_latency")
+    __slots__ = ("_broken", "_ends", "_first_event", "_gaps", "_latency")
 
     def __init__(self, registry: aioprometheus.Registry) -> None:
         self._ends = aioprometheus.Counter(
@@ -29,6 +30,11 @@
             "Requests by kind and end.",
             registry=registry,
         )
+        self._broken = aioprometheus.Counter(
+            "fuchsiahatch_broken_answers_total",
+            "Answers of upstreams that broke off, by framing and end.",
+            registry=registry,
+        )
         self._latency = _histogram(
             "fuchsiahatch_request_ms", "Whole answers.", TIME_BUCKETS_MS, registry
         )
@@ -52,6 +58,12 @@
             self._first_event.observe(team, job.first_event_ms - job.arrived_ms)
             self._gaps.observe(team, job.longest_gap_ms)
 
+    def note_broken_answer(self, ending: "Ending | None") -> None:
+        """Count an upstream's answer that broke off."""
+        framing = "" if ending is None else ending.framing
+        end = "" if ending is None else ending.end
+        self._broken.inc({"framing": framing or "no head", "end": end or "given up"})
+
 
 def _histogram(
     name: str, doc: str, buckets: t.Sequence[float], registry: aioprometheus.Registry
--- a/packages/http1/src/fuchsiahatch_http1/client.py
+++ b/packages/http1/src/fuchsiahatch_http1/client.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import enum
 import typing as t
 
 import h11
@@ -23,6 +24,7 @@
 #: A request that crosses the server's close may have run and can't be retried.
 KEEP_ALIVE_SHARE = 0.6
 MAX_HEAD_BYTES = 65_536
+_STATUSES_WITHOUT_BODY = (204, 304)
 
 
 class ConnectFailed(Exception):
@@ -44,6 +46,45 @@
     """The answer ended before it was complete; the request may have run."""
 
 
+class Framing(enum.Enum):
+    """How an answer states where its body ends.
+
+    Attributes
+    ----------
+    LENGTH
+        By its length; also an answer that has no body.
+    CHUNKED
+        By a last chunk.
+    UNTIL_CLOSE
+        By neither: the body ends with the connection.
+    """
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    UNTIL_CLOSE = "until close"
+
+
+class AnswerEnd(enum.Enum):
+    """What ended an answer on its connection.
+
+    Attributes
+    ----------
+    FRAMED
+        Its length was reached, or its last chunk arrived.
+    CLOSED
+        The server closed the connection.
+    RESET
+        The connection was reset or lost.
+    MALFORMED
+        Bytes arrived that aren't HTTP.
+    """
+
+    FRAMED = "framed"
+    CLOSED = "closed"
+    RESET = "reset"
+    MALFORMED = "malformed"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Head:
     """Status and headers of an answer; header names are in lower case."""
@@ -71,7 +112,22 @@
 
 
 class ClientConnection(protocol.Protocol):
-    """One connection to a server."""
+    """One connection to a server.
+
+    Attributes
+    ----------
+    lost : bool
+        Whether the connection has ended.
+    idle : bool
+        Whether no call is in progress.
+    keep_ms : float
+        Time for which it may be reused while it is idle.
+    idle_since_ms : int
+    framing : Framing or None
+        Of the current answer; None before its head.
+    end : AnswerEnd or None
+        What ended the current answer; None before that.
+    """
 
     def __init__(self, on_idle_end: t.Callable[["ClientConnection"], None]) -> None:
         self._conn = h11.Connection(
@@ -86,6 +142,8 @@
         self.idle = True
         self.keep_ms = float(DEFAULT_KEEP_ALIVE_MS)
         self.idle_since_ms = 0
+        self.framing: Framing | None = None
+        self.end: AnswerEnd | None = None
 
     def connectionMade(self) -> None:
         """Set the socket options."""
@@ -102,6 +160,7 @@
             self._conn.receive_data(data)
             self._read_events()
         except h11.RemoteProtocolError as fault:
+            self.end = AnswerEnd.MALFORMED
             self._fail(f"not HTTP: {fault}")
             self.abort()
 
@@ -112,7 +171,9 @@
             self._on_idle_end(self)
             return
         # Only a clean close completes an answer without a length; a reset truncates it.
-        if reason.check(error.ConnectionDone):
+        closed = reason.check(error.ConnectionDone)
+        self.end = self.end or (AnswerEnd.CLOSED if closed else AnswerEnd.RESET)
+        if closed:
             try:
                 self._conn.receive_data(b"")
                 self._read_events()
@@ -130,6 +191,8 @@
         self.idle = False
         self._call = call
         self._events.clear()
+        self.framing = None
+        self.end = None
         self.transport.write(self._serialize(call))
 
     async def head(self) -> Head:
@@ -143,6 +206,8 @@
         if not isinstance(event, h11.Response):
             raise AnswerBroken(f"no head but {type(event).__name__}")
         self._update_keep_alive(event)
+        assert self._call is not None
+        self.framing = _framing_of(self._call.method, event)
         return Head(event.status_code, tuple(event.headers))
 
     async def piece(self) -> bytes | None:
@@ -184,6 +249,8 @@
         self._conn = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
+        self.framing = None
+        self.end = None
         self._serialize(self._call)
         if remaining:
             self.dataReceived(remaining)
@@ -220,6 +287,8 @@
             if isinstance(event, h11.InformationalResponse):
                 continue
             self._events.append(event)
+            if isinstance(event, h11.EndOfMessage):
+                self.end = self.end or AnswerEnd.FRAMED
             if isinstance(event, (h11.EndOfMessage, h11.ConnectionClosed)):
                 break
         self._wake()
@@ -248,6 +317,16 @@
                 self.keep_ms = int(number) * 1000 * KEEP_ALIVE_SHARE
 
 
+def _framing_of(method: bytes, response: h11.Response) -> Framing:
+    # The rules of RFC 9112, section 6.3, which h11 applies as well.
+    names = {name for name, _ in response.headers}
+    if method == b"HEAD" or response.status_code in _STATUSES_WITHOUT_BODY:
+        return Framing.LENGTH
+    if b"transfer-encoding" in names:
+        return Framing.CHUNKED
+    return Framing.LENGTH if b"content-length" in names else Framing.UNTIL_CLOSE
+
+
 class ConnectionPool:
     """Pool of persistent connections, by server address.
 
