--- a/tests/gateway/test_truncated_streams.py
+++ b/tests/gateway/test_truncated_streams.py
@@ -37,6 +37,17 @@
         return reply, sum(len(server.received) for server in upstreams)
 
 
+class TestStreamsWithoutFraming(unittest.TestCase):
+    def test_a_stream_closed_inside_an_event_does_not_look_complete(self):
+        for cut in (1, 6, len(EVENTS[1]) - 1):
+            with self.subTest(cut=cut):
+                half = unframed(EVENTS[0] + EVENTS[1][:cut])
+                reply, sends = run(ask("/brief/", half, half))
+                self.assertEqual(
+                    (reply.body, reply.whole, sends), (EVENTS[0], False, 1)
+                )
+
+
 class TestSight(unittest.TestCase):
     def test_an_answer_without_framing_has_a_line_with_its_end(self):
         with mock.patch.object(request_log, "log_event") as write:
