EventSplitter recognizes events whose lines end in CR or in mixed ways

Only LF LF and CRLF CRLF ended an event, so that a stream with other line ends was relayed at its end alone, and could not be resumed: its ids were never read. The search begins three bytes before the new ones, so that an event of many pieces isn't searched from its start again.

--- a/packages/gateway/src/fuchsiahatch_gateway/event_stream.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/event_stream.py
@@ -1,10 +1,17 @@
 """Splitting a server-sent event stream at event boundaries."""
 
+import re
 import typing as t
 
 #: Length above which an event is meant to be forwarded in parts. `EventSplitter`
 #: doesn't enforce it.
 MAX_EVENT_BYTES = 1_048_576
+#: A line's end and a blank line; lines end in CRLF, LF or CR. A CR at the end of the
+#: received bytes counts, though an LF that belongs to it may follow.
+_EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
+#: Bytes before new ones in which the end of an event may have begun.
+_OVERLAP_BYTES = 3
+_LINE_ENDS = b"\r\n"
 
 
 class EventSplitter:
@@ -19,41 +26,38 @@
     __slots__ = ("_buffer", "last_id")
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
         self.last_id: bytes | None = None
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes to the buffer; return the events that are complete now."""
+        searched = max(len(self._buffer) - _OVERLAP_BYTES, 0)
         self._buffer += data
-        end = max(
-            _end_of(self._buffer, b"\n\n"),
-            _end_of(self._buffer, b"\r\n\r\n"),
-        )
+        end = 0
+        for match in _EVENT_END.finditer(self._buffer, searched):
+            end = match.end()
         if not end:
             return b""
-        whole, self._buffer = self._buffer[:end], self._buffer[end:]
+        whole = bytes(self._buffer[:end])
+        del self._buffer[:end]
         for event_id in _ids(whole):
             self.last_id = event_id
         return whole
 
     @property
     def partial_bytes(self) -> int:
-        """Number of bytes after the last complete event."""
-        return len(self._buffer)
+        """Number of bytes after the last complete event, without line ends."""
+        return len(self._buffer.strip(_LINE_ENDS))
 
     def take_remainder(self) -> bytes:
         """Return and clear the bytes after the last complete event."""
-        rest, self._buffer = self._buffer, b""
+        rest = bytes(self._buffer)
+        self._buffer.clear()
         return rest
 
     def discard_partial(self) -> None:
         """Drop an incomplete event; the next upstream sends it again in full."""
-        self._buffer = b""
-
-
-def _end_of(data: bytes, terminator: bytes) -> int:
-    position = data.rfind(terminator)
-    return position + len(terminator) if position >= 0 else 0
+        self._buffer.clear()
 
 
 def _ids(events: bytes) -> t.Iterator[bytes]:
--- a/tests/gateway/test_small_parts.py
+++ b/tests/gateway/test_small_parts.py
@@ -1,3 +1,4 @@
+import itertools
 import os
 import unittest
 
@@ -117,6 +118,26 @@
         self.assertEqual(splitter.feed(b"id: 4\r\n\r\nx"), b"id: 4\r\n\r\n")
         self.assertEqual(splitter.last_id, b"4")
 
+    def test_lines_of_any_ends_in_pieces_of_any_size_are_events(self):
+        for ends in itertools.product((b"\r\n", b"\n", b"\r"), repeat=4):
+            if ends[2:] == (b"\r", b"\n"):
+                # One line end, and no blank line.
+                continue
+            first, second = b"id: 1%bdata: x%b" % ends[:2], b"id: 2%b%b" % ends[2:]
+            stream = first + ends[1] + second
+            for size in range(1, len(stream) + 1):
+                splitter = EventSplitter()
+                pieces = [
+                    splitter.feed(stream[at : at + size])
+                    for at in range(0, len(stream), size)
+                ]
+                with self.subTest(ends=ends, size=size):
+                    self.assertEqual(splitter.partial_bytes, 0)
+                    self.assertEqual(splitter.last_id, b"2")
+                    rest = splitter.take_remainder()
+                    self.assertEqual(b"".join(pieces) + rest, stream)
+                    self.assertIn(rest, (b"", b"\n"))
+
 
 class TestLog(unittest.TestCase):
     def setUp(self):
