--- a/tests/gateway/delivery_model.py
+++ b/tests/gateway/delivery_model.py
@@ -122,7 +122,9 @@
 def make_delivery(routes, fleet, placer, pool, budget, clock, rng, *callbacks):
     """Return the real delivery of an entry without peers."""
     log = types.SimpleNamespace(
-        note_end=lambda *end: None, note_retry=lambda *retry: None
+        note_end=lambda *end: None,
+        note_retry=lambda *retry: None,
+        note_broken_answer=lambda *broken: None,
     )
     crashing = CrashingRequests(clock, lambda message: None)
     return Delivery(
