A stream that ends inside an event is broken, however its end is stated

Callers got the beginning of a stream, half an event at its end, with a last chunk behind it: framed as complete. Cause: an answer with neither a length nor chunks ends with its connection, so that a clean close counts as its end, and the relay wrote what was left of an event and ended the caller's body. Nothing asked whether the stream ended inside an event.

The end of an answer is checked in one place, answer_ends.check_complete. A stream with bytes behind its last whole event has broken off: it is resumed where it may be, else the caller's body is left incomplete, and no head is sent if no event was whole. Failure, crash count and retry budget follow from the broken result. A last chunk or a length inside an event counts no more than a close: the part can't be used by the caller, and a proxy ends the chunks of an upstream that crashed behind it.

An answer of another content type on a streaming route has no events: it is relayed as a plain body, and can't be the rest of a stream.

Site.ask keeps what a caller received before a reset, which the assertions need.

--- a/packages/gateway/src/fuchsiahatch_gateway/answer_ends.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/answer_ends.py
@@ -3,11 +3,13 @@
 import dataclasses
 import typing as t
 
-from fuchsiahatch_http1.client import Framing
+from fuchsiahatch_http1.client import AnswerBroken, Framing
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_gateway.event_stream import EventSplitter
-    from fuchsiahatch_http1.client import ClientConnection
+    from fuchsiahatch_http1.client import ClientConnection, Head
+
+_EVENT_STREAM = b"text/event-stream"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +46,32 @@
     return Ending(framing, end, events.partial_bytes, last_id)
 
 
+def is_event_stream(head: "Head") -> bool:
+    """Return whether an answer is a stream of events; one that doesn't say may be."""
+    content_type = head.header(b"content-type")
+    return content_type is None or content_type.lower().startswith(_EVENT_STREAM)
+
+
+def check_complete(events: "EventSplitter | None") -> None:
+    """Check that an answer whose body has ended is complete.
+
+    A stream is never complete inside an event, however its end is stated: an upstream
+    that crashes closes its connections as one that has finished does, and a proxy in
+    front of it may send a last chunk.
+
+    Parameters
+    ----------
+    events : EventSplitter or None
+        Of a stream; None for any other answer.
+
+    Raises
+    ------
+    AnswerBroken
+    """
+    if events is not None and events.partial_bytes:
+        raise AnswerBroken("the stream ended inside an event")
+
+
 def is_framed(ending: Ending | None) -> bool:
     """Return whether an answer stated where its body ends."""
     return ending is None or ending.framing != Framing.UNTIL_CLOSE.value
--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -6,7 +6,12 @@
 
 from fuchsiahatch_adapter import names
 from fuchsiahatch_adapter.caller_requests import caller_headers, upstream_headers
-from fuchsiahatch_gateway.answer_ends import Ending, describe_ending
+from fuchsiahatch_gateway.answer_ends import (
+    Ending,
+    check_complete,
+    describe_ending,
+    is_event_stream,
+)
 from fuchsiahatch_gateway.event_stream import EventSplitter
 from fuchsiahatch_gateway.next_steps import Result
 from fuchsiahatch_http1.client import (
@@ -168,8 +173,7 @@
     except BaseException:
         connection.abort()
         raise
-    if outcome.ending is None:
-        outcome.ending = describe_ending(connection, attempt.events)
+    outcome.ending = describe_ending(connection, attempt.events)
     if outcome.result is Result.BROKEN:
         connection.abort()
     else:
@@ -203,8 +207,10 @@
         # Without the signature the answer isn't from this upstream, and the caller must
         # not take it for a success.
         return Outcome(Result.BROKEN, "a success without a signature", head)
-    if succeeded and attempt.events is not None:
+    if succeeded and attempt.events is not None and is_event_stream(head):
         return await _relay_events(exchange, connection, head, attempt)
+    if succeeded and exchange.started:
+        return Outcome(Result.BROKEN, "another upstream sent no event stream", head)
     body = await connection.body()
     return Outcome(Result.ANSWERED, f"status {head.status}", head, body)
 
@@ -289,12 +295,10 @@
             _write_events(exchange, head, whole)
             attempt.on_event()
             await exchange.drained()
-    ending = describe_ending(connection, events)
-    rest = events.take_remainder()
-    if rest or not exchange.started:
-        _write_events(exchange, head, rest)
+    check_complete(events)
+    _write_events(exchange, head, events.take_remainder())
     exchange.finish()
-    return Outcome(Result.ANSWERED, "whole", head, relayed=True, ending=ending)
+    return Outcome(Result.ANSWERED, "whole", head, relayed=True)
 
 
 def _write_events(exchange: "Exchange", head: Head, data: bytes) -> None:
--- a/tests/gateway/sites.py
+++ b/tests/gateway/sites.py
@@ -1,6 +1,7 @@
 """An entry in the test process, with scripted upstreams and a stand-in store."""
 
 import asyncio
+import contextlib
 import json
 import os
 
@@ -187,10 +188,11 @@
     """Send one request and return all that is received until the connection ends."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     writer.write(encode_request(path, **options))
-    try:
-        data = await reader.read(-1)
-    except ConnectionResetError:
-        data = b""
+    data = b""
+    # What came before a reset counts as received.
+    with contextlib.suppress(ConnectionResetError):
+        while piece := await reader.read(65_536):
+            data += piece
     writer.close()
     return Reply(data)
 
--- a/tests/gateway/test_truncated_streams.py
+++ b/tests/gateway/test_truncated_streams.py
@@ -7,7 +7,7 @@
 from fuchsiahatch_gateway import request_log
 from fuchsiahatch_gateway.answer_ends import Ending
 from fuchsiahatch_gateway.request_metrics import RequestMetrics
-from tests.gateway.sites import Site, upstream
+from tests.gateway.sites import Site, answers, event_ids, streams, upstream
 from tests.loopback import run
 
 EVENTS = [b"id: %d\ndata: piece %d\n\n" % (number, number) for number in range(1, 5)]
@@ -23,7 +23,7 @@
             "Fuchsiahatch-Response-Signature: s\r\n\r\n"
         )
         await wire.raw(head.encode() + data)
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(0.05)
         getattr(wire, end)()
 
     return script
@@ -47,6 +47,73 @@
                     (reply.body, reply.whole, sends), (EVENTS[0], False, 1)
                 )
 
+    def test_it_is_resumed_at_another_upstream(self):
+        async def play():
+            server = upstream(unframed(EVENTS[0] + EVENTS[1][:6]), streams(2, 4))
+            async with Site(server) as site:
+                return await site.ask("/chat/"), server.received
+
+        reply, received = run(play())
+        self.assertEqual((event_ids(reply.body), reply.whole), ([1, 2, 3, 4], True))
+        self.assertEqual(received[1].headers["last-event-id"], "1")
+
+    def test_nothing_is_sent_of_a_stream_without_a_whole_event(self):
+        half = unframed(EVENTS[0][:-1])
+        reply, sends = run(ask("/brief/", half))
+        self.assertEqual((reply.status, sends), (502, 1))
+
+    def test_a_whole_stream_is_complete(self):
+        for path in ("/brief/", "/chat/"):
+            with self.subTest(path=path):
+                reply, sends = run(ask(path, unframed(b"".join(EVENTS))))
+                self.assertEqual(
+                    (event_ids(reply.body), reply.whole), ([1, 2, 3, 4], True)
+                )
+                self.assertEqual(sends, 1)
+
+    def test_a_reset_between_two_events_does_not_complete_a_stream(self):
+        reply, _ = run(ask("/brief/", unframed(b"".join(EVENTS[:2]), "reset")))
+        self.assertFalse(reply.whole)
+
+
+class TestFramedStreams(unittest.TestCase):
+    def test_a_last_chunk_inside_an_event_does_not_complete_a_stream(self):
+        async def half(request, wire):
+            await wire.begin_stream(request)
+            await wire.event(1)
+            await wire.raw(b"5\r\nid: 2\r\n")
+            await asyncio.sleep(0.05)
+            await wire.end_stream()
+
+        reply, _ = run(ask("/brief/", half))
+        self.assertEqual((reply.body, reply.whole), (EVENTS[0], False))
+
+    def test_a_length_inside_an_event_does_not_complete_a_stream(self):
+        half = answers(body=EVENTS[0] + EVENTS[1][:6])
+        reply, _ = run(ask("/brief/", half))
+        self.assertIn(reply.body, (b"", EVENTS[0]))
+        self.assertFalse(reply.whole)
+
+
+class TestOtherAnswersOnStreamingRoutes(unittest.TestCase):
+    def test_an_answer_of_another_type_is_relayed_unchanged(self):
+        plain = answers(body=b'{"done": 1}', **{"Content-Type": "application/json"})
+        reply, _ = run(ask("/brief/", plain))
+        self.assertEqual((reply.status, reply.body), (200, b'{"done": 1}'))
+        self.assertTrue(reply.whole)
+
+    def test_an_answer_of_another_type_is_no_rest_of_a_stream(self):
+        async def play():
+            plain = answers(body=b"{}", **{"Content-Type": "application/json"})
+            server = upstream(streams(1, 2, end=False), plain)
+            async with Site(server) as site:
+                return await site.ask("/chat/"), len(server.received)
+
+        reply, sends = run(play())
+        self.assertEqual(sends, 2)
+        self.assertIn(event_ids(reply.body), ([], [1, 2]))
+        self.assertFalse(reply.whole)
+
 
 class TestSight(unittest.TestCase):
     def test_an_answer_without_framing_has_a_line_with_its_end(self):
