An unframed answer is complete only if its upstream still works

An upstream that crashes between two events of an unframed stream, or in a plain body, closes its connection as one that has finished; by its bytes the answer is whole, and the caller got it framed as complete. The same where a rank group lost a member and dropped its requests.

For such answers alone the entry asks whether the upstream works after the close: it must accept a connection, which is kept for the next call (two probes of 60 ms at most), and its rank group must be open by its agent's reports. Else the answer is broken. What can't be reached counts as not working: nothing proves that it had finished. An upstream that was leaving and refuses makes its answer doubtful too, but counts as no crash.

ConnectionPool tells apart an address that refuses from one that doesn't respond; the fakes of the tests that returned whether it refuses return the same as the enum.

--- a/packages/gateway/src/fuchsiahatch_gateway/answer_ends.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/answer_ends.py
@@ -52,17 +52,25 @@
     return content_type is None or content_type.lower().startswith(_EVENT_STREAM)
 
 
-def check_complete(events: "EventSplitter | None") -> None:
-    """Check that an answer whose body has ended is complete.
+async def check_complete(
+    connection: "ClientConnection",
+    events: "EventSplitter | None",
+    still_works: t.Callable[[], t.Awaitable[bool]],
+) -> None:
+    """Check that the answer whose body has ended on a connection is complete.
 
     A stream is never complete inside an event, however its end is stated: an upstream
     that crashes closes its connections as one that has finished does, and a proxy in
-    front of it may send a last chunk.
+    front of it may send a last chunk. For the same reason an answer with neither a
+    length nor chunks is complete only if its upstream still works.
 
     Parameters
     ----------
+    connection : ClientConnection
     events : EventSplitter or None
         Of a stream; None for any other answer.
+    still_works : coroutine function
+        Returns whether the upstream works now.
 
     Raises
     ------
@@ -70,6 +78,8 @@
     """
     if events is not None and events.partial_bytes:
         raise AnswerBroken("the stream ended inside an event")
+    if connection.framing is Framing.UNTIL_CLOSE and not await still_works():
+        raise AnswerBroken("closed without framing by an upstream that doesn't work")
 
 
 def is_framed(ending: Ending | None) -> bool:
--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -126,6 +126,9 @@
         upstream answered.
     on_skipped_head : callable
         Called with the head of its answer to an earlier request.
+    still_works : coroutine function
+        Returns whether the upstream works now; asked when only the end of its
+        connection has ended its answer.
     urgency : int or None
         Priority class that the upstream is told; None to tell it none.
     """
@@ -141,6 +144,7 @@
     on_event: t.Callable[[], None]
     on_head: t.Callable[[Head], None]
     on_skipped_head: t.Callable[[Head], None]
+    still_works: t.Callable[[], t.Awaitable[bool]]
     urgency: int | None = None
 
 
@@ -212,6 +216,7 @@
     if succeeded and exchange.started:
         return Outcome(Result.BROKEN, "another upstream sent no event stream", head)
     body = await connection.body()
+    await check_complete(connection, None, attempt.still_works)
     return Outcome(Result.ANSWERED, f"status {head.status}", head, body)
 
 
@@ -295,7 +300,7 @@
             _write_events(exchange, head, whole)
             attempt.on_event()
             await exchange.drained()
-    check_complete(events)
+    await check_complete(connection, events, attempt.still_works)
     _write_events(exchange, head, events.take_remainder())
     exchange.finish()
     return Outcome(Result.ANSWERED, "whole", head, relayed=True)
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -274,6 +274,7 @@
             lambda: job.note_event(self._clock.now_ms()),
             note_head,
             lambda head: self._on_skipped_head(upstream, head),
+            lambda: self._crashes.still_works(upstream),
             job.priority_class if self._routes.has_classes(job.service) else None,
         )
         was_started = job.exchange.started
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -176,7 +176,7 @@
         self.crashing = CrashingRequests(clock, self._notify_peers)
         self.crashes = UpstreamCrashes(
             self.crashing,
-            self.pool.is_refused,
+            self.pool.probe,
             lambda instance: instance in self.fleet.upstreams,
             clock,
         )
--- a/packages/gateway/src/fuchsiahatch_gateway/upstream_crashes.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/upstream_crashes.py
@@ -6,6 +6,7 @@
 import typing as t
 
 from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_http1.client import Reachability
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
@@ -15,6 +16,9 @@
 #: Time for which an upstream is probed whether it still listens. After its process has
 #: ended the host refuses within some ms; an unreachable host doesn't respond.
 PROBE_TIMEOUT_MS = 60
+#: Probes of an upstream that doesn't respond, before an answer that only its connection
+#: ended counts as broken; the first packet of a connection may be lost.
+MAX_PROBES = 2
 #: Longest time between a broken answer and the detection that its upstream ended or
 #: restarted for the answer to count as broken by a crash.
 CORRELATION_MS = 5_000
@@ -42,8 +46,8 @@
     Parameters
     ----------
     requests : CrashingRequests
-    is_refused : coroutine function
-        Returns whether an IP address and port refuse connections.
+    probe : coroutine function
+        Returns the `Reachability` of an IP address and port.
     is_listed : callable
         Returns whether an instance is among the known upstreams.
     clock : Clock
@@ -54,7 +58,7 @@
         "_clock",
         "_ended",
         "_is_listed",
-        "_is_refused",
+        "_probe_address",
         "_probes",
         "_requests",
     )
@@ -62,18 +66,18 @@
     def __init__(
         self,
         requests: "CrashingRequests",
-        is_refused: t.Callable[[str, int], t.Awaitable[bool]],
+        probe: t.Callable[[str, int], t.Awaitable[Reachability]],
         is_listed: t.Callable[[str], bool],
         clock: "Clock",
     ) -> None:
         self._requests = requests
-        self._is_refused = is_refused
+        self._probe_address = probe
         self._is_listed = is_listed
         self._clock = clock
         self._broken_answers: collections.deque[_BrokenAnswer] = collections.deque(
             maxlen=MAX_BROKEN_ANSWERS
         )
-        self._probes: dict[str, asyncio.Task[None]] = {}
+        self._probes: dict[str, asyncio.Task[Reachability]] = {}
         #: Incarnations that are known to have ended, and when that was detected.
         self._ended: dict[str, int] = {}
 
@@ -86,20 +90,36 @@
         upstream : Upstream
             Its connection was closed before the answer was complete.
         """
-        entry = upstream.entry
-        if upstream.leaving or not self._is_listed(entry.instance):
+        if not self._would_crash(upstream):
             return False
         incarnation = upstream.incarnation
         self._broken_answers.append(
             _BrokenAnswer(fingerprint, incarnation, self._clock.now_ms())
         )
         if incarnation not in self._ended:
-            await self._probe_once(incarnation, upstream)
+            await self._probe_once(upstream)
         if incarnation not in self._ended:
             return False
         self.note_ended(incarnation)
         return True
 
+    async def still_works(self, upstream: "Upstream") -> bool:
+        """Return whether an upstream's process and its rank group still work.
+
+        Asked after a close of its connection that may be the end of an answer: a
+        process that crashes closes its connections too, and a rank group that has lost
+        a member drops its requests. An upstream that can't be reached counts as not
+        working, as nothing proves that it has finished its answer.
+        """
+        for _ in range(MAX_PROBES):
+            if not upstream.open or upstream.incarnation in self._ended:
+                return False
+            # Not shared: a probe that began earlier may have preceded the crash.
+            reachability = await self._probe(upstream)
+            if reachability is not Reachability.UNREACHABLE:
+                break
+        return upstream.open and reachability is Reachability.LISTENING
+
     def note_unanswered(self, fingerprint: str, upstream: "Upstream") -> None:
         """Note an answer that was given up: its upstream may have crashed unnoticed."""
         now_ms = self._clock.now_ms()
@@ -133,22 +153,28 @@
             if now_ms - one.broken_ms < CORRELATION_MS:
                 self._requests.note_crash(one.fingerprint, incarnation)
 
-    async def _probe_once(self, incarnation: str, upstream: "Upstream") -> None:
+    def _would_crash(self, upstream: "Upstream") -> bool:
+        """Return whether an end of an upstream's process now would be unplanned."""
+        return not upstream.leaving and self._is_listed(upstream.entry.instance)
+
+    async def _probe_once(self, upstream: "Upstream") -> Reachability:
         """Check whether an upstream still listens, once for all concurrent checks."""
+        incarnation = upstream.incarnation
         probe = self._probes.get(incarnation)
         if probe is None:
-            probe = asyncio.ensure_future(self._probe(incarnation, upstream))
+            probe = asyncio.ensure_future(self._probe(upstream))
             self._probes[incarnation] = probe
             probe.add_done_callback(lambda _: self._probes.pop(incarnation, None))
         # A caller that disconnects meanwhile must not cancel the probe for the others.
-        await asyncio.shield(probe)
+        return await asyncio.shield(probe)
 
-    async def _probe(self, incarnation: str, upstream: "Upstream") -> None:
+    async def _probe(self, upstream: "Upstream") -> Reachability:
         address = upstream.entry.address
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_MS / 1000):
-                refused = await self._is_refused(address.ip, address.port)
+                reachability = await self._probe_address(address.ip, address.port)
         except TimeoutError:
-            return
-        if refused:
-            self.note_ended(incarnation)
+            return Reachability.UNREACHABLE
+        if reachability is Reachability.REFUSED and self._would_crash(upstream):
+            self.note_ended(upstream.incarnation)
+        return reachability
--- a/packages/http1/src/fuchsiahatch_http1/client.py
+++ b/packages/http1/src/fuchsiahatch_http1/client.py
@@ -46,6 +46,24 @@
     """The answer ended before it was complete; the request may have run."""
 
 
+class Reachability(enum.Enum):
+    """What an address did with a new connection.
+
+    Attributes
+    ----------
+    LISTENING
+        It accepted the connection.
+    REFUSED
+        No process listens there.
+    UNREACHABLE
+        It didn't respond in time, or the connection failed in another way.
+    """
+
+    LISTENING = "listening"
+    REFUSED = "refused"
+    UNREACHABLE = "unreachable"
+
+
 class Framing(enum.Enum):
     """How an answer states where its body ends.
 
@@ -366,18 +384,18 @@
             connection.abort()
         return await self._open(ip, port)
 
-    async def is_refused(self, ip: str, port: int) -> bool:
-        """Return whether an address refuses connections, as no process listens there.
+    async def probe(self, ip: str, port: int) -> Reachability:
+        """Return whether an address accepts connections.
 
         An established connection is kept for the next call.
         """
         try:
             connection = await self._open(ip, port)
         except ConnectFailed as fault:
-            return fault.refused
+            return Reachability.REFUSED if fault.refused else Reachability.UNREACHABLE
         connection.idle_since_ms = self._clock.now_ms()
         self._idle.setdefault((ip, port), []).append(connection)
-        return False
+        return Reachability.LISTENING
 
     def release(self, connection: ClientConnection, ip: str, port: int) -> None:
         """Return a connection to the pool if it is reusable, else reset it."""
--- a/tests/gateway/crash_model.py
+++ b/tests/gateway/crash_model.py
@@ -10,6 +10,7 @@
 from fuchsiahatch_gateway.datagrams import CrashNotice, decode, encode
 from fuchsiahatch_gateway.next_steps import Progress, Result, Step, decide
 from fuchsiahatch_gateway.upstream_crashes import UpstreamCrashes
+from fuchsiahatch_http1.client import Reachability
 from fuchsiahatch_standins.virtual_time import run_virtually
 
 #: One-way delay of a datagram.
@@ -48,7 +49,7 @@
         clock = simulation.loop.make_clock()
         self.requests = CrashingRequests(clock, self.broadcast)
         self.crashes = UpstreamCrashes(
-            self.requests, simulation.is_refused, lambda instance: True, clock
+            self.requests, simulation.probe, lambda instance: True, clock
         )
 
     def broadcast(self, message):
@@ -174,11 +175,12 @@
         if self.rng.random() >= self.lost_share:
             self.loop.call_later(ONE_WAY_MS / 1000, other.receive, decode(data), sender)
 
-    async def is_refused(self, incarnation, port):
+    async def probe(self, incarnation, port):
         await asyncio.sleep(2 * ONE_WAY_MS / 1000)
-        return not next(
+        alive = next(
             one for one in self.all_incarnations if one.incarnation == incarnation
         ).alive
+        return Reachability.LISTENING if alive else Reachability.REFUSED
 
     @property
     def all_incarnations(self):
--- a/tests/gateway/delivery_model.py
+++ b/tests/gateway/delivery_model.py
@@ -136,7 +136,7 @@
         crashing,
         UpstreamCrashes(
             crashing,
-            pool.is_refused,
+            pool.probe,
             lambda instance: instance in fleet.upstreams,
             clock,
         ),
--- a/tests/gateway/test_truncated_streams.py
+++ b/tests/gateway/test_truncated_streams.py
@@ -6,23 +6,31 @@
 
 from fuchsiahatch_gateway import request_log
 from fuchsiahatch_gateway.answer_ends import Ending
+from fuchsiahatch_gateway.datagrams import LoadReport
 from fuchsiahatch_gateway.request_metrics import RequestMetrics
-from tests.gateway.sites import Site, answers, event_ids, streams, upstream
+from tests.gateway.mortal_upstreams import MortalUpstream
+from tests.gateway.sites import Site, answers, event_ids, streams, until, upstream
 from tests.loopback import run
 
 EVENTS = [b"id: %d\ndata: piece %d\n\n" % (number, number) for number in range(1, 5)]
 
 
+async def unframed_head(request, wire):
+    """Send the head of an answer with neither a length nor chunks."""
+    head = (
+        "HTTP/1.1 200 OK\r\n"
+        f"Fuchsiahatch-Request-Id: {request.request_id}\r\n"
+        "Fuchsiahatch-Response-Signature: s\r\n\r\n"
+    )
+    await wire.raw(head.encode())
+
+
 def unframed(data, end="close"):
     """Return a script that answers with neither a length nor chunks, then ends."""
 
     async def script(request, wire):
-        head = (
-            "HTTP/1.1 200 OK\r\n"
-            f"Fuchsiahatch-Request-Id: {request.request_id}\r\n"
-            "Fuchsiahatch-Response-Signature: s\r\n\r\n"
-        )
-        await wire.raw(head.encode() + data)
+        await unframed_head(request, wire)
+        await wire.raw(data)
         await asyncio.sleep(0.05)
         getattr(wire, end)()
 
@@ -76,6 +84,57 @@
         self.assertFalse(reply.whole)
 
 
+class TestCrashesBetweenTwoEvents(unittest.TestCase):
+    def ask_crashing(self, path, data, *others):
+        """Ask an entry before an upstream that sends bytes and crashes, and others."""
+
+        async def crash(request, wire):
+            await unframed_head(request, wire)
+            await wire.raw(data)
+            await asyncio.sleep(0.05)
+            self.mortal.ending = asyncio.ensure_future(self.mortal.end())
+            await asyncio.sleep(30)
+
+        async def play():
+            async with Site(*others) as site:
+                self.mortal = MortalUpstream(site, "mortal", 2.0, crash)
+                await self.mortal.start()
+                await until(lambda: len(site.entry.fleet.upstreams) == len(others) + 1)
+                reply = await site.ask(path)
+                self.mortal.ending.cancel()
+                return reply, [server.received for server in others]
+
+        return run(play())
+
+    def test_a_stream_does_not_look_complete(self):
+        reply, _ = self.ask_crashing("/brief/", b"".join(EVENTS[:2]))
+        self.assertEqual((event_ids(reply.body), reply.whole), ([1, 2], False))
+
+    def test_a_plain_body_is_not_relayed(self):
+        reply, _ = self.ask_crashing("/hold/", b"half")
+        self.assertEqual(reply.status, 502)
+
+
+class TestRankGroups(unittest.TestCase):
+    def test_a_stream_that_ends_while_its_group_is_broken_does_not_look_complete(self):
+        async def play():
+            async def close_after_report(request, wire):
+                await unframed_head(request, wire)
+                await wire.raw(EVENTS[0])
+                (record,) = site.entry.fleet.upstreams.values()
+                address = str(record.entry.address)
+                report = LoadReport(address, 0, 1, 1.0, False, "g", 50.0)
+                site.entry.fleet.observe(report)
+                await asyncio.sleep(0.05)
+                wire.close()
+
+            async with Site(upstream(close_after_report)) as site:
+                return await site.ask("/brief/")
+
+        reply = run(play())
+        self.assertEqual((event_ids(reply.body), reply.whole), ([1], False))
+
+
 class TestFramedStreams(unittest.TestCase):
     def test_a_last_chunk_inside_an_event_does_not_complete_a_stream(self):
         async def half(request, wire):
--- a/tests/gateway/test_upstream_crashes.py
+++ b/tests/gateway/test_upstream_crashes.py
@@ -6,9 +6,11 @@
 from fuchsiahatch_gateway.datagrams import LoadReport
 from fuchsiahatch_gateway.upstream_crashes import (
     CORRELATION_MS,
+    MAX_PROBES,
     PROBE_TIMEOUT_MS,
     UpstreamCrashes,
 )
+from fuchsiahatch_http1.client import Reachability
 from fuchsiahatch_standins.virtual_time import run_virtually
 from tests.gateway.mortal_upstreams import DEADLY, MortalUpstream, deadly_sends
 from tests.gateway.sites import (
@@ -26,24 +28,26 @@
 def make_upstream(incarnation="a@1", leaving=False):
     address = types.SimpleNamespace(ip="10.0.0.1", port=80)
     entry = types.SimpleNamespace(instance="a", address=address)
-    return types.SimpleNamespace(incarnation=incarnation, entry=entry, leaving=leaving)
+    return types.SimpleNamespace(
+        incarnation=incarnation, entry=entry, leaving=leaving, open=True
+    )
 
 
 class TestCrashDetection(unittest.TestCase):
-    def simulate(self, scenario, refused=True, takes_ms=3):
+    def simulate(self, scenario, found=Reachability.REFUSED, takes_ms=3):
         async def main(loop):
             clock = loop.make_clock()
             self.requests = CrashingRequests(clock, lambda message: None)
             self.probes = 0
 
-            async def is_refused(ip, port):
+            async def probe(ip, port):
                 self.probes += 1
                 await asyncio.sleep(takes_ms / 1000)
-                return refused
+                return found
 
             self.listed = True
             self.crashes = UpstreamCrashes(
-                self.requests, is_refused, lambda instance: self.listed, clock
+                self.requests, probe, lambda instance: self.listed, clock
             )
             await scenario()
 
@@ -54,7 +58,7 @@
             self.assertFalse(await self.crashes.examine("f", make_upstream()))
             self.assertEqual(self.requests.crashes("f"), 0)
 
-        self.simulate(scenario, refused=False)
+        self.simulate(scenario, found=Reachability.LISTENING)
 
     def test_answers_that_break_together_share_a_probe(self):
         async def scenario():
@@ -112,7 +116,7 @@
             self.assertEqual(self.requests.crashes("cut"), 1)
             self.assertEqual(self.requests.crashes("silent"), 1)
 
-        self.simulate(scenario, refused=False)
+        self.simulate(scenario, found=Reachability.LISTENING)
 
     def test_a_restart_without_a_broken_answer_is_no_crash(self):
         async def scenario():
@@ -121,6 +125,36 @@
 
         self.simulate(scenario)
 
+    def test_an_answer_is_doubted_while_its_upstream_can_not_be_reached(self):
+        async def scenario():
+            self.assertFalse(await self.crashes.still_works(make_upstream()))
+            self.assertEqual((self.probes, self.crashes._ended), (MAX_PROBES, {}))
+
+        self.simulate(scenario, Reachability.UNREACHABLE)
+
+    def test_an_answer_is_doubted_behind_the_end_of_its_upstream(self):
+        async def scenario():
+            self.assertFalse(await self.crashes.still_works(make_upstream()))
+            self.assertTrue(await self.crashes.examine("f", make_upstream()))
+            self.assertFalse(await self.crashes.still_works(make_upstream()))
+            self.assertEqual((self.probes, self.requests.crashes("f")), (1, 1))
+
+        self.simulate(scenario)
+
+    def test_the_planned_end_of_an_upstream_makes_an_answer_doubtful_but_no_crash(self):
+        async def scenario():
+            leaving = make_upstream(leaving=True)
+            self.assertFalse(await self.crashes.still_works(leaving))
+            self.assertEqual(self.crashes._ended, {})
+
+        self.simulate(scenario)
+
+    def test_a_leaving_upstream_that_listens_still_works(self):
+        async def scenario():
+            self.assertTrue(await self.crashes.still_works(make_upstream(leaving=True)))
+
+        self.simulate(scenario, Reachability.LISTENING)
+
     def test_an_old_broken_answer_is_not_linked_to_a_restart(self):
         async def scenario():
             await self.crashes.examine("f", make_upstream())
@@ -128,7 +162,7 @@
             self.crashes.note_restart(make_upstream())
             self.assertEqual(self.requests.crashes("f"), 0)
 
-        self.simulate(scenario, refused=False)
+        self.simulate(scenario, found=Reachability.LISTENING)
 
 
 class TestEntry(unittest.TestCase):
