A search over answers cut at each byte, by each framing and each end

What an upstream that lives on closes between two events can't be told from its end, and is left out.

--- a/tests/gateway/delivery_model.py
+++ b/tests/gateway/delivery_model.py
@@ -23,7 +23,15 @@
 from fuchsiahatch_standins.fleet_store import make_upstream_item
 from fuchsiahatch_standins.virtual_time import run_virtually
 from tests import loopback  # noqa: F401  (installs the reactor)
-from tests.gateway.played_upstreams import EVENTS, FIRST_PORT, Act, Run, SimulatedPool
+from tests.gateway.played_upstreams import (
+    EVENTS,
+    FIRST_PORT,
+    Act,
+    Cut,
+    Run,
+    SimulatedPool,
+    make_event,
+)
 from tests.gateway.sites import HOST, KEY, make_configuration, make_route
 
 TIMEOUT_MS = 1_200
@@ -59,7 +67,7 @@
     """What happens in a run; `acts` are consumed in the order of arrival."""
 
     asks: tuple[Ask, ...]
-    acts: tuple[tuple[Act, int], ...]
+    acts: tuple[tuple[Act | Cut, int], ...]
     upstreams: int = 2
     places: int = 1
     leaving: tuple[tuple[int, int], ...] = ()
@@ -306,7 +314,7 @@
             self.faults.append(f"{name} got another body: {exchange.answer!r}")
 
     def _check_events(self, exchange):
-        whole = [b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, EVENTS + 1)]
+        whole = [make_event(number) for number in range(1, EVENTS + 1)]
         allowed = [b"".join(whole[:count]) for count in range(EVENTS + 1)]
         if exchange.finished and exchange.answer != allowed[-1]:
             self.faults.append(f"{exchange.request_id}: {exchange.answer!r} as whole")
--- a/tests/gateway/played_upstreams.py
+++ b/tests/gateway/played_upstreams.py
@@ -9,7 +9,12 @@
 from twisted.internet import error
 from twisted.python.failure import Failure
 
-from fuchsiahatch_http1.client import ClientConnection, ConnectFailed, ConnectionPool
+from fuchsiahatch_http1.client import (
+    ClientConnection,
+    ConnectFailed,
+    ConnectionPool,
+    Framing,
+)
 
 CONNECT_MS = 300
 #: Events of one stream.
@@ -40,6 +45,38 @@
     NO_CONNECTION = "no connection"
 
 
+class CutEnd(enum.Enum):
+    """How the connection of an answer ends that isn't sent whole."""
+
+    CLOSE = "close"
+    RESET = "reset"
+    CRASH = "crash of the process"
+
+
+@dataclasses.dataclass(frozen=True)
+class Cut:
+    """An answer whose first bytes are sent before its connection ends.
+
+    Attributes
+    ----------
+    framing : Framing
+    body_bytes : int
+        Bytes of the body that are sent.
+    end : CutEnd
+    piece_bytes : int
+        Bytes that arrive at a time.
+    """
+
+    framing: Framing
+    body_bytes: int
+    end: CutEnd
+    piece_bytes: int
+
+
+def make_event(number):
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
 @dataclasses.dataclass
 class Run:
     """The run of one request at one upstream."""
@@ -125,10 +162,13 @@
             await self._succeed(act, delay_ms, run)
 
     async def _succeed(self, act, delay_ms, run):
+        if isinstance(act, Cut):
+            self._send_cut(act, run)
+            return
         if run.streams:
             await self._stream(act, delay_ms, run)
             return
-        run.body = b"answer of run " + run.signature.encode()
+        run.body = self._body_of(run)
         if act is Act.LOSE_ANSWER:
             self._end(error.ConnectionLost())
         elif act in (Act.CUT_HALF, Act.CLOSE_HALF):
@@ -158,7 +198,7 @@
             return
         self._begin(run, 200, [("Transfer-Encoding", "chunked")], signed)
         for number in range(run.first_event, EVENTS + 1):
-            event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            event = make_event(number)
             if act in (Act.CUT_HALF, Act.CLOSE_HALF) and number == 3:
                 self._send(h11.Data(data=event[:9]))
                 self._end_of(act)
@@ -170,6 +210,29 @@
         self._send(h11.EndOfMessage())
         self._next_cycle()
 
+    def _send_cut(self, cut, run):
+        events = map(make_event, range(run.first_event, EVENTS + 1))
+        run.body = b"".join(events) if run.streams else self._body_of(run)
+        framing = {
+            Framing.LENGTH: f"Content-Length: {len(run.body)}\r\n",
+            Framing.CHUNKED: "Transfer-Encoding: chunked\r\n",
+            Framing.UNTIL_CLOSE: "",
+        }[cut.framing]
+        head = f"HTTP/1.1 200 OK\r\n{_head_of(run)}{framing}\r\n"
+        self._push(head.encode())
+        for at in range(0, cut.body_bytes, cut.piece_bytes):
+            piece = run.body[at : min(at + cut.piece_bytes, cut.body_bytes)]
+            chunked = cut.framing is Framing.CHUNKED
+            self._push(b"%x\r\n%b\r\n" % (len(piece), piece) if chunked else piece)
+        if cut.end is CutEnd.CRASH:
+            self._world.pool.crashed.add(self._upstream)
+        reset = cut.end is CutEnd.RESET
+        self._end(error.ConnectionLost() if reset else error.ConnectionDone())
+
+    @staticmethod
+    def _body_of(run):
+        return b"answer of run " + run.signature.encode()
+
     def _answer(self, run, status, body, headers=(), signed=True):
         length = ("Content-Length", str(len(body)))
         self._begin(run, status, [length, *headers], signed)
@@ -230,9 +293,12 @@
         super().__init__(clock, CONNECT_MS)
         self._world = world
         self._make_wire = make_wire
+        self.crashed = set()
 
     async def _open(self, ip, port):
         await asyncio.sleep(0.001)
+        if port - FIRST_PORT in self.crashed:
+            raise ConnectFailed("crashed", refused=True)
         if self._world.refuses_connection():
             raise ConnectFailed("no connection")
         connection = ClientConnection(self._drop_idle)
