A JSON call's answer that closes before its body counts as unanswered

An answer with neither a length nor chunks whose connection is closed before the first byte of its body was read as an empty object, so that a write that may have taken effect failed with FORM_UNKNOWN in place of an ambiguous write. JSON that is cut later can't be parsed.

--- a/tests/adapter/test_json_calls.py
+++ b/tests/adapter/test_json_calls.py
@@ -15,6 +15,7 @@
 )
 from fuchsiahatch_http1.client import ConnectionPool
 from fuchsiahatch_standins.fleet_store import PAGE_ITEMS, FleetStore
+from fuchsiahatch_standins.scripted_upstream import ScriptedUpstream
 from tests.loopback import LOOP, run
 
 
@@ -65,6 +66,23 @@
 
         self.assertIn("no answer", run(write()).detail)
 
+    def test_a_write_whose_answer_was_closed_before_its_body_is_ambiguous(self):
+        async def close_without_body(request, wire):
+            await wire.raw(b"HTTP/1.1 200 OK\r\n\r\n")
+            wire.close()
+
+        async def write():
+            server = ScriptedUpstream(close_without_body)
+            address = parse_address(f"127.0.0.1:{await server.listen()}")
+            client = StoreClient(
+                StoreAccess(address, 1_000, 20_000), ConnectionPool(Clock())
+            )
+            with self.assertRaises(AmbiguousWriteError):
+                await client.put("a", b"x")
+            await server.close()
+
+        run(write())
+
 
 class TestCounts(unittest.TestCase):
     def test_calls_are_counted_by_operation_and_prefix(self):
