An event longer than 1 MiB breaks its stream

The splitter kept the bytes of an event without an end for as long as they came: the limit stood in a comment and nothing enforced it. An upstream that fails so fills its entry's memory, and all its callers lose their answers. Before, the test's ten MiB were all read; now at most six are sent.

--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -12,7 +12,7 @@
     describe_ending,
     is_event_stream,
 )
-from fuchsiahatch_gateway.event_stream import EventSplitter
+from fuchsiahatch_gateway.event_stream import MAX_EVENT_BYTES, EventSplitter
 from fuchsiahatch_gateway.next_steps import Result
 from fuchsiahatch_http1.client import (
     AnswerBroken,
@@ -300,6 +300,8 @@
             _write_events(exchange, head, whole)
             attempt.on_event()
             await exchange.drained()
+        if events.is_too_long:
+            raise AnswerBroken(f"an event is longer than {MAX_EVENT_BYTES} bytes")
     await check_complete(connection, events, attempt.still_works)
     _write_events(exchange, head, events.take_remainder())
     exchange.finish()
--- a/packages/gateway/src/fuchsiahatch_gateway/event_stream.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/event_stream.py
@@ -3,8 +3,7 @@
 import re
 import typing as t
 
-#: Length above which an event is meant to be forwarded in parts. `EventSplitter`
-#: doesn't enforce it.
+#: Length above which an event counts as one that doesn't end.
 MAX_EVENT_BYTES = 1_048_576
 #: A line's end and a blank line; lines end in CRLF, LF or CR. A CR at the end of the
 #: received bytes counts, though an LF that belongs to it may follow.
@@ -49,6 +48,11 @@
         """Number of bytes after the last complete event, without line ends."""
         return len(self._buffer.strip(_LINE_ENDS))
 
+    @property
+    def is_too_long(self) -> bool:
+        """Whether more bytes than those of the longest event wait for its end."""
+        return len(self._buffer) > MAX_EVENT_BYTES
+
     def take_remainder(self) -> bytes:
         """Return and clear the bytes after the last complete event."""
         rest = bytes(self._buffer)
--- a/tests/gateway/test_truncated_streams.py
+++ b/tests/gateway/test_truncated_streams.py
@@ -7,6 +7,7 @@
 from fuchsiahatch_gateway import request_log
 from fuchsiahatch_gateway.answer_ends import Ending
 from fuchsiahatch_gateway.datagrams import LoadReport
+from fuchsiahatch_gateway.event_stream import MAX_EVENT_BYTES
 from fuchsiahatch_gateway.request_metrics import RequestMetrics
 from tests.gateway.mortal_upstreams import MortalUpstream
 from tests.gateway.sites import Site, answers, event_ids, streams, until, upstream
@@ -153,6 +154,21 @@
         self.assertIn(reply.body, (b"", EVENTS[0]))
         self.assertFalse(reply.whole)
 
+    def test_an_event_without_an_end_is_given_up_before_it_fills_the_memory(self):
+        sent = []
+
+        async def endless(request, wire):
+            await wire.begin_stream(request)
+            line = b"data: " + b"x" * 65_530
+            for _ in range(10 * MAX_EVENT_BYTES // len(line)):
+                await wire.raw(b"%x\r\n%b\r\n" % (len(line), line))
+                sent.append(len(line))
+            await wire.end_stream()
+
+        reply, _ = run(ask("/brief/", endless))
+        self.assertEqual(reply.status, 502)
+        self.assertLess(sum(sent), 6 * MAX_EVENT_BYTES)
+
 
 class TestOtherAnswersOnStreamingRoutes(unittest.TestCase):
     def test_an_answer_of_another_type_is_relayed_unchanged(self):
