Ids of events: an empty one can't be resumed after, a byte order mark hides none

A stream whose last event has an empty id was resumed with an empty Last-Event-Id, which an upstream answers from the first event: the caller would get events twice. The first id behind a byte order mark was not read, so that the stream couldn't be resumed after it. Both tests failed before.

--- a/packages/gateway/src/fuchsiahatch_gateway/event_stream.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/event_stream.py
@@ -1,5 +1,6 @@
 """Splitting a server-sent event stream at event boundaries."""
 
+import codecs
 import re
 import typing as t
 
@@ -19,7 +20,8 @@
     Attributes
     ----------
     last_id : bytes or None
-        Id of the last complete event, for the Last-Event-ID header of a resumed stream.
+        Id of the last complete event, for the Last-Event-ID header of a resumed stream;
+        None where the stream can't be resumed.
     """
 
     __slots__ = ("_buffer", "last_id")
@@ -40,7 +42,8 @@
         whole = bytes(self._buffer[:end])
         del self._buffer[:end]
         for event_id in _ids(whole):
-            self.last_id = event_id
+            # An empty id revokes the ones before it.
+            self.last_id = event_id or None
         return whole
 
     @property
@@ -65,6 +68,6 @@
 
 
 def _ids(events: bytes) -> t.Iterator[bytes]:
-    for line in events.splitlines():
+    for line in events.removeprefix(codecs.BOM_UTF8).splitlines():
         if line.startswith(b"id:"):
             yield line[3:].strip()
--- a/tests/gateway/test_small_parts.py
+++ b/tests/gateway/test_small_parts.py
@@ -118,6 +118,16 @@
         self.assertEqual(splitter.feed(b"id: 4\r\n\r\nx"), b"id: 4\r\n\r\n")
         self.assertEqual(splitter.last_id, b"4")
 
+    def test_an_empty_id_leaves_nothing_to_resume_after(self):
+        splitter = EventSplitter()
+        splitter.feed(b"id: 4\n\nid:\ndata: x\n\n")
+        self.assertIsNone(splitter.last_id)
+
+    def test_an_id_behind_a_byte_order_mark_is_read(self):
+        splitter = EventSplitter()
+        splitter.feed(b"\xef\xbb\xbfid: 4\n\n")
+        self.assertEqual(splitter.last_id, b"4")
+
     def test_lines_of_any_ends_in_pieces_of_any_size_are_events(self):
         for ends in itertools.product((b"\r\n", b"\n", b"\r"), repeat=4):
             if ends[2:] == (b"\r", b"\n"):
