--- a/tests/gateway/sites.py
+++ b/tests/gateway/sites.py
@@ -184,9 +184,9 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
-async def ask(port, path, **options):
+async def ask(port, path, ip="127.0.0.1", **options):
     """Send one request and return all that is received until the connection ends."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    reader, writer = await asyncio.open_connection(ip, port)
     writer.write(encode_request(path, **options))
     data = b""
     # What came before a reset counts as received.
--- a/tests/gateway/test_truncated_streams.py
+++ b/tests/gateway/test_truncated_streams.py
@@ -10,7 +10,15 @@
 from fuchsiahatch_gateway.event_stream import MAX_EVENT_BYTES
 from fuchsiahatch_gateway.request_metrics import RequestMetrics
 from tests.gateway.mortal_upstreams import MortalUpstream
-from tests.gateway.sites import Site, answers, event_ids, streams, until, upstream
+from tests.gateway.sites import (
+    Site,
+    answers,
+    encode_request,
+    event_ids,
+    streams,
+    until,
+    upstream,
+)
 from tests.loopback import run
 
 EVENTS = [b"id: %d\ndata: piece %d\n\n" % (number, number) for number in range(1, 5)]
@@ -84,10 +92,24 @@
         reply, _ = run(ask("/brief/", unframed(b"".join(EVENTS[:2]), "reset")))
         self.assertFalse(reply.whole)
 
+    def test_a_caller_of_http_1_0_sees_a_reset_where_a_stream_broke_off(self):
+        async def play():
+            half = unframed(EVENTS[0] + EVENTS[1][:6])
+            async with Site(upstream(half)) as site:
+                reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
+                request = encode_request("/brief/").replace(b"HTTP/1.1", b"HTTP/1.0")
+                writer.write(request)
+                with self.assertRaises(ConnectionResetError):
+                    while await reader.read(65_536):
+                        pass
+                writer.close()
+
+        run(play())
+
 
 class TestCrashesBetweenTwoEvents(unittest.TestCase):
-    def ask_crashing(self, path, data, *others):
-        """Ask an entry before an upstream that sends bytes and crashes, and others."""
+    def ask_crashing(self, path, data):
+        """Ask an entry before an upstream that sends bytes and crashes."""
 
         async def crash(request, wire):
             await unframed_head(request, wire)
@@ -97,24 +119,31 @@
             await asyncio.sleep(30)
 
         async def play():
-            async with Site(*others) as site:
+            async with Site() as site:
                 self.mortal = MortalUpstream(site, "mortal", 2.0, crash)
                 await self.mortal.start()
-                await until(lambda: len(site.entry.fleet.upstreams) == len(others) + 1)
+                await until(lambda: len(site.entry.fleet.upstreams) == 1)
                 reply = await site.ask(path)
                 self.mortal.ending.cancel()
-                return reply, [server.received for server in others]
+                self.suspects = site.entry.crashing.suspects
+                return reply
 
         return run(play())
 
     def test_a_stream_does_not_look_complete(self):
-        reply, _ = self.ask_crashing("/brief/", b"".join(EVENTS[:2]))
+        reply = self.ask_crashing("/brief/", b"".join(EVENTS[:2]))
         self.assertEqual((event_ids(reply.body), reply.whole), ([1, 2], False))
 
     def test_a_plain_body_is_not_relayed(self):
-        reply, _ = self.ask_crashing("/hold/", b"half")
+        reply = self.ask_crashing("/hold/", b"half")
         self.assertEqual(reply.status, 502)
 
+    def test_the_crash_counts_against_the_request(self):
+        for data in (b"".join(EVENTS[:2]), EVENTS[0][:6]):
+            with self.subTest(data=data):
+                self.ask_crashing("/brief/", data)
+                self.assertEqual(self.suspects, 1)
+
 
 class TestRankGroups(unittest.TestCase):
     def test_a_stream_that_ends_while_its_group_is_broken_does_not_look_complete(self):
