--- a/packages/gateway/src/fuchsiahatch_gateway/agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/agent.py
@@ -52,7 +52,7 @@
 from fuchsiahatch_gateway.reporting import ChoicesAction, Reporter
 from fuchsiahatch_gateway.store_health import StoreHealth
 from fuchsiahatch_gateway.takeovers import Takeovers
-from fuchsiahatch_http1.client import ConnectionPool
+from fuchsiahatch_http1.pool import ConnectionPool
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.upstreams import EngineReport
--- a/packages/gateway/src/fuchsiahatch_gateway/answer_ends.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/answer_ends.py
@@ -3,11 +3,12 @@
 import dataclasses
 import typing as t
 
-from fuchsiahatch_http1.client import AnswerBroken, Framing
+from fuchsiahatch_http1.answers import AnswerBroken, Framing
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_gateway.event_stream import EventSplitter
-    from fuchsiahatch_http1.client import ClientConnection, Head
+    from fuchsiahatch_http1.answers import Head
+    from fuchsiahatch_http1.client import ClientConnection
 
 _EVENT_STREAM = b"text/event-stream"
 
--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -14,14 +14,9 @@
 )
 from fuchsiahatch_gateway.event_stream import MAX_EVENT_BYTES, EventSplitter
 from fuchsiahatch_gateway.next_steps import Result
-from fuchsiahatch_http1.client import (
-    AnswerBroken,
-    Call,
-    ClientConnection,
-    ConnectFailed,
-    ConnectionPool,
-    Head,
-)
+from fuchsiahatch_http1.answers import AnswerBroken, Head
+from fuchsiahatch_http1.client import Call, ClientConnection
+from fuchsiahatch_http1.pool import ConnectFailed, ConnectionPool
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_gateway.known_upstream import Upstream
--- a/packages/gateway/src/fuchsiahatch_gateway/backoffs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/backoffs.py
@@ -12,7 +12,7 @@
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
     from fuchsiahatch_gateway.known_upstream import Upstream
-    from fuchsiahatch_http1.client import Head
+    from fuchsiahatch_http1.answers import Head
 
 #: Statuses with which an upstream rejects a request for the time being.
 REJECTIONS = (429, 503)
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -69,7 +69,7 @@
 from fuchsiahatch_gateway.store_health import StoreHealth
 from fuchsiahatch_gateway.upstream_crashes import UpstreamCrashes
 from fuchsiahatch_gateway.upstream_gate import FIRST_REPORT_TIMEOUT_MS
-from fuchsiahatch_http1.client import ConnectionPool
+from fuchsiahatch_http1.pool import ConnectionPool
 from fuchsiahatch_http1.server import Exchange, HttpServer
 
 if t.TYPE_CHECKING:
@@ -78,7 +78,7 @@
     from fuchsiahatch_adapter.upstreams import UpstreamEntry
     from fuchsiahatch_gateway.known_upstream import Upstream
     from fuchsiahatch_gateway.process import Process
-    from fuchsiahatch_http1.client import Head
+    from fuchsiahatch_http1.answers import Head
 
 #: Prefix that an entry watches: the store holds little besides what an entry needs.
 WATCHED_PREFIX = ""
--- a/packages/gateway/src/fuchsiahatch_gateway/inspection.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/inspection.py
@@ -169,7 +169,7 @@
 
     from fuchsiahatch_adapter.store import StoreClient
     from fuchsiahatch_core.clock import Clock
-    from fuchsiahatch_http1.client import ConnectionPool
+    from fuchsiahatch_http1.pool import ConnectionPool
 
     reactor.startRunning(installSignalHandlers=False)
     access = StoreAccess(parse_address(address), 1_000, 20_000)
--- a/packages/gateway/src/fuchsiahatch_gateway/stated_leaving.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/stated_leaving.py
@@ -12,7 +12,7 @@
     from fuchsiahatch_adapter.upstreams import UpstreamEntry
     from fuchsiahatch_core.clock import Clock
     from fuchsiahatch_gateway.known_upstream import Upstream
-    from fuchsiahatch_http1.client import Head
+    from fuchsiahatch_http1.answers import Head
 
 
 class StatedLeaving:
--- a/packages/gateway/src/fuchsiahatch_gateway/upstream_crashes.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/upstream_crashes.py
@@ -6,7 +6,7 @@
 import typing as t
 
 from fuchsiahatch_core.events import Event, log_event
-from fuchsiahatch_http1.client import Reachability
+from fuchsiahatch_http1.pool import Reachability
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
--- a/packages/http1/src/fuchsiahatch_http1/client.py
+++ b/packages/http1/src/fuchsiahatch_http1/client.py
@@ -1,16 +1,20 @@
-"""HTTP client: a pool of connections with one call at a time on each."""
+"""HTTP client connection with one call at a time."""
 
 import asyncio
 import collections
 import dataclasses
-import enum
 import typing as t
 
 import h11
-from twisted.internet import error, protocol, reactor
-from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
-
-from fuchsiahatch_core.clock import Clock
+from twisted.internet import error, protocol
+
+from fuchsiahatch_http1.answers import (
+    AnswerBroken,
+    AnswerEnd,
+    Framing,
+    Head,
+    framing_of,
+)
 from fuchsiahatch_http1.sockets import set_options
 
 if t.TYPE_CHECKING:
@@ -24,99 +28,6 @@
 #: A request that crosses the server's close may have run and can't be retried.
 KEEP_ALIVE_SHARE = 0.6
 MAX_HEAD_BYTES = 65_536
-_STATUSES_WITHOUT_BODY = (204, 304)
-
-
-class ConnectFailed(Exception):
-    """No connection was established, so nothing was sent.
-
-    Parameters
-    ----------
-    detail : str
-    refused : bool, optional
-        Whether the connection was refused, as no process listens at the address.
-    """
-
-    def __init__(self, detail: str, refused: bool = False) -> None:
-        super().__init__(detail)
-        self.refused = refused
-
-
-class AnswerBroken(Exception):
-    """The answer ended before it was complete; the request may have run."""
-
-
-class Reachability(enum.Enum):
-    """What an address did with a new connection.
-
-    Attributes
-    ----------
-    LISTENING
-        It accepted the connection.
-    REFUSED
-        No process listens there.
-    UNREACHABLE
-        It didn't respond in time, or the connection failed in another way.
-    """
-
-    LISTENING = "listening"
-    REFUSED = "refused"
-    UNREACHABLE = "unreachable"
-
-
-class Framing(enum.Enum):
-    """How an answer states where its body ends.
-
-    Attributes
-    ----------
-    LENGTH
-        By its length; also an answer that has no body.
-    CHUNKED
-        By a last chunk.
-    UNTIL_CLOSE
-        By neither: the body ends with the connection.
-    """
-
-    LENGTH = "length"
-    CHUNKED = "chunked"
-    UNTIL_CLOSE = "until close"
-
-
-class AnswerEnd(enum.Enum):
-    """What ended an answer on its connection.
-
-    Attributes
-    ----------
-    FRAMED
-        Its length was reached, or its last chunk arrived.
-    CLOSED
-        The server closed the connection.
-    RESET
-        The connection was reset or lost.
-    MALFORMED
-        Bytes arrived that aren't HTTP.
-    """
-
-    FRAMED = "framed"
-    CLOSED = "closed"
-    RESET = "reset"
-    MALFORMED = "malformed"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Head:
-    """Status and headers of an answer; header names are in lower case."""
-
-    status: int
-    headers: tuple[tuple[bytes, bytes], ...]
-
-    def header(self, name: bytes) -> bytes | None:
-        """Return the first value of a header."""
-        return next(iter(self.values(name)), None)
-
-    def values(self, name: bytes) -> list[bytes]:
-        """Return all values of a header, in their order."""
-        return [value for key, value in self.headers if key == name]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -225,7 +136,7 @@
             raise AnswerBroken(f"no head but {type(event).__name__}")
         self._update_keep_alive(event)
         assert self._call is not None
-        self.framing = _framing_of(self._call.method, event)
+        self.framing = framing_of(self._call.method, event)
         return Head(event.status_code, tuple(event.headers))
 
     async def piece(self) -> bytes | None:
@@ -333,99 +244,3 @@
             name, _, number = part.strip().partition(b"=")
             if name.lower() == b"timeout" and number.isdigit():
                 self.keep_ms = int(number) * 1000 * KEEP_ALIVE_SHARE
-
-
-def _framing_of(method: bytes, response: h11.Response) -> Framing:
-    # The rules of RFC 9112, section 6.3, which h11 applies as well.
-    names = {name for name, _ in response.headers}
-    if method == b"HEAD" or response.status_code in _STATUSES_WITHOUT_BODY:
-        return Framing.LENGTH
-    if b"transfer-encoding" in names:
-        return Framing.CHUNKED
-    return Framing.LENGTH if b"content-length" in names else Framing.UNTIL_CLOSE
-
-
-class ConnectionPool:
-    """Pool of persistent connections, by server address.
-
-    Parameters
-    ----------
-    clock : Clock
-    connect_ms : int
-        Timeout for establishing a connection.
-
-    Attributes
-    ----------
-    opened : int
-        Connections opened so far.
-    """
-
-    def __init__(self, clock: Clock, connect_ms: int = 1_000) -> None:
-        self._clock = clock
-        self._connect_ms = connect_ms
-        self._idle: dict[t.Any, list[ClientConnection]] = {}
-        self.opened = 0
-
-    async def acquire(self, ip: str, port: int) -> ClientConnection:
-        """Return an idle connection, opening one if necessary.
-
-        Raises
-        ------
-        ConnectFailed
-        """
-        kept = self._idle.get((ip, port), [])
-        now_ms = self._clock.now_ms()
-        while kept:
-            connection = kept.pop()
-            if connection.lost:
-                continue
-            if now_ms - connection.idle_since_ms < connection.keep_ms:
-                return connection
-            connection.abort()
-        return await self._open(ip, port)
-
-    async def probe(self, ip: str, port: int) -> Reachability:
-        """Return whether an address accepts connections.
-
-        An established connection is kept for the next call.
-        """
-        try:
-            connection = await self._open(ip, port)
-        except ConnectFailed as fault:
-            return Reachability.REFUSED if fault.refused else Reachability.UNREACHABLE
-        connection.idle_since_ms = self._clock.now_ms()
-        self._idle.setdefault((ip, port), []).append(connection)
-        return Reachability.LISTENING
-
-    def release(self, connection: ClientConnection, ip: str, port: int) -> None:
-        """Return a connection to the pool if it is reusable, else reset it."""
-        if not connection.reusable:
-            connection.abort()
-            return
-        connection.make_idle(self._clock.now_ms())
-        self._idle.setdefault((ip, port), []).append(connection)
-
-    def close_idle(self, ip: str, port: int) -> None:
-        """Reset the idle connections to a server that was removed."""
-        for connection in self._idle.pop((ip, port), []):
-            connection.abort()
-
-    async def _open(self, ip: str, port: int) -> ClientConnection:
-        self.opened += 1
-        connection = ClientConnection(self._drop_idle)
-        endpoint = TCP4ClientEndpoint(reactor, ip, port, self._connect_ms / 1000)
-        connecting = connectProtocol(endpoint, connection)
-        try:
-            return await connecting.asFuture(asyncio.get_running_loop())
-        except asyncio.CancelledError:
-            connecting.cancel()
-            raise
-        except Exception as fault:
-            refused = isinstance(fault, error.ConnectionRefusedError)
-            detail = f"{ip}:{port}: {type(fault).__name__}"
-            raise ConnectFailed(detail, refused) from fault
-
-    def _drop_idle(self, connection: ClientConnection) -> None:
-        for kept in self._idle.values():
-            if connection in kept:
-                kept.remove(connection)
--- a/tests/adapter/test_json_calls.py
+++ b/tests/adapter/test_json_calls.py
@@ -13,7 +13,7 @@
     UnansweredReadError,
     UnsentError,
 )
-from fuchsiahatch_http1.client import ConnectionPool
+from fuchsiahatch_http1.pool import ConnectionPool
 from fuchsiahatch_standins.fleet_store import PAGE_ITEMS, FleetStore
 from fuchsiahatch_standins.scripted_upstream import ScriptedUpstream
 from tests.loopback import LOOP, run
--- a/tests/gateway/crash_model.py
+++ b/tests/gateway/crash_model.py
@@ -10,7 +10,7 @@
 from fuchsiahatch_gateway.datagrams import CrashNotice, decode, encode
 from fuchsiahatch_gateway.next_steps import Progress, Result, Step, decide
 from fuchsiahatch_gateway.upstream_crashes import UpstreamCrashes
-from fuchsiahatch_http1.client import Reachability
+from fuchsiahatch_http1.pool import Reachability
 from fuchsiahatch_standins.virtual_time import run_virtually
 
 #: One-way delay of a datagram.
--- a/tests/gateway/played_upstreams.py
+++ b/tests/gateway/played_upstreams.py
@@ -9,12 +9,9 @@
 from twisted.internet import error
 from twisted.python.failure import Failure
 
-from fuchsiahatch_http1.client import (
-    ClientConnection,
-    ConnectFailed,
-    ConnectionPool,
-    Framing,
-)
+from fuchsiahatch_http1.answers import Framing
+from fuchsiahatch_http1.client import ClientConnection
+from fuchsiahatch_http1.pool import ConnectFailed, ConnectionPool
 
 CONNECT_MS = 300
 #: Events of one stream.
--- a/tests/gateway/test_backoff_periods.py
+++ b/tests/gateway/test_backoff_periods.py
@@ -15,7 +15,7 @@
 from fuchsiahatch_gateway.known_upstream import Upstream
 from fuchsiahatch_gateway.placing import Placer
 from fuchsiahatch_gateway.request_traits import RequestTraits
-from fuchsiahatch_http1.client import Head
+from fuchsiahatch_http1.answers import Head
 from fuchsiahatch_standins.virtual_time import run_virtually
 from tests.gateway.test_fleet import item
 
--- a/tests/gateway/test_cut_answers.py
+++ b/tests/gateway/test_cut_answers.py
@@ -8,7 +8,8 @@
 
 from fuchsiahatch_gateway.event_stream import EventSplitter
 from fuchsiahatch_gateway.upstream_crashes import UpstreamCrashes
-from fuchsiahatch_http1.client import ClientConnection, Framing
+from fuchsiahatch_http1.answers import Framing
+from fuchsiahatch_http1.client import ClientConnection
 from tests.gateway.delivery_model import STREAMS, Ask, Scenario, find_faults
 from tests.gateway.played_upstreams import Cut, CutEnd, make_event
 
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -10,7 +10,7 @@
 from fuchsiahatch_gateway.item_copies import ItemCopy
 from fuchsiahatch_gateway.registration import Registration
 from fuchsiahatch_gateway.store_health import StoreHealth
-from fuchsiahatch_http1.client import ConnectionPool
+from fuchsiahatch_http1.pool import ConnectionPool
 from fuchsiahatch_standins.fleet_store import FleetStore, make_upstream_entry
 from fuchsiahatch_standins.virtual_time import run_virtually
 from tests.gateway.sites import Site, until
--- a/tests/gateway/test_leadership.py
+++ b/tests/gateway/test_leadership.py
@@ -10,7 +10,7 @@
     LeaderRecord,
     Leadership,
 )
-from fuchsiahatch_http1.client import ConnectionPool
+from fuchsiahatch_http1.pool import ConnectionPool
 from fuchsiahatch_standins.fleet_store import FleetStore
 from tests.loopback import run
 
--- a/tests/gateway/test_request_log.py
+++ b/tests/gateway/test_request_log.py
@@ -8,7 +8,7 @@
 from fuchsiahatch_gateway.attempts import Outcome
 from fuchsiahatch_gateway.next_steps import Result
 from fuchsiahatch_gateway.request_log import RequestLog
-from fuchsiahatch_http1.client import Head
+from fuchsiahatch_http1.answers import Head
 
 
 class TestRetryLine(unittest.TestCase):
--- a/tests/gateway/test_stated_leaving.py
+++ b/tests/gateway/test_stated_leaving.py
@@ -9,7 +9,7 @@
 from fuchsiahatch_gateway import stated_leaving
 from fuchsiahatch_gateway.fleet import Fleet
 from fuchsiahatch_gateway.stated_leaving import StatedLeaving
-from fuchsiahatch_http1.client import Head
+from fuchsiahatch_http1.answers import Head
 from tests.gateway.sites import (
     Site,
     answers,
--- a/tests/gateway/test_upstream_crashes.py
+++ b/tests/gateway/test_upstream_crashes.py
@@ -10,7 +10,7 @@
     PROBE_TIMEOUT_MS,
     UpstreamCrashes,
 )
-from fuchsiahatch_http1.client import Reachability
+from fuchsiahatch_http1.pool import Reachability
 from fuchsiahatch_standins.virtual_time import run_virtually
 from tests.gateway.mortal_upstreams import DEADLY, MortalUpstream, deadly_sends
 from tests.gateway.sites import (
--- a/tests/http1/test_connections.py
+++ b/tests/http1/test_connections.py
@@ -2,12 +2,9 @@
 import unittest
 
 from fuchsiahatch_core.clock import ManualClock
-from fuchsiahatch_http1.client import (
-    AnswerBroken,
-    Call,
-    ConnectFailed,
-    ConnectionPool,
-)
+from fuchsiahatch_http1.answers import AnswerBroken
+from fuchsiahatch_http1.client import Call
+from fuchsiahatch_http1.pool import ConnectFailed, ConnectionPool
 from fuchsiahatch_http1.server import HttpServer, ServerLimits
 from tests import loopback
 
--- a/tests/processes/test_truncated_answers.py
+++ b/tests/processes/test_truncated_answers.py
@@ -7,7 +7,7 @@
 import time
 import unittest
 
-from fuchsiahatch_http1.client import Framing
+from fuchsiahatch_http1.answers import Framing
 from tests.gateway.mortal_upstreams import MortalUpstream
 from tests.gateway.played_upstreams import EVENTS, CutEnd, make_event
 from tests.gateway.sites import ask, make_configuration
