--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -4,7 +4,6 @@
 import random
 import typing as t
 
-from fuchsiahatch_adapter import names
 from fuchsiahatch_adapter.caller_requests import caller_headers, decode_request
 from fuchsiahatch_adapter.configuration import Kind
 from fuchsiahatch_core.codes import Code
@@ -16,6 +15,7 @@
 )
 from fuchsiahatch_delivery.keys import fingerprint_of
 from fuchsiahatch_gateway.attempts import Attempt, Outcome, run_attempt
+from fuchsiahatch_gateway.error_answers import ErrorAnswers
 from fuchsiahatch_gateway.event_stream import EventSplitter
 from fuchsiahatch_gateway.jobs import Job, silence_ms, wait_ms
 from fuchsiahatch_gateway.next_steps import (
@@ -25,7 +25,6 @@
     conclude,
     decide,
 )
-from fuchsiahatch_gateway.return_times import limit_to_followed, retry_after_s
 from fuchsiahatch_gateway.routes import RouteTable, choose_service
 
 if t.TYPE_CHECKING:
@@ -37,20 +36,12 @@
     from fuchsiahatch_gateway.request_log import RequestLog
     from fuchsiahatch_gateway.retry_budget import RetryBudget
     from fuchsiahatch_gateway.upstream_crashes import UpstreamCrashes
-    from fuchsiahatch_http1.client import ConnectionPool, Head
+    from fuchsiahatch_http1.answers import Head
+    from fuchsiahatch_http1.pool import ConnectionPool
     from fuchsiahatch_http1.server import Exchange
 
 #: Time left to the deadline below which no further attempt is started.
 MIN_ATTEMPT_MS = 30
-_STATUS = {
-    Code.BAD_REQUEST: 400,
-    Code.UNKNOWN_TEAM: 401,
-    Code.NOT_FOUND: 404,
-    Code.OVERLOADED: 503,
-    Code.DEADLINE_PASSED: 504,
-    Code.UNKNOWN: 502,
-}
-_UNAVAILABLE = 503
 
 
 HeadCallback = t.Callable[["Upstream", "Head"], None]
@@ -86,6 +77,7 @@
         "_clock",
         "_crashes",
         "_crashing",
+        "_errors",
         "_late",
         "_log",
         "_on_head",
@@ -123,6 +115,7 @@
         self._late = late
         self._clock = clock
         self._rng = rng
+        self._errors = ErrorAnswers(routes, log, clock, rng)
 
     async def handle(self, exchange: "Exchange") -> None:
         """Answer one request."""
@@ -130,7 +123,7 @@
         try:
             job = self._admit(exchange, arrived_ms)
         except FuchsiahatchError as fault:
-            self._answer_error(exchange, fault, None)
+            self._errors.send(exchange, fault, None)
             return
         try:
             limit_s = (job.ends_ms - arrived_ms) / 1000
@@ -140,13 +133,13 @@
         except TimeoutError:
             self._handle_timeout(job)
         except FuchsiahatchError as fault:
-            self._answer_error(exchange, fault, job)
+            self._errors.send(exchange, fault, job)
         except asyncio.CancelledError:
             self._log.note_end(job, "caller left")
             raise
         except Exception as fault:
             log_event(Event.INTERNAL_ERROR, detail=repr(fault))
-            self._answer_error(exchange, FuchsiahatchError("an internal error"), job)
+            self._errors.send(exchange, FuchsiahatchError("an internal error"), job)
 
     def _admit(self, exchange: "Exchange", arrived_ms: int) -> Job:
         try:
@@ -368,11 +361,11 @@
         elif step is Step.REFUSE:
             detail = f"not run: {outcome.detail}"
             fault = RefusedError(detail, Code.NO_LIVE_UPSTREAM)
-            self._answer_error(job.exchange, fault, job)
+            self._errors.send(job.exchange, fault, job)
         else:
             detail = f"no whole answer: {outcome.detail}"
             fault = FuchsiahatchError(detail, Code.UNKNOWN)
-            self._answer_error(job.exchange, fault, job)
+            self._errors.send(job.exchange, fault, job)
 
     def _handle_timeout(self, job: Job) -> None:
         ran = bool(job.tried) or job.may_have_run
@@ -380,48 +373,7 @@
             fault = FuchsiahatchError("the time is over", Code.DEADLINE_PASSED)
         else:
             fault = RefusedError("the time is over", Code.OVERLOADED)
-        self._answer_error(job.exchange, fault, job)
-
-    def _answer_error(
-        self, exchange: "Exchange", fault: FuchsiahatchError, job: Job | None
-    ) -> None:
-        if job is not None and job.may_have_run and isinstance(fault, RefusedError):
-            # A refusal states that nothing ran, but an earlier attempt may have run.
-            fault = FuchsiahatchError(fault.detail, Code.UNKNOWN)
-        status = _status_of(fault)
-        if job is not None:
-            self._log.note_end(job, f"{status} {fault.detail}")
-        else:
-            log_event(
-                Event.REQUEST_REFUSED,
-                request=(exchange.header(names.REQUEST_ID) or b"").decode("latin-1"),
-                status=status,
-                detail=fault.detail,
-                version=self._version(),
-            )
-        if exchange.caller_disconnected:
-            return
-        if exchange.started:
-            # A partial answer must not look complete.
-            exchange.abort()
-            return
-        headers = []
-        if status == _UNAVAILABLE:
-            delay_s = retry_after_s(self._return_ms(fault, job), self._rng)
-            headers.append((names.RETRY_AFTER, b"%.2f" % delay_s))
-        exchange.respond(status, headers, f"{fault}\n".encode())
-
-    def _return_ms(self, fault: FuchsiahatchError, job: Job | None) -> int | None:
-        """Return after which time the caller may return; None where that is unknown."""
-        return_ms = fault.retry_after_ms
-        if return_ms is None or job is None or fault.result is not Code.OVERLOADED:
-            return return_ms
-        # An estimate. Other codes state known times, which aren't shortened.
-        return limit_to_followed(return_ms, job.ends_ms - self._clock.now_ms())
-
-    def _version(self) -> int:
-        configuration = self._routes.configuration
-        return 0 if configuration is None else configuration.version
+        self._errors.send(job.exchange, fault, job)
 
 
 def _fingerprint_of(exchange: "Exchange", host: str, team: str) -> str:
@@ -435,9 +387,3 @@
         exchange.target.decode("latin-1"),
     )
     return fingerprint_of(method, target, f"{team}@{host}", exchange.body).hex()
-
-
-def _status_of(fault: FuchsiahatchError) -> int:
-    if fault.result in _STATUS:
-        return _STATUS[fault.result]
-    return _UNAVAILABLE if isinstance(fault, RefusedError) else 502
--- a/tests/gateway/test_delivery_search.py
+++ b/tests/gateway/test_delivery_search.py
@@ -11,7 +11,7 @@
 from twisted.python.failure import Failure
 
 from fuchsiahatch_gateway import attempts, delivery, next_steps
-from fuchsiahatch_gateway.delivery import Delivery
+from fuchsiahatch_gateway.error_answers import ErrorAnswers
 from fuchsiahatch_gateway.event_stream import EventSplitter
 from fuchsiahatch_gateway.fleet import Fleet
 from fuchsiahatch_gateway.placing import Placer
@@ -165,7 +165,7 @@
     return await asyncio.shield(waiting)
 
 
-_ANSWER_ERROR = Delivery._answer_error
+_ANSWER_ERROR = ErrorAnswers.send
 _CONNECTION_LOST = ClientConnection.connectionLost
 _WAIT = Placer._wait
 
@@ -174,7 +174,7 @@
         next_steps, "_may_retry", _retry_all
     ),
     "a refusal says that nothing ran": mock.patch.object(
-        Delivery, "_answer_error", _forget_attempts
+        ErrorAnswers, "send", _forget_attempts
     ),
     "another request's answer is skipped": mock.patch.object(
         attempts, "_matching_head", _accept_any_head
