An agent whose reading of the host list fails reads it again after a second

An agent that knew no entry yet waited ten seconds for its next reading, and refused all work as not allowed meanwhile; two failures in a row cost it 20 s. Once it knows an entry, the list is read each ten seconds as before, also in an outage of the list. The new test timed out before.

--- a/packages/daemon/src/fuchsiahatch_daemon/following.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/following.py
@@ -20,6 +20,8 @@
 
 #: How often an agent reads the host list; it only needs some entry to ask.
 LIST_MS = 10_000
+#: Delay before a failed reading is repeated while no entry is known.
+LIST_RETRY_MS = 1_000
 #: How long an entry may hold an agent's pull while nothing is newer.
 PULL_WAIT_MS = 10_000
 _PAUSE_MS = 200
@@ -68,7 +70,7 @@
 
     def start(self) -> None:
         """Begin to follow."""
-        self._tasks.repeat(self._read_list, LIST_MS)
+        self._tasks.spawn(self._keep_list())
         self._tasks.repeat(self._follow, _PAUSE_MS)
 
     def stop(self) -> None:
@@ -116,6 +118,12 @@
             self.snapshot, entry_revision, request.team, self._zone, offer
         )
 
+    async def _keep_list(self) -> None:
+        while True:
+            await self._read_list()
+            pause_ms = LIST_MS if self._table.rows("entry") else LIST_RETRY_MS
+            await asyncio.sleep(pause_ms / 1000)
+
     async def _read_list(self) -> None:
         try:
             self._table.replace_rows(await read_rows(self._host_list))
--- a/tests/daemon/test_following.py
+++ b/tests/daemon/test_following.py
@@ -1,10 +1,12 @@
 import unittest
+from unittest import mock
 
 from fuchsiahatch_core.codes import Code
-from fuchsiahatch_core.exceptions import RefusedError
+from fuchsiahatch_core.exceptions import PlatformError, RefusedError
+from fuchsiahatch_daemon import following, host_watch
 from fuchsiahatch_standins.running import Running
 from fuchsiahatch_wire import attempts_pb2
-from tests.loopback import run
+from tests.loopback import LOOP, run
 
 ENTRIES = {"entry-a": "kl-a", "entry-b": "kl-b"}
 AGENTS = {"engine-a": "kl-a"}
@@ -30,6 +32,29 @@
     )
 
 
+class TestHostList(unittest.TestCase):
+    def test_an_agent_whose_first_readings_fail_follows_soon(self):
+        # Until it follows an entry it refuses all work as not allowed.
+        failures = iter(range(2))
+
+        async def read_rows(host_list):
+            if next(failures, None) is not None:
+                raise PlatformError("the host list can't be read")
+            return await host_watch.read_rows(host_list)
+
+        async def work():
+            with mock.patch.object(following, "read_rows", read_rows):
+                async with Running(
+                    ENTRIES, AGENTS, records=[record("kl-a")]
+                ) as running:
+                    follower = running.agents["engine-a"].follower
+                    began_s = LOOP.time()
+                    await running.until(lambda: follower.snapshot.revision == 1)
+                    return LOOP.time() - began_s
+
+        self.assertLess(run(work()), following.LIST_MS / 2 / 1_000)
+
+
 class TestSecondCheck(unittest.TestCase):
     def session(self, work):
         async def go():
