A daemon of the former path that can't start exits with status 1; its fleet says so

A daemon whose port was taken logged an internal error and exited with status 0, as if it had been stopped: a supervisor can't tell. Tests that start a fleet waited 20 s for it in vain and named nothing, which is what was seen of the flaky test_one_run_by_way_of_both_entries_and_none_in_an_outage. With the rpc port of engine-kl-a taken, before: 'the fleet: not so within 20 s', exit status 0; now: 'engine-kl-a has ended' with its log, status 1, in about a second.

--- a/packages/daemon/src/fuchsiahatch_daemon/lifetime.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/lifetime.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import typing as t
 
 from twisted.internet import reactor
 
@@ -13,10 +14,27 @@
 _ROLES = {"entry": EntryRole, "agent": AgentRole}
 
 
-def serve_until_stopped(settings: Settings) -> None:
-    """Start the role and arrange for SIGTERM and SIGINT to stop it."""
+def serve_until_stopped(
+    settings: Settings, on_failed: t.Callable[[BaseException], None]
+) -> None:
+    """Start the role and arrange for SIGTERM and SIGINT to stop it.
+
+    Parameters
+    ----------
+    settings : Settings
+    on_failed : callable
+        Called if the role fails, before the reactor stops.
+    """
+
+    def leave_loop(task: asyncio.Task[None]) -> None:
+        fault = task.exception()
+        if fault is not None:
+            log_event(Event.INTERNAL_ERROR, detail=repr(fault))
+            on_failed(fault)
+        reactor.stop()
+
     task = asyncio.ensure_future(_live(settings))
-    task.add_done_callback(_leave_loop)
+    task.add_done_callback(leave_loop)
 
 
 async def _live(settings: Settings) -> None:
@@ -31,10 +49,3 @@
     log_event(Event.STOPPING)
     await role.stop()
     log_event(Event.STOPPED)
-
-
-def _leave_loop(task: asyncio.Task[None]) -> None:
-    fault = task.exception()
-    if fault is not None:
-        log_event(Event.INTERNAL_ERROR, detail=repr(fault))
-    reactor.stop()
--- a/packages/daemon/src/fuchsiahatch_daemon/main.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/main.py
@@ -11,6 +11,7 @@
 from fuchsiahatch_core.exceptions import SettingsError
 from fuchsiahatch_daemon.settings import Settings, read_settings
 
+_EXIT_FAILED = 1
 _EXIT_SETTINGS = 2
 
 
@@ -43,8 +44,11 @@
 
     from fuchsiahatch_daemon.lifetime import serve_until_stopped
 
-    reactor.callWhenRunning(serve_until_stopped, settings)
+    faults: list[BaseException] = []
+    reactor.callWhenRunning(serve_until_stopped, settings, faults.append)
     reactor.run(installSignalHandlers=False)
+    if faults:
+        sys.exit(_EXIT_FAILED)
 
 
 def _open_log(settings: Settings) -> None:
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -17,7 +17,7 @@
 HOSTS = ("entry-kl-a", "entry-kl-b", "engine-kl-a", "engine-kl-b")
 TEAM, MODEL = "gym-bangsar", "booking-assistant"
 _BASE_PORTS = tuple(
-    base + offset for base in (24_400, 22_400) for offset in range(0, 100, 10)
+    base + offset for base in (24_400, 25_000) for offset in range(0, 100, 10)
 )
 _GUARD_OFFSET = 9
 _USED_OFFSETS = (0, 1, 3, 4, 100, 101, 103, 104, 203, 204, 300, 301)
@@ -55,7 +55,7 @@
             daemon = (sys.executable, "-m", "fuchsiahatch_daemon.main")
             self._spawn(host, *daemon, "--settings", file)
         for entry in HOSTS[:2]:
-            wait_until(lambda entry=entry: self._knows_homes(entry), "the fleet")
+            wait_until(lambda entry=entry: self._is_running(entry), "the fleet")
 
     def stop(self):
         for process in self.processes.values():
@@ -107,6 +107,13 @@
         """Return the engine that ran a key, or None."""
         return next((host for host, keys in self.runs().items() if key in keys), None)
 
+    def _is_running(self, entry):
+        for name, process in self.processes.items():
+            if process.poll() is not None:
+                log = (self.path / f"{name}.log").read_text("utf-8")
+                raise AssertionError(f"{name} has ended: {log[-500:]}")
+        return self._knows_homes(entry)
+
     def _knows_homes(self, entry):
         status, content = ask(
             self.address(entry), "GET", f"/lookup?team={TEAM}&model={MODEL}"
