Tests: fleets, rank groups and single roles draw their ports from disjoint ranges

Half of the fleets drew ports between 22,400 and 22,794, out of which roles in one process (20,000 to 22,999) and rank groups (22,000 to 24,400) drew as well: beside another run of the tests one's daemon could lose its port to the other's between the choice and the start, and end. Whether that befell the flaky test isn't shown.

--- a/packages/standins/src/fuchsiahatch_standins/ports.py
+++ b/packages/standins/src/fuchsiahatch_standins/ports.py
@@ -7,7 +7,7 @@
 # Below the ports that the system gives to outgoing connections: one of those could
 # be taken by a connection between the choice and the listening.
 _FIRST_PORT = 20_000
-_PORTS = 3_000
+_PORTS = 2_000
 _STEP = 97
 
 _numbers = itertools.count(os.getpid() * _STEP)
