--- a/tests/gateway/test_encoded_forms.py
+++ b/tests/gateway/test_encoded_forms.py
@@ -18,9 +18,11 @@
 )
 from fuchsiahatch_experts.terms import TermRecord
 from fuchsiahatch_gateway import (
+    answer_ends,
     attempts,
     datagrams,
     delivery,
+    error_answers,
     leadership,
     placing,
     routes,
@@ -28,7 +30,7 @@
 from fuchsiahatch_gateway.engine_figures import EngineFigures, decode_engine_figures
 from fuchsiahatch_gateway.held_requests import HeldRecord, decode_held_record
 from fuchsiahatch_gateway.lookups import EntryRecord, decode_entry
-from fuchsiahatch_http1 import client
+from fuchsiahatch_http1 import client, pool
 from fuchsiahatch_placement.documents import Change, Document, write_document
 from fuchsiahatch_placement.rosters import Voter, change_roster
 from tests.golden import check_golden
@@ -129,6 +131,15 @@
 
     def test_texts_of_errors_in_answers(self):
         # Callers receive them in the bodies of answers, and may match them.
-        modules = (attempts, client, delivery, placing, routes)
+        modules = (
+            attempts,
+            answer_ends,
+            client,
+            pool,
+            delivery,
+            error_answers,
+            placing,
+            routes,
+        )
         lines = [text for module in modules for text in texts(module)]
         check_golden(__file__, "answer_texts", lines)
--- a/tests/gateway/test_request_urgency.py
+++ b/tests/gateway/test_request_urgency.py
@@ -17,6 +17,8 @@
 PRIORITY = "fuchsiahatch-request-priority"
 #: A caller's own priority, which upstreams must not get.
 FORGED = [("Fuchsiahatch-Request-Priority", "0")]
+#: A body that is complete on plain and on streaming routes.
+EVENT = b"data: ok\n\n"
 ROUTES = [
     make_route("/urgent/", "safe", priority=0),
     make_route("/usual/", "safe", priority=1),
@@ -32,7 +34,7 @@
     await until(lambda: site.entry.routes.configuration.version == version)
 
 
-async def ask_all(routes, *paths, scripts=(answers(),), team_priority=None):
+async def ask_all(routes, *paths, scripts=(answers(body=EVENT),), team_priority=None):
     """Return the priority in each request that reached the upstream."""
     server = upstream(*scripts)
     async with Site(server) as site:
--- a/tests/gateway/test_return_times.py
+++ b/tests/gateway/test_return_times.py
@@ -5,7 +5,7 @@
 from fuchsiahatch_core.clock import ManualClock
 from fuchsiahatch_core.codes import Code
 from fuchsiahatch_core.exceptions import RefusedError
-from fuchsiahatch_gateway.delivery import Delivery
+from fuchsiahatch_gateway.error_answers import ErrorAnswers
 from fuchsiahatch_gateway.return_times import (
     RATE_WINDOW_MS,
     ReturnTimes,
@@ -76,7 +76,7 @@
     def test_known_times_are_not_shortened(self):
         """Guards against callers that return within a backoff period."""
         clock = ManualClock()
-        delivery = Delivery(*[None] * 8, clock, random.Random(1))
+        errors = ErrorAnswers(None, None, clock, random.Random(1))
         job = SimpleNamespace(ends_ms=clock.now_ms() + 4_550)
         for code, job_or_none, return_ms in (
             (Code.BACKING_OFF, job, 2_500),
@@ -85,6 +85,6 @@
             (Code.OVERLOADED, None, 2_500),
         ):
             fault = RefusedError("refused", code, retry_after_ms=2_500)
-            self.assertEqual(delivery._return_ms(fault, job_or_none), return_ms)
+            self.assertEqual(errors._return_ms(fault, job_or_none), return_ms)
         unknown = RefusedError("refused", Code.OVERLOADED)
-        self.assertIsNone(delivery._return_ms(unknown, job))
+        self.assertIsNone(errors._return_ms(unknown, job))
