Stand-in upstream: a reset of a connection that is closed already does nothing

A crash of the soak's upstream closes connections whose script is just about to reset them; the script then failed on the closed socket, and asyncio wrote a traceback. No test failed of it.

--- a/packages/standins/src/fuchsiahatch_standins/scripted_upstream.py
+++ b/packages/standins/src/fuchsiahatch_standins/scripted_upstream.py
@@ -70,7 +70,9 @@
         await self.raw(b"0\r\n\r\n")
 
     def reset(self) -> None:
-        """Reset the connection."""
+        """Reset the connection, unless it is closed already."""
+        if self._writer.is_closing():
+            return
         handle = self._writer.get_extra_info("socket")
         handle.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self._writer.transport.abort()
