--- a/tests/gateway/mortal_upstreams.py
+++ b/tests/gateway/mortal_upstreams.py
@@ -9,8 +9,15 @@
 DEADLY = b"a prompt that ends whoever reads it"
 
 
+def has_deadly_body(request):
+    """Return whether a request is the deadly one, by its body."""
+    return request.body == DEADLY
+
+
 class MortalUpstream(ScriptedUpstream):
-    """An upstream that crashes when it gets `DEADLY`: it closes all its connections.
+    """An upstream that crashes when it gets a deadly request.
+
+    It closes all its connections then.
 
     Parameters
     ----------
@@ -20,10 +27,25 @@
         Prefix of its instance names; each incarnation has a number.
     back_s : float, optional
         Time until it restarts, as a new instance at the same address.
+    script : coroutine function, optional
+        Answers the requests that aren't deadly.
+    is_deadly : callable, optional
+        Returns whether a received request is deadly.
+    crash_after_s : float, optional
+        Time from the receipt of a deadly request to the crash.
     """
 
-    def __init__(self, site, name, back_s=0.2, script=None):
+    def __init__(
+        self,
+        site,
+        name,
+        back_s=0.2,
+        script=None,
+        is_deadly=has_deadly_body,
+        crash_after_s=0.0,
+    ):
         super().__init__(self._work)
+        self.is_deadly, self.crash_after_s = is_deadly, crash_after_s
         self.site, self.name, self.back_s = site, name, back_s
         self.script = script or answers()
         self.incarnations, self.port = 0, 0
@@ -57,7 +79,8 @@
             self._writers.discard(writer)
 
     async def _work(self, request, wire):
-        if request.body == DEADLY:
+        if self.is_deadly(request):
+            await asyncio.sleep(self.crash_after_s)
             self.ending = asyncio.ensure_future(self.end())
             await asyncio.sleep(30)
         await self.script(request, wire)
@@ -65,4 +88,4 @@
 
 def deadly_sends(upstreams):
     """Return how often the deadly request reached an upstream."""
-    return sum(request.body == DEADLY for one in upstreams for request in one.received)
+    return sum(one.is_deadly(request) for one in upstreams for request in one.received)
