--- a/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
@@ -26,12 +26,27 @@
 _Pace = t.Annotated[float, msgspec.Meta(gt=0, lt=1e9)]
 
 
-#: Maximum number of crashes reported for one request, the most recent ones.
+#: Crashes that are reported of one request, the most recent ones.
 MAX_CRASHES_REPORTED = 8
+#: Suspects that are reported of one crash, and the fingerprints of each.
+MAX_SUSPECTS_REPORTED = 32
+MAX_KEYS = 64
+#: Complete answers that are reported at once.
+MAX_ANSWERS_REPORTED = 256
 _Fingerprint = t.Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+_TeamFingerprint = t.Annotated[str, msgspec.Meta(max_length=64)]
 _Incarnation = t.Annotated[str, msgspec.Meta(max_length=128)]
-_Incarnations = t.Annotated[
-    tuple[_Incarnation, ...], msgspec.Meta(max_length=MAX_CRASHES_REPORTED)
+_Keys = t.Annotated[
+    tuple[_Fingerprint, ...], msgspec.Meta(min_length=1, max_length=MAX_KEYS)
+]
+_Suspects = t.Annotated[
+    tuple["SuspectReport", ...], msgspec.Meta(max_length=MAX_SUSPECTS_REPORTED)
+]
+_Crashes = t.Annotated[
+    tuple["CrashReport", ...], msgspec.Meta(max_length=MAX_CRASHES_REPORTED)
+]
+_Answers = t.Annotated[
+    tuple["CompleteAnswer", ...], msgspec.Meta(max_length=MAX_ANSWERS_REPORTED)
 ]
 
 
@@ -268,25 +283,67 @@
     age_ms: _Count
 
 
+class SuspectReport(msgspec.Struct, frozen=True, array_like=True):
+    """One request that ran on an upstream as it crashed.
+
+    Attributes
+    ----------
+    team : str
+        Fingerprint of its team.
+    keys : tuple of str
+        Fingerprints of the request and of the parts of its prompt.
+    """
+
+    team: _TeamFingerprint
+    keys: _Keys
+
+
+class CrashReport(msgspec.Struct, frozen=True, array_like=True):
+    """One crash of an upstream, and requests that ran there.
+
+    Attributes
+    ----------
+    incarnation : str
+        The incarnation that ended.
+    group : str
+        Its rank group; empty where it has none.
+    age_ms : int
+        How long the sender has known of the crash.
+    suspects : tuple of SuspectReport
+    """
+
+    incarnation: _Incarnation
+    group: str
+    age_ms: _Count
+    suspects: _Suspects
+
+
 class CrashNotice(msgspec.Struct, frozen=True, array_like=True, tag=11):
-    """Notifies other entries that upstreams have crashed while running a request.
+    """Notifies other entries that upstreams have crashed while they ran requests.
 
     Attributes
     ----------
-    fingerprint : str
-    incarnations : tuple of str
-        All crashed incarnations that the sender knows of, so that the next notice makes
-        up for a lost one.
+    service : str
+    crashes : tuple of CrashReport
+        The one that the sender has detected, and earlier ones with the same suspects,
+        so that the next notice makes up for a lost one.
     """
 
+    service: str
+    crashes: _Crashes
+
+
+class CompleteAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """A complete answer to a request with a fingerprint, and its age."""
+
     fingerprint: _Fingerprint
-    incarnations: _Incarnations
+    age_ms: _Count
 
 
 class Clearance(msgspec.Struct, frozen=True, array_like=True, tag=12):
-    """Notifies other entries that a suspect request has got a complete answer."""
+    """Notifies other entries that suspects have got complete answers."""
 
-    fingerprint: _Fingerprint
+    answers: _Answers
 
 
 class LateNotice(msgspec.Struct, frozen=True, array_like=True, tag=13):
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -13,10 +13,10 @@
     RefusedError,
     RequestError,
 )
-from fuchsiahatch_delivery.keys import fingerprint_of
 from fuchsiahatch_gateway.attempts import Attempt, Outcome, run_attempt
 from fuchsiahatch_gateway.error_answers import ErrorAnswers
 from fuchsiahatch_gateway.event_stream import EventSplitter
+from fuchsiahatch_gateway.fingerprints import fingerprints_of
 from fuchsiahatch_gateway.jobs import Job, silence_ms, wait_ms
 from fuchsiahatch_gateway.next_steps import (
     Progress,
@@ -162,7 +162,7 @@
             match,
             service,
             self._routes.class_of(match, service),
-            _fingerprint_of(exchange, request.host, match.team.name),
+            fingerprints_of(exchange, request, match.team.name, service),
             arrived_ms,
             arrived_ms + limit_ms,
             events,
@@ -188,26 +188,26 @@
         ------
         RefusedError
         """
-        held_ms = self._crashing.held_ms(job.fingerprint)
+        held_ms = self._crashing.held_ms(job.fingerprints)
         if not held_ms:
             return
         if upstream is not None:
             self._placer.release(upstream)
-        detail = "upstreams have crashed under this request"
+        detail = "upstreams have crashed under requests like this one"
         raise RefusedError(detail, Code.CRASHES_UPSTREAMS, retry_after_ms=held_ms)
 
     async def _note_answer_or_crash(
         self, job: Job, upstream: "Upstream", outcome: Outcome
     ) -> None:
         if outcome.result is Result.ANSWERED:
-            self._crashing.note_complete_answer(job.fingerprint)
+            self._crashing.note_complete_answer(job.fingerprints)
         elif outcome.closed_early:
-            crashed = await self._crashes.examine(job.fingerprint, upstream)
+            crashed = await self._crashes.examine(job.fingerprints, upstream)
             outcome.group_crashed = (
                 crashed and bool(upstream.group) and not outcome.events_relayed
             )
         elif outcome.result is Result.BROKEN:
-            self._crashes.note_unanswered(job.fingerprint, upstream)
+            self._crashes.note_unanswered(job.fingerprints, upstream)
 
     async def _choose_retry(
         self, job: Job, upstream: "Upstream", outcome: Outcome
@@ -240,11 +240,17 @@
         limit_ms = wait_ms(job, began_ms, self._routes.has_classes(job.service))
         try:
             return await self._placer.acquire(
-                job.service, job.traits, job.tried, limit_ms
+                job.service, job.traits(), job.tried, limit_ms
             )
         finally:
             job.waited_ms += self._clock.now_ms() - began_ms
 
+    def _may_send(self, job: Job, upstream: "Upstream", reserved_ms: int) -> bool:
+        """Return whether a request may go to its upstream, just before it does."""
+        if self._crashing.held_ms(job.fingerprints):
+            return False
+        return self._placer.may_still_send(upstream, job.traits(), reserved_ms)
+
     async def _attempt(self, job: Job, upstream: "Upstream") -> Outcome:
         sent_ms = self._clock.now_ms()
         left_ms = job.ends_ms - sent_ms
@@ -260,7 +266,7 @@
             job.match.team.name,
             left_ms,
             silence_ms(job, left_ms),
-            lambda: self._placer.may_still_send(upstream, job.traits, sent_ms),
+            lambda: self._may_send(job, upstream, sent_ms),
             lambda: self._could_retry(job),
             lambda: self._could_move(job),
             job.events,
@@ -315,7 +321,7 @@
         return (
             decide(Result.BROKEN, progress) is Step.RETRY
             and self._budget.has_retry_left(job.service)
-            and self._placer.has_free_slot(job.service, job.traits)
+            and self._placer.has_free_slot(job.service, job.traits())
         )
 
     def _record_result(
@@ -346,7 +352,7 @@
             may_have_run=job.may_have_run,
             upstream_failed=outcome.upstream_failed,
             time_left=left_ms > MIN_ATTEMPT_MS,
-            crashes=self._crashing.crashes(job.fingerprint),
+            crashes=self._crashing.crashes(job.fingerprints),
             group_crashed=outcome.group_crashed,
         )
 
@@ -374,16 +380,3 @@
         else:
             fault = RefusedError("the time is over", Code.OVERLOADED)
         self._errors.send(job.exchange, fault, job)
-
-
-def _fingerprint_of(exchange: "Exchange", host: str, team: str) -> str:
-    """Return the fingerprint of a team's request, the same at each entry.
-
-    It identifies the request when it is sent again under another id. Headers are left
-    out, as callers change some of them each time.
-    """
-    method, target = (
-        exchange.method.decode("latin-1"),
-        exchange.target.decode("latin-1"),
-    )
-    return fingerprint_of(method, target, f"{team}@{host}", exchange.body).hex()
--- a/packages/gateway/src/fuchsiahatch_gateway/entry_gauges.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry_gauges.py
@@ -49,12 +49,12 @@
     )
     add(
         "fuchsiahatch_suspects",
-        "Requests under which an upstream has crashed.",
+        "Requests and prompt parts under which an upstream has crashed.",
         lambda: entry.crashing.suspects,
     )
     add(
         "fuchsiahatch_held_requests",
-        "Requests that are held back for it.",
+        "Kinds of requests that are held back for it.",
         lambda: entry.crashing.held,
     )
     add(
--- a/packages/gateway/src/fuchsiahatch_gateway/explain.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/explain.py
@@ -24,7 +24,7 @@
     "started": "the process started",
     "internal_error": "an internal error of the gateway",
 }
-#: Events that name a request by its fingerprint; they count from any node.
+#: Events that name requests or prompt parts by fingerprints; they count from any node.
 CRASH_LINES = ("crash_counted", "request_held", "suspect_cleared", "hold_written")
 #: Time before the end of a request from which other events are shown.
 BACKGROUND_MS = 10_000
@@ -85,7 +85,16 @@
     """Return whether a line reports a crash that the same request may have caused."""
     if line["message_type"] not in CRASH_LINES:
         return False
-    return line.get("fingerprint") == ended.get("fingerprint")
+    own = {ended.get("fingerprint"), *ended.get("parts", ())}
+    return not own.isdisjoint(_flatten(line.get("fingerprints", ())))
+
+
+def _flatten(fingerprints: t.Iterable[str | list[str]]) -> t.Iterator[str]:
+    for one in fingerprints:
+        if isinstance(one, str):
+            yield one
+        else:
+            yield from one
 
 
 def _describe(line: Line, ended: Line) -> str:
--- a/packages/gateway/src/fuchsiahatch_gateway/held_requests.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/held_requests.py
@@ -10,7 +10,7 @@
 from fuchsiahatch_adapter.forms import read_json
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import ConflictError, PlatformError
-from fuchsiahatch_gateway.crashing_requests import HOLD_MS
+from fuchsiahatch_gateway.crash_evidence import HOLD_MS, Pattern
 from fuchsiahatch_gateway.defaults import HELD_PREFIX
 from fuchsiahatch_gateway.item_decoding import ItemDecoder
 
@@ -30,18 +30,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeldRecord:
-    """The store's record of one request.
+    """The store's record of requests that are held back.
 
     Attributes
     ----------
     held : bool
-        False once the request got a complete answer.
+        False once such requests got complete answers.
     upstreams : tuple of str
-        Incarnations of upstreams that crashed during it.
+        Incarnations of upstreams that crashed during them.
+    fingerprints : tuple of str
+        What they have in common; the name of the record if it is empty.
+    team : str
+        Fingerprint of their team; empty for any.
     """
 
     held: bool
     upstreams: tuple[str, ...] = ()
+    fingerprints: tuple[str, ...] = ()
+    team: str = ""
 
 
 def decode_held_record(name: str, value: bytes) -> HeldRecord:
@@ -98,10 +104,14 @@
     def apply(self, items: t.Mapping[str, "Item"]) -> None:
         """Apply the current records of the store."""
         current = self._decoder.decode_all(items)
-        held = {name for name, record in current.items() if record.held}
+        held = {
+            name: _pattern_of(name, record)
+            for name, record in current.items()
+            if record.held
+        }
         # Applied once per change: later crashes count against the request again.
         cleared = {
-            name
+            name: _pattern_of(name, record)
             for name, record in current.items()
             if not record.held and self._records.get(name) != record
         }
@@ -118,6 +128,7 @@
             self._changed.clear()
             try:
                 await self._write_cleared()
+                await self._remove_obsolete()
                 await self._write_held()
             except (ConflictError, PlatformError) as fault:
                 log_event(Event.SERVICE_CALL_FAILED, detail=str(fault))
@@ -132,40 +143,62 @@
             return
         await asyncio.sleep(entry_index * WRITER_DELAY_MS / 1000)
         for hold in self._missing():
-            lease = await self._store.grant(hold.left_ms)
-            await self._write(
-                hold.fingerprint, HeldRecord(True, hold.incarnations), lease
-            )
+            lease = await self._store.grant(self._requests.left_ms(hold))
+            await self._write(hold.name, _record_of(hold), lease)
 
     def _missing(self) -> list["Hold"]:
         return [
             hold
             for hold in self._requests.local_holds()
-            if hold.left_ms > MIN_LEASE_MS
-            and not self._is_stored_held(hold.fingerprint)
+            if self._requests.left_ms(hold) > MIN_LEASE_MS
+            and not self._is_stored_held(hold.name)
         ]
 
-    def _is_stored_held(self, fingerprint: str) -> bool:
-        known = self._records.get(fingerprint)
+    def _is_stored_held(self, name: str) -> bool:
+        known = self._records.get(name)
         return known is not None and known.held
 
     async def _write_cleared(self) -> None:
         """Store that requests with a complete answer are no longer held."""
-        outdated = [
-            name
+        outdated = {
+            name: record
             for name, record in self._records.items()
-            if record.held and self._requests.has_complete_answer(name)
-        ]
-        for name in outdated:
+            if record.held and self._requests.is_cleared(name)
+        }
+        for name, record in outdated.items():
             lease = await self._store.grant(HOLD_MS)
-            await self._write(name, HeldRecord(False), lease)
-
-    async def _write(self, fingerprint: str, record: HeldRecord, lease: int) -> None:
-        known = self._items.get(fingerprint)
+            cleared = dataclasses.replace(record, held=False, upstreams=())
+            await self._write(name, cleared, lease)
+
+    async def _remove_obsolete(self) -> None:
+        """Remove what this entry held, and then found to be no cause of crashes."""
+        obsolete = [
+            item
+            for name, item in self._items.items()
+            if self._is_stored_held(name) and self._requests.is_obsolete(name)
+        ]
+        for item in obsolete:
+            await self._store.remove(item.key, item.revision)
+            name = item.key.removeprefix(HELD_PREFIX)
+            fingerprints = sorted(_pattern_of(name, self._records.pop(name)).keys)
+            log_event(Event.HOLD_WRITTEN, fingerprints=fingerprints, held=False)
+
+    async def _write(self, name: str, record: HeldRecord, lease: int) -> None:
+        known = self._items.get(name)
         revision = 0 if known is None else known.revision
-        key = HELD_PREFIX + fingerprint
         value = orjson.dumps(record)
-        await self._store.put(key, value, lease, expected=revision)
+        await self._store.put(HELD_PREFIX + name, value, lease, expected=revision)
         # Until the watch reports the write; the revision comes from there too.
-        self._records[fingerprint] = record
-        log_event(Event.HOLD_WRITTEN, fingerprint=fingerprint, held=record.held)
+        self._records[name] = record
+        fingerprints = sorted(_pattern_of(name, record).keys)
+        log_event(Event.HOLD_WRITTEN, fingerprints=fingerprints, held=record.held)
+
+
+def _record_of(hold: "Hold") -> HeldRecord:
+    keys = hold.pattern.keys
+    named = () if hold.name in keys else tuple(sorted(keys))
+    return HeldRecord(True, hold.incarnations, named, hold.pattern.team)
+
+
+def _pattern_of(name: str, record: HeldRecord) -> Pattern:
+    return Pattern(frozenset(record.fingerprints or (name,)), record.team)
--- a/packages/gateway/src/fuchsiahatch_gateway/jobs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/jobs.py
@@ -10,6 +10,7 @@
     from fuchsiahatch_adapter.configuration import Route
     from fuchsiahatch_gateway.answer_ends import Ending
     from fuchsiahatch_gateway.event_stream import EventSplitter
+    from fuchsiahatch_gateway.fingerprints import Fingerprints
     from fuchsiahatch_gateway.routes import Match
     from fuchsiahatch_http1.server import Exchange
 
@@ -47,8 +48,8 @@
     service : str
     priority_class : int
         At its service, 0 first.
-    fingerprint : str
-        Identifies the request independent of its id.
+    fingerprints : Fingerprints
+        Identify the request, and the parts of its prompt, independent of its id.
     arrived_ms, ends_ms : int
         When it arrived, and its deadline.
     events : EventSplitter or None
@@ -79,7 +80,7 @@
     match: "Match"
     service: str
     priority_class: int
-    fingerprint: str
+    fingerprints: "Fingerprints"
     arrived_ms: int
     ends_ms: int
     events: "EventSplitter | None"
@@ -94,9 +95,8 @@
     report_age_ms: int | None = None
     ending: "Ending | None" = None
 
-    @property
     def traits(self) -> RequestTraits:
-        """What the choice of an upstream may know of the request."""
+        """Return what the choice of an upstream may know of the request."""
         return RequestTraits(
             team=self.match.team.name,
             priority_class=self.priority_class,
--- a/packages/gateway/src/fuchsiahatch_gateway/request_log.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/request_log.py
@@ -59,7 +59,8 @@
         log_event(
             Event.REQUEST_ENDED,
             request=job.request.request_id.decode("latin-1"),
-            fingerprint=job.fingerprint,
+            fingerprint=job.fingerprints.request,
+            parts=job.fingerprints.parts,
             route=job.match.route.name,
             team=job.match.team.name,
             version=job.match.version,
@@ -90,7 +91,8 @@
         log_event(
             Event.ATTEMPT_RETRIED,
             request=job.request.request_id.decode("latin-1"),
-            fingerprint=job.fingerprint,
+            fingerprint=job.fingerprints.request,
+            parts=job.fingerprints.parts,
             upstream=upstream.entry.instance,
             result=outcome.result.value,
             detail=outcome.detail,
--- a/packages/gateway/src/fuchsiahatch_gateway/upstream_crashes.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/upstream_crashes.py
@@ -11,6 +11,7 @@
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
     from fuchsiahatch_gateway.crashing_requests import CrashingRequests
+    from fuchsiahatch_gateway.fingerprints import Fingerprints
     from fuchsiahatch_gateway.known_upstream import Upstream
 
 #: Time for which an upstream is probed whether it still listens. After its process has
@@ -26,12 +27,13 @@
 MAX_BROKEN_ANSWERS = 1_024
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class _BrokenAnswer:
     """An answer that broke off, the incarnation of its upstream, and when."""
 
-    fingerprint: str
+    request: "Fingerprints"
     incarnation: str
+    group: str
     broken_ms: int
 
 
@@ -81,21 +83,19 @@
         #: Incarnations that are known to have ended, and when that was detected.
         self._ended: dict[str, int] = {}
 
-    async def examine(self, fingerprint: str, upstream: "Upstream") -> bool:
+    async def examine(self, request: "Fingerprints", upstream: "Upstream") -> bool:
         """Return whether an upstream's process ended while it handled a request.
 
         Parameters
         ----------
-        fingerprint : str
+        request : Fingerprints
         upstream : Upstream
             Its connection was closed before the answer was complete.
         """
         if not self._would_crash(upstream):
             return False
         incarnation = upstream.incarnation
-        self._broken_answers.append(
-            _BrokenAnswer(fingerprint, incarnation, self._clock.now_ms())
-        )
+        self._note_broken(request, upstream)
         if incarnation not in self._ended:
             await self._probe_once(upstream)
         if incarnation not in self._ended:
@@ -103,6 +103,11 @@
         self.note_ended(incarnation)
         return True
 
+    def _note_broken(self, request: "Fingerprints", upstream: "Upstream") -> None:
+        now_ms = self._clock.now_ms()
+        broken = _BrokenAnswer(request, upstream.incarnation, upstream.group, now_ms)
+        self._broken_answers.append(broken)
+
     async def still_works(self, upstream: "Upstream") -> bool:
         """Return whether an upstream's process and its rank group still work.
 
@@ -120,12 +125,9 @@
                 break
         return upstream.open and reachability is Reachability.LISTENING
 
-    def note_unanswered(self, fingerprint: str, upstream: "Upstream") -> None:
+    def note_unanswered(self, request: "Fingerprints", upstream: "Upstream") -> None:
         """Note an answer that was given up: its upstream may have crashed unnoticed."""
-        now_ms = self._clock.now_ms()
-        self._broken_answers.append(
-            _BrokenAnswer(fingerprint, upstream.incarnation, now_ms)
-        )
+        self._note_broken(request, upstream)
 
     def note_restart(self, former: "Upstream") -> None:
         """Note that an upstream has restarted."""
@@ -147,11 +149,15 @@
             if now_ms - ended_ms < CORRELATION_MS
         }
         self._ended[incarnation] = now_ms
-        due = [one for one in self._broken_answers if one.incarnation == incarnation]
-        for one in due:
+        broken = [one for one in self._broken_answers if one.incarnation == incarnation]
+        for one in broken:
             self._broken_answers.remove(one)
-            if now_ms - one.broken_ms < CORRELATION_MS:
-                self._requests.note_crash(one.fingerprint, incarnation)
+        due = [one for one in broken if now_ms - one.broken_ms < CORRELATION_MS]
+        if due:
+            latest = due[-1]
+            requests = [one.request for one in due]
+            service = latest.request.service
+            self._requests.note_crash(incarnation, service, latest.group, requests)
 
     def _would_crash(self, upstream: "Upstream") -> bool:
         """Return whether an end of an upstream's process now would be unplanned."""
--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -3,7 +3,11 @@
 import tempfile
 import unittest
 
-from fuchsiahatch_adapter.caller_requests import decode_request, upstream_headers
+from fuchsiahatch_adapter.caller_requests import (
+    MAX_SHARED_PARTS,
+    decode_request,
+    upstream_headers,
+)
 from fuchsiahatch_adapter.configuration import ColdStart, Kind, decode_configuration
 from fuchsiahatch_adapter.lookup_calls import encode_lookup, is_ready_check, lookup_zone
 from fuchsiahatch_adapter.node_settings import read_node_settings
@@ -236,6 +240,24 @@
         self.assertEqual((request.key, request.deadline_ms), ("key-1", 1_500))
         self.assertEqual((request.prompt_tokens, request.answer_tokens), (1_460, 80))
         self.assertEqual(request.prompt_parts, ("5c1e", "91bd"))
+        self.assertEqual(request.shared_parts, ("5c1e",))
+
+    def test_a_part_is_the_same_in_any_case_with_any_tokens_and_spaces(self):
+        for value in ("AB1:5,c:1", " ab1 : 9 ,c:1", "ab1,c"):
+            request = decode_request(FakeExchange(fuchsiahatch_prompt_prefix=value))
+            self.assertEqual(request.shared_parts, ("ab1",), value)
+
+    def test_what_can_not_be_read_of_a_prompt_prefix_is_no_part(self):
+        for value in ("", ",", "xyz:1,b:2", ":::", "a" * 65 + ",b", "ä,b", ",,b:2"):
+            request = decode_request(FakeExchange(fuchsiahatch_prompt_prefix=value))
+            self.assertEqual(request.shared_parts, (), value)
+        request = decode_request(FakeExchange(fuchsiahatch_prompt_prefix="z,,a:1,z"))
+        self.assertEqual(request.shared_parts, ("a",))
+
+    def test_a_long_prompt_prefix_is_read_up_to_a_limit(self):
+        value = ",".join(f"{number:x}:1" for number in range(9_000))
+        request = decode_request(FakeExchange(fuchsiahatch_prompt_prefix=value))
+        self.assertEqual(len(request.shared_parts), MAX_SHARED_PARTS)
 
     def test_a_key_of_another_scheme_is_ignored(self):
         self.assertEqual(decode_request(FakeExchange(authorization="Basic x")).key, "")
--- a/tests/gateway/crash_model.py
+++ b/tests/gateway/crash_model.py
@@ -3,11 +3,19 @@
 import asyncio
 import collections
 import dataclasses
+import itertools
 import random
 import types
 
 from fuchsiahatch_gateway.crashing_requests import CrashingRequests
-from fuchsiahatch_gateway.datagrams import CrashNotice, decode, encode
+from fuchsiahatch_gateway.datagrams import (
+    CrashNotice,
+    CrashReport,
+    SuspectReport,
+    decode,
+    encode,
+)
+from fuchsiahatch_gateway.fingerprints import Fingerprints
 from fuchsiahatch_gateway.next_steps import Progress, Result, Step, decide
 from fuchsiahatch_gateway.upstream_crashes import UpstreamCrashes
 from fuchsiahatch_http1.pool import Reachability
@@ -20,10 +28,24 @@
 STABLE_MS = 3_000
 MAX_SENDS_AFTER = 3
 RESTART_MS = 3_000
+#: Time for which a rank group that lost a member answers nothing; then it refuses.
+STALL_MS = 1_500
 #: Time from the start of a run to its crash, its first event and its end.
 DEADLY_MS, FIRST_EVENT_MS, COMPLETE_MS = 40, 150, 600
 
 
+def whole(name, parts=(), team=""):
+    """Return a request that is recognized by a name, and by its prompt parts."""
+    return Fingerprints("svc", team, name, tuple(parts))
+
+
+def make_notice(name, incarnations):
+    """Return a notice of crashes during a request without prompt parts."""
+    suspects = (SuspectReport("", (name,)),)
+    reports = (CrashReport(one, "", 0, suspects) for one in incarnations)
+    return CrashNotice("svc", tuple(reports))
+
+
 @dataclasses.dataclass(eq=False)
 class SimulatedUpstream:
     """One incarnation of a simulated upstream, as `UpstreamCrashes` uses it."""
@@ -48,9 +70,15 @@
         self.number, self.simulation = number, simulation
         clock = simulation.loop.make_clock()
         self.requests = CrashingRequests(clock, self.broadcast)
+        self.requests.on_crash = self.note_crash
         self.crashes = UpstreamCrashes(
             self.requests, simulation.probe, lambda instance: True, clock
         )
+        self.closed_groups = {}
+
+    def note_crash(self, incarnation, group):
+        if self.simulation.stalls:
+            self.closed_groups[group] = self.simulation.stalled_until_ms[group]
 
     def broadcast(self, message):
         for other in self.simulation.entries:
@@ -65,21 +93,27 @@
         if answer is not None:
             self.simulation.send(answer, self, sender)
 
-    async def answer(self, fingerprint):
+    def choose(self, request, tried):
+        now_ms = self.simulation.clock.now_ms()
+        confined_to = self.requests.confined_to(request)
+        closed = {one for one, until in self.closed_groups.items() if now_ms < until}
+        return self.simulation.choose(tried, confined_to, closed)
+
+    async def answer(self, request):
         """Return how a request ended: whole, failed, refused or unsent."""
         tried = set()
         for sends in range(1, MAX_SENDS + 1):
-            if self.requests.held_ms(fingerprint):
+            if self.requests.held_ms(request):
                 return "refused" if not tried else "failed"
-            upstream = self.simulation.choose(tried)
+            upstream = self.choose(request, tried)
             if upstream is None:
                 return "unsent"
             tried.add(upstream.group)
-            complete, events = await self.simulation.run(fingerprint, upstream)
+            complete, events = await self.simulation.run(request, upstream)
             if complete:
-                self.requests.note_complete_answer(fingerprint)
+                self.requests.note_complete_answer(request)
                 return "whole"
-            crashed = await self.crashes.examine(fingerprint, upstream)
+            crashed = await self.crashes.examine(request, upstream)
             progress = Progress(
                 repeatable=True,
                 sends=sends,
@@ -88,7 +122,7 @@
                 may_have_run=True,
                 upstream_failed=False,
                 time_left=True,
-                crashes=self.requests.crashes(fingerprint),
+                crashes=self.requests.crashes(request),
                 group_crashed=crashed and not events,
             )
             if decide(Result.BROKEN, progress) is not Step.RETRY:
@@ -116,6 +150,14 @@
         Begin and end of the time in which they do.
     events : dict of float to callable, optional
         Each is called with the simulation at its time in seconds.
+    stalls : bool, optional
+        Whether a rank group stands still from a crash until its upstream is back.
+    sound_parts : callable, optional
+        Returns the prompt parts of a sound request, given its number.
+    deadly_parts : callable, optional
+        The same for requests that crash any upstream by one of their parts, whose names
+        begin with "deadly"; no two of them are alike.
+    deadly_parts_per_s : float, optional
     """
 
     def __init__(
@@ -133,7 +175,16 @@
         seed=1,
         deadly_share=0.0,
         deadly_s=(0.0, 0.0),
+        stalls=False,
+        sound_parts=lambda number: (),
+        deadly_parts=None,
+        deadly_parts_per_s=2.0,
     ):
+        self.stalls, self.stalled_until_ms = stalls, collections.defaultdict(int)
+        self.sound_parts, self.deadly_parts = sound_parts, deadly_parts
+        self.deadly_parts_per_s = deadly_parts_per_s
+        #: For each sound request: when it was sent, its parts, how that attempt ended.
+        self.first_ends = []
         self.deadly_share, self.deadly_s = deadly_share, deadly_s
         self.entry_count, self.upstream_count = entries, upstreams
         self.group_count, self.crashers, self.at_once = groups, crashers, at_once
@@ -163,6 +214,8 @@
         tasks += [self._call_at(at_s, call) for at_s, call in self.events.items()]
         if self.ordinary_s:
             tasks.append(self._crash_at_random())
+        if self.deadly_parts is not None:
+            tasks.append(self._send_deadly_parts())
         await asyncio.gather(*tasks)
         return self
 
@@ -186,20 +239,29 @@
     def all_incarnations(self):
         return [*self._ended, *self.upstreams]
 
-    def choose(self, tried):
-        alive = [one for one in self.upstreams if one.alive]
+    def choose(self, tried, confined_to="", closed=()):
+        alive = [
+            one
+            for one in self.upstreams
+            if one.alive and one.group not in closed and confined_to in ("", one.group)
+        ]
         untried = [one for one in alive if one.group not in tried]
         return self.rng.choice(untried or alive) if alive else None
 
-    async def run(self, fingerprint, upstream):
+    async def run(self, request, upstream):
         """Run a request; return whether it was completed, and whether it had events."""
-        self.sent_ms[fingerprint].append(self.clock.now_ms())
+        deadly = [key for key in request.keys if key.startswith("deadly")]
         began_ms = self.clock.now_ms()
+        for key in deadly:
+            self.sent_ms[key].append(began_ms)
+        left_ms = self.stalled_until_ms[upstream.group] - began_ms
+        if self.stalls and left_ms > 0:
+            await asyncio.sleep(min(left_ms, STALL_MS) / 1000)
+            return False, False
         ended = asyncio.get_running_loop().create_future()
-        upstream.runs[ended] = fingerprint
-        deadly = fingerprint.startswith("deadly")
+        upstream.runs[ended] = request
         if deadly:
-            self.loop.call_later(DEADLY_MS / 1000, self.crash, upstream, fingerprint)
+            self.loop.call_later(DEADLY_MS / 1000, self.crash, upstream, deadly, ended)
         await asyncio.wait({ended}, timeout=COMPLETE_MS / 1000)
         upstream.runs.pop(ended, None)
         events = self.clock.now_ms() - began_ms >= FIRST_EVENT_MS
@@ -207,15 +269,19 @@
 
     # Crashes and load.
 
-    def crash(self, upstream, fingerprint=None):
-        if not upstream.alive:
+    def crash(self, upstream, deadly=(), run=None):
+        if not upstream.alive or (run is not None and run.done()):
             return
         upstream.alive = False
-        if fingerprint is not None:
-            self.crashed_ms[fingerprint].append(self.clock.now_ms())
-        for ended in upstream.runs:
-            if not ended.done():
-                ended.set_result(None)
+        for key in deadly:
+            self.crashed_ms[key].append(self.clock.now_ms())
+        ends = list(upstream.runs)
+        if self.stalls:
+            self.stalled_until_ms[upstream.group] = self.clock.now_ms() + RESTART_MS
+            ranks = [one for one in self.upstreams if one.group == upstream.group]
+            for rank in ranks:
+                self.loop.call_later(STALL_MS / 1000, _end_runs, list(rank.runs))
+        _end_runs(ends)
         self.loop.call_later(RESTART_MS / 1000, self._restart, upstream)
 
     def _restart(self, upstream):
@@ -236,26 +302,47 @@
             begin_s, end_s = self.deadly_s
             if begin_s <= self.loop.time() < end_s:
                 name = "deadly-0" if self.rng.random() < self.deadly_share else name
-            running.add(asyncio.ensure_future(self._send_request(name)))
+            request = whole(name, self.sound_parts(number))
+            running.add(asyncio.ensure_future(self._send_request(request)))
             await asyncio.sleep(self.rng.expovariate(self.per_s))
         await asyncio.gather(*running)
 
-    async def _send_request(self, name):
-        for _ in range(2):
-            end = await self.rng.choice(self.entries).answer(name)
+    async def _send_request(self, request):
+        sent_ms = self.clock.now_ms()
+        for attempt in range(2):
+            end = await self.rng.choice(self.entries).answer(request)
+            if not attempt:
+                self.first_ends.append((sent_ms, request.parts, end))
             if end in ("whole", "refused"):
                 break
             await asyncio.sleep(0.1)
-        if not name.startswith("deadly"):
+        if not request.request.startswith("deadly"):
             self.ends[end] += 1
 
     async def _send_crasher(self, number):
         await asyncio.sleep(self.rng.uniform(1, 4))
+        request = whole(f"deadly-{number}")
         while self.loop.time() < self.for_s:
             entries = self.rng.sample(self.entries, min(self.at_once, self.entry_count))
-            await asyncio.gather(*(one.answer(f"deadly-{number}") for one in entries))
+            await asyncio.gather(*(one.answer(request) for one in entries))
             await asyncio.sleep(4)
 
+    async def _send_deadly_parts(self):
+        await asyncio.sleep(self.rng.uniform(4, 6))
+        sending = set()
+        for number in itertools.count():
+            if self.loop.time() >= self.for_s:
+                break
+            request = whole(f"no-{number}", self.deadly_parts(number))
+            sending.add(asyncio.ensure_future(self._send_twice(request)))
+            await asyncio.sleep(self.rng.expovariate(self.deadly_parts_per_s))
+        await asyncio.gather(*sending)
+
+    async def _send_twice(self, request):
+        for _ in range(2):
+            await self.rng.choice(self.entries).answer(request)
+            await asyncio.sleep(0.05)
+
     async def _crash_at_random(self):
         while self.loop.time() < self.for_s:
             await asyncio.sleep(self.rng.expovariate(1 / self.ordinary_s))
@@ -269,8 +356,35 @@
 
     def sends_after(self, number):
         """Return the sends of a crasher well after its third crash."""
-        name = f"deadly-{number}"
+        return self.sends_behind(f"deadly-{number}", 3)
+
+    def sends_behind(self, name, crashes):
+        """Return the sends of a request or part well after that many crashes."""
         crashed = sorted(self.crashed_ms[name])
-        if len(crashed) < 3:
+        if len(crashed) < crashes:
             return 0
-        return sum(at > crashed[2] + STABLE_MS for at in self.sent_ms[name])
+        return sum(at > crashed[crashes - 1] + STABLE_MS for at in self.sent_ms[name])
+
+    def sound_share(self, name, first_part=None):
+        """Return the share of sound first attempts answered behind the last crash.
+
+        Parameters
+        ----------
+        name : str
+            The part that crashes upstreams.
+        first_part : str, optional
+            Count only sound requests with this first part.
+        """
+        from_ms = max(sorted(self.crashed_ms[name])[:5]) + 2 * STABLE_MS
+        ends = [
+            end
+            for sent_ms, parts, end in self.first_ends
+            if sent_ms >= from_ms and first_part in (None, *parts[:1])
+        ]
+        return ends.count("whole") / len(ends)
+
+
+def _end_runs(runs):
+    for ended in runs:
+        if not ended.done():
+            ended.set_result(None)
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -3,8 +3,11 @@
 import asyncio
 import collections
 import itertools
+import random
 import unittest
 
+from fuchsiahatch_gateway.datagrams import LoadReport
+from tests.gateway.crash_model import Simulation
 from tests.gateway.mortal_upstreams import MortalUpstream
 from tests.gateway.sites import Site, answers, until
 from tests.loopback import run
@@ -30,6 +33,12 @@
     return DEADLY_PART in parts_of(request)
 
 
+async def ask_with_part(site, request_id):
+    headers = [("Fuchsiahatch-Prompt-Prefix", f"a1:40,{DEADLY_PART}:9,{request_id}:5")]
+    body = request_id.encode()
+    return await site.ask("/chat/", request_id=request_id, body=body, headers=headers)
+
+
 def popular(number):
     """Return the prefix of a sound request, among five that come again."""
     return f"{FIRST_PART}:40,a{number % 5}:20,{number:06x}:500"
@@ -154,6 +163,24 @@
             ),
         )
 
+    def test_sound_requests_beside_such_a_part_stay_served(self):
+        values = itertools.cycle((None, "", ",,,", ":::", "zz;9", "x" * 9_000))
+        self.check(
+            new_parts=Play(
+                lambda at: f"{FIRST_PART}:40,{DEADLY_PART}:9,{at:06x}:500",
+                lambda at: f"{FIRST_PART}:40,{random.getrandbits(40):x}:5,{at:06x}:500",
+            ),
+            unreadable=Play(
+                lambda at: f"{FIRST_PART}:40,{DEADLY_PART}:9,{at:06x}:500",
+                lambda at: next(values),
+            ),
+            # Sound requests have the rare part only once the crashing one is known.
+            rare_neighbour=Play(
+                lambda at: f"e4e4:40,{DEADLY_PART}:9,{at:06x}:500",
+                lambda at: f"{'e4e4' if at > 60 else FIRST_PART}:40,b:1,{at:06x}:500",
+            ),
+        )
+
 
 class TestLastPart(unittest.TestCase):
     def test_a_last_part_is_never_held_back(self):
@@ -166,5 +193,178 @@
         self.assertEqual((play.crashed_s, play.sound_share), ([], 1.0))
 
 
+class TestTwoRankGroups(unittest.TestCase):
+    """Two upstreams, each the only member of its rank group."""
+
+    def play(self, scenario, *scripts, crash_after_s=0.03):
+        async def main():
+            async with Site() as site:
+                site.upstreams = [
+                    MortalUpstream(site, f"u{at}", 3.0, script, has_deadly_part)
+                    for at, script in enumerate(scripts)
+                ]
+                for one in site.upstreams:
+                    one.crash_after_s = crash_after_s
+                    await one.start()
+                fleet = site.entry.fleet
+                await until(lambda: len(fleet.upstreams) == len(scripts))
+                # The first one has the lower load, so that it is chosen first.
+                for at, one in enumerate(site.upstreams):
+                    address = str(fleet.upstreams[one.instance].entry.address)
+                    fleet.observe(
+                        LoadReport(address, 0, 3 * at, 1.0, True, f"g{at}", 9.0)
+                    )
+                return await scenario(site)
+
+        return run(main())
+
+
+class TestManyEntries(unittest.TestCase):
+    """Deadly parts among sound ones at many entries, in virtual time."""
+
+    def play(self, deadly_parts, sound_parts=None, entries=6, **options):
+        options = {
+            "upstreams": 16,
+            "groups": 2,
+            "crashers": 0,
+            "stalls": True,
+        } | options
+        return Simulation(
+            entries,
+            deadly_parts=deadly_parts,
+            sound_parts=sound_parts or popular_parts,
+            **options,
+        ).play()
+
+    def check(self, simulation, deadly="deadly", first_part=None):
+        self.assertGreaterEqual(len(simulation.crashed_ms[deadly]), 3)
+        self.assertLessEqual(
+            simulation.sends_behind(deadly, MAX_CRASHES), MAX_SENDS_AFTER
+        )
+        self.assertLessEqual(len(simulation.crashed_ms[deadly]), MAX_CRASHES)
+        self.assertGreaterEqual(simulation.sound_share(deadly), 0.95)
+        if first_part is not None:
+            share = simulation.sound_share(deadly, first_part)
+            self.assertGreaterEqual(share, 0.95)
+
+    def test_a_part_is_held_wherever_it_stands_and_whatever_its_neighbours(self):
+        places = {
+            "middle": lambda at: (popular_part(at), "deadly"),
+            "first": lambda at: ("deadly", popular_part(at)),
+            "alone": lambda at: ("deadly",),
+            "beside new parts": lambda at: (f"n{at}", "deadly", f"m{at}"),
+        }
+        for name, deadly_parts in places.items():
+            for entries, seed in itertools.product((1, 6, 41), range(3)):
+                with self.subTest(name, entries=entries, seed=seed):
+                    self.check(self.play(deadly_parts, entries=entries, seed=seed))
+
+    def test_a_sound_part_that_all_deadly_requests_have_stays_served(self):
+        # No request had the part before them.
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                simulation = self.play(
+                    lambda at: ("rare", "deadly"),
+                    lambda at: ("rare",) if at > 600 and at % 5 == 0 else ("a", "b"),
+                    seed=seed,
+                )
+                self.check(simulation, first_part="rare")
+
+    def test_parts_that_are_never_seen_again_stay_served(self):
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                simulation = self.play(
+                    lambda at: (popular_part(at), "deadly"),
+                    lambda at: (f"new-{at}", f"other-{at}"),
+                    seed=seed,
+                )
+                self.check(simulation)
+
+    def test_a_tenth_of_the_notices_is_lost(self):
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                simulation = self.play(
+                    lambda at: (popular_part(at), "deadly"),
+                    entries=41,
+                    lost_share=0.1,
+                    seed=seed,
+                )
+                self.check(simulation)
+
+    def test_deadly_requests_come_rarely_or_often(self):
+        for per_s, seed in itertools.product((0.3, 1.0, 8.0), range(3)):
+            with self.subTest(per_s=per_s, seed=seed):
+                simulation = self.play(
+                    lambda at: (popular_part(at), "deadly"),
+                    deadly_parts_per_s=per_s,
+                    for_s=40.0,
+                    seed=seed,
+                )
+                self.check(simulation)
+
+    def test_two_deadly_parts_are_both_held(self):
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                simulation = self.play(
+                    lambda at: (popular_part(at), f"deadly-{at % 2}"), seed=seed
+                )
+                for name in ("deadly-0", "deadly-1"):
+                    self.assertLessEqual(
+                        simulation.sends_behind(name, MAX_CRASHES), MAX_SENDS_AFTER
+                    )
+                    self.assertGreaterEqual(simulation.sound_share(name), 0.95)
+
+    def test_other_crashes_hold_no_part_back(self):
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                simulation = self.play(
+                    None, ordinary_s=0.6, stalls=False, for_s=40.0, seed=seed
+                )
+                # A hold by chance, before parts have been answered, ends by itself.
+                ends = [end for at, _, end in simulation.first_ends if at > 10_000]
+                self.assertNotIn("refused", ends)
+                self.assertLess(simulation.ends["refused"], 10)
+
+    def test_a_deadly_part_among_other_crashes_is_held(self):
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                simulation = self.play(
+                    lambda at: (popular_part(at), "deadly"),
+                    ordinary_s=3.0,
+                    stalls=False,
+                    for_s=40.0,
+                    seed=seed,
+                )
+                self.assertLessEqual(
+                    simulation.sends_behind("deadly", MAX_CRASHES), MAX_SENDS_AFTER
+                )
+
+    def test_parts_are_served_again_after_a_release_that_crashes(self):
+        # Each upstream crashes soon after its start, whatever it runs, for 15 seconds.
+        def crash_all(simulation):
+            for upstream in tuple(simulation.upstreams):
+                simulation.crash(upstream)
+
+        events = {
+            at_s: crash_all for at_s in itertools.islice(itertools.count(6.0), 15)
+        }
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                simulation = self.play(
+                    None, events=events, stalls=False, for_s=40.0, seed=seed
+                )
+                late = [end for at, _, end in simulation.first_ends if at > 30_000]
+                self.assertGreaterEqual(late.count("whole") / len(late), 0.95)
+
+
+def popular_part(number):
+    """Return one of 60 parts, of which some come much more often than others."""
+    return f"p{int(60 * random.Random(number).random() ** 2)}"
+
+
+def popular_parts(number):
+    return popular_part(number), f"q{number % 7}"
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -2,10 +2,15 @@
 import unittest
 
 from fuchsiahatch_core.clock import ManualClock
-from fuchsiahatch_gateway.crashing_requests import (
-    COMPLETE_ANSWER_TTL_MS,
+from fuchsiahatch_gateway.crash_evidence import (
+    DOUBTFUL_HOLD_MS,
     HOLD_MS,
     MAX_CRASHES,
+    Pattern,
+)
+from fuchsiahatch_gateway.crashing_requests import (
+    COMPLETE_ANSWER_TTL_MS,
+    CONFINEMENT_MS,
     MAX_SUSPECTS,
     SUSPECT_TTL_MS,
     CrashingRequests,
@@ -13,11 +18,11 @@
 from fuchsiahatch_gateway.datagrams import (
     MAX_CRASHES_REPORTED,
     Clearance,
-    CrashNotice,
+    CompleteAnswer,
     decode,
     encode,
 )
-from tests.gateway.crash_model import Simulation
+from tests.gateway.crash_model import Simulation, make_notice, whole
 from tests.gateway.mortal_upstreams import DEADLY, MortalUpstream, deadly_sends
 from tests.gateway.sites import Site, until
 from tests.loopback import run
@@ -56,6 +61,9 @@
         self.assertEqual(other, 200)
 
 
+F = Pattern(frozenset(("f",)))
+
+
 class TestCount(unittest.TestCase):
     def setUp(self):
         self.clock = ManualClock(1_000)
@@ -64,106 +72,165 @@
 
     def crash(self, *incarnations, fingerprint="f"):
         for incarnation in incarnations:
-            self.requests.note_crash(fingerprint, incarnation)
+            request = whole(fingerprint)
+            self.requests.note_crash(incarnation, "svc", "", [request])
 
     def test_the_third_crash_holds_a_request_back(self):
         self.crash("a@1", "b@1")
-        self.assertEqual(self.requests.held_ms("f"), 0)
+        self.assertEqual(self.requests.held_ms(whole("f")), 0)
         self.crash("c@1")
-        self.assertEqual(self.requests.held_ms("f"), HOLD_MS)
-        self.assertEqual(self.requests.held_ms("another"), 0)
+        self.assertEqual(self.requests.held_ms(whole("f")), HOLD_MS)
+        self.assertEqual(self.requests.held_ms(whole("another")), 0)
 
     def test_one_incarnation_counts_once_whichever_entries_detect_its_end(self):
         self.crash("a@1", "a@1", "b@1")
-        self.requests.receive_notice(CrashNotice("f", ("a@1", "b@1")))
-        self.assertEqual(self.requests.crashes("f"), 2)
+        self.requests.receive_notice(make_notice("f", ("a@1", "b@1")))
+        self.assertEqual(self.requests.crashes(whole("f")), 2)
 
     def test_a_later_incarnation_of_the_same_instance_counts(self):
         self.crash("a@1", "a@2", "a@3")
-        self.assertGreater(self.requests.held_ms("f"), 0)
+        self.assertGreater(self.requests.held_ms(whole("f")), 0)
 
     def test_a_lost_notice_is_covered_by_the_next(self):
         self.crash("a@1", "b@1", "c@1")
         other = CrashingRequests(self.clock, lambda message: None)
         other.receive_notice(decode(encode(self.sent[-1])))
-        self.assertEqual(other.held_ms("f"), HOLD_MS)
+        self.assertEqual(other.held_ms(whole("f")), HOLD_MS)
 
     def test_a_complete_answer_clears_a_suspect_at_all_entries(self):
         self.crash("a@1", "b@1")
-        self.requests.note_complete_answer("f")
-        self.assertEqual(self.requests.crashes("f"), 0)
+        self.requests.note_complete_answer(whole("f"))
+        self.assertEqual(self.requests.crashes(whole("f")), 0)
         other = CrashingRequests(self.clock, lambda message: None)
-        other.receive_notice(CrashNotice("f", ("a@1", "b@1", "c@1")))
+        other.receive_notice(make_notice("f", ("a@1", "b@1", "c@1")))
         other.receive_clearance(decode(encode(self.sent[-1])))
-        self.assertEqual((other.crashes("f"), other.held_ms("f")), (0, 0))
+        self.assertEqual((other.crashes(whole("f")), other.held_ms(whole("f"))), (0, 0))
 
     def test_a_popular_request_stays_served_when_a_rack_loses_power(self):
         # It ran on all upstreams of the rack, and had complete answers a moment ago.
-        self.requests.note_complete_answer("f")
+        self.requests.note_complete_answer(whole("f"))
         self.clock.advance(COMPLETE_ANSWER_TTL_MS - 1)
         self.crash("a@1", "b@1", "c@1", "d@1")
-        self.requests.receive_notice(CrashNotice("f", ("e@1", "g@1", "h@1")))
-        self.assertEqual(self.requests.held_ms("f"), 0)
+        self.requests.receive_notice(make_notice("f", ("e@1", "g@1", "h@1")))
+        self.assertEqual(self.requests.held_ms(whole("f")), 0)
 
     def test_a_request_that_crashes_a_new_version_is_detected_later(self):
-        self.requests.note_complete_answer("f")
+        self.requests.note_complete_answer(whole("f"))
         self.clock.advance(COMPLETE_ANSWER_TTL_MS)
         self.crash("a@1", "b@1", "c@1")
-        self.assertGreater(self.requests.held_ms("f"), 0)
+        self.assertGreater(self.requests.held_ms(whole("f")), 0)
 
     def test_the_entry_that_made_it_a_suspect_forwards_a_clearance(self):
         # The request is popular at 41 entries and was completed at one of them less
         # than a minute ago, while others counted a crash against it.
         self.crash("a@1")
         other = CrashingRequests(self.clock, lambda message: None)
-        other.note_complete_answer("f")
+        other.note_complete_answer(whole("f"))
         answer = other.receive_notice(self.sent[-1])
         self.requests.receive_clearance(answer)
         self.requests.receive_clearance(answer)
-        self.assertEqual(self.requests.crashes("f"), 0)
-        self.assertEqual(self.sent[1:], [Clearance("f")])
+        self.assertEqual(self.requests.crashes(whole("f")), 0)
+        self.assertEqual(self.sent[1:], [Clearance((CompleteAnswer("f", 0),))])
 
     def test_complete_answers_of_requests_that_are_no_suspects_are_not_sent(self):
-        self.requests.note_complete_answer("f")
+        self.requests.note_complete_answer(whole("f"))
         self.assertEqual(self.sent, [])
 
     def test_one_more_crash_after_a_hold_holds_it_again(self):
         self.crash("a@1", "b@1", "c@1")
         self.clock.advance(HOLD_MS)
-        self.assertEqual(self.requests.held_ms("f"), 0)
+        self.assertEqual(self.requests.held_ms(whole("f")), 0)
+        self.crash("d@1")
+        self.assertEqual(self.requests.held_ms(whole("f")), HOLD_MS)
+
+    def test_the_team_whose_requests_crashed_is_held_alone(self):
+        # It may name a prompt part of others beside a body that crashes.
+        for number in range(3):
+            bad = whole(f"b{number}", ("part",), team="bad")
+            self.requests.note_crash(f"a@{number}", "svc", "", [bad])
+        self.assertGreater(self.requests.held_ms(whole("n", ("part",), "bad")), 0)
+        self.assertEqual(self.requests.held_ms(whole("n", ("part",), "good")), 0)
+        good = whole("g", ("part",), team="good")
+        self.requests.note_crash("a@3", "svc", "", [good])
+        self.assertGreater(self.requests.held_ms(whole("n", ("part",), "third")), 0)
+
+    def test_a_part_that_turns_bad_is_held_after_some_more_crashes(self):
+        # It had complete answers until a moment ago: a new version may crash on it.
+        self.requests.note_complete_answer(whole("n", ("part",)))
+        for number in range(5):
+            self.assertEqual(self.requests.held_ms(whole("m", ("part",))), 0)
+            self.clock.advance(1_000)
+            request = whole(f"r{number}", ("part",))
+            self.requests.note_crash(f"a@{number}", "svc", "", [request])
+        self.assertGreater(self.requests.held_ms(whole("m", ("part",))), 0)
+
+    def test_what_a_known_cause_explains_counts_against_nothing_else(self):
+        for number in range(3):
+            requests = [whole(f"d{number}", ("deadly",)), whole("s", ("sound",))]
+            self.requests.note_crash(f"a@{number}", "svc", "", requests[: 2 - number])
+        last = [whole("d9", ("deadly",))]
+        self.requests.note_crash("a@9", "svc", "", last)
+        self.assertGreater(self.requests.held_ms(whole("n", ("deadly",))), 0)
+        self.assertEqual(self.requests.held_ms(whole("n", ("sound",))), 0)
+
+    def test_suspects_of_different_requests_wait_for_one_more_crash(self):
+        for number in range(3):
+            requests = [whole(f"d{number}", ("deadly",)), whole(f"s{number}", ("p",))]
+            self.requests.note_crash(f"a@{number}", "svc", "", requests)
+        self.assertEqual(self.requests.held_ms(whole("n", ("deadly",))), 0)
+        self.requests.note_complete_answer(whole("m", ("p",)))
+        self.assertGreater(self.requests.held_ms(whole("n", ("deadly",))), 0)
+        self.assertEqual(self.requests.held_ms(whole("n", ("p",))), 0)
+
+    def test_a_hold_amid_crashes_without_a_cause_ends_within_seconds(self):
+        for number in range(6):
+            self.requests.note_crash(f"x@{number}", "svc", "", [whole(f"x{number}")])
+        self.crash("a@1", "b@1", "c@1")
+        self.assertEqual(self.requests.held_ms(whole("f")), DOUBTFUL_HOLD_MS)
         self.crash("d@1")
-        self.assertEqual(self.requests.held_ms("f"), HOLD_MS)
+        self.assertEqual(self.requests.held_ms(whole("f")), 2 * DOUBTFUL_HOLD_MS)
+
+    def test_main_suspects_of_a_crash_are_sent_to_its_rank_group_only(self):
+        requests = [whole("d", ("deadly",)), whole("s", ("sound",))]
+        self.requests.note_complete_answer(whole("t", ("sound",)))
+        self.clock.advance(1_000)
+        self.requests.note_crash("a@1", "svc", "g1", requests)
+        self.assertEqual(self.requests.confined_to(whole("n", ("deadly",))), "g1")
+        self.assertEqual(self.requests.confined_to(whole("n", ("sound",))), "")
+        self.assertEqual(self.requests.confined_to(whole("d")), "")
+        self.clock.advance(CONFINEMENT_MS)
+        self.assertEqual(self.requests.confined_to(whole("n", ("deadly",))), "")
 
     def test_old_crashes_expire(self):
         self.crash("a@1", "b@1")
         self.clock.advance(SUSPECT_TTL_MS + 1)
         self.crash("c@1")
-        self.assertEqual(self.requests.crashes("f"), 1)
+        self.assertEqual(self.requests.crashes(whole("f")), 1)
 
     def test_suspects_and_their_crashes_are_limited_in_number(self):
         for number in range(MAX_SUSPECTS + 10):
             self.crash("a@1", fingerprint=f"f{number}")
         self.assertEqual(self.requests.suspects, MAX_SUSPECTS)
         self.crash(*(f"{number}@1" for number in range(3 * MAX_CRASHES_REPORTED)))
-        self.assertEqual(self.requests.crashes("f"), MAX_CRASHES_REPORTED)
+        self.assertEqual(self.requests.crashes(whole("f")), MAX_CRASHES_REPORTED)
         decode(encode(self.sent[-1]))
 
     def test_a_stored_hold_lasts_as_long_as_it_is_in_the_store(self):
-        self.requests.apply_stored({"f"}, set())
-        self.assertEqual(self.requests.held_ms("f"), HOLD_MS)
-        self.assertEqual(self.requests.crashes("f"), MAX_CRASHES)
+        self.requests.apply_stored({"f": F}, {})
+        self.assertEqual(self.requests.held_ms(whole("f")), HOLD_MS)
+        self.assertEqual(self.requests.crashes(whole("f")), MAX_CRASHES)
         self.clock.advance(2 * HOLD_MS)
-        self.assertGreater(self.requests.held_ms("f"), 0)
-        self.requests.apply_stored(set(), set())
-        self.assertEqual(self.requests.held_ms("f"), 0)
+        self.assertGreater(self.requests.held_ms(whole("f")), 0)
+        self.requests.apply_stored({}, {})
+        self.assertEqual(self.requests.held_ms(whole("f")), 0)
 
     def test_the_store_clears_what_was_counted(self):
         self.crash("a@1", "b@1", "c@1")
-        self.requests.apply_stored(set(), {"f"})
-        self.assertEqual(self.requests.held_ms("f"), 0)
+        self.requests.apply_stored({}, {"f": F})
+        self.assertEqual(self.requests.held_ms(whole("f")), 0)
 
     def test_a_clearance_of_an_unknown_request_is_ignored(self):
-        self.requests.receive_clearance(Clearance("f"))
+        self.requests.receive_clearance(Clearance((CompleteAnswer("f", 0),)))
         self.assertEqual(self.requests.suspects, 0)
 
 
--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -29,13 +29,24 @@
 
     def test_held_request_shows_crashes_with_the_same_fingerprint(self):
         lines = [
-            line("crash_counted", 900, node="front-2", fingerprint="f", crashes=3),
-            line("crash_counted", 900, node="front-2", fingerprint="g", crashes=1),
+            line("crash_counted", 900, node="front-2", fingerprints=[["f", "p"]]),
+            line("crash_counted", 900, node="front-2", fingerprints=[["g"]]),
             line("request_ended", 2_000, request="q-1", fingerprint="f", end="503"),
         ]
         found = explain_request("q-1", read_lines(lines))
         self.assertEqual(len(found), 2)
         self.assertIn("front-2  crash counted", found[0])
 
+    def test_held_request_shows_crashes_with_one_of_its_prompt_parts(self):
+        lines = [
+            line("crash_counted", 900, node="front-2", fingerprints=[["g", "p"]]),
+            line("request_held", 901, node="front-3", fingerprints=["p"]),
+            line("suspect_cleared", 902, node="front-3", fingerprints=["h"]),
+            line("request_ended", 2_000, request="q-1", fingerprint="f", parts=["p"]),
+        ]
+        found = explain_request("q-1", read_lines(lines))
+        self.assertEqual(len(found), 3)
+        self.assertIn("front-3  request held", found[1])
+
     def test_unknown_request_mentions_sampling(self):
         self.assertIn("sampled", explain_request("q-9", [])[0])
--- a/tests/gateway/test_held_requests.py
+++ b/tests/gateway/test_held_requests.py
@@ -3,8 +3,8 @@
 
 from fuchsiahatch_core.clock import Clock
 from fuchsiahatch_gateway import held_requests
-from fuchsiahatch_gateway.crashing_requests import HOLD_MS, CrashingRequests
-from fuchsiahatch_gateway.datagrams import CrashNotice
+from fuchsiahatch_gateway.crash_evidence import HOLD_MS
+from fuchsiahatch_gateway.crashing_requests import CrashingRequests
 from fuchsiahatch_gateway.defaults import HELD_PREFIX
 from fuchsiahatch_gateway.following import Follower
 from fuchsiahatch_gateway.held_requests import (
@@ -16,10 +16,13 @@
 from fuchsiahatch_gateway.item_copies import ItemCopy
 from fuchsiahatch_gateway.store_health import StoreHealth
 from tests.adapter.test_json_calls import Served
+from tests.gateway.crash_model import make_notice, whole
 from tests.gateway.sites import until
 from tests.loopback import run
 
-THREE = CrashNotice("f", ("a@1", "b@1", "c@1"))
+CRASHED = ("a@1", "b@1", "c@1")
+THREE = make_notice("f", CRASHED)
+F = whole("f")
 
 
 class Entry:
@@ -42,7 +45,7 @@
 
     @property
     def holds(self):
-        return self.requests.held_ms("f") > 0
+        return self.requests.held_ms(F) > 0
 
 
 class Entries:
@@ -92,7 +95,7 @@
 
         holds, stored = self.run_scenario(scenario)
         self.assertTrue(holds)
-        self.assertEqual(stored, HeldRecord(True, THREE.incarnations))
+        self.assertEqual(stored, HeldRecord(True, CRASHED))
 
     def test_many_entries_that_counted_it_make_a_few_writes(self):
         async def scenario(entries):
@@ -139,7 +142,7 @@
             for one in counted:
                 one.requests.receive_notice(THREE)
             await until(lambda: all(one.holds for one in entries.all))
-            entries.all[2].requests.note_complete_answer("f")
+            entries.all[2].requests.note_complete_answer(F)
             await until(lambda: not any(one.holds for one in entries.all))
             await asyncio.sleep(held_requests.CHECK_INTERVAL_MS / 1000 + 0.5)
             return entries.stored(), [one.holds for one in entries.all]
@@ -151,9 +154,9 @@
         async def scenario(entries):
             entries.all[0].requests.receive_notice(THREE)
             await until(lambda: entries.all[2].holds)
-            entries.all[2].requests.note_complete_answer("f")
+            entries.all[2].requests.note_complete_answer(F)
             await until(lambda: not entries.all[0].holds)
-            later = CrashNotice("f", ("d@1", "e@1", "g@1"))
+            later = make_notice("f", ("d@1", "e@1", "g@1"))
             entries.all[0].requests.receive_notice(later)
             await until(lambda: entries.stored().held)
             return entries.stored()
--- a/tests/gateway/test_upstream_crashes.py
+++ b/tests/gateway/test_upstream_crashes.py
@@ -12,6 +12,7 @@
 )
 from fuchsiahatch_http1.pool import Reachability
 from fuchsiahatch_standins.virtual_time import run_virtually
+from tests.gateway.crash_model import whole
 from tests.gateway.mortal_upstreams import DEADLY, MortalUpstream, deadly_sends
 from tests.gateway.sites import (
     Site,
@@ -29,7 +30,7 @@
     address = types.SimpleNamespace(ip="10.0.0.1", port=80)
     entry = types.SimpleNamespace(instance="a", address=address)
     return types.SimpleNamespace(
-        incarnation=incarnation, entry=entry, leaving=leaving, open=True
+        incarnation=incarnation, entry=entry, leaving=leaving, open=True, group=""
     )
 
 
@@ -38,12 +39,12 @@
         async def main(loop):
             clock = loop.make_clock()
             self.requests = CrashingRequests(clock, lambda message: None)
-            self.probes = 0
+            self.probes, self.found = 0, found
 
             async def probe(ip, port):
                 self.probes += 1
                 await asyncio.sleep(takes_ms / 1000)
-                return found
+                return self.found
 
             self.listed = True
             self.crashes = UpstreamCrashes(
@@ -55,35 +56,37 @@
 
     def test_a_connection_that_was_cut_is_no_crash(self):
         async def scenario():
-            self.assertFalse(await self.crashes.examine("f", make_upstream()))
-            self.assertEqual(self.requests.crashes("f"), 0)
+            self.assertFalse(await self.crashes.examine(whole("f"), make_upstream()))
+            self.assertEqual(self.requests.crashes(whole("f")), 0)
 
         self.simulate(scenario, found=Reachability.LISTENING)
 
     def test_answers_that_break_together_share_a_probe(self):
         async def scenario():
             target = make_upstream()
-            asks = [self.crashes.examine(f"f{at}", target) for at in range(6)]
+            asks = [self.crashes.examine(whole(f"f{at}"), target) for at in range(6)]
             self.assertEqual(await asyncio.gather(*asks), [True] * 6)
-            self.assertTrue(await self.crashes.examine("late", target))
+            self.assertTrue(await self.crashes.examine(whole("late"), target))
             self.assertEqual((self.probes, self.requests.suspects), (1, 7))
 
         self.simulate(scenario)
 
     def test_a_caller_that_disconnects_does_not_cancel_the_probe(self):
         async def scenario():
-            asking = asyncio.ensure_future(self.crashes.examine("f", make_upstream()))
+            asking = asyncio.ensure_future(
+                self.crashes.examine(whole("f"), make_upstream())
+            )
             await asyncio.sleep(0.001)
             asking.cancel()
             await asyncio.sleep(0.01)
-            self.assertEqual(self.requests.crashes("f"), 1)
+            self.assertEqual(self.requests.crashes(whole("f")), 1)
 
         self.simulate(scenario)
 
     def test_an_unreachable_host_delays_the_check_by_the_timeout_only(self):
         async def scenario():
             began_s = asyncio.get_running_loop().time()
-            self.assertFalse(await self.crashes.examine("f", make_upstream()))
+            self.assertFalse(await self.crashes.examine(whole("f"), make_upstream()))
             took_s = asyncio.get_running_loop().time() - began_s
             self.assertLessEqual(took_s, PROBE_TIMEOUT_MS / 1000 + 0.001)
 
@@ -92,9 +95,9 @@
     def test_a_leaving_upstream_counts_against_no_request(self):
         async def scenario():
             leaving = make_upstream(leaving=True)
-            self.assertFalse(await self.crashes.examine("f", leaving))
+            self.assertFalse(await self.crashes.examine(whole("f"), leaving))
             self.crashes.note_restart(leaving)
-            self.assertEqual(self.requests.crashes("f"), 0)
+            self.assertEqual(self.requests.crashes(whole("f")), 0)
 
         self.simulate(scenario)
 
@@ -102,19 +105,19 @@
         # Its entry was removed while it still served, some time before it exited.
         async def scenario():
             self.listed = False
-            self.assertFalse(await self.crashes.examine("f", make_upstream()))
+            self.assertFalse(await self.crashes.examine(whole("f"), make_upstream()))
             self.assertEqual((self.probes, self.requests.suspects), (0, 0))
 
         self.simulate(scenario)
 
     def test_a_restart_shows_that_the_previous_incarnation_ended(self):
         async def scenario():
-            self.assertFalse(await self.crashes.examine("cut", make_upstream()))
-            self.crashes.note_unanswered("silent", make_upstream())
+            self.assertFalse(await self.crashes.examine(whole("cut"), make_upstream()))
+            self.crashes.note_unanswered(whole("silent"), make_upstream())
             await asyncio.sleep(CORRELATION_MS / 1000 - 1)
             self.crashes.note_restart(make_upstream())
-            self.assertEqual(self.requests.crashes("cut"), 1)
-            self.assertEqual(self.requests.crashes("silent"), 1)
+            self.assertEqual(self.requests.crashes(whole("cut")), 1)
+            self.assertEqual(self.requests.crashes(whole("silent")), 1)
 
         self.simulate(scenario, found=Reachability.LISTENING)
 
@@ -135,9 +138,9 @@
     def test_an_answer_is_doubted_behind_the_end_of_its_upstream(self):
         async def scenario():
             self.assertFalse(await self.crashes.still_works(make_upstream()))
-            self.assertTrue(await self.crashes.examine("f", make_upstream()))
+            self.assertTrue(await self.crashes.examine(whole("f"), make_upstream()))
             self.assertFalse(await self.crashes.still_works(make_upstream()))
-            self.assertEqual((self.probes, self.requests.crashes("f")), (1, 1))
+            self.assertEqual((self.probes, self.requests.crashes(whole("f"))), (1, 1))
 
         self.simulate(scenario)
 
@@ -157,10 +160,10 @@
 
     def test_an_old_broken_answer_is_not_linked_to_a_restart(self):
         async def scenario():
-            await self.crashes.examine("f", make_upstream())
+            await self.crashes.examine(whole("f"), make_upstream())
             await asyncio.sleep(CORRELATION_MS / 1000)
             self.crashes.note_restart(make_upstream())
-            self.assertEqual(self.requests.crashes("f"), 0)
+            self.assertEqual(self.requests.crashes(whole("f")), 0)
 
         self.simulate(scenario, found=Reachability.LISTENING)
 
