Streams that a stalled group dropped aren't blamed for a later crash of its member

What callers would see: sound requests held back. When a member of a rank group ends, the others drop their streams 1.5 s later and live on; the next request with a crashing part ends one of these 3 s after that, and all that had broken there within 5 s counted as having run under it.

Change: a broken answer remembers that its upstream accepted a connection behind it, and doesn't count for an end that is seen later. An instance that shows as restarted still counts for it: its successor may have accepted the connection.

The test failed before: the dropped stream had one crash.

--- a/packages/gateway/src/fuchsiahatch_gateway/upstream_crashes.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/upstream_crashes.py
@@ -29,12 +29,16 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _BrokenAnswer:
-    """An answer that broke off, the incarnation of its upstream, and when."""
+    """An answer that broke off, the incarnation of its upstream, and when.
+
+    `survived` says whether that upstream accepted a connection afterwards.
+    """
 
     request: "Fingerprints"
     incarnation: str
     group: str
     broken_ms: int
+    survived: bool = False
 
 
 class UpstreamCrashes:
@@ -95,18 +99,22 @@
         if not self._would_crash(upstream):
             return False
         incarnation = upstream.incarnation
-        self._note_broken(request, upstream)
+        broken = self._note_broken(request, upstream)
         if incarnation not in self._ended:
-            await self._probe_once(upstream)
+            reachability = await self._probe_once(upstream)
+            broken.survived = reachability is Reachability.LISTENING
         if incarnation not in self._ended:
             return False
         self.note_ended(incarnation)
         return True
 
-    def _note_broken(self, request: "Fingerprints", upstream: "Upstream") -> None:
+    def _note_broken(
+        self, request: "Fingerprints", upstream: "Upstream"
+    ) -> _BrokenAnswer:
         now_ms = self._clock.now_ms()
         broken = _BrokenAnswer(request, upstream.incarnation, upstream.group, now_ms)
         self._broken_answers.append(broken)
+        return broken
 
     async def still_works(self, upstream: "Upstream") -> bool:
         """Return whether an upstream's process and its rank group still work.
@@ -136,10 +144,19 @@
             answer.incarnation == incarnation for answer in self._broken_answers
         )
         if broke and not former.leaving:
-            self.note_ended(incarnation)
+            self.note_ended(incarnation, was_seen=False)
+
+    def note_ended(self, incarnation: str, was_seen: bool = True) -> None:
+        """Note the end of an incarnation; count it against the requests that broke.
 
-    def note_ended(self, incarnation: str) -> None:
-        """Note the end of an incarnation; count it against the requests that broke."""
+        Parameters
+        ----------
+        incarnation : str
+        was_seen : bool, optional
+            Whether it is known to have just ended. The answers behind which it still
+            accepted connections broke for another reason then: all streams of a rank
+            group break when one member ends, and others may end seconds later.
+        """
         now_ms = self._clock.now_ms()
         if incarnation not in self._ended:
             log_event(Event.UPSTREAM_CRASHED, upstream=incarnation)
@@ -152,7 +169,12 @@
         broken = [one for one in self._broken_answers if one.incarnation == incarnation]
         for one in broken:
             self._broken_answers.remove(one)
-        due = [one for one in broken if now_ms - one.broken_ms < CORRELATION_MS]
+        due = [
+            one
+            for one in broken
+            if now_ms - one.broken_ms < CORRELATION_MS
+            and not (was_seen and one.survived)
+        ]
         if due:
             latest = due[-1]
             requests = [one.request for one in due]
--- a/tests/gateway/test_upstream_crashes.py
+++ b/tests/gateway/test_upstream_crashes.py
@@ -128,6 +128,21 @@
 
         self.simulate(scenario)
 
+    def test_streams_that_a_stalled_group_dropped_are_not_blamed_for_a_later_crash(
+        self,
+    ):
+        # Another member of the group had crashed; this one follows seconds later.
+        async def scenario():
+            target = make_upstream()
+            self.assertFalse(await self.crashes.examine(whole("dropped"), target))
+            await asyncio.sleep(CORRELATION_MS / 1000 - 2)
+            self.found = Reachability.REFUSED
+            self.assertTrue(await self.crashes.examine(whole("deadly"), target))
+            self.assertEqual(self.requests.crashes(whole("deadly")), 1)
+            self.assertEqual(self.requests.crashes(whole("dropped")), 0)
+
+        self.simulate(scenario, found=Reachability.LISTENING)
+
     def test_an_answer_is_doubted_while_its_upstream_can_not_be_reached(self):
         async def scenario():
             self.assertFalse(await self.crashes.still_works(make_upstream()))
