An upstream's error clears no suspect

A whole 500 or 504 counted as a complete answer, so that a request under which upstreams crash was cleared by one that failed early, at all entries.

Change: only a success does. The test failed before: no suspect was left behind a 500.

--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -87,6 +87,11 @@
         """Whether another upstream answered at the address."""
         return self.result is Result.NOT_RUN and self.status == _MISPLACED
 
+    @property
+    def succeeded(self) -> bool:
+        """Whether the upstream has answered completely and with success."""
+        return self.result is Result.ANSWERED and 200 <= self.status < 300
+
     @property
     def upstream_failed(self) -> bool:
         """Whether the answer is an error of the upstream."""
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -199,7 +199,7 @@
     async def _note_answer_or_crash(
         self, job: Job, upstream: "Upstream", outcome: Outcome
     ) -> None:
-        if outcome.result is Result.ANSWERED:
+        if outcome.succeeded:
             self._crashing.note_complete_answer(job.fingerprints)
         elif outcome.closed_early:
             crashed = await self._crashes.examine(job.fingerprints, upstream)
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -1,5 +1,6 @@
 import asyncio
 import unittest
+from types import SimpleNamespace
 
 from fuchsiahatch_core.clock import ManualClock
 from fuchsiahatch_gateway.crash_evidence import (
@@ -22,9 +23,11 @@
     decode,
     encode,
 )
+from fuchsiahatch_gateway.fingerprints import fingerprints_of
 from tests.gateway.crash_model import Simulation, make_notice, whole
 from tests.gateway.mortal_upstreams import DEADLY, MortalUpstream, deadly_sends
-from tests.gateway.sites import Site, until
+from tests.gateway.sites import HOST, Site, answers, until
+from tests.gateway.sites import upstream as scripted
 from tests.loopback import run
 
 #: Crashes after which a request may no longer be sent, and the sends after them that
@@ -60,6 +63,21 @@
         self.assertLessEqual(sends, MAX_CRASHED + MAX_SENDS_AFTER)
         self.assertEqual(other, 200)
 
+    def test_an_error_answer_of_an_upstream_clears_no_suspect(self):
+        async def play():
+            async with Site(scripted(answers(500), answers())) as site:
+                crashing, suspects = site.entry.crashing, []
+                exchange = SimpleNamespace(method=b"POST", target=b"/hold/", body=b"b")
+                headers = SimpleNamespace(host=HOST, shared_parts=())
+                request = fingerprints_of(exchange, headers, "team-a", "svc")
+                crashing.note_crash("x@1", "svc", "", [request])
+                for number in range(2):
+                    await site.ask("/hold/", request_id=f"q-{number}", body=b"b")
+                    suspects.append(crashing.suspects)
+                return suspects
+
+        self.assertEqual(run(play()), [1, 0])
+
 
 F = Pattern(frozenset(("f",)))
 
