A rank group that lost a member gets no requests until it reports again

Cause: an upstream's entry expires some 3.6 s behind its end, the other ranks report that their group works until it has stalled for 1.5 s.

Change: what is known to have crashed, at any entry, is closed for 5 s, and its group until it has reported that it stands still, 2.5 s at most; from then on reports say when it works.

--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -28,6 +28,13 @@
     from fuchsiahatch_core.clock import Clock
     from fuchsiahatch_gateway.datagrams import LoadReport
 
+#: Time for which an upstream whose process has crashed gets no requests. Its entry in
+#: the store has expired by then.
+CRASHED_CLOSED_MS = 5_000
+#: The same for the other upstreams of its rank group. Their reports say that the group
+#: works until it has stalled for some 1,500 ms, and from then on that it doesn't.
+GROUP_CLOSED_MS = 2_500
+
 
 class Fleet:
     """All known upstreams.
@@ -171,10 +178,32 @@
         upstream.note_report(self._clock.now_ms())
         upstream.pace = load.pace
         upstream.open = load.open
+        if not load.open:
+            # From now on the reports show when the group works again.
+            upstream.closed_until_ms = 0
         upstream.group = load.group
         upstream.pass_ms = load.pass_ms
         self._relieve_slow_rank(upstream)
 
+    def note_crash(self, incarnation: str, group: str) -> None:
+        """Close an upstream that has crashed, and its rank group, for some time.
+
+        Parameters
+        ----------
+        incarnation : str
+            The incarnation that ended.
+        group : str
+            Its rank group; empty where it has none.
+        """
+        crashed = self.upstreams.get(incarnation.rpartition("@")[0])
+        if crashed is None or crashed.incarnation != incarnation:
+            return
+        now_ms = self._clock.now_ms()
+        for upstream in self.of_service(crashed.entry.service):
+            if group and upstream.group == group:
+                upstream.closed_until_ms = now_ms + GROUP_CLOSED_MS
+        crashed.closed_until_ms = now_ms + CRASHED_CLOSED_MS
+
     @property
     def unreadable(self) -> int:
         """Entries that were skipped."""
--- a/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/known_upstream.py
@@ -54,6 +54,8 @@
         Rank group; empty where it has none or it isn't known.
     pass_ms : float
         Duration of a pass of the group; 0 while it is idle or unknown.
+    closed_until_ms : int
+        Until when it gets no requests as its process or its rank group has crashed.
     misplaced : bool
         Whether another upstream answered at its address.
     latency_ms : float
@@ -89,6 +91,7 @@
     open: bool = True
     group: str = ""
     pass_ms: float = 0.0
+    closed_until_ms: int = 0
     misplaced: bool = False
     latency_ms: float = 0.0
     born_ms: int = 0
--- a/packages/gateway/src/fuchsiahatch_gateway/obstacles.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/obstacles.py
@@ -16,7 +16,7 @@
     ZONE_DRAINED
         The operator has drained its zone.
     CLOSED
-        Its rank group isn't working, or its first load report is awaited.
+        It or its rank group isn't working, or its first load report is awaited.
     BACKING_OFF
         It has asked for a backoff period, which hasn't ended.
     """
--- a/packages/gateway/src/fuchsiahatch_gateway/upstream_gate.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/upstream_gate.py
@@ -125,7 +125,9 @@
             return Obstacle.DEPARTED
         if zone in self._drains.zones:
             return Obstacle.ZONE_DRAINED
-        if not accepts_requests or self._awaits_report(upstream, now_ms):
+        if not accepts_requests or now_ms < upstream.closed_until_ms:
+            return Obstacle.CLOSED
+        if self._awaits_report(upstream, now_ms):
             return Obstacle.CLOSED
         if upstream.backoff_left_ms(now_ms):
             return Obstacle.BACKING_OFF
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -5,7 +5,7 @@
 
 from fuchsiahatch_adapter.store import Item
 from fuchsiahatch_core.clock import ManualClock
-from fuchsiahatch_gateway import upstream_gate
+from fuchsiahatch_gateway import fleet, upstream_gate
 from fuchsiahatch_gateway.datagrams import LoadReport
 from fuchsiahatch_gateway.fleet import Fleet
 from fuchsiahatch_gateway.known_upstream import places_of_rank
@@ -77,6 +77,35 @@
         self.fleet.observe(load(2))
         self.assertEqual(self.choose(), "b")
 
+    def test_a_rank_group_that_lost_a_member_gets_nothing_until_it_reports_again(self):
+        # Its other members report for 1.5 s that it works, and then that it doesn't.
+        self.fleet.engine_of = lambda service: ENGINE
+        self.apply(a=item("a", 1), b=item("b", 2))
+        for port in (1, 2):
+            self.fleet.observe(load(port, group="g"))
+        self.fleet.note_crash("a@0", "g")
+        self.assertIsNone(self.choose())
+        self.fleet.observe(load(2, group="g"))
+        self.assertIsNone(self.choose())
+        self.fleet.observe(load(2, group="g", is_open=False))
+        self.clock.advance(300)
+        self.fleet.observe(load(2, group="g"))
+        self.clock.advance(upstream_gate.OPENING_DELAY_MS)
+        self.assertEqual(self.choose(), "b")
+
+    def test_a_group_that_reports_no_stall_is_used_again_after_a_time(self):
+        self.apply(a=item("a", 1), b=item("b", 2), c=item("c", 3))
+        for port, group in ((1, "g"), (2, "g"), (3, "h")):
+            self.fleet.observe(load(port, group=group))
+        self.fleet.note_crash("a@0", "g")
+        self.assertEqual({self.choose() for _ in range(20)}, {"c"})
+        self.fleet.note_crash("c@7", "h")
+        self.assertEqual(self.choose(), "c")
+        self.clock.advance(fleet.GROUP_CLOSED_MS)
+        for port in (2, 3):
+            self.fleet.observe(load(port, group="g" if port == 2 else "h"))
+        self.assertEqual({self.choose() for _ in range(20)}, {"b", "c"})
+
     def test_the_first_engine_that_opens_does_not_get_all_waiting_requests(self):
         # After a complete power loss the first of 64 engines that opens gets the
         # requests of all 33 entries at once: it has 5 slots and queues 20 more, and
