The main suspects of a crash are sent to the rank group that crashed only

What callers saw: both groups of a service down at once.

The whole request isn't confined, so that those that broke beside it are answered at the other group. A confined request never waits in the queue, where it would get any free slot.

The test failed before: the second send took down the other group, and a sound request was refused.

--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -34,6 +34,7 @@
     from fuchsiahatch_gateway.late_upstreams import LateUpstreams
     from fuchsiahatch_gateway.placing import Placer
     from fuchsiahatch_gateway.request_log import RequestLog
+    from fuchsiahatch_gateway.request_traits import RequestTraits
     from fuchsiahatch_gateway.retry_budget import RetryBudget
     from fuchsiahatch_gateway.upstream_crashes import UpstreamCrashes
     from fuchsiahatch_http1.answers import Head
@@ -240,16 +241,19 @@
         limit_ms = wait_ms(job, began_ms, self._routes.has_classes(job.service))
         try:
             return await self._placer.acquire(
-                job.service, job.traits(), job.tried, limit_ms
+                job.service, self._traits(job), job.tried, limit_ms
             )
         finally:
             job.waited_ms += self._clock.now_ms() - began_ms
 
+    def _traits(self, job: Job) -> "RequestTraits":
+        return job.traits(self._crashing.confined_to(job.fingerprints))
+
     def _may_send(self, job: Job, upstream: "Upstream", reserved_ms: int) -> bool:
         """Return whether a request may go to its upstream, just before it does."""
         if self._crashing.held_ms(job.fingerprints):
             return False
-        return self._placer.may_still_send(upstream, job.traits(), reserved_ms)
+        return self._placer.may_still_send(upstream, self._traits(job), reserved_ms)
 
     async def _attempt(self, job: Job, upstream: "Upstream") -> Outcome:
         sent_ms = self._clock.now_ms()
@@ -321,7 +325,7 @@
         return (
             decide(Result.BROKEN, progress) is Step.RETRY
             and self._budget.has_retry_left(job.service)
-            and self._placer.has_free_slot(job.service, job.traits())
+            and self._placer.has_free_slot(job.service, self._traits(job))
         )
 
     def _record_result(
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -257,6 +257,8 @@
         """Return whether an upstream may still get a new request."""
         if self.upstreams.get(upstream.entry.instance) is not upstream:
             return False
+        if not traits.admits(upstream.group):
+            return False
         regions = self.regions.of(traits)
         return self.gate.obstacle(upstream, self._clock.now_ms(), regions) is None
 
@@ -288,7 +290,8 @@
         free = [
             upstream
             for upstream in ready
-            if upstream.limited_until_ms <= now_ms
+            if traits.admits(upstream.group)
+            and upstream.limited_until_ms <= now_ms
             and upstream.local_requests < upstream.max_local_requests
             and not (only_unlimited and self.needs_permit(upstream))
             and upstream.load(now_ms) < upstream.places(engine, paces[upstream.group])
--- a/packages/gateway/src/fuchsiahatch_gateway/jobs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/jobs.py
@@ -95,13 +95,20 @@
     report_age_ms: int | None = None
     ending: "Ending | None" = None
 
-    def traits(self) -> RequestTraits:
-        """Return what the choice of an upstream may know of the request."""
+    def traits(self, confined_to: str = "") -> RequestTraits:
+        """Return what the choice of an upstream may know of the request.
+
+        Parameters
+        ----------
+        confined_to : str, optional
+            The only rank group that it may be sent to; empty for any.
+        """
         return RequestTraits(
             team=self.match.team.name,
             priority_class=self.priority_class,
             route=self.match.route.name,
             allowed_regions=self.match.allowed_regions,
+            confined_to=confined_to,
         )
 
     def is_on_time(self, now_ms: int) -> bool:
--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -24,6 +24,9 @@
 #: Permits that are requested for one request, one after the other, before it tries
 #: upstreams that need none.
 MAX_PERMIT_REQUESTS = 3
+#: Retry-After of a request whose only allowed rank group has no free slot; a group that
+#: has crashed works again after some seconds.
+CONFINED_RETRY_MS = 2_000
 #: Cost of a request in the fair queue. All cost the same, so the unit is arbitrary.
 QUEUE_COST = 1.0
 #: Details of refusals without any wait.
@@ -124,9 +127,18 @@
             requests wait. `RATE_REACHED` if no permit is issued: at once if all
             upstreams state a rate, or if those of cold ones come too late. The others
             at once: `BACKING_OFF` if all backoff periods end later, `ZONE_DRAINED` if
-            all upstreams are in drained zones, and `NO_ALLOWED_PLACE`.
+            all upstreams are in drained zones, `NO_ALLOWED_PLACE`, and
+            `CRASHES_UPSTREAMS` if the only rank group that it may be sent to has no
+            free slot.
         """
         ends_ms = self._clock.now_ms() + wait_ms
+        if traits.confined_to and not self.has_free_slot(service, traits):
+            # A queued request would get the next free slot of any rank group.
+            raise RefusedError(
+                "upstreams have crashed under requests like this one",
+                Code.CRASHES_UPSTREAMS,
+                retry_after_ms=CONFINED_RETRY_MS,
+            )
         while True:
             upstream = await self._acquire_permitted(service, traits, tried, ends_ms)
             if upstream is not None:
--- a/packages/gateway/src/fuchsiahatch_gateway/request_traits.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/request_traits.py
@@ -21,12 +21,19 @@
     allowed_regions : frozenset of str or None
         Regions that its route and team allowed when it was admitted; None for no
         limit. `AllowedRegions.of` returns those of the present configuration.
+    confined_to : str
+        The only rank group that it may be sent to; empty for any.
     """
 
     team: str = ""
     priority_class: int = 0
     route: str = ""
     allowed_regions: "Regions" = None
+    confined_to: str = ""
+
+    def admits(self, group: str) -> bool:
+        """Return whether an upstream of a rank group may be sent the request."""
+        return self.confined_to in ("", group)
 
 
 #: Traits where no particular request is meant.
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -218,6 +218,21 @@
 
         return run(main())
 
+    def test_a_suspected_part_is_not_sent_to_the_other_group(self):
+        async def scenario(site):
+            first = await ask_with_part(site, "d-1")
+            again = [await ask_with_part(site, f"d-{at}") for at in (2, 3)]
+            other = await site.ask("/safe/", request_id="q", body=b"q")
+            sends = [len(one.received) for one in site.upstreams]
+            return first, again, other.status, sends
+
+        first, again, other, sends = self.play(scenario, answers(), answers())
+        self.assertEqual((first.status, other, sends), (502, 200, [1, 1]))
+        for reply in again:
+            self.assertEqual(reply.status, 503)
+            self.assertIn(b"CRASHES_UPSTREAMS", reply.body)
+            self.assertLess(float(reply.headers["retry-after"]), 5)
+
 
 class TestManyEntries(unittest.TestCase):
     """Deadly parts among sound ones at many entries, in virtual time."""
