Requests that may crash their upstream are withdrawn before they begin

A request with a crashing part that waits in an upstream's queue as the part becomes known begins there seconds later, and crashes it.

Change: while the head of an answer is awaited, a request is withdrawn as soon as it is held, or, where it may be repeated, confined to another rank group: its connection is reset, and upstreams drop what they have queued for it. Its caller gets 502, as it may have run.

The test failed before: the upstream went on with it until the caller's time was over (504).

--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -126,6 +126,11 @@
         upstream answered.
     on_skipped_head : callable
         Called with the head of its answer to an earlier request.
+    withdrawals : set of callable
+        While the head of the answer is awaited, holds a function that withdraws the
+        request unless it `may_stay`.
+    may_stay : callable
+        Returns whether the request may still begin at the upstream.
     still_works : coroutine function
         Returns whether the upstream works now; asked when only the end of its
         connection has ended its answer.
@@ -144,6 +149,8 @@
     on_event: t.Callable[[], None]
     on_head: t.Callable[[Head], None]
     on_skipped_head: t.Callable[[Head], None]
+    withdrawals: set[t.Callable[[], None]]
+    may_stay: t.Callable[[], bool]
     still_works: t.Callable[[], t.Awaitable[bool]]
     urgency: int | None = None
 
@@ -198,9 +205,7 @@
         attempt.urgency,
     )
     connection.send(Call(exchange.method, exchange.target, headers, exchange.body))
-    head = await _limit_silence(
-        _matching_head(exchange, connection, attempt.on_skipped_head), attempt
-    )
+    head = await _await_head(exchange, connection, attempt)
     if head.status != _MISPLACED:
         attempt.on_head(head)
     if head.header(names.NOT_EXECUTED) is not None or head.status == _MISPLACED:
@@ -220,6 +225,31 @@
     return Outcome(Result.ANSWERED, f"status {head.status}", head, body)
 
 
+async def _await_head(
+    exchange: "Exchange", connection: ClientConnection, attempt: Attempt
+) -> Head:
+    """Return the head of the answer, unless the request is withdrawn before it.
+
+    A request that is withdrawn is not begun any more: an upstream drops what it has
+    queued for a connection that ends.
+    """
+    loop = asyncio.get_running_loop()
+    work = _matching_head(exchange, connection, attempt.on_skipped_head)
+
+    def withdraw() -> None:
+        if not attempt.may_stay():
+            limit.reschedule(loop.time())
+
+    try:
+        async with asyncio.timeout(None) as limit:
+            attempt.withdrawals.add(withdraw)
+            return await _limit_silence(work, attempt)
+    except TimeoutError as fault:
+        raise AnswerBroken("withdrawn as it may crash its upstream") from fault
+    finally:
+        attempt.withdrawals.discard(withdraw)
+
+
 async def _matching_head(
     exchange: "Exchange",
     connection: ClientConnection,
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -87,6 +87,7 @@
         "_pool",
         "_rng",
         "_routes",
+        "_withdrawals",
     )
 
     def __init__(
@@ -116,6 +117,7 @@
         self._late = late
         self._clock = clock
         self._rng = rng
+        self._withdrawals: set[t.Callable[[], None]] = set()
         self._errors = ErrorAnswers(routes, log, clock, rng)
 
     async def handle(self, exchange: "Exchange") -> None:
@@ -142,6 +144,11 @@
             log_event(Event.INTERNAL_ERROR, detail=repr(fault))
             self._errors.send(exchange, FuchsiahatchError("an internal error"), job)
 
+    def withdraw_suspects(self) -> None:
+        """Withdraw what may crash its upstream from those that haven't begun it."""
+        for withdraw in tuple(self._withdrawals):
+            withdraw()
+
     def _admit(self, exchange: "Exchange", arrived_ms: int) -> Job:
         try:
             request = decode_request(exchange)
@@ -255,6 +262,16 @@
             return False
         return self._placer.may_still_send(upstream, self._traits(job), reserved_ms)
 
+    def _may_stay(self, job: Job, upstream: "Upstream") -> bool:
+        """Return whether a request that hasn't begun may still begin at its upstream.
+
+        One that is only suspected is withdrawn only if it may be repeated elsewhere.
+        """
+        if self._crashing.held_ms(job.fingerprints):
+            return False
+        admitted = self._traits(job).admits(upstream.group)
+        return admitted or not job.match.route.repeatable
+
     async def _attempt(self, job: Job, upstream: "Upstream") -> Outcome:
         sent_ms = self._clock.now_ms()
         left_ms = job.ends_ms - sent_ms
@@ -277,6 +294,8 @@
             lambda: job.note_event(self._clock.now_ms()),
             note_head,
             lambda head: self._on_skipped_head(upstream, head),
+            self._withdrawals,
+            lambda: self._may_stay(job, upstream),
             lambda: self._crashes.still_works(upstream),
             job.priority_class if self._routes.has_classes(job.service) else None,
         )
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -209,6 +209,7 @@
             str(settings.callers),
             (settings.ip, settings.internal_ports[0]),
         )
+        self.crashing.on_suspected = self.delivery.withdraw_suspects
         self.registration = Registration(
             self.store,
             ENTRIES_PREFIX + settings.node,
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -9,7 +9,7 @@
 from fuchsiahatch_gateway.datagrams import LoadReport
 from tests.gateway.crash_model import Simulation
 from tests.gateway.mortal_upstreams import MortalUpstream
-from tests.gateway.sites import Site, answers, until
+from tests.gateway.sites import Site, answers, until, waits
 from tests.loopback import run
 
 #: The stated limits: crashes under one part, and requests with it that are sent later
@@ -233,6 +233,26 @@
             self.assertIn(b"CRASHES_UPSTREAMS", reply.body)
             self.assertLess(float(reply.headers["retry-after"]), 5)
 
+    def test_a_suspected_part_that_waits_at_the_other_group_is_withdrawn(self):
+        async def scenario(site):
+            one, other = site.upstreams
+            one.is_deadly = lambda request: request.request_id == "d-1"
+            other.is_deadly = lambda request: False
+            asking = asyncio.ensure_future(ask_with_part(site, "d-1"))
+            await until(lambda: one.received)
+            fleet = site.entry.fleet
+            fleet.upstreams[one.instance].closed_until_ms = (
+                site.entry._clock.now_ms() + 50
+            )
+            waiting = asyncio.ensure_future(ask_with_part(site, "d-2"))
+            await until(lambda: other.received)
+            replies = await asyncio.gather(asking, waiting)
+            await until(lambda: other.left)
+            return [reply.status for reply in replies], len(other.received)
+
+        statuses, sends = self.play(scenario, answers(), waits, crash_after_s=0.2)
+        self.assertEqual((statuses, sends), ([502, 502], 1))
+
 
 class TestManyEntries(unittest.TestCase):
     """Deadly parts among sound ones at many entries, in virtual time."""
