--- a/packages/gateway/src/fuchsiahatch_gateway/crash_evidence.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/crash_evidence.py
@@ -129,18 +129,16 @@
 
 
 def explain_crashes(
-    crashes: t.Sequence[Crash], answered_ms: t.Mapping[str, int], answer_ttl_ms: int
+    crashes: t.Iterable[Crash], was_answered: t.Callable[[str, int], bool]
 ) -> Explanation:
     """Find what explains a series of crashes.
 
     Parameters
     ----------
-    crashes : sequence of Crash
+    crashes : iterable of Crash
         In the order of time.
-    answered_ms : mapping of str to int
-        When fingerprints last had a complete answer.
-    answer_ttl_ms : int
-        Time for which such an answer speaks against a fingerprint.
+    was_answered : callable
+        Returns whether a fingerprint had a complete answer shortly before a time in ms.
 
     Notes
     -----
@@ -160,7 +158,7 @@
             key: those
             for key, those in _crashes_by_key(left).items()
             if key not in undecided
-            and _is_cause(key, those, answered_ms, answer_ttl_ms)
+            and _is_cause(those, was_answered(key, those[0].noted_ms))
         }
         if not found:
             return Explanation(tuple(causes), tuple(left))
@@ -193,13 +191,8 @@
     return by_key
 
 
-def _is_cause(
-    key: str,
-    crashes: t.Sequence[Crash],
-    answered_ms: t.Mapping[str, int],
-    answer_ttl_ms: int,
-) -> bool:
-    if not is_answered_before(crashes[0], answered_ms.get(key), answer_ttl_ms):
+def _is_cause(crashes: t.Sequence[Crash], was_answered: bool) -> bool:
+    if not was_answered:
         return len(crashes) >= MAX_CRASHES
     span_ms = crashes[-1].noted_ms - crashes[0].noted_ms
     return (
@@ -207,13 +200,6 @@
     )
 
 
-def is_answered_before(
-    crash: Crash, answered_ms: int | None, answer_ttl_ms: int
-) -> bool:
-    """Return whether a fingerprint had a complete answer shortly before a crash."""
-    return answered_ms is not None and crash.noted_ms - answered_ms < answer_ttl_ms
-
-
 def _patterns(crashes: t.Sequence[Crash], tied: frozenset[str]) -> list[Pattern]:
     """Return the patterns that the tied fingerprints of some crashes form."""
     suspects = list(itertools.chain.from_iterable(one.suspects for one in crashes))
--- a/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
@@ -30,7 +30,7 @@
 MAX_CRASHES_REPORTED = 8
 #: Suspects that are reported of one crash, and the fingerprints of each.
 MAX_SUSPECTS_REPORTED = 32
-MAX_KEYS = 64
+MAX_KEYS = 32
 #: Complete answers that are reported at once.
 MAX_ANSWERS_REPORTED = 256
 _Fingerprint = t.Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -183,7 +183,7 @@
         self.crashing.on_crash = self.fleet.note_crash
         self.fleet.on_restarted = self.crashes.note_restart
         self.late = LateUpstreams(clock, self.fleet.upstreams, self._notify_peers)
-        self.held = HeldRequests(self.store, self.crashing, self._index)
+        self.held = HeldRequests(self.store, self.crashing, self._index, clock)
         self.delivery = Delivery(
             self.routes,
             self.placer,
--- a/packages/gateway/src/fuchsiahatch_gateway/entry_gauges.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry_gauges.py
@@ -55,7 +55,7 @@
     add(
         "fuchsiahatch_held_requests",
         "Kinds of requests that are held back for it.",
-        lambda: entry.crashing.held,
+        lambda: len(entry.crashing.holds.names()),
     )
     add(
         "fuchsiahatch_backoffs",
--- a/packages/gateway/src/fuchsiahatch_gateway/held_requests.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/held_requests.py
@@ -16,7 +16,9 @@
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.store import Item, StoreClient
-    from fuchsiahatch_gateway.crashing_requests import CrashingRequests, Hold
+    from fuchsiahatch_core.clock import Clock
+    from fuchsiahatch_gateway.crashing_requests import CrashingRequests
+    from fuchsiahatch_gateway.holds import Hold
 
 #: Entries that write what the store lacks: the first ones by name.
 MAX_WRITERS = 3
@@ -74,10 +76,12 @@
     entry_index : callable
         Returns the index of this entry among all live ones, sorted by name; 0 is the
         first, None while it isn't among them.
+    clock : Clock
     """
 
     __slots__ = (
         "_changed",
+        "_clock",
         "_decoder",
         "_entry_index",
         "_items",
@@ -91,7 +95,9 @@
         store: "StoreClient",
         requests: "CrashingRequests",
         entry_index: t.Callable[[], int | None],
+        clock: "Clock",
     ) -> None:
+        self._clock = clock
         self._store = store
         self._requests = requests
         self._entry_index = entry_index
@@ -143,17 +149,20 @@
             return
         await asyncio.sleep(entry_index * WRITER_DELAY_MS / 1000)
         for hold in self._missing():
-            lease = await self._store.grant(self._requests.left_ms(hold))
+            lease = await self._store.grant(self._left_ms(hold))
             await self._write(hold.name, _record_of(hold), lease)
 
     def _missing(self) -> list["Hold"]:
         return [
             hold
-            for hold in self._requests.local_holds()
-            if self._requests.left_ms(hold) > MIN_LEASE_MS
+            for hold in self._requests.holds.local()
+            if self._left_ms(hold) > MIN_LEASE_MS
             and not self._is_stored_held(hold.name)
         ]
 
+    def _left_ms(self, hold: "Hold") -> int:
+        return hold.until_ms - self._clock.now_ms()
+
     def _is_stored_held(self, name: str) -> bool:
         known = self._records.get(name)
         return known is not None and known.held
@@ -163,7 +172,7 @@
         outdated = {
             name: record
             for name, record in self._records.items()
-            if record.held and self._requests.is_cleared(name)
+            if record.held and self._requests.holds.is_cleared(name)
         }
         for name, record in outdated.items():
             lease = await self._store.grant(HOLD_MS)
@@ -175,7 +184,7 @@
         obsolete = [
             item
             for name, item in self._items.items()
-            if self._is_stored_held(name) and self._requests.is_obsolete(name)
+            if self._is_stored_held(name) and self._requests.holds.is_obsolete(name)
         ]
         for item in obsolete:
             await self._store.remove(item.key, item.revision)
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -3,19 +3,15 @@
 from types import SimpleNamespace
 
 from fuchsiahatch_core.clock import ManualClock
+from fuchsiahatch_gateway.complete_answers import COMPLETE_ANSWER_TTL_MS
 from fuchsiahatch_gateway.crash_evidence import (
     DOUBTFUL_HOLD_MS,
     HOLD_MS,
     MAX_CRASHES,
     Pattern,
 )
-from fuchsiahatch_gateway.crashing_requests import (
-    COMPLETE_ANSWER_TTL_MS,
-    CONFINEMENT_MS,
-    MAX_SUSPECTS,
-    SUSPECT_TTL_MS,
-    CrashingRequests,
-)
+from fuchsiahatch_gateway.crash_records import MAX_SUSPECTS, SUSPECT_TTL_MS
+from fuchsiahatch_gateway.crashing_requests import CONFINEMENT_MS, CrashingRequests
 from fuchsiahatch_gateway.datagrams import (
     MAX_CRASHES_REPORTED,
     Clearance,
--- a/tests/gateway/test_held_requests.py
+++ b/tests/gateway/test_held_requests.py
@@ -31,7 +31,7 @@
     def __init__(self, store, entry_index):
         clock = Clock()
         self.requests = CrashingRequests(clock, lambda message: None)
-        self.held = HeldRequests(store, self.requests, lambda: entry_index)
+        self.held = HeldRequests(store, self.requests, lambda: entry_index, clock)
         health = StoreHealth()
         self.copy = ItemCopy(HELD_PREFIX, health, clock, self.apply_change)
         self.follower = Follower(store, HELD_PREFIX, health, clock, [self.copy])
