A cause of crashes stays held when a second one shares a crash with it

Cause: at one of its three crashes the second one ran, too, which came to more crashes and explained this one; two were left, and the hold was withdrawn as obsolete, also in the store.

Change: a cause that is known stays one as long as two of its crashes have no other. The test failed before: nothing was held behind the sixth crash.

--- a/packages/gateway/src/fuchsiahatch_gateway/crash_evidence.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/crash_evidence.py
@@ -6,8 +6,10 @@
 
 #: Crashes after which a fingerprint counts as their cause.
 MAX_CRASHES = 3
-#: The same for a fingerprint that had a complete answer shortly before the first of
-#: them, and the shortest time that they must span: what runs on many upstreams is at
+#: Crashes that no other cause explains from which on a known cause stays one.
+MIN_OWN_CRASHES = 2
+#: `MAX_CRASHES` for a fingerprint that had a complete answer shortly before the first
+#: of them, and the shortest time that they must span: what runs on many upstreams is at
 #: each of them when a rack loses power.
 MAX_CRASHES_AFTER_ANSWER = 5
 MIN_SPAN_AFTER_ANSWER_MS = 3_000
@@ -95,7 +97,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Cause:
-    """A pattern, and the crashes that it explains, in the order of time."""
+    """A pattern, and the crashes at which such requests ran, in the order of time."""
 
     pattern: Pattern
     crashes: tuple[Crash, ...]
@@ -129,16 +131,20 @@
 
 
 def explain_crashes(
-    crashes: t.Iterable[Crash], was_answered: t.Callable[[str, int], bool]
+    crashes: t.Collection[Crash],
+    was_answered: t.Callable[[str, int], bool],
+    known: t.Collection[Pattern] = (),
 ) -> Explanation:
     """Find what explains a series of crashes.
 
     Parameters
     ----------
-    crashes : iterable of Crash
+    crashes : collection of Crash
         In the order of time.
     was_answered : callable
         Returns whether a fingerprint had a complete answer shortly before a time in ms.
+    known : collection of Pattern, optional
+        Causes that were found before.
 
     Notes
     -----
@@ -149,8 +155,12 @@
     Fingerprints at exactly the same crashes can't be told apart. Those of one request
     form one pattern, so that requests with only some of them are still served, and show
     which of them are sound. Those of different requests wait for one more crash.
+
+    Requests of two causes may run at the same crash. A cause that is known stays one if
+    it is at fewer of the other crashes.
     """
     left = list(crashes)
+    known_keys = frozenset(itertools.chain.from_iterable(one.keys for one in known))
     causes: list[Cause] = []
     undecided: set[str] = set()
     while True:
@@ -158,7 +168,10 @@
             key: those
             for key, those in _crashes_by_key(left).items()
             if key not in undecided
-            and _is_cause(those, was_answered(key, those[0].noted_ms))
+            and (
+                _is_cause(those, was_answered(key, those[0].noted_ms))
+                or (key in known_keys and len(those) >= MIN_OWN_CRASHES)
+            )
         }
         if not found:
             return Explanation(tuple(causes), tuple(left))
@@ -168,7 +181,7 @@
         if len(patterns) > 1 and len(best) <= MAX_CRASHES:
             undecided |= tied
             continue
-        causes += [Cause(pattern, tuple(best)) for pattern in patterns]
+        causes += [Cause(one, _crashes_under(one, crashes)) for one in patterns]
         left = [crash for crash in left if crash not in best]
 
 
@@ -200,6 +213,15 @@
     )
 
 
+def _crashes_under(pattern: Pattern, crashes: t.Iterable[Crash]) -> tuple[Crash, ...]:
+    """Return the crashes at which requests of a pattern ran."""
+    return tuple(
+        crash
+        for crash in crashes
+        if any(pattern.keys <= suspect.keys for suspect in crash.suspects)
+    )
+
+
 def _patterns(crashes: t.Sequence[Crash], tied: frozenset[str]) -> list[Pattern]:
     """Return the patterns that the tied fingerprints of some crashes form."""
     suspects = list(itertools.chain.from_iterable(one.suspects for one in crashes))
--- a/packages/gateway/src/fuchsiahatch_gateway/crashing_requests.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/crashing_requests.py
@@ -278,7 +278,10 @@
 
     def _evaluate(self, source: str) -> None:
         """Find the causes of all known crashes anew, and hold these."""
-        explanation = explain_crashes(self._crashes, self._answers.is_shortly_before)
+        known = [hold.pattern for hold in self.holds.local()]
+        explanation = explain_crashes(
+            tuple(self._crashes), self._answers.is_shortly_before, known
+        )
         self._explained = {
             crash.incarnation for cause in explanation.causes for crash in cause.crashes
         }
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -187,6 +187,15 @@
         self.assertGreater(self.requests.held_ms(whole("n", ("deadly",))), 0)
         self.assertEqual(self.requests.held_ms(whole("n", ("sound",))), 0)
 
+    def test_a_cause_stays_held_when_a_second_one_shares_a_crash_with_it(self):
+        for number in range(8):
+            requests = [whole("first")] if number < 3 else []
+            requests += [whole("second")] if number >= 2 else []
+            self.requests.note_crash(f"a@{number}", "svc", "", requests)
+            if number >= 2:
+                self.assertGreater(self.requests.held_ms(whole("first")), 0)
+        self.assertGreater(self.requests.held_ms(whole("second")), 0)
+
     def test_suspects_of_different_requests_wait_for_one_more_crash(self):
         for number in range(3):
             requests = [whole(f"d{number}", ("deadly",)), whole(f"s{number}", ("p",))]
