Notices that come together withdraw a request once

A second notice in the next iteration of the loop reset a timeout that was expiring, which raises, and the withdrawals behind it were lost with it. The moves of streams had the same flaw.

Change: a timeout that expires already is left alone. The test failed before, by the same RuntimeError.

--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -233,12 +233,11 @@
     A request that is withdrawn is not begun any more: an upstream drops what it has
     queued for a connection that ends.
     """
-    loop = asyncio.get_running_loop()
     work = _matching_head(exchange, connection, attempt.on_skipped_head)
 
     def withdraw() -> None:
         if not attempt.may_stay():
-            limit.reschedule(loop.time())
+            _expire(limit)
 
     try:
         async with asyncio.timeout(None) as limit:
@@ -293,7 +292,7 @@
     def note_silence() -> None:
         nonlocal timer
         if attempt.may_give_up():
-            limit.reschedule(loop.time())
+            _expire(limit)
         else:
             timer = loop.call_later(silence_s, note_silence)
 
@@ -301,7 +300,7 @@
         nonlocal reason
         if attempt.may_move():
             reason = "moved from a slow rank"
-            limit.reschedule(loop.time())
+            _expire(limit)
 
     try:
         # asyncio.wait_for would swallow the cancellation by a caller that disconnects
@@ -318,6 +317,12 @@
             timer.cancel()
 
 
+def _expire(limit: asyncio.Timeout) -> None:
+    """End what a timeout limits, unless that is happening already."""
+    if not limit.expired():
+        limit.reschedule(asyncio.get_running_loop().time())
+
+
 async def _relay_events(
     exchange: "Exchange", connection: ClientConnection, head: Head, attempt: Attempt
 ) -> Outcome:
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -5,11 +5,13 @@
 import itertools
 import random
 import unittest
+from types import SimpleNamespace
 
 from fuchsiahatch_gateway.datagrams import LoadReport
+from fuchsiahatch_gateway.fingerprints import fingerprints_of
 from tests.gateway.crash_model import Simulation
 from tests.gateway.mortal_upstreams import MortalUpstream
-from tests.gateway.sites import Site, answers, until, waits
+from tests.gateway.sites import HOST, Site, answers, until, waits
 from tests.loopback import run
 
 #: The stated limits: crashes under one part, and requests with it that are sent later
@@ -196,11 +198,11 @@
 class TestTwoRankGroups(unittest.TestCase):
     """Two upstreams, each the only member of its rank group."""
 
-    def play(self, scenario, *scripts, crash_after_s=0.03):
+    def play(self, scenario, *scripts, crash_after_s=0.03, is_deadly=has_deadly_part):
         async def main():
             async with Site() as site:
                 site.upstreams = [
-                    MortalUpstream(site, f"u{at}", 3.0, script, has_deadly_part)
+                    MortalUpstream(site, f"u{at}", 3.0, script, is_deadly)
                     for at, script in enumerate(scripts)
                 ]
                 for one in site.upstreams:
@@ -253,6 +255,24 @@
         statuses, sends = self.play(scenario, answers(), waits, crash_after_s=0.2)
         self.assertEqual((statuses, sends), ([502, 502], 1))
 
+    def test_notices_that_come_together_withdraw_a_request_once(self):
+        async def scenario(site):
+            one, _ = site.upstreams
+            asking = asyncio.ensure_future(ask_with_part(site, "q"))
+            await until(lambda: one.received)
+            exchange = SimpleNamespace(method=b"POST", target=b"/chat/", body=b"q")
+            headers = SimpleNamespace(host=HOST, shared_parts=())
+            request = fingerprints_of(exchange, headers, "team-a", "svc")
+            for at in range(3):
+                site.entry.crashing.note_crash(f"x@{at}", "svc", "", [request])
+            for _ in range(3):
+                await asyncio.sleep(0)
+                site.entry.delivery.withdraw_suspects()
+            return (await asking).status
+
+        status = self.play(scenario, waits, waits, is_deadly=lambda request: False)
+        self.assertEqual(status, 502)
+
 
 class TestManyEntries(unittest.TestCase):
     """Deadly parts among sound ones at many entries, in virtual time."""
