A request at two crashes is confined like a suspected prompt part

A whole request that comes again took both groups down at each of their returns, as only prompt parts were confined. One crash alone says little of a request, and those that broke beside the cause come again once, at the other group; at two, it goes to the group that crashed last only. The test failed before.

--- a/packages/gateway/src/fuchsiahatch_gateway/crashing_requests.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/crashing_requests.py
@@ -31,6 +31,7 @@
 )
 from fuchsiahatch_gateway.fingerprints import Fingerprints
 from fuchsiahatch_gateway.holds import Holds
+from fuchsiahatch_gateway.next_steps import CRASH_RETRY_LIMIT
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
@@ -226,11 +227,17 @@
     def confined_to(self, request: Fingerprints) -> str:
         """Return the rank group that alone may be sent a request; empty for any.
 
-        Until the cause of a crash is known, the prompt parts that are suspected most
-        are not sent to another rank group: the service would lose that one, too.
+        Until the cause of a crash is known, what is suspected most, a prompt part or a
+        request at two crashes, isn't sent to another rank group: the service would lose
+        that one, too.
         """
         confinement = self._confinements.get(request.service)
-        if confinement is None or confinement.keys.isdisjoint(request.parts):
+        if confinement is None:
+            return ""
+        # Many that broke beside the cause come again, once each, and are sound.
+        is_repeated = len(self._crashes.of(request.request)) >= CRASH_RETRY_LIMIT
+        suspected = request.keys if is_repeated else request.parts
+        if confinement.keys.isdisjoint(suspected):
             return ""
         if self._clock.now_ms() >= confinement.until_ms:
             return ""
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -221,6 +221,8 @@
         self.assertEqual(self.requests.confined_to(whole("n", ("deadly",))), "g1")
         self.assertEqual(self.requests.confined_to(whole("n", ("sound",))), "")
         self.assertEqual(self.requests.confined_to(whole("d")), "")
+        self.requests.note_crash("b@1", "svc", "g2", [whole("d")])
+        self.assertEqual(self.requests.confined_to(whole("d")), "g2")
         self.clock.advance(CONFINEMENT_MS)
         self.assertEqual(self.requests.confined_to(whole("n", ("deadly",))), "")
 
