While all rank groups of a service are down, requests are refused until one returns

While no upstream is open and the first group is expected back behind a request's longest wait, it is refused at once, with the time until then as Retry-After, limited to what callers follow; one that can wait for it waits.

--- a/packages/gateway/src/fuchsiahatch_gateway/error_answers.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/error_answers.py
@@ -25,6 +25,8 @@
     Code.UNKNOWN: 502,
 }
 _UNAVAILABLE = 503
+#: Codes whose times are estimates, which are limited to what callers follow.
+_ESTIMATED = (Code.NO_LIVE_UPSTREAM, Code.OVERLOADED)
 
 
 class ErrorAnswers:
@@ -93,9 +95,8 @@
     def _return_ms(self, fault: FuchsiahatchError, job: "Job | None") -> int | None:
         """Return after which time the caller may return; None where that is unknown."""
         return_ms = fault.retry_after_ms
-        if return_ms is None or job is None or fault.result is not Code.OVERLOADED:
+        if return_ms is None or job is None or fault.result not in _ESTIMATED:
             return return_ms
-        # An estimate. Other codes state known times, which aren't shortened.
         return limit_to_followed(return_ms, job.ends_ms - self._clock.now_ms())
 
     def _version(self) -> int:
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -11,6 +11,7 @@
 from fuchsiahatch_gateway.answer_statements import StatementRecords
 from fuchsiahatch_gateway.cold_starts import ColdStarts
 from fuchsiahatch_gateway.departed_upstreams import DepartedUpstreams
+from fuchsiahatch_gateway.group_returns import GroupReturns
 from fuchsiahatch_gateway.item_decoding import ItemDecoder
 from fuchsiahatch_gateway.known_upstream import Upstream
 from fuchsiahatch_gateway.request_traits import ANY_REQUEST, RequestTraits
@@ -26,6 +27,7 @@
     from fuchsiahatch_adapter.configuration import Engine
     from fuchsiahatch_adapter.store import Item
     from fuchsiahatch_core.clock import Clock
+    from fuchsiahatch_gateway.allowed_regions import Regions
     from fuchsiahatch_gateway.datagrams import LoadReport
 
 #: Time for which an upstream whose process has crashed gets no requests. Its entry in
@@ -77,6 +79,7 @@
         "_decoder",
         "_departed",
         "_reporting",
+        "_returns",
         "_rng",
         "_statements",
         "_zone",
@@ -108,6 +111,7 @@
         self._statements = StatementRecords(clock, time_of_day)
         self.cold_starts = ColdStarts(clock)
         self._reporting: set[str] = set()
+        self._returns = GroupReturns()
         self.upstreams: dict[str, Upstream] = {}
         self.drains = ZoneDrains(clock)
         self.regions = regions or AllowedRegions()
@@ -178,6 +182,8 @@
         upstream.note_report(self._clock.now_ms())
         upstream.pace = load.pace
         upstream.open = load.open
+        if load.open and self._clock.now_ms() >= upstream.closed_until_ms:
+            self._returns.note_open(service, load.group, self._clock.now_ms())
         if not load.open:
             # From now on the reports show when the group works again.
             upstream.closed_until_ms = 0
@@ -198,11 +204,26 @@
         crashed = self.upstreams.get(incarnation.rpartition("@")[0])
         if crashed is None or crashed.incarnation != incarnation:
             return
-        now_ms = self._clock.now_ms()
-        for upstream in self.of_service(crashed.entry.service):
+        now_ms, service = self._clock.now_ms(), crashed.entry.service
+        for upstream in self.of_service(service):
             if group and upstream.group == group:
                 upstream.closed_until_ms = now_ms + GROUP_CLOSED_MS
         crashed.closed_until_ms = now_ms + CRASHED_CLOSED_MS
+        if group:
+            self._returns.note_crash(service, group, now_ms)
+
+    def return_ms(self, service: str, regions: "Regions") -> int | None:
+        """Return when a service works again whose rank groups have all crashed.
+
+        Returns
+        -------
+        left_ms : int or None
+            Expected time until the first of them works; None if an upstream is open, or
+            if none of its groups is known to have crashed.
+        """
+        if self.gate.has_open(service, regions):
+            return None
+        return self._returns.left_ms(service, self._clock.now_ms())
 
     @property
     def unreadable(self) -> int:
--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -127,7 +127,8 @@
             requests wait. `RATE_REACHED` if no permit is issued: at once if all
             upstreams state a rate, or if those of cold ones come too late. The others
             at once: `BACKING_OFF` if all backoff periods end later, `ZONE_DRAINED` if
-            all upstreams are in drained zones, `NO_ALLOWED_PLACE`, and
+            all upstreams are in drained zones, `NO_ALLOWED_PLACE`, `NO_LIVE_UPSTREAM`
+            if all rank groups have crashed and are expected back later, and
             `CRASHES_UPSTREAMS` if the only rank group that it may be sent to has no
             free slot.
         """
@@ -197,6 +198,10 @@
         refusal = self._fleet.gate.refusal(service, regions)
         if refusal is not None:
             raise RefusedError(_REFUSALS[refusal], refusal)
+        return_ms = self._fleet.return_ms(service, regions)
+        if return_ms is not None and self._clock.now_ms() + return_ms >= ends_ms:
+            detail = "all rank groups have crashed and are not back yet"
+            raise RefusedError(detail, Code.NO_LIVE_UPSTREAM, return_ms)
         closed = self._fleet.gate.unavailability(service, regions)
         if closed is None:
             return
--- a/packages/gateway/src/fuchsiahatch_gateway/upstream_gate.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/upstream_gate.py
@@ -83,7 +83,7 @@
 
     def note_opening(self, service: str) -> None:
         """Note that an engine opens, before its record shows that."""
-        if not any(self._without_delay(service, None)):
+        if not self.has_open(service, None):
             self._opened_ms[service] = self._clock.now_ms()
 
     def usable(self, service: str, regions: "Regions" = None) -> "list[Upstream]":
@@ -109,6 +109,10 @@
             return [], []
         return ready, backing_off
 
+    def has_open(self, service: str, regions: "Regions") -> bool:
+        """Return whether an upstream is open, also if its opening is delayed."""
+        return any(self._without_delay(service, regions))
+
     def obstacle(
         self, upstream: "Upstream", now_ms: int, regions: "Regions"
     ) -> Obstacle | None:
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -5,7 +5,7 @@
 
 from fuchsiahatch_adapter.store import Item
 from fuchsiahatch_core.clock import ManualClock
-from fuchsiahatch_gateway import fleet, upstream_gate
+from fuchsiahatch_gateway import fleet, group_returns, upstream_gate
 from fuchsiahatch_gateway.datagrams import LoadReport
 from fuchsiahatch_gateway.fleet import Fleet
 from fuchsiahatch_gateway.known_upstream import places_of_rank
@@ -93,6 +93,25 @@
         self.clock.advance(upstream_gate.OPENING_DELAY_MS)
         self.assertEqual(self.choose(), "b")
 
+    def test_the_return_of_crashed_groups_is_learned(self):
+        self.apply(a=item("a", 1), b=item("b", 2), c=item("c", 3))
+        for port, group in ((1, "g"), (2, "g"), (3, "h")):
+            self.fleet.observe(load(port, group=group))
+        self.assertIsNone(self.fleet.return_ms("svc", None))
+        self.fleet.note_crash("a@0", "g")
+        self.assertIsNone(self.fleet.return_ms("svc", None))
+        self.clock.advance(500)
+        self.fleet.note_crash("c@0", "h")
+        left_ms = group_returns.DEFAULT_RETURN_MS - 500
+        self.assertEqual(self.fleet.return_ms("svc", None), left_ms)
+        self.clock.advance(1_500)
+        self.fleet.observe(load(2, group="g", is_open=False))
+        self.clock.advance(1_000)
+        self.fleet.observe(load(2, group="g"))
+        self.assertIsNone(self.fleet.return_ms("svc", None))
+        self.fleet.note_crash("b@0", "g")
+        self.assertEqual(self.fleet.return_ms("svc", None), 500)
+
     def test_a_group_that_reports_no_stall_is_used_again_after_a_time(self):
         self.apply(a=item("a", 1), b=item("b", 2), c=item("c", 3))
         for port, group in ((1, "g"), (2, "g"), (3, "h")):
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -3,11 +3,13 @@
 import unittest
 
 from fuchsiahatch_core.clock import Clock
+from fuchsiahatch_core.codes import Code
 from fuchsiahatch_core.exceptions import RefusedError
 from fuchsiahatch_gateway.fleet import Fleet
+from fuchsiahatch_gateway.group_returns import DEFAULT_RETURN_MS
 from fuchsiahatch_gateway.placing import Placer
 from fuchsiahatch_gateway.request_traits import RequestTraits
-from tests.gateway.test_fleet import item
+from tests.gateway.test_fleet import item, load
 from tests.loopback import run
 
 
@@ -42,6 +44,24 @@
 
         self.assertEqual(run(wait()), (1, 0))
 
+    def test_request_is_refused_at_once_while_all_rank_groups_are_down(self):
+        # With the time until the first one is expected back; the last waits for that.
+        self.fleet.observe(load(1, group="g"))
+        self.fleet.note_crash("a@0", "g")
+        with self.assertRaises(RefusedError) as raised:
+            run(self.acquire(wait_ms=DEFAULT_RETURN_MS - 50))
+        self.assertEqual(raised.exception.result, Code.NO_LIVE_UPSTREAM)
+        left_ms = raised.exception.retry_after_ms
+        self.assertAlmostEqual(left_ms, DEFAULT_RETURN_MS, delta=50)
+
+        async def wait():
+            waiting = asyncio.ensure_future(self.acquire(wait_ms=2 * DEFAULT_RETURN_MS))
+            await asyncio.sleep(0.01)
+            waiting.cancel()
+            return self.placer.waiting
+
+        self.assertEqual(run(wait()), 1)
+
     def test_slot_is_released_if_its_caller_disconnects_when_it_is_assigned(self):
         # The caller disconnects in the same iteration of the loop in which it gets a
         # slot. The engine must not work on its request, nor the slot be freed twice.
