--- a/tests/processes/entries.py
+++ b/tests/processes/entries.py
@@ -116,8 +116,10 @@
             await asyncio.sleep(0.05)
         raise AssertionError("the entry did not get ready")
 
-    async def ask(self, ip, request_id, body):
-        request = encode_request("/safe/", request_id=request_id, body=body)
+    async def ask(self, ip, request_id, body, headers=()):
+        request = encode_request(
+            "/safe/", request_id=request_id, body=body, headers=headers
+        )
         return await self._send(ip, "front", request)
 
     async def _send(self, ip, port, request):
