Other requests leave a rank group that lost a member at once

Their entry had moved them after a second of silence, though all entries know of the crash within milliseconds; those that hadn't begun were a second late. They are moved 50 ms behind it, when all entries have told which requests may have caused it; these stay. The test failed before, by a second and more.

--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -299,7 +299,7 @@
     def move() -> None:
         nonlocal reason
         if attempt.may_move():
-            reason = "moved from a slow rank"
+            reason = "moved from a slow or stalled rank"
             _expire(limit)
 
     try:
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -95,6 +95,9 @@
 #: Interval at which an entry checks whether announcements to agents are due.
 ANNOUNCE_POLL_INTERVAL_MS = 100
 IDLE_POLL_INTERVAL_MS = 50
+#: Time from a crash until other requests are moved away from its rank group, in which
+#: all entries have told which requests may have caused it: these aren't moved.
+CRASH_MOVE_DELAY_MS = 50
 
 
 class Entry:
@@ -180,7 +183,7 @@
             lambda instance: instance in self.fleet.upstreams,
             clock,
         )
-        self.crashing.on_crash = self.fleet.note_crash
+        self.crashing.on_crash = self._note_crash
         self.fleet.on_restarted = self.crashes.note_restart
         self.late = LateUpstreams(clock, self.fleet.upstreams, self._notify_peers)
         self.held = HeldRequests(self.store, self.crashing, self._index, clock)
@@ -435,6 +438,11 @@
         if upstream is not None:
             self.rates.receive_notice(upstream, notice)
 
+    def _note_crash(self, incarnation: str, group: str) -> None:
+        self.fleet.note_crash(incarnation, group)
+        if group:
+            reactor.callLater(CRASH_MOVE_DELAY_MS / 1000, self.fleet.move_from, group)
+
     def _handle_crash(self, notice: CrashNotice, peer: Peer) -> None:
         answer = self.crashing.receive_notice(notice)
         if answer is not None:
--- a/packages/gateway/src/fuchsiahatch_gateway/fleet.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fleet.py
@@ -212,6 +212,18 @@
         if group:
             self._returns.note_crash(service, group, now_ms)
 
+    def move_from(self, group: str) -> None:
+        """Move requests in flight away from a rank group that stands still."""
+        now_ms = self._clock.now_ms()
+        stalled = (
+            upstream
+            for upstream in self.upstreams.values()
+            if upstream.group == group and now_ms < upstream.closed_until_ms
+        )
+        for upstream in tuple(stalled):
+            for move in tuple(upstream.movers):
+                move()
+
     def return_ms(self, service: str, regions: "Regions") -> int | None:
         """Return when a service works again whose rank groups have all crashed.
 
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -11,7 +11,7 @@
 from fuchsiahatch_gateway.fingerprints import fingerprints_of
 from tests.gateway.crash_model import Simulation
 from tests.gateway.mortal_upstreams import MortalUpstream
-from tests.gateway.sites import HOST, Site, answers, until, waits
+from tests.gateway.sites import HOST, Site, answers, streams, until, waits
 from tests.loopback import run
 
 #: The stated limits: crashes under one part, and requests with it that are sent later
@@ -255,6 +255,24 @@
         statuses, sends = self.play(scenario, answers(), waits, crash_after_s=0.2)
         self.assertEqual((statuses, sends), ([502, 502], 1))
 
+    def test_other_requests_leave_a_stalled_group_at_once(self):
+        async def scenario(site):
+            one, other = site.upstreams
+            asking = asyncio.ensure_future(
+                site.ask("/chat/", request_id="q", body=b"q")
+            )
+            await until(lambda: one.received)
+            began_s = asyncio.get_running_loop().time()
+            crashed = site.entry.fleet.upstreams[one.instance].incarnation
+            site.entry.crashing.note_crash(crashed, "svc", "g0", [])
+            reply = await asking
+            took_s = asyncio.get_running_loop().time() - began_s
+            return reply.status, took_s, len(other.received)
+
+        status, took_s, sends = self.play(scenario, waits, streams(1, 3))
+        self.assertEqual((status, sends), (200, 1))
+        self.assertLess(took_s, 0.5)
+
     def test_notices_that_come_together_withdraw_a_request_once(self):
         async def scenario(site):
             one, _ = site.upstreams
