What turned out to be no cause is removed from the store once

An entry that knows less of the crashes writes it again, and the one that knows better removed it again, as often as the store is checked. A fingerprint without an answer counted as answered at moments before the clock's zero.

--- a/packages/gateway/src/fuchsiahatch_gateway/complete_answers.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/complete_answers.py
@@ -34,7 +34,7 @@
             Whether no later one is known.
         """
         answered_ms = self._clock.now_ms() - age_ms
-        if answered_ms <= self._answered_ms.get(key, -1):
+        if self.is_since(key, answered_ms):
             return False
         self._answered_ms.pop(key, None)
         self._answered_ms[key] = answered_ms
@@ -57,7 +57,8 @@
 
     def is_since(self, key: str, moment_ms: int) -> bool:
         """Return whether a fingerprint had a complete answer at a moment or later."""
-        return self._answered_ms.get(key, -1) >= moment_ms
+        answered_ms = self._answered_ms.get(key)
+        return answered_ms is not None and answered_ms >= moment_ms
 
     def is_shortly_before(self, key: str, moment_ms: int) -> bool:
         """Return whether the latest complete answer came not long before a moment."""
--- a/packages/gateway/src/fuchsiahatch_gateway/held_requests.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/held_requests.py
@@ -189,6 +189,7 @@
         for item in obsolete:
             await self._store.remove(item.key, item.revision)
             name = item.key.removeprefix(HELD_PREFIX)
+            self._requests.holds.note_removed(name)
             fingerprints = sorted(_pattern_of(name, self._records.pop(name)).keys)
             log_event(Event.HOLD_WRITTEN, fingerprints=fingerprints, held=False)
 
--- a/packages/gateway/src/fuchsiahatch_gateway/holds.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/holds.py
@@ -157,6 +157,13 @@
         """Return whether what was held here turned out to be no cause of crashes."""
         return name in self._obsolete
 
+    def note_removed(self, name: str) -> None:
+        """Note that the store no longer has what turned out to be no cause.
+
+        Another entry that knows less may write it again, and isn't contradicted twice.
+        """
+        self._obsolete.pop(name, None)
+
     def _left_of(self, stored: _StoredHold) -> frozenset[str]:
         """Return the fingerprints of a stored hold without complete answer since."""
         return frozenset(
--- a/tests/gateway/test_held_requests.py
+++ b/tests/gateway/test_held_requests.py
@@ -163,6 +163,23 @@
 
         self.assertEqual(self.run_scenario(scenario).upstreams, ("d@1", "e@1", "g@1"))
 
+    def test_a_cause_that_another_explains_is_removed_once(self):
+        # The second entry doesn't know better, and writes it again.
+        async def scenario(entries):
+            entries.all[1].requests.receive_notice(THREE)
+            entries.all[0].requests.receive_notice(THREE)
+            await until(lambda: entries.stored() is not None)
+            for number in range(5):
+                requests = [whole("g"), *([F] if number < 3 else [])]
+                incarnation = CRASHED[number] if number < 3 else f"x@{number}"
+                entries.all[0].requests.note_crash(incarnation, "svc", "", requests)
+            await until(lambda: entries.store.get(HELD_PREFIX + "g") is not None)
+            await until(lambda: entries.stored() is None, 3.0)
+            await asyncio.sleep(1.0)
+            return entries.store.calls.count("/-/kv-txn")
+
+        self.assertLessEqual(self.run_scenario(scenario, (0, 1)), 5)
+
     def test_the_hold_ends_with_its_lease(self):
         async def scenario(entries):
             entries.all[0].requests.receive_notice(THREE)
