--- a/packages/gateway/src/fuchsiahatch_gateway/crashing_requests.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/crashing_requests.py
@@ -18,8 +18,7 @@
     explain_crashes,
     most_suspected,
 )
-from fuchsiahatch_gateway.crash_records import CrashRecords
-from fuchsiahatch_gateway.datagrams import (
+from fuchsiahatch_gateway.crash_messages import (
     MAX_ANSWERS_REPORTED,
     MAX_CRASHES_REPORTED,
     MAX_SUSPECTS_REPORTED,
@@ -29,6 +28,7 @@
     CrashReport,
     SuspectReport,
 )
+from fuchsiahatch_gateway.crash_records import CrashRecords
 from fuchsiahatch_gateway.fingerprints import Fingerprints
 from fuchsiahatch_gateway.holds import Holds
 from fuchsiahatch_gateway.next_steps import CRASH_RETRY_LIMIT
--- a/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
@@ -16,6 +16,7 @@
 from fuchsiahatch_core.exceptions import FormError
 from fuchsiahatch_experts.map_changes import MapChange
 from fuchsiahatch_experts.rank_orders import Order, OrderResult, RankReport
+from fuchsiahatch_gateway.crash_messages import Clearance, CrashNotice
 
 Peer = tuple[str, int]
 
@@ -26,30 +27,6 @@
 _Pace = t.Annotated[float, msgspec.Meta(gt=0, lt=1e9)]
 
 
-#: Crashes that are reported of one request, the most recent ones.
-MAX_CRASHES_REPORTED = 8
-#: Suspects that are reported of one crash, and the fingerprints of each.
-MAX_SUSPECTS_REPORTED = 32
-MAX_KEYS = 32
-#: Complete answers that are reported at once.
-MAX_ANSWERS_REPORTED = 256
-_Fingerprint = t.Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
-_TeamFingerprint = t.Annotated[str, msgspec.Meta(max_length=64)]
-_Incarnation = t.Annotated[str, msgspec.Meta(max_length=128)]
-_Keys = t.Annotated[
-    tuple[_Fingerprint, ...], msgspec.Meta(min_length=1, max_length=MAX_KEYS)
-]
-_Suspects = t.Annotated[
-    tuple["SuspectReport", ...], msgspec.Meta(max_length=MAX_SUSPECTS_REPORTED)
-]
-_Crashes = t.Annotated[
-    tuple["CrashReport", ...], msgspec.Meta(max_length=MAX_CRASHES_REPORTED)
-]
-_Answers = t.Annotated[
-    tuple["CompleteAnswer", ...], msgspec.Meta(max_length=MAX_ANSWERS_REPORTED)
-]
-
-
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag=0):
     """Load of one upstream, from the agent on its host.
 
@@ -283,69 +260,6 @@
     age_ms: _Count
 
 
-class SuspectReport(msgspec.Struct, frozen=True, array_like=True):
-    """One request that ran on an upstream as it crashed.
-
-    Attributes
-    ----------
-    team : str
-        Fingerprint of its team.
-    keys : tuple of str
-        Fingerprints of the request and of the parts of its prompt.
-    """
-
-    team: _TeamFingerprint
-    keys: _Keys
-
-
-class CrashReport(msgspec.Struct, frozen=True, array_like=True):
-    """One crash of an upstream, and requests that ran there.
-
-    Attributes
-    ----------
-    incarnation : str
-        The incarnation that ended.
-    group : str
-        Its rank group; empty where it has none.
-    age_ms : int
-        How long the sender has known of the crash.
-    suspects : tuple of SuspectReport
-    """
-
-    incarnation: _Incarnation
-    group: str
-    age_ms: _Count
-    suspects: _Suspects
-
-
-class CrashNotice(msgspec.Struct, frozen=True, array_like=True, tag=11):
-    """Notifies other entries that upstreams have crashed while they ran requests.
-
-    Attributes
-    ----------
-    service : str
-    crashes : tuple of CrashReport
-        The one that the sender has detected, and earlier ones with the same suspects,
-        so that the next notice makes up for a lost one.
-    """
-
-    service: str
-    crashes: _Crashes
-
-
-class CompleteAnswer(msgspec.Struct, frozen=True, array_like=True):
-    """A complete answer to a request with a fingerprint, and its age."""
-
-    fingerprint: _Fingerprint
-    age_ms: _Count
-
-
-class Clearance(msgspec.Struct, frozen=True, array_like=True, tag=12):
-    """Notifies other entries that suspects have got complete answers."""
-
-    answers: _Answers
-
-
 class LateNotice(msgspec.Struct, frozen=True, array_like=True, tag=13):
     """Notifies other entries that an upstream's answer to the sender is overdue.
 
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -18,11 +18,10 @@
 from fuchsiahatch_gateway.allowed_regions import AllowedRegions
 from fuchsiahatch_gateway.backoffs import Backoffs
 from fuchsiahatch_gateway.cold_starts import ColdStarts
+from fuchsiahatch_gateway.crash_messages import Clearance, CrashNotice
 from fuchsiahatch_gateway.crashing_requests import CrashingRequests
 from fuchsiahatch_gateway.datagrams import (
-    Clearance,
     ColdPermitRequest,
-    CrashNotice,
     DatagramPort,
     EntryHeartbeat,
     LateNotice,
--- a/packages/gateway/src/fuchsiahatch_gateway/holds.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/holds.py
@@ -11,7 +11,7 @@
     Explanation,
     Pattern,
 )
-from fuchsiahatch_gateway.datagrams import MAX_CRASHES_REPORTED
+from fuchsiahatch_gateway.crash_messages import MAX_CRASHES_REPORTED
 from fuchsiahatch_gateway.fingerprints import Fingerprints, digest_of_keys
 
 if t.TYPE_CHECKING:
--- a/tests/gateway/crash_model.py
+++ b/tests/gateway/crash_model.py
@@ -7,14 +7,9 @@
 import random
 import types
 
+from fuchsiahatch_gateway.crash_messages import CrashNotice, CrashReport, SuspectReport
 from fuchsiahatch_gateway.crashing_requests import CrashingRequests
-from fuchsiahatch_gateway.datagrams import (
-    CrashNotice,
-    CrashReport,
-    SuspectReport,
-    decode,
-    encode,
-)
+from fuchsiahatch_gateway.datagrams import decode, encode
 from fuchsiahatch_gateway.fingerprints import Fingerprints
 from fuchsiahatch_gateway.next_steps import Progress, Result, Step, decide
 from fuchsiahatch_gateway.upstream_crashes import UpstreamCrashes
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -10,15 +10,14 @@
     MAX_CRASHES,
     Pattern,
 )
-from fuchsiahatch_gateway.crash_records import MAX_SUSPECTS, SUSPECT_TTL_MS
-from fuchsiahatch_gateway.crashing_requests import CONFINEMENT_MS, CrashingRequests
-from fuchsiahatch_gateway.datagrams import (
+from fuchsiahatch_gateway.crash_messages import (
     MAX_CRASHES_REPORTED,
     Clearance,
     CompleteAnswer,
-    decode,
-    encode,
 )
+from fuchsiahatch_gateway.crash_records import MAX_SUSPECTS, SUSPECT_TTL_MS
+from fuchsiahatch_gateway.crashing_requests import CONFINEMENT_MS, CrashingRequests
+from fuchsiahatch_gateway.datagrams import decode, encode
 from fuchsiahatch_gateway.fingerprints import fingerprints_of
 from tests.gateway.crash_model import Simulation, make_notice, whole
 from tests.gateway.mortal_upstreams import DEADLY, MortalUpstream, deadly_sends
