Streams that left a stalled group aren't blamed for a later crash of its member

They count as given up, as their upstream may have crashed unnoticed; but it is known to stand still. Its end by the next crashing request, when the group is back within 5 s, counted against them. The test failed before.

--- a/packages/gateway/src/fuchsiahatch_gateway/upstream_crashes.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/upstream_crashes.py
@@ -134,8 +134,12 @@
         return upstream.open and reachability is Reachability.LISTENING
 
     def note_unanswered(self, request: "Fingerprints", upstream: "Upstream") -> None:
-        """Note an answer that was given up: its upstream may have crashed unnoticed."""
-        self._note_broken(request, upstream)
+        """Note an answer that was given up: its upstream may have crashed unnoticed.
+
+        One in a rank group that is known to stand still was given up for that.
+        """
+        if self._clock.now_ms() >= upstream.closed_until_ms:
+            self._note_broken(request, upstream)
 
     def note_restart(self, former: "Upstream") -> None:
         """Note that an upstream has restarted."""
--- a/tests/gateway/test_upstream_crashes.py
+++ b/tests/gateway/test_upstream_crashes.py
@@ -26,11 +26,16 @@
 from tests.loopback import run
 
 
-def make_upstream(incarnation="a@1", leaving=False):
+def make_upstream(incarnation="a@1", leaving=False, closed_until_ms=0):
     address = types.SimpleNamespace(ip="10.0.0.1", port=80)
     entry = types.SimpleNamespace(instance="a", address=address)
     return types.SimpleNamespace(
-        incarnation=incarnation, entry=entry, leaving=leaving, open=True, group=""
+        incarnation=incarnation,
+        entry=entry,
+        leaving=leaving,
+        open=True,
+        group="",
+        closed_until_ms=closed_until_ms,
     )
 
 
@@ -143,6 +148,16 @@
 
         self.simulate(scenario, found=Reachability.LISTENING)
 
+    def test_streams_that_left_a_stalled_group_are_not_blamed_for_a_later_crash(self):
+        async def scenario():
+            stalled = make_upstream(closed_until_ms=2_500)
+            self.crashes.note_unanswered(whole("left"), stalled)
+            await asyncio.sleep(CORRELATION_MS / 1000 - 1)
+            self.assertTrue(await self.crashes.examine(whole("deadly"), stalled))
+            self.assertEqual(self.requests.crashes(whole("left")), 0)
+
+        self.simulate(scenario)
+
     def test_an_answer_is_doubted_while_its_upstream_can_not_be_reached(self):
         async def scenario():
             self.assertFalse(await self.crashes.still_works(make_upstream()))
