Parts of crashing requests that came together once form no pattern

Fingerprints at the same crashes formed a pattern if one request had them, also where at other crashes each was in a request of its own: such a pattern held none of these, and amid other crashes its time was computed by a negative shift, so that a notice was lost in an error.

Change: requests of a pattern ran at each of its crashes. Found by reading; the second test failed before with that error.

--- a/packages/gateway/src/fuchsiahatch_gateway/crash_evidence.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/crash_evidence.py
@@ -126,7 +126,7 @@
         )
         if others < len(cause.crashes):
             return last.noted_ms + HOLD_MS
-        doublings = len(cause.crashes) - MAX_CRASHES
+        doublings = max(0, len(cause.crashes) - MAX_CRASHES)
         return last.noted_ms + min(DOUBTFUL_HOLD_MS << doublings, HOLD_MS)
 
 
@@ -223,10 +223,19 @@
 
 
 def _patterns(crashes: t.Sequence[Crash], tied: frozenset[str]) -> list[Pattern]:
-    """Return the patterns that the tied fingerprints of some crashes form."""
+    """Return the patterns that the tied fingerprints of some crashes form.
+
+    Requests of a pattern ran at each of the crashes.
+    """
     suspects = list(itertools.chain.from_iterable(one.suspects for one in crashes))
     combined = {tied & suspect.keys for suspect in suspects} - {frozenset()}
-    largest = [keys for keys in combined if not any(keys < other for other in combined)]
+    singles = {frozenset((key,)) for key in tied}
+    possible = {
+        keys
+        for keys in combined | singles
+        if len(_crashes_under(Pattern(keys), crashes)) == len(crashes)
+    }
+    largest = [keys for keys in possible if not any(keys < other for other in possible)]
     return [
         Pattern(keys, _common_team(one.team for one in suspects if keys <= one.keys))
         for keys in sorted(largest, key=sorted)
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -195,6 +195,28 @@
                 self.assertGreater(self.requests.held_ms(whole("first")), 0)
         self.assertGreater(self.requests.held_ms(whole("second")), 0)
 
+    def test_parts_that_came_together_once_are_told_apart(self):
+        crashes = [
+            [whole("r0", ("deadly", "sound"))],
+            [whole("r1", ("deadly",)), whole("s1", ("sound",))],
+            [whole("r2", ("deadly",)), whole("s2", ("sound",))],
+            [whole("r3", ("deadly",))],
+        ]
+        for number, requests in enumerate(crashes):
+            self.requests.note_crash(f"a@{number}", "svc", "", requests)
+        self.assertGreater(self.requests.held_ms(whole("n", ("deadly",))), 0)
+        self.assertEqual(self.requests.held_ms(whole("n", ("sound",))), 0)
+
+    def test_parts_that_came_together_once_amid_other_crashes_raise_no_error(self):
+        for number in range(6):
+            self.requests.note_crash(f"x@{number}", "svc", "", [whole(f"x{number}")])
+        self.requests.note_crash("a@0", "svc", "", [whole("r0", ("p", "q"))])
+        for number in range(1, 4):
+            requests = [whole(f"r{number}", ("p",)), whole(f"s{number}", ("q",))]
+            self.requests.note_crash(f"a@{number}", "svc", "", requests)
+        for part in ("p", "q"):
+            self.assertGreater(self.requests.held_ms(whole("n", (part,))), 0)
+
     def test_suspects_of_different_requests_wait_for_one_more_crash(self):
         for number in range(3):
             requests = [whole(f"d{number}", ("deadly",)), whole(f"s{number}", ("p",))]
