--- a/packages/gateway/src/fuchsiahatch_gateway/defaults.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/defaults.py
@@ -36,7 +36,8 @@
 ENGINES_PREFIX = KEY_PREFIX + "engines/"
 #: The store's era, once a process has seen it last for as long as a leader's lease.
 SETTLED_ERA_KEY = KEY_PREFIX + "settled-era"
-#: Held requests, by fingerprint. Outside `KEY_PREFIX`, as agents don't need them.
+#: What is held back, by names made of fingerprints. Outside `KEY_PREFIX`, as agents
+#: don't need it.
 HELD_PREFIX = "fuchsiahatch-held/"
 #: Offset of the agents' datagram port from the first internal port, that of entries.
 AGENT_PORT_OFFSET = 1
--- a/packages/gateway/src/fuchsiahatch_gateway/inspection.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/inspection.py
@@ -135,10 +135,11 @@
         yield f"upstream {instance}: {' '.join(map(str, fields))}"
     for zone in status["drained_zones"]:
         yield f"zone {zone}: drained"
-    for fingerprint, record in status["held_requests"].items():
+    for name, record in status["held_requests"].items():
         if record.get("held"):
             crashed = " ".join(record.get("upstreams", ()))
-            yield f"held request {fingerprint}: crashed {crashed}"
+            fingerprints = " ".join(record.get("fingerprints") or (name,))
+            yield f"held request {fingerprints}: crashed {crashed}"
 
 
 async def _read_names(store: "StoreClient", prefix: str) -> list[str]:
