--- a/review/harness.py
+++ b/review/harness.py
@@ -875,6 +875,8 @@
     folder : pathlib.Path
         Folder of the case.
     """
+    # Ends the processes also when the script is stopped from outside.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))
     record = Record(folder)
     record.note(f"TROUBLE={int(trouble())}")
     try:
