--- a/tests/tools/test_run_tests.py
+++ b/tests/tools/test_run_tests.py
@@ -25,5 +25,19 @@
         self.assertEqual(run_tests.find_stale(FLAKY, set(), {"c"}), ["b"])
 
 
+class TestReviewCases(unittest.TestCase):
+    LINES = "review/1, cause, command, seen, issue\n\na, cause, command, seen, issue\n"
+
+    def test_a_case_is_told_from_a_test(self):
+        known = run_tests.parse_known_red(self.LINES)
+        tests, cases = run_tests.split_known_red(known)
+        self.assertEqual((list(tests), list(cases)), (["a"], ["review/1"]))
+
+    def test_a_case_that_the_review_does_not_have_is_an_error(self):
+        cases = {"review/1": "", "review/99": ""}
+        missing = run_tests.find_missing_cases(cases, run_tests.ROOT)
+        self.assertEqual(missing, ["review/99"])
+
+
 if __name__ == "__main__":
     unittest.main()
