A test on a real entry: streams are cut on connections kept from others

What callers saw: a stream that an entry takes behind its SIGTERM, on a connection kept from a stream that began before it, is passed on and cut when the entry's time is over.

Cause, as the test shows it: the head of the first stream was sent before the SIGTERM and doesn't say that the connection closes. The connection is kept behind that answer, and the next request is taken.

Change: a test only. 24 callers send one stream after the other on a kept connection of one entry and go by its `Connection: close` and its ends; upstreams and callers note what they see. Any request that an upstream got and whose caller lacks the whole answer is a fault, also one that is refused as not run, or a part that looks whole. The streams, of 6 s at most, fit the platform's 8 s.

Entries' output is now read all the time and not at the end alone: a pipe that nobody reads holds 64 kB.

--- a/tests/gateway/sites.py
+++ b/tests/gateway/sites.py
@@ -168,12 +168,14 @@
         return body, False
 
 
-def encode_request(path, request_id="q-1", key=KEY, body=b"", headers=(), keep=False):
+def encode_request(
+    path, request_id="q-1", key=KEY, body=b"", headers=(), keep=False, deadline_ms=1_400
+):
     lines = [
         f"POST {path} HTTP/1.1",
         f"Host: {HOST}",
         f"Fuchsiahatch-Request-Id: {request_id}",
-        "Fuchsiahatch-Deadline-Ms: 1400",
+        f"Fuchsiahatch-Deadline-Ms: {deadline_ms}",
         f"Content-Length: {len(body)}",
     ]
     if key:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -17,9 +17,9 @@
 _LIMIT_S = 20
 
 
-def run(work: t.Coroutine[t.Any, t.Any, t.Any]) -> t.Any:
+def run(work: t.Coroutine[t.Any, t.Any, t.Any], limit_s: float = _LIMIT_S) -> t.Any:
     """Run a coroutine on the reactor's loop; a hanging one fails."""
-    return LOOP.run_until_complete(asyncio.wait_for(work, _LIMIT_S))
+    return LOOP.run_until_complete(asyncio.wait_for(work, limit_s))
 
 
 def close() -> None:
--- a/tests/processes/entries.py
+++ b/tests/processes/entries.py
@@ -40,6 +40,7 @@
         for one in self.upstreams:
             await one.start()
         self.processes = {}
+        self._endings = {}
         self.lines = []
         for ip in self.ips:
             self.start(ip)
@@ -90,6 +91,8 @@
             stdout=subprocess.PIPE,
             stderr=subprocess.STDOUT,
         )
+        # Reads all the time: a full pipe would lose lines.
+        self._endings[ip] = asyncio.ensure_future(self._read_lines(self.processes[ip]))
 
     async def kill(self, ip):
         self.processes[ip].kill()
@@ -97,18 +100,20 @@
 
     async def until_ended(self, ip):
         """Wait until an entry's process has ended, and keep its log lines."""
-        process = self.processes[ip]
+        await asyncio.shield(self._endings[ip])
+
+    async def _read_lines(self, process):
         loop = asyncio.get_running_loop()
         output, _ = await loop.run_in_executor(None, process.communicate)
         self.lines += [
             json.loads(line) for line in output.splitlines() if line[:1] == b"{"
         ]
 
-    async def until_ready(self, ip):
+    async def until_ready(self, ip, status=200):
         request = b"GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
         for _ in range(200):
             try:
-                if (await self._send(ip, "ready", request)).status == 200:
+                if (await self._send(ip, "ready", request)).status == status:
                     return
             except OSError:
                 # It doesn't listen yet.
