Close the connection of a large answer once the caller has it

Callers that asked for `Connection: close` and read slowly kept their connections, and the server its descriptors, until they left by themselves.

Cause: a Twisted transport with a paused streaming producer resumes the producer once its buffer is empty, in place of closing.

Change: the producer is unregistered before the close.

Evidence: the new test, 40 answers of 1 MB to slow readers, ran into its limit of 20 s before, as none of the callers saw an end; it passes now and finds no connection and no descriptor left.

It holds as nothing is produced after the close has begun: the rest of the answer is in the transport's buffer, which it still sends whole.

--- a/packages/http1/src/fuchsiahatch_http1/server.py
+++ b/packages/http1/src/fuchsiahatch_http1/server.py
@@ -401,6 +401,9 @@
     def _close(self, reason: CloseReason) -> None:
         self._note_close(reason)
         self._clear_timer()
+        # A transport whose producer is paused never closes.
+        self.transport.unregisterProducer()
+        self._writable.set()
         self.transport.loseConnection()
 
     def _note_close(self, reason: CloseReason) -> None:
