End a stopping entry's connections after their answers, in order

Callers saw the next request on a connection, sent after the SIGTERM, passed on and cut when the process ended; others lost an answer, or a refusal, to a reset.

Cause: only a head that was sent after the stop began told the caller, and this server, that the answer was the last. And a socket that is closed with unread bytes sends a reset, which discards what the other side hasn't read.

Change: while the server leaves, each answer ends its connection, whatever its head said. Each close by the server ends the sending side, then reads and discards until the caller has closed, for at most 1,000 ms after everything was acknowledged, then closes.

It holds as `_close` is the only way to close without a reset, and nothing that arrives after it reaches the parser.

--- /dev/null
+++ b/packages/http1/src/fuchsiahatch_http1/lingering_close.py
@@ -0,0 +1,67 @@
+"""Closes a connection without destroying an answer that its peer hasn't read."""
+
+import typing as t
+
+from twisted.internet import reactor
+
+from fuchsiahatch_http1.send_queues import unsent_bytes
+
+#: Time for which received bytes are read and discarded once the peer has acknowledged
+#: everything that was sent.
+LINGER_MS = 1_000
+#: Interval at which it is checked whether that is so.
+POLL_INTERVAL_MS = 100
+
+
+class LingeringClose:
+    """Ends the sending side, waits for the peer's close, then closes.
+
+    Parameters
+    ----------
+    transport : twisted.internet.interfaces.ITCPTransport
+        Its protocol must discard what is received from now on.
+
+    Notes
+    -----
+    A socket that is closed with unread bytes sends a reset, and a reset discards what
+    the peer hasn't read yet. This is the order of RFC 9112, section 9.6.
+    """
+
+    __slots__ = ("_acknowledged_s", "_peer_closed", "_timer", "_transport")
+
+    def __init__(self, transport: t.Any) -> None:
+        self._transport = transport
+        self._acknowledged_s: float | None = None
+        self._peer_closed = False
+        # A transport whose producer is paused never closes.
+        transport.unregisterProducer()
+        transport.loseWriteConnection()
+        self._timer = self._schedule()
+
+    def note_peer_closed(self) -> None:
+        """Close as soon as everything has been sent."""
+        self._peer_closed = True
+        self._timer.cancel()
+        self._check()
+
+    def stop(self) -> None:
+        """Do nothing more, as the connection is closed."""
+        if self._timer.active():
+            self._timer.cancel()
+
+    def _schedule(self) -> t.Any:
+        return reactor.callLater(POLL_INTERVAL_MS / 1000, self._check)
+
+    def _check(self) -> None:
+        if self._is_over():
+            self._transport.loseConnection()
+        else:
+            self._timer = self._schedule()
+
+    def _is_over(self) -> bool:
+        if unsent_bytes(self._transport):
+            return False
+        if self._acknowledged_s is None:
+            self._acknowledged_s = reactor.seconds()
+        waited_s = reactor.seconds() - self._acknowledged_s
+        return self._peer_closed or waited_s >= LINGER_MS / 1000
--- a/packages/http1/src/fuchsiahatch_http1/server.py
+++ b/packages/http1/src/fuchsiahatch_http1/server.py
@@ -6,8 +6,11 @@
 import typing as t
 
 import h11
-from twisted.internet import protocol, reactor
+from twisted.internet import error, protocol, reactor
 from twisted.internet.endpoints import TCP4ServerEndpoint
+from twisted.internet.interfaces import IHalfCloseableProtocol
+from twisted.python.failure import Failure
+from zope.interface import implementer
 
 from fuchsiahatch_http1.connection_states import (
     CloseReason,
@@ -15,12 +18,12 @@
     Headers,
     OpenRequest,
 )
+from fuchsiahatch_http1.lingering_close import LingeringClose
 from fuchsiahatch_http1.send_queues import unsent_bytes
 from fuchsiahatch_http1.sockets import BACKLOG, set_options
 
 if t.TYPE_CHECKING:
     from twisted.internet.interfaces import IListeningPort
-    from twisted.python.failure import Failure
 
 #: Maximum bytes of further requests received while one is being answered.
 MAX_PIPELINED_BYTES = 65_536
@@ -200,6 +203,7 @@
         )
 
 
+@implementer(IHalfCloseableProtocol)
 class ServerConnection(protocol.Protocol):
     """A caller's connection."""
 
@@ -221,6 +225,7 @@
         self._arrived_while_leaving = False
         self._connected_while_leaving = server.leaving
         self._close_noted = False
+        self._closing: LingeringClose | None = None
         self.lost = False
 
     @property
@@ -228,6 +233,11 @@
         """Whether a request is being read or answered."""
         return self._request is not None or self._task is not None
 
+    @property
+    def _reads(self) -> bool:
+        """Whether the next bytes received belong to a request that is served."""
+        return not self.lost and self._closing is None and self._task is None
+
     @property
     def state(self) -> ConnectionState:
         """What the connection is doing."""
@@ -270,7 +280,12 @@
         self._set_timer(self._server.limits.header_ms)
 
     def dataReceived(self, data: bytes) -> None:
-        """Parse received bytes; reset a connection that pipelines too many."""
+        """Parse received bytes; reset a connection that pipelines too many.
+
+        What comes while the connection closes is discarded.
+        """
+        if self._closing is not None:
+            return
         if self._task is not None:
             self._pipelined_bytes += len(data)
             if self._pipelined_bytes > MAX_PIPELINED_BYTES:
@@ -279,16 +294,32 @@
         self._conn.receive_data(data)
         self._read_events()
 
-    def connectionLost(self, reason: "Failure" = protocol.connectionDone) -> None:
+    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
         """Cancel the handler of a caller that has disconnected."""
         self._note_close(CloseReason.CALLER)
         self.lost = True
         self._writable.set()
         self._clear_timer()
+        if self._closing is not None:
+            self._closing.stop()
         self._server.connections.discard(self)
         if self._task is not None:
             self._task.cancel()
 
+    def readConnectionLost(self) -> None:
+        """Treat the end of a caller's requests as its close, unless an answer remains.
+
+        A caller that knows that its answer is the last may close its sending side
+        before it has received all of it.
+        """
+        if self._closing is not None:
+            self._closing.note_peer_closed()
+        else:
+            self.transport.connectionLost(Failure(error.ConnectionDone()))
+
+    def writeConnectionLost(self) -> None:
+        """Do nothing: the sending side has ended as `LingeringClose` asked."""
+
     def pauseProducing(self) -> None:
         """Block `drained`: the write buffer is full."""
         self._writable.clear()
@@ -341,6 +372,10 @@
         self._request = None
         if self.lost:
             return
+        if self._server.leaving:
+            # The head may have been sent before, without the word that this is the end.
+            self._close(CloseReason.ANSWERED)
+            return
         if self._conn.our_state is h11.DONE and self._conn.their_state is h11.DONE:
             self._conn.start_next_cycle()
             self._pipelined_bytes = 0
@@ -351,14 +386,14 @@
 
     def _read_events(self) -> None:
         try:
-            while not self.lost and self._task is None:
+            while self._reads:
                 event = self._conn.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     break
                 self._handle_event(event)
         except h11.RemoteProtocolError as fault:
             self._reject(fault.error_status_hint or 400)
-        if not self.lost and self._conn.they_are_waiting_for_100_continue:
+        if self._reads and self._conn.they_are_waiting_for_100_continue:
             self.send(h11.InformationalResponse(status_code=100, headers=[]))
 
     def _handle_event(self, event: t.Any) -> None:
@@ -399,12 +434,13 @@
         self._close(reason)
 
     def _close(self, reason: CloseReason) -> None:
+        if self.lost or self._closing is not None:
+            return
         self._note_close(reason)
         self._clear_timer()
-        # A transport whose producer is paused never closes.
-        self.transport.unregisterProducer()
+        self._request = None
         self._writable.set()
-        self.transport.loseConnection()
+        self._closing = LingeringClose(self.transport)
 
     def _note_close(self, reason: CloseReason) -> None:
         if not self._close_noted:
--- a/tests/http1/test_closing.py
+++ b/tests/http1/test_closing.py
@@ -1,12 +1,15 @@
 import asyncio
 import os
 import socket
+import time
 import unittest
 
 from fuchsiahatch_http1.server import HttpServer, ServerLimits
+from tests.gateway.sites import until
 from tests.loopback import run
 
 LARGE_BYTES = 1_000_000
+GET = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 GET_AND_CLOSE = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
 
 
@@ -67,6 +70,92 @@
         return run(play())
 
 
+class TestClose(ClosingCase):
+    def test_the_connection_of_a_stream_begun_before_the_stop_is_closed_after_it(self):
+        # A next request on it would be passed on, and cut by the end of the process.
+        released = asyncio.Event()
+
+        async def streams(exchange):
+            self.handled += 1
+            exchange.start(200, ())
+            exchange.write(b"first")
+            await released.wait()
+            exchange.finish()
+
+        async def play():
+            async with Caller(await self.serve(streams)) as caller:
+                await caller.send(GET)
+                data = await caller.receive()
+                self.server.leave()
+                released.set()
+                async with asyncio.timeout(2):
+                    return data + await caller.receive_all()
+
+        data = self.play(play)
+        self.assertTrue(data.endswith(b"0\r\n\r\n"))
+        self.assertEqual(self.handled, 1)
+
+    def test_a_request_that_crosses_the_close_is_not_handled_and_resets_nothing(self):
+        async def play():
+            port = await self.serve(self.large)
+            async with Caller(port, receive_bytes=4_096) as caller:
+                await caller.send(GET_AND_CLOSE)
+                await until(lambda: self.handled)
+                await caller.send(GET)
+                await asyncio.sleep(0.1)
+                return await caller.receive_all()
+
+        self.assertEqual(len(self.play(play).partition(b"\r\n\r\n")[2]), LARGE_BYTES)
+        self.assertEqual(self.handled, 1)
+
+    def test_a_pipelined_request_behind_a_last_answer_is_not_handled(self):
+        async def play():
+            async with Caller(await self.serve(self.large)) as caller:
+                await caller.send(GET_AND_CLOSE + GET)
+                await asyncio.sleep(0.1)
+                return await caller.receive_all()
+
+        self.assertEqual(len(self.play(play).partition(b"\r\n\r\n")[2]), LARGE_BYTES)
+        self.assertEqual(self.handled, 1)
+
+    def test_a_caller_that_sends_its_whole_body_first_reads_the_refusal(self):
+        async def play():
+            async with Caller(await self.serve(self.large, body_bytes=10)) as caller:
+                head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2000000\r\n\r\n"
+                await caller.send(head)
+                for _ in range(20):
+                    await caller.send(b"a" * 100_000)
+                    await asyncio.sleep(0.005)
+                return await caller.receive_all()
+
+        self.assertIn(b" 413 ", self.play(play).splitlines()[0])
+
+    def test_a_caller_that_stays_is_closed_after_the_linger_time(self):
+        async def play():
+            async with Caller(await self.serve(self.large)) as caller:
+                await caller.send(GET_AND_CLOSE)
+                await caller.receive_all()
+                began_s = time.monotonic()
+                while self.server.connections:
+                    await caller.send(b"more")
+                    await asyncio.sleep(0.05)
+                return time.monotonic() - began_s
+
+        self.assertLess(self.play(play), 2.0)
+
+    def test_a_caller_that_ends_its_sending_side_early_gets_its_whole_answer(self):
+        async def play():
+            port = await self.serve(self.large)
+            async with Caller(port, receive_bytes=4_096) as caller:
+                await caller.send(GET_AND_CLOSE)
+                await until(lambda: self.handled)
+                caller.socket.shutdown(socket.SHUT_WR)
+                await asyncio.sleep(0.1)
+                return await caller.receive_all()
+
+        self.assertEqual(len(self.play(play).partition(b"\r\n\r\n")[2]), LARGE_BYTES)
+
+
 class TestSlowCallers(ClosingCase):
     def test_large_answers_to_slow_callers_leave_no_connection(self):
         # A transport never closes while its producer is registered and paused.
