Give callers that read slowly more than 3 s

A caller that read nothing for over 3 s lost its answer to a reset.

Cause: the limit of 3 s on unacknowledged bytes finds unreachable hosts, and counts a closed receive window as well.

Change: a caller with more than 32,768 bytes yet to receive has 30 s; the next request on its connection has 3 s again. The limit also takes the place of the number of keepalive probes, so that it stays at 3 s for a caller that only waits, and towards upstreams and the store.

Evidence: two new tests, an answer of 1 MB and a stream of 1 MB to a caller that pauses for 4.5 s, ended with a reset before.

It holds as a caller must leave more than its receive buffer unread for its window to close; the bound is below the usual size of one.

--- a/packages/http1/src/fuchsiahatch_http1/server.py
+++ b/packages/http1/src/fuchsiahatch_http1/server.py
@@ -20,7 +20,14 @@
 )
 from fuchsiahatch_http1.lingering_close import LingeringClose
 from fuchsiahatch_http1.send_queues import unsent_bytes
-from fuchsiahatch_http1.sockets import BACKLOG, set_options
+from fuchsiahatch_http1.sockets import (
+    BACKLOG,
+    SLOW_CALLER_BYTES,
+    SLOW_CALLER_TIMEOUT_MS,
+    UNACKNOWLEDGED_TIMEOUT_MS,
+    set_options,
+    set_unacknowledged_timeout,
+)
 
 if t.TYPE_CHECKING:
     from twisted.internet.interfaces import IListeningPort
@@ -224,6 +231,7 @@
         self._began_s = 0.0
         self._arrived_while_leaving = False
         self._connected_while_leaving = server.leaving
+        self._may_be_slow = False
         self._close_noted = False
         self._closing: LingeringClose | None = None
         self.lost = False
@@ -362,6 +370,18 @@
         if data:
             self._answer_bytes += len(data)
             self.transport.write(data)
+            self._allow_slowness()
+
+    def _allow_slowness(self) -> None:
+        """Give a caller with much to receive more time until it must have read on."""
+        if not self._may_be_slow and self.unsent_bytes > SLOW_CALLER_BYTES:
+            self._may_be_slow = True
+            set_unacknowledged_timeout(self.transport, SLOW_CALLER_TIMEOUT_MS)
+
+    def _end_slowness(self) -> None:
+        if self._may_be_slow:
+            self._may_be_slow = False
+            set_unacknowledged_timeout(self.transport, UNACKNOWLEDGED_TIMEOUT_MS)
 
     def finish(self) -> None:
         """End the answer, then wait for the next request or close."""
@@ -398,6 +418,7 @@
 
     def _handle_event(self, event: t.Any) -> None:
         if isinstance(event, h11.Request):
+            self._end_slowness()
             self._request = event
             self._began_s = reactor.seconds()
             self._arrived_while_leaving = self._server.leaving
--- a/packages/http1/src/fuchsiahatch_http1/sockets.py
+++ b/packages/http1/src/fuchsiahatch_http1/sockets.py
@@ -17,6 +17,12 @@
 KEEPALIVE_PROBES = 2
 #: Time that sent bytes may stay unacknowledged before the connection is closed.
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
+#: The same for a caller with more than `SLOW_CALLER_BYTES` yet to receive. What waits
+#: for a caller that reads nothing for a while counts as unacknowledged, too.
+SLOW_CALLER_TIMEOUT_MS = 30_000
+#: Less than the smallest usual receive buffer: no caller that is merely waiting for the
+#: next event of a stream has as much yet to receive.
+SLOW_CALLER_BYTES = 32_768
 
 
 def open_listening(ip: str, port: int) -> socket.socket:
@@ -47,6 +53,17 @@
     handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    handle.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
+    set_unacknowledged_timeout(transport, UNACKNOWLEDGED_TIMEOUT_MS)
+
+
+def set_unacknowledged_timeout(transport: t.Any, timeout_ms: int) -> None:
+    """Set how long sent bytes may stay unacknowledged.
+
+    Notes
+    -----
+    It also replaces the number of keepalive probes, so that a longer time delays the
+    detection of an unreachable peer.
+    """
+    transport.getHandle().setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms
     )
--- a/tests/http1/test_closing.py
+++ b/tests/http1/test_closing.py
@@ -176,3 +176,35 @@
         asked, connections, descriptors = self.play(play)
         self.assertEqual(set(asked), {LARGE_BYTES})
         self.assertEqual((connections, descriptors), (0, 0))
+
+    def test_a_caller_that_pauses_gets_its_whole_answer(self):
+        # A closed window counts as unacknowledged for TCP_USER_TIMEOUT.
+        async def play():
+            port = await self.serve(self.large)
+            async with Caller(port, receive_bytes=16_384) as caller:
+                await caller.send(GET_AND_CLOSE)
+                await asyncio.sleep(4.5)
+                return await caller.receive_all()
+
+        self.assertEqual(len(self.play(play).partition(b"\r\n\r\n")[2]), LARGE_BYTES)
+
+    def test_a_caller_that_pauses_in_a_stream_gets_it_whole(self):
+        async def streams(exchange):
+            exchange.start(200, ())
+            for _ in range(100):
+                exchange.write(b"x" * (LARGE_BYTES // 100))
+                await exchange.drained()
+                await asyncio.sleep(0.001)
+            exchange.finish()
+
+        async def play():
+            port = await self.serve(streams)
+            async with Caller(port, receive_bytes=16_384) as caller:
+                await caller.send(GET)
+                await asyncio.sleep(4.5)
+                data = b""
+                while not data.endswith(b"0\r\n\r\n"):
+                    data += await caller.receive()
+                return data.count(b"x")
+
+        self.assertEqual(self.play(play), LARGE_BYTES)
