--- /dev/null
+++ b/tests/http1/test_closing.py
@@ -0,0 +1,210 @@
+import asyncio
+import os
+import socket
+import time
+import unittest
+
+from fuchsiahatch_http1.server import HttpServer, ServerLimits
+from tests.gateway.sites import until
+from tests.loopback import run
+
+LARGE_BYTES = 1_000_000
+GET = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+GET_AND_CLOSE = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+
+
+class Caller:
+    """A plain socket, so that a test decides when bytes are read."""
+
+    def __init__(self, port, receive_bytes=None):
+        self._loop = asyncio.get_running_loop()
+        self._port = port
+        self.socket = socket.socket()
+        if receive_bytes is not None:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+        self.socket.setblocking(False)
+
+    async def __aenter__(self):
+        await self._loop.sock_connect(self.socket, ("127.0.0.1", self._port))
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self.socket.close()
+
+    async def send(self, data):
+        await self._loop.sock_sendall(self.socket, data)
+
+    async def receive(self, size=65_536):
+        return await self._loop.sock_recv(self.socket, size)
+
+    async def receive_all(self, bytes_per_s=None):
+        data = b""
+        while piece := await self.receive():
+            data += piece
+            if bytes_per_s is not None:
+                await asyncio.sleep(len(piece) / bytes_per_s)
+        return data
+
+
+class ClosingCase(unittest.TestCase):
+    def setUp(self):
+        self.handled = 0
+        self.server = None
+
+    async def large(self, exchange):
+        self.handled += 1
+        exchange.respond(200, (), b"x" * LARGE_BYTES)
+
+    async def serve(self, handle, **limits):
+        self.server = HttpServer(handle, ServerLimits(**limits))
+        return await self.server.listen("127.0.0.1", 0)
+
+    def play(self, work):
+        async def play():
+            try:
+                return await work()
+            finally:
+                await self.server.close()
+                await asyncio.sleep(0)
+
+        return run(play())
+
+
+class TestClose(ClosingCase):
+    def test_the_connection_of_a_stream_begun_before_the_stop_is_closed_after_it(self):
+        # A next request on it would be passed on, and cut by the end of the process.
+        released = asyncio.Event()
+
+        async def streams(exchange):
+            self.handled += 1
+            exchange.start(200, ())
+            exchange.write(b"first")
+            await released.wait()
+            exchange.finish()
+
+        async def play():
+            async with Caller(await self.serve(streams)) as caller:
+                await caller.send(GET)
+                data = await caller.receive()
+                self.server.leave()
+                released.set()
+                async with asyncio.timeout(2):
+                    return data + await caller.receive_all()
+
+        data = self.play(play)
+        self.assertTrue(data.endswith(b"0\r\n\r\n"))
+        self.assertEqual(self.handled, 1)
+
+    def test_a_request_that_crosses_the_close_is_not_handled_and_resets_nothing(self):
+        async def play():
+            port = await self.serve(self.large)
+            async with Caller(port, receive_bytes=4_096) as caller:
+                await caller.send(GET_AND_CLOSE)
+                await until(lambda: self.handled)
+                await caller.send(GET)
+                await asyncio.sleep(0.1)
+                return await caller.receive_all()
+
+        self.assertEqual(len(self.play(play).partition(b"\r\n\r\n")[2]), LARGE_BYTES)
+        self.assertEqual(self.handled, 1)
+
+    def test_a_pipelined_request_behind_a_last_answer_is_not_handled(self):
+        async def play():
+            async with Caller(await self.serve(self.large)) as caller:
+                await caller.send(GET_AND_CLOSE + GET)
+                await asyncio.sleep(0.1)
+                return await caller.receive_all()
+
+        self.assertEqual(len(self.play(play).partition(b"\r\n\r\n")[2]), LARGE_BYTES)
+        self.assertEqual(self.handled, 1)
+
+    def test_a_caller_that_sends_its_whole_body_first_reads_the_refusal(self):
+        async def play():
+            async with Caller(await self.serve(self.large, body_bytes=10)) as caller:
+                head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2000000\r\n\r\n"
+                await caller.send(head)
+                for _ in range(20):
+                    await caller.send(b"a" * 100_000)
+                    await asyncio.sleep(0.005)
+                return await caller.receive_all()
+
+        self.assertIn(b" 413 ", self.play(play).splitlines()[0])
+
+    def test_a_caller_that_stays_is_closed_after_the_linger_time(self):
+        async def play():
+            async with Caller(await self.serve(self.large)) as caller:
+                await caller.send(GET_AND_CLOSE)
+                await caller.receive_all()
+                began_s = time.monotonic()
+                while self.server.connections:
+                    await caller.send(b"more")
+                    await asyncio.sleep(0.05)
+                return time.monotonic() - began_s
+
+        self.assertLess(self.play(play), 2.0)
+
+    def test_a_caller_that_ends_its_sending_side_early_gets_its_whole_answer(self):
+        async def play():
+            port = await self.serve(self.large)
+            async with Caller(port, receive_bytes=4_096) as caller:
+                await caller.send(GET_AND_CLOSE)
+                await until(lambda: self.handled)
+                caller.socket.shutdown(socket.SHUT_WR)
+                await asyncio.sleep(0.1)
+                return await caller.receive_all()
+
+        self.assertEqual(len(self.play(play).partition(b"\r\n\r\n")[2]), LARGE_BYTES)
+
+
+class TestSlowCallers(ClosingCase):
+    def test_large_answers_to_slow_callers_leave_no_connection(self):
+        # A transport never closes while its producer is registered and paused.
+        async def ask(port):
+            async with Caller(port, receive_bytes=16_384) as caller:
+                await caller.send(GET_AND_CLOSE)
+                data = await caller.receive_all(bytes_per_s=4 * LARGE_BYTES)
+                return len(data.partition(b"\r\n\r\n")[2])
+
+        async def play():
+            port = await self.serve(self.large)
+            before = len(os.listdir("/proc/self/fd"))
+            asked = await asyncio.gather(*(ask(port) for _ in range(40)))
+            await asyncio.sleep(0.2)
+            left = len(os.listdir("/proc/self/fd")) - before
+            return asked, len(self.server.connections), left
+
+        asked, connections, descriptors = self.play(play)
+        self.assertEqual(set(asked), {LARGE_BYTES})
+        self.assertEqual((connections, descriptors), (0, 0))
+
+    def test_a_caller_that_pauses_gets_its_whole_answer(self):
+        # A closed window counts as unacknowledged for TCP_USER_TIMEOUT.
+        async def play():
+            port = await self.serve(self.large)
+            async with Caller(port, receive_bytes=16_384) as caller:
+                await caller.send(GET_AND_CLOSE)
+                await asyncio.sleep(4.5)
+                return await caller.receive_all()
+
+        self.assertEqual(len(self.play(play).partition(b"\r\n\r\n")[2]), LARGE_BYTES)
+
+    def test_a_caller_that_pauses_in_a_stream_gets_it_whole(self):
+        async def streams(exchange):
+            exchange.start(200, ())
+            for _ in range(100):
+                exchange.write(b"x" * (LARGE_BYTES // 100))
+                await exchange.drained()
+                await asyncio.sleep(0.001)
+            exchange.finish()
+
+        async def play():
+            port = await self.serve(streams)
+            async with Caller(port, receive_bytes=16_384) as caller:
+                await caller.send(GET)
+                await asyncio.sleep(4.5)
+                data = b""
+                while not data.endswith(b"0\r\n\r\n"):
+                    data += await caller.receive()
+                return data.count(b"x")
+
+        self.assertEqual(self.play(play), LARGE_BYTES)
