Each sending of a request has a connection of its own

Cause: all sendings of a request have its id. A rejected request's connection went back to the pool, and its next sending was the next call on it. An upstream that repeated the rejection where the next answer was expected was taken at its word a second time.

Change: ConnectionPool.acquire leaves out the connections that a request was sent on; they stay idle for others, whose ids tell a repeated answer apart. A request remembers its connections, at most one an attempt, until its end.

Weighed: counting answers by connection (one extra answer shifts the count unnoticed); holding the connection back for a while (a repeat may come at any later point); closing it after a rejection (a new connection for each of them, also where others could use it); ids remembered by the connection (the same, with bounds and pruning of its own).

Evidence: test_repeated_rejection_is_not_taken_for_the_answer_to_the_next_sending failed before (503 for a request that ran), and so did the same test of a repeated 500.

--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -131,6 +131,8 @@
         request unless it `may_stay`.
     may_stay : callable
         Returns whether the request may still begin at the upstream.
+    used_connections : list of ClientConnection
+        Those that earlier attempts of this request were sent on; extended by this one.
     still_works : coroutine function
         Returns whether the upstream works now; asked when only the end of its
         connection has ended its answer.
@@ -151,6 +153,7 @@
     on_skipped_head: t.Callable[[Head], None]
     withdrawals: set[t.Callable[[], None]]
     may_stay: t.Callable[[], bool]
+    used_connections: list[ClientConnection]
     still_works: t.Callable[[], t.Awaitable[bool]]
     urgency: int | None = None
 
@@ -164,10 +167,16 @@
     -----
     This is cancelled when the caller disconnects or the deadline passes. The connection
     is reset then, as the upstream would otherwise go on working on the request.
+
+    All attempts of a request have its id, and an upstream may repeat an answer at any
+    later point of its connection. So each attempt has a connection of its own, on which
+    the id tells its answer from all others.
     """
     address = attempt.upstream.entry.address
     try:
-        connection = await pool.acquire(address.ip, address.port)
+        connection = await pool.acquire(
+            address.ip, address.port, attempt.used_connections
+        )
     except ConnectFailed as fault:
         return Outcome(Result.UNSENT, str(fault))
     if not attempt.may_send():
@@ -177,6 +186,7 @@
         connection.abort()
         detail = "the upstream no longer accepts requests"
         return Outcome(Result.UNSENT, detail, withdrawn=True)
+    attempt.used_connections.append(connection)
     try:
         outcome = await _send_and_receive(exchange, connection, attempt)
     except AnswerBroken as fault:
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -296,6 +296,7 @@
             lambda head: self._on_skipped_head(upstream, head),
             self._withdrawals,
             lambda: self._may_stay(job, upstream),
+            job.used_connections,
             lambda: self._crashes.still_works(upstream),
             job.priority_class if self._routes.has_classes(job.service) else None,
         )
--- a/packages/gateway/src/fuchsiahatch_gateway/jobs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/jobs.py
@@ -12,6 +12,7 @@
     from fuchsiahatch_gateway.event_stream import EventSplitter
     from fuchsiahatch_gateway.fingerprints import Fingerprints
     from fuchsiahatch_gateway.routes import Match
+    from fuchsiahatch_http1.client import ClientConnection
     from fuchsiahatch_http1.server import Exchange
 
 #: A caller abandons a stream without an event for the longest of this time,
@@ -56,6 +57,8 @@
         For a stream; None for other requests.
     tried : list of str
         Upstreams that it was sent to, in order.
+    used_connections : list of ClientConnection
+        Those that it was sent on.
     unsent : int
         Attempts for which no connection was established.
     may_have_run : bool
@@ -85,6 +88,7 @@
     ends_ms: int
     events: "EventSplitter | None"
     tried: list[str] = dataclasses.field(default_factory=list)
+    used_connections: "list[ClientConnection]" = dataclasses.field(default_factory=list)
     unsent: int = 0
     may_have_run: bool = False
     first_event_ms: int | None = None
--- a/packages/http1/src/fuchsiahatch_http1/pool.py
+++ b/packages/http1/src/fuchsiahatch_http1/pool.py
@@ -65,17 +65,28 @@
         self._idle: dict[t.Any, list[ClientConnection]] = {}
         self.opened = 0
 
-    async def acquire(self, ip: str, port: int) -> ClientConnection:
+    async def acquire(
+        self, ip: str, port: int, excluded: t.Container[ClientConnection] = ()
+    ) -> ClientConnection:
         """Return an idle connection, opening one if necessary.
 
+        Parameters
+        ----------
+        ip : str
+        port : int
+        excluded : container of ClientConnection, optional
+            Connections that must not be returned; idle ones are kept for other calls.
+
         Raises
         ------
         ConnectFailed
         """
         kept = self._idle.get((ip, port), [])
         now_ms = self._clock.now_ms()
-        while kept:
-            connection = kept.pop()
+        for connection in kept[::-1]:
+            if connection in excluded:
+                continue
+            kept.remove(connection)
             if connection.lost:
                 continue
             if now_ms - connection.idle_since_ms < connection.keep_ms:
--- a/tests/gateway/backoff_model.py
+++ b/tests/gateway/backoff_model.py
@@ -158,6 +158,9 @@
     def next_act(self):
         return None, 0
 
+    def next_repeat(self):
+        return None
+
     def note_arrival(self, number, request, body):
         headers = {name.decode(): value.decode() for name, value in request.headers}
         self.expected[headers["fuchsiahatch-request-id"]] = headers[
--- a/tests/gateway/delivery_model.py
+++ b/tests/gateway/delivery_model.py
@@ -28,6 +28,7 @@
     FIRST_PORT,
     Act,
     Cut,
+    Repeat,
     Run,
     SimulatedPool,
     make_event,
@@ -64,7 +65,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Scenario:
-    """What happens in a run; `acts` are consumed in the order of arrival."""
+    """What happens in a run.
+
+    `acts` are consumed in the order of arrival, and `repeats` in that of whole answers.
+    """
 
     asks: tuple[Ask, ...]
     acts: tuple[tuple[Act | Cut, int], ...]
@@ -72,6 +76,7 @@
     places: int = 1
     leaving: tuple[tuple[int, int], ...] = ()
     slack: float = 90.0
+    repeats: tuple[Repeat | None, ...] = ()
 
 
 class SimulatedExchange:
@@ -166,6 +171,7 @@
         self.runs = []
         self.left_ms = {}
         self._acts = list(scenario.acts)
+        self._repeats = list(scenario.repeats)
         rng = random.Random(1)
         routes = RouteTable()
         routes.apply(orjson.dumps(make_configuration(1, ROUTES)))
@@ -185,6 +191,9 @@
     def next_act(self):
         return self._acts.pop(0) if self._acts else (Act.ANSWER, 5)
 
+    def next_repeat(self):
+        return self._repeats.pop(0) if self._repeats else None
+
     def refuses_connection(self):
         if self._acts and self._acts[0][0] is Act.NO_CONNECTION:
             self._acts.pop(0)
--- a/tests/gateway/played_upstreams.py
+++ b/tests/gateway/played_upstreams.py
@@ -70,6 +70,22 @@
     piece_bytes: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Repeat:
+    """A whole answer that an upstream sends again later, on the same connection.
+
+    Attributes
+    ----------
+    requests : int
+        Requests that arrive on the connection before.
+    after_ms : int
+        Time from the last of them to the repeated answer.
+    """
+
+    requests: int
+    after_ms: int
+
+
 def make_event(number):
     return b"id: %d\ndata: piece %d\n\n" % (number, number)
 
@@ -102,6 +118,10 @@
         self._upstream = upstream
         self._server = h11.Connection(h11.SERVER)
         self._tasks = []
+        self._answer_bytes = b""
+        self._requests = 0
+        #: Answers that are sent again, and after which request how much later.
+        self._repeats = []
         self.open = True
         self.client = None
         self.run = None
@@ -128,17 +148,32 @@
     # The upstream's behaviour.
 
     async def _serve(self):
-        request, body = self._server.next_event(), b""
+        while (request := self._server.next_event()) is h11.PAUSED:
+            await asyncio.sleep(0.001)
+        body = b""
         while isinstance(event := self._server.next_event(), h11.Data):
             body += event.data
         act, delay_ms = self._world.next_act()
         self.run = run = self._world.note_arrival(self._upstream, request, body)
         run.act = act
+        self._requests += 1
+        self._repeat_answers()
         try:
             await self._act(act, delay_ms, run)
         finally:
             run.working = False
 
+    def _repeat_answers(self):
+        for answer, requests, after_ms in self._repeats:
+            if requests == self._requests:
+                loop = asyncio.get_running_loop()
+                loop.call_later(after_ms / 1000, self._push_repeated, answer)
+
+    def _push_repeated(self, answer):
+        # Before the current answer has begun, the repeated one is skipped.
+        self.run.spoiled |= bool(self._answer_bytes)
+        self._push(answer)
+
     async def _act(self, act, delay_ms, run):
         await asyncio.sleep(delay_ms / 1000)
         if not self.open:
@@ -249,10 +284,17 @@
         if self.open and self._server.our_state is h11.DONE:
             self.run.working = False
             self._server.start_next_cycle()
+        repeat = self._world.next_repeat()
+        if repeat is not None:
+            requests = self._requests + repeat.requests
+            self._repeats.append((self._answer_bytes, requests, repeat.after_ms))
+        self._answer_bytes = b""
 
     def _send(self, event):
         if self.open:
-            self._push(self._server.send(event))
+            data = self._server.send(event)
+            self._answer_bytes += data
+            self._push(data)
 
     def _push(self, data):
         # Empty data would signal the end of the connection.
--- a/tests/gateway/test_allowed_regions.py
+++ b/tests/gateway/test_allowed_regions.py
@@ -446,8 +446,8 @@
             pool, port = site.entry.pool, site.upstreams[0].port
             acquire = pool.acquire
 
-            async def acquire_slowly(ip, to_port):
-                connection = await acquire(ip, to_port)
+            async def acquire_slowly(ip, to_port, excluded=()):
+                connection = await acquire(ip, to_port, excluded)
                 if to_port == port:
                     await self.configure(site, 3, route=["pg"])
                 return connection
--- a/tests/gateway/test_delivery.py
+++ b/tests/gateway/test_delivery.py
@@ -29,6 +29,22 @@
     return f"HTTP/1.1 200 OK\r\nFuchsiahatch-Request-Id: {request.request_id}\r\n"
 
 
+def answers_and_repeats(status, headers=()):
+    """Return scripts: an answer, and one that repeats it late on its connection."""
+    answered = {}
+
+    async def first(request, wire):
+        answered[wire] = request
+        await wire.answer(request, status, b"", dict(headers))
+
+    async def repeated_first(request, wire):
+        if wire in answered:
+            await wire.answer(answered[wire], status, b"", dict(headers))
+        await wire.answer(request, body=b"own")
+
+    return first, repeated_first
+
+
 async def ask_one(path, *scripts, **options):
     server = upstream(*scripts)
     async with Site(server) as site:
@@ -186,6 +202,30 @@
         reply, _ = run(ask_one("/hold/", other_answer_first))
         self.assertEqual((reply.status, reply.body), (200, b"own"))
 
+    def test_repeated_rejection_is_not_taken_for_the_answer_to_the_next_sending(self):
+        # The caller of an unsafe request would be told that it didn't run, though it
+        # runs: all sendings of a request have one id.
+        for status in (503, 429):
+            scripts = answers_and_repeats(status, [("Fuchsiahatch-Not-Executed", "1")])
+            reply, _ = run(ask_one("/twice/", *scripts))
+            self.assertEqual((reply.status, reply.body), (200, b"own"), status)
+
+    def test_repeated_failure_is_not_taken_for_the_answer_to_the_next_sending(self):
+        reply, _ = run(ask_one("/safe/", *answers_and_repeats(500)))
+        self.assertEqual((reply.status, reply.body), (200, b"own"))
+
+    def test_connection_of_a_rejected_request_is_used_for_others(self):
+        async def asks():
+            server = upstream(refuses(), answers())
+            async with Site(server) as site:
+                await site.ask("/twice/", request_id="q-1")
+                await asyncio.gather(
+                    *(site.ask("/safe/", request_id=f"q-{at}") for at in (2, 3))
+                )
+                return server.connections
+
+        self.assertEqual(run(asks()), 2)
+
     def test_success_without_a_signature_is_rejected(self):
         async def unsigned(request, wire):
             head = (
--- a/tests/gateway/test_delivery_search.py
+++ b/tests/gateway/test_delivery_search.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import dataclasses
 import os
 import unittest
 from unittest import mock
@@ -16,6 +17,7 @@
 from fuchsiahatch_gateway.fleet import Fleet
 from fuchsiahatch_gateway.placing import Placer
 from fuchsiahatch_http1.client import ClientConnection
+from fuchsiahatch_http1.pool import ConnectionPool
 from tests.gateway.delivery_model import (
     PATHS,
     Ask,
@@ -23,7 +25,7 @@
     SimulatedExchange,
     find_faults,
 )
-from tests.gateway.played_upstreams import Act
+from tests.gateway.played_upstreams import Act, Repeat
 
 #: Scenarios per run of the tests, and those in which a disabled guard must be detected.
 EXAMPLES = int(os.environ.get("DELIVERY_EXAMPLES", "400"))
@@ -37,6 +39,9 @@
     st.sampled_from((None, None, None, 1, 5, 20, 300)),
 )
 _ACTS = st.tuples(st.sampled_from(Act), st.sampled_from((0, 1, 5, 30, 200, 650)))
+_REPEATS = st.builds(
+    Repeat, st.sampled_from((1, 1, 2, 3)), st.sampled_from((0, 0, 1, 5))
+)
 SCENARIOS = st.builds(
     Scenario,
     st.lists(_ASKS, min_size=1, max_size=5).map(tuple),
@@ -46,6 +51,12 @@
     st.lists(st.tuples(st.integers(0, 2), _TIMES_MS), max_size=2).map(tuple),
     st.sampled_from((90.0, 2.0, 0.0)),
 )
+#: The same, with answers that are sent again later.
+REPEATING_SCENARIOS = st.builds(
+    dataclasses.replace,
+    SCENARIOS,
+    repeats=st.lists(st.none() | _REPEATS, min_size=1, max_size=8).map(tuple),
+)
 
 
 #: A connect is in progress when the upstream begins to leave. Too rare to be generated
@@ -73,25 +84,47 @@
     ),
     upstreams=1,
 )
+#: A rejection arrives again when the answer to the same request's next sending is
+#: expected.
+REPEATED_REJECTION = Scenario(
+    asks=(Ask("/twice/", 0),),
+    acts=((Act.REFUSE, 1), (Act.ANSWER, 30)),
+    upstreams=1,
+    repeats=(Repeat(1, 0),),
+)
 #: The upstream is silent for half of the time, and the budget allows no retry.
 SILENT_WITHOUT_BUDGET = Scenario(
     asks=(Ask("/safe/", 0),), acts=((Act.ANSWER, 650),), slack=0.0
 )
-NAMED = (LEFT_DURING_CONNECT, SECOND_ANSWER, SPOILED_STREAM, SILENT_WITHOUT_BUDGET)
+NAMED = (
+    LEFT_DURING_CONNECT,
+    SECOND_ANSWER,
+    SPOILED_STREAM,
+    REPEATED_REJECTION,
+    SILENT_WITHOUT_BUDGET,
+)
+
+
+_SETTINGS = settings(
+    max_examples=EXAMPLES,
+    derandomize="DELIVERY_EXAMPLES" not in os.environ,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
 
 
 class TestDeliverySearch(unittest.TestCase):
-    @settings(
-        max_examples=EXAMPLES,
-        derandomize="DELIVERY_EXAMPLES" not in os.environ,
-        deadline=None,
-        database=None,
-        suppress_health_check=list(HealthCheck),
-    )
+    @_SETTINGS
     @given(SCENARIOS)
     def test_no_generated_scenario_violates_an_invariant(self, scenario):
         self.assertEqual(find_faults(scenario), [])
 
+    @_SETTINGS
+    @given(REPEATING_SCENARIOS)
+    def test_no_repeated_answer_violates_an_invariant(self, scenario):
+        self.assertEqual(find_faults(scenario), [])
+
     def test_no_request_is_sent_if_the_upstream_left_during_the_connect(self):
         # Without a second check before the send, the request reaches an upstream that
         # began to leave while the connection was being opened, and is lost with it.
@@ -111,6 +144,10 @@
         # Otherwise the head of the other answer would become part of the stream.
         self.assertEqual(find_faults(SPOILED_STREAM), [])
 
+    def test_repeated_rejection_is_not_taken_for_the_answer_to_the_next_sending(self):
+        # A caller would be told that its request didn't run, though it runs.
+        self.assertEqual(find_faults(REPEATED_REJECTION), [])
+
 
 def _find_violations():
     """Search for a scenario that violates an invariant; return the violations."""
@@ -125,10 +162,10 @@
         phases=[Phase.generate],
         suppress_health_check=list(HealthCheck),
     )
-    try:
-        return find_faults(find(SCENARIOS, find_faults, settings=search))
-    except NoSuchExample:
-        return []
+    for scenarios in (SCENARIOS, REPEATING_SCENARIOS):
+        with contextlib.suppress(NoSuchExample):
+            return find_faults(find(scenarios, find_faults, settings=search))
+    return []
 
 
 def _retry_all(result, progress):
@@ -139,6 +176,10 @@
     return await connection.head()
 
 
+async def _acquire_any(self, ip, port, excluded=()):
+    return await _ACQUIRE(self, ip, port)
+
+
 def _forget_attempts(self, exchange, fault, job):
     kept = None if job is None else job.may_have_run
     if job is not None:
@@ -165,6 +206,7 @@
     return await asyncio.shield(waiting)
 
 
+_ACQUIRE = ConnectionPool.acquire
 _ANSWER_ERROR = ErrorAnswers.send
 _CONNECTION_LOST = ClientConnection.connectionLost
 _WAIT = Placer._wait
@@ -179,6 +221,9 @@
     "another request's answer is skipped": mock.patch.object(
         attempts, "_matching_head", _accept_any_head
     ),
+    "each sending has a connection of its own": mock.patch.object(
+        ConnectionPool, "acquire", _acquire_any
+    ),
     "a success has a signature": mock.patch.object(
         attempts.names, "SIGNATURE", b"fuchsiahatch-request-id"
     ),
--- a/tests/gateway/test_zone_drains.py
+++ b/tests/gateway/test_zone_drains.py
@@ -328,8 +328,8 @@
             await until(lambda: len(fleet.upstreams) == 1)
             acquire = pool.acquire
 
-            async def acquire_slowly(ip, port):
-                connection = await acquire(ip, port)
+            async def acquire_slowly(ip, port, excluded=()):
+                connection = await acquire(ip, port, excluded)
                 if port == site.upstreams[0].port:
                     await self.drain(site, "kl-a")
                 return connection
