End a stopping entry once nothing of its answers is left

Callers that read slowly could lose the rest of an answer at the end of the process.

Cause: the entry ended when no request was being read or answered. An answer whose handler has ended may still be in the transport's buffer, or in the kernel's.

Change: within its grace it ends when no connection is left: each closes after its answer was acknowledged and the caller has closed, or the linger time is over. A connection that is opened while the server leaves has 500 ms to send a request, so that an idle one doesn't delay the end.

Evidence: the new test of a slow caller shows a server that isn't busy and not drained until the caller has its 1 MB.

--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -348,7 +348,7 @@
         while self._clock.now_ms() - began_ms < grace_ms:
             if self._clock.now_ms() - began_ms >= LINGER_MS:
                 await self.callers.stop_accepting()
-                if not self.callers.busy:
+                if self.callers.is_drained:
                     break
             await asyncio.sleep(IDLE_POLL_INTERVAL_MS / 1000)
         report.end()
--- a/packages/http1/src/fuchsiahatch_http1/server.py
+++ b/packages/http1/src/fuchsiahatch_http1/server.py
@@ -34,6 +34,8 @@
 
 #: Maximum bytes of further requests received while one is being answered.
 MAX_PIPELINED_BYTES = 65_536
+#: Time for the first request on a connection that is opened while the server leaves.
+LEAVING_HEADER_MS = 500
 
 
 @dataclasses.dataclass(slots=True)
@@ -195,6 +197,11 @@
         """Number of requests being read or answered."""
         return sum(connection.busy for connection in self.connections)
 
+    @property
+    def is_drained(self) -> bool:
+        """Whether no connection is left that may hold a part of an answer."""
+        return not self.connections
+
     def count_states(self) -> dict[ConnectionState, int]:
         """Return the number of connections in each state."""
         counts = dict.fromkeys(ConnectionState, 0)
@@ -285,7 +292,10 @@
         set_options(self.transport)
         self.transport.registerProducer(self, True)
         self._server.connections.add(self)
-        self._set_timer(self._server.limits.header_ms)
+        header_ms = self._server.limits.header_ms
+        if self._server.leaving:
+            header_ms = min(header_ms, LEAVING_HEADER_MS)
+        self._set_timer(header_ms)
 
     def dataReceived(self, data: bytes) -> None:
         """Parse received bytes; reset a connection that pipelines too many.
--- a/tests/http1/test_closing.py
+++ b/tests/http1/test_closing.py
@@ -208,3 +208,30 @@
                 return data.count(b"x")
 
         self.assertEqual(self.play(play), LARGE_BYTES)
+
+    def test_an_answer_begun_before_the_stop_reaches_a_slow_caller_whole(self):
+        async def play():
+            port = await self.serve(self.large)
+            async with Caller(port, receive_bytes=16_384) as caller:
+                await caller.send(GET)
+                await until(lambda: self.handled)
+                self.server.leave()
+                self.assertFalse(self.server.busy)
+                self.assertFalse(self.server.is_drained)
+                data = await caller.receive_all(bytes_per_s=LARGE_BYTES)
+            await until(lambda: self.server.is_drained)
+            return data
+
+        self.assertEqual(len(self.play(play).partition(b"\r\n\r\n")[2]), LARGE_BYTES)
+
+    def test_a_connection_without_a_request_does_not_delay_the_end(self):
+        async def play():
+            port = await self.serve(self.large)
+            self.server.leave()
+            async with Caller(port) as caller:
+                self.assertEqual(await caller.receive_all(), b"")
+            await until(lambda: self.server.is_drained, 1.0)
+
+        began_s = time.monotonic()
+        self.play(play)
+        self.assertLess(time.monotonic() - began_s, 1.5)
