Refuse what would outlast a stopping entry, pass on the rest

Callers lost a stream, or any long request, that a stopping entry had taken and passed on, and that lasted longer than the entry.

Cause: nothing compared a request's length with the time that the entry had left.

This is decided on arrival, for all that wait for a slot as the stop begins, and before each sending; a stream that has begun still moves or resumes. Refusing everything would use up the further attempt of many callers; passing everything on loses what is cut. A running entry only notes durations.

It holds for answers that aren't longer than recent ones of their route; a route without recent answers is refused unless its deadline is early enough.

--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -237,7 +237,7 @@
 
     def withdraw() -> None:
         if not attempt.may_stay():
-            _expire(limit)
+            expire(limit)
 
     try:
         async with asyncio.timeout(None) as limit:
@@ -292,7 +292,7 @@
     def note_silence() -> None:
         nonlocal timer
         if attempt.may_give_up():
-            _expire(limit)
+            expire(limit)
         else:
             timer = loop.call_later(silence_s, note_silence)
 
@@ -300,7 +300,7 @@
         nonlocal reason
         if attempt.may_move():
             reason = "moved from a slow or stalled rank"
-            _expire(limit)
+            expire(limit)
 
     try:
         # asyncio.wait_for would swallow the cancellation by a caller that disconnects
@@ -317,7 +317,7 @@
             timer.cancel()
 
 
-def _expire(limit: asyncio.Timeout) -> None:
+def expire(limit: asyncio.Timeout) -> None:
     """End what a timeout limits, unless that is happening already."""
     if not limit.expired():
         limit.reschedule(asyncio.get_running_loop().time())
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -1,6 +1,7 @@
 """Handles a caller's request from its arrival to its answer."""
 
 import asyncio
+import math
 import random
 import typing as t
 
@@ -13,7 +14,7 @@
     RefusedError,
     RequestError,
 )
-from fuchsiahatch_gateway.attempts import Attempt, Outcome, run_attempt
+from fuchsiahatch_gateway.attempts import Attempt, Outcome, expire, run_attempt
 from fuchsiahatch_gateway.error_answers import ErrorAnswers
 from fuchsiahatch_gateway.event_stream import EventSplitter
 from fuchsiahatch_gateway.fingerprints import fingerprints_of
@@ -26,6 +27,7 @@
     decide,
 )
 from fuchsiahatch_gateway.routes import RouteTable, choose_service
+from fuchsiahatch_gateway.stop_admission import StopAdmission, leaving
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
@@ -72,6 +74,7 @@
         Called with an upstream and the head of each of its answers.
     on_skipped_head : callable, optional
         Called with an upstream and the head of a late answer to an earlier request.
+    stop_admission : StopAdmission, optional
     """
 
     __slots__ = (
@@ -88,6 +91,7 @@
         "_pool",
         "_rng",
         "_routes",
+        "_stop_admission",
         "_withdrawals",
     )
 
@@ -105,7 +109,9 @@
         rng: random.Random,
         on_head: HeadCallback = _ignore_head,
         on_skipped_head: HeadCallback = _ignore_head,
+        stop_admission: StopAdmission | None = None,
     ) -> None:
+        self._stop_admission = stop_admission or StopAdmission()
         self._on_head = on_head
         self._on_skipped_head = on_skipped_head
         self._routes = routes
@@ -133,6 +139,7 @@
             limit_s = (job.ends_ms - arrived_ms) / 1000
             async with asyncio.timeout(limit_s):
                 self._check_held(job)
+                self._check_stop(job)
                 await self._deliver(job)
         except TimeoutError:
             self._handle_timeout(job)
@@ -183,6 +190,7 @@
         upstream = await self._acquire_slot(job)
         while True:
             self._check_held(job, upstream)
+            self._check_stop(job, upstream)
             outcome = await self._attempt(job, upstream)
             await self._note_answer_or_crash(job, upstream, outcome)
             following = await self._choose_retry(job, upstream, outcome)
@@ -207,6 +215,28 @@
         detail = "upstreams have crashed under requests like this one"
         raise RefusedError(detail, Code.CRASHES_UPSTREAMS, retry_after_ms=held_ms)
 
+    def _check_stop(self, job: Job, upstream: "Upstream | None" = None) -> None:
+        """Refuse a request that would outlast the entry; release its slot if given.
+
+        Raises
+        ------
+        RefusedError
+        """
+        if self._latest_start_ms(job) >= self._clock.now_ms():
+            return
+        if upstream is not None:
+            self._placer.release(upstream)
+        raise leaving()
+
+    def _latest_start_ms(self, job: Job) -> float:
+        """Return until when a request may be passed on, as its entry may stop."""
+        if job.exchange.started:
+            # It moves or resumes, as its caller would have to do otherwise.
+            return math.inf
+        route = job.match.route.name
+        now_ms = self._clock.now_ms()
+        return self._stop_admission.latest_start_ms(route, job.ends_ms, now_ms)
+
     async def _note_answer_or_crash(
         self, job: Job, upstream: "Upstream", outcome: Outcome
     ) -> None:
@@ -232,6 +262,10 @@
         """
         if decide(outcome.result, self._progress(job, outcome)) is not Step.RETRY:
             return None
+        if outcome.result in (Result.UNSENT, Result.NOT_RUN):
+            self._check_stop(job)
+        elif self._latest_start_ms(job) < self._clock.now_ms():
+            return None
         # Without a connection nothing was sent, so the next attempt isn't a retry.
         is_retry = outcome.result is not Result.UNSENT
         if is_retry and not self._budget.spend(job.service):
@@ -249,11 +283,22 @@
     async def _acquire_slot(self, job: Job) -> "Upstream":
         began_ms = self._clock.now_ms()
         limit_ms = wait_ms(job, began_ms, self._routes.has_classes(job.service))
+        limit_ms = min(limit_ms, max(self._latest_start_ms(job) - began_ms, 1.0))
+
+        def reconsider() -> None:
+            if self._latest_start_ms(job) < self._clock.now_ms():
+                expire(limit)
+
         try:
-            return await self._placer.acquire(
-                job.service, self._traits(job), job.tried, limit_ms
-            )
+            async with asyncio.timeout(None) as limit:
+                self._stop_admission.add_waiter(reconsider)
+                return await self._placer.acquire(
+                    job.service, self._traits(job), job.tried, limit_ms
+                )
+        except TimeoutError as fault:
+            raise leaving() from fault
         finally:
+            self._stop_admission.remove_waiter(reconsider)
             job.waited_ms += self._clock.now_ms() - began_ms
 
     def _traits(self, job: Job) -> "RequestTraits":
@@ -263,6 +308,8 @@
         """Return whether a request may go to its upstream, just before it does."""
         if self._crashing.held_ms(job.fingerprints):
             return False
+        if self._latest_start_ms(job) < self._clock.now_ms():
+            return False
         return self._placer.may_still_send(upstream, self._traits(job), reserved_ms)
 
     def _may_stay(self, job: Job, upstream: "Upstream") -> bool:
@@ -304,6 +351,8 @@
         )
         was_started = job.exchange.started
         may_have_run = True
+        if job.first_sent_ms is None:
+            job.first_sent_ms = sent_ms
         # Recorded before the attempt, so that the log has it if the deadline passes.
         job.tried.append(upstream.entry.instance)
         job.load_then = upstream.load(sent_ms)
@@ -383,6 +432,8 @@
         )
 
     def _finish(self, job: Job, step: Step, outcome: Outcome) -> None:
+        if step is Step.RELAY:
+            self._note_duration(job)
         if step is Step.RELAY and outcome.relayed:
             self._log.note_end(job, "answered", outcome)
         elif step is Step.RELAY and not job.exchange.started:
@@ -399,6 +450,12 @@
             fault = FuchsiahatchError(detail, Code.UNKNOWN)
             self._errors.send(job.exchange, fault, job)
 
+    def _note_duration(self, job: Job) -> None:
+        now_ms = self._clock.now_ms()
+        if job.first_sent_ms is not None:
+            took_ms = now_ms - job.first_sent_ms
+            self._stop_admission.durations.note(job.match.route.name, took_ms, now_ms)
+
     def _handle_timeout(self, job: Job) -> None:
         ran = bool(job.tried) or job.may_have_run
         if ran:
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -65,6 +65,7 @@
 from fuchsiahatch_gateway.routes import RouteTable
 from fuchsiahatch_gateway.stated_leaving import StatedLeaving
 from fuchsiahatch_gateway.stated_rates import StatedRates
+from fuchsiahatch_gateway.stop_admission import StopAdmission
 from fuchsiahatch_gateway.stop_report import StopReport
 from fuchsiahatch_gateway.store_health import StoreHealth
 from fuchsiahatch_gateway.upstream_crashes import UpstreamCrashes
@@ -187,6 +188,7 @@
         self.fleet.on_restarted = self.crashes.note_restart
         self.late = LateUpstreams(clock, self.fleet.upstreams, self._notify_peers)
         self.held = HeldRequests(self.store, self.crashing, self._index, clock)
+        self.stop_admission = StopAdmission()
         self.delivery = Delivery(
             self.routes,
             self.placer,
@@ -205,6 +207,7 @@
             self._rng,
             self._note_head,
             self._note_statements,
+            self.stop_admission,
         )
         self.record = EntryRecord(
             settings.node,
@@ -341,6 +344,7 @@
         report.begin()
         began_ms = self._clock.now_ms()
         grace_ms = self._process.settings.bounds.stop_grace_ms - GRACE_RESERVE_MS
+        self.stop_admission.begin(began_ms + grace_ms)
         self._leaving = True
         self.callers.leave()
         self._send_heartbeats(serving=False)
--- a/packages/gateway/src/fuchsiahatch_gateway/jobs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/jobs.py
@@ -66,6 +66,8 @@
         Longest time between two events.
     waited_ms : int
         Total time for which it waited for slots.
+    first_sent_ms : int or None
+        When it was first passed on; None before that.
     load_then : int
         Estimated load of its latest upstream when it was sent there, in requests,
         including this one.
@@ -91,6 +93,7 @@
     last_event_ms: int | None = None
     longest_gap_ms: int = 0
     waited_ms: int = 0
+    first_sent_ms: int | None = None
     load_then: int = 0
     report_age_ms: int | None = None
     ending: "Ending | None" = None
