Answer what a stopping entry leaves open, and cut streams between events

Callers saw a bare close, or a reset that discarded events that had arrived, where the entry's time was over.

Cause: the process ended with its requests open, and left their ends to the kernel.

Change: at the end the handlers are cancelled. A request without an answer gets 502, or 503 if it wasn't passed on, and a request that is half read 503. A stream is closed after its last whole event, without the last chunk, so that its caller has all events and no end. An answer that ends with its connection is reset, as a close would make it look whole. The connection to the upstream is reset, as for a caller that leaves.

It holds as each open connection is visited after all handlers have ended, whether or not its handler had begun.

--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -147,8 +147,10 @@
             self._errors.send(exchange, fault, job)
         except asyncio.CancelledError:
             # Only the entry's own end cancels a handler whose caller is still there.
-            left = exchange.caller_disconnected
-            self._log.note_end(job, "caller left" if left else CUT_BY_STOP)
+            if exchange.caller_disconnected:
+                self._log.note_end(job, "caller left")
+            else:
+                self._errors.cut(exchange, RefusedError(CUT_BY_STOP, Code.LEAVING), job)
             raise
         except Exception as fault:
             log_event(Event.INTERNAL_ERROR, detail=repr(fault))
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -34,6 +34,7 @@
 )
 from fuchsiahatch_gateway.defaults import (
     AGENT_PORT_OFFSET,
+    END_FLUSH_MS,
     ENTRIES_PREFIX,
     GRACE_RESERVE_MS,
     HELD_PREFIX,
@@ -356,7 +357,7 @@
                     break
             await asyncio.sleep(IDLE_POLL_INTERVAL_MS / 1000)
         report.end()
-        await self.callers.cancel_handlers()
+        await self.callers.end(END_FLUSH_MS)
 
     async def _answer_side_call(self, exchange: Exchange) -> None:
         if is_ready_check(exchange.target):
--- a/packages/gateway/src/fuchsiahatch_gateway/error_answers.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/error_answers.py
@@ -92,6 +92,18 @@
             headers.append((names.RETRY_AFTER, b"%.2f" % delay_s))
         exchange.respond(status, headers, f"{fault}\n".encode())
 
+    def cut(self, exchange: "Exchange", fault: FuchsiahatchError, job: "Job") -> None:
+        """End a request as its entry ends.
+
+        What has been sent of an answer reaches the caller, which can resume a stream
+        after its last event.
+        """
+        if exchange.started:
+            self._log.note_end(job, fault.detail)
+            exchange.cut()
+        else:
+            self.send(exchange, fault, job)
+
     def _return_ms(self, fault: FuchsiahatchError, job: "Job | None") -> int | None:
         """Return after which time the caller may return; None where that is unknown."""
         return_ms = fault.retry_after_ms
--- a/packages/http1/src/fuchsiahatch_http1/server.py
+++ b/packages/http1/src/fuchsiahatch_http1/server.py
@@ -36,6 +36,7 @@
 MAX_PIPELINED_BYTES = 65_536
 #: Time for the first request on a connection that is opened while the server leaves.
 LEAVING_HEADER_MS = 500
+FLUSH_POLL_INTERVAL_MS = 10
 
 
 @dataclasses.dataclass(slots=True)
@@ -108,11 +109,17 @@
         """Reset the connection, so that a partial answer can't seem complete."""
         self._connection.abort()
 
+    def cut(self) -> None:
+        """End a partial answer so that it can't seem complete, but send it so far."""
+        self._connection.cut()
+
     async def drained(self) -> None:
         """Wait until the write buffer has space; backpressure for slow callers."""
         await self._connection.drained()
 
 
+_UNAVAILABLE = 503
+
 Handler = t.Callable[[Exchange], t.Coroutine[t.Any, t.Any, None]]
 
 
@@ -185,12 +192,30 @@
         for connection in tuple(self.connections):
             connection.close_if_idle()
 
-    async def cancel_handlers(self) -> None:
-        """Cancel the handlers in progress and wait until they have ended."""
-        tasks = [one.cancel_handler() for one in self.connections]
+    async def end(self, flush_ms: int) -> None:
+        """Cancel the handlers in progress, and send what they still answer.
+
+        A handler that is cancelled while its caller is connected answers, or cuts its
+        answer. A request for which none does is refused.
+
+        Parameters
+        ----------
+        flush_ms : int
+            Maximum time for sending.
+        """
+        connections = tuple(self.connections)
+        tasks = [one.cancel_handler() for one in connections]
         await asyncio.gather(
             *(task for task in tasks if task is not None), return_exceptions=True
         )
+        for connection in connections:
+            connection.end()
+        ends_s = reactor.seconds() + flush_ms / 1000
+        while self._unsent_bytes() and reactor.seconds() < ends_s:
+            await asyncio.sleep(FLUSH_POLL_INTERVAL_MS / 1000)
+
+    def _unsent_bytes(self) -> int:
+        return sum(connection.unsent_bytes for connection in self.connections)
 
     @property
     def busy(self) -> int:
@@ -239,6 +264,7 @@
         self._arrived_while_leaving = False
         self._connected_while_leaving = server.leaving
         self._may_be_slow = False
+        self._ends_with_connection = False
         self._close_noted = False
         self._closing: LingeringClose | None = None
         self.lost = False
@@ -365,9 +391,30 @@
             self._note_close(reason)
             self.transport.abortConnection()
 
+    def cut(self) -> None:
+        """Close in the middle of an answer, which stays incomplete for the caller."""
+        if self._ends_with_connection:
+            self.abort(CloseReason.END)
+        else:
+            self._close(CloseReason.END)
+
+    def end(self) -> None:
+        """Refuse a request that is unanswered, cut a partial answer, and close."""
+        if self.lost or self._closing is not None:
+            return
+        if self._conn.our_state is h11.SEND_BODY:
+            self.cut()
+        elif self._request is not None:
+            self._reject(_UNAVAILABLE, CloseReason.END)
+        else:
+            self._close(CloseReason.END)
+
     def send_head(self, status: int, headers: Headers) -> None:
         """Send the head of an answer."""
         sent_headers = list(headers)
+        has_length = any(name.lower() == b"content-length" for name, _ in headers)
+        is_old = self._conn.their_http_version == b"1.0"
+        self._ends_with_connection = is_old and not has_length
         if self._server.leaving:
             sent_headers.append((b"connection", b"close"))
         self.send(h11.Response(status_code=status, headers=sent_headers))
@@ -470,6 +517,7 @@
         self._note_close(reason)
         self._clear_timer()
         self._request = None
+        self._task = None
         self._writable.set()
         self._closing = LingeringClose(self.transport)
 
--- a/tests/gateway/test_stopping_entry.py
+++ b/tests/gateway/test_stopping_entry.py
@@ -131,3 +131,44 @@
         reply = run(play())
         self.assertTrue(reply.whole)
         self.assertEqual(event_ids(reply.body), [1, 2, 3, 4])
+
+
+class TestEnd(unittest.TestCase):
+    """Requests that are still unanswered when the entry ends."""
+
+    def test_a_request_at_an_upstream_gets_an_error_and_its_upstream_a_reset(self):
+        cut = asyncio.Event()
+
+        async def waits_for_the_end(request, wire):
+            try:
+                await asyncio.sleep(30)
+            finally:
+                cut.set()
+
+        async def play():
+            async with Site(upstream(waits_for_the_end)) as site:
+                asked = asyncio.ensure_future(site.ask("/hold/"))
+                await until(lambda: site.upstreams[0].received)
+                site.entry.callers.leave()
+                await site.entry.callers.end(100)
+                async with asyncio.timeout(1):
+                    await cut.wait()
+                    return await asked
+
+        reply = run(play())
+        self.assertEqual((reply.status, reply.whole), (502, True))
+        self.assertEqual(reply.headers["connection"], "close")
+
+    def test_a_request_in_the_queue_is_refused(self):
+        async def play():
+            async with Site() as site:
+                site.put_upstream("i-0", 9, slots=0)
+                asked = asyncio.ensure_future(site.ask("/hold/"))
+                await until(lambda: site.entry.placer.waiting)
+                site.entry.callers.leave()
+                await site.entry.callers.end(100)
+                return await asked
+
+        reply = run(play())
+        self.assertEqual((reply.status, reply.whole), (503, True))
+        self.assertEqual(reply.headers["connection"], "close")
--- a/tests/http1/test_closing.py
+++ b/tests/http1/test_closing.py
@@ -235,3 +235,44 @@
         began_s = time.monotonic()
         self.play(play)
         self.assertLess(time.monotonic() - began_s, 1.5)
+
+
+class TestEnd(ClosingCase):
+    """What is still open when the process ends."""
+
+    def end_begun(self, request):
+        async def streams(exchange):
+            exchange.start(200, ())
+            exchange.write(b"first")
+            await asyncio.sleep(30)
+
+        async def play():
+            async with Caller(await self.serve(streams)) as caller:
+                await caller.send(request)
+                begun = await caller.receive()
+                await self.server.end(100)
+                return begun + await caller.receive_all()
+
+        return self.play(play)
+
+    def test_a_stream_reaches_its_caller_so_far_but_not_as_whole(self):
+        data = self.end_begun(GET)
+        self.assertTrue(data.endswith(b"5\r\nfirst\r\n"))
+
+    def test_an_answer_that_ends_with_its_connection_is_reset(self):
+        with self.assertRaises(ConnectionResetError):
+            self.end_begun(b"GET / HTTP/1.0\r\nHost: x\r\n\r\n")
+
+    def test_a_request_that_is_half_read_is_refused(self):
+        async def play():
+            async with Caller(await self.serve(self.large)) as caller:
+                head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n"
+                await caller.send(head + b"a")
+                await until(lambda: self.server.busy)
+                await self.server.end(100)
+                return await caller.receive_all()
+
+        data = self.play(play)
+        self.assertIn(b" 503 ", data.splitlines()[0])
+        self.assertIn(b"connection: close", data.lower())
+        self.assertEqual(self.handled, 0)
