End an entry that is stopped before it is synced without accepting

Callers of an entry that got SIGTERM as it started were refused with 503 for 2.5 s, by an entry that had no routes yet.

Cause: the wait for the first state ends with a stop as well, and the entry went on to accept.

Change: it ends there; the connections that wait at the early socket are reset unread.

Evidence: the new test got a 503 with a Retry-After of 0.50 before; now the caller gets a reset, and the entry ends within a second. A second test stops an entry in an outage of the store, with two signals: it passed before, too (the failure to withdraw is logged, one `stopped` line, under 3 s).

It holds as nothing accepts before this point.

--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -279,6 +279,9 @@
                 await self.side_calls.listen(address.ip, address.port)
         # Callers are accepted once routes and upstreams are known.
         await self._wait_until_synced()
+        if process.stopping.is_set():
+            self._end_unserved()
+            return
         await self._accept_callers()
         process.keep_running(self._send_heartbeats_forever())
         # Requests wait for the first load reports no longer than this.
@@ -303,6 +306,18 @@
                 self._close_early_socket()
             await asyncio.sleep(SYNC_POLL_INTERVAL_MS / 1000)
 
+    def _end_unserved(self) -> None:
+        """End without having accepted callers, as their routes may be unknown.
+
+        The connections that wait at the early socket are reset unread.
+        """
+        report = StopReport(self.callers)
+        report.begin()
+        if self._early_socket is not None:
+            self._early_socket.close()
+            self._early_socket = None
+        report.end()
+
     def _close_early_socket(self) -> None:
         """Close the early socket, so that callers connect to other entries."""
         if self._early_socket is not None:
