--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -34,6 +34,7 @@
 )
 from fuchsiahatch_gateway.defaults import (
     AGENT_PORT_OFFSET,
+    END_FLUSH_MS,
     ENTRIES_PREFIX,
     GRACE_RESERVE_MS,
     HELD_PREFIX,
@@ -65,6 +66,7 @@
 from fuchsiahatch_gateway.routes import RouteTable
 from fuchsiahatch_gateway.stated_leaving import StatedLeaving
 from fuchsiahatch_gateway.stated_rates import StatedRates
+from fuchsiahatch_gateway.stop_admission import StopAdmission
 from fuchsiahatch_gateway.stop_report import StopReport
 from fuchsiahatch_gateway.store_health import StoreHealth
 from fuchsiahatch_gateway.upstream_crashes import UpstreamCrashes
@@ -187,6 +189,7 @@
         self.fleet.on_restarted = self.crashes.note_restart
         self.late = LateUpstreams(clock, self.fleet.upstreams, self._notify_peers)
         self.held = HeldRequests(self.store, self.crashing, self._index, clock)
+        self.stop_admission = StopAdmission()
         self.delivery = Delivery(
             self.routes,
             self.placer,
@@ -205,6 +208,7 @@
             self._rng,
             self._note_head,
             self._note_statements,
+            self.stop_admission,
         )
         self.record = EntryRecord(
             settings.node,
@@ -275,6 +279,9 @@
                 await self.side_calls.listen(address.ip, address.port)
         # Callers are accepted once routes and upstreams are known.
         await self._wait_until_synced()
+        if process.stopping.is_set():
+            self._end_unserved()
+            return
         await self._accept_callers()
         process.keep_running(self._send_heartbeats_forever())
         # Requests wait for the first load reports no longer than this.
@@ -299,6 +306,18 @@
                 self._close_early_socket()
             await asyncio.sleep(SYNC_POLL_INTERVAL_MS / 1000)
 
+    def _end_unserved(self) -> None:
+        """End without having accepted callers, as their routes may be unknown.
+
+        The connections that wait at the early socket are reset unread.
+        """
+        report = StopReport(self.callers)
+        report.begin()
+        if self._early_socket is not None:
+            self._early_socket.close()
+            self._early_socket = None
+        report.end()
+
     def _close_early_socket(self) -> None:
         """Close the early socket, so that callers connect to other entries."""
         if self._early_socket is not None:
@@ -341,6 +360,7 @@
         report.begin()
         began_ms = self._clock.now_ms()
         grace_ms = self._process.settings.bounds.stop_grace_ms - GRACE_RESERVE_MS
+        self.stop_admission.begin(began_ms + grace_ms)
         self._leaving = True
         self.callers.leave()
         self._send_heartbeats(serving=False)
@@ -348,11 +368,11 @@
         while self._clock.now_ms() - began_ms < grace_ms:
             if self._clock.now_ms() - began_ms >= LINGER_MS:
                 await self.callers.stop_accepting()
-                if not self.callers.busy:
+                if self.callers.is_drained:
                     break
             await asyncio.sleep(IDLE_POLL_INTERVAL_MS / 1000)
         report.end()
-        await self.callers.cancel_handlers()
+        await self.callers.end(END_FLUSH_MS)
 
     async def _answer_side_call(self, exchange: Exchange) -> None:
         if is_ready_check(exchange.target):
