An answer without an id counts on a new connection only

A 4xx or 503 without an id was taken for the answer to whatever request was open on its connection: bytes behind an earlier answer, or an answer without an id that came again late, made an unsafe request "not run" while it ran (REFUSED, TWICE).

Cause: such an answer was accepted as a refusal before the request was read.

Change: on a connection with an earlier call it counts as a broken answer, as nobody can tell to which request it belongs; and a connection isn't reused behind an answer without an id, so that a late repeat of it breaks no other request's answer.

Evidence: test_rejection_without_an_id_on_a_reused_connection_is_no_promise failed before (503 for a request that the upstream answered), and so did the test that the connection isn't reused. The search of deliveries sends whole answers again also without their id; without this guard the search without named scenarios finds "q-0 ran 2 times".

--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -24,6 +24,7 @@
 
 #: Answers to other requests that are skipped on one connection.
 MAX_UNRELATED_ANSWERS = 4
+_FIRST_ERROR = 400
 _MISPLACED = 421
 _UPSTREAM_FAILED = 500
 
@@ -87,6 +88,11 @@
         """Whether another upstream answered at the address."""
         return self.result is Result.NOT_RUN and self.status == _MISPLACED
 
+    @property
+    def names_request(self) -> bool:
+        """Whether the upstream's answer has an id, which tells a late repeat apart."""
+        return self.head is not None and bool(self.head.header(names.REQUEST_ID))
+
     @property
     def succeeded(self) -> bool:
         """Whether the upstream has answered completely and with success."""
@@ -195,7 +201,7 @@
         connection.abort()
         raise
     outcome.ending = describe_ending(connection, attempt.events)
-    if outcome.result is Result.BROKEN:
+    if outcome.result is Result.BROKEN or not outcome.names_request:
         connection.abort()
     else:
         pool.release(connection, address.ip, address.port)
@@ -276,8 +282,11 @@
         answer_id = head.header(names.REQUEST_ID)
         if answer_id == request_id:
             return head
-        if answer_id is None and (head.status == _MISPLACED or head.status >= 400):
-            # A refusal before the request was read names no request.
+        if answer_id is None and head.status >= _FIRST_ERROR:
+            # A refusal before the request was read names no request. Behind another
+            # call it may be a late answer to that.
+            if connection.calls > 1:
+                raise AnswerBroken("an answer without an id on a reused connection")
             return head
         on_skipped_head(head)
         await connection.body()
--- a/packages/http1/src/fuchsiahatch_http1/client.py
+++ b/packages/http1/src/fuchsiahatch_http1/client.py
@@ -49,6 +49,8 @@
         Whether the connection has ended.
     idle : bool
         Whether no call is in progress.
+    calls : int
+        Calls sent so far.
     keep_ms : float
         Time for which it may be reused while it is idle.
     idle_since_ms : int
@@ -69,6 +71,7 @@
         self._on_idle_end = on_idle_end
         self.lost = False
         self.idle = True
+        self.calls = 0
         self.keep_ms = float(DEFAULT_KEEP_ALIVE_MS)
         self.idle_since_ms = 0
         self.framing: Framing | None = None
@@ -118,6 +121,7 @@
     def send(self, call: Call) -> None:
         """Send a call; the connection must be idle."""
         self.idle = False
+        self.calls += 1
         self._call = call
         self._events.clear()
         self.framing = None
--- a/tests/gateway/played_upstreams.py
+++ b/tests/gateway/played_upstreams.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import enum
+import re
 import types
 
 import h11
@@ -14,6 +15,7 @@
 from fuchsiahatch_http1.pool import ConnectFailed, ConnectionPool
 
 CONNECT_MS = 300
+_ID_LINE = re.compile(rb"Fuchsiahatch-Request-Id: .*?\r\n", re.IGNORECASE)
 #: Events of one stream.
 EVENTS = 4
 
@@ -80,10 +82,13 @@
         Requests that arrive on the connection before.
     after_ms : int
         Time from the last of them to the repeated answer.
+    named : bool
+        Whether the repeated answer still has the request's id.
     """
 
     requests: int
     after_ms: int
+    named: bool = True
 
 
 def make_event(number):
@@ -103,7 +108,7 @@
     first_event: int = 1
     ran: bool = False
     aborted_ms: int | None = None
-    #: Whether a second answer to an earlier request was sent during its answer.
+    #: Whether another answer was sent during its own, or in its place without an id.
     spoiled: bool = False
     working: bool = True
     body: bytes = b""
@@ -120,7 +125,7 @@
         self._tasks = []
         self._answer_bytes = b""
         self._requests = 0
-        #: Answers that are sent again, and after which request how much later.
+        #: Answers that are sent again, each after which request, and its `Repeat`.
         self._repeats = []
         self.open = True
         self.client = None
@@ -164,15 +169,16 @@
             run.working = False
 
     def _repeat_answers(self):
-        for answer, requests, after_ms in self._repeats:
+        loop = asyncio.get_running_loop()
+        for answer, requests, repeat in self._repeats:
             if requests == self._requests:
-                loop = asyncio.get_running_loop()
-                loop.call_later(after_ms / 1000, self._push_repeated, answer)
+                delay_s = repeat.after_ms / 1000
+                loop.call_later(delay_s, self._push_repeated, answer, repeat.named)
 
-    def _push_repeated(self, answer):
-        # Before the current answer has begun, the repeated one is skipped.
-        self.run.spoiled |= bool(self._answer_bytes)
-        self._push(answer)
+    def _push_repeated(self, answer, named):
+        # Before the current answer has begun, a repeated one with its id is skipped.
+        self.run.spoiled |= bool(self._answer_bytes) or not named
+        self._push(answer if named else _ID_LINE.sub(b"", answer, count=1))
 
     async def _act(self, act, delay_ms, run):
         await asyncio.sleep(delay_ms / 1000)
@@ -287,7 +293,7 @@
         repeat = self._world.next_repeat()
         if repeat is not None:
             requests = self._requests + repeat.requests
-            self._repeats.append((self._answer_bytes, requests, repeat.after_ms))
+            self._repeats.append((self._answer_bytes, requests, repeat))
         self._answer_bytes = b""
 
     def _send(self, event):
--- a/tests/gateway/test_delivery.py
+++ b/tests/gateway/test_delivery.py
@@ -24,6 +24,10 @@
 )
 from tests.loopback import run
 
+UNNAMED_REJECTION = (
+    b"HTTP/1.1 503 Full\r\nFuchsiahatch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
 
 def begin_head(request):
     return f"HTTP/1.1 200 OK\r\nFuchsiahatch-Request-Id: {request.request_id}\r\n"
@@ -226,6 +230,34 @@
 
         self.assertEqual(run(asks()), 2)
 
+    def test_rejection_without_an_id_on_a_reused_connection_is_no_promise(self):
+        # It may belong to any request: bytes behind the answer to the one before. The
+        # caller would be told that its request didn't run, though it runs.
+        async def adds_bytes(request, wire):
+            await wire.raw(UNNAMED_REJECTION)
+            await wire.answer(request)
+
+        async def asks():
+            async with Site(upstream(answers(), adds_bytes)) as site:
+                await site.ask("/hold/", request_id="q-1")
+                return (await site.ask("/hold/", request_id="q-2")).status
+
+        self.assertEqual(run(asks()), 502)
+
+    def test_connection_of_an_answer_without_an_id_is_not_reused(self):
+        # The next request on it would fail if that answer were repeated late.
+        async def rejects(request, wire):
+            await wire.raw(UNNAMED_REJECTION)
+
+        async def asks():
+            server = upstream(rejects, answers())
+            async with Site(server) as site:
+                first = await site.ask("/hold/", request_id="q-1")
+                second = await site.ask("/hold/", request_id="q-2")
+                return first.status, second.status, server.connections
+
+        self.assertEqual(run(asks()), (503, 200, 2))
+
     def test_success_without_a_signature_is_rejected(self):
         async def unsigned(request, wire):
             head = (
--- a/tests/gateway/test_delivery_search.py
+++ b/tests/gateway/test_delivery_search.py
@@ -1,6 +1,5 @@
 import asyncio
 import contextlib
-import dataclasses
 import os
 import unittest
 from unittest import mock
@@ -39,9 +38,6 @@
     st.sampled_from((None, None, None, 1, 5, 20, 300)),
 )
 _ACTS = st.tuples(st.sampled_from(Act), st.sampled_from((0, 1, 5, 30, 200, 650)))
-_REPEATS = st.builds(
-    Repeat, st.sampled_from((1, 1, 2, 3)), st.sampled_from((0, 0, 1, 5))
-)
 SCENARIOS = st.builds(
     Scenario,
     st.lists(_ASKS, min_size=1, max_size=5).map(tuple),
@@ -51,11 +47,25 @@
     st.lists(st.tuples(st.integers(0, 2), _TIMES_MS), max_size=2).map(tuple),
     st.sampled_from((90.0, 2.0, 0.0)),
 )
-#: The same, with answers that are sent again later.
+_REPEATS = st.builds(
+    Repeat,
+    st.sampled_from((1, 1, 1, 2, 3)),
+    st.sampled_from((0, 0, 1, 5)),
+    st.sampled_from((True, True, False)),
+)
+_REPEATED_ACTS = (Act.REFUSE, Act.REFUSE, Act.FAIL, Act.ANSWER, Act.HANG)
+#: Scenarios in which whole answers are sent again later, on their connections.
 REPEATING_SCENARIOS = st.builds(
-    dataclasses.replace,
-    SCENARIOS,
-    repeats=st.lists(st.none() | _REPEATS, min_size=1, max_size=8).map(tuple),
+    Scenario,
+    st.lists(_ASKS, min_size=1, max_size=4).map(tuple),
+    st.lists(
+        st.tuples(st.sampled_from(_REPEATED_ACTS), st.sampled_from((0, 1, 5, 30))),
+        min_size=2,
+        max_size=8,
+    ).map(tuple),
+    st.integers(1, 2),
+    st.integers(1, 2),
+    repeats=st.lists(_REPEATS, min_size=1, max_size=4).map(tuple),
 )
 
 
@@ -92,6 +102,14 @@
     upstreams=1,
     repeats=(Repeat(1, 0),),
 )
+#: A rejection arrives again when the answer to another request is expected, without the
+#: id that would tell the two apart.
+UNNAMED_REJECTION = Scenario(
+    asks=(Ask("/brief/", 0), Ask("/twice/", 40)),
+    acts=((Act.REFUSE, 1), (Act.HANG, 0)),
+    upstreams=1,
+    repeats=(Repeat(1, 0, named=False),),
+)
 #: The upstream is silent for half of the time, and the budget allows no retry.
 SILENT_WITHOUT_BUDGET = Scenario(
     asks=(Ask("/safe/", 0),), acts=((Act.ANSWER, 650),), slack=0.0
@@ -101,6 +119,7 @@
     SECOND_ANSWER,
     SPOILED_STREAM,
     REPEATED_REJECTION,
+    UNNAMED_REJECTION,
     SILENT_WITHOUT_BUDGET,
 )
 
@@ -148,6 +167,10 @@
         # A caller would be told that its request didn't run, though it runs.
         self.assertEqual(find_faults(REPEATED_REJECTION), [])
 
+    def test_rejection_without_an_id_is_not_taken_for_the_answer_to_another(self):
+        # As above, for another request than the one that was rejected.
+        self.assertEqual(find_faults(UNNAMED_REJECTION), [])
+
 
 def _find_violations():
     """Search for a scenario that violates an invariant; return the violations."""
@@ -176,6 +199,11 @@
     return await connection.head()
 
 
+async def _accept_unnamed_heads(exchange, connection, on_skipped_head):
+    connection.calls = 1
+    return await _MATCHING_HEAD(exchange, connection, on_skipped_head)
+
+
 async def _acquire_any(self, ip, port, excluded=()):
     return await _ACQUIRE(self, ip, port)
 
@@ -209,6 +237,7 @@
 _ACQUIRE = ConnectionPool.acquire
 _ANSWER_ERROR = ErrorAnswers.send
 _CONNECTION_LOST = ClientConnection.connectionLost
+_MATCHING_HEAD = attempts._matching_head
 _WAIT = Placer._wait
 
 GUARDS = {
@@ -224,6 +253,9 @@
     "each sending has a connection of its own": mock.patch.object(
         ConnectionPool, "acquire", _acquire_any
     ),
+    "an answer without an id counts on a new connection": mock.patch.object(
+        attempts, "_matching_head", _accept_unnamed_heads
+    ),
     "a success has a signature": mock.patch.object(
         attempts.names, "SIGNATURE", b"fuchsiahatch-request-id"
     ),
