A soak of stops: entries are stopped in series while callers go on

No earlier test stops a real entry again and again while callers keep connections, so nothing showed that a stop cuts requests (PROOFS says that it cuts off nothing).

Change: tests only. Three entries are stopped in turn or by twos, each started again a second later: by one SIGTERM, by two, with SIGHUPs, during an outage of the store, and before the new process is synced. 36 callers with a directory answer of 2 or 6 s send streams of 0.2 to 6 s, plain requests, long bodies sent in halves, pipelined requests and read 3 MB slowly, on kept and on new connections.

Checked from both sides: nothing that an upstream got is cut; a refusal means not run; nothing unsafe runs twice; no part looks whole; each stop costs a request one further try at most; each process ends by itself, with code 0, within the platform's 8 s. A failure prints the entries' lines that name the request.

--- a/tests/processes/channels.py
+++ b/tests/processes/channels.py
@@ -58,6 +58,11 @@
         """Whether a whole answer says that it hasn't run."""
         return self.whole and self.status in PROMISES
 
+    @property
+    def may_retry(self):
+        """Whether a caller may repeat any request: it was refused, or not read."""
+        return self.refused or not self.status
+
 
 class Channel:
     """One connection of a caller to an entry.
@@ -137,8 +142,6 @@
             pass
         for one in tries:
             await self._read_answer(one)
-            if not one.keeps:
-                break
         return tries
 
     async def _read_answer(self, one):
