Repeat an overdue watch of the store on a new channel

Callers got answers of a moved route's former service for some 10 s after the confirmation of a version, and requests could go to dropped routes, with revoked keys and to leaving upstreams for as long.

Cause: the answer to an entry's watch was lost on a channel that stayed open. A watch waited for 15 s and was given up 2 s later, and nothing else showed it: renewals of the lease were answered on another channel.

Change: an entry's watch waits for 3.3 s. 0.4 s later the same watch is made on a new connection, from the same revision, without a read of all items. The first one isn't given up: a slow answer to it still counts, and its end without an answer is a failure of the store only if the second has none either. An agent's watch waits for 15 s as before, as no bound of seconds hangs on it; it is repeated 0.4 s after that.

Evidence: test_a_lost_answer_on_an_open_channel and test_a_channel_that_takes_a_watch_and_never_answers failed before ("condition did not hold in time": a change made 3 s after the loss wasn't seen 2 s later).

Why it holds: a channel that goes silent at the start of the longest pause between watches is replaced 0.8 + 3.3 + 0.4 s later, and a new connection's answer takes a quarter of a second at a slow store: 4.75 s, where a change must be in force 5 s after the loss.

--- a/packages/gateway/src/fuchsiahatch_gateway/agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/agent.py
@@ -58,6 +58,9 @@
     from fuchsiahatch_adapter.upstreams import EngineReport
     from fuchsiahatch_gateway.process import Process
 
+#: Wait of a watch in which nothing changes. No bound of some seconds hangs on what an
+#: agent learns from the store, and hundreds of agents pay for their calls.
+WATCH_WAIT_MS = 15_000
 #: Interval between pings of the store. An entry renews a lease each second; without
 #: pings an agent would notice that the store is back only when its watch ends.
 STORE_POLL_INTERVAL_MS = 2_000
@@ -109,6 +112,7 @@
             self.health,
             clock,
             (self._leader_copy, self._figure_copy, self._era_copy),
+            WATCH_WAIT_MS,
         )
         self._engine_failing = False
         self.store.on_restored = self._note_restored
--- a/packages/gateway/src/fuchsiahatch_gateway/following.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/following.py
@@ -8,6 +8,7 @@
 
 from fuchsiahatch_adapter.store import (
     HistoryLostError,
+    Items,
     RangeRead,
     StoreClient,
 )
@@ -18,12 +19,19 @@
     STORE_RECOVERY_TIMEOUT_MS,
     STORE_RETRY_MS,
 )
+from fuchsiahatch_gateway.watching import Watcher
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
     from fuchsiahatch_gateway.item_copies import ItemCopy
     from fuchsiahatch_gateway.store_health import StoreHealth
 
+#: Wait of a watch in which nothing changes, and the time after which its answer is
+#: overdue. Hosts are in touch again 3 s after a channel went silent, and a change must
+#: be in force 2 s later: this limits both, and the longest pause between two watches,
+#: to 5 s. A slow store answers within a quarter of a second.
+WATCH_WAIT_MS = 3_300
+WATCH_OVERDUE_MS = 400
 #: Delay before the next watch after an answered one, which collects the changes made
 #: meanwhile. The first change after a quiet time is still seen at once.
 WATCH_PAUSE_MS = 200
@@ -49,6 +57,9 @@
     clock : Clock
     copies : sequence of ItemCopy
         Notified in this order.
+    wait_ms : int, optional
+        Wait of a watch in which nothing changes, `WATCH_WAIT_MS` by default. The
+        store's history may limit it further.
 
     Attributes
     ----------
@@ -74,6 +85,7 @@
         "_prefix",
         "_reading",
         "_store",
+        "_wait_ms",
         "revision",
         "synced",
     )
@@ -85,12 +97,15 @@
         health: "StoreHealth",
         clock: "Clock",
         copies: t.Sequence["ItemCopy"],
+        wait_ms: int | None = None,
     ) -> None:
         self._store = store
         self._prefix = prefix
         self._health = health
         self._clock = clock
         self._copies = copies
+        wait_ms = WATCH_WAIT_MS if wait_ms is None else wait_ms
+        self._wait_ms = min(wait_ms, store.max_watch_ms)
         self._era = 0
         self._pause_ms = WATCH_PAUSE_MS
         #: A read of all items that a failure has interrupted.
@@ -161,7 +176,8 @@
             regained.cancel()
 
     async def _watch(self) -> None:
-        changes = await self._store.watch(self._prefix, self.revision)
+        watcher = Watcher(self._make_watch, self._wait_ms + WATCH_OVERDUE_MS)
+        changes = await watcher.run()
         if changes.era != self._era:
             # The store was restored from an older copy and has reused this revision:
             # it answers, but reports no change up to it.
@@ -172,3 +188,8 @@
         self._pause_ms = BURST_PAUSE_MS if is_burst else WATCH_PAUSE_MS
         for copy in self._copies:
             copy.apply_changes(changes.items)
+
+    async def _make_watch(self, new_channel: bool) -> Items:
+        return await self._store.watch(
+            self._prefix, self.revision, self._wait_ms, new_channel
+        )
--- a/packages/standins/src/fuchsiahatch_standins/fleet_store.py
+++ b/packages/standins/src/fuchsiahatch_standins/fleet_store.py
@@ -15,6 +15,7 @@
 
 #: Items on one page of a range.
 PAGE_ITEMS = 50
+WATCH_PATH = "/-/kv-watch"
 #: Part of an answer that goes out at once where answers are slow.
 PIECE_BYTES = 8_192
 
@@ -61,6 +62,12 @@
         Bytes of an answer behind which nothing more comes; 0 for none.
     fail_each : int
         Each call of this number is refused with 503; 0 for none.
+    lost_watches : int
+        Watches whose answers are lost; their channels stay open.
+    silent_watches : int
+        Watches that are accepted and never answered; their channels stay open.
+    delay_ms : int
+        Delay of each answer.
     """
 
     status: int = 0
@@ -69,6 +76,9 @@
     bytes_per_s: float = 0.0
     silent_behind_bytes: int = 0
     fail_each: int = 0
+    lost_watches: int = 0
+    silent_watches: int = 0
+    delay_ms: int = 0
 
 
 class FleetStore:
@@ -177,7 +187,7 @@
     async def _answer(self, exchange: Exchange) -> None:
         path, _, query = exchange.target.decode().partition("?")
         self.calls.append(path)
-        if self.faults.silent:
+        if self.faults.silent or self._takes("silent_watches", path):
             await asyncio.get_running_loop().create_future()
         refused = self.faults.fail_each and not len(self.calls) % self.faults.fail_each
         if self.faults.status or refused:
@@ -189,8 +199,20 @@
         if self.faults.lose_writes and exchange.method != b"GET":
             exchange.abort()
             return
+        if self._takes("lost_watches", path):
+            await asyncio.get_running_loop().create_future()
+        if self.faults.delay_ms:
+            await asyncio.sleep(self.faults.delay_ms / 1000)
         await self._respond(exchange, status, orjson.dumps(answer))
 
+    def _takes(self, fault: str, path: str) -> bool:
+        """Return whether a call is a watch that a counted fault meets; count it."""
+        left = getattr(self.faults, fault)
+        if not left or path != WATCH_PATH:
+            return False
+        setattr(self.faults, fault, left - 1)
+        return True
+
     def _era_header(self) -> list[tuple[bytes, bytes]]:
         return [] if self.era is None else [(b"store-era", b"%d" % self.era)]
 
