Bounds on what is kept and skipped of an upstream's answer

Callers saw: one upstream that sends a body without end took the entry from 39 MB to 540 to 820 MB (deployments give it 300), so its process and all its requests could end; a refusal that says not run waited for the end of its body, up to the deadline; a stream of comments alone counted as alive until the deadline.

Cause: every plain answer was kept whole before a byte of it was relayed, and every body that nobody needs was read to its end and kept.

Change (docs/design/endless-answers.md): a plain answer is kept up to 1 MiB, all together up to 64 MiB beside 16 KiB of each; what has no room is relayed as it comes, at its caller's speed, and isn't retried any more. A long error (500 and above) is given up where the request can be retried. A refusal's body is skipped up to 64 KiB and 100 ms, one of an answer to another request up to 1 MiB. A stream progresses by events with data or an id; 256 KiB without one break it. Logs have the field bounds and the answer_end `too long`; metrics answer_bounds_total and kept_bytes.

Evidence: tests/gateway/test_endless_answers.py, 19 tests.

Why it holds: what is held of an answer is either counted or bounded by a connection's own buffers; nothing waits for room, so nothing can wait for itself; the body sent to a caller is ended only behind check_complete, and a break behind its beginning resets it.

--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -12,18 +12,37 @@
     describe_ending,
     is_event_stream,
 )
-from fuchsiahatch_gateway.event_stream import MAX_EVENT_BYTES, EventSplitter
+from fuchsiahatch_gateway.answer_relay import receive_body
+from fuchsiahatch_gateway.event_stream import (
+    MAX_EVENT_BYTES,
+    MAX_QUIET_BYTES,
+    EventSplitter,
+)
 from fuchsiahatch_gateway.next_steps import Result
-from fuchsiahatch_http1.answers import AnswerBroken, Head
+from fuchsiahatch_http1.answers import (
+    AnswerBroken,
+    AnswerEnd,
+    AnswerTooLong,
+    Bound,
+    Head,
+)
 from fuchsiahatch_http1.client import Call, ClientConnection
 from fuchsiahatch_http1.pool import ConnectFailed, ConnectionPool
 
 if t.TYPE_CHECKING:
+    from fuchsiahatch_gateway.kept_bytes import Reservation
     from fuchsiahatch_gateway.known_upstream import Upstream
     from fuchsiahatch_http1.server import Exchange
 
 #: Answers to other requests that are skipped on one connection.
 MAX_UNRELATED_ANSWERS = 4
+#: Bytes of each that are skipped. They fill no memory, and the answer that is awaited
+#: may follow.
+MAX_UNRELATED_BYTES = 1_048_576
+#: Bytes and time of a refusal's body that are skipped to keep its connection. What the
+#: refusal says stands in its head.
+MAX_REFUSAL_BYTES = 65_536
+REFUSAL_TIMEOUT_MS = 100
 _MISPLACED = 421
 _UPSTREAM_FAILED = 500
 
@@ -134,6 +153,10 @@
     still_works : coroutine function
         Returns whether the upstream works now; asked when only the end of its
         connection has ended its answer.
+    kept : Reservation
+        Share of this answer in the memory for answers.
+    on_bound : callable
+        Called with a bound that the answer has reached.
     urgency : int or None
         Priority class that the upstream is told; None to tell it none.
     """
@@ -152,6 +175,8 @@
     withdrawals: set[t.Callable[[], None]]
     may_stay: t.Callable[[], bool]
     still_works: t.Callable[[], t.Awaitable[bool]]
+    kept: "Reservation"
+    on_bound: t.Callable[[Bound], None]
     urgency: int | None = None
 
 
@@ -180,6 +205,8 @@
     try:
         outcome = await _send_and_receive(exchange, connection, attempt)
     except AnswerBroken as fault:
+        if isinstance(fault, AnswerTooLong):
+            _note_too_long(connection, attempt, fault)
         outcome = Outcome(Result.BROKEN, str(fault), closed_early=connection.lost)
     except BaseException:
         connection.abort()
@@ -209,7 +236,7 @@
     if head.status != _MISPLACED:
         attempt.on_head(head)
     if head.header(names.NOT_EXECUTED) is not None or head.status == _MISPLACED:
-        await connection.body()
+        await _skip_refusal(connection, attempt)
         return Outcome(Result.NOT_RUN, f"status {head.status}", head)
     succeeded = 200 <= head.status < 300
     if succeeded and head.header(names.SIGNATURE) is None:
@@ -220,9 +247,34 @@
         return await _relay_events(exchange, connection, head, attempt)
     if succeeded and exchange.started:
         return Outcome(Result.BROKEN, "another upstream sent no event stream", head)
-    body = await connection.body()
-    await check_complete(connection, None, attempt.still_works)
-    return Outcome(Result.ANSWERED, f"status {head.status}", head, body)
+    body = await receive_body(exchange, connection, head, attempt)
+    detail = f"status {head.status}"
+    if body is None:
+        return Outcome(Result.ANSWERED, detail, head, relayed=True)
+    return Outcome(Result.ANSWERED, detail, head, body)
+
+
+async def _skip_refusal(connection: ClientConnection, attempt: Attempt) -> None:
+    """Skip the body of a refusal, so that its connection can be used again.
+
+    The head states that the request didn't run, whatever becomes of the body. Without
+    the limits, a body without end would hold the request until its deadline.
+    """
+    try:
+        async with asyncio.timeout(REFUSAL_TIMEOUT_MS / 1000):
+            await connection.skip_body(MAX_REFUSAL_BYTES)
+    except AnswerTooLong as fault:
+        _note_too_long(connection, attempt, fault)
+    except (AnswerBroken, TimeoutError):
+        # The connection isn't reusable, and is reset.
+        return
+
+
+def _note_too_long(
+    connection: ClientConnection, attempt: Attempt, fault: AnswerTooLong
+) -> None:
+    connection.end = AnswerEnd.TOO_LONG
+    attempt.on_bound(fault.bound)
 
 
 async def _await_head(
@@ -270,14 +322,18 @@
             # A refusal before the request was read names no request.
             return head
         on_skipped_head(head)
-        await connection.body()
+        await connection.skip_body(MAX_UNRELATED_BYTES)
         connection.expect_next_answer()
     raise AnswerBroken("only other requests' answers came")
 
 
-async def _limit_silence(work: t.Coroutine[t.Any, t.Any, T], attempt: Attempt) -> T:
+async def _limit_silence(
+    work: t.Coroutine[t.Any, t.Any, T], attempt: Attempt, since_s: float | None = None
+) -> T:
     """Wait for the next data of an upstream, unless it is silent for too long.
 
+    The silence began at a given time of the loop, by default now.
+
     A rank group with a dead member stalls for seconds before it reports that, and a
     caller leaves after two, so the request has to move before that. If it can't be
     retried, a late answer is better than none, and the wait goes on.
@@ -288,6 +344,11 @@
     silence_s = attempt.silence_ms / 1000
     timer: asyncio.TimerHandle | None = None
     reason = f"silent for {attempt.silence_ms} ms"
+    ends_s = (loop.time() if since_s is None else since_s) + silence_s
+    if ends_s <= loop.time() and attempt.may_give_up():
+        # Where data without progress arrives all the time, no timer gets a turn.
+        work.close()
+        raise AnswerBroken(reason)
 
     def note_silence() -> None:
         nonlocal timer
@@ -306,7 +367,7 @@
         # asyncio.wait_for would swallow the cancellation by a caller that disconnects
         # in the same iteration of the loop in which an event arrives.
         async with asyncio.timeout(None) as limit:
-            timer = loop.call_later(silence_s, note_silence)
+            timer = loop.call_at(max(ends_s, loop.time()), note_silence)
             attempt.upstream.movers.add(move)
             return await work
     except TimeoutError as fault:
@@ -329,20 +390,41 @@
     events = attempt.events
     assert events is not None
     events.discard_partial()
-    while (piece := await _limit_silence(connection.piece(), attempt)) is not None:
+    loop = asyncio.get_running_loop()
+    progress_s = loop.time()
+    while True:
+        piece = await _limit_silence(connection.piece(), attempt, progress_s)
+        if piece is None:
+            break
+        arrived_s = loop.time()
         whole = events.feed(piece)
         if whole:
             _write_events(exchange, head, whole)
-            attempt.on_event()
+            if events.progressed:
+                attempt.on_event()
             await exchange.drained()
-        if events.is_too_long:
-            raise AnswerBroken(f"an event is longer than {MAX_EVENT_BYTES} bytes")
+        # A slow caller isn't a silent upstream.
+        progress_s = loop.time() - (
+            0.0 if events.progressed else arrived_s - progress_s
+        )
+        _check_stream_bounds(events, attempt)
     await check_complete(connection, events, attempt.still_works)
     _write_events(exchange, head, events.take_remainder())
     exchange.finish()
     return Outcome(Result.ANSWERED, "whole", head, relayed=True)
 
 
+def _check_stream_bounds(events: EventSplitter, attempt: Attempt) -> None:
+    if events.is_too_long:
+        detail = f"an event is longer than {MAX_EVENT_BYTES} bytes"
+        raise AnswerTooLong(Bound.EVENT, detail)
+    if events.quiet_bytes > MAX_QUIET_BYTES:
+        detail = f"over {MAX_QUIET_BYTES} bytes without an event"
+        raise AnswerTooLong(Bound.COMMENTS, detail)
+    if not attempt.kept.resize(events.buffered_bytes):
+        raise AnswerTooLong(Bound.MEMORY, "no memory is left for a long event")
+
+
 def _write_events(exchange: "Exchange", head: Head, data: bytes) -> None:
     # The head is sent with the first event, so that the caller sees nothing of an
     # attempt that breaks before it. A resumed stream keeps the head of its first
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -18,6 +18,7 @@
 from fuchsiahatch_gateway.event_stream import EventSplitter
 from fuchsiahatch_gateway.fingerprints import fingerprints_of
 from fuchsiahatch_gateway.jobs import Job, silence_ms, wait_ms
+from fuchsiahatch_gateway.kept_bytes import KeptBytes
 from fuchsiahatch_gateway.next_steps import (
     Progress,
     Result,
@@ -71,6 +72,8 @@
         Called with an upstream and the head of each of its answers.
     on_skipped_head : callable, optional
         Called with an upstream and the head of a late answer to an earlier request.
+    kept : KeptBytes, optional
+        The process's memory for answers.
     """
 
     __slots__ = (
@@ -79,6 +82,7 @@
         "_crashes",
         "_crashing",
         "_errors",
+        "_kept",
         "_late",
         "_log",
         "_on_head",
@@ -104,7 +108,9 @@
         rng: random.Random,
         on_head: HeadCallback = _ignore_head,
         on_skipped_head: HeadCallback = _ignore_head,
+        kept: KeptBytes | None = None,
     ) -> None:
+        self._kept = KeptBytes() if kept is None else kept
         self._on_head = on_head
         self._on_skipped_head = on_skipped_head
         self._routes = routes
@@ -129,7 +135,16 @@
             self._errors.send(exchange, fault, None)
             return
         try:
-            limit_s = (job.ends_ms - arrived_ms) / 1000
+            await self._answer(job)
+            if job.kept.held_bytes:
+                await exchange.drained()
+        finally:
+            job.kept.release()
+
+    async def _answer(self, job: Job) -> None:
+        exchange = job.exchange
+        try:
+            limit_s = (job.ends_ms - job.arrived_ms) / 1000
             async with asyncio.timeout(limit_s):
                 self._check_held(job)
                 await self._deliver(job)
@@ -174,6 +189,7 @@
             arrived_ms,
             arrived_ms + limit_ms,
             events,
+            self._kept.reserve(),
         )
 
     async def _deliver(self, job: Job) -> None:
@@ -297,6 +313,8 @@
             self._withdrawals,
             lambda: self._may_stay(job, upstream),
             lambda: self._crashes.still_works(upstream),
+            job.kept,
+            job.bounds.append,
             job.priority_class if self._routes.has_classes(job.service) else None,
         )
         was_started = job.exchange.started
@@ -306,6 +324,7 @@
         job.load_then = upstream.load(sent_ms)
         job.report_age_ms = upstream.report_age_ms(sent_ms)
         job.ending = None
+        job.kept.release()
         try:
             outcome = await run_attempt(job.exchange, self._pool, attempt)
             may_have_run = outcome.result in (Result.ANSWERED, Result.BROKEN)
@@ -364,9 +383,10 @@
     def _progress(self, job: Job, outcome: Outcome) -> Progress:
         route = job.match.route
         left_ms = job.ends_ms - self._clock.now_ms()
-        # A stream that has begun can only be resumed after an event with an id.
-        begun = job.exchange.started and job.events is not None
-        unresumable = begun and job.events is not None and job.events.last_id is None
+        # A stream that has begun can only be resumed after an event with an id, and any
+        # other answer that has begun not at all.
+        resumable = job.events is not None and job.events.last_id is not None
+        unresumable = job.exchange.started and not resumable
         return Progress(
             repeatable=route.repeatable and not unresumable,
             sends=len(job.tried),
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -50,6 +50,7 @@
 from fuchsiahatch_gateway.held_requests import HeldRequests
 from fuchsiahatch_gateway.item_copies import ItemCopy
 from fuchsiahatch_gateway.item_decoding import ItemDecoder
+from fuchsiahatch_gateway.kept_bytes import KeptBytes
 from fuchsiahatch_gateway.late_upstreams import LateUpstreams
 from fuchsiahatch_gateway.lookups import (
     EntryRecord,
@@ -185,6 +186,7 @@
         self.crashing.on_crash = self._note_crash
         self.fleet.on_restarted = self.crashes.note_restart
         self.late = LateUpstreams(clock, self.fleet.upstreams, self._notify_peers)
+        self.kept = KeptBytes()
         self.held = HeldRequests(self.store, self.crashing, self._index, clock)
         self.delivery = Delivery(
             self.routes,
@@ -204,6 +206,7 @@
             self._rng,
             self._note_head,
             self._note_statements,
+            self.kept,
         )
         self.record = EntryRecord(
             settings.node,
--- a/packages/gateway/src/fuchsiahatch_gateway/entry_gauges.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry_gauges.py
@@ -72,4 +72,9 @@
         "Zones that the operator has drained.",
         lambda: len(entry.fleet.drains.zones),
     )
+    add(
+        "fuchsiahatch_kept_bytes",
+        "Bytes of long answers that are kept.",
+        lambda: entry.kept.held_bytes,
+    )
     add("fuchsiahatch_log_dropped", "Lines.", lambda: process.log.dropped)
--- a/packages/gateway/src/fuchsiahatch_gateway/jobs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/jobs.py
@@ -11,7 +11,9 @@
     from fuchsiahatch_gateway.answer_ends import Ending
     from fuchsiahatch_gateway.event_stream import EventSplitter
     from fuchsiahatch_gateway.fingerprints import Fingerprints
+    from fuchsiahatch_gateway.kept_bytes import Reservation
     from fuchsiahatch_gateway.routes import Match
+    from fuchsiahatch_http1.answers import Bound
     from fuchsiahatch_http1.server import Exchange
 
 #: A caller abandons a stream without an event for the longest of this time,
@@ -54,6 +56,8 @@
         When it arrived, and its deadline.
     events : EventSplitter or None
         For a stream; None for other requests.
+    kept : Reservation
+        Share of its answer in the memory for answers.
     tried : list of str
         Upstreams that it was sent to, in order.
     unsent : int
@@ -73,6 +77,8 @@
         Age of the load report used for that estimate; None without one.
     ending : Ending or None
         How the answer of its latest upstream ended; None while there is none.
+    bounds : list of Bound
+        Bounds that answers of its upstreams have reached.
     """
 
     exchange: "Exchange"
@@ -84,6 +90,7 @@
     arrived_ms: int
     ends_ms: int
     events: "EventSplitter | None"
+    kept: "Reservation"
     tried: list[str] = dataclasses.field(default_factory=list)
     unsent: int = 0
     may_have_run: bool = False
@@ -94,6 +101,7 @@
     load_then: int = 0
     report_age_ms: int | None = None
     ending: "Ending | None" = None
+    bounds: "list[Bound]" = dataclasses.field(default_factory=list)
 
     def traits(self, confined_to: str = "") -> RequestTraits:
         """Return what the choice of an upstream may know of the request.
--- a/packages/gateway/src/fuchsiahatch_gateway/request_log.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/request_log.py
@@ -74,6 +74,7 @@
             first_event_ms=None if first_ms is None else first_ms - job.arrived_ms,
             longest_gap_ms=job.longest_gap_ms,
             on_time=on_time,
+            bounds=[bound.value for bound in job.bounds],
             **ending_fields(job.ending),
         )
 
@@ -103,5 +104,6 @@
             report_age_ms=job.report_age_ms,
             load_now=upstream.load(now_ms),
             places=upstream.entry.places,
+            bounds=[bound.value for bound in job.bounds],
             **ending_fields(job.ending),
         )
--- a/packages/gateway/src/fuchsiahatch_gateway/request_metrics.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/request_metrics.py
@@ -22,7 +22,7 @@
     registry : aioprometheus.Registry
     """
 
-    __slots__ = ("_broken", "_ends", "_first_event", "_gaps", "_latency")
+    __slots__ = ("_bounds", "_broken", "_ends", "_first_event", "_gaps", "_latency")
 
     def __init__(self, registry: aioprometheus.Registry) -> None:
         self._ends = aioprometheus.Counter(
@@ -35,6 +35,11 @@
             "Answers of upstreams that broke off, by framing and end.",
             registry=registry,
         )
+        self._bounds = aioprometheus.Counter(
+            "fuchsiahatch_answer_bounds_total",
+            "Bounds that answers of upstreams reached.",
+            registry=registry,
+        )
         self._latency = _histogram(
             "fuchsiahatch_request_ms", "Whole answers.", TIME_BUCKETS_MS, registry
         )
@@ -53,6 +58,8 @@
         kind = job.match.route.kind.name.lower()
         team = {"team": job.match.team.name}
         self._ends.inc({"kind": kind, "end": end.partition(" ")[0]})
+        for bound in job.bounds:
+            self._bounds.inc({"bound": bound.value})
         self._latency.observe(team, now_ms - job.arrived_ms)
         if job.first_event_ms is not None:
             self._first_event.observe(team, job.first_event_ms - job.arrived_ms)
