--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -19,6 +19,7 @@
 from fuchsiahatch_gateway.event_stream import EventSplitter
 from fuchsiahatch_gateway.fingerprints import fingerprints_of
 from fuchsiahatch_gateway.jobs import Job, silence_ms, wait_ms
+from fuchsiahatch_gateway.kept_bytes import KeptBytes
 from fuchsiahatch_gateway.next_steps import (
     Progress,
     Result,
@@ -75,6 +76,8 @@
     on_skipped_head : callable, optional
         Called with an upstream and the head of a late answer to an earlier request.
     stop_admission : StopAdmission, optional
+    kept : KeptBytes, optional
+        The process's memory for answers.
     """
 
     __slots__ = (
@@ -83,6 +86,7 @@
         "_crashes",
         "_crashing",
         "_errors",
+        "_kept",
         "_late",
         "_log",
         "_on_head",
@@ -110,8 +114,10 @@
         on_head: HeadCallback = _ignore_head,
         on_skipped_head: HeadCallback = _ignore_head,
         stop_admission: StopAdmission | None = None,
+        kept: KeptBytes | None = None,
     ) -> None:
         self._stop_admission = stop_admission or StopAdmission()
+        self._kept = KeptBytes() if kept is None else kept
         self._on_head = on_head
         self._on_skipped_head = on_skipped_head
         self._routes = routes
@@ -136,7 +142,16 @@
             self._errors.send(exchange, fault, None)
             return
         try:
-            limit_s = (job.ends_ms - arrived_ms) / 1000
+            await self._answer(job)
+            if job.kept.held_bytes:
+                await exchange.drained()
+        finally:
+            job.kept.release()
+
+    async def _answer(self, job: Job) -> None:
+        exchange = job.exchange
+        try:
+            limit_s = (job.ends_ms - job.arrived_ms) / 1000
             async with asyncio.timeout(limit_s):
                 self._check_held(job)
                 self._check_stop(job)
@@ -186,6 +201,7 @@
             arrived_ms,
             arrived_ms + limit_ms,
             events,
+            self._kept.reserve(),
         )
 
     async def _deliver(self, job: Job) -> None:
@@ -350,6 +366,8 @@
             lambda: self._may_stay(job, upstream),
             job.used_connections,
             lambda: self._crashes.still_works(upstream),
+            job.kept,
+            job.bounds.append,
             job.priority_class if self._routes.has_classes(job.service) else None,
         )
         was_started = job.exchange.started
@@ -361,6 +379,7 @@
         job.load_then = upstream.load(sent_ms)
         job.report_age_ms = upstream.report_age_ms(sent_ms)
         job.ending = None
+        job.kept.release()
         try:
             outcome = await run_attempt(job.exchange, self._pool, attempt)
             may_have_run = outcome.result in (Result.ANSWERED, Result.BROKEN)
@@ -419,9 +438,10 @@
     def _progress(self, job: Job, outcome: Outcome) -> Progress:
         route = job.match.route
         left_ms = job.ends_ms - self._clock.now_ms()
-        # A stream that has begun can only be resumed after an event with an id.
-        begun = job.exchange.started and job.events is not None
-        unresumable = begun and job.events is not None and job.events.last_id is None
+        # A stream that has begun can only be resumed after an event with an id, and any
+        # other answer that has begun not at all.
+        resumable = job.events is not None and job.events.last_id is not None
+        unresumable = job.exchange.started and not resumable
         return Progress(
             repeatable=route.repeatable and not unresumable,
             sends=len(job.tried),
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -51,6 +51,7 @@
 from fuchsiahatch_gateway.held_requests import HeldRequests
 from fuchsiahatch_gateway.item_copies import ItemCopy
 from fuchsiahatch_gateway.item_decoding import ItemDecoder
+from fuchsiahatch_gateway.kept_bytes import KeptBytes
 from fuchsiahatch_gateway.late_upstreams import LateUpstreams
 from fuchsiahatch_gateway.lookups import (
     EntryRecord,
@@ -188,6 +189,7 @@
         self.crashing.on_crash = self._note_crash
         self.fleet.on_restarted = self.crashes.note_restart
         self.late = LateUpstreams(clock, self.fleet.upstreams, self._notify_peers)
+        self.kept = KeptBytes()
         self.held = HeldRequests(self.store, self.crashing, self._index, clock)
         self.stop_admission = StopAdmission()
         self.delivery = Delivery(
@@ -209,6 +211,7 @@
             self._note_head,
             self._note_statements,
             self.stop_admission,
+            self.kept,
         )
         self.record = EntryRecord(
             settings.node,
