--- a/tests/gateway/test_encoded_forms.py
+++ b/tests/gateway/test_encoded_forms.py
@@ -26,6 +26,7 @@
     leadership,
     placing,
     routes,
+    stop_admission,
 )
 from fuchsiahatch_gateway.engine_figures import EngineFigures, decode_engine_figures
 from fuchsiahatch_gateway.held_requests import HeldRecord, decode_held_record
@@ -140,6 +141,7 @@
             error_answers,
             placing,
             routes,
+            stop_admission,
         )
         lines = [text for module in modules for text in texts(module)]
         check_golden(__file__, "answer_texts", lines)
