Give requests 200 ms more of a stopping entry's grace

A stream with half a second to go was cut 700 ms before the platform's own limit.

Cause: that reserve for the exit was chosen, not measured.

Change: the reserve is 500 ms.

--- a/packages/gateway/src/fuchsiahatch_gateway/defaults.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/defaults.py
@@ -49,7 +49,7 @@
 LINGER_MS = 2_500
 #: Part of the platform's grace period kept in reserve, so that the process exits by
 #: itself before it is killed.
-GRACE_RESERVE_MS = 700
+GRACE_RESERVE_MS = 500
 #: Part of that reserve in which the last answers are sent.
 END_FLUSH_MS = 150
 #: Time from asking for a permit in which the issuer's reply counts. After a longer
