--- a/tests/gateway/test_stopping_entry.py
+++ b/tests/gateway/test_stopping_entry.py
@@ -1,6 +1,8 @@
 import asyncio
 import unittest
+from unittest import mock
 
+from fuchsiahatch_gateway.fleet import Fleet
 from tests.gateway.sites import (
     Site,
     answers,
@@ -80,6 +82,29 @@
         self.check_refused(reply)
         self.assertEqual(received, 1)
 
+    def test_a_request_that_waits_for_a_permit_is_refused_as_the_stop_begins(self):
+        async def play():
+            async with Site(upstream(answers())) as site:
+                asked_for = asyncio.Event()
+
+                async def issue_none(upstream):
+                    asked_for.set()
+                    await asyncio.sleep(30)
+
+                site.entry.placer._ask_permit = issue_none
+                with mock.patch.object(Fleet, "needs_permit"):
+                    asked = asyncio.ensure_future(site.ask("/hold/"))
+                    await asked_for.wait()
+                    stop(site, SOON_MS)
+                    async with asyncio.timeout(0.2):
+                        reply = await asked
+                places = site.entry.fleet.upstreams["i-0"].local_requests
+                return reply, places, site.upstreams[0].received
+
+        reply, places, received = run(play())
+        self.check_refused(reply)
+        self.assertEqual((places, received), (0, []))
+
     def test_a_request_that_its_upstream_refuses_is_not_passed_on_again(self):
         async def play():
             async def stops_and_refuses(request, wire):
