Stop an agent whose leader has ended meanwhile

An agent that lost its term while it finished a switch on SIGTERM ended with a traceback, without its last line.

Cause: the stop waits for the switch and then used the leader again, which the loop that leads may have ended in the same time, or be ending for another reason.

Change: the stop goes on only if the leader is still the same.

It holds as nothing else is awaited between the comparison and the leader's end.

--- a/packages/gateway/src/fuchsiahatch_gateway/agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/agent.py
@@ -334,11 +334,16 @@
         self.leadership.resign()
 
     async def _stop_leading(self) -> None:
-        if self.leader is not None:
-            await self.leader.finish()
-            self.leader.stop()
-            self.leader = None
-            await self.leadership.release()
+        leader = self.leader
+        if leader is None:
+            return
+        await leader.finish()
+        if self.leader is not leader:
+            # Its term was lost, or something else has stopped it, meanwhile.
+            return
+        leader.stop()
+        self.leader = None
+        await self.leadership.release()
 
     def _make_copy(self, prefix: str, apply: t.Callable[[], None]) -> ItemCopy:
         return ItemCopy(prefix, self.health, self._clock, apply)
