Send the resets of a stopping entry's last answers before it ends

An answer that ends with its connection, cut by the end of the process, would have looked whole, and an upstream have seen a plain close.

Cause: a reset is sent in a later iteration of the loop than the one that asks for it, and nothing waited for one.

Evidence: the new test found the connection still open when the end returned.

It holds as the reactor runs what it was asked to do at once in its next iteration.

--- a/packages/http1/src/fuchsiahatch_http1/server.py
+++ b/packages/http1/src/fuchsiahatch_http1/server.py
@@ -211,6 +211,8 @@
         for connection in connections:
             connection.end()
         ends_s = reactor.seconds() + flush_ms / 1000
+        # Resets are sent in a later iteration of the loop.
+        await asyncio.sleep(FLUSH_POLL_INTERVAL_MS / 1000)
         while self._unsent_bytes() and reactor.seconds() < ends_s:
             await asyncio.sleep(FLUSH_POLL_INTERVAL_MS / 1000)
 
--- a/tests/http1/test_closing.py
+++ b/tests/http1/test_closing.py
@@ -276,3 +276,19 @@
         self.assertIn(b" 503 ", data.splitlines()[0])
         self.assertIn(b"connection: close", data.lower())
         self.assertEqual(self.handled, 0)
+
+    def test_a_reset_has_been_sent_when_the_end_returns(self):
+        # The process ends then, and the kernel would close in place of the reset.
+        async def streams(exchange):
+            exchange.start(200, ())
+            exchange.write(b"first")
+            await asyncio.sleep(30)
+
+        async def play():
+            async with Caller(await self.serve(streams)) as caller:
+                await caller.send(b"GET / HTTP/1.0\r\nHost: x\r\n\r\n")
+                await caller.receive()
+                await self.server.end(0)
+                return len(self.server.connections)
+
+        self.assertEqual(self.play(play), 0)
