Survive a SIGHUP while the process loads

An entry or agent that got SIGHUP in the first 0.3 s of its life ended by it, and its callers, who wait at the early socket, were reset.

Cause: the handler was installed after the modules were loaded; until then the signal has its default action.

Change: it is noted from the beginning, and the settings are read again once the process has started.

It holds from the first statement of the role's start; while Python itself loads, the signal still ends the process.

--- a/packages/gateway/src/fuchsiahatch_gateway/main.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/main.py
@@ -1,5 +1,6 @@
 """The entry point: ``python3 -m fuchsiahatch_gateway.main entry`` or ``agent``."""
 
+import signal
 import sys
 import typing as t
 
@@ -29,6 +30,9 @@
 
 
 def _run(role: "_Role") -> None:
+    # Until the process has its own handler, the signal would end it.
+    hangups: list[int] = []
+    signal.signal(signal.SIGHUP, lambda number, frame: hangups.append(number))
     settings = read_node_settings(settings_path())
     listening = _listen_early(settings)
     # These imports take most of the start, and come after the callers' socket is open.
@@ -43,7 +47,7 @@
     from twisted.internet import reactor
 
     reactor.startRunning(installSignalHandlers=False)
-    loop.run_until_complete(role(settings, listening))
+    loop.run_until_complete(role(settings, listening, hangups))
 
 
 def _listen_early(settings: "NodeSettings") -> "socket.socket | None":
@@ -65,27 +69,27 @@
 
 
 async def _run_entry(
-    settings: "NodeSettings", listening: "socket.socket | None"
+    settings: "NodeSettings", listening: "socket.socket | None", hangups: list[int]
 ) -> None:
     from fuchsiahatch_gateway.entry import Entry
 
-    await Entry(_start_process(settings), listening).run()
+    await Entry(_start_process(settings, hangups), listening).run()
 
 
 async def _run_agent(
-    settings: "NodeSettings", listening: "socket.socket | None"
+    settings: "NodeSettings", listening: "socket.socket | None", hangups: list[int]
 ) -> None:
     from fuchsiahatch_gateway.agent import Agent
 
-    await Agent(_start_process(settings)).run()
+    await Agent(_start_process(settings, hangups)).run()
 
 
 _Role = t.Callable[
-    ["NodeSettings", "socket.socket | None"], t.Coroutine[t.Any, t.Any, None]
+    ["NodeSettings", "socket.socket | None", list[int]], t.Coroutine[t.Any, t.Any, None]
 ]
 
 
-def _start_process(settings: "NodeSettings") -> "Process":
+def _start_process(settings: "NodeSettings", hangups: list[int]) -> "Process":
     from fuchsiahatch_core.clock import Clock
     from fuchsiahatch_gateway.log import open_log
     from fuchsiahatch_gateway.process import Process
@@ -93,6 +97,8 @@
     log = open_log(settings.node, settings.role, Clock().now_ms)
     process = Process(settings, log)
     process.start()
+    if hangups:
+        process.reload()
     return process
 
 
--- a/packages/gateway/src/fuchsiahatch_gateway/process.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/process.py
@@ -66,7 +66,7 @@
         """Install the signal handlers and log the start."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         self._file_version = _settings_file_version()
         self.keep_running(self._watch_settings())
         self.keep_running(LoopWatch(self.registry, self.clock).run())
@@ -110,7 +110,8 @@
         body = text.TextFormatter().marshall(self.registry)
         exchange.respond(200, [(b"content-type", b"text/plain; version=0.0.4")], body)
 
-    def _reload(self) -> None:
+    def reload(self) -> None:
+        """Read the settings file again; keep the present settings if it is refused."""
         try:
             settings = read_node_settings(settings_path())
         except SettingsError as fault:
@@ -125,7 +126,7 @@
             version = _settings_file_version()
             if version != self._file_version:
                 self._file_version = version
-                self._reload()
+                self.reload()
 
 
 async def _guard(work: t.Coroutine[t.Any, t.Any, None]) -> None:
--- a/tests/gateway/test_entry_signals.py
+++ b/tests/gateway/test_entry_signals.py
@@ -1,9 +1,11 @@
 import asyncio
+import dataclasses
 import os
 import unittest
 from unittest import mock
 
 from fuchsiahatch_core.events import Event
+from fuchsiahatch_gateway import process as process_module
 from fuchsiahatch_gateway import registration, stop_report
 from fuchsiahatch_gateway.entry import Entry
 from fuchsiahatch_gateway.log import LineWriter
@@ -87,3 +89,30 @@
         self.assertLess(took_s, 3.0)
         self.assertIn(Event.SERVICE_CALL_FAILED, lines)
         self.assertEqual(lines.count(Event.STOPPED), 1)
+
+
+class TestHangupWhileStopping(unittest.TestCase):
+    def test_a_request_in_progress_is_finished_with_the_grace_of_the_first_signal(self):
+        async def answers_late(request, wire):
+            await asyncio.sleep(0.5)
+            await wire.answer(request)
+
+        async def play():
+            async with Site(upstream(answers_late)) as site:
+                entry, process = site.entry, site.entry._process
+                asked = asyncio.ensure_future(site.ask("/hold/"))
+                await until(lambda: site.upstreams[0].received)
+                leaving = asyncio.ensure_future(entry._leave())
+                await asyncio.sleep(0.05)
+                bounds = dataclasses.replace(process.settings.bounds, stop_grace_ms=1)
+                changed = dataclasses.replace(process.settings, bounds=bounds)
+                with mock.patch.object(process_module, "read_node_settings") as read:
+                    read.return_value = changed
+                    process.reload()
+                reply = await asked
+                await leaving
+                process._tasks.cancel()
+                return reply
+
+        reply = run(play())
+        self.assertEqual((reply.status, reply.whole), (200, True))
