Crashes count against requests whose callers have left

Cause: only an answer that broke off, or was given up for its silence, was linked to the end of its upstream. A caller that leaves cancels the attempt, and an upstream may go on with the request.

Change: an attempt that is cancelled behind its send is noted as abandoned at the upstream's incarnation, until half a second behind the request's deadline, 1,024 of them at most. A crash of that incarnation counts against it as against those that still run. Nothing breaks where it is the only request, so that the end of an idle connection asks the upstream whether it still listens, as a broken answer does; where no connection is idle, one is opened in place of the one that was reset, and serves the next call.

Evidence: test_a_request_whose_callers_leave_before_the_crashes_is_held_back, six callers before an upstream that goes on, and the crash model with such callers fail without the note; so does a test for each guard (idle end, connection kept, deadline, late restart, leaving). Sound requests of which three in ten callers leave, beside ordinary crashes, are not held back in four seeds of the model.

--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -307,10 +307,15 @@
         job.load_then = upstream.load(sent_ms)
         job.report_age_ms = upstream.report_age_ms(sent_ms)
         job.ending = None
+        earlier_sends = len(job.used_connections)
         try:
             outcome = await run_attempt(job.exchange, self._pool, attempt)
             may_have_run = outcome.result in (Result.ANSWERED, Result.BROKEN)
             job.ending = outcome.ending
+        except asyncio.CancelledError:
+            if len(job.used_connections) > earlier_sends:
+                self._crashes.note_abandoned(job.fingerprints, upstream, job.ends_ms)
+            raise
         finally:
             if late_timer is not None:
                 late_timer.cancel()
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -184,6 +184,8 @@
         )
         self.crashing.on_crash = self._note_crash
         self.fleet.on_restarted = self.crashes.note_restart
+        self.pool.on_idle_end = self.crashes.note_idle_end
+        self.crashes.has_idle = self.pool.has_idle
         self.late = LateUpstreams(clock, self.fleet.upstreams, self._notify_peers)
         self.held = HeldRequests(self.store, self.crashing, self._index, clock)
         self.delivery = Delivery(
--- a/packages/gateway/src/fuchsiahatch_gateway/upstream_crashes.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/upstream_crashes.py
@@ -23,8 +23,10 @@
 #: Longest time between a broken answer and the detection that its upstream ended or
 #: restarted for the answer to count as broken by a crash.
 CORRELATION_MS = 5_000
-#: Broken answers that are kept for that.
+#: Broken answers that are kept for that, and as many abandoned requests.
 MAX_BROKEN_ANSWERS = 1_024
+#: Time beyond its deadline for which an upstream may go on with a request.
+OVERRUN_MS = 500
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -41,6 +43,15 @@
     survived: bool = False
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _AbandonedRequest:
+    """A request that its upstream may go on with, though its connection was reset."""
+
+    request: "Fingerprints"
+    upstream: "Upstream"
+    works_until_ms: int
+
+
 class UpstreamCrashes:
     """Distinguishes crashes of upstreams from other causes of broken answers.
 
@@ -49,6 +60,10 @@
     incarnation. One that is leaving, or is no longer listed, ends as planned, and
     counts against no request.
 
+    An upstream may go on with a request whose caller has left. Its crash counts against
+    that request as well, until the request's deadline; by itself, a caller that leaves
+    makes no suspect.
+
     Parameters
     ----------
     requests : CrashingRequests
@@ -57,9 +72,15 @@
     is_listed : callable
         Returns whether an instance is among the known upstreams.
     clock : Clock
+
+    Attributes
+    ----------
+    has_idle : callable
+        Returns whether an idle connection to an IP address and port is open.
     """
 
     __slots__ = (
+        "_abandoned",
         "_broken_answers",
         "_clock",
         "_ended",
@@ -67,6 +88,7 @@
         "_probe_address",
         "_probes",
         "_requests",
+        "has_idle",
     )
 
     def __init__(
@@ -83,6 +105,10 @@
         self._broken_answers: collections.deque[_BrokenAnswer] = collections.deque(
             maxlen=MAX_BROKEN_ANSWERS
         )
+        self._abandoned: collections.deque[_AbandonedRequest] = collections.deque(
+            maxlen=MAX_BROKEN_ANSWERS
+        )
+        self.has_idle: t.Callable[[str, int], bool] = lambda ip, port: True
         self._probes: dict[str, asyncio.Task[Reachability]] = {}
         #: Incarnations that are known to have ended, and when that was detected.
         self._ended: dict[str, int] = {}
@@ -141,13 +167,59 @@
         if self._clock.now_ms() >= upstream.closed_until_ms:
             self._note_broken(request, upstream)
 
+    def note_abandoned(
+        self, request: "Fingerprints", upstream: "Upstream", ends_ms: int
+    ) -> None:
+        """Note a request that was sent, and whose caller left or whose time is over.
+
+        The end of an idle connection shows a crash under it. Where there is none, one
+        is opened in place of the one that was reset, and kept for the next call.
+
+        Parameters
+        ----------
+        request : Fingerprints
+        upstream : Upstream
+        ends_ms : int
+            Deadline of the request.
+        """
+        if not self._would_crash(upstream):
+            return
+        works_until_ms = ends_ms + OVERRUN_MS
+        self._abandoned.append(_AbandonedRequest(request, upstream, works_until_ms))
+        address = upstream.entry.address
+        if self._clock.now_ms() < ends_ms and not self.has_idle(
+            address.ip, address.port
+        ):
+            self._start_probe(upstream)
+
+    def note_idle_end(self, ip: str, port: int) -> None:
+        """Note that an upstream ended an idle connection, as it does when it crashes.
+
+        It is probed if it may still work on an abandoned request: nothing else may show
+        that this request has ended it.
+        """
+        now_ms = self._clock.now_ms()
+        suspected = {
+            one.upstream.incarnation: one.upstream
+            for one in self._abandoned
+            if now_ms < one.works_until_ms
+            and (one.upstream.entry.address.ip, one.upstream.entry.address.port)
+            == (ip, port)
+        }
+        for incarnation, upstream in suspected.items():
+            if incarnation not in self._ended:
+                self._start_probe(upstream)
+
     def note_restart(self, former: "Upstream") -> None:
         """Note that an upstream has restarted."""
         incarnation = former.incarnation
         broke = any(
             answer.incarnation == incarnation for answer in self._broken_answers
         )
-        if broke and not former.leaving:
+        abandoned = any(
+            one.upstream.incarnation == incarnation for one in self._abandoned
+        )
+        if (broke or abandoned) and not former.leaving:
             self.note_ended(incarnation, was_seen=False)
 
     def note_ended(self, incarnation: str, was_seen: bool = True) -> None:
@@ -179,11 +251,28 @@
             if now_ms - one.broken_ms < CORRELATION_MS
             and not (was_seen and one.survived)
         ]
-        if due:
-            latest = due[-1]
-            requests = [one.request for one in due]
-            service = latest.request.service
-            self._requests.note_crash(incarnation, service, latest.group, requests)
+        requests = [one.request for one in due]
+        group = due[-1].group if due else ""
+        for one in self._take_abandoned(incarnation, was_seen):
+            requests.append(one.request)
+            group = one.upstream.group
+        if requests:
+            service = requests[-1].service
+            self._requests.note_crash(incarnation, service, group, requests)
+
+    def _take_abandoned(
+        self, incarnation: str, was_seen: bool
+    ) -> list[_AbandonedRequest]:
+        """Remove an incarnation's abandoned requests; return those that may count."""
+        now_ms = self._clock.now_ms()
+        there = [
+            one for one in self._abandoned if one.upstream.incarnation == incarnation
+        ]
+        for one in there:
+            self._abandoned.remove(one)
+        # Of a restart only the detection is known, which may come some seconds later.
+        late_ms = 0 if was_seen else CORRELATION_MS
+        return [one for one in there if now_ms < one.works_until_ms + late_ms]
 
     def _would_crash(self, upstream: "Upstream") -> bool:
         """Return whether an end of an upstream's process now would be unplanned."""
@@ -191,14 +280,17 @@
 
     async def _probe_once(self, upstream: "Upstream") -> Reachability:
         """Check whether an upstream still listens, once for all concurrent checks."""
+        # A caller that disconnects meanwhile must not cancel the probe for the others.
+        return await asyncio.shield(self._start_probe(upstream))
+
+    def _start_probe(self, upstream: "Upstream") -> "asyncio.Task[Reachability]":
         incarnation = upstream.incarnation
         probe = self._probes.get(incarnation)
         if probe is None:
             probe = asyncio.ensure_future(self._probe(upstream))
             self._probes[incarnation] = probe
             probe.add_done_callback(lambda _: self._probes.pop(incarnation, None))
-        # A caller that disconnects meanwhile must not cancel the probe for the others.
-        return await asyncio.shield(probe)
+        return probe
 
     async def _probe(self, upstream: "Upstream") -> Reachability:
         address = upstream.entry.address
--- a/packages/http1/src/fuchsiahatch_http1/pool.py
+++ b/packages/http1/src/fuchsiahatch_http1/pool.py
@@ -57,6 +57,8 @@
     ----------
     opened : int
         Connections opened so far.
+    on_idle_end : callable
+        Called with the address of a server that ended an idle connection.
     """
 
     def __init__(self, clock: Clock, connect_ms: int = 1_000) -> None:
@@ -64,6 +66,7 @@
         self._connect_ms = connect_ms
         self._idle: dict[t.Any, list[ClientConnection]] = {}
         self.opened = 0
+        self.on_idle_end: t.Callable[[str, int], None] = lambda ip, port: None
 
     async def acquire(
         self, ip: str, port: int, excluded: t.Container[ClientConnection] = ()
@@ -94,6 +97,10 @@
             connection.abort()
         return await self._open(ip, port)
 
+    def has_idle(self, ip: str, port: int) -> bool:
+        """Return whether an idle connection to an address is open."""
+        return bool(self._idle.get((ip, port)))
+
     async def probe(self, ip: str, port: int) -> Reachability:
         """Return whether an address accepts connections.
 
@@ -136,6 +143,8 @@
             raise ConnectFailed(detail, refused) from fault
 
     def _drop_idle(self, connection: ClientConnection) -> None:
-        for kept in self._idle.values():
+        for (ip, port), kept in self._idle.items():
             if connection in kept:
                 kept.remove(connection)
+                self.on_idle_end(ip, port)
+                return
--- a/tests/gateway/crash_model.py
+++ b/tests/gateway/crash_model.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import itertools
 import random
@@ -27,6 +28,8 @@
 STALL_MS = 1_500
 #: Time from the start of a run to its crash, its first event and its end.
 DEADLY_MS, FIRST_EVENT_MS, COMPLETE_MS = 40, 150, 600
+#: Time after which a caller leaves that doesn't wait for the crash.
+LEAVE_MS = 20
 
 
 def whole(name, parts=(), team=""):
@@ -94,6 +97,15 @@
         closed = {one for one, until in self.closed_groups.items() if now_ms < until}
         return self.simulation.choose(tried, confined_to, closed)
 
+    async def run(self, request, upstream):
+        """Run a request; note it as abandoned if its caller leaves meanwhile."""
+        ends_ms = self.simulation.clock.now_ms() + COMPLETE_MS
+        try:
+            return await self.simulation.run(request, upstream)
+        except asyncio.CancelledError:
+            self.crashes.note_abandoned(request, upstream, ends_ms)
+            raise
+
     async def answer(self, request):
         """Return how a request ended: whole, failed, refused or unsent."""
         tried = set()
@@ -104,7 +116,7 @@
             if upstream is None:
                 return "unsent"
             tried.add(upstream.group)
-            complete, events = await self.simulation.run(request, upstream)
+            complete, events = await self.run(request, upstream)
             if complete:
                 self.requests.note_complete_answer(request)
                 return "whole"
@@ -153,6 +165,11 @@
         The same for requests that crash any upstream by one of their parts, whose names
         begin with "deadly"; no two of them are alike.
     deadly_parts_per_s : float, optional
+    crashers_leave : bool, optional
+        Whether the callers of `crashers` leave before the upstream crashes, which goes
+        on with their requests.
+    leave_share : float, optional
+        Share of the callers of sound requests who leave early, and come again.
     """
 
     def __init__(
@@ -174,7 +191,10 @@
         sound_parts=lambda number: (),
         deadly_parts=None,
         deadly_parts_per_s=2.0,
+        crashers_leave=False,
+        leave_share=0.0,
     ):
+        self.crashers_leave, self.leave_share = crashers_leave, leave_share
         self.stalls, self.stalled_until_ms = stalls, collections.defaultdict(int)
         self.sound_parts, self.deadly_parts = sound_parts, deadly_parts
         self.deadly_parts_per_s = deadly_parts_per_s
@@ -277,6 +297,9 @@
             for rank in ranks:
                 self.loop.call_later(STALL_MS / 1000, _end_runs, list(rank.runs))
         _end_runs(ends)
+        address = upstream.entry.address
+        for entry in self.entries:
+            entry.crashes.note_idle_end(address.ip, address.port)
         self.loop.call_later(RESTART_MS / 1000, self._restart, upstream)
 
     def _restart(self, upstream):
@@ -304,6 +327,10 @@
 
     async def _send_request(self, request):
         sent_ms = self.clock.now_ms()
+        if self.leave_share and self.rng.random() < self.leave_share:
+            leaving = self.rng.choice(self.entries).answer(request)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(leaving, LEAVE_MS / 1000)
         for attempt in range(2):
             end = await self.rng.choice(self.entries).answer(request)
             if not attempt:
@@ -319,7 +346,12 @@
         request = whole(f"deadly-{number}")
         while self.loop.time() < self.for_s:
             entries = self.rng.sample(self.entries, min(self.at_once, self.entry_count))
-            await asyncio.gather(*(one.answer(request) for one in entries))
+            sends = [asyncio.ensure_future(one.answer(request)) for one in entries]
+            if self.crashers_leave:
+                await asyncio.sleep(LEAVE_MS / 1000)
+                for send in sends:
+                    send.cancel()
+            await asyncio.gather(*sends, return_exceptions=self.crashers_leave)
             await asyncio.sleep(4)
 
     async def _send_deadly_parts(self):
--- a/tests/gateway/mortal_upstreams.py
+++ b/tests/gateway/mortal_upstreams.py
@@ -33,6 +33,8 @@
         Returns whether a received request is deadly.
     crash_after_s : float, optional
         Time from the receipt of a deadly request to the crash.
+    goes_on : bool, optional
+        Whether it crashes also if the request's connection has ended before.
     """
 
     def __init__(
@@ -43,9 +45,11 @@
         script=None,
         is_deadly=has_deadly_body,
         crash_after_s=0.0,
+        goes_on=False,
     ):
         super().__init__(self._work)
         self.is_deadly, self.crash_after_s = is_deadly, crash_after_s
+        self.goes_on = goes_on
         self.site, self.name, self.back_s = site, name, back_s
         self.script = script or answers()
         self.incarnations, self.port = 0, 0
@@ -70,6 +74,10 @@
         self.site.store.remove(f"servers/{former}")
         await self.start()
 
+    async def _end_later(self):
+        await asyncio.sleep(self.crash_after_s)
+        await self.end()
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         try:
@@ -80,6 +88,9 @@
 
     async def _work(self, request, wire):
         if self.is_deadly(request):
+            if self.goes_on:
+                self.ending = asyncio.ensure_future(self._end_later())
+                await asyncio.sleep(30)
             await asyncio.sleep(self.crash_after_s)
             self.ending = asyncio.ensure_future(self.end())
             await asyncio.sleep(30)
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -308,6 +308,27 @@
                 with self.subTest(entries=entries, crashers=crashers, at_once=at_once):
                     self.check(Simulation(entries, 16, 2, crashers, at_once).play())
 
+    def test_crashers_whose_callers_leave_before_the_crash_are_held_back(self):
+        for entries in (3, 6, 41):
+            for crashers, at_once in ((1, 1), (2, 2)):
+                with self.subTest(entries=entries, crashers=crashers, at_once=at_once):
+                    self.check(
+                        Simulation(
+                            entries,
+                            crashers=crashers,
+                            at_once=at_once,
+                            crashers_leave=True,
+                        ).play()
+                    )
+
+    def test_sound_requests_whose_callers_leave_are_not_held_back(self):
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                simulation = Simulation(
+                    6, crashers=1, ordinary_s=0.4, leave_share=0.3, seed=seed
+                )
+                self.check(simulation.play())
+
     def test_a_tenth_of_the_notices_is_lost(self):
         for seed in range(4):
             with self.subTest(seed=seed):
--- a/tests/gateway/test_upstream_crashes.py
+++ b/tests/gateway/test_upstream_crashes.py
@@ -7,6 +7,7 @@
 from fuchsiahatch_gateway.upstream_crashes import (
     CORRELATION_MS,
     MAX_PROBES,
+    OVERRUN_MS,
     PROBE_TIMEOUT_MS,
     UpstreamCrashes,
 )
@@ -17,6 +18,7 @@
 from tests.gateway.sites import (
     Site,
     answers,
+    encode_request,
     event_ids,
     resets,
     streams,
@@ -42,7 +44,7 @@
 class TestCrashDetection(unittest.TestCase):
     def simulate(self, scenario, found=Reachability.REFUSED, takes_ms=3):
         async def main(loop):
-            clock = loop.make_clock()
+            self.clock = clock = loop.make_clock()
             self.requests = CrashingRequests(clock, lambda message: None)
             self.probes, self.found = 0, found
 
@@ -197,6 +199,78 @@
 
         self.simulate(scenario, found=Reachability.LISTENING)
 
+    def abandon(self, name="f", works_ms=1_000, upstream=None):
+        upstream = upstream or make_upstream()
+        ends_ms = self.clock.now_ms() + works_ms
+        self.crashes.note_abandoned(whole(name), upstream, ends_ms)
+
+    def test_a_crash_counts_against_a_request_whose_caller_has_left(self):
+        # Upstreams that go on with it would end one after the other, unnoticed.
+        async def scenario():
+            self.abandon()
+            self.assertTrue(await self.crashes.examine(whole("g"), make_upstream()))
+            self.assertEqual(self.requests.crashes(whole("f")), 1)
+
+        self.simulate(scenario)
+
+    def test_an_idle_connection_that_ends_shows_the_crash_under_an_abandoned_request(
+        self,
+    ):
+        async def scenario():
+            self.abandon()
+            self.crashes.note_idle_end("10.0.0.1", 80)
+            await asyncio.sleep(0.01)
+            self.assertEqual(self.requests.crashes(whole("f")), 1)
+
+        self.simulate(scenario)
+
+    def test_a_restart_shows_the_crash_under_an_abandoned_request(self):
+        async def scenario():
+            self.abandon()
+            await asyncio.sleep(CORRELATION_MS / 1000)
+            self.crashes.note_restart(make_upstream())
+            self.assertEqual(self.requests.crashes(whole("f")), 1)
+
+        self.simulate(scenario)
+
+    def test_a_caller_that_leaves_a_sound_upstream_makes_no_suspect(self):
+        async def scenario():
+            self.abandon()
+            self.crashes.note_idle_end("10.0.0.1", 80)
+            await asyncio.sleep(0.01)
+            self.assertEqual((self.probes, self.requests.suspects), (1, 0))
+
+        self.simulate(scenario, found=Reachability.LISTENING)
+
+    def test_an_abandoned_request_is_not_blamed_for_a_crash_behind_its_deadline(self):
+        async def scenario():
+            self.abandon(works_ms=1_000)
+            await asyncio.sleep((1_000 + OVERRUN_MS) / 1000)
+            self.crashes.note_idle_end("10.0.0.1", 80)
+            self.assertTrue(await self.crashes.examine(whole("g"), make_upstream()))
+            self.assertEqual(self.requests.crashes(whole("f")), 0)
+
+        self.simulate(scenario)
+
+    def test_an_idle_connection_that_ends_without_an_abandoned_request_is_no_probe(
+        self,
+    ):
+        async def scenario():
+            self.abandon()
+            self.crashes.note_idle_end("10.0.0.2", 80)
+            await asyncio.sleep(0.01)
+            self.assertEqual((self.probes, self.requests.suspects), (0, 0))
+
+        self.simulate(scenario)
+
+    def test_an_upstream_that_leaves_counts_against_no_abandoned_request(self):
+        async def scenario():
+            self.abandon(upstream=make_upstream(leaving=True))
+            self.crashes.note_restart(make_upstream())
+            self.assertEqual(self.requests.suspects, 0)
+
+        self.simulate(scenario)
+
 
 class TestEntry(unittest.TestCase):
     def send_deadly_request(self, path, group="", script=None):
@@ -227,6 +301,29 @@
         reply, sends, crashing = self.send_deadly_request("/chat/", group="g")
         self.assertEqual((reply.status, sends, crashing.suspects), (502, 1, 1))
 
+    def test_a_request_whose_callers_leave_before_the_crashes_is_held_back(self):
+        # The upstream goes on with it, and ends once more for each caller.
+        async def send_and_leave(site, number):
+            _, writer = await asyncio.open_connection("127.0.0.1", site.port)
+            name = f"q-{number}"
+            writer.write(encode_request("/safe/", request_id=name, body=DEADLY))
+            await asyncio.sleep(0.05)
+            writer.close()
+
+        async def play():
+            async with Site() as site:
+                one = MortalUpstream(site, "a", 0.2, crash_after_s=0.1, goes_on=True)
+                site.upstreams = [one]
+                await one.start()
+                fleet = site.entry.fleet
+                for number in range(6):
+                    await until(lambda: one.instance in fleet.upstreams)
+                    await send_and_leave(site, number)
+                    await asyncio.sleep(0.4)
+                return deadly_sends(site.upstreams)
+
+        self.assertEqual(run(play()), 3)
+
     def test_a_reset_alone_makes_no_suspect(self):
         async def play():
             one = upstream(resets, answers(), resets, answers(), resets, answers())
