Former path: each request to an upstream has a connection of its own

A caller of the former path got another caller's answer.

Cause: the agent kept connections to its upstream. An answer that the upstream repeated behind the next request was taken for that one's, as its answers bear no id.

Change: these connections aren't kept. They lead to the same host; what that costs wasn't measured, and the path isn't deployed.

Evidence: test_repeated_answer_is_not_taken_for_the_answer_to_the_next_request failed before (the second caller got the first one's body).

--- a/packages/platform/src/fuchsiahatch_platform/upstream.py
+++ b/packages/platform/src/fuchsiahatch_platform/upstream.py
@@ -77,8 +77,9 @@
 
     def __init__(self, url: str) -> None:
         self._url = url.rstrip("/")
-        pool = HTTPConnectionPool(reactor)
-        pool.maxPersistentPerHost = 64
+        # Answers name no request. An upstream may repeat one at any later point of its
+        # connection, so that each request has its own.
+        pool = HTTPConnectionPool(reactor, persistent=False)
         # A retry by the pool would run a hold twice.
         pool.retryAutomatically = False
         self._agent = Agent(reactor, pool=pool)
