Withhold many deletions for less time while the store answers

Callers' requests reached removed upstreams for 2.3 s, where 2 s are allowed: half of all upstreams, those of one zone, were removed from the store at once.

Cause: half of all items deleted in one answer counted as lost leases whether or not the store could have been away, and was withheld for the whole grace time of 2.3 s.

Change: a process notes when the store may have been away: at an answer behind a failure, at its first answer, and at one that comes 960 ms or more behind the one before. Within the grace time of that, many deletions are withheld as before. Where the store has answered all the time they are withheld for 1 s. They don't count at once: a store may turn away the upstreams alone, so that their leases expire while this process sees nothing but answers, and the deletions are the same in both cases.

Why it holds: deletions are seen 0.8 s late at most, behind a burst, and 1 s more is less than 2 s. An entry renews its registration each 0.9 s, so that an absence of 963 ms, the shortest that is known to have lost leases, leaves a time of 960 ms without an answer.

--- a/packages/gateway/src/fuchsiahatch_gateway/item_copies.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/item_copies.py
@@ -9,7 +9,7 @@
     from fuchsiahatch_gateway.store_health import StoreHealth
 
 #: Deletions of this share of all items, but at least of `MIN_LAPSED` items, in one
-#: answer show that the store has lost its leases.
+#: answer show that the store may have lost its leases.
 LAPSE_SHARE = 0.5
 MIN_LAPSED = 4
 
@@ -41,7 +41,8 @@
     within `LAPSE_GRACE_MS` of a failure is deferred until that time is over, and
     dropped when the item has come back. A process whose only call is a pending watch
     sees no failure at all in a short outage; there, the deletion of half of all items
-    at once is the sign.
+    at once is the sign. Where the store has answered all the time, such deletions are
+    withheld for `ANSWERED_GRACE_MS` only: it may have turned away the owners alone.
     """
 
     __slots__ = (
--- a/packages/gateway/src/fuchsiahatch_gateway/store_health.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/store_health.py
@@ -13,6 +13,41 @@
 #: Shortest absence of the store in which a lease that is renewed regularly may expire.
 #: Upstreams' entries last for three heartbeats, longer than an entry's registration.
 MIN_LAPSE_MS = REGISTRATION_TTL_MS - LEASE_RENEWAL_INTERVAL_MS
+#: Shortest time between two answers in which the store may have been away and have
+#: forgotten its leases; it did in an absence of 963 ms. Longer than the time between
+#: the renewals of an entry's registration.
+MIN_ABSENCE_MS = 960
+#: Grace time of many deletions at once while the store has answered all the time. It
+#: may have turned away only the upstreams, so that their leases expired. If they were
+#: removed instead, they must get no more requests 2 s later, and the deletions may
+#: have been seen 0.8 s late.
+ANSWERED_GRACE_MS = 1_000
+
+
+def may_have_been_away(answered_ms: int | None, now_ms: int) -> bool:
+    """Return whether the store may have been away between two successive answers.
+
+    Parameters
+    ----------
+    answered_ms : int or None
+        The former answer; None if this is the first one.
+    now_ms : int
+    """
+    return answered_ms is None or now_ms - answered_ms >= MIN_ABSENCE_MS
+
+
+def choose_lapse_grace_ms(away_ms: int | None, now_ms: int) -> int:
+    """Return the time for which many deletions at once are withheld.
+
+    Parameters
+    ----------
+    away_ms : int or None
+        The last end of a time in which the store failed or may have been away.
+    now_ms : int
+    """
+    if away_ms is not None and now_ms - away_ms < LAPSE_GRACE_MS:
+        return LAPSE_GRACE_MS
+    return min(ANSWERED_GRACE_MS, LAPSE_GRACE_MS)
 
 
 @dataclasses.dataclass(slots=True)
@@ -23,15 +58,18 @@
     ----------
     failed_ms, answered_ms : int or None
         The last failure and the last answer.
-    regained_ms : int or None
-        The first answer after an absence in which leases may have expired.
+    away_ms : int or None
+        The last end of a time in which the store failed or may have been away.
+    grace_ends_ms : int or None
+        End of the grace time in which deletions are withheld.
     regained : asyncio.Event
         Set, and replaced by a new one, when the store answers again.
     """
 
     failed_ms: int | None = None
     answered_ms: int | None = None
-    regained_ms: int | None = None
+    away_ms: int | None = None
+    grace_ends_ms: int | None = None
     regained: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
     def note_answer(self, now_ms: int) -> None:
@@ -39,15 +77,18 @@
         if self.failed_ms is not None and not self.answers:
             log_event(Event.STORE_REGAINED, silent_ms=now_ms - self.failed_ms)
             if self._may_have_lapsed(now_ms):
-                self.regained_ms = now_ms
+                self._extend_grace(now_ms, LAPSE_GRACE_MS)
+            self.away_ms = now_ms
             self.regained.set()
             self.regained = asyncio.Event()
+        if may_have_been_away(self.answered_ms, now_ms):
+            self.away_ms = now_ms
         self.answered_ms = now_ms
 
     def note_lapse(self, now_ms: int, deleted: int) -> None:
-        """Note that the store has lost its leases."""
+        """Note deletions that show a loss of leases by their number."""
         log_event(Event.LEASES_LAPSED, deleted=deleted)
-        self.regained_ms = now_ms
+        self._extend_grace(now_ms, choose_lapse_grace_ms(self.away_ms, now_ms))
 
     def note_restored(self, now_ms: int) -> None:
         """Note that the store was restored from an older copy, without its leases.
@@ -56,7 +97,7 @@
         have been written again, and tasks that wait for the store to recover read
         everything again.
         """
-        self.regained_ms = now_ms
+        self._extend_grace(now_ms, LAPSE_GRACE_MS)
         self.regained.set()
         self.regained = asyncio.Event()
 
@@ -94,7 +135,10 @@
         since_ms = self.failed_ms if self.answered_ms is None else self.answered_ms
         return since_ms is None or now_ms - since_ms >= MIN_LAPSE_MS
 
+    def _extend_grace(self, now_ms: int, grace_ms: int) -> None:
+        self.grace_ends_ms = max(self.grace_ends_ms or 0, now_ms + grace_ms)
+
     def _grace_left_ms(self, now_ms: int) -> int:
-        if self.regained_ms is None:
+        if self.grace_ends_ms is None:
             return 0
-        return max(self.regained_ms + LAPSE_GRACE_MS - now_ms, 0)
+        return max(self.grace_ends_ms - now_ms, 0)
