An answer of the store or an engine that doesn't end is given up

Nobody saw it yet: a store or an engine that sends a body without end fills the memory of every process that asks it, until the answer's 30 s are over.

Cause: JSON calls kept whatever came; the limits were on pauses and time alone.

Evidence: test_an_answer_that_goes_on_without_end_does_not_fill_the_memory.

Why it holds: the length is checked as each piece arrives, and the connection reads no further than it is consumed.

--- a/tests/adapter/test_json_calls.py
+++ b/tests/adapter/test_json_calls.py
@@ -1,9 +1,10 @@
 import asyncio
+import contextlib
 import unittest
 from unittest import mock
 
 from fuchsiahatch_adapter import json_calls
-from fuchsiahatch_adapter.json_calls import STALL_TIMEOUT_MS
+from fuchsiahatch_adapter.json_calls import STALL_TIMEOUT_MS, JsonCaller
 from fuchsiahatch_adapter.node_settings import StoreAccess, parse_address
 from fuchsiahatch_adapter.store import CALL_TIMEOUT_MS, RangeRead, StoreClient
 from fuchsiahatch_core.clock import Clock
@@ -145,6 +146,28 @@
 
         run(read())
 
+    def test_an_answer_that_goes_on_without_end_does_not_fill_the_memory(self):
+        sent = []
+
+        async def endless(request, wire):
+            await wire.raw(b"HTTP/1.1 200 OK\r\n\r\n")
+            with contextlib.suppress(asyncio.CancelledError):
+                for _ in range(1_500):
+                    await wire.raw(b" " * 65_536)
+                    sent.append(65_536)
+
+        async def read():
+            server = ScriptedUpstream(endless)
+            address = parse_address(f"127.0.0.1:{await server.listen()}")
+            caller = JsonCaller(address, ConnectionPool(Clock()), max_bytes=1_000_000)
+            with self.assertRaises(UnansweredReadError) as caught:
+                await caller.call("read", b"GET", b"/", None, 1_000)
+            await server.close()
+            return caught.exception.detail
+
+        self.assertIn("longer than 1000000 bytes", run(read()))
+        self.assertLess(sum(sent), 40_000_000)
+
     def test_a_read_of_many_pages_resumes_at_the_failed_page(self):
         # On a link that loses one call in five, a starting process never reads all
         # twelve pages of a fleet in a row: a read that starts over never completes.
