An agent reads its engine's answer only as fast as it is consumed

Nobody saw it yet: on the former path an engine's answer whose caller is slow, or that doesn't end, is queued in the agent's memory without a bound.

Cause: the queue of pieces between the socket and the consumer never paused the socket.

Change: 64 KiB and one read wait at most; the socket isn't read while they do.

Evidence: test_an_answer_that_nobody_consumes_does_not_fill_the_memory. Three large answers in turn arrive whole on one connection, so a paused socket is read again for the next one.

Why it holds: Twisted resumes a connection whose answer has ended, and a reset needs no read.

--- a/packages/platform/src/fuchsiahatch_platform/upstream.py
+++ b/packages/platform/src/fuchsiahatch_platform/upstream.py
@@ -16,6 +16,8 @@
 _HOP_BY_HOP = frozenset(
     ("connection", "keep-alive", "transfer-encoding", "content-length", "te", "upgrade")
 )
+#: Bytes of an answer that wait for its consumer, above which the socket isn't read.
+MAX_QUEUED_BYTES = 65_536
 
 
 class _PieceQueue(protocol.Protocol):
@@ -23,9 +25,24 @@
 
     def __init__(self) -> None:
         self.queue: asyncio.Queue[bytes | Exception | None] = asyncio.Queue()
+        self._queued_bytes = 0
+        self._paused = False
 
     def dataReceived(self, data: bytes) -> None:
         self.queue.put_nowait(data)
+        self._queued_bytes += len(data)
+        if self._queued_bytes >= MAX_QUEUED_BYTES and not self._paused:
+            self._paused = True
+            self.transport.pauseProducing()
+
+    async def next(self) -> bytes | Exception | None:
+        piece = await self.queue.get()
+        if isinstance(piece, bytes):
+            self._queued_bytes -= len(piece)
+        if self._paused and self._queued_bytes < MAX_QUEUED_BYTES:
+            self._paused = False
+            self.transport.resumeProducing()
+        return piece
 
     def connectionLost(self, reason=protocol.connectionDone) -> None:
         # PotentialDataLoss doesn't complete an answer: without a length or a last
@@ -129,7 +146,7 @@
 
 
 async def _iterate(pieces: _PieceQueue) -> t.AsyncIterator[bytes]:
-    while (piece := await pieces.queue.get()) is not None:
+    while (piece := await pieces.next()) is not None:
         if isinstance(piece, Exception):
             raise piece
         yield piece
