A long failure behind the beginning of a stream is given up

Callers saw a cut stream, as they should, and the log an internal error: a stream that was to be resumed got a failure of over 1 MiB from its second upstream, and the entry tried to relay that with a second head.

Cause: an answer that reaches its bound was relayed whether or not the caller had a head.

Change: behind a head it is given up as broken.

Evidence: test_a_failure_without_end_behind_the_beginning_of_a_stream_is_given_up; before, the request ended with '502 an internal error'.

Why it holds: the relay is begun in one place, which looks at the exchange first.

--- a/packages/gateway/src/fuchsiahatch_gateway/answer_relay.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/answer_relay.py
@@ -41,7 +41,9 @@
         body += piece
         bound = _reached_bound(len(body), attempt)
         if bound is not None:
-            _give_up_failure(head, bound, attempt)
+            if exchange.started or _is_better_retried(head, attempt):
+                detail = f"a long answer of status {head.status}"
+                raise AnswerTooLong(bound, detail)
             attempt.on_bound(bound)
             await _relay(exchange, connection, head, body, attempt)
             return None
@@ -55,10 +57,8 @@
     return None if attempt.kept.resize(body_bytes) else Bound.MEMORY
 
 
-def _give_up_failure(head: Head, bound: Bound, attempt: "Attempt") -> None:
-    """Give up a long error of the upstream if the request can be retried."""
-    if head.status >= _UPSTREAM_FAILED and attempt.may_give_up():
-        raise AnswerTooLong(bound, f"a long answer of status {head.status}")
+def _is_better_retried(head: Head, attempt: "Attempt") -> bool:
+    return head.status >= _UPSTREAM_FAILED and attempt.may_give_up()
 
 
 async def _relay(
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -331,6 +331,12 @@
         )
         self.assertIn("bytes", retried["detail"])
 
+    def test_a_failure_without_end_behind_the_beginning_of_a_stream_is_given_up(self):
+        begun = streams(1, 2, end=False)
+        *_, ended = self.lines_of("/chat/", begun, Endless(400))
+        self.assertEqual(ended["bounds"], ["kept"])
+        self.assertIn("a long answer of status 400", ended["end"])
+
     def test_an_answer_that_is_cut_behind_a_bound_says_which(self):
         (ended,) = self.lines_of("/hold/", Endless())
         self.assertEqual(ended["bounds"], ["kept"])
