An agent's ping shows a watch that has missed a new leader

Agents whose watch had gone silent reported to their group's former leader for some 15 s; no caller saw that, as agents send no requests.

Cause: nothing but the end of the watch showed that its channel was silent.

Change: an agent pings the store each 2 s with a read of its group's leader, at the price of the ping that it replaces. If that item is newer than what the watch has reported, and still is after the longest pause between watches, the watch is made again on a new channel. WATCH_REPEATED says how long the first one had waited.

Evidence: test_agents_whose_watches_are_silent_learn_of_a_new_leader fails with the former ping, and test_a_lost_answer_shows_by_an_item_that_another_call_has_ read fails with the repetition taken out.

Why it holds: a read that may be old only shows a change later, and one that the watch has reported meanwhile repeats nothing.

--- a/packages/gateway/src/fuchsiahatch_gateway/agent.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/agent.py
@@ -59,7 +59,8 @@
     from fuchsiahatch_gateway.process import Process
 
 #: Wait of a watch in which nothing changes. No bound of some seconds hangs on what an
-#: agent learns from the store, and hundreds of agents pay for their calls.
+#: agent learns from the store, and hundreds of agents pay for their calls. Their pings
+#: show a watch that has missed a new leader.
 WATCH_WAIT_MS = 15_000
 #: Interval between pings of the store. An entry renews a lease each second; without
 #: pings an agent would notice that the store is back only when its watch ends.
@@ -148,11 +149,25 @@
             poll_ms = STORE_POLL_INTERVAL_MS if self.health.answers else STORE_RETRY_MS
             await asyncio.sleep(poll_ms / 1000)
             try:
-                await self.store.ping()
+                await self._ping_store()
                 self.health.note_answer(self._clock.now_ms())
             except PlatformError as fault:
                 self.health.note_failure(self._clock.now_ms(), fault.detail)
 
+    async def _ping_store(self) -> None:
+        """Check that the store answers, by a read of the group's leader if known.
+
+        That costs no more, and shows a new leader also if the watch has gone silent.
+        """
+        report = self.rank.last_report
+        if report is None or report.group not in self._leaders:
+            await self.store.ping()
+            return
+        key = LEADERS_PREFIX + report.group
+        item = await self.store.get(key, allow_stale=True)
+        if item is not None:
+            self._follower.note_item(item)
+
     async def _report(self) -> None:
         self._note_leader()
         try:
--- a/packages/gateway/src/fuchsiahatch_gateway/following.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/following.py
@@ -8,6 +8,7 @@
 
 from fuchsiahatch_adapter.store import (
     HistoryLostError,
+    Item,
     Items,
     RangeRead,
     StoreClient,
@@ -86,6 +87,7 @@
         "_reading",
         "_store",
         "_wait_ms",
+        "_watcher",
         "revision",
         "synced",
     )
@@ -108,6 +110,7 @@
         self._wait_ms = min(wait_ms, store.max_watch_ms)
         self._era = 0
         self._pause_ms = WATCH_PAUSE_MS
+        self._watcher: Watcher | None = None
         #: A read of all items that a failure has interrupted.
         self._reading: RangeRead | None = None
         self.synced = False
@@ -135,6 +138,23 @@
                 up_to_date = False
                 await self._wait_for_store()
 
+    def note_item(self, item: Item) -> None:
+        """Note an item below the prefix, as another call has read it.
+
+        A watch that doesn't report it in time has missed it, and is made again.
+        """
+        if self._has_missed(item):
+            reported_within_ms = BURST_PAUSE_MS + WATCH_OVERDUE_MS
+            loop = asyncio.get_running_loop()
+            loop.call_later(reported_within_ms / 1000, self._check_for_item, item)
+
+    def _check_for_item(self, item: Item) -> None:
+        if self._has_missed(item) and self._watcher is not None:
+            self._watcher.doubt()
+
+    def _has_missed(self, item: Item) -> bool:
+        return item.era == self._era and item.revision > self.revision
+
     async def _wait_for_store(self) -> None:
         """Wait before a retry, until the store answers any part of this process.
 
@@ -176,8 +196,9 @@
             regained.cancel()
 
     async def _watch(self) -> None:
-        watcher = Watcher(self._make_watch, self._wait_ms + WATCH_OVERDUE_MS)
-        changes = await watcher.run()
+        overdue_ms = self._wait_ms + WATCH_OVERDUE_MS
+        self._watcher = Watcher(self._make_watch, overdue_ms)
+        changes = await self._watcher.run()
         if changes.era != self._era:
             # The store was restored from an older copy and has reused this revision:
             # it answers, but reports no change up to it.
--- a/packages/gateway/src/fuchsiahatch_gateway/watching.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/watching.py
@@ -28,11 +28,16 @@
         Time after which an unanswered watch is made again.
     """
 
-    __slots__ = ("_make_watch", "_overdue_ms")
+    __slots__ = ("_doubted", "_make_watch", "_overdue_ms")
 
     def __init__(self, make_watch: MakeWatch, overdue_ms: int) -> None:
         self._make_watch = make_watch
         self._overdue_ms = overdue_ms
+        self._doubted = asyncio.Event()
+
+    def doubt(self) -> None:
+        """Make the watch again now, as something shows that it missed a change."""
+        self._doubted.set()
 
     async def run(self) -> "Items":
         """Return the first answer.
@@ -43,20 +48,34 @@
             When a call fails. A call without an answer counts once no other is
             pending.
         """
+        began_s = asyncio.get_running_loop().time()
         first = asyncio.ensure_future(self._make_watch(False))
         calls = [first]
         try:
-            await asyncio.wait(calls, timeout=self._overdue_ms / 1000)
+            await self._wait_until_overdue(first)
             if not first.done():
                 calls.append(asyncio.ensure_future(self._make_watch(True)))
             answered = await _wait_for_answer(calls)
             if answered is not first:
-                log_event(Event.WATCH_REPEATED, overdue_ms=self._overdue_ms)
+                waited_s = asyncio.get_running_loop().time() - began_s
+                log_event(Event.WATCH_REPEATED, waited_ms=int(waited_s * 1000))
             return answered.result()
         finally:
             for call in calls:
                 call.cancel()
 
+    async def _wait_until_overdue(self, call: "asyncio.Future[Items]") -> None:
+        """Wait until a call has ended, or is overdue or doubted."""
+        doubted = asyncio.ensure_future(self._doubted.wait())
+        try:
+            await asyncio.wait(
+                (call, doubted),
+                timeout=self._overdue_ms / 1000,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            doubted.cancel()
+
 
 async def _wait_for_answer(
     calls: "t.Iterable[asyncio.Future[Items]]",
--- a/tests/gateway/test_agents.py
+++ b/tests/gateway/test_agents.py
@@ -6,7 +6,7 @@
 from fuchsiahatch_adapter.configuration import decode_configuration
 from fuchsiahatch_gateway import order_pacing
 from fuchsiahatch_gateway.agent import Agent
-from fuchsiahatch_gateway.defaults import ENGINES_PREFIX
+from fuchsiahatch_gateway.defaults import ENGINES_PREFIX, LEADERS_PREFIX
 from fuchsiahatch_gateway.engine_figures import extract_figures
 from fuchsiahatch_gateway.log import LineWriter
 from fuchsiahatch_gateway.process import Process
@@ -282,6 +282,22 @@
 
         run(replace())
 
+    def test_agents_whose_watches_are_silent_learn_of_a_new_leader(self):
+        # They would have reported to the former leader for 15 s.
+        async def lose():
+            async with Group(19) as group:
+                await until(lambda: group.engines.switches >= 1, 10.0)
+                followers = [agent._follower for agent, *_ in group.running.values()]
+                group.store.faults.lost_watches = len(followers)
+                key = LEADERS_PREFIX + "g-1"
+                group.store.put(key, group.store.get(key))
+                changed = group.store.revision
+                await until(
+                    lambda: all(one.revision >= changed for one in followers), 6.0
+                )
+
+        run(lose())
+
     def test_a_group_that_forms_again_follows_its_demand(self):
         async def form():
             async with Group(7) as group:
--- a/tests/gateway/test_lost_watches.py
+++ b/tests/gateway/test_lost_watches.py
@@ -31,7 +31,7 @@
 
 @contextlib.asynccontextmanager
 async def followed(registered=False):
-    """Yield a stand-in store, its follower's client and health, and its copy."""
+    """Yield a stand-in store, its client, its health, a copy and its follower."""
     store = FleetStore()
     access = StoreAccess(Address("127.0.0.1", await store.listen()), 1_000, 20_000)
     clock, health = Clock(), StoreHealth()
@@ -45,7 +45,7 @@
         tasks.append(asyncio.ensure_future(registration.run()))
     try:
         await until(lambda: follower.synced)
-        yield store, client, health, copy
+        yield store, client, health, copy, follower
     finally:
         for task in tasks:
             task.cancel()
@@ -63,7 +63,7 @@
         """Check that a change made once hosts are in touch again is seen in time."""
 
         async def follow():
-            async with followed(registered=True) as (store, _, health, copy):
+            async with followed(registered=True) as (store, _, health, copy, _):
                 store.put("servers/first", {})
                 await until(lambda: "first" in copy.items)
                 await asyncio.sleep(following.WATCH_PAUSE_MS / 1000 + 0.2)
@@ -96,7 +96,7 @@
 
     def test_a_lost_answer_is_had_again_on_another_channel(self):
         async def follow():
-            async with followed() as (store, client, health, copy):
+            async with followed() as (store, client, health, copy, _):
                 store.faults.lost_watches = 1
                 store.put("servers/lost", {})
                 await until(lambda: "lost" in copy.items, 1.5)
@@ -110,7 +110,7 @@
     def test_a_slow_store_is_not_taken_for_a_lost_one(self):
         # Guards against watches that are given up before a slow answer arrives.
         async def follow():
-            async with followed() as (store, client, health, copy):
+            async with followed() as (store, client, health, copy, _):
                 store.put("servers/a", {})
                 await until(lambda: "a" in copy.items)
                 store.faults.delay_ms = 1_500
@@ -128,6 +128,35 @@
         # Each watch takes 2 s with its answer and the pause behind it.
         self.assertLessEqual(made, 2 * 4 + 1)
 
+    def test_a_lost_answer_shows_by_an_item_that_another_call_has_read(self):
+        # An agent whose watch was silent knew its group's former leader for 15 s.
+        async def follow():
+            async with followed() as (store, client, health, copy, follower):
+                store.put("servers/a", {})
+                await until(lambda: "a" in copy.items)
+                await asyncio.sleep(0.3)
+                store.faults.lost_watches = 1
+                store.put("servers/a", {"new": 1})
+                item = await client.get("servers/a", allow_stale=True)
+                follower.note_item(item)
+                await until(lambda: b"new" in copy.items["a"].value, 1.5)
+                return store.calls.count("/-/kv-range"), health.failed_ms
+
+        with short_waits(15_000, 400):
+            self.assertEqual(run(follow()), (1, None))
+
+    def test_an_item_that_the_watch_reports_too_repeats_no_watch(self):
+        async def follow():
+            async with followed() as (store, client, _, _, follower):
+                store.put("servers/a", {})
+                item = await client.get("servers/a", allow_stale=True)
+                follower.note_item(item)
+                await asyncio.sleep(1.5)
+                return store.calls.count("/-/kv-watch")
+
+        with short_waits(15_000, 400):
+            self.assertEqual(run(follow()), 2)
+
     def test_the_bounds_hold_with_a_slow_answer_behind_a_burst(self):
         # A channel may be silent from the beginning of a pause between two watches.
         found_ms = (
@@ -204,3 +233,13 @@
     def test_a_lost_history_is_an_answer(self):
         fault = HistoryLostError("gone")
         self.assertEqual(self.watch((99, None), (0.1, fault)), (fault, 3.6))
+
+    def test_a_doubted_watch_is_made_again_at_once(self):
+        self.calls = FakeCalls((99, None), (0.2, CHANGES))
+
+        async def work(loop):
+            watcher = Watcher(self.calls.make, 3_500)
+            loop.call_later(1.0, watcher.doubt)
+            return await watcher.run(), loop.time()
+
+        self.assertEqual(run_virtually(work), (CHANGES, 1.2))
--- a/tests/gateway/test_mass_deletions.py
+++ b/tests/gateway/test_mass_deletions.py
@@ -88,7 +88,7 @@
 
     def test_half_of_all_removed_from_a_real_store_leave_in_time(self):
         async def follow():
-            async with followed(registered=True) as (store, _, _, copy):
+            async with followed(registered=True) as (store, _, _, copy, _):
                 for name in NAMES:
                     store.put(f"servers/{name}", {})
                 await until(lambda: sorted(copy.items) == NAMES)
