A stopping entry that has just started doesn't go by its first short answers

Cause: the longest answer of a route counts from its first one on. Short answers end first, so a young entry knows nothing of the long ones.

Change: a route's longest answer counts once the first one is 15 s old; before, a request whose deadline lies beyond the entry's end is refused as not run.

--- a/packages/gateway/src/fuchsiahatch_gateway/route_durations.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/route_durations.py
@@ -2,15 +2,19 @@
 
 #: Time that a bucket covers; the latest two buckets count.
 BUCKET_MS = 30_000
+#: Time since a route's first answer before its longest one counts. An entry that has
+#: just started has seen the end of its short answers only.
+MIN_OBSERVED_MS = 15_000
 
 
 class RouteDurations:
     """Sliding maxima of the durations of answers, by route."""
 
-    __slots__ = ("_began_ms", "_current", "_previous")
+    __slots__ = ("_began_ms", "_current", "_first_ms", "_previous")
 
     def __init__(self) -> None:
         self._began_ms = 0
+        self._first_ms: dict[str, int] = {}
         self._current: dict[str, int] = {}
         self._previous: dict[str, int] = {}
 
@@ -25,18 +29,17 @@
         now_ms : int
         """
         self._rotate(now_ms)
+        self._first_ms.setdefault(route, now_ms)
         if took_ms > self._current.get(route, -1):
             self._current[route] = took_ms
 
     def longest_ms(self, route: str, now_ms: int) -> int | None:
-        """Return the longest recent duration of a route; None without any."""
+        """Return a route's longest recent duration; None if too little is known."""
         self._rotate(now_ms)
-        found = [
-            bucket[route]
-            for bucket in (self._current, self._previous)
-            if route in bucket
-        ]
-        return max(found, default=None)
+        if now_ms - self._first_ms.get(route, now_ms) < MIN_OBSERVED_MS:
+            return None
+        buckets = (self._current, self._previous)
+        return max(bucket[route] for bucket in buckets if route in bucket)
 
     def _rotate(self, now_ms: int) -> None:
         """Begin a new bucket when the current one is full; old routes are dropped."""
@@ -46,3 +49,8 @@
         self._previous = self._current if age_ms < 2 * BUCKET_MS else {}
         self._current = {}
         self._began_ms = now_ms
+        self._first_ms = {
+            route: first_ms
+            for route, first_ms in self._first_ms.items()
+            if route in self._previous
+        }
--- a/tests/gateway/test_stopping_entry.py
+++ b/tests/gateway/test_stopping_entry.py
@@ -3,6 +3,7 @@
 from unittest import mock
 
 from fuchsiahatch_gateway.fleet import Fleet
+from fuchsiahatch_gateway.route_durations import MIN_OBSERVED_MS
 from tests.gateway.sites import (
     Site,
     answers,
@@ -55,6 +56,8 @@
     def test_a_request_of_a_route_with_short_answers_is_passed_on(self):
         async def play():
             async with Site(upstream(answers(), answers())) as site:
+                earlier_ms = site.entry._clock.now_ms() - MIN_OBSERVED_MS
+                site.entry.stop_admission.durations.note("r-safe", 5, earlier_ms)
                 await site.ask("/safe/")
                 stop(site, SOON_MS)
                 return await site.ask("/safe/"), await site.ask("/hold/")
