--- a/packages/http1/src/fuchsiahatch_http1/server.py
+++ b/packages/http1/src/fuchsiahatch_http1/server.py
@@ -433,7 +433,9 @@
 
     def _allow_slowness(self) -> None:
         """Give a caller with much to receive more time until it must have read on."""
-        if not self._may_be_slow and self.unsent_bytes > SLOW_CALLER_BYTES:
+        if self._may_be_slow or self._answer_bytes <= SLOW_CALLER_BYTES:
+            return
+        if self.unsent_bytes > SLOW_CALLER_BYTES:
             self._may_be_slow = True
             set_unacknowledged_timeout(self.transport, SLOW_CALLER_TIMEOUT_MS)
 
