--- a/tests/processes/test_stop_soak.py
+++ b/tests/processes/test_stop_soak.py
@@ -93,12 +93,12 @@
 
     def _lines_of(self, one):
         """Return what the entry wrote of a request, and of its own stops."""
-        named = json.dumps(getattr(one, "request_id", None))
+        request_id = getattr(one, "request_id", None)
         kinds = ("stopping", "stopped")
         return "".join(
             f"\n  {line}"
             for line in self.lines
-            if named in json.dumps(line)
+            if (request_id and f'"{request_id}"' in json.dumps(line))
             or (line["message_type"] in kinds and line["node"] == f"front-{one.ip[-1]}")
         )
 
