A caller that leaves around the end of its answer leaves no connection behind

What was lost: a connection that closed, and its descriptor, for each caller that half-closed or closed before it had read its answer; every later stop then took its whole grace.

Cause: behind the caller's close nobody reads the socket, so a reset goes unnoticed, and the kernel's queue of a dead socket never gets empty. The lingering close waited for that.

Change: behind the caller's close only the transport's own buffer is waited for; the kernel sends the rest after the close. The module of the queues has its name for both directions.

Evidence: of the three new tests the half-closed one failed before (connections left after 5 s); the other two passed and guard the same.

--- a/packages/http1/src/fuchsiahatch_http1/lingering_close.py
+++ b/packages/http1/src/fuchsiahatch_http1/lingering_close.py
@@ -4,7 +4,7 @@
 
 from twisted.internet import reactor
 
-from fuchsiahatch_http1.send_queues import unsent_bytes
+from fuchsiahatch_http1.socket_queues import buffered_bytes, unsent_bytes
 
 #: Time for which received bytes are read and discarded once the peer has acknowledged
 #: everything that was sent.
@@ -59,9 +59,13 @@
             self._timer = self._schedule()
 
     def _is_over(self) -> bool:
+        if self._peer_closed:
+            # Nobody reads the socket any more, so that a reset would go unnoticed. The
+            # kernel sends the rest of its queue after the close.
+            return not buffered_bytes(self._transport)
         if unsent_bytes(self._transport):
             return False
         if self._acknowledged_s is None:
             self._acknowledged_s = reactor.seconds()
         waited_s = reactor.seconds() - self._acknowledged_s
-        return self._peer_closed or waited_s >= LINGER_MS / 1000
+        return waited_s >= LINGER_MS / 1000
--- a/packages/http1/src/fuchsiahatch_http1/server.py
+++ b/packages/http1/src/fuchsiahatch_http1/server.py
@@ -19,7 +19,7 @@
     OpenRequest,
 )
 from fuchsiahatch_http1.lingering_close import LingeringClose
-from fuchsiahatch_http1.send_queues import unsent_bytes
+from fuchsiahatch_http1.socket_queues import unsent_bytes
 from fuchsiahatch_http1.sockets import (
     BACKLOG,
     SLOW_CALLER_BYTES,
--- a/tests/http1/test_closing.py
+++ b/tests/http1/test_closing.py
@@ -292,3 +292,28 @@
                 return len(self.server.connections)
 
         self.assertEqual(self.play(play), 0)
+
+
+class TestCallersThatLeaveEarly(ClosingCase):
+    def leave_after(self, request, half_close=False):
+        async def play():
+            port = await self.serve(self.large)
+            for _ in range(10):
+                async with Caller(port, receive_bytes=4_096) as caller:
+                    await caller.send(request)
+                    await asyncio.sleep(0.02)
+                    if half_close:
+                        caller.socket.shutdown(socket.SHUT_WR)
+                        await asyncio.sleep(0.02)
+            await until(lambda: not self.server.connections, 5.0)
+
+        run(play())
+
+    def test_no_connection_is_left_of_one_that_was_refused(self):
+        self.leave_after(b"GET / HTTP/1.1\r\n\r\n")
+
+    def test_no_connection_is_left_of_one_that_asked_for_the_close(self):
+        self.leave_after(GET_AND_CLOSE)
+
+    def test_no_connection_is_left_of_one_that_half_closed_and_read_nothing(self):
+        self.leave_after(GET_AND_CLOSE, half_close=True)
