A request that meets the close of its idle connection is answered or stays unread

What callers lost: a request that had arrived unread, or whose head was read in part, as a stop or an idle timeout closed its connection: it was read, discarded, and never answered, and callers may repeat some requests only if they weren't read.

Cause: an idle connection was half-closed and read on like one behind an answer.

Change: where something has arrived, the connection stays and the request is treated as one that arrives while the server leaves. Where nothing has, and no answer is unread, it is closed at once, so that what crosses the close stays unread.

Evidence: both new tests failed before (no answer, end of the connection).

--- a/packages/http1/src/fuchsiahatch_http1/server.py
+++ b/packages/http1/src/fuchsiahatch_http1/server.py
@@ -19,7 +19,7 @@
     OpenRequest,
 )
 from fuchsiahatch_http1.lingering_close import LingeringClose
-from fuchsiahatch_http1.socket_queues import unsent_bytes
+from fuchsiahatch_http1.socket_queues import received_bytes, unsent_bytes
 from fuchsiahatch_http1.sockets import (
     BACKLOG,
     SLOW_CALLER_BYTES,
@@ -279,7 +279,7 @@
     @property
     def _reads(self) -> bool:
         """Whether the next bytes received belong to a request that is served."""
-        return not self.lost and self._closing is None and self._task is None
+        return not self.lost and not self._close_noted and self._task is None
 
     @property
     def state(self) -> ConnectionState:
@@ -330,7 +330,7 @@
 
         What comes while the connection closes is discarded.
         """
-        if self._closing is not None:
+        if self._close_noted:
             return
         if self._task is not None:
             self._pipelined_bytes += len(data)
@@ -383,9 +383,18 @@
         await self._writable.wait()
 
     def close_if_idle(self) -> None:
-        """Close the connection if it has no request."""
-        if not self.busy and not self.lost:
+        """Close the connection if it has no request, and none has arrived in part.
+
+        One that has arrived is read as usual, as its caller may not send it again.
+        """
+        if self.busy or self.lost or self._close_noted:
+            return
+        if self._conn.trailing_data[0] or received_bytes(self.transport):
+            self._set_timer(self._server.limits.header_ms)
+        elif self.unsent_bytes:
             self._close(CloseReason.IDLE)
+        else:
+            self._close_unread(CloseReason.IDLE)
 
     def abort(self, reason: CloseReason = CloseReason.RESET) -> None:
         """Reset the connection."""
@@ -525,6 +534,14 @@
         self._writable.set()
         self._closing = LingeringClose(self.transport)
 
+    def _close_unread(self, reason: CloseReason) -> None:
+        """Close at once: a request that crosses the close stays unread."""
+        self._note_close(reason)
+        self._clear_timer()
+        self.transport.unregisterProducer()
+        self.transport.pauseProducing()
+        self.transport.loseConnection()
+
     def _note_close(self, reason: CloseReason) -> None:
         if not self._close_noted:
             self._close_noted = True
@@ -543,5 +560,7 @@
         self._timer = None
         if self._request is not None:
             self._reject(408, CloseReason.TIMED_OUT)
-            return
-        self._close(CloseReason.IDLE)
+        elif self._conn.trailing_data[0]:
+            self._close(CloseReason.IDLE)
+        else:
+            self.close_if_idle()
--- a/tests/http1/test_closing.py
+++ b/tests/http1/test_closing.py
@@ -317,3 +317,33 @@
 
     def test_no_connection_is_left_of_one_that_half_closed_and_read_nothing(self):
         self.leave_after(GET_AND_CLOSE, half_close=True)
+
+
+class TestRequestsThatMeetAClose(ClosingCase):
+    async def short(self, exchange):
+        self.handled += 1
+        exchange.respond(200, (), b"short")
+
+    def ask_across_leave(self, before, after=b"", blocked_s=0.0):
+        """Send around the beginning of a stop, on a connection that had an answer."""
+
+        async def play():
+            port = await self.serve(self.short)
+            async with Caller(port) as caller:
+                await caller.send(GET)
+                await caller.receive()
+                await caller.send(before)
+                time.sleep(blocked_s)
+                if not blocked_s:
+                    await asyncio.sleep(0.05)
+                self.server.leave()
+                await caller.send(after)
+                return await caller.receive_all()
+
+        return run(play())
+
+    def test_one_that_has_arrived_unread_is_answered(self):
+        self.assertIn(b" 200 ", self.ask_across_leave(GET, blocked_s=0.05))
+
+    def test_one_whose_head_is_read_in_part_is_answered(self):
+        self.assertIn(b" 200 ", self.ask_across_leave(GET[:-2], GET[-2:]))
