The connection of a handler that fails is reset and the failure logged

What callers lost: one whose handler raised outside its own error handling waited for ever, and a stop for its whole grace.

Cause: nobody looked at the handler's task.

Change: a failed task is logged and its connection reset, as it may have run.

Evidence: the new test failed before (no end within its limit).

--- a/packages/http1/src/fuchsiahatch_http1/server.py
+++ b/packages/http1/src/fuchsiahatch_http1/server.py
@@ -12,6 +12,7 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
+from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_http1.connection_states import (
     CloseReason,
     ConnectionState,
@@ -515,6 +516,14 @@
         self._task = asyncio.get_running_loop().create_task(
             self._server.handle(exchange)
         )
+        self._task.add_done_callback(self._check_handler)
+
+    def _check_handler(self, task: asyncio.Task[None]) -> None:
+        """Reset the connection of a handler that has failed; nothing else ends it."""
+        if task.cancelled() or task.exception() is None:
+            return
+        log_event(Event.INTERNAL_ERROR, detail=repr(task.exception()))
+        self.abort()
 
     def _reject(self, status: int, reason: CloseReason = CloseReason.REFUSED) -> None:
         """Answer an invalid request with an error status, and close."""
--- a/tests/http1/test_closing.py
+++ b/tests/http1/test_closing.py
@@ -347,3 +347,19 @@
 
     def test_one_whose_head_is_read_in_part_is_answered(self):
         self.assertIn(b" 200 ", self.ask_across_leave(GET[:-2], GET[-2:]))
+
+
+class TestFailingHandlers(ClosingCase):
+    def test_a_caller_does_not_wait_for_one_for_ever(self):
+        async def fails(exchange):
+            raise KeyError("failed")
+
+        async def play():
+            port = await self.serve(fails)
+            async with Caller(port) as caller:
+                await caller.send(GET)
+                with self.assertRaises(ConnectionResetError):
+                    await caller.receive()
+            await until(lambda: not self.server.connections, 1.0)
+
+        run(play())
