--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -485,6 +485,7 @@
             self._stop_admission.durations.note(job.match.route.name, took_ms, now_ms)
 
     def _handle_timeout(self, job: Job) -> None:
+        self._note_duration(job)
         ran = bool(job.tried) or job.may_have_run
         if ran:
             fault = FuchsiahatchError("the time is over", Code.DEADLINE_PASSED)
