--- a/packages/gateway/src/fuchsiahatch_gateway/route_durations.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/route_durations.py
@@ -3,8 +3,9 @@
 #: Time that a bucket covers; the latest two buckets count.
 BUCKET_MS = 30_000
 #: Time since a route's first answer before its longest one counts. An entry that has
-#: just started has seen the end of its short answers only.
-MIN_OBSERVED_MS = 15_000
+#: just started has seen the end of its short answers only; in this time one that fits
+#: into the grace of a stop would have ended, too.
+MIN_OBSERVED_MS = 8_000
 
 
 class RouteDurations:
