--- a/packages/http1/src/fuchsiahatch_http1/client.py
+++ b/packages/http1/src/fuchsiahatch_http1/client.py
@@ -22,7 +22,7 @@
 if t.TYPE_CHECKING:
     from twisted.python.failure import Failure
 
-    from fuchsiahatch_http1.server import Headers
+    from fuchsiahatch_http1.connection_states import Headers
 
 #: Maximum idle time of a connection whose server sends no Keep-Alive timeout.
 DEFAULT_KEEP_ALIVE_MS = 8_000
