--- a/packages/gateway/src/fuchsiahatch_gateway/request_log.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/request_log.py
@@ -74,7 +74,7 @@
             first_event_ms=None if first_ms is None else first_ms - job.arrived_ms,
             longest_gap_ms=job.longest_gap_ms,
             on_time=on_time,
-            bounds=[bound.value for bound in job.bounds],
+            **_bound_fields(job),
             **ending_fields(job.ending),
         )
 
@@ -104,6 +104,11 @@
             report_age_ms=job.report_age_ms,
             load_now=upstream.load(now_ms),
             places=upstream.entry.places,
-            bounds=[bound.value for bound in job.bounds],
+            **_bound_fields(job),
             **ending_fields(job.ending),
         )
+
+
+def _bound_fields(job: "Job") -> dict[str, t.Any]:
+    """Return the field of a log line that names the bounds that answers reached."""
+    return {"bounds": [bound.value for bound in job.bounds]} if job.bounds else {}
