A handler that fails behind its answer leaves the next request alone

What callers would lose: the next request on the connection, reset as the former handler failed after it had answered. Found by reading the change once more.

Cause: the check of failed handlers looked at the connection, not at whose turn it was. And a connection that was closed unread could still begin a lingering close at the end.

Change: only the present handler's failure resets its connection; a close that has begun, of either kind, isn't begun again.

Evidence: the new test failed before (connection reset); tests.http1, test_stopping_entry and test_stop_report: 54 passed.

--- a/packages/http1/src/fuchsiahatch_http1/server_connection.py
+++ b/packages/http1/src/fuchsiahatch_http1/server_connection.py
@@ -272,7 +272,7 @@
 
     def end(self) -> None:
         """Refuse a request that is unanswered, cut a partial answer, and close."""
-        if self.lost or self._closing is not None:
+        if self.lost or self._close_noted:
             return
         if self._conn.our_state is h11.SEND_BODY:
             self.cut()
@@ -383,7 +383,9 @@
         if task.cancelled() or task.exception() is None:
             return
         log_event(Event.INTERNAL_ERROR, detail=repr(task.exception()))
-        self.abort()
+        # Behind its answer the connection may be the next request's already.
+        if task is self._task:
+            self.abort()
 
     def _reject(self, status: int, reason: CloseReason = CloseReason.REFUSED) -> None:
         """Answer an invalid request with an error status, and close."""
@@ -394,7 +396,7 @@
         self._close(reason)
 
     def _close(self, reason: CloseReason) -> None:
-        if self.lost or self._closing is not None:
+        if self.lost or self._close_noted:
             return
         self._note_close(reason)
         self._clear_timer()
--- a/tests/http1/test_closing.py
+++ b/tests/http1/test_closing.py
@@ -371,3 +371,25 @@
             await until(lambda: not self.server.connections, 1.0)
 
         self.play(play)
+
+    def test_one_that_fails_behind_its_answer_leaves_the_next_request_alone(self):
+        released = asyncio.Event()
+
+        async def fails_late(exchange):
+            self.handled += 1
+            if self.handled == 1:
+                exchange.respond(200, (), b"first")
+                await released.wait()
+                raise KeyError("failed")
+            released.set()
+            await asyncio.sleep(0.05)
+            exchange.respond(200, (), b"second")
+
+        async def play():
+            async with Caller(await self.serve(fails_late)) as caller:
+                await caller.send(GET)
+                await caller.receive()
+                await caller.send(GET)
+                return await caller.receive()
+
+        self.assertTrue(self.play(play).endswith(b"second"))
