--- a/packages/gateway/src/fuchsiahatch_gateway/answer_relay.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/answer_relay.py
@@ -13,7 +13,8 @@
 
 #: Bytes that are kept of an answer, so that one that breaks off before can be retried.
 MAX_KEPT_BODY_BYTES = 1_048_576
-_UPSTREAM_FAILED = 500
+#: First status that states a failure of the upstream itself.
+UPSTREAM_FAILED = 500
 
 
 async def receive_body(
@@ -58,7 +59,7 @@
 
 
 def _is_better_retried(head: Head, attempt: "Attempt") -> bool:
-    return head.status >= _UPSTREAM_FAILED and attempt.may_give_up()
+    return head.status >= UPSTREAM_FAILED and attempt.may_give_up()
 
 
 async def _relay(
--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -12,7 +12,7 @@
     describe_ending,
     is_event_stream,
 )
-from fuchsiahatch_gateway.answer_relay import receive_body
+from fuchsiahatch_gateway.answer_relay import UPSTREAM_FAILED, receive_body
 from fuchsiahatch_gateway.event_stream import (
     MAX_EVENT_BYTES,
     MAX_QUIET_BYTES,
@@ -45,7 +45,6 @@
 MAX_REFUSAL_BYTES = 65_536
 REFUSAL_TIMEOUT_MS = 100
 _MISPLACED = 421
-_UPSTREAM_FAILED = 500
 
 T = t.TypeVar("T")
 
@@ -120,7 +119,7 @@
     @property
     def upstream_failed(self) -> bool:
         """Whether the answer is an error of the upstream."""
-        return self.status >= _UPSTREAM_FAILED
+        return self.status >= UPSTREAM_FAILED
 
 
 @dataclasses.dataclass(slots=True)
