A connection that is being reset is handed to no request

What callers saw: 502 for requests that can't be repeated, though nothing of them was sent, where an upstream sends bytes behind a complete answer.

Cause: an idle connection with unsolicited bytes is reset (`abort`). The transport reports the end of such a connection in a later iteration of the loop only. Until then `lost` was false, the pool still held the connection, and `acquire` handed it to the next request, whose bytes the transport dropped.

Change: `ended` is true from the reset on, and is what the pool, `reusable` and `has_idle` ask. A call whose connection ended before any of its bytes left the process raises `CallUnsent`: such a request may go elsewhere whatever its kind, and a call to the store is known to have had no effect. That also holds where the other side's close is read before the call leaves.

The search of deliveries learns answers that come again on an idle connection, the time until the end of a connection is reported, and bytes that are written and not yet sent. A request that fails and was never sent is a violation.

Looked for elsewhere: `ServerConnection` notes its own close at once and handles nothing behind it; `close_idle` and too old connections leave the pool before they are reset; a probe's connection is as any other idle one; a call's reset connection isn't returned to the pool.

--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -24,6 +24,7 @@
     AnswerEnd,
     AnswerTooLong,
     Bound,
+    CallUnsent,
     Head,
 )
 from fuchsiahatch_http1.client import Call, ClientConnection
@@ -219,6 +220,8 @@
     attempt.used_connections.append(connection)
     try:
         outcome = await _send_and_receive(exchange, connection, attempt)
+    except CallUnsent as fault:
+        outcome = Outcome(Result.UNSENT, f"not sent: {fault}")
     except AnswerBroken as fault:
         if isinstance(fault, AnswerTooLong):
             _note_too_long(connection, attempt, fault)
--- a/packages/gateway/src/fuchsiahatch_gateway/jobs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/jobs.py
@@ -64,7 +64,7 @@
     used_connections : list of ClientConnection
         Those that it was sent on.
     unsent : int
-        Attempts for which no connection was established.
+        Attempts in which nothing was sent.
     may_have_run : bool
         Whether any attempt so far may have run it.
     first_event_ms, last_event_ms : int or None
--- a/packages/gateway/src/fuchsiahatch_gateway/next_steps.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/next_steps.py
@@ -10,7 +10,7 @@
     Attributes
     ----------
     UNSENT
-        No connection was established.
+        Nothing was sent: no connection was established, or it ended before that.
     NOT_RUN
         The upstream guarantees that it did not run the request and never will.
     ANSWERED
@@ -58,7 +58,7 @@
         Attempts that reached an upstream.
     max_sends : int
     unsent : int
-        Attempts for which no connection was established.
+        Attempts in which nothing was sent.
     may_have_run : bool
         Whether any attempt so far, including this one, may have run the request.
     upstream_failed : bool
@@ -84,7 +84,7 @@
     group_crashed: bool = False
 
 
-#: Attempts without a connection after which a request is refused.
+#: Attempts in which nothing was sent, after which a request is refused.
 MAX_UNSENT = 3
 #: Crashes from which on a request isn't retried. A single crash may be unrelated to the
 #: request.
--- a/packages/http1/src/fuchsiahatch_http1/answers.py
+++ b/packages/http1/src/fuchsiahatch_http1/answers.py
@@ -14,6 +14,10 @@
     """The answer ended before it was complete; the request may have run."""
 
 
+class CallUnsent(AnswerBroken):
+    """The connection ended before any byte of the call left the process."""
+
+
 class Bound(enum.Enum):
     """Bounds on the bytes of an answer.
 
--- a/packages/http1/src/fuchsiahatch_http1/client.py
+++ b/packages/http1/src/fuchsiahatch_http1/client.py
@@ -13,10 +13,12 @@
     AnswerEnd,
     AnswerTooLong,
     Bound,
+    CallUnsent,
     Framing,
     Head,
     framing_of,
 )
+from fuchsiahatch_http1.socket_queues import buffered_bytes
 from fuchsiahatch_http1.sockets import set_options
 
 if t.TYPE_CHECKING:
@@ -83,6 +85,7 @@
         self._failure = ""
         self._too_long: AnswerTooLong | None = None
         self._call: Call | None = None
+        self._call_bytes = 0
         self._on_idle_end = on_idle_end
         self._paused = False
         self._aborted = False
@@ -130,9 +133,23 @@
         self.end = self.end or (AnswerEnd.CLOSED if self._closed else AnswerEnd.RESET)
         self._fail(f"connection lost: {reason.type.__name__}")
 
+    @property
+    def ended(self) -> bool:
+        """Whether no further call can be sent: it is lost, or this process reset it.
+
+        The transport reports the end of a connection that is reset here only in a later
+        iteration of the loop; until then, what is written to it is dropped.
+        """
+        return self.lost or self._aborted
+
+    @property
+    def _unsent(self) -> bool:
+        """Whether the connection ended before any byte of the call left the process."""
+        return self.ended and buffered_bytes(self.transport) >= self._call_bytes
+
     def abort(self) -> None:
         """Reset the connection, which cancels the call at the server."""
-        if not self.lost:
+        if not self.ended:
             # A transport that is resumed after its reset would be read again.
             self._aborted = True
             self.transport.abortConnection()
@@ -146,13 +163,17 @@
         self._informational = 0
         self.framing = None
         self.end = None
-        self.transport.write(self._serialize(call))
+        data = self._serialize(call)
+        self._call_bytes = len(data)
+        self.transport.write(data)
 
     async def head(self) -> Head:
         """Return the head of the answer.
 
         Raises
         ------
+        CallUnsent
+            If the call has not been sent, and never will be.
         AnswerBroken
         """
         event = await self._next()
@@ -240,7 +261,7 @@
     def reusable(self) -> bool:
         """Whether the answer is complete and no bytes followed it."""
         return (
-            not self.lost
+            not self.ended
             and self._conn.our_state is h11.DONE
             and self._conn.their_state is h11.DONE
             and not self._conn.trailing_data[0]
@@ -313,7 +334,7 @@
         if not self._paused or self._unparsed_bytes >= MAX_UNPARSED_BYTES:
             return
         self._paused = False
-        if not self._aborted and not self.lost:
+        if not self.ended:
             self.transport.resumeProducing()
 
     def _note_malformed(self, fault: h11.RemoteProtocolError) -> None:
@@ -337,7 +358,8 @@
             if self._too_long is not None:
                 raise self._too_long
             if self._failure:
-                raise AnswerBroken(self._failure)
+                broken = CallUnsent if self._unsent else AnswerBroken
+                raise broken(self._failure)
             self._parsed_at_once = 0
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
--- a/packages/http1/src/fuchsiahatch_http1/pool.py
+++ b/packages/http1/src/fuchsiahatch_http1/pool.py
@@ -87,11 +87,9 @@
         kept = self._idle.get((ip, port), [])
         now_ms = self._clock.now_ms()
         for connection in kept[::-1]:
-            if connection in excluded:
+            if connection.ended or connection in excluded:
                 continue
             kept.remove(connection)
-            if connection.lost:
-                continue
             if now_ms - connection.idle_since_ms < connection.keep_ms:
                 return connection
             connection.abort()
@@ -99,7 +97,7 @@
 
     def has_idle(self, ip: str, port: int) -> bool:
         """Return whether an idle connection to an address is open."""
-        return bool(self._idle.get((ip, port)))
+        return any(not one.ended for one in self._idle.get((ip, port), []))
 
     async def probe(self, ip: str, port: int) -> Reachability:
         """Return whether an address accepts connections.
--- a/tests/gateway/delivery_model.py
+++ b/tests/gateway/delivery_model.py
@@ -291,6 +291,8 @@
             self.faults.append(f"{name} ran at more upstreams than its route allows")
         if exchange.caller_disconnected:
             return
+        if exchange.status == 502 and name.encode() not in self.pool.sent:
+            self.faults.append(f"{name} failed and was never sent")
         if exchange.status in NOT_RUN_STATUSES and ran:
             self.faults.append(f"{name} got {exchange.status} and has run")
         if not (exchange.finished or exchange.aborted):
--- a/tests/gateway/played_upstreams.py
+++ b/tests/gateway/played_upstreams.py
@@ -15,6 +15,8 @@
 from fuchsiahatch_http1.pool import ConnectFailed, ConnectionPool
 
 CONNECT_MS = 300
+#: Time after which the end of a connection is reported.
+REPORTED_MS = 1
 _ID_LINE = re.compile(rb"Fuchsiahatch-Request-Id: .*?\r\n", re.IGNORECASE)
 #: Events of one stream.
 EVENTS = 4
@@ -79,7 +81,7 @@
     Attributes
     ----------
     requests : int
-        Requests that arrive on the connection before.
+        Requests that arrive on the connection before; 0 for none, while it is idle.
     after_ms : int
         Time from the last of them to the repeated answer.
     named : bool
@@ -128,8 +130,11 @@
         #: Answers that are sent again, each after which request, and its `Repeat`.
         self._repeats = []
         self.open = True
+        self._aborted = False
         self.client = None
         self.run = None
+        #: What the client has written, and its loop hasn't sent yet.
+        self.dataBuffer, self.offset, self._tempDataLen = b"", 0, 0
 
     # The transport's interface that the client's connection uses.
 
@@ -140,6 +145,15 @@
         return types.SimpleNamespace(setsockopt=lambda *option: None)
 
     def write(self, data):
+        if not self._aborted:
+            self.dataBuffer += data
+            asyncio.get_running_loop().call_soon(self._send_written)
+
+    def _send_written(self):
+        if self._aborted or not self.dataBuffer:
+            return
+        data, self.dataBuffer = self.dataBuffer, b""
+        self._world.pool.sent += data
         if not self.open:
             return
         self._server.receive_data(data)
@@ -152,6 +166,7 @@
         pass
 
     def abortConnection(self):
+        self._aborted = True
         if self.run is not None and self.run.working:
             self.run.aborted_ms = self._world.clock.now_ms()
         self._end(error.ConnectionAborted())
@@ -300,6 +315,8 @@
         if repeat is not None:
             requests = self._requests + repeat.requests
             self._repeats.append((self._answer_bytes, requests, repeat))
+            if not repeat.requests:
+                self._repeat_answers()
         self._answer_bytes = b""
 
     def _send(self, event):
@@ -327,7 +344,8 @@
             if task is not asyncio.current_task():
                 task.cancel()
         loop = asyncio.get_running_loop()
-        loop.call_soon(self.client.connectionLost, Failure(reason))
+        reported_s = REPORTED_MS / 1000
+        loop.call_later(reported_s, self.client.connectionLost, Failure(reason))
 
 
 def _head_of(run):
@@ -345,6 +363,8 @@
         self._world = world
         self._make_wire = make_wire
         self.crashed = set()
+        #: What was sent to upstreams, on all connections.
+        self.sent = b""
 
     async def _open(self, ip, port):
         await asyncio.sleep(0.001)
--- a/tests/gateway/test_delivery_search.py
+++ b/tests/gateway/test_delivery_search.py
@@ -49,8 +49,8 @@
 )
 _REPEATS = st.builds(
     Repeat,
-    st.sampled_from((1, 1, 1, 2, 3)),
-    st.sampled_from((0, 0, 1, 5)),
+    st.sampled_from((0, 1, 1, 1, 2, 3)),
+    st.sampled_from((0, 0, 1, 5, 8, 38)),
     st.sampled_from((True, True, False)),
 )
 _REPEATED_ACTS = (Act.REFUSE, Act.REFUSE, Act.FAIL, Act.ANSWER, Act.HANG)
@@ -110,6 +110,13 @@
     upstreams=1,
     repeats=(Repeat(1, 0, named=False),),
 )
+#: An answer arrives again on its idle connection just as the next request begins.
+UNASKED_ANSWER = Scenario(
+    asks=(Ask("/safe/", 0), Ask("/twice/", 7)),
+    acts=((Act.ANSWER, 1), (Act.ANSWER, 30)),
+    upstreams=1,
+    repeats=(Repeat(0, 5),),
+)
 #: The upstream is silent for half of the time, and the budget allows no retry.
 SILENT_WITHOUT_BUDGET = Scenario(
     asks=(Ask("/safe/", 0),), acts=((Act.ANSWER, 650),), slack=0.0
@@ -120,6 +127,7 @@
     SPOILED_STREAM,
     REPEATED_REJECTION,
     UNNAMED_REJECTION,
+    UNASKED_ANSWER,
     SILENT_WITHOUT_BUDGET,
 )
 
@@ -171,6 +179,10 @@
         # As above, for another request than the one that was rejected.
         self.assertEqual(find_faults(UNNAMED_REJECTION), [])
 
+    def test_no_request_is_sent_on_a_connection_that_is_being_reset(self):
+        # It would fail, though nothing of it was sent, where it can't be repeated.
+        self.assertEqual(find_faults(UNASKED_ANSWER), [])
+
 
 def _find_violations():
     """Search for a scenario that violates an invariant; return the violations."""
@@ -256,6 +268,9 @@
     "an answer without an id counts on a new connection": mock.patch.object(
         attempts, "_matching_head", _accept_unnamed_heads
     ),
+    "a connection that is being reset is not handed out": mock.patch.object(
+        ClientConnection, "ended", property(lambda self: self.lost)
+    ),
     "a success has a signature": mock.patch.object(
         attempts.names, "SIGNATURE", b"fuchsiahatch-request-id"
     ),
--- a/tests/http1/test_connections.py
+++ b/tests/http1/test_connections.py
@@ -1,8 +1,12 @@
 import asyncio
+import socket
 import unittest
+from unittest import mock
+
+from twisted.internet import reactor
 
 from fuchsiahatch_core.clock import ManualClock
-from fuchsiahatch_http1.answers import AnswerBroken
+from fuchsiahatch_http1.answers import AnswerBroken, CallUnsent
 from fuchsiahatch_http1.client import Call
 from fuchsiahatch_http1.pool import ConnectFailed, ConnectionPool
 from fuchsiahatch_http1.server import HttpServer, ServerLimits
@@ -91,6 +95,68 @@
         loopback.run(call())
 
 
+class TestEndedConnections(unittest.TestCase):
+    def test_a_connection_that_is_being_reset_is_not_handed_to_the_next_call(self):
+        # A request that can't be repeated would fail, though nothing of it was sent.
+        async def answers_again(exchange):
+            exchange.respond(200, body=b"own")
+            transport = exchange._connection.transport
+            again = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold"
+            reactor.callLater(0.02, transport.write, again)
+
+        async def play():
+            async with ServerAndPool(answers_again) as served:
+                await served.call()
+                (connection,) = served.pool._idle["127.0.0.1", served.port]
+                asked, abort = [], connection.abort
+
+                def abort_and_call():
+                    abort()
+                    had_idle = served.pool.has_idle("127.0.0.1", served.port)
+                    asked.append((had_idle, asyncio.ensure_future(served.call())))
+
+                with mock.patch.object(connection, "abort", abort_and_call):
+                    await asyncio.sleep(0.1)
+                ((had_idle, call),) = asked
+                return had_idle, (await call)[1]
+
+        self.assertEqual(loopback.run(play()), (False, b"own"))
+
+    def test_a_call_whose_connection_was_closed_before_it_left_is_unsent(self):
+        # Its caller would be told that it may have run.
+        async def play():
+            pool = ConnectionPool(ManualClock(), 300)
+            with socket.create_server(("127.0.0.1", 0)) as listening:
+                address = listening.getsockname()
+                await pool.probe(*address)
+                peer, _ = listening.accept()
+                connection = await pool.acquire(*address)
+                peer.close()
+                connection.send(Call(b"POST", b"/", HEADERS, b"body"))
+                with self.assertRaises(CallUnsent):
+                    await connection.head()
+
+        loopback.run(play())
+
+    def test_a_call_whose_connection_is_closed_after_it_left_may_have_run(self):
+        async def play():
+            pool = ConnectionPool(ManualClock(), 300)
+            with socket.create_server(("127.0.0.1", 0)) as listening:
+                address = listening.getsockname()
+                await pool.probe(*address)
+                peer, _ = listening.accept()
+                connection = await pool.acquire(*address)
+                connection.send(Call(b"POST", b"/", HEADERS, b"body"))
+                head = asyncio.ensure_future(connection.head())
+                await asyncio.sleep(0.02)
+                peer.close()
+                with self.assertRaises(AnswerBroken) as raised:
+                    await head
+                return type(raised.exception)
+
+        self.assertIs(loopback.run(play()), AnswerBroken)
+
+
 class TestServer(unittest.TestCase):
     def test_a_body_that_is_too_long_is_rejected_before_it_is_received(self):
         async def call():
