An answer without an id on a reused connection is skipped

What callers saw: 502 for requests whose upstream sent an answer to an earlier request once more, without its id, where theirs was expected; their own followed.

Cause: such an answer counted as the end of the connection. It can't be the awaited one's promise (it may be any request's), but it needn't end it either: upstreams name the request in each answer.

--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -328,7 +328,8 @@
 
     An upstream may send a second answer to an earlier request, which arrives where the
     answer to the next request on the connection is expected. Without the check a caller
-    would get another caller's answer.
+    would get another caller's answer. Where nothing follows a skipped answer, the
+    request ends as one to a silent upstream does.
     """
     request_id = exchange.header(names.REQUEST_ID)
     for _ in range(MAX_UNRELATED_ANSWERS):
@@ -336,11 +337,10 @@
         answer_id = head.header(names.REQUEST_ID)
         if answer_id == request_id:
             return head
-        if answer_id is None and head.status >= _FIRST_ERROR:
-            # A refusal before the request was read names no request. Behind another
-            # call it may be a late answer to that.
-            if connection.calls > 1:
-                raise AnswerBroken("an answer without an id on a reused connection")
+        is_first_call = connection.calls == 1
+        if answer_id is None and head.status >= _FIRST_ERROR and is_first_call:
+            # A refusal before the request was read names no request. Behind an earlier
+            # call it may be a repeated answer to that, and the awaited one follows.
             return head
         on_skipped_head(head)
         await connection.skip_body(MAX_UNRELATED_BYTES)
--- a/tests/gateway/test_repeated_answers.py
+++ b/tests/gateway/test_repeated_answers.py
@@ -41,6 +41,12 @@
     asyncio.get_running_loop().call_later(delay_s, wire._writer.write, answer)
 
 
+def without_its_id(upstream, wire, answer):
+    lines = answer.split(b"\r\n")
+    kept = [line for line in lines if b"Request-Id" not in line]
+    upstream.kept[wire] += b"\r\n".join(kept)
+
+
 class RepeatingUpstream:
     """An upstream that answers, and sends some answers again in one of the ways."""
 
@@ -96,6 +102,7 @@
             with_the_answer,
             partly_with_the_answer,
             unasked,
+            without_its_id,
         )
         for way in ways:
             with self.subTest(way.__name__):
