Lookups name no entry that has left, as long as its registration may last

Causes, of one class (a departure that isn't known where lookups are answered): - A departure counted for 3 s. The store's outage, and the 2.3 s behind it in which deletions are withheld, keep the registration for longer, so that lookups named the entry again, with its port closed. - A stopping entry told the registered entries alone. One that was stopping as well had ended its registration, wasn't told, and still answers lookups for up to 8 s. - The one datagram that told it may be lost, and entries that start later don't know.

Change: a departed entry is excluded until it has registered again (a higher revision than at its departure) or sends a heartbeat, for 3 s at least. Entries announce their start and their departure three times; a departure is repeated each second while its process lasts, and goes to all entries that were heard in the last 15 s, registered or not. A stopping entry answers heartbeats with its departure.

Evidence: both tests in tests.processes.test_stop_lookups, on three real entries, fail without the change (named 2.8 s after the departure; named all the while) and pass with it. Price: some ten datagrams to each entry a stop, three a start.

--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -1,6 +1,7 @@
 """The entry: accepts callers' requests and sends them to upstreams."""
 
 import asyncio
+import itertools
 import random
 import typing as t
 
@@ -45,7 +46,12 @@
 from fuchsiahatch_gateway.engine_figures import FiguresWriter
 from fuchsiahatch_gateway.entry_announcer import EntryAnnouncer
 from fuchsiahatch_gateway.entry_gauges import add_gauges
-from fuchsiahatch_gateway.entry_liveness import HEARTBEAT_INTERVAL_MS, EntryLiveness
+from fuchsiahatch_gateway.entry_liveness import (
+    ANNOUNCEMENTS,
+    HEARTBEAT_INTERVAL_MS,
+    REMINDER_INTERVAL_MS,
+    EntryLiveness,
+)
 from fuchsiahatch_gateway.fleet import Fleet
 from fuchsiahatch_gateway.following import Follower
 from fuchsiahatch_gateway.held_requests import HeldRequests
@@ -347,16 +353,25 @@
             await asyncio.sleep(ANNOUNCE_POLL_INTERVAL_MS / 1000)
 
     async def _send_heartbeats_forever(self) -> None:
-        """Send heartbeats to other entries while the store is down."""
-        while True:
-            await asyncio.sleep(HEARTBEAT_INTERVAL_MS / 1000)
+        """Announce the start, and go on with heartbeats while the store is down."""
+        for sent in itertools.count():
             self._liveness.note_store(self.health.answers, self._clock.now_ms())
-            if not self.health.answers and self.ready:
-                self._send_heartbeats(serving=True)
+            if self.ready and (sent < ANNOUNCEMENTS or not self.health.answers):
+                self._send_heartbeats()
+            await asyncio.sleep(HEARTBEAT_INTERVAL_MS / 1000)
 
-    def _send_heartbeats(self, serving: bool) -> None:
-        heartbeat = EntryHeartbeat(self._process.settings.node, serving)
-        for peer in self._liveness.peers(self._entries):
+    async def _announce_departure(self) -> None:
+        """Announce the departure, also to entries that start meanwhile."""
+        for sent in itertools.count(1):
+            self._send_heartbeats()
+            is_repeated = sent < ANNOUNCEMENTS
+            interval_ms = HEARTBEAT_INTERVAL_MS if is_repeated else REMINDER_INTERVAL_MS
+            await asyncio.sleep(interval_ms / 1000)
+
+    def _send_heartbeats(self) -> None:
+        now_ms = self._clock.now_ms()
+        heartbeat = EntryHeartbeat(self._process.settings.node, self.ready)
+        for peer in self._liveness.heartbeat_peers(self._entries, now_ms):
             self.datagrams.send(heartbeat, peer)
 
     async def _leave(self) -> None:
@@ -368,7 +383,7 @@
         self.stop_admission.begin(began_ms + grace_ms)
         self._leaving = True
         self.callers.leave()
-        self._send_heartbeats(serving=False)
+        self._process.keep_running(self._announce_departure())
         self._process.keep_running(self.registration.withdraw())
         while self._clock.now_ms() - began_ms < grace_ms:
             if self._clock.now_ms() - began_ms >= LINGER_MS:
@@ -441,6 +456,10 @@
         if entries.keys() != self._entries.keys():
             log_event(Event.ENTRIES_CHANGED, entries=sorted(entries))
         self._entries = entries
+        revisions = {
+            node: item.revision for node, item in self._entry_copy.items.items()
+        }
+        self._liveness.note_registrations(revisions, self._clock.now_ms())
 
     def _apply_held(self) -> None:
         self.held.apply(self._held_copy.items)
@@ -455,9 +474,10 @@
         self.placer.serve_waiting()
 
     def _handle_heartbeat(self, heartbeat: EntryHeartbeat, peer: Peer) -> None:
-        is_answer_due = self._liveness.receive(heartbeat, self._clock.now_ms())
-        if is_answer_due and self.ready:
-            answer = EntryHeartbeat(self._process.settings.node, True)
+        now_ms = self._clock.now_ms()
+        is_answer_due = self._liveness.receive(heartbeat, peer, now_ms)
+        if is_answer_due and self._listening:
+            answer = EntryHeartbeat(self._process.settings.node, self.ready)
             self.datagrams.send(answer, peer)
 
     def _handle_rate(self, notice: RateNotice, peer: Peer) -> None:
