A caller that closes its sending side behind a finished answer gets all of it

Cause: behind a finished answer on a kept connection, the close of the caller's sending side closed the transport, with whatever its buffer still held. Only a connection that was closing anyway flushed first.

Change: an idle connection with buffered bytes is closed like one behind its answer: flushed, then ended. What the kernel has survives the close as before. While an answer is in progress the close still counts as the caller's departure: upstreams must stop their work then, and nothing tells the two apart.

--- a/packages/http1/src/fuchsiahatch_http1/server_connection.py
+++ b/packages/http1/src/fuchsiahatch_http1/server_connection.py
@@ -17,7 +17,11 @@
     OpenRequest,
 )
 from fuchsiahatch_http1.lingering_close import LingeringClose
-from fuchsiahatch_http1.socket_queues import received_bytes, unsent_bytes
+from fuchsiahatch_http1.socket_queues import (
+    buffered_bytes,
+    received_bytes,
+    unsent_bytes,
+)
 from fuchsiahatch_http1.sockets import (
     SLOW_CALLER_BYTES,
     SLOW_CALLER_TIMEOUT_MS,
@@ -219,6 +223,8 @@
         A caller that knows that its answer is the last may close its sending side
         before it has received all of it.
         """
+        if self._closing is None and not self.busy and buffered_bytes(self.transport):
+            self._close(CloseReason.CALLER)
         if self._closing is not None:
             self._closing.note_peer_closed()
         else:
--- a/tests/http1/test_closing.py
+++ b/tests/http1/test_closing.py
@@ -10,6 +10,8 @@
 from tests.loopback import run
 
 LARGE_BYTES = 1_000_000
+#: An answer that doesn't fit into the kernel's buffers.
+HUGE_BYTES = 16_000_000
 GET = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 GET_AND_CLOSE = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
 
@@ -63,6 +65,10 @@
         self.handled += 1
         exchange.respond(200, (), b"x" * LARGE_BYTES)
 
+    async def huge(self, exchange):
+        self.handled += 1
+        exchange.respond(200, (), b"x" * HUGE_BYTES)
+
     async def serve(self, handle, **limits):
         self.server = HttpServer(handle, ServerLimits(**limits))
         return await self.server.listen("127.0.0.1", 0)
@@ -163,6 +169,20 @@
 
         self.assertEqual(len(self.play(play).partition(b"\r\n\r\n")[2]), LARGE_BYTES)
 
+    def test_a_caller_that_ends_its_sending_side_behind_a_kept_answer_gets_it(self):
+        async def play():
+            port = await self.serve(self.huge)
+            async with Caller(port, receive_bytes=65_536) as caller:
+                await caller.send(GET)
+                await until(lambda: self.handled)
+                caller.socket.shutdown(socket.SHUT_WR)
+                await asyncio.sleep(0.1)
+                data = await caller.receive_all()
+            await until(lambda: not self.server.connections)
+            return data
+
+        self.assertEqual(len(self.play(play).partition(b"\r\n\r\n")[2]), HUGE_BYTES)
+
 
 class TestSlowCallers(ClosingCase):
     def test_large_answers_to_slow_callers_leave_no_connection(self):
