Callers with small receive buffers that read on get their whole answers

Cause: a closed window counts as unacknowledged for TCP_USER_TIMEOUT, 3 s. The 30 s for slow callers asked for 32 KiB yet to receive, as less may be what waits for an unreachable caller of a stream.

Change: once an answer is finished, 2 KiB are enough: no upstream works for a caller that doesn't read it any more, so that a late detection costs a connection alone. Shorter answers, the usual ones, cost no system call more.

Evidence: of four callers (4 and 8 kB, kept and closed connections, 30,000 bytes by 4,000 each 1.3 s) the test saw resets before, none after. Not changed: a stream in progress whose caller reads nothing for 3 s.

--- a/packages/http1/src/fuchsiahatch_http1/server_connection.py
+++ b/packages/http1/src/fuchsiahatch_http1/server_connection.py
@@ -23,6 +23,7 @@
     unsent_bytes,
 )
 from fuchsiahatch_http1.sockets import (
+    FINISHED_ANSWER_BYTES,
     SLOW_CALLER_BYTES,
     SLOW_CALLER_TIMEOUT_MS,
     UNACKNOWLEDGED_TIMEOUT_MS,
@@ -307,11 +308,11 @@
             self.transport.write(data)
             self._allow_slowness()
 
-    def _allow_slowness(self) -> None:
+    def _allow_slowness(self, min_bytes: int = SLOW_CALLER_BYTES) -> None:
         """Give a caller with much to receive more time until it must have read on."""
-        if self._may_be_slow or self._answer_bytes <= SLOW_CALLER_BYTES:
+        if self._may_be_slow or self._answer_bytes <= min_bytes:
             return
-        if self.unsent_bytes > SLOW_CALLER_BYTES:
+        if self.unsent_bytes > min_bytes:
             self._may_be_slow = True
             set_unacknowledged_timeout(self.transport, SLOW_CALLER_TIMEOUT_MS)
 
@@ -329,6 +330,7 @@
         self._request = None
         if self.lost:
             return
+        self._allow_slowness(FINISHED_ANSWER_BYTES)
         if self._server.leaving:
             # The head may have been sent before, without the word that this is the end.
             self._close(CloseReason.ANSWERED)
--- a/packages/http1/src/fuchsiahatch_http1/sockets.py
+++ b/packages/http1/src/fuchsiahatch_http1/sockets.py
@@ -24,6 +24,10 @@
 #: next event of a stream has as much yet to receive.
 SLOW_CALLER_BYTES = 32_768
 
+#: The same once the answer is finished: no more work is done for a caller that doesn't
+#: read it. About the smallest receive buffer.
+FINISHED_ANSWER_BYTES = 2_048
+
 
 def open_listening(ip: str, port: int) -> socket.socket:
     """Return a listening socket, whose connections queue until they are accepted.
--- a/tests/http1/test_closing.py
+++ b/tests/http1/test_closing.py
@@ -1,4 +1,5 @@
 import asyncio
+import itertools
 import os
 import pathlib
 import socket
@@ -12,6 +13,8 @@
 LARGE_BYTES = 1_000_000
 #: An answer that doesn't fit into the kernel's buffers.
 HUGE_BYTES = 16_000_000
+#: An answer that does, and a caller that reads it slowly.
+SMALL_BYTES, SLOW_BYTES, SLOW_PAUSE_S = 30_000, 4_000, 1.3
 GET = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 GET_AND_CLOSE = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
 
@@ -216,6 +219,27 @@
 
         self.assertEqual(len(self.play(play).partition(b"\r\n\r\n")[2]), LARGE_BYTES)
 
+    def test_a_caller_with_a_small_buffer_that_reads_on_gets_its_whole_answer(self):
+        # Its window is closed most of the time, with little yet to receive.
+        async def answers(exchange):
+            exchange.respond(200, (), b"x" * SMALL_BYTES)
+
+        async def ask(port, receive_bytes, request):
+            async with Caller(port, receive_bytes) as caller:
+                await caller.send(request)
+                data = b""
+                while data.count(b"x") < SMALL_BYTES:
+                    data += await caller.receive(SLOW_BYTES)
+                    await asyncio.sleep(SLOW_PAUSE_S)
+                return data.count(b"x")
+
+        async def play():
+            port = await self.serve(answers)
+            asked = itertools.product((4_096, 8_192), (GET, GET_AND_CLOSE))
+            return await asyncio.gather(*(ask(port, *one) for one in asked))
+
+        self.assertEqual(self.play(play), 4 * [SMALL_BYTES])
+
     def test_a_caller_that_pauses_in_a_stream_gets_it_whole(self):
         async def streams(exchange):
             exchange.start(200, ())
