Modules that imported each other have one direction; an entry's directory is its own

No change of behaviour. A server's connections share a `ServerState`, and an `Exchange` writes to any `AnswerWriter`, so that `server_connection` doesn't know `server`.

--- a/packages/gateway/src/fuchsiahatch_gateway/answer_relay.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/answer_relay.py
@@ -4,17 +4,16 @@
 
 from fuchsiahatch_adapter.caller_requests import caller_headers
 from fuchsiahatch_gateway.answer_ends import check_complete
+from fuchsiahatch_gateway.attempt_types import UPSTREAM_FAILED
 from fuchsiahatch_http1.answers import AnswerTooLong, Bound, Framing, Head
 
 if t.TYPE_CHECKING:
-    from fuchsiahatch_gateway.attempts import Attempt
+    from fuchsiahatch_gateway.attempt_types import Attempt
     from fuchsiahatch_http1.client import ClientConnection
-    from fuchsiahatch_http1.server import Exchange
+    from fuchsiahatch_http1.exchange import Exchange
 
 #: Bytes that are kept of an answer, so that one that breaks off before can be retried.
 MAX_KEPT_BODY_BYTES = 1_048_576
-#: First status that states a failure of the upstream itself.
-UPSTREAM_FAILED = 500
 
 
 async def receive_body(
--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -1,29 +1,20 @@
 """One attempt to send a request to an upstream."""
 
 import asyncio
-import dataclasses
 import typing as t
 
 from fuchsiahatch_adapter import names
-from fuchsiahatch_adapter.caller_requests import caller_headers, upstream_headers
-from fuchsiahatch_gateway.answer_ends import (
-    Ending,
-    check_complete,
-    describe_ending,
-    is_event_stream,
-)
-from fuchsiahatch_gateway.answer_relay import UPSTREAM_FAILED, receive_body
-from fuchsiahatch_gateway.event_stream import (
-    MAX_EVENT_BYTES,
-    MAX_QUIET_BYTES,
-    EventSplitter,
-)
+from fuchsiahatch_adapter.caller_requests import upstream_headers
+from fuchsiahatch_gateway.answer_ends import describe_ending, is_event_stream
+from fuchsiahatch_gateway.answer_relay import receive_body
+from fuchsiahatch_gateway.attempt_types import MISPLACED, Attempt, Outcome
+from fuchsiahatch_gateway.event_relay import relay_events
 from fuchsiahatch_gateway.next_steps import Result
+from fuchsiahatch_gateway.silence_limit import expire, limit_silence
 from fuchsiahatch_http1.answers import (
     AnswerBroken,
     AnswerEnd,
     AnswerTooLong,
-    Bound,
     CallUnsent,
     Head,
 )
@@ -31,9 +22,7 @@
 from fuchsiahatch_http1.pool import ConnectFailed, ConnectionPool
 
 if t.TYPE_CHECKING:
-    from fuchsiahatch_gateway.kept_bytes import Reservation
-    from fuchsiahatch_gateway.known_upstream import Upstream
-    from fuchsiahatch_http1.server import Exchange
+    from fuchsiahatch_http1.exchange import Exchange
 
 #: Answers to other requests that are skipped on one connection.
 MAX_UNRELATED_ANSWERS = 4
@@ -45,148 +34,6 @@
 #: refusal says stands in its head.
 MAX_REFUSAL_BYTES = 65_536
 REFUSAL_TIMEOUT_MS = 100
-_MISPLACED = 421
-
-T = t.TypeVar("T")
-
-
-@dataclasses.dataclass(slots=True)
-class Outcome:
-    """How an attempt ended.
-
-    Attributes
-    ----------
-    result : Result
-    detail : str
-        The reason, for the log.
-    head : Head or None
-        Of the upstream's answer; None without one.
-    body : bytes
-        Of a complete answer that was not relayed yet.
-    relayed : bool
-        Whether the complete answer has been sent to the caller.
-    closed_early : bool
-        Whether the upstream closed the connection before its answer was complete.
-    events_relayed : bool
-        Whether events of its answer were relayed to the caller.
-    group_crashed : bool
-        Whether the upstream, a rank of a group, crashed before any event was relayed.
-    withdrawn : bool
-        Whether the upstream stopped accepting requests before anything was sent.
-    ending : Ending or None
-        How the upstream's answer ended; None if nothing was sent.
-    """
-
-    result: Result
-    detail: str = ""
-    head: Head | None = None
-    body: bytes = b""
-    relayed: bool = False
-    closed_early: bool = False
-    events_relayed: bool = False
-    group_crashed: bool = False
-    withdrawn: bool = False
-    ending: Ending | None = None
-
-    @property
-    def status(self) -> int:
-        """Status of the upstream's answer; 0 without one."""
-        return 0 if self.head is None else self.head.status
-
-    @property
-    def retry_after(self) -> list[str]:
-        """Retry-After values of the upstream's answer, as sent."""
-        if self.head is None:
-            return []
-        return [
-            value.decode("latin-1") for value in self.head.values(names.RETRY_AFTER)
-        ]
-
-    @property
-    def misplaced(self) -> bool:
-        """Whether another upstream answered at the address."""
-        return self.result is Result.NOT_RUN and self.status == _MISPLACED
-
-    @property
-    def names_request(self) -> bool:
-        """Whether the upstream's answer has an id, which tells a late repeat apart."""
-        return self.head is not None and bool(self.head.header(names.REQUEST_ID))
-
-    @property
-    def succeeded(self) -> bool:
-        """Whether the upstream has answered completely and with success."""
-        return self.result is Result.ANSWERED and 200 <= self.status < 300
-
-    @property
-    def upstream_failed(self) -> bool:
-        """Whether the answer is an error of the upstream."""
-        return self.status >= UPSTREAM_FAILED
-
-
-@dataclasses.dataclass(slots=True)
-class Attempt:
-    """Parameters and callbacks of an attempt.
-
-    Attributes
-    ----------
-    upstream : Upstream
-    team : str
-    left_ms : int
-        Time left for the answer.
-    silence_ms : int or None
-        Silence after which the attempt may be abandoned; None to wait until the
-        deadline.
-    may_send : callable
-        Returns whether the upstream still accepts requests.
-    may_give_up : callable
-        Returns whether the request could be retried now.
-    may_move : callable
-        Returns whether a stream in progress could move to another upstream now.
-    events : EventSplitter or None
-        For a stream, with the state left by earlier attempts.
-    on_event : callable
-        Called when events are relayed.
-    on_head : callable
-        Called with the head of the upstream's answer when it arrives, unless another
-        upstream answered.
-    on_skipped_head : callable
-        Called with the head of its answer to an earlier request.
-    withdrawals : set of callable
-        While the head of the answer is awaited, holds a function that withdraws the
-        request unless it `may_stay`.
-    may_stay : callable
-        Returns whether the request may still begin at the upstream.
-    used_connections : list of ClientConnection
-        Those that earlier attempts of this request were sent on; extended by this one.
-    still_works : coroutine function
-        Returns whether the upstream works now; asked when only the end of its
-        connection has ended its answer.
-    kept : Reservation
-        Share of this answer in the memory for answers.
-    on_bound : callable
-        Called with a bound that the answer has reached.
-    urgency : int or None
-        Priority class that the upstream is told; None to tell it none.
-    """
-
-    upstream: "Upstream"
-    team: str
-    left_ms: int
-    silence_ms: int | None
-    may_send: t.Callable[[], bool]
-    may_give_up: t.Callable[[], bool]
-    may_move: t.Callable[[], bool]
-    events: EventSplitter | None
-    on_event: t.Callable[[], None]
-    on_head: t.Callable[[Head], None]
-    on_skipped_head: t.Callable[[Head], None]
-    withdrawals: set[t.Callable[[], None]]
-    may_stay: t.Callable[[], bool]
-    used_connections: list[ClientConnection]
-    still_works: t.Callable[[], t.Awaitable[bool]]
-    kept: "Reservation"
-    on_bound: t.Callable[[Bound], None]
-    urgency: int | None = None
 
 
 async def run_attempt(
@@ -251,9 +98,9 @@
     )
     connection.send(Call(exchange.method, exchange.target, headers, exchange.body))
     head = await _await_head(exchange, connection, attempt)
-    if head.status != _MISPLACED:
+    if head.status != MISPLACED:
         attempt.on_head(head)
-    if head.header(names.NOT_EXECUTED) is not None or head.status == _MISPLACED:
+    if head.header(names.NOT_EXECUTED) is not None or head.status == MISPLACED:
         await _skip_refusal(connection, attempt)
         return Outcome(Result.NOT_RUN, f"status {head.status}", head)
     succeeded = 200 <= head.status < 300
@@ -262,7 +109,7 @@
         # not take it for a success.
         return Outcome(Result.BROKEN, "a success without a signature", head)
     if succeeded and attempt.events is not None and is_event_stream(head):
-        return await _relay_events(exchange, connection, head, attempt)
+        return await relay_events(exchange, connection, head, attempt)
     if succeeded and exchange.started:
         return Outcome(Result.BROKEN, "another upstream sent no event stream", head)
     body = await receive_body(exchange, connection, head, attempt)
@@ -312,7 +159,7 @@
     try:
         async with asyncio.timeout(None) as limit:
             attempt.withdrawals.add(withdraw)
-            return await _limit_silence(work, attempt)
+            return await limit_silence(work, attempt)
     except TimeoutError as fault:
         raise AnswerBroken("withdrawn as it may crash its upstream") from fault
     finally:
@@ -346,110 +193,3 @@
         await connection.skip_body(MAX_UNRELATED_BYTES)
         connection.expect_next_answer()
     raise AnswerBroken("only other requests' answers came")
-
-
-async def _limit_silence(
-    work: t.Coroutine[t.Any, t.Any, T], attempt: Attempt, since_s: float | None = None
-) -> T:
-    """Wait for the next data of an upstream, unless it is silent for too long.
-
-    The silence began at a given time of the loop, by default now.
-
-    A rank group with a dead member stalls for seconds before it reports that, and a
-    caller leaves after two, so the request has to move before that. If it can't be
-    retried, a late answer is better than none, and the wait goes on.
-    """
-    if attempt.silence_ms is None:
-        return await work
-    loop = asyncio.get_running_loop()
-    silence_s = attempt.silence_ms / 1000
-    timer: asyncio.TimerHandle | None = None
-    reason = f"silent for {attempt.silence_ms} ms"
-    ends_s = (loop.time() if since_s is None else since_s) + silence_s
-    if ends_s <= loop.time() and attempt.may_give_up():
-        # Where data without progress arrives all the time, no timer gets a turn.
-        work.close()
-        raise AnswerBroken(reason)
-
-    def note_silence() -> None:
-        nonlocal timer
-        if attempt.may_give_up():
-            expire(limit)
-        else:
-            timer = loop.call_later(silence_s, note_silence)
-
-    def move() -> None:
-        nonlocal reason
-        if attempt.may_move():
-            reason = "moved from a slow or stalled rank"
-            expire(limit)
-
-    try:
-        # asyncio.wait_for would swallow the cancellation by a caller that disconnects
-        # in the same iteration of the loop in which an event arrives.
-        async with asyncio.timeout(None) as limit:
-            timer = loop.call_at(max(ends_s, loop.time()), note_silence)
-            attempt.upstream.movers.add(move)
-            return await work
-    except TimeoutError as fault:
-        raise AnswerBroken(reason) from fault
-    finally:
-        attempt.upstream.movers.discard(move)
-        if timer is not None:
-            timer.cancel()
-
-
-def expire(limit: asyncio.Timeout) -> None:
-    """End what a timeout limits, unless that is happening already."""
-    if not limit.expired():
-        limit.reschedule(asyncio.get_running_loop().time())
-
-
-async def _relay_events(
-    exchange: "Exchange", connection: ClientConnection, head: Head, attempt: Attempt
-) -> Outcome:
-    events = attempt.events
-    assert events is not None
-    events.discard_partial()
-    loop = asyncio.get_running_loop()
-    progress_s = loop.time()
-    while True:
-        piece = await _limit_silence(connection.piece(), attempt, progress_s)
-        if piece is None:
-            break
-        arrived_s = loop.time()
-        whole = events.feed(piece)
-        if whole:
-            _write_events(exchange, head, whole)
-            if events.progressed:
-                attempt.on_event()
-            await exchange.drained()
-        # A slow caller isn't a silent upstream.
-        progress_s = loop.time() - (
-            0.0 if events.progressed else arrived_s - progress_s
-        )
-        _check_stream_bounds(events, attempt)
-    await check_complete(connection, events, attempt.still_works)
-    _write_events(exchange, head, events.take_remainder())
-    exchange.finish()
-    return Outcome(Result.ANSWERED, "whole", head, relayed=True)
-
-
-def _check_stream_bounds(events: EventSplitter, attempt: Attempt) -> None:
-    if events.is_too_long:
-        detail = f"an event is longer than {MAX_EVENT_BYTES} bytes"
-        raise AnswerTooLong(Bound.EVENT, detail)
-    if events.quiet_bytes > MAX_QUIET_BYTES:
-        detail = f"over {MAX_QUIET_BYTES} bytes without an event"
-        raise AnswerTooLong(Bound.COMMENTS, detail)
-    if not attempt.kept.resize(events.buffered_bytes):
-        raise AnswerTooLong(Bound.MEMORY, "no memory is left for a long event")
-
-
-def _write_events(exchange: "Exchange", head: Head, data: bytes) -> None:
-    # The head is sent with the first event, so that the caller sees nothing of an
-    # attempt that breaks before it. A resumed stream keeps the head of its first
-    # upstream.
-    if not exchange.started:
-        exchange.start(head.status, caller_headers(head.headers))
-    exchange.write(data)
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -14,7 +14,8 @@
     RefusedError,
     RequestError,
 )
-from fuchsiahatch_gateway.attempts import Attempt, Outcome, expire, run_attempt
+from fuchsiahatch_gateway.attempt_types import Attempt, Outcome
+from fuchsiahatch_gateway.attempts import run_attempt
 from fuchsiahatch_gateway.error_answers import ErrorAnswers
 from fuchsiahatch_gateway.event_stream import EventSplitter
 from fuchsiahatch_gateway.fingerprints import fingerprints_of
@@ -28,6 +29,7 @@
     decide,
 )
 from fuchsiahatch_gateway.routes import RouteTable, choose_service
+from fuchsiahatch_gateway.silence_limit import expire
 from fuchsiahatch_gateway.stop_admission import StopAdmission, leaving
 
 if t.TYPE_CHECKING:
@@ -41,8 +43,8 @@
     from fuchsiahatch_gateway.retry_budget import RetryBudget
     from fuchsiahatch_gateway.upstream_crashes import UpstreamCrashes
     from fuchsiahatch_http1.answers import Head
+    from fuchsiahatch_http1.exchange import Exchange
     from fuchsiahatch_http1.pool import ConnectionPool
-    from fuchsiahatch_http1.server import Exchange
 
 #: Time left to the deadline below which no further attempt is started.
 MIN_ATTEMPT_MS = 30
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -1,7 +1,6 @@
 """The entry: accepts callers' requests and sends them to upstreams."""
 
 import asyncio
-import itertools
 import random
 import typing as t
 
@@ -45,24 +44,16 @@
 from fuchsiahatch_gateway.delivery import Delivery
 from fuchsiahatch_gateway.engine_figures import FiguresWriter
 from fuchsiahatch_gateway.entry_announcer import EntryAnnouncer
+from fuchsiahatch_gateway.entry_directory import EntryDirectory
 from fuchsiahatch_gateway.entry_gauges import add_gauges
-from fuchsiahatch_gateway.entry_liveness import (
-    ANNOUNCEMENTS,
-    HEARTBEAT_INTERVAL_MS,
-    REMINDER_INTERVAL_MS,
-    EntryLiveness,
-)
 from fuchsiahatch_gateway.fleet import Fleet
 from fuchsiahatch_gateway.following import Follower
 from fuchsiahatch_gateway.held_requests import HeldRequests
 from fuchsiahatch_gateway.item_copies import ItemCopy
-from fuchsiahatch_gateway.item_decoding import ItemDecoder
 from fuchsiahatch_gateway.kept_bytes import KeptBytes
 from fuchsiahatch_gateway.late_upstreams import LateUpstreams
 from fuchsiahatch_gateway.lookups import (
     EntryRecord,
-    choose_addresses,
-    decode_entry,
 )
 from fuchsiahatch_gateway.permits import Permits
 from fuchsiahatch_gateway.placing import Placer
@@ -78,8 +69,9 @@
 from fuchsiahatch_gateway.store_health import StoreHealth
 from fuchsiahatch_gateway.upstream_crashes import UpstreamCrashes
 from fuchsiahatch_gateway.upstream_gate import FIRST_REPORT_TIMEOUT_MS
+from fuchsiahatch_http1.exchange import Exchange
 from fuchsiahatch_http1.pool import ConnectionPool
-from fuchsiahatch_http1.server import Exchange, HttpServer
+from fuchsiahatch_http1.server import HttpServer
 
 if t.TYPE_CHECKING:
     import socket
@@ -126,18 +118,21 @@
         self._process = process
         self._early_socket = listening
         self._began_ms = clock.now_ms()
-        self._liveness = EntryLiveness(settings.node)
         self.datagrams = DatagramPort(self._handle_message)
         self._clock = clock
         self._rng = random.Random()
         self._leaving = False
-        self._listening = False
-        self._entries: dict[str, EntryRecord] = {}
-        self.entry_decoder = ItemDecoder(decode_entry)
         self.routes = RouteTable()
         self.pool = ConnectionPool(clock, CONNECT_TIMEOUT_MS)
         self.store = StoreClient(settings.store, ConnectionPool(clock))
         self.health = StoreHealth()
+        self.record = EntryRecord(
+            settings.node,
+            settings.zone,
+            str(settings.callers),
+            (settings.ip, settings.internal_ports[0]),
+        )
+        self.entries = EntryDirectory(self.record, self.datagrams, self.health, clock)
         self.fleet = Fleet(
             settings.zone,
             clock,
@@ -159,17 +154,17 @@
             self.routes.cold_start_of,
             bounds.cold_over,
             bounds.cold_slack,
-            lambda: len(self._entries.keys() | {settings.node}),
+            self.entries.count,
         )
         self.permits = Permits(
             settings.node,
-            self._present_entries,
+            self.entries.present,
             self.datagrams,
             clock,
             self.fleet.upstreams.get,
             self.fleet.cold_starts.permit_rate,
         )
-        self.rates = StatedRates(clock, self._notify_peers)
+        self.rates = StatedRates(clock, self.entries.notify)
         self.placer = Placer(
             self.fleet, clock, self.permits.ask, self.routes.has_classes
         )
@@ -182,10 +177,10 @@
             bounds.retry_slack,
             bounds.retry_window_ms,
             clock,
-            lambda: len(self._entries.keys() | {settings.node}),
+            self.entries.count,
             settings.first_start,
         )
-        self.crashing = CrashingRequests(clock, self._notify_peers)
+        self.crashing = CrashingRequests(clock, self.entries.notify)
         self.crashes = UpstreamCrashes(
             self.crashing,
             self.pool.probe,
@@ -196,9 +191,9 @@
         self.fleet.on_restarted = self.crashes.note_restart
         self.pool.on_idle_end = self.crashes.note_idle_end
         self.crashes.has_idle = self.pool.has_idle
-        self.late = LateUpstreams(clock, self.fleet.upstreams, self._notify_peers)
+        self.late = LateUpstreams(clock, self.fleet.upstreams, self.entries.notify)
         self.kept = KeptBytes()
-        self.held = HeldRequests(self.store, self.crashing, self._index, clock)
+        self.held = HeldRequests(self.store, self.crashing, self.entries.index, clock)
         self.stop_admission = StopAdmission()
         self.delivery = Delivery(
             self.routes,
@@ -221,12 +216,6 @@
             self.stop_admission,
             self.kept,
         )
-        self.record = EntryRecord(
-            settings.node,
-            settings.zone,
-            str(settings.callers),
-            (settings.ip, settings.internal_ports[0]),
-        )
         self.crashing.on_suspected = self.delivery.withdraw_suspects
         self.registration = Registration(
             self.store,
@@ -235,13 +224,13 @@
             self.health,
             clock,
         )
-        self.figures = FiguresWriter(self.store, self._index)
+        self.figures = FiguresWriter(self.store, self.entries.index)
         self.callers = HttpServer(self.delivery.handle)
         self.side_calls = HttpServer(self._answer_side_call)
         self.store.on_restored = self._note_restored
         self._handlers: dict[type, t.Callable[[t.Any, Peer], None]] = {
             LoadReport: self._handle_load,
-            EntryHeartbeat: self._handle_heartbeat,
+            EntryHeartbeat: self.entries.receive,
             PermitRequest: self.permits.receive_request,
             ColdPermitRequest: self.permits.receive_cold_request,
             PermitReply: lambda reply, peer: self.permits.receive_reply(reply),
@@ -294,7 +283,7 @@
             self._end_unserved()
             return
         await self._accept_callers()
-        process.keep_running(self._send_heartbeats_forever())
+        process.keep_running(self.entries.announce_forever())
         # Requests wait for the first load reports no longer than this.
         reactor.callLater(FIRST_REPORT_TIMEOUT_MS / 1000, self.placer.serve_waiting)
         process.keep_running(self.registration.run())
@@ -304,7 +293,7 @@
     @property
     def ready(self) -> bool:
         """Whether callers may connect."""
-        return self._listening and not self._leaving
+        return self.entries.serving
 
     @property
     def synced(self) -> bool:
@@ -344,7 +333,7 @@
         else:
             self.callers.adopt(self._early_socket)
             self._early_socket = None
-        self._listening = True
+        self.entries.serving = True
 
     async def _announce_forever(self) -> None:
         while not self._leaving:
@@ -352,28 +341,6 @@
             self.permits.note_entries()
             await asyncio.sleep(ANNOUNCE_POLL_INTERVAL_MS / 1000)
 
-    async def _send_heartbeats_forever(self) -> None:
-        """Announce the start, and go on with heartbeats while the store is down."""
-        for sent in itertools.count():
-            self._liveness.note_store(self.health.answers, self._clock.now_ms())
-            if self.ready and (sent < ANNOUNCEMENTS or not self.health.answers):
-                self._send_heartbeats()
-            await asyncio.sleep(HEARTBEAT_INTERVAL_MS / 1000)
-
-    async def _announce_departure(self) -> None:
-        """Announce the departure, also to entries that start meanwhile."""
-        for sent in itertools.count(1):
-            self._send_heartbeats()
-            is_repeated = sent < ANNOUNCEMENTS
-            interval_ms = HEARTBEAT_INTERVAL_MS if is_repeated else REMINDER_INTERVAL_MS
-            await asyncio.sleep(interval_ms / 1000)
-
-    def _send_heartbeats(self) -> None:
-        now_ms = self._clock.now_ms()
-        heartbeat = EntryHeartbeat(self._process.settings.node, self.ready)
-        for peer in self._liveness.heartbeat_peers(self._entries, now_ms):
-            self.datagrams.send(heartbeat, peer)
-
     async def _leave(self) -> None:
         """Turn callers away, finish open requests, and end within the grace period."""
         report = StopReport(self.callers)
@@ -382,8 +349,9 @@
         grace_ms = self._process.settings.bounds.stop_grace_ms - GRACE_RESERVE_MS
         self.stop_admission.begin(began_ms + grace_ms)
         self._leaving = True
+        self.entries.serving = False
         self.callers.leave()
-        self._process.keep_running(self._announce_departure())
+        self._process.keep_running(self.entries.announce_departure())
         self._process.keep_running(self.registration.withdraw())
         while self._clock.now_ms() - began_ms < grace_ms:
             if self._clock.now_ms() - began_ms >= LINGER_MS:
@@ -402,10 +370,7 @@
         if zone is None:
             exchange.respond(404)
             return
-        peers = self._liveness.present(self._entries, self._clock.now_ms())
-        local = self.record if self.ready else None
-        regions = self._process.settings.zones
-        addresses = choose_addresses(peers, local, zone, regions)
+        addresses = self.entries.addresses_for(zone, self._process.settings.zones)
         if not addresses:
             exchange.respond(503)
             return
@@ -446,20 +411,13 @@
         self.placer.serve_waiting()
 
     def _apply_drains(self) -> None:
-        entry_zones = {entry.zone for entry in self._entries.values()}
+        entry_zones = {entry.zone for entry in self.entries.registered.values()}
         known_zones = entry_zones | self._process.settings.zones.keys()
         self.fleet.apply_drains(self._drain_copy.items, known_zones)
         self.placer.serve_waiting()
 
     def _apply_entries(self) -> None:
-        entries = self.entry_decoder.decode_all(self._entry_copy.items)
-        if entries.keys() != self._entries.keys():
-            log_event(Event.ENTRIES_CHANGED, entries=sorted(entries))
-        self._entries = entries
-        revisions = {
-            node: item.revision for node, item in self._entry_copy.items.items()
-        }
-        self._liveness.note_registrations(revisions, self._clock.now_ms())
+        self.entries.apply(self._entry_copy.items)
 
     def _apply_held(self) -> None:
         self.held.apply(self._held_copy.items)
@@ -473,13 +431,6 @@
         self.fleet.observe(load)
         self.placer.serve_waiting()
 
-    def _handle_heartbeat(self, heartbeat: EntryHeartbeat, peer: Peer) -> None:
-        now_ms = self._clock.now_ms()
-        is_answer_due = self._liveness.receive(heartbeat, peer, now_ms)
-        if is_answer_due and self._listening:
-            answer = EntryHeartbeat(self._process.settings.node, self.ready)
-            self.datagrams.send(answer, peer)
-
     def _handle_rate(self, notice: RateNotice, peer: Peer) -> None:
         upstream = self.fleet.upstreams.get(notice.upstream)
         if upstream is not None:
@@ -495,20 +446,6 @@
         if answer is not None:
             self.datagrams.send(answer, peer)
 
-    def _index(self) -> int | None:
-        """Return this entry's index among all live entries, None if not registered."""
-        local = self._process.settings.node
-        if local not in self._entries:
-            return None
-        return sum(node < local for node in self._entries)
-
-    def _present_entries(self) -> dict[str, EntryRecord]:
-        """Return the registered entries, except those that have left or are silent."""
-        peers = self._liveness.present(self._entries, self._clock.now_ms())
-        present = {peer.node: peer for peer in peers}
-        local = self._process.settings.node
-        return present | {local: self.record} if local in self._entries else present
-
     def _note_head(self, upstream: "Upstream", head: "Head") -> None:
         self.rates.note_answer(upstream, head.header(RATE_LIMIT))
         self._note_statements(upstream, head)
@@ -518,11 +455,5 @@
         self.backoffs.note_head(upstream, head)
         self.stated_leaving.note_head(upstream, head)
 
-    def _notify_peers(
-        self, notice: RateNotice | CrashNotice | Clearance | LateNotice
-    ) -> None:
-        for peer in self._liveness.peers(self._entries):
-            self.datagrams.send(notice, peer)
-
     def _drop_connections(self, entry: "UpstreamEntry") -> None:
         self.pool.close_idle(entry.address.ip, entry.address.port)
--- a/packages/gateway/src/fuchsiahatch_gateway/entry_gauges.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry_gauges.py
@@ -26,7 +26,7 @@
     add(
         "fuchsiahatch_unreadable_items",
         "Items of the store that were passed over.",
-        lambda: entry.fleet.unreadable + entry.entry_decoder.unreadable,
+        lambda: entry.fleet.unreadable + entry.entries.decoder.unreadable,
     )
     issuer = entry.permits.issuer
     add("fuchsiahatch_permits_issued", "Permits.", lambda: issuer.issued)
--- a/packages/gateway/src/fuchsiahatch_gateway/error_answers.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/error_answers.py
@@ -14,7 +14,7 @@
     from fuchsiahatch_gateway.jobs import Job
     from fuchsiahatch_gateway.request_log import RequestLog
     from fuchsiahatch_gateway.routes import RouteTable
-    from fuchsiahatch_http1.server import Exchange
+    from fuchsiahatch_http1.exchange import Exchange
 
 _STATUS = {
     Code.BAD_REQUEST: 400,
--- a/packages/gateway/src/fuchsiahatch_gateway/fingerprints.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/fingerprints.py
@@ -7,7 +7,7 @@
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.caller_requests import CallerRequest
-    from fuchsiahatch_http1.server import Exchange
+    from fuchsiahatch_http1.exchange import Exchange
 
 #: Length of the fingerprints of teams and prompt parts, in hexadecimal digits.
 SHORT_DIGITS = 16
--- a/packages/gateway/src/fuchsiahatch_gateway/jobs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/jobs.py
@@ -15,7 +15,7 @@
     from fuchsiahatch_gateway.routes import Match
     from fuchsiahatch_http1.answers import Bound
     from fuchsiahatch_http1.client import ClientConnection
-    from fuchsiahatch_http1.server import Exchange
+    from fuchsiahatch_http1.exchange import Exchange
 
 #: A caller abandons a stream without an event for the longest of this time,
 #: `PATIENCE_OBJECTIVES` times the route's objective, and `PATIENCE_GAPS` times its gap
--- a/packages/gateway/src/fuchsiahatch_gateway/process.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/process.py
@@ -20,7 +20,8 @@
 from fuchsiahatch_gateway.log import LineWriter
 from fuchsiahatch_gateway.loop_watch import LoopWatch
 from fuchsiahatch_gateway.tasks import Tasks
-from fuchsiahatch_http1.server import Exchange, HttpServer
+from fuchsiahatch_http1.exchange import Exchange
+from fuchsiahatch_http1.server import HttpServer
 
 #: Interval at which the settings file is checked for a change without a signal.
 SETTINGS_POLL_INTERVAL_MS = 5_000
--- a/packages/gateway/src/fuchsiahatch_gateway/request_log.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/request_log.py
@@ -8,7 +8,7 @@
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_core.clock import Clock
-    from fuchsiahatch_gateway.attempts import Outcome
+    from fuchsiahatch_gateway.attempt_types import Outcome
     from fuchsiahatch_gateway.jobs import Job
     from fuchsiahatch_gateway.known_upstream import Upstream
     from fuchsiahatch_gateway.request_metrics import RequestMetrics
--- a/packages/gateway/src/fuchsiahatch_gateway/stop_report.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/stop_report.py
@@ -37,7 +37,7 @@
             busy=self._server.busy,
             connections=_by_name(self._server.count_states()),
         )
-        self._server.on_close = self._note_close
+        self._server.report_closes(self._note_close)
 
     def end(self) -> None:
         """Log what is still open and the connections closed since `begin`."""
--- a/packages/http1/src/fuchsiahatch_http1/server.py
+++ b/packages/http1/src/fuchsiahatch_http1/server.py
@@ -1,7 +1,6 @@
 """HTTP server: one request at a time on each connection."""
 
 import asyncio
-import dataclasses
 import socket
 import typing as t
 
@@ -13,7 +12,8 @@
     ConnectionState,
     OpenRequest,
 )
-from fuchsiahatch_http1.server_connection import Exchange, ServerConnection
+from fuchsiahatch_http1.server_connection import ServerConnection
+from fuchsiahatch_http1.server_state import Handler, ServerLimits, ServerState
 from fuchsiahatch_http1.sockets import BACKLOG
 
 if t.TYPE_CHECKING:
@@ -22,23 +22,6 @@
 FLUSH_POLL_INTERVAL_MS = 10
 
 
-@dataclasses.dataclass(slots=True)
-class ServerLimits:
-    """Size and time limits of requests; may be changed while serving."""
-
-    header_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    header_ms: int = 3_000
-    idle_ms: int = 15_000
-
-
-Handler = t.Callable[[Exchange], t.Coroutine[t.Any, t.Any, None]]
-
-
-def _ignore_close(reason: CloseReason) -> None:
-    """Do nothing when a connection is closed."""
-
-
 class HttpServer:
     """Listens at an address and passes each request to a handler.
 
@@ -46,25 +29,27 @@
     ----------
     handle : coroutine function
         Answers an exchange; cancelled when the caller disconnects.
-    limits : ServerLimits
-
-    Attributes
-    ----------
-    leaving : bool
-        Whether the server is shutting down, so that each answer closes its
-        connection.
-    on_close : callable
-        Called once for each connection that begins to close, with the reason.
+    limits : ServerLimits, optional
     """
 
     def __init__(self, handle: Handler, limits: ServerLimits | None = None) -> None:
-        self.handle = handle
-        self.limits = ServerLimits() if limits is None else limits
-        self.leaving = False
-        self.on_close: t.Callable[[CloseReason], None] = _ignore_close
-        self.connections: set[ServerConnection] = set()
+        self._state = ServerState(handle, limits or ServerLimits())
         self._port: IListeningPort | None = None
 
+    @property
+    def limits(self) -> ServerLimits:
+        """Limits of requests, which may be changed."""
+        return self._state.limits
+
+    @property
+    def connections(self) -> set[ServerConnection]:
+        """The open connections."""
+        return self._state.connections
+
+    def report_closes(self, on_close: t.Callable[[CloseReason], None]) -> None:
+        """Call a function once for each connection that begins to close."""
+        self._state.on_close = on_close
+
     async def listen(self, ip: str, port: int) -> int:
         """Start accepting connections and return the port."""
         endpoint = TCP4ServerEndpoint(reactor, port, backlog=BACKLOG, interface=ip)
@@ -81,7 +66,7 @@
         listening.close()
 
     def _make_factory(self) -> protocol.Factory:
-        return protocol.Factory.forProtocol(lambda: ServerConnection(self))
+        return protocol.Factory.forProtocol(lambda: ServerConnection(self._state))
 
     async def close(self) -> None:
         """Stop accepting connections and reset the open ones."""
@@ -100,7 +85,7 @@
 
     def leave(self) -> None:
         """Close idle connections now, and busy ones after their answer."""
-        self.leaving = True
+        self._state.leaving = True
         for connection in tuple(self.connections):
             connection.close_if_idle()
 
--- a/packages/http1/src/fuchsiahatch_http1/server_connection.py
+++ b/packages/http1/src/fuchsiahatch_http1/server_connection.py
@@ -1,4 +1,4 @@
-"""A caller's connection, and the exchange of a request and its answer on it."""
+"""A caller's connection."""
 
 import asyncio
 import typing as t
@@ -16,6 +16,7 @@
     Headers,
     OpenRequest,
 )
+from fuchsiahatch_http1.exchange import Exchange
 from fuchsiahatch_http1.lingering_close import LingeringClose
 from fuchsiahatch_http1.socket_queues import (
     buffered_bytes,
@@ -32,7 +33,7 @@
 )
 
 if t.TYPE_CHECKING:
-    from fuchsiahatch_http1.server import HttpServer
+    from fuchsiahatch_http1.server_state import ServerState
 
 #: Maximum bytes of further requests received while one is being answered.
 MAX_PIPELINED_BYTES = 65_536
@@ -41,80 +42,16 @@
 _UNAVAILABLE = 503
 
 
-class Exchange:
-    """A request and its answer.
+@implementer(IHalfCloseableProtocol)
+class ServerConnection(protocol.Protocol):
+    """A caller's connection.
 
-    Attributes
+    Parameters
     ----------
-    method, target : bytes
-    headers : sequence of (bytes, bytes)
-        Names in lower case.
-    body : bytes
-    started : bool
-        Whether the head of the answer has been sent.
-    caller_disconnected : bool
-        Whether the caller has closed the connection.
+    server : ServerState
     """
 
-    __slots__ = ("_connection", "body", "headers", "method", "started", "target")
-
-    def __init__(
-        self, connection: "ServerConnection", request: h11.Request, body: bytes
-    ) -> None:
-        self._connection = connection
-        self.method = bytes(request.method)
-        self.target = bytes(request.target)
-        self.headers: Headers = [(name, value) for name, value in request.headers]
-        self.body = body
-        self.started = False
-
-    @property
-    def caller_disconnected(self) -> bool:
-        """Whether the caller has closed the connection."""
-        return self._connection.lost
-
-    def header(self, name: bytes) -> bytes | None:
-        """Return the first value of a header."""
-        return next((value for key, value in self.headers if key == name), None)
-
-    def respond(self, status: int, headers: Headers = (), body: bytes = b"") -> None:
-        """Send a complete answer."""
-        self.start(status, [*headers, (b"content-length", b"%d" % len(body))])
-        self.write(body)
-        self.finish()
-
-    def start(self, status: int, headers: Headers) -> None:
-        """Send the head; without a Content-Length, the body is sent in chunks."""
-        self.started = True
-        self._connection.send_head(status, headers)
-
-    def write(self, data: bytes) -> None:
-        """Send a piece of the body."""
-        if data:
-            self._connection.send(h11.Data(data=data))
-
-    def finish(self) -> None:
-        """Send the end of the body."""
-        self._connection.finish()
-
-    def abort(self) -> None:
-        """Reset the connection, so that a partial answer can't seem complete."""
-        self._connection.abort()
-
-    def cut(self) -> None:
-        """End a partial answer so that it can't seem complete, but send it so far."""
-        self._connection.cut()
-
-    async def drained(self) -> None:
-        """Wait until the write buffer has space; backpressure for slow callers."""
-        await self._connection.drained()
-
-
-@implementer(IHalfCloseableProtocol)
-class ServerConnection(protocol.Protocol):
-    """A caller's connection."""
-
-    def __init__(self, server: "HttpServer") -> None:
+    def __init__(self, server: "ServerState") -> None:
         self._server = server
         self._conn = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.limits.header_bytes
--- /dev/null
+++ b/packages/http1/src/fuchsiahatch_http1/server_state.py
@@ -0,0 +1,48 @@
+"""What the connections of one server share."""
+
+import dataclasses
+import typing as t
+
+from fuchsiahatch_http1.connection_states import CloseReason
+from fuchsiahatch_http1.exchange import Exchange
+
+Handler = t.Callable[[Exchange], t.Coroutine[t.Any, t.Any, None]]
+
+
+@dataclasses.dataclass(slots=True)
+class ServerLimits:
+    """Size and time limits of requests; may be changed while serving."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_ms: int = 3_000
+    idle_ms: int = 15_000
+
+
+def _ignore_close(reason: CloseReason) -> None:
+    """Do nothing when a connection is closed."""
+
+
+@dataclasses.dataclass(slots=True)
+class ServerState:
+    """State of a server that its connections use.
+
+    Attributes
+    ----------
+    handle : coroutine function
+        Answers an exchange; cancelled when the caller disconnects.
+    limits : ServerLimits
+    leaving : bool
+        Whether the server is shutting down, so that each answer closes its
+        connection.
+    on_close : callable
+        Called once for each connection that begins to close, with the reason.
+    connections : set
+        The open ones.
+    """
+
+    handle: Handler
+    limits: ServerLimits = dataclasses.field(default_factory=ServerLimits)
+    leaving: bool = False
+    on_close: t.Callable[[CloseReason], None] = _ignore_close
+    connections: set[t.Any] = dataclasses.field(default_factory=set)
--- a/packages/standins/src/fuchsiahatch_standins/fleet_store.py
+++ b/packages/standins/src/fuchsiahatch_standins/fleet_store.py
@@ -8,7 +8,8 @@
 
 import orjson
 
-from fuchsiahatch_http1.server import Exchange, HttpServer
+from fuchsiahatch_http1.exchange import Exchange
+from fuchsiahatch_http1.server import HttpServer
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.store import Item
--- a/packages/standins/src/fuchsiahatch_standins/rank_group.py
+++ b/packages/standins/src/fuchsiahatch_standins/rank_group.py
@@ -7,7 +7,8 @@
 import orjson
 
 from fuchsiahatch_experts.rank_orders import Order, OrderKind, OrderResult
-from fuchsiahatch_http1.server import Exchange, HttpServer
+from fuchsiahatch_http1.exchange import Exchange
+from fuchsiahatch_http1.server import HttpServer
 from fuchsiahatch_standins.rank_rules import (
     MixedMaps,
     Rank,
--- a/tests/gateway/test_allowed_regions.py
+++ b/tests/gateway/test_allowed_regions.py
@@ -488,7 +488,7 @@
                     site.store.put(
                         f"fuchsiahatch-entries/e-{number}", entry(number, zone)
                     )
-                await until(lambda: len(site.entry._entries) == 3)
+                await until(lambda: len(site.entry.entries.registered) == 3)
                 port = await site.entry.side_calls.listen("127.0.0.1", 0)
                 body = await look_up(port, "kl-a")
                 await site.entry.side_calls.stop_accepting()
--- a/tests/gateway/test_cold_starts.py
+++ b/tests/gateway/test_cold_starts.py
@@ -677,7 +677,7 @@
                 record = dataclasses.replace(entry.record, peer=("127.0.0.1", 7_000))
                 site.store.put(registration, record.encode())
                 site.store.put("servers/i-0", make_cold_entry(port))
-                await until(lambda: entry.fleet.cold_count and entry._entries)
+                await until(lambda: entry.fleet.cold_count and entry.entries.registered)
                 replies = await asyncio.gather(
                     *(site.ask("/safe/", request_id=f"q-{at}") for at in range(6))
                 )
--- a/tests/gateway/test_encoded_forms.py
+++ b/tests/gateway/test_encoded_forms.py
@@ -23,9 +23,11 @@
     datagrams,
     delivery,
     error_answers,
+    event_relay,
     leadership,
     placing,
     routes,
+    silence_limit,
     stop_admission,
 )
 from fuchsiahatch_gateway.engine_figures import EngineFigures, decode_engine_figures
@@ -135,6 +137,8 @@
         modules = (
             attempts,
             answer_ends,
+            event_relay,
+            silence_limit,
             client,
             pool,
             delivery,
--- a/tests/gateway/test_request_log.py
+++ b/tests/gateway/test_request_log.py
@@ -5,7 +5,7 @@
 
 from fuchsiahatch_core.clock import ManualClock
 from fuchsiahatch_gateway import request_log
-from fuchsiahatch_gateway.attempts import Outcome
+from fuchsiahatch_gateway.attempt_types import Outcome
 from fuchsiahatch_gateway.next_steps import Result
 from fuchsiahatch_gateway.request_log import RequestLog
 from fuchsiahatch_http1.answers import Head
--- a/tests/http1/test_closing.py
+++ b/tests/http1/test_closing.py
@@ -6,7 +6,8 @@
 import time
 import unittest
 
-from fuchsiahatch_http1.server import HttpServer, ServerLimits
+from fuchsiahatch_http1.server import HttpServer
+from fuchsiahatch_http1.server_state import ServerLimits
 from tests.gateway.sites import until
 from tests.loopback import run
 
--- a/tests/http1/test_connections.py
+++ b/tests/http1/test_connections.py
@@ -9,7 +9,8 @@
 from fuchsiahatch_http1.answers import AnswerBroken, CallUnsent
 from fuchsiahatch_http1.client import Call
 from fuchsiahatch_http1.pool import ConnectFailed, ConnectionPool
-from fuchsiahatch_http1.server import HttpServer, ServerLimits
+from fuchsiahatch_http1.server import HttpServer
+from fuchsiahatch_http1.server_state import ServerLimits
 from tests import loopback
 
 HEADERS = [(b"host", b"x")]
