--- a/tests/http1/test_connections.py
+++ b/tests/http1/test_connections.py
@@ -123,23 +123,9 @@
 
         self.assertEqual(loopback.run(play()), (False, b"own"))
 
-    def test_a_call_whose_connection_was_closed_before_it_left_is_unsent(self):
-        # Its caller would be told that it may have run.
-        async def play():
-            pool = ConnectionPool(ManualClock(), 300)
-            with socket.create_server(("127.0.0.1", 0)) as listening:
-                address = listening.getsockname()
-                await pool.probe(*address)
-                peer, _ = listening.accept()
-                connection = await pool.acquire(*address)
-                peer.close()
-                connection.send(Call(b"POST", b"/", HEADERS, b"body"))
-                with self.assertRaises(CallUnsent):
-                    await connection.head()
-
-        loopback.run(play())
+    def send_and_close(self, sent_first):
+        """Return the error of a call whose connection its peer closes."""
 
-    def test_a_call_whose_connection_is_closed_after_it_left_may_have_run(self):
         async def play():
             pool = ConnectionPool(ManualClock(), 300)
             with socket.create_server(("127.0.0.1", 0)) as listening:
@@ -148,14 +134,21 @@
                 peer, _ = listening.accept()
                 connection = await pool.acquire(*address)
                 connection.send(Call(b"POST", b"/", HEADERS, b"body"))
-                head = asyncio.ensure_future(connection.head())
-                await asyncio.sleep(0.02)
+                if sent_first:
+                    await asyncio.sleep(0.02)
                 peer.close()
                 with self.assertRaises(AnswerBroken) as raised:
-                    await head
+                    await connection.head()
                 return type(raised.exception)
 
-        self.assertIs(loopback.run(play()), AnswerBroken)
+        return loopback.run(play())
+
+    def test_a_call_whose_connection_was_closed_before_it_left_is_unsent(self):
+        # Its caller would be told that it may have run.
+        self.assertIs(self.send_and_close(sent_first=False), CallUnsent)
+
+    def test_a_call_whose_connection_is_closed_after_it_left_may_have_run(self):
+        self.assertIs(self.send_and_close(sent_first=True), AnswerBroken)
 
 
 class TestServer(unittest.TestCase):
