An entry announces its start once

Cause: three announcements, each answered, of 110 entries that start together are some 36,000 datagrams and as many answers within 0.75 s, while their first callers wait (calculated, not measured).

A lost one costs nothing but time: an entry counts as back when its new registration is seen, and a stopping one repeats its departure each second.

--- a/packages/gateway/src/fuchsiahatch_gateway/entry_directory.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry_directory.py
@@ -12,7 +12,7 @@
     Peer,
 )
 from fuchsiahatch_gateway.entry_liveness import (
-    ANNOUNCEMENTS,
+    DEPARTURE_ANNOUNCEMENTS,
     HEARTBEAT_INTERVAL_MS,
     REMINDER_INTERVAL_MS,
     EntryLiveness,
@@ -120,17 +120,18 @@
     async def announce_forever(self) -> None:
         """Announce the start, and go on with heartbeats while the store is down."""
         self._has_served = True
-        for sent in itertools.count():
+        self._send_heartbeats()
+        while True:
+            await asyncio.sleep(HEARTBEAT_INTERVAL_MS / 1000)
             self._liveness.note_store(self._health.answers, self._clock.now_ms())
-            if self.serving and (sent < ANNOUNCEMENTS or not self._health.answers):
+            if self.serving and not self._health.answers:
                 self._send_heartbeats()
-            await asyncio.sleep(HEARTBEAT_INTERVAL_MS / 1000)
 
     async def announce_departure(self) -> None:
         """Announce the departure, also to entries that start meanwhile."""
         for sent in itertools.count(1):
             self._send_heartbeats()
-            is_repeated = sent < ANNOUNCEMENTS
+            is_repeated = sent < DEPARTURE_ANNOUNCEMENTS
             interval_ms = HEARTBEAT_INTERVAL_MS if is_repeated else REMINDER_INTERVAL_MS
             await asyncio.sleep(interval_ms / 1000)
 
--- a/packages/gateway/src/fuchsiahatch_gateway/entry_liveness.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry_liveness.py
@@ -17,9 +17,8 @@
 HEARTBEAT_INTERVAL_MS = 250
 #: Silence after which an entry then counts as unreachable: four heartbeats.
 SILENCE_MS = 1_000
-#: Heartbeats by which an entry announces its start and its departure. A datagram may
-#: be lost.
-ANNOUNCEMENTS = 3
+#: Heartbeats by which an entry announces its departure at first, as one may be lost.
+DEPARTURE_ANNOUNCEMENTS = 3
 #: Interval at which a stopping entry repeats its departure: entries that have started
 #: meanwhile don't know of it.
 REMINDER_INTERVAL_MS = 1_000
