A stream whose upstream pauses is not cut as no other upstream takes it

What callers saw: a stream of a sound upstream that paused for a second ended with a reset in its middle, or a request without an event with 502, though its upstream went on.

Cause: an upstream that is silent, or a rank that has become slow, was given up before another upstream had taken the request. If that one was full, failed or was gone, or the retry budget or the slot was taken meanwhile, there was nothing left to go on with.

Change: the attempt is suspended. Its connection and slot are kept until the other upstream has answered, by its first event or a whole answer. Half an event that had arrived is kept. Whatever ends the request also cancels the suspended attempt.

--- a/packages/gateway/src/fuchsiahatch_gateway/attempt_types.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempt_types.py
@@ -4,7 +4,9 @@
 import typing as t
 
 from fuchsiahatch_adapter import names
+from fuchsiahatch_gateway.event_stream import shows_progress
 from fuchsiahatch_gateway.next_steps import Result
+from fuchsiahatch_http1.client import ignore_data
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_gateway.answer_ends import Ending
@@ -45,6 +47,9 @@
         Whether the upstream stopped accepting requests before anything was sent.
     ending : Ending or None
         How the upstream's answer ended; None if nothing was sent.
+    is_suspended : bool
+        Whether the upstream was merely silent: its connection is open, and the attempt
+        can be continued.
     """
 
     result: Result
@@ -57,6 +62,7 @@
     group_crashed: bool = False
     withdrawn: bool = False
     ending: "Ending | None" = None
+    is_suspended: bool = False
 
     @property
     def status(self) -> int:
@@ -137,6 +143,15 @@
         Called with a bound that the answer has reached.
     urgency : int or None
         Priority class that the upstream is told; None to tell it none.
+    suspended : Attempt or None
+        An earlier attempt whose upstream was silent; if that goes on while the head of
+        this one is awaited, this one may be withdrawn.
+    connection : ClientConnection or None
+        The connection that it was sent on; None before that.
+    head : Head or None
+        Of the upstream's answer; None before it arrives.
+    partial : bytes
+        Beginning of an event that had arrived when the attempt was suspended.
     """
 
     upstream: "Upstream"
@@ -157,3 +172,23 @@
     kept: "Reservation"
     on_bound: "t.Callable[[Bound], None]"
     urgency: int | None = None
+    suspended: "Attempt | None" = None
+    connection: "ClientConnection | None" = None
+    head: "Head | None" = None
+    partial: bytes = b""
+
+    @property
+    def is_superseded(self) -> bool:
+        """Whether the suspended attempt's answer has gone on."""
+        return self.suspended is not None and self.suspended.has_progress
+
+    def watch_suspended(self, on_data: t.Callable[[], None] | None) -> None:
+        """Call a function when the suspended attempt's upstream sends more."""
+        if self.suspended is not None and self.suspended.connection is not None:
+            self.suspended.connection.on_data = on_data or ignore_data
+
+    @property
+    def has_progress(self) -> bool:
+        """Whether more of the answer has arrived since the attempt was suspended."""
+        unread = b"" if self.connection is None else self.connection.unread
+        return bool(unread) if self.head is None else shows_progress(unread)
--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -10,7 +10,7 @@
 from fuchsiahatch_gateway.attempt_types import MISPLACED, Attempt, Outcome
 from fuchsiahatch_gateway.event_relay import relay_events
 from fuchsiahatch_gateway.next_steps import Result
-from fuchsiahatch_gateway.silence_limit import expire, limit_silence
+from fuchsiahatch_gateway.silence_limit import UpstreamSilent, expire, limit_silence
 from fuchsiahatch_http1.answers import (
     AnswerBroken,
     AnswerEnd,
@@ -65,10 +65,43 @@
         detail = "the upstream no longer accepts requests"
         return Outcome(Result.UNSENT, detail, withdrawn=True)
     attempt.used_connections.append(connection)
+    attempt.connection = connection
     try:
-        outcome = await _send_and_receive(exchange, connection, attempt)
+        _send(exchange, connection, attempt)
+    except BaseException:
+        connection.abort()
+        raise
+    return await _receive_outcome(exchange, pool, connection, attempt)
+
+
+async def continue_attempt(
+    exchange: "Exchange", pool: ConnectionPool, attempt: Attempt
+) -> Outcome:
+    """Wait on for the answer of a suspended attempt, and return how that ended.
+
+    Notes
+    -----
+    It isn't suspended again: no other upstream has taken the request.
+    """
+    assert attempt.connection is not None
+    attempt.silence_ms = None
+    return await _receive_outcome(exchange, pool, attempt.connection, attempt)
+
+
+async def _receive_outcome(
+    exchange: "Exchange",
+    pool: ConnectionPool,
+    connection: ClientConnection,
+    attempt: Attempt,
+) -> Outcome:
+    try:
+        outcome = await _receive(exchange, connection, attempt)
     except CallUnsent as fault:
         outcome = Outcome(Result.UNSENT, f"not sent: {fault}")
+    except UpstreamSilent as fault:
+        ending = describe_ending(connection, attempt.events)
+        attempt.partial = attempt.events.take_remainder() if attempt.events else b""
+        return Outcome(Result.BROKEN, str(fault), ending=ending, is_suspended=True)
     except AnswerBroken as fault:
         if isinstance(fault, AnswerTooLong):
             _note_too_long(connection, attempt, fault)
@@ -80,13 +113,12 @@
     if outcome.result is Result.BROKEN or not outcome.names_request:
         connection.abort()
     else:
+        address = attempt.upstream.entry.address
         pool.release(connection, address.ip, address.port)
     return outcome
 
 
-async def _send_and_receive(
-    exchange: "Exchange", connection: ClientConnection, attempt: Attempt
-) -> Outcome:
+def _send(exchange: "Exchange", connection: ClientConnection, attempt: Attempt) -> None:
     last_id = None if attempt.events is None else attempt.events.last_id
     headers = upstream_headers(
         exchange,
@@ -97,9 +129,16 @@
         attempt.urgency,
     )
     connection.send(Call(exchange.method, exchange.target, headers, exchange.body))
-    head = await _await_head(exchange, connection, attempt)
-    if head.status != MISPLACED:
-        attempt.on_head(head)
+
+
+async def _receive(
+    exchange: "Exchange", connection: ClientConnection, attempt: Attempt
+) -> Outcome:
+    if attempt.head is None:
+        attempt.head = await _await_head(exchange, connection, attempt)
+        if attempt.head.status != MISPLACED:
+            attempt.on_head(attempt.head)
+    head = attempt.head
     if head.header(names.NOT_EXECUTED) is not None or head.status == MISPLACED:
         await _skip_refusal(connection, attempt)
         return Outcome(Result.NOT_RUN, f"status {head.status}", head)
@@ -151,19 +190,26 @@
     queued for a connection that ends.
     """
     work = _matching_head(exchange, connection, attempt.on_skipped_head)
+    reason = "withdrawn as it may crash its upstream"
 
     def withdraw() -> None:
-        if not attempt.may_stay():
+        nonlocal reason
+        if attempt.is_superseded:
+            reason = "an earlier upstream answers on"
+            expire(limit)
+        elif not attempt.may_stay():
             expire(limit)
 
     try:
         async with asyncio.timeout(None) as limit:
             attempt.withdrawals.add(withdraw)
+            attempt.watch_suspended(withdraw)
             return await limit_silence(work, attempt)
     except TimeoutError as fault:
-        raise AnswerBroken("withdrawn as it may crash its upstream") from fault
+        raise AnswerBroken(reason) from fault
     finally:
         attempt.withdrawals.discard(withdraw)
+        attempt.watch_suspended(None)
 
 
 async def _matching_head(
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -15,7 +15,7 @@
     RequestError,
 )
 from fuchsiahatch_gateway.attempt_types import Attempt, Outcome
-from fuchsiahatch_gateway.attempts import run_attempt
+from fuchsiahatch_gateway.attempts import continue_attempt, run_attempt
 from fuchsiahatch_gateway.error_answers import ErrorAnswers
 from fuchsiahatch_gateway.event_stream import EventSplitter
 from fuchsiahatch_gateway.fingerprints import fingerprints_of
@@ -172,6 +172,8 @@
         except Exception as fault:
             log_event(Event.INTERNAL_ERROR, detail=repr(fault))
             self._errors.send(exchange, FuchsiahatchError("an internal error"), job)
+        finally:
+            self._drop_suspended(job)
 
     def withdraw_suspects(self) -> None:
         """Withdraw what may crash its upstream from those that haven't begun it."""
@@ -208,17 +210,52 @@
 
     async def _deliver(self, job: Job) -> None:
         upstream = await self._acquire_slot(job)
+        outcome = await self._try(job, upstream)
         while True:
-            self._check_held(job, upstream)
-            self._check_stop(job, upstream)
-            outcome = await self._attempt(job, upstream)
-            await self._note_answer_or_crash(job, upstream, outcome)
-            following = await self._choose_retry(job, upstream, outcome)
-            if following is None:
-                step = conclude(outcome.result, job.may_have_run)
-                self._finish(job, step, outcome)
-                return
-            upstream = following
+            following = await self._choose_following(job, upstream, outcome)
+            if following is not None:
+                upstream = following
+                outcome = await self._try(job, upstream)
+            elif job.suspended is not None and not outcome.succeeded:
+                upstream = job.suspended.upstream
+                outcome = await self._continue(job, job.suspended)
+            else:
+                break
+        self._finish(job, conclude(outcome.result, job.may_have_run), outcome)
+
+    async def _try(self, job: Job, upstream: "Upstream") -> Outcome:
+        self._check_held(job, upstream)
+        self._check_stop(job, upstream)
+        outcome = await self._attempt(job, upstream)
+        await self._note_answer_or_crash(job, upstream, outcome)
+        return outcome
+
+    async def _continue(self, job: Job, attempt: Attempt) -> Outcome:
+        """Wait on for the answer of an upstream that no other one has replaced.
+
+        Callers would lose an answer that merely pauses, as those of a rank group do
+        that changes its map, where another upstream refuses the request.
+        """
+        self._log.note_continued(job, attempt.upstream)
+        job.suspended = None
+        job.ending = None
+        sent_ms = self._clock.now_ms()
+        try:
+            outcome = await continue_attempt(job.exchange, self._pool, attempt)
+            job.ending = outcome.ending
+        finally:
+            self._placer.release(attempt.upstream)
+        self._note_outcome(job, attempt.upstream, outcome, sent_ms, True)
+        await self._note_answer_or_crash(job, attempt.upstream, outcome)
+        return outcome
+
+    def _drop_suspended(self, job: Job) -> None:
+        """Cancel a suspended attempt: its upstream stops working on the request."""
+        attempt, job.suspended = job.suspended, None
+        if attempt is not None:
+            assert attempt.connection is not None
+            attempt.connection.abort()
+            self._placer.release(attempt.upstream)
 
     def _check_held(self, job: Job, upstream: "Upstream | None" = None) -> None:
         """Refuse a held request, one that crashes upstreams; release its slot if given.
@@ -270,6 +307,25 @@
         elif outcome.result is Result.BROKEN:
             self._crashes.note_unanswered(job.fingerprints, upstream)
 
+    async def _choose_following(
+        self, job: Job, upstream: "Upstream", outcome: Outcome
+    ) -> "Upstream | None":
+        """Return the upstream for a retry; None to continue or end.
+
+        Raises
+        ------
+        RefusedError
+            If no upstream accepts the request, and there is nothing to go on with.
+        """
+        if job.suspended is not None and job.suspended.has_progress:
+            return None
+        try:
+            return await self._choose_retry(job, upstream, outcome)
+        except RefusedError:
+            if job.suspended is None:
+                raise
+            return None
+
     async def _choose_retry(
         self, job: Job, upstream: "Upstream", outcome: Outcome
     ) -> "Upstream | None":
@@ -326,6 +382,8 @@
 
     def _may_send(self, job: Job, upstream: "Upstream", reserved_ms: int) -> bool:
         """Return whether a request may go to its upstream, just before it does."""
+        if job.suspended is not None and job.suspended.has_progress:
+            return False
         if self._crashing.held_ms(job.fingerprints):
             return False
         if self._latest_start_ms(job) < self._clock.now_ms():
@@ -352,6 +410,10 @@
                 late_timer.cancel()
             self._on_head(upstream, head)
 
+        def note_event() -> None:
+            self._drop_suspended(job)
+            job.note_event(self._clock.now_ms())
+
         attempt = Attempt(
             upstream,
             job.match.team.name,
@@ -361,7 +423,7 @@
             lambda: self._could_retry(job),
             lambda: self._could_move(job),
             job.events,
-            lambda: job.note_event(self._clock.now_ms()),
+            note_event,
             note_head,
             lambda head: self._on_skipped_head(upstream, head),
             self._withdrawals,
@@ -371,6 +433,7 @@
             job.kept,
             job.bounds.append,
             job.priority_class if self._routes.has_classes(job.service) else None,
+            job.suspended,
         )
         was_started = job.exchange.started
         may_have_run = True
@@ -383,10 +446,12 @@
         job.ending = None
         job.kept.release()
         earlier_sends = len(job.used_connections)
+        is_suspended = False
         try:
             outcome = await run_attempt(job.exchange, self._pool, attempt)
             may_have_run = outcome.result in (Result.ANSWERED, Result.BROKEN)
             job.ending = outcome.ending
+            is_suspended = outcome.is_suspended
         except asyncio.CancelledError:
             if len(job.used_connections) > earlier_sends:
                 self._crashes.note_abandoned(job.fingerprints, upstream, job.ends_ms)
@@ -395,17 +460,30 @@
             if late_timer is not None:
                 late_timer.cancel()
             job.may_have_run = job.may_have_run or may_have_run
-            self._placer.release(upstream)
-        outcome.events_relayed = (
-            job.last_event_ms is not None and job.last_event_ms >= sent_ms
-        )
+            if not is_suspended:
+                self._placer.release(upstream)
+        if is_suspended:
+            job.suspended = attempt
         if outcome.result is Result.UNSENT:
             job.unsent += 1
             job.tried.pop()
+        self._note_outcome(job, upstream, outcome, sent_ms, was_started)
+        return outcome
+
+    def _note_outcome(
+        self,
+        job: Job,
+        upstream: "Upstream",
+        outcome: Outcome,
+        sent_ms: int,
+        was_started: bool,
+    ) -> None:
+        outcome.events_relayed = (
+            job.last_event_ms is not None and job.last_event_ms >= sent_ms
+        )
         self._record_result(upstream, outcome, sent_ms, was_started)
         if outcome.result is Result.BROKEN:
             self._log.note_broken_answer(job)
-        return outcome
 
     def _expect_answer(
         self, job: Job, upstream: "Upstream"
--- a/packages/gateway/src/fuchsiahatch_gateway/event_relay.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/event_relay.py
@@ -30,6 +30,7 @@
     events = attempt.events
     assert events is not None
     events.discard_partial()
+    events.feed(attempt.partial)
     loop = asyncio.get_running_loop()
     progress_s = loop.time()
     while True:
--- a/packages/gateway/src/fuchsiahatch_gateway/event_stream.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/event_stream.py
@@ -91,6 +91,11 @@
         self._buffer.clear()
 
 
+def shows_progress(data: bytes) -> bool:
+    """Return whether bytes of a stream, framed or not, hold more than comments."""
+    return _PROGRESS_LINE.search(data) is not None
+
+
 def _ids(events: bytes) -> t.Iterator[bytes]:
     for line in events.removeprefix(codecs.BOM_UTF8).splitlines():
         if line.startswith(b"id:"):
--- a/packages/gateway/src/fuchsiahatch_gateway/jobs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/jobs.py
@@ -9,6 +9,7 @@
     from fuchsiahatch_adapter.caller_requests import CallerRequest
     from fuchsiahatch_adapter.configuration import Route
     from fuchsiahatch_gateway.answer_ends import Ending
+    from fuchsiahatch_gateway.attempt_types import Attempt
     from fuchsiahatch_gateway.event_stream import EventSplitter
     from fuchsiahatch_gateway.fingerprints import Fingerprints
     from fuchsiahatch_gateway.kept_bytes import Reservation
@@ -84,6 +85,8 @@
         How the answer of its latest upstream ended; None while there is none.
     bounds : list of Bound
         Bounds that answers of its upstreams have reached.
+    suspended : Attempt or None
+        An attempt whose upstream was silent, until another upstream has answered.
     """
 
     exchange: "Exchange"
@@ -109,6 +112,7 @@
     report_age_ms: int | None = None
     ending: "Ending | None" = None
     bounds: "list[Bound]" = dataclasses.field(default_factory=list)
+    suspended: "Attempt | None" = None
 
     def traits(self, confined_to: str = "") -> RequestTraits:
         """Return what the choice of an upstream may know of the request.
@@ -173,8 +177,13 @@
 
 
 def silence_ms(job: Job, left_ms: int) -> int | None:
-    """Return how long an upstream may be silent; None if it can't be retried."""
+    """Return how long an upstream may be silent; None if it can't be retried.
+
+    While an attempt is suspended, the next one is the alternative to it.
+    """
     route = job.match.route
+    if job.suspended is not None:
+        return None
     if not route.repeatable or len(job.tried) + 1 >= route.max_attempts:
         return None
     if job.events is not None:
--- a/packages/gateway/src/fuchsiahatch_gateway/request_log.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/request_log.py
@@ -108,6 +108,16 @@
             **ending_fields(job.ending),
         )
 
+    def note_continued(self, job: "Job", upstream: "Upstream") -> None:
+        """Record that a request stays at an upstream that was silent."""
+        log_event(
+            Event.ATTEMPT_CONTINUED,
+            request=job.request.request_id.decode("latin-1"),
+            upstream=upstream.entry.instance,
+            tried=job.tried,
+            left_ms=job.ends_ms - self._clock.now_ms(),
+        )
+
 
 def _bound_fields(job: "Job") -> dict[str, t.Any]:
     """Return the field of a log line that names the bounds that answers reached."""
--- a/packages/gateway/src/fuchsiahatch_gateway/silence_limit.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/silence_limit.py
@@ -11,6 +11,10 @@
 T = t.TypeVar("T")
 
 
+class UpstreamSilent(AnswerBroken):
+    """Another upstream should be tried; the answer may still come on its connection."""
+
+
 async def limit_silence(
     work: t.Coroutine[t.Any, t.Any, T], attempt: "Attempt", since_s: float | None = None
 ) -> T:
@@ -32,7 +36,7 @@
     if ends_s <= loop.time() and attempt.may_give_up():
         # Where data without progress arrives all the time, no timer gets a turn.
         work.close()
-        raise AnswerBroken(reason)
+        raise UpstreamSilent(reason)
 
     def note_silence() -> None:
         nonlocal timer
@@ -55,7 +59,7 @@
             attempt.upstream.movers.add(move)
             return await work
     except TimeoutError as fault:
-        raise AnswerBroken(reason) from fault
+        raise UpstreamSilent(reason) from fault
     finally:
         attempt.upstream.movers.discard(move)
         if timer is not None:
--- a/packages/http1/src/fuchsiahatch_http1/client.py
+++ b/packages/http1/src/fuchsiahatch_http1/client.py
@@ -52,6 +52,10 @@
     body: bytes = b""
 
 
+def ignore_data() -> None:
+    """Do nothing when bytes of an answer arrive."""
+
+
 class ClientConnection(protocol.Protocol):
     """One connection to a server.
 
@@ -70,6 +74,8 @@
         Of the current answer; None before its head.
     end : AnswerEnd or None
         What ended the current answer; None before that.
+    on_data : callable
+        Called when bytes of an answer have arrived.
     """
 
     def __init__(self, on_idle_end: t.Callable[["ClientConnection"], None]) -> None:
@@ -97,6 +103,7 @@
         self.idle_since_ms = 0
         self.framing: Framing | None = None
         self.end: AnswerEnd | None = None
+        self.on_data: t.Callable[[], None] = ignore_data
 
     def connectionMade(self) -> None:
         """Set the socket options."""
@@ -121,6 +128,7 @@
             self._paused = True
             self.transport.pauseProducing()
         self._wake()
+        self.on_data()
 
     def connectionLost(self, reason: "Failure" = protocol.connectionDone) -> None:
         """Record the end; what was received before it can still be consumed."""
@@ -133,6 +141,11 @@
         self.end = self.end or (AnswerEnd.CLOSED if self._closed else AnswerEnd.RESET)
         self._fail(f"connection lost: {reason.type.__name__}")
 
+    @property
+    def unread(self) -> bytes:
+        """Bytes of the answer that have arrived and were not asked for."""
+        return b"".join(self._unparsed)
+
     @property
     def ended(self) -> bool:
         """Whether no further call can be sent: it is lost, or this process reset it.
