A stopping entry tells how each caller's connection ended, once its socket is closed

Callers got resets around a stop of an entry whose log had nothing of their requests.

It is now written when the socket is closed, with the last request answered on it and how long ago, what the caller's host hadn't acknowledged, what was unread or discarded, how long the connection lingered, and whether the caller ended it by a close, a reset or a timeout of the kernel.

The server also reports requests whose connections end before their answers, for the next change.

--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -361,6 +361,7 @@
             await asyncio.sleep(IDLE_POLL_INTERVAL_MS / 1000)
         report.end()
         await self.callers.end(END_FLUSH_MS)
+        report.note_remaining()
 
     async def _answer_side_call(self, exchange: Exchange) -> None:
         if is_ready_check(exchange.target):
--- a/packages/http1/src/fuchsiahatch_http1/connection_states.py
+++ b/packages/http1/src/fuchsiahatch_http1/connection_states.py
@@ -24,10 +24,21 @@
     REFUSED = "refused"
     TIMED_OUT = "timed out"
     RESET = "reset"
+    PIPELINED = "pipelined too much"
     CALLER = "by the caller"
     END = "at the end"
 
 
+class PeerEnd(enum.StrEnum):
+    """How the peer has ended a connection."""
+
+    OPEN = "open"
+    CLOSED = "closed"
+    RESET = "reset"
+    TIMED_OUT = "timed out"
+    FAILED = "failed"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OpenRequest:
     """A request that is being read or answered.
@@ -53,4 +64,74 @@
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header."""
-        return next((value for key, value in self.headers if key == name), None)
+        return first_value(self.headers, name)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CutRequest:
+    """A request whose connection has ended before its answer.
+
+    Attributes
+    ----------
+    request : OpenRequest
+    reason : CloseReason
+    peer_end : PeerEnd
+    state : ConnectionState
+        Whether it was being read or answered.
+    unacknowledged_bytes : int
+        Bytes of its answer that were sent and not acknowledged.
+    stopping : bool
+        Whether the server was shutting down.
+    """
+
+    request: OpenRequest
+    reason: CloseReason
+    peer_end: PeerEnd
+    state: ConnectionState
+    unacknowledged_bytes: int
+    stopping: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClosedConnection:
+    """A connection whose socket has been closed, or is about to be.
+
+    Attributes
+    ----------
+    reason : CloseReason or None
+        Why its close began; None if it hasn't.
+    headers : sequence of (bytes, bytes)
+        Of the last request that was answered; empty without one.
+    answered_ago_ms : int or None
+        Time since that answer was finished; None without one.
+    answer_bytes : int
+        Length of that answer.
+    unacknowledged_bytes : int
+        Bytes that were sent and not acknowledged.
+    unread_bytes : int
+        Bytes that were received and not read, so that the close sends a reset.
+    discarded_bytes : int
+        Bytes that were received since the close began.
+    lingered_ms : int or None
+        Time since the close began; None if it hasn't.
+    peer_end : PeerEnd
+    """
+
+    reason: CloseReason | None
+    headers: Headers
+    answered_ago_ms: int | None
+    answer_bytes: int
+    unacknowledged_bytes: int
+    unread_bytes: int
+    discarded_bytes: int
+    lingered_ms: int | None
+    peer_end: PeerEnd
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header."""
+        return first_value(self.headers, name)
+
+
+def first_value(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header; None without one."""
+    return next((value for key, value in headers if key == name), None)
--- a/packages/http1/src/fuchsiahatch_http1/exchange.py
+++ b/packages/http1/src/fuchsiahatch_http1/exchange.py
@@ -4,7 +4,7 @@
 
 import h11
 
-from fuchsiahatch_http1.connection_states import Headers
+from fuchsiahatch_http1.connection_states import Headers, first_value
 
 
 class AnswerWriter(t.Protocol):
@@ -65,7 +65,7 @@
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header."""
-        return next((value for key, value in self.headers if key == name), None)
+        return first_value(self.headers, name)
 
     def respond(self, status: int, headers: Headers = (), body: bytes = b"") -> None:
         """Send a complete answer."""
--- a/packages/http1/src/fuchsiahatch_http1/server.py
+++ b/packages/http1/src/fuchsiahatch_http1/server.py
@@ -5,11 +5,13 @@
 import typing as t
 
 from twisted.internet import protocol, reactor
-from twisted.internet.endpoints import TCP4ServerEndpoint
 
+from fuchsiahatch_http1.caller_transport import CallerPort
 from fuchsiahatch_http1.connection_states import (
+    ClosedConnection,
     CloseReason,
     ConnectionState,
+    CutRequest,
     OpenRequest,
 )
 from fuchsiahatch_http1.server_connection import ServerConnection
@@ -46,23 +48,42 @@
         """The open connections."""
         return self._state.connections
 
-    def report_closes(self, on_close: t.Callable[[CloseReason], None]) -> None:
-        """Call a function once for each connection that begins to close."""
+    def report_closes(
+        self,
+        on_close: t.Callable[[CloseReason], None],
+        on_closed: t.Callable[[ClosedConnection], None],
+    ) -> None:
+        """Call functions once for each connection: as its close begins, and ends."""
         self._state.on_close = on_close
+        self._state.on_closed.append(on_closed)
+
+    def report_cuts(
+        self,
+        on_cut: t.Callable[[CutRequest], None],
+        on_closed: t.Callable[[ClosedConnection], None],
+    ) -> None:
+        """Call functions for each request that is cut and each closed connection."""
+        self._state.on_cut = on_cut
+        self._state.on_closed.append(on_closed)
 
     async def listen(self, ip: str, port: int) -> int:
-        """Start accepting connections and return the port."""
-        endpoint = TCP4ServerEndpoint(reactor, port, backlog=BACKLOG, interface=ip)
-        listening = endpoint.listen(self._make_factory())
-        self._port = await listening.asFuture(asyncio.get_running_loop())
+        """Start accepting connections and return the port.
+
+        Raises
+        ------
+        twisted.internet.error.CannotListenError
+        """
+        self._port = CallerPort(port, self._make_factory(), BACKLOG, ip, reactor)
+        self._port.startListening()
         return self._port.getHost().port
 
     def adopt(self, listening: socket.socket) -> None:
         """Start accepting connections on a socket that is already listening."""
-        self._port = reactor.adoptStreamPort(
-            listening.fileno(), socket.AF_INET, self._make_factory()
+        self._port = CallerPort._fromListeningDescriptor(
+            reactor, listening.fileno(), socket.AF_INET, self._make_factory()
         )
-        # The reactor has duplicated the descriptor.
+        self._port.startListening()
+        # The port has duplicated the descriptor.
         listening.close()
 
     def _make_factory(self) -> protocol.Factory:
@@ -126,6 +147,10 @@
         """Whether no connection is left that may hold a part of an answer."""
         return not self.connections
 
+    def describe_connections(self) -> list[ClosedConnection]:
+        """Return what would be told of the open connections if they closed now."""
+        return [one.describe() for one in self.connections]
+
     def count_states(self) -> dict[ConnectionState, int]:
         """Return the number of connections in each state."""
         counts = dict.fromkeys(ConnectionState, 0)
--- a/packages/http1/src/fuchsiahatch_http1/server_connection.py
+++ b/packages/http1/src/fuchsiahatch_http1/server_connection.py
@@ -11,11 +11,14 @@
 
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_http1.connection_states import (
+    ClosedConnection,
     CloseReason,
     ConnectionState,
+    CutRequest,
     Headers,
     OpenRequest,
 )
+from fuchsiahatch_http1.connection_trace import ConnectionTrace
 from fuchsiahatch_http1.exchange import Exchange
 from fuchsiahatch_http1.lingering_close import LingeringClose
 from fuchsiahatch_http1.socket_queues import (
@@ -70,10 +73,14 @@
         self._connected_while_leaving = server.leaving
         self._may_be_slow = False
         self._ends_with_connection = False
-        self._close_noted = False
+        self._trace = ConnectionTrace()
         self._closing: LingeringClose | None = None
         self.lost = False
 
+    @property
+    def _is_closing(self) -> bool:
+        return self._trace.reason is not None
+
     @property
     def busy(self) -> bool:
         """Whether a request is being read or answered."""
@@ -82,12 +89,12 @@
     @property
     def _reads(self) -> bool:
         """Whether the next bytes received belong to a request that is served."""
-        return not self.lost and not self._close_noted and self._task is None
+        return not self.lost and not self._is_closing and self._task is None
 
     @property
     def state(self) -> ConnectionState:
         """What the connection is doing."""
-        if self._close_noted:
+        if self._is_closing:
             return ConnectionState.CLOSING
         if self._task is not None:
             return ConnectionState.ANSWERING
@@ -100,9 +107,24 @@
         """Bytes of answers that the caller hasn't acknowledged."""
         return 0 if self.lost else unsent_bytes(self.transport)
 
+    @property
+    def _unacknowledged_bytes(self) -> int:
+        """The same; of a closed socket, what its queue held then."""
+        if self.transport.disconnected:
+            return self.transport.unacknowledged_bytes
+        return unsent_bytes(self.transport)
+
+    def describe(self) -> ClosedConnection:
+        """Return how the connection ends, or would end if it were closed now."""
+        transport = self.transport
+        unread_bytes = transport.unread_bytes or received_bytes(transport)
+        return self._trace.describe(
+            self._unacknowledged_bytes, unread_bytes, transport.peer_end
+        )
+
     def open_request(self) -> OpenRequest | None:
         """Return the request being read or answered; None without one."""
-        if self._request is None or self._close_noted:
+        if self._request is None or self._is_closing:
             return None
         return OpenRequest(
             list(self._request.headers),
@@ -133,12 +155,13 @@
 
         What comes while the connection closes is discarded.
         """
-        if self._close_noted:
+        if self._is_closing:
+            self._trace.discarded_bytes += len(data)
             return
         if self._task is not None:
             self._pipelined_bytes += len(data)
             if self._pipelined_bytes > MAX_PIPELINED_BYTES:
-                self.abort()
+                self.abort(CloseReason.PIPELINED)
                 return
         self._conn.receive_data(data)
         self._read_events()
@@ -152,6 +175,8 @@
         if self._closing is not None:
             self._closing.stop()
         self._server.connections.discard(self)
+        for report in self._server.on_closed:
+            report(self.describe())
         if self._task is not None:
             self._task.cancel()
 
@@ -192,7 +217,7 @@
 
         One that has arrived is read as usual, as its caller may not send it again.
         """
-        if self.busy or self.lost or self._close_noted:
+        if self.busy or self.lost or self._is_closing:
             return
         if self._conn.trailing_data[0] or received_bytes(self.transport):
             self._set_timer(self._server.limits.header_ms)
@@ -216,7 +241,7 @@
 
     def end(self) -> None:
         """Refuse a request that is unanswered, cut a partial answer, and close."""
-        if self.lost or self._close_noted:
+        if self.lost or self._is_closing:
             return
         if self._conn.our_state is h11.SEND_BODY:
             self.cut()
@@ -261,6 +286,8 @@
     def finish(self) -> None:
         """End the answer, then wait for the next request or close."""
         self.send(h11.EndOfMessage())
+        if self._request is not None and not self.lost:
+            self._trace.note_answer(self._request.headers, self._answer_bytes)
         # The handler returns by itself; a close that its answer requested must not
         # cancel it.
         self._task = None
@@ -341,7 +368,7 @@
         self._close(reason)
 
     def _close(self, reason: CloseReason) -> None:
-        if self.lost or self._close_noted:
+        if self.lost or self._is_closing:
             return
         self._note_close(reason)
         self._clear_timer()
@@ -359,9 +386,23 @@
         self.transport.loseConnection()
 
     def _note_close(self, reason: CloseReason) -> None:
-        if not self._close_noted:
-            self._close_noted = True
-            self._server.on_close(reason)
+        if self._is_closing:
+            return
+        cut = self.open_request()
+        state = self.state
+        self._trace.note_close(reason)
+        self._server.on_close(reason)
+        if cut is not None:
+            self._server.on_cut(
+                CutRequest(
+                    cut,
+                    reason,
+                    self.transport.peer_end,
+                    state,
+                    self._unacknowledged_bytes,
+                    self._server.leaving,
+                )
+            )
 
     def _set_timer(self, timeout_ms: int) -> None:
         self._clear_timer()
--- a/packages/http1/src/fuchsiahatch_http1/server_state.py
+++ b/packages/http1/src/fuchsiahatch_http1/server_state.py
@@ -3,7 +3,11 @@
 import dataclasses
 import typing as t
 
-from fuchsiahatch_http1.connection_states import CloseReason
+from fuchsiahatch_http1.connection_states import (
+    ClosedConnection,
+    CloseReason,
+    CutRequest,
+)
 from fuchsiahatch_http1.exchange import Exchange
 
 Handler = t.Callable[[Exchange], t.Coroutine[t.Any, t.Any, None]]
@@ -23,6 +27,10 @@
     """Do nothing when a connection is closed."""
 
 
+def _ignore_cut(cut: CutRequest) -> None:
+    """Do nothing when a request is cut."""
+
+
 @dataclasses.dataclass(slots=True)
 class ServerState:
     """State of a server that its connections use.
@@ -37,6 +45,10 @@
         connection.
     on_close : callable
         Called once for each connection that begins to close, with the reason.
+    on_cut : callable
+        Called with each request whose connection ends before its answer.
+    on_closed : list of callable
+        Each is called once for each connection whose socket has been closed.
     connections : set
         The open ones.
     """
@@ -45,4 +57,8 @@
     limits: ServerLimits = dataclasses.field(default_factory=ServerLimits)
     leaving: bool = False
     on_close: t.Callable[[CloseReason], None] = _ignore_close
+    on_cut: t.Callable[[CutRequest], None] = _ignore_cut
+    on_closed: list[t.Callable[[ClosedConnection], None]] = dataclasses.field(
+        default_factory=list
+    )
     connections: set[t.Any] = dataclasses.field(default_factory=set)
--- a/tests/gateway/test_stop_report.py
+++ b/tests/gateway/test_stop_report.py
@@ -18,6 +18,10 @@
     return reader, writer
 
 
+async def answers(exchange):
+    exchange.respond(200, (), b"short")
+
+
 def fields_of(lines, event):
     return next(fields for one, fields in lines if one is event)
 
@@ -85,6 +89,7 @@
             report = StopReport(server)
             report.begin()
             server.leave()
+            await until(lambda: not server.connections)
             report.end()
             for _, writer in kept:
                 writer.close()
@@ -96,6 +101,45 @@
         ended = fields_of(lines, Event.STOPPED)
         self.assertEqual(ended["closed"], {"idle": MAX_CLOSE_LINES + 5})
 
+    def test_a_close_has_a_line_with_the_last_answer_once_its_socket_is_closed(self):
+        async def play():
+            server = HttpServer(answers)
+            port = await server.listen("127.0.0.1", 0)
+            reader, writer = await connect(
+                port, b"GET / HTTP/1.1\r\nHost: x\r\nFuchsiahatch-Request-Id: q\r\n\r\n"
+            )
+            await reader.readuntil(b"short")
+            report = StopReport(server)
+            report.begin()
+            server.leave()
+            await until(lambda: not server.connections)
+            report.end()
+            writer.close()
+            await server.stop_accepting()
+
+        lines = self.report(play)
+        closed = fields_of(lines, Event.CONNECTION_CLOSED)
+        self.assertEqual(closed["reason"], "idle")
+        self.assertEqual(closed["request"], "q")
+        self.assertEqual(closed["caller"], "open")
+        self.assertGreater(closed["answer_bytes"], len(b"short"))
+        self.assertLess(closed["answered_ago_ms"], 5_000)
+
+    def test_connections_still_open_at_the_end_of_the_process_have_lines(self):
+        async def play():
+            server = HttpServer(waits)
+            port = await server.listen("127.0.0.1", 0)
+            _, writer = await connect(port)
+            await until(lambda: server.connections)
+            report = StopReport(server)
+            report.begin()
+            report.note_remaining()
+            writer.close()
+            await server.close()
+
+        closed = fields_of(self.report(play), Event.CONNECTION_CLOSED)
+        self.assertEqual(closed["reason"], "open")
+
     def test_a_request_that_is_cut_by_the_end_has_a_line(self):
         async def play():
             async with Site(upstream(waits)) as site:
