--- a/packages/core/src/fuchsiahatch_core/events.py
+++ b/packages/core/src/fuchsiahatch_core/events.py
@@ -79,6 +79,7 @@
     CRASH_COUNTED = 1306
     REQUEST_HELD = 1307
     SUSPECT_CLEARED = 1308
+    REQUEST_CUT = 1309
 
     TERM_WON = 1500
     TERM_LOST = 1501
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -18,6 +18,7 @@
 from fuchsiahatch_gateway.allowed_regions import AllowedRegions
 from fuchsiahatch_gateway.backoffs import Backoffs
 from fuchsiahatch_gateway.cold_starts import ColdStarts
+from fuchsiahatch_gateway.connection_metrics import ConnectionMetrics
 from fuchsiahatch_gateway.crash_messages import Clearance, CrashNotice
 from fuchsiahatch_gateway.crashing_requests import CrashingRequests
 from fuchsiahatch_gateway.datagrams import (
@@ -195,17 +196,15 @@
         self.kept = KeptBytes()
         self.held = HeldRequests(self.store, self.crashing, self.entries.index, clock)
         self.stop_admission = StopAdmission()
+        self.request_log = RequestLog(
+            RequestMetrics(process.registry), clock, self._rng, self.fleet.backing_off
+        )
         self.delivery = Delivery(
             self.routes,
             self.placer,
             self.pool,
             self.budget,
-            RequestLog(
-                RequestMetrics(process.registry),
-                clock,
-                self._rng,
-                self.fleet.backing_off,
-            ),
+            self.request_log,
             self.crashing,
             self.crashes,
             self.late,
@@ -226,6 +225,7 @@
         )
         self.figures = FiguresWriter(self.store, self.entries.index)
         self.callers = HttpServer(self.delivery.handle)
+        ConnectionMetrics(process.registry).observe(self.callers)
         self.side_calls = HttpServer(self._answer_side_call)
         self.store.on_restored = self._note_restored
         self._handlers: dict[type, t.Callable[[t.Any, Peer], None]] = {
@@ -345,6 +345,7 @@
         """Turn callers away, finish open requests, and end within the grace period."""
         report = StopReport(self.callers)
         report.begin()
+        self.request_log.begin_stop()
         began_ms = self._clock.now_ms()
         grace_ms = self._process.settings.bounds.stop_grace_ms - GRACE_RESERVE_MS
         self.stop_admission.begin(began_ms + grace_ms)
--- a/packages/gateway/src/fuchsiahatch_gateway/request_log.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/request_log.py
@@ -15,6 +15,8 @@
 
 #: One in this many plain successes is logged; every other end has a line.
 SUCCESS_SAMPLE = 20
+#: Plain successes logged while an entry stops; further ones by sample again.
+MAX_STOPPING_SUCCESSES = 256
 
 
 class RequestLog:
@@ -29,7 +31,7 @@
         Returns the remaining backoff periods of a service's upstreams, in ms.
     """
 
-    __slots__ = ("_backing_off", "_clock", "_metrics", "_rng")
+    __slots__ = ("_backing_off", "_clock", "_metrics", "_rng", "_unsampled")
 
     def __init__(
         self,
@@ -42,6 +44,11 @@
         self._metrics = metrics
         self._clock = clock
         self._rng = rng
+        self._unsampled = 0
+
+    def begin_stop(self) -> None:
+        """Log the next plain successes as well, as their callers may lack them."""
+        self._unsampled = MAX_STOPPING_SUCCESSES
 
     def note_end(self, job: "Job", end: str, outcome: "Outcome | None" = None) -> None:
         """Record how a request ended; plain successes in time are logged by sample.
@@ -53,7 +60,7 @@
         answered = outcome is not None and outcome.status < 400
         on_time = answered and job.is_on_time(now_ms)
         plain = on_time and len(job.tried) == 1 and is_framed(job.ending)
-        if plain and self._rng.randrange(SUCCESS_SAMPLE):
+        if plain and self._is_left_out():
             return
         first_ms = job.first_event_ms
         log_event(
@@ -78,6 +85,13 @@
             **ending_fields(job.ending),
         )
 
+    def _is_left_out(self) -> bool:
+        """Return whether a plain success has no line."""
+        if self._unsampled:
+            self._unsampled -= 1
+            return False
+        return bool(self._rng.randrange(SUCCESS_SAMPLE))
+
     def note_broken_answer(self, job: "Job") -> None:
         """Count an answer that broke off, by its framing and its end."""
         self._metrics.note_broken_answer(job.ending)
--- a/tools/check_docs.py
+++ b/tools/check_docs.py
@@ -22,6 +22,7 @@
 GATEWAY = ROOT / "packages/gateway/src/fuchsiahatch_gateway"
 _GATEWAY_MODULES = (
     "request_metrics.py",
+    "connection_metrics.py",
     "loop_watch.py",
     "entry_gauges.py",
     "agent.py",
