A stopping entry waits for a late upstream where it may not send again

What callers lost: the answer of an upstream that was late, in place of which they got a 502 while their entry stopped. Found by reading what ends an answer around a stop.

Cause: a silent upstream is given up only if its request could be sent again. That question looked at the route, the retry budget and free slots, and not at the entry's own end; the step behind it did. So a request without an event that might outlast the entry gave up a sound upstream, was then not sent again, and failed.

Change: the question looks at the entry's end as well.

Evidence: the two new tests of a stop failed before (502, one request sent); the third shows that without a stop the request is sent to another upstream. test_given_up_upstreams, test_stopping_entry, test_delivery, test_delivery_search: 68 passed.

--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -424,6 +424,8 @@
         progress = self._progress(job, Outcome(Result.BROKEN))
         return (
             decide(Result.BROKEN, progress) is Step.RETRY
+            # A stopping entry sends no request again that may outlast it.
+            and self._latest_start_ms(job) >= self._clock.now_ms()
             and self._budget.has_retry_left(job.service)
             and self._placer.has_free_slot(job.service, self._traits(job))
         )
