A stream gives up its upstream only for a retry and a slot that it holds

What callers lost: streams whose upstream still worked, reset by their entry in the middle of an answer, some at the same moment. Found by reading what ends an answer around a stop.

Cause: all streams of a rank that is slow, silent or stands still are told to move at one moment. Each looked whether the budget had a retry and an upstream a free slot, saw the same last one, and gave up its upstream. The retry and the slot were taken only in the step behind that. Those that came too late had neither the former answer nor a new one: a stream that is older than its caller's patience waits 1 ms for a slot, then its answer is reset.

Change: the retry and the slot are taken when the stream is told to move, and given back where the request ends or an event comes first. Who gets none stays, and is asked again as before.

--- a/packages/gateway/src/fuchsiahatch_gateway/attempt_types.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempt_types.py
@@ -109,9 +109,10 @@
     may_send : callable
         Returns whether the upstream still accepts requests.
     may_give_up : callable
-        Returns whether the request could be retried now.
+        Returns whether the request can be retried now, and takes that retry: the
+        attempt must be given up then.
     may_move : callable
-        Returns whether a stream in progress could move to another upstream now.
+        Returns whether a stream in progress can move to another upstream now; likewise.
     events : EventSplitter or None
         For a stream, with the state left by earlier attempts.
     on_event : callable
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -28,6 +28,7 @@
     conclude,
     decide,
 )
+from fuchsiahatch_gateway.promised_retries import PromisedRetries
 from fuchsiahatch_gateway.routes import RouteTable, choose_service
 from fuchsiahatch_gateway.silence_limit import expire
 from fuchsiahatch_gateway.stop_admission import StopAdmission, leaving
@@ -95,6 +96,7 @@
         "_on_skipped_head",
         "_placer",
         "_pool",
+        "_promises",
         "_rng",
         "_routes",
         "_stop_admission",
@@ -126,6 +128,7 @@
         self._placer = placer
         self._pool = pool
         self._budget = budget
+        self._promises = PromisedRetries(budget, placer)
         self._log = log
         self._crashing = crashing
         self._crashes = crashes
@@ -148,6 +151,7 @@
             if job.kept.held_bytes:
                 await exchange.drained()
         finally:
+            self._promises.drop(job)
             job.kept.release()
 
     async def _answer(self, job: Job) -> None:
@@ -288,7 +292,9 @@
             return None
         # Without a connection nothing was sent, so the next attempt isn't a retry.
         is_retry = outcome.result is not Result.UNSENT
-        if is_retry and not self._budget.spend(job.service):
+        if not is_retry:
+            self._promises.drop(job)
+        elif job.promised is None and not self._budget.spend(job.service):
             return None
         self._log.note_retry(job, upstream, outcome)
         try:
@@ -301,6 +307,9 @@
             raise
 
     async def _acquire_slot(self, job: Job) -> "Upstream":
+        promised = self._promises.claim(job)
+        if promised is not None:
+            return promised
         began_ms = self._clock.now_ms()
         limit_ms = wait_ms(job, began_ms, self._routes.has_classes(job.service))
         limit_ms = min(limit_ms, max(self._latest_start_ms(job) - began_ms, 1.0))
@@ -358,10 +367,10 @@
             left_ms,
             silence_ms(job, left_ms),
             lambda: self._may_send(job, upstream, sent_ms),
-            lambda: self._could_retry(job),
-            lambda: self._could_move(job),
+            lambda: self._promise_retry(job),
+            lambda: self._promise_move(job),
             job.events,
-            lambda: job.note_event(self._clock.now_ms()),
+            lambda: self._note_event(job),
             note_head,
             lambda head: self._on_skipped_head(upstream, head),
             self._withdrawals,
@@ -415,20 +424,25 @@
             return None
         return self._late.expect_answer(upstream, job.match.route.objective_ms)
 
-    def _could_move(self, job: Job) -> bool:
+    def _note_event(self, job: Job) -> None:
+        job.note_event(self._clock.now_ms())
+        # An event that came just before the end of its attempt makes the attempt go on.
+        self._promises.drop(job)
+
+    def _promise_move(self, job: Job) -> bool:
         # Streams only; any other request is nearly done.
-        return job.events is not None and self._could_retry(job)
+        return job.events is not None and self._promise_retry(job)
 
-    def _could_retry(self, job: Job) -> bool:
-        # The same upstream counts too: a connection may be stuck while new ones work.
+    def _promise_retry(self, job: Job) -> bool:
+        """Take another attempt for a request, if it would be made now."""
         progress = self._progress(job, Outcome(Result.BROKEN))
-        return (
-            decide(Result.BROKEN, progress) is Step.RETRY
+        if decide(Result.BROKEN, progress) is not Step.RETRY:
+            return False
+        if self._latest_start_ms(job) < self._clock.now_ms():
             # A stopping entry sends no request again that may outlast it.
-            and self._latest_start_ms(job) >= self._clock.now_ms()
-            and self._budget.has_retry_left(job.service)
-            and self._placer.has_free_slot(job.service, self._traits(job))
-        )
+            return False
+        # The same upstream counts too: a connection may be stuck while new ones work.
+        return self._promises.take(job, self._traits(job))
 
     def _record_result(
         self, upstream: "Upstream", outcome: Outcome, sent_ms: int, was_started: bool
--- a/packages/gateway/src/fuchsiahatch_gateway/jobs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/jobs.py
@@ -12,6 +12,7 @@
     from fuchsiahatch_gateway.event_stream import EventSplitter
     from fuchsiahatch_gateway.fingerprints import Fingerprints
     from fuchsiahatch_gateway.kept_bytes import Reservation
+    from fuchsiahatch_gateway.promised_retries import PromisedRetry
     from fuchsiahatch_gateway.routes import Match
     from fuchsiahatch_http1.answers import Bound
     from fuchsiahatch_http1.client import ClientConnection
@@ -84,6 +85,8 @@
         How the answer of its latest upstream ended; None while there is none.
     bounds : list of Bound
         Bounds that answers of its upstreams have reached.
+    promised : PromisedRetry or None
+        What it holds for its next attempt while it gives up an upstream.
     """
 
     exchange: "Exchange"
@@ -109,6 +112,7 @@
     report_age_ms: int | None = None
     ending: "Ending | None" = None
     bounds: "list[Bound]" = dataclasses.field(default_factory=list)
+    promised: "PromisedRetry | None" = None
 
     def traits(self, confined_to: str = "") -> RequestTraits:
         """Return what the choice of an upstream may know of the request.
--- a/packages/gateway/src/fuchsiahatch_gateway/placing.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/placing.py
@@ -167,7 +167,7 @@
             if self._fleet.is_usable(upstream, traits):
                 return upstream
             # Its zone was drained, or it began to leave, while the permit was awaited.
-            self._release_unused(upstream)
+            self.release_unused(upstream)
         return None
 
     def _may_await_permit(
@@ -276,7 +276,7 @@
         try:
             wait_ms = await self._ask_permit(upstream)
         except BaseException:
-            self._release_unused(upstream)
+            self.release_unused(upstream)
             raise
         if not wait_ms and self._fleet.cold_starts.may_send(upstream):
             self._note_send(upstream)
@@ -285,7 +285,7 @@
             self._note_limited(upstream, wait_ms)
         # Without a wait, permits for several requests have come together, and exceed
         # the limit on this entry's own sends.
-        self._release_unused(upstream)
+        self.release_unused(upstream)
         return False
 
     def _note_limited(self, upstream: "Upstream", wait_ms: int) -> None:
@@ -337,7 +337,7 @@
                 return upstream
             # It began to leave, asked for a backoff, or its zone was drained, after the
             # slot was assigned.
-            self._release_unused(upstream)
+            self.release_unused(upstream)
 
     async def _acquire_slot(
         self,
@@ -390,13 +390,30 @@
         chosen = self._fleet.choose(service, (), traits, only_unlimited=True)
         return chosen is not None
 
+    def reserve_free_slot(
+        self, service: str, traits: RequestTraits, tried: t.Collection[str]
+    ) -> t.Optional["Upstream"]:
+        """Reserve a slot that needs no permit; None if no upstream has a free one.
+
+        Parameters
+        ----------
+        service : str
+        traits : RequestTraits
+        tried : collection of str
+            Instances that are chosen only when there is no other.
+        """
+        chosen = self._fleet.choose(service, tried, traits, only_unlimited=True)
+        if chosen is not None:
+            self._reserve(chosen)
+        return chosen
+
     def release(self, upstream: "Upstream") -> None:
         """Free a slot and assign it to a waiting request."""
         service = upstream.entry.service
         self._return_times.note_freed_slot(service, self._clock.now_ms())
-        self._release_unused(upstream)
+        self.release_unused(upstream)
 
-    def _release_unused(self, upstream: "Upstream") -> None:
+    def release_unused(self, upstream: "Upstream") -> None:
         """Free a slot to which no request was sent; it says nothing of the rate."""
         upstream.local_requests -= 1
         self.serve_waiting(upstream.entry.service)
@@ -473,7 +490,7 @@
             await asyncio.wait({waiter.future}, timeout=wait_ms / 1000)
         except asyncio.CancelledError:
             if waiter.future.done() and not waiter.future.exception():
-                self._release_unused(waiter.future.result())
+                self.release_unused(waiter.future.result())
             raise
         finally:
             self._waiters.pop(number, None)
--- /dev/null
+++ b/packages/gateway/src/fuchsiahatch_gateway/promised_retries.py
@@ -0,0 +1,72 @@
+"""Retries that requests hold before they give up their upstreams."""
+
+import dataclasses
+import typing as t
+
+if t.TYPE_CHECKING:
+    from fuchsiahatch_gateway.jobs import Job
+    from fuchsiahatch_gateway.known_upstream import Upstream
+    from fuchsiahatch_gateway.placing import Placer
+    from fuchsiahatch_gateway.request_traits import RequestTraits
+    from fuchsiahatch_gateway.retry_budget import RetryBudget
+
+
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class PromisedRetry:
+    """A retry that has been taken from the budget, and its slot.
+
+    Attributes
+    ----------
+    upstream : Upstream
+        Where the slot is reserved.
+    """
+
+    upstream: "Upstream"
+
+
+class PromisedRetries:
+    """Takes the retry and the slot of a request that is about to give up its upstream.
+
+    All streams of a slow or stalled rank give up at the same moment. If each of them
+    only looked whether a retry and a slot are left, all would see the same last one,
+    and those that don't get it would be cut though their upstream still works.
+
+    Parameters
+    ----------
+    budget : RetryBudget
+    placer : Placer
+    """
+
+    __slots__ = ("_budget", "_placer")
+
+    def __init__(self, budget: "RetryBudget", placer: "Placer") -> None:
+        self._budget = budget
+        self._placer = placer
+
+    def take(self, job: "Job", traits: "RequestTraits") -> bool:
+        """Take a retry and a slot for a request; return whether it holds them now."""
+        if job.promised is not None:
+            return True
+        if not self._budget.has_retry_left(job.service):
+            return False
+        upstream = self._placer.reserve_free_slot(job.service, traits, job.tried)
+        if upstream is None:
+            return False
+        self._budget.spend(job.service)
+        job.promised = PromisedRetry(upstream)
+        return True
+
+    def claim(self, job: "Job") -> "Upstream | None":
+        """Return the upstream of a request's promised slot, which is the request's now.
+
+        The retry stays spent.
+        """
+        promised, job.promised = job.promised, None
+        return None if promised is None else promised.upstream
+
+    def drop(self, job: "Job") -> None:
+        """Give back what a request holds, as it goes on without another attempt."""
+        upstream = self.claim(job)
+        if upstream is not None:
+            self._budget.refund(job.service)
+            self._placer.release_unused(upstream)
