--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -77,14 +77,8 @@
 async def continue_attempt(
     exchange: "Exchange", pool: ConnectionPool, attempt: Attempt
 ) -> Outcome:
-    """Wait on for the answer of a suspended attempt, and return how that ended.
-
-    Notes
-    -----
-    It isn't suspended again: no other upstream has taken the request.
-    """
+    """Wait on for the answer of a suspended attempt, and return how that ended."""
     assert attempt.connection is not None
-    attempt.silence_ms = None
     return await _receive_outcome(exchange, pool, attempt.connection, attempt)
 
 
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -28,6 +28,7 @@
     conclude,
     decide,
 )
+from fuchsiahatch_gateway.promised_retries import PromisedRetries
 from fuchsiahatch_gateway.routes import RouteTable, choose_service
 from fuchsiahatch_gateway.silence_limit import expire
 from fuchsiahatch_gateway.stop_admission import StopAdmission, leaving
@@ -95,6 +96,7 @@
         "_on_skipped_head",
         "_placer",
         "_pool",
+        "_promises",
         "_rng",
         "_routes",
         "_stop_admission",
@@ -126,6 +128,7 @@
         self._placer = placer
         self._pool = pool
         self._budget = budget
+        self._promises = PromisedRetries(budget, placer)
         self._log = log
         self._crashing = crashing
         self._crashes = crashes
@@ -174,6 +177,7 @@
             self._errors.send(exchange, FuchsiahatchError("an internal error"), job)
         finally:
             self._drop_suspended(job)
+            self._promises.drop(job)
 
     def withdraw_suspects(self) -> None:
         """Withdraw what may crash its upstream from those that haven't begun it."""
@@ -236,19 +240,34 @@
         Callers would lose an answer that merely pauses, as those of a rank group do
         that changes its map, where another upstream refuses the request.
         """
+        self._promises.drop(job)
         self._log.note_continued(job, attempt.upstream)
         job.suspended = None
         job.ending = None
+        if len(job.tried) >= job.match.route.max_attempts:
+            attempt.silence_ms = None
         sent_ms = self._clock.now_ms()
-        try:
-            outcome = await continue_attempt(job.exchange, self._pool, attempt)
-            job.ending = outcome.ending
-        finally:
-            self._placer.release(attempt.upstream)
+        continued = continue_attempt(job.exchange, self._pool, attempt)
+        outcome = await self._await_outcome(job, attempt, continued)
         self._note_outcome(job, attempt.upstream, outcome, sent_ms, True)
         await self._note_answer_or_crash(job, attempt.upstream, outcome)
         return outcome
 
+    async def _await_outcome(
+        self, job: Job, attempt: Attempt, running: t.Awaitable[Outcome]
+    ) -> Outcome:
+        """Return how an attempt ends, and free its slot unless it is suspended."""
+        outcome: Outcome | None = None
+        try:
+            outcome = await running
+            job.ending = outcome.ending
+            return outcome
+        finally:
+            if outcome is not None and outcome.is_suspended:
+                job.suspended = attempt
+            else:
+                self._placer.release(attempt.upstream)
+
     def _drop_suspended(self, job: Job) -> None:
         """Cancel a suspended attempt: its upstream stops working on the request."""
         attempt, job.suspended = job.suspended, None
@@ -344,7 +363,9 @@
             return None
         # Without a connection nothing was sent, so the next attempt isn't a retry.
         is_retry = outcome.result is not Result.UNSENT
-        if is_retry and not self._budget.spend(job.service):
+        if not is_retry:
+            self._promises.drop(job)
+        elif job.promised is None and not self._budget.spend(job.service):
             return None
         self._log.note_retry(job, upstream, outcome)
         try:
@@ -357,6 +378,9 @@
             raise
 
     async def _acquire_slot(self, job: Job) -> "Upstream":
+        promised = self._promises.claim(job)
+        if promised is not None:
+            return promised
         began_ms = self._clock.now_ms()
         limit_ms = wait_ms(job, began_ms, self._routes.has_classes(job.service))
         limit_ms = min(limit_ms, max(self._latest_start_ms(job) - began_ms, 1.0))
@@ -410,20 +434,16 @@
                 late_timer.cancel()
             self._on_head(upstream, head)
 
-        def note_event() -> None:
-            self._drop_suspended(job)
-            job.note_event(self._clock.now_ms())
-
         attempt = Attempt(
             upstream,
             job.match.team.name,
             left_ms,
             silence_ms(job, left_ms),
             lambda: self._may_send(job, upstream, sent_ms),
-            lambda: self._could_retry(job),
-            lambda: self._could_move(job),
+            lambda: self._promise_retry(job),
+            lambda: self._promise_move(job),
             job.events,
-            note_event,
+            lambda: self._note_event(job),
             note_head,
             lambda head: self._on_skipped_head(upstream, head),
             self._withdrawals,
@@ -446,12 +466,10 @@
         job.ending = None
         job.kept.release()
         earlier_sends = len(job.used_connections)
-        is_suspended = False
+        running = run_attempt(job.exchange, self._pool, attempt)
         try:
-            outcome = await run_attempt(job.exchange, self._pool, attempt)
+            outcome = await self._await_outcome(job, attempt, running)
             may_have_run = outcome.result in (Result.ANSWERED, Result.BROKEN)
-            job.ending = outcome.ending
-            is_suspended = outcome.is_suspended
         except asyncio.CancelledError:
             if len(job.used_connections) > earlier_sends:
                 self._crashes.note_abandoned(job.fingerprints, upstream, job.ends_ms)
@@ -460,10 +478,6 @@
             if late_timer is not None:
                 late_timer.cancel()
             job.may_have_run = job.may_have_run or may_have_run
-            if not is_suspended:
-                self._placer.release(upstream)
-        if is_suspended:
-            job.suspended = attempt
         if outcome.result is Result.UNSENT:
             job.unsent += 1
             job.tried.pop()
@@ -493,18 +507,26 @@
             return None
         return self._late.expect_answer(upstream, job.match.route.objective_ms)
 
-    def _could_move(self, job: Job) -> bool:
+    def _note_event(self, job: Job) -> None:
+        job.note_event(self._clock.now_ms())
+        self._drop_suspended(job)
+        # An event that came just before the end of its attempt makes the attempt go on.
+        self._promises.drop(job)
+
+    def _promise_move(self, job: Job) -> bool:
         # Streams only; any other request is nearly done.
-        return job.events is not None and self._could_retry(job)
+        return job.events is not None and self._promise_retry(job)
 
-    def _could_retry(self, job: Job) -> bool:
-        # The same upstream counts too: a connection may be stuck while new ones work.
+    def _promise_retry(self, job: Job) -> bool:
+        """Take another attempt for a request, if it would be made now."""
         progress = self._progress(job, Outcome(Result.BROKEN))
-        return (
-            decide(Result.BROKEN, progress) is Step.RETRY
-            and self._budget.has_retry_left(job.service)
-            and self._placer.has_free_slot(job.service, self._traits(job))
-        )
+        if decide(Result.BROKEN, progress) is not Step.RETRY:
+            return False
+        if self._latest_start_ms(job) < self._clock.now_ms():
+            # A stopping entry sends no request again that may outlast it.
+            return False
+        # The same upstream counts too: a connection may be stuck while new ones work.
+        return self._promises.take(job, self._traits(job))
 
     def _record_result(
         self, upstream: "Upstream", outcome: Outcome, sent_ms: int, was_started: bool
