--- a/packages/standins/src/fuchsiahatch_standins/rank_group.py
+++ b/packages/standins/src/fuchsiahatch_standins/rank_group.py
@@ -22,6 +22,10 @@
 #: Choices that a rank makes in a pass, and how many of them are of the hot expert.
 CHOICES = 80
 HOT_CHOICES = 50
+#: Requests that a rank reports unless it is told otherwise.
+RUNNING = 4
+
+Serve = t.Callable[[int, Exchange], t.Awaitable[None]]
 
 
 class RankGroup:
@@ -34,9 +38,18 @@
         One for each rank.
     layers, experts : int
     seed : int, optional
+    serve : coroutine function, optional
+        Answers what isn't a call of the agents; it is given the rank's number and the
+        exchange.
 
     Attributes
     ----------
+    pass_ms : float
+        Duration of a pass.
+    on_pass : callable
+        Called behind the start of each pass.
+    running, queued : list of int
+        Requests of each rank, as it reports them.
     hot : int
         The expert that most requests choose.
     lost_share, late_share : float
@@ -51,8 +64,19 @@
     """
 
     def __init__(
-        self, name: str, ips: t.Sequence[str], layers: int, experts: int, seed: int = 0
+        self,
+        name: str,
+        ips: t.Sequence[str],
+        layers: int,
+        experts: int,
+        seed: int = 0,
+        serve: Serve | None = None,
     ) -> None:
+        self.pass_ms: float = PASS_MS
+        self.on_pass: t.Callable[[], None] = lambda: None
+        self.running = [RUNNING] * len(ips)
+        self.queued = [0] * len(ips)
+        self._serve = serve
         self.name = name
         self.ips = ips
         self.layers = layers
@@ -102,11 +126,11 @@
 
     async def _run_passes(self) -> None:
         while True:
-            await asyncio.sleep(PASS_MS / 1000)
+            await asyncio.sleep(self.pass_ms / 1000)
             end_copies(self._ranks, _now_ms())
             if not self.busy:
                 continue
-            before = self._ranks[0].map_version
+            before, last_step = self._ranks[0].map_version, self.step
             try:
                 self.step = begin_pass(self._ranks, self.step)
             except MixedMaps as fault:
@@ -114,6 +138,8 @@
                 return
             self.switches += self._ranks[0].map_version != before
             self._choose_experts()
+            if self.step != last_step:
+                self.on_pass()
 
     def _choose_experts(self) -> None:
         for counts in self._counts:
@@ -135,8 +161,10 @@
                 exchange.respond(200, (), orjson.dumps(self._report(number)))
             elif path == "/-/picked":
                 exchange.respond(200, (), orjson.dumps(self._picked(number, query)))
-            else:
+            elif path == "/-/order" or self._serve is None:
                 await self._take_order(number, exchange)
+            else:
+                await self._serve(number, exchange)
 
         return handle
 
@@ -151,8 +179,8 @@
         }
         return {
             "stage": "both",
-            "queued": 0,
-            "running": 4 if self.busy else 0,
+            "queued": self.queued[number],
+            "running": self.running[number] if self.busy else 0,
             "pace": 1.0,
             "group": group,
             "size": len(self.ips),
--- /dev/null
+++ b/tests/deployment/report.py
@@ -0,0 +1,133 @@
+"""The report of a run, as a document and as one page of text."""
+
+import collections
+import json
+
+from tests.processes.stop_checks import find_stop_faults
+
+#: Most findings that a page shows, and most lines of the processes' logs for each.
+MOST_SHOWN, MOST_LINES = 10, 60
+#: Time around a finding from which lines are shown.
+AROUND_S = 1.0
+#: Lines of other processes are shown only if they are none of these.
+_FREQUENT = ("store_calls", "request_ended", "switch_moved", "map_planned")
+
+
+class Lines:
+    """Log lines of all processes, with their times by `time.monotonic`.
+
+    Parameters
+    ----------
+    lines : iterable of dict
+    offset_s : float
+        Time by the log's clock less the time by `time.monotonic`.
+    """
+
+    def __init__(self, lines, offset_s):
+        known = (line for line in lines if "t_ms" in line)
+        self._lines = sorted(
+            ((line["t_ms"] / 1000 - offset_s, line) for line in known),
+            key=lambda pair: pair[0],
+        )
+
+    def around(self, finding, node):
+        """Return the lines that belong to a finding, as texts."""
+        at_s, request = finding.sending["ended_s"], finding.sending["request"]
+        shown = [
+            f"{line_s:.3f} {json.dumps(line)}"
+            for line_s, line in self._lines
+            if f'"{request}"' in json.dumps(line)
+            or (
+                abs(line_s - at_s) <= AROUND_S
+                and (line["node"] == node or line.get("message_type") not in _FREQUENT)
+            )
+        ]
+        return shown[:MOST_LINES]
+
+    def count(self):
+        """Return how often each kind of line was written."""
+        names = (line.get("message_type", "?") for _, line in self._lines)
+        return dict(sorted(collections.Counter(names).items()))
+
+
+def make_report(plan, sendings, findings, disturbances, lines, nodes, grace_s):
+    """Return the report of a run as a document.
+
+    Parameters
+    ----------
+    plan : dict
+        Options of the run.
+    sendings : list of dict
+    findings : list of Finding
+    disturbances : Disturbances
+    lines : Lines
+    nodes : dict of str to str
+        Names of the entries by their addresses.
+    grace_s : float
+    """
+    stops = disturbances.stops
+    stop_faults = [text for _, text in find_stop_faults(stops, grace_s)]
+    counted = [one for one in findings if one.planned]
+    return {
+        "plan": plan,
+        "passed": not counted and not stop_faults,
+        "requests": _count_requests(sendings),
+        "first_byte_ms": _first_byte_ms(sendings),
+        "cuts": {
+            "around_stops": sum("cut" in one.fault for one in counted),
+            "elsewhere": len(findings) - len(counted),
+        },
+        "stops": {
+            "count": len(stops),
+            "longest_s": round(
+                max((one.ended_s - one.began_s for one in stops), default=0.0), 2
+            ),
+            "faults": stop_faults,
+        },
+        "mishaps": dict(collections.Counter(one.kind for one in disturbances.mishaps)),
+        "lines": lines.count(),
+        "findings": [
+            {
+                "fault": one.fault,
+                "sending": one.sending,
+                "runs": one.runs,
+                "lines": lines.around(one, nodes.get(one.sending["entry"])),
+            }
+            for one in sorted(findings, key=lambda one: not one.planned)
+        ],
+    }
+
+
+def _count_requests(sendings):
+    counts = collections.defaultdict(collections.Counter)
+    for one in sendings:
+        ending = one["status"] if one["whole"] else one["ending"]
+        counts[one["kind"]][str(ending)] += 1
+    return {kind: dict(sorted(count.items())) for kind, count in counts.items()}
+
+
+def _first_byte_ms(sendings):
+    times = sorted(
+        1000 * (one["first_byte_s"] - one["sent_s"])
+        for one in sendings
+        if one["status"] == 200 and one["first_byte_s"]
+    )
+    if not times:
+        return {}
+    return {
+        f"p{percent}": round(times[len(times) * percent // 100]) for percent in (50, 95)
+    }
+
+
+def to_text(report):
+    """Return the page of a report."""
+    rows = [f"{'passed' if report['passed'] else 'FAILED'}: {report['plan']}"]
+    rows += [f"  {kind}: {count}" for kind, count in report["requests"].items()]
+    for name in ("first_byte_ms", "cuts", "stops", "mishaps", "lines"):
+        rows.append(f"{name.replace('_', ' ')}: {report[name]}")
+    for finding in report["findings"][:MOST_SHOWN]:
+        rows += ["", finding["fault"], f"  {json.dumps(finding['sending'])}"]
+        rows += [f"  ran: {json.dumps(run)}" for run in finding["runs"]]
+        rows += [f"    {line}" for line in finding["lines"]]
+    left = len(report["findings"]) - MOST_SHOWN
+    return "\n".join([*rows, *[f"and {left} findings more"] * (left > 0)])
