--- a/tests/deployment/callers.py
+++ b/tests/deployment/callers.py
@@ -33,7 +33,9 @@
 FINAL_STATUSES = (400, 401, 404, 413, 431)
 #: Share of requests on a new connection though one is kept, and kept ones of a caller.
 NEW_SHARE, MAX_KEPT = 0.3, 3
-#: Time before the next request of a caller that ignores a close; most send at once.
+#: Share of answers behind which a caller that ignores a close goes on, on the same
+#: connection, and the time until then.
+GOES_ON_SHARE = 0.4
 IGNORING_PAUSES_S = (0.0, 0.0, 0.005, 0.02, 0.05)
 #: When the next request is sent early, before or behind the expected end of an answer.
 EARLY_S = (-0.1, 0.05)
@@ -165,6 +167,7 @@
         self._manners = draw_caller(rng, settings.without)
         self._numbers = itertools.count(1)
         self._kept, self._left_open = [], []
+        self._goes_on = False
         zone = rng.choice(settings.zones)
         query = f"name={settings.host}&region={settings.region}&zone={zone}"
         lookups = [parse_address(text) for text in settings.lookups]
@@ -180,12 +183,19 @@
             await pause_until(due_s)
             await self._ask(draw_request(self._rng, self._settings.kinds))
             due_s = max(due_s + self._rng.expovariate(1 / interval_s), time.monotonic())
-            if "ignores-close" in self._manners:
-                now_s = time.monotonic()
-                due_s = min(due_s, now_s + self._rng.choice(IGNORING_PAUSES_S))
+            due_s = min(due_s, self._goes_on_s())
         for channel in (*self._kept, *self._left_open):
             channel.close()
 
+    def _goes_on_s(self):
+        """Return when the next request is sent on the connection of the last one."""
+        goes_on = self._rng.random() < GOES_ON_SHARE
+        pause_s = self._rng.choice(IGNORING_PAUSES_S)
+        if "ignores-close" in self._manners and self._kept and goes_on:
+            self._goes_on = True
+            return time.monotonic() + pause_s
+        return float("inf")
+
     async def _ask(self, request):
         manners = draw_manners(self._rng, self._manners, self._settings.without)
         ahead = None
@@ -282,8 +292,10 @@
         addresses = await self._directory.addresses()
         self._leave_missing({ip for ip, _ in addresses})
         usable = [one for one in self._kept if one.ip not in failed]
-        if not failed and usable and self._rng.random() > NEW_SHARE:
-            channel = self._rng.choice(usable)
+        takes_last, self._goes_on = self._goes_on, False
+        is_new = self._rng.random() < NEW_SHARE and not takes_last
+        if not failed and usable and not is_new:
+            channel = usable[-1] if takes_last else self._rng.choice(usable)
             self._kept.remove(channel)
             if "ignores-close" in self._manners or not channel.has_ended():
                 return channel
