--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 python ?= python3
 
-.PHONY: install demo demo-keep demo-platform failed-requests test check settings-page bench-config \
+.PHONY: install demo demo-keep demo-platform failed-requests test check soak-deployment \
+    settings-page bench-config \
     bench-slopes capacity bench-placement bench-experts tune-experts \
     bench-delivery bench-overload bench-path bench-entry bench-routing search-grants
 
@@ -32,6 +33,10 @@
 test: install
 	.venv/bin/python tools/run_tests.py
 
+# A whole deployment under real signals: make soak-deployment args="--seed=7 --minutes=2".
+soak-deployment: install
+	.venv/bin/python -m tests.deployment.soak $(args)
+
 check: install
 	.venv/bin/ruff format --check .
 	.venv/bin/ruff check .
--- a/tests/deployment/report.py
+++ b/tests/deployment/report.py
@@ -44,6 +44,10 @@
         ]
         return shown[:MOST_LINES]
 
+    def name(self, request):
+        """Return whether any line names a request."""
+        return any(f'"{request}"' in json.dumps(line) for _, line in self._lines)
+
     def count(self):
         """Return how often each kind of line was written."""
         names = (line.get("message_type", "?") for _, line in self._lines)
@@ -89,6 +93,7 @@
         "findings": [
             {
                 "fault": one.fault,
+                "named_in_a_line": lines.name(one.sending["request"]),
                 "sending": one.sending,
                 "runs": one.runs,
                 "lines": lines.around(one, nodes.get(one.sending["entry"])),
@@ -126,7 +131,12 @@
     for name in ("first_byte_ms", "cuts", "stops", "mishaps", "lines"):
         rows.append(f"{name.replace('_', ' ')}: {report[name]}")
     for finding in report["findings"][:MOST_SHOWN]:
-        rows += ["", finding["fault"], f"  {json.dumps(finding['sending'])}"]
+        named = "named" if finding["named_in_a_line"] else "not named in any line"
+        rows += [
+            "",
+            f"{finding['fault']}; {named}",
+            f"  {json.dumps(finding['sending'])}",
+        ]
         rows += [f"  ran: {json.dumps(run)}" for run in finding["runs"]]
         rows += [f"    {line}" for line in finding["lines"]]
     left = len(report["findings"]) - MOST_SHOWN
