--- a/tests/deployment/caller_manners.py
+++ b/tests/deployment/caller_manners.py
@@ -100,24 +100,22 @@
     Manners
     """
     return Manners(
-        frozenset(_draw_names(rng, CALLER_SHARES, without)),
+        _draw_names(rng, CALLER_SHARES).difference(without),
         _draw_one(rng, SEEN_SHARES, without),
     )
 
 
 def draw_request(rng, caller, without=()):
     """Return the manners of one request of a caller; parameters as before."""
-    names = _draw_names(rng, REQUEST_SHARES, without)
-    first = next((name for name in _EXCLUSIVE if name in names), None)
-    kept = [name for name in names if name not in _EXCLUSIVE or name == first]
+    drawn = _draw_names(rng, REQUEST_SHARES)
+    first = next((name for name in _EXCLUSIVE if name in drawn), None)
+    kept = {name for name in drawn if name not in _EXCLUSIVE or name == first}
     form = _draw_one(rng, BODY_SHARES, without)
-    return Manners(caller.names | frozenset(kept), caller.seen_by, form)
+    return Manners(caller.names | kept.difference(without), caller.seen_by, form)
 
 
-def _draw_names(rng, shares, without):
-    # Each is drawn, so that one that is switched off doesn't change the others.
-    drawn = [name for name, share in shares.items() if rng.random() < share]
-    return [name for name in drawn if name not in without]
+def _draw_names(rng, shares):
+    return frozenset(name for name, share in shares.items() if rng.random() < share)
 
 
 def _draw_one(rng, shares, without):
