--- a/tests/deployment/caller_sendings.py
+++ b/tests/deployment/caller_sendings.py
@@ -106,6 +106,16 @@
                 break
         self._finish()
 
+    def end_with(self, before):
+        """Fill in the record of a request whose answer before it wasn't whole."""
+        record = self.record
+        record.ended_s = time.monotonic()
+        record.ending, record.ended_by = before.ending, before.ended_by
+        record.detail = "ended with the answer before"
+        if record.sent_s > record.ended_s:
+            # It was still to be sent.
+            record.sent_s = 0.0
+
     def _limits(self):
         """Return times at which the caller stops waiting, each with what it means."""
         record, kind = self.record, self._request.kind
--- a/tests/deployment/callers.py
+++ b/tests/deployment/callers.py
@@ -265,12 +265,7 @@
         if first.record.whole:
             await second.receive()
         else:
-            second.record.ended_s = time.monotonic()
-            second.record.ending, second.record.ended_by = (
-                first.record.ending,
-                first.record.ended_by,
-            )
-            second.record.detail = "ended with the answer before"
+            second.end_with(first.record)
         self._write(second.record)
         self._keep(channel, second, manners)
         return [(request, first), (ahead, second)]
