A request with an infinite deadline is answered, not reset

What a caller saw: a reset, with no line that names its request. Found by reading what ends a connection without such a line.

Cause: an infinite number has no integer, and the error of that conversion isn't a ValueError. It passed the check of headers, failed the handler, and reset the connection.

--- a/tests/gateway/test_delivery.py
+++ b/tests/gateway/test_delivery.py
@@ -85,6 +85,15 @@
         _, server = run(ask_one("/safe/", answers(), body=b"x" * 300_000))
         self.assertEqual(server.received[0].body, b"x" * 300_000)
 
+    def test_a_request_with_an_unreadable_deadline_is_answered_and_not_reset(self):
+        async def asks(deadline_ms):
+            async with Site(upstream(answers())) as site:
+                return await site.ask("/safe/", deadline_ms=deadline_ms)
+
+        for deadline_ms in ("soon", "nan", "inf", "-1e400"):
+            with self.subTest(deadline_ms=deadline_ms):
+                self.assertEqual(run(asks(deadline_ms)).status, 400)
+
     def test_unknown_routes_and_keys_are_denied(self):
         async def asks():
             async with Site(upstream(answers())) as site:
