A departure names the registration that it ends

What callers would see: for as long as nothing else is heard of it, one peer's lookups don't name an entry that is back.

Cause: a departure was noted with the revision that the receiver knew when it was read. One that is read behind the entry's next registration (a receiver that stood still, and the single announcement of the start lost) counted for that registration.

Change: the departure bears the revision that the store gave to the registration. One below the known revision is ignored. Without it (the store's answer was lost, an older process) it counts as before.

Evidence: the two new tests of test_entry_liveness fail without the change.

--- a/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/datagrams.py
@@ -168,10 +168,13 @@
     node : str
     serving : bool
         Whether callers may connect; False when the entry leaves.
+    revision : int
+        Of the registration that a leaving entry ends; 0 if it doesn't know it.
     """
 
     node: str
     serving: bool
+    revision: int = 0
 
 
 class RelayedOrder(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -352,7 +352,8 @@
         self._leaving = True
         self.entries.serving = False
         self.callers.leave()
-        self._process.keep_running(self.entries.announce_departure())
+        departure = self.entries.announce_departure(self.registration.revision)
+        self._process.keep_running(departure)
         self._process.keep_running(self.registration.withdraw())
         while self._clock.now_ms() - began_ms < grace_ms:
             if self._clock.now_ms() - began_ms >= LINGER_MS:
--- a/packages/gateway/src/fuchsiahatch_gateway/entry_directory.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry_directory.py
@@ -49,6 +49,7 @@
     __slots__ = (
         "_clock",
         "_datagrams",
+        "_ended_revision",
         "_has_served",
         "_health",
         "_liveness",
@@ -71,6 +72,7 @@
         self._clock = clock
         self._liveness = EntryLiveness(record.node)
         self._has_served = False
+        self._ended_revision = 0
         self.decoder = ItemDecoder(decode_entry)
         self.registered: dict[str, EntryRecord] = {}
         self.serving = False
@@ -127,8 +129,15 @@
             if self.serving and not self._health.answers:
                 self._send_heartbeats()
 
-    async def announce_departure(self) -> None:
-        """Announce the departure, also to entries that start meanwhile."""
+    async def announce_departure(self, revision: int) -> None:
+        """Announce the departure, also to entries that start meanwhile.
+
+        Parameters
+        ----------
+        revision : int
+            Of the registration that ends; 0 if it isn't known.
+        """
+        self._ended_revision = revision
         for sent in itertools.count(1):
             self._send_heartbeats()
             is_repeated = sent < DEPARTURE_ANNOUNCEMENTS
@@ -137,7 +146,8 @@
 
     @property
     def _heartbeat(self) -> EntryHeartbeat:
-        return EntryHeartbeat(self._record.node, self.serving)
+        revision = 0 if self.serving else self._ended_revision
+        return EntryHeartbeat(self._record.node, self.serving, revision)
 
     def _send_heartbeats(self) -> None:
         now_ms = self._clock.now_ms()
--- a/packages/gateway/src/fuchsiahatch_gateway/entry_liveness.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry_liveness.py
@@ -45,7 +45,8 @@
     left_ms : int or None
         When it announced its departure; None while it serves.
     left_revision : int
-        Revision of its registration then; 0 without one.
+        Revision of the registration that it ended, by its own word if it gave one, or
+        of the one known then; 0 without one.
     """
 
     peer: Peer
@@ -98,8 +99,7 @@
         heard = self._heard.setdefault(heartbeat.node, _HeardEntry(peer, now_ms))
         heard.peer, heard.heard_ms = peer, now_ms
         if not heartbeat.serving:
-            heard.left_ms = now_ms
-            heard.left_revision = self._revisions.get(heartbeat.node, 0)
+            self._note_departure(heard, heartbeat, now_ms)
             return False
         heard.left_ms = None
         if (
@@ -110,6 +110,16 @@
         heard.answered_ms = now_ms
         return True
 
+    def _note_departure(
+        self, heard: _HeardEntry, heartbeat: EntryHeartbeat, now_ms: int
+    ) -> None:
+        known = self._revisions.get(heartbeat.node, 0)
+        if 0 < heartbeat.revision < known:
+            # The entry is back: its departure was read behind its next registration.
+            return
+        heard.left_ms = now_ms
+        heard.left_revision = heartbeat.revision or known
+
     def peers(self, entries: t.Mapping[str, "EntryRecord"]) -> list[Peer]:
         """Return the addresses at which the registered entries receive notices."""
         return [entry.peer for node, entry in entries.items() if node != self._node]
--- a/packages/gateway/src/fuchsiahatch_gateway/registration.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/registration.py
@@ -40,6 +40,11 @@
     value : bytes
     health : StoreHealth
     clock : Clock
+
+    Attributes
+    ----------
+    revision : int
+        Of the key as last written; 0 where the store's answer didn't tell it.
     """
 
     __slots__ = (
@@ -51,6 +56,7 @@
         "_store",
         "_value",
         "_withdrawn",
+        "revision",
     )
 
     def __init__(
@@ -70,6 +76,7 @@
         #: The store's era when the lease was granted.
         self._era = 0
         self._withdrawn = False
+        self.revision = 0
 
     async def run(self) -> None:
         """Register, renew, and register again when the lease has expired."""
@@ -130,7 +137,8 @@
             return
         lease = await self._store.grant(REGISTRATION_TTL_MS)
         self._era = self._store.era
-        await self._store.put(self._key, self._value, lease)
+        self.revision = 0
+        self.revision = await self._store.put(self._key, self._value, lease)
         self._check_era()
         self._lease = lease
         if self._withdrawn:
--- a/tests/gateway/test_entry_liveness.py
+++ b/tests/gateway/test_entry_liveness.py
@@ -15,8 +15,8 @@
     def setUp(self):
         self.liveness = EntryLiveness("own")
 
-    def receive(self, node, serving, now_ms):
-        heartbeat = EntryHeartbeat(node, serving)
+    def receive(self, node, serving, now_ms, revision=0):
+        heartbeat = EntryHeartbeat(node, serving, revision)
         return self.liveness.receive(heartbeat, ENTRIES[node].peer, now_ms)
 
     def present(self, now_ms):
@@ -71,6 +71,25 @@
         later_ms = 300 + entry_liveness.DEPARTED_MS
         self.assertEqual(self.present(later_ms), ["e-1", "e-2"])
 
+    def test_a_departure_that_is_read_behind_the_next_registration_excludes_nobody(
+        self,
+    ):
+        # A receiver that stood still named the entry no more until it sent a heartbeat.
+        self.liveness.note_registrations({"e-1": 9, "e-2": 8}, 0)
+        self.receive("e-1", False, 300, revision=7)
+        self.assertEqual(self.present(300), ["e-1", "e-2"])
+        self.receive("e-1", False, 400, revision=9)
+        self.assertEqual(self.present(60_000), ["e-2"])
+
+    def test_a_departure_counts_for_the_registration_that_it_names(self):
+        # The receiver hadn't seen that registration yet when the departure came.
+        self.liveness.note_registrations({"e-1": 5, "e-2": 8}, 0)
+        self.receive("e-1", False, 300, revision=7)
+        self.liveness.note_registrations({"e-1": 7, "e-2": 8}, 400)
+        self.assertEqual(self.present(60_000), ["e-2"])
+        self.liveness.note_registrations({"e-1": 9, "e-2": 8}, 60_000)
+        self.assertEqual(self.present(60_000), ["e-1", "e-2"])
+
     def test_an_entry_without_a_registration_learns_of_departures_while_it_stops(self):
         # It still answers lookups, and named an entry that stopped behind it.
         self.receive("e-1", False, 300)
