Errors that Twisted or the loop catch, or that end the process, have a log line

Nothing named a request whose connection was closed by an error in a callback: Twisted closes the connection, writes the error to its own log, which nobody keeps, and the close looked like the caller's. An error that ended the process, and cut all it had open, was on standard error only, without a `stopped` line.

Both are internal_error lines now; the connection has a close reason of its own.

A stop of a real entry writes no such line.

--- a/packages/gateway/src/fuchsiahatch_gateway/main.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/main.py
@@ -47,7 +47,14 @@
     from twisted.internet import reactor
 
     reactor.startRunning(installSignalHandlers=False)
-    loop.run_until_complete(role(settings, listening, hangups))
+    from fuchsiahatch_core.events import Event, log_event
+
+    try:
+        loop.run_until_complete(role(settings, listening, hangups))
+    except Exception as fault:
+        # Open answers end with the process.
+        log_event(Event.INTERNAL_ERROR, detail=f"the process ends: {fault!r}")
+        raise
 
 
 def _listen_early(settings: "NodeSettings") -> "socket.socket | None":
--- a/packages/gateway/src/fuchsiahatch_gateway/process.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/process.py
@@ -20,6 +20,7 @@
 from fuchsiahatch_gateway.log import LineWriter
 from fuchsiahatch_gateway.loop_watch import LoopWatch
 from fuchsiahatch_gateway.tasks import Tasks
+from fuchsiahatch_gateway.unhandled_errors import log_unhandled_errors
 from fuchsiahatch_http1.exchange import Exchange
 from fuchsiahatch_http1.server import HttpServer
 
@@ -66,6 +67,7 @@
     def start(self) -> None:
         """Install the signal handlers and log the start."""
         loop = asyncio.get_running_loop()
+        log_unhandled_errors(loop)
         loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         self._file_version = _settings_file_version()
--- a/packages/http1/src/fuchsiahatch_http1/connection_states.py
+++ b/packages/http1/src/fuchsiahatch_http1/connection_states.py
@@ -25,6 +25,7 @@
     TIMED_OUT = "timed out"
     RESET = "reset"
     PIPELINED = "pipelined too much"
+    FAILED = "failed"
     CALLER = "by the caller"
     END = "at the end"
 
--- a/packages/http1/src/fuchsiahatch_http1/server_connection.py
+++ b/packages/http1/src/fuchsiahatch_http1/server_connection.py
@@ -167,8 +167,12 @@
         self._read_events()
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
-        """Cancel the handler of a caller that has disconnected."""
-        self._note_close(CloseReason.CALLER)
+        """Cancel the handler of a caller that has disconnected.
+
+        Twisted closes a connection whose callback has failed, with the error as reason.
+        """
+        by_peer = reason.check(error.ConnectionDone, error.ConnectionLost)
+        self._note_close(CloseReason.CALLER if by_peer else CloseReason.FAILED)
         self.lost = True
         self._writable.set()
         self._clear_timer()
