A suspended answer gives way to a whole one, and goes on where the other has no event

What callers saw: a 404 of the second upstream became 504, or was followed by events; a plain answer that broke off was completed by a stream's events; a stream stayed silent until its deadline though its upstream went on, as another one had sent a head alone; a stream whose request became held was reset, as its upstream paused, though it had begun.

Cause: any answer but a success made the suspended attempt go on, also where the answer had been relayed. The suspended attempt was watched until the other one's head. The checks before a send were outside of the step whose refusals let an attempt go on. Also, an attempt that was ended as the former one went on counted as its upstream's failure.

Change: an answer that is no failure of its upstream ends a request that hasn't begun. A plain answer ends the suspended attempt as it is relayed. The suspended one is watched until the other one's first event. Refused sends let it go on.

--- a/packages/gateway/src/fuchsiahatch_gateway/answer_relay.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/answer_relay.py
@@ -73,6 +73,7 @@
     length = head.header(b"content-length")
     if length is not None and connection.framing is Framing.LENGTH:
         headers.append((b"content-length", length))
+    attempt.on_relay()
     exchange.start(head.status, headers)
     exchange.write(bytes(body))
     body.clear()
--- a/packages/gateway/src/fuchsiahatch_gateway/attempt_types.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempt_types.py
@@ -50,6 +50,8 @@
     is_suspended : bool
         Whether the upstream was merely silent: its connection is open, and the attempt
         can be continued.
+    was_superseded : bool
+        Whether the attempt was ended as the suspended one's answer went on.
     """
 
     result: Result
@@ -63,6 +65,7 @@
     withdrawn: bool = False
     ending: "Ending | None" = None
     is_suspended: bool = False
+    was_superseded: bool = False
 
     @property
     def status(self) -> int:
@@ -147,6 +150,8 @@
     suspended : Attempt or None
         An earlier attempt whose upstream was silent; if that goes on while the head of
         this one is awaited, this one may be withdrawn.
+    on_relay : callable
+        Called before the beginning of a plain answer is relayed.
     connection : ClientConnection or None
         The connection that it was sent on; None before that.
     head : Head or None
@@ -174,6 +179,7 @@
     on_bound: "t.Callable[[Bound], None]"
     urgency: int | None = None
     suspended: "Attempt | None" = None
+    on_relay: t.Callable[[], None] = lambda: None
     connection: "ClientConnection | None" = None
     head: "Head | None" = None
     partial: bytes = b""
--- a/packages/gateway/src/fuchsiahatch_gateway/attempts.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempts.py
@@ -10,7 +10,13 @@
 from fuchsiahatch_gateway.attempt_types import MISPLACED, Attempt, Outcome
 from fuchsiahatch_gateway.event_relay import relay_events
 from fuchsiahatch_gateway.next_steps import Result
-from fuchsiahatch_gateway.silence_limit import UpstreamSilent, expire, limit_silence
+from fuchsiahatch_gateway.silence_limit import (
+    Superseded,
+    UpstreamSilent,
+    expire,
+    limit_silence,
+    until_superseded,
+)
 from fuchsiahatch_http1.answers import (
     AnswerBroken,
     AnswerEnd,
@@ -96,6 +102,8 @@
         ending = describe_ending(connection, attempt.events)
         attempt.partial = attempt.events.take_remainder() if attempt.events else b""
         return Outcome(Result.BROKEN, str(fault), ending=ending, is_suspended=True)
+    except Superseded as fault:
+        outcome = Outcome(Result.BROKEN, str(fault), was_superseded=True)
     except AnswerBroken as fault:
         if isinstance(fault, AnswerTooLong):
             _note_too_long(connection, attempt, fault)
@@ -184,26 +192,19 @@
     queued for a connection that ends.
     """
     work = _matching_head(exchange, connection, attempt.on_skipped_head)
-    reason = "withdrawn as it may crash its upstream"
 
     def withdraw() -> None:
-        nonlocal reason
-        if attempt.is_superseded:
-            reason = "an earlier upstream answers on"
-            expire(limit)
-        elif not attempt.may_stay():
+        if not attempt.may_stay():
             expire(limit)
 
     try:
         async with asyncio.timeout(None) as limit:
             attempt.withdrawals.add(withdraw)
-            attempt.watch_suspended(withdraw)
-            return await limit_silence(work, attempt)
+            return await limit_silence(until_superseded(work, attempt), attempt)
     except TimeoutError as fault:
-        raise AnswerBroken(reason) from fault
+        raise AnswerBroken("withdrawn as it may crash its upstream") from fault
     finally:
         attempt.withdrawals.discard(withdraw)
-        attempt.watch_suspended(None)
 
 
 async def _matching_head(
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -59,6 +59,14 @@
     """Do nothing with the head of an answer."""
 
 
+def _is_better_continued(job: Job, outcome: Outcome) -> bool:
+    """Return whether a suspended attempt is waited for, in place of an answer."""
+    if outcome.result is not Result.ANSWERED or outcome.upstream_failed:
+        return True
+    # Any other upstream would refuse the same; but it can't follow a stream's events.
+    return job.exchange.started and not outcome.relayed
+
+
 class Delivery:
     """Answers callers' requests.
 
@@ -214,13 +222,14 @@
 
     async def _deliver(self, job: Job) -> None:
         upstream = await self._acquire_slot(job)
+        self._check_send(job, upstream)
         outcome = await self._try(job, upstream)
         while True:
             following = await self._choose_following(job, upstream, outcome)
             if following is not None:
                 upstream = following
                 outcome = await self._try(job, upstream)
-            elif job.suspended is not None and not outcome.succeeded:
+            elif job.suspended is not None and _is_better_continued(job, outcome):
                 upstream = job.suspended.upstream
                 outcome = await self._continue(job, job.suspended)
             else:
@@ -228,8 +237,6 @@
         self._finish(job, conclude(outcome.result, job.may_have_run), outcome)
 
     async def _try(self, job: Job, upstream: "Upstream") -> Outcome:
-        self._check_held(job, upstream)
-        self._check_stop(job, upstream)
         outcome = await self._attempt(job, upstream)
         await self._note_answer_or_crash(job, upstream, outcome)
         return outcome
@@ -276,6 +283,16 @@
             attempt.connection.abort()
             self._placer.release(attempt.upstream)
 
+    def _check_send(self, job: Job, upstream: "Upstream") -> None:
+        """Refuse a request that must not be sent after all, and release its slot.
+
+        Raises
+        ------
+        RefusedError
+        """
+        self._check_held(job, upstream)
+        self._check_stop(job, upstream)
+
     def _check_held(self, job: Job, upstream: "Upstream | None" = None) -> None:
         """Refuse a held request, one that crashes upstreams; release its slot if given.
 
@@ -339,7 +356,10 @@
         if job.suspended is not None and job.suspended.has_progress:
             return None
         try:
-            return await self._choose_retry(job, upstream, outcome)
+            following = await self._choose_retry(job, upstream, outcome)
+            if following is not None:
+                self._check_send(job, following)
+            return following
         except RefusedError:
             if job.suspended is None:
                 raise
@@ -454,6 +474,7 @@
             job.bounds.append,
             job.priority_class if self._routes.has_classes(job.service) else None,
             job.suspended,
+            lambda: self._drop_suspended(job),
         )
         was_started = job.exchange.started
         may_have_run = True
@@ -535,7 +556,7 @@
         if outcome.misplaced:
             upstream.misplaced = True
             log_event(Event.UPSTREAM_MISPLACED, upstream=upstream.entry.instance)
-        elif outcome.withdrawn:
+        elif outcome.withdrawn or outcome.was_superseded:
             return
         elif outcome.result is not Result.ANSWERED or outcome.upstream_failed:
             upstream.note_failure(now_ms)
--- a/packages/gateway/src/fuchsiahatch_gateway/event_relay.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/event_relay.py
@@ -8,7 +8,7 @@
 from fuchsiahatch_gateway.attempt_types import Outcome
 from fuchsiahatch_gateway.event_stream import MAX_EVENT_BYTES, MAX_QUIET_BYTES
 from fuchsiahatch_gateway.next_steps import Result
-from fuchsiahatch_gateway.silence_limit import limit_silence
+from fuchsiahatch_gateway.silence_limit import limit_silence, until_superseded
 from fuchsiahatch_http1.answers import AnswerTooLong, Bound, Head
 
 if t.TYPE_CHECKING:
@@ -34,7 +34,8 @@
     loop = asyncio.get_running_loop()
     progress_s = loop.time()
     while True:
-        piece = await limit_silence(connection.piece(), attempt, progress_s)
+        work = until_superseded(connection.piece(), attempt)
+        piece = await limit_silence(work, attempt, progress_s)
         if piece is None:
             break
         arrived_s = loop.time()
@@ -42,6 +43,7 @@
         if whole:
             _write_events(exchange, head, whole)
             if events.progressed:
+                attempt.suspended = None
                 attempt.on_event()
             await exchange.drained()
         # A slow caller isn't a silent upstream.
--- a/packages/gateway/src/fuchsiahatch_gateway/silence_limit.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/silence_limit.py
@@ -15,6 +15,36 @@
     """Another upstream should be tried; the answer may still come on its connection."""
 
 
+class Superseded(AnswerBroken):
+    """The suspended attempt's answer went on before this upstream's."""
+
+
+def until_superseded(
+    work: t.Coroutine[t.Any, t.Any, T], attempt: "Attempt"
+) -> t.Coroutine[t.Any, t.Any, T]:
+    """Wait for data of an upstream, unless the suspended attempt's answer goes on."""
+    return work if attempt.suspended is None else _until_superseded(work, attempt)
+
+
+async def _until_superseded(
+    work: t.Coroutine[t.Any, t.Any, T], attempt: "Attempt"
+) -> T:
+    def give_way() -> None:
+        if attempt.is_superseded:
+            expire(limit)
+
+    try:
+        async with asyncio.timeout(None) as limit:
+            attempt.watch_suspended(give_way)
+            # Data may have come since the last wait, while nothing watched for it.
+            give_way()
+            return await work
+    except TimeoutError as fault:
+        raise Superseded("an earlier upstream answers on") from fault
+    finally:
+        attempt.watch_suspended(None)
+
+
 async def limit_silence(
     work: t.Coroutine[t.Any, t.Any, T], attempt: "Attempt", since_s: float | None = None
 ) -> T:
--- /dev/null
+++ b/tests/gateway/test_suspended_attempts.py
@@ -0,0 +1,109 @@
+import asyncio
+import unittest
+from unittest import mock
+
+from fuchsiahatch_gateway.answer_relay import MAX_KEPT_BODY_BYTES
+from fuchsiahatch_gateway.crashing_requests import CrashingRequests
+from fuchsiahatch_standins.scripted_upstream import encode_head
+from tests.gateway.sites import (
+    ROUTES,
+    Site,
+    answers,
+    event_ids,
+    make_configuration,
+    until,
+    upstream,
+    waits,
+)
+from tests.gateway.test_moved_streams import (
+    ALL_EVENTS,
+    streams_on,
+    streams_with_silence,
+)
+from tests.loopback import run
+
+DEADLINE_MS = 4_000
+LONG_BODY = b"x" * (MAX_KEPT_BODY_BYTES + 1)
+
+
+async def begins_without_events(request, wire):
+    await wire.begin_stream(request)
+    await asyncio.sleep(30)
+
+
+async def breaks_off_long_answer(request, wire):
+    headers = {"Content-Type": "text/plain"}
+    await wire.raw(encode_head(request.request_id, 200, None, headers))
+    await wire.raw(b"%x\r\n%s\r\n" % (len(LONG_BODY), LONG_BODY))
+    await asyncio.sleep(0.5)
+    wire.reset()
+
+
+class TestSuspendedAttempts(unittest.TestCase):
+    def ask(self, first, second, path="/chat/", on_silent=None):
+        """Send a request to one upstream, let it move to another."""
+
+        async def play():
+            silent, other = upstream(first), upstream(second)
+            async with Site(silent) as site:
+                routes = [{**route, "timeoutMs": DEADLINE_MS} for route in ROUTES]
+                site.store.put("op/config", make_configuration(2, routes))
+                await until(lambda: site.entry.routes.configuration.version == 2)
+                asking = asyncio.ensure_future(site.ask(path, deadline_ms=DEADLINE_MS))
+                await until(lambda: silent.received)
+                await site.add_upstream("i-other", other)
+                known = site.entry.fleet.upstreams
+                await until(lambda: "i-other" in known)
+                if on_silent is not None:
+                    on_silent(site)
+                reply = await asking
+                self.assertEqual({one.local_requests for one in known.values()}, {0})
+                now_ms = site.entry._clock.now_ms()
+                self.other_failures = known["i-other"].failures(now_ms)
+                self.spent = site.entry.budget.spent
+                await other.close()
+                self.received = len(other.received)
+                return reply
+
+        return run(play())
+
+    def check_whole(self, reply):
+        self.assertEqual(event_ids(reply.body), ALL_EVENTS)
+        self.assertTrue(reply.whole)
+
+    def test_a_stream_goes_on_where_the_other_upstream_sends_its_head_alone(self):
+        self.check_whole(self.ask(streams_with_silence(), begins_without_events))
+
+    def test_an_error_of_the_other_upstream_is_relayed(self):
+        reply = self.ask(waits, answers(404, b"none"), "/safe/")
+        self.assertEqual((reply.status, reply.body), (404, b"none"))
+
+    def test_an_error_of_the_other_upstream_ends_a_stream_without_an_event(self):
+        reply = self.ask(waits, answers(404, b"none"))
+        self.assertEqual((reply.status, reply.body), (404, b"none"))
+
+    def test_no_events_follow_a_long_answer_that_breaks_off(self):
+        reply = self.ask(streams_with_silence(0, 2.5), breaks_off_long_answer)
+        self.assertTrue(reply.body.startswith(b"xxx"))
+        self.assertFalse(reply.whole)
+        self.assertNotIn(b"data: piece", reply.body)
+
+    def test_a_long_error_of_the_other_upstream_is_relayed_whole(self):
+        reply = self.ask(streams_with_silence(0, 2.5), answers(404, LONG_BODY))
+        self.assertEqual((reply.status, len(reply.body)), (404, len(LONG_BODY)))
+        self.assertTrue(reply.whole)
+
+    def test_a_stream_that_is_held_goes_on_where_it_has_begun(self):
+        with mock.patch.object(CrashingRequests, "held_ms", lambda *_: self.held_ms):
+            self.held_ms = 0
+
+            def hold(site):
+                self.held_ms = 10_000
+
+            reply = self.ask(streams_with_silence(), streams_on(), on_silent=hold)
+        self.check_whole(reply)
+        self.assertEqual(self.received, 0)
+
+    def test_an_upstream_that_was_merely_slower_has_not_failed(self):
+        self.check_whole(self.ask(streams_with_silence(), waits))
+        self.assertEqual(self.other_failures, 0)
