A next request that is sent early leaves a slow caller its time

What callers saw: a caller with a small receive buffer that sends its next request before it has read its answer, then pauses for more than 3 s, had both answers reset.

Cause: `_handle_event` went back to the kernel's shorter time for unacknowledged bytes (3 s in place of 30 s) as the next request was parsed, though the answer before it still lay in the send queue. A short second answer doesn't ask for the longer time again.

Change: the longer time ends once everything is acknowledged, looked at as the request is parsed and each 0.5 s from then on. It has a module of its own, `slow_callers`.

Evidence: of the two new tests, the one of the early request failed before with ConnectionResetError behind a pause of 4.5 s. The other shows that the shorter time comes back while the next answer waits.

Why it holds: the shorter time is set at one place, and there only with nothing unacknowledged in the transport or in the kernel's queue.

--- a/packages/http1/src/fuchsiahatch_http1/server_connection.py
+++ b/packages/http1/src/fuchsiahatch_http1/server_connection.py
@@ -21,6 +21,7 @@
 from fuchsiahatch_http1.connection_trace import ConnectionTrace
 from fuchsiahatch_http1.exchange import Exchange
 from fuchsiahatch_http1.lingering_close import LingeringClose
+from fuchsiahatch_http1.slow_callers import SlowCallerTimeout
 from fuchsiahatch_http1.socket_queues import (
     buffered_bytes,
     received_bytes,
@@ -29,10 +30,7 @@
 from fuchsiahatch_http1.sockets import (
     FINISHED_ANSWER_BYTES,
     SLOW_CALLER_BYTES,
-    SLOW_CALLER_TIMEOUT_MS,
-    UNACKNOWLEDGED_TIMEOUT_MS,
     set_options,
-    set_unacknowledged_timeout,
 )
 
 if t.TYPE_CHECKING:
@@ -71,7 +69,7 @@
         self._began_s = 0.0
         self._arrived_while_leaving = False
         self._connected_while_leaving = server.leaving
-        self._may_be_slow = False
+        self._slowness: SlowCallerTimeout | None = None
         self._ends_with_connection = False
         self._trace = ConnectionTrace()
         self._closing: LingeringClose | None = None
@@ -143,6 +141,7 @@
     def connectionMade(self) -> None:
         """Set up the connection and wait for a request."""
         set_options(self.transport)
+        self._slowness = SlowCallerTimeout(self.transport)
         self.transport.registerProducer(self, True)
         self._server.connections.add(self)
         header_ms = self._server.limits.header_ms
@@ -172,6 +171,7 @@
         self.lost = True
         self._writable.set()
         self._clear_timer()
+        self._slowness.stop()
         if self._closing is not None:
             self._closing.stop()
         self._server.connections.discard(self)
@@ -268,20 +268,7 @@
         if data:
             self._answer_bytes += len(data)
             self.transport.write(data)
-            self._allow_slowness()
-
-    def _allow_slowness(self, min_bytes: int = SLOW_CALLER_BYTES) -> None:
-        """Give a caller with much to receive more time until it must have read on."""
-        if self._may_be_slow or self._answer_bytes <= min_bytes:
-            return
-        if self.unsent_bytes > min_bytes:
-            self._may_be_slow = True
-            set_unacknowledged_timeout(self.transport, SLOW_CALLER_TIMEOUT_MS)
-
-    def _end_slowness(self) -> None:
-        if self._may_be_slow:
-            self._may_be_slow = False
-            set_unacknowledged_timeout(self.transport, UNACKNOWLEDGED_TIMEOUT_MS)
+            self._slowness.extend(self._answer_bytes, SLOW_CALLER_BYTES)
 
     def finish(self) -> None:
         """End the answer, then wait for the next request or close."""
@@ -294,7 +281,7 @@
         self._request = None
         if self.lost:
             return
-        self._allow_slowness(FINISHED_ANSWER_BYTES)
+        self._slowness.extend(self._answer_bytes, FINISHED_ANSWER_BYTES)
         if self._server.leaving:
             # The head may have been sent before, without the word that this is the end.
             self._close(CloseReason.ANSWERED)
@@ -321,7 +308,7 @@
 
     def _handle_event(self, event: t.Any) -> None:
         if isinstance(event, h11.Request):
-            self._end_slowness()
+            self._slowness.end_once_received()
             self._request = event
             self._began_s = reactor.seconds()
             self._arrived_while_leaving = self._server.leaving
--- a/tests/http1/test_closing.py
+++ b/tests/http1/test_closing.py
@@ -8,6 +8,7 @@
 
 from fuchsiahatch_http1.server import HttpServer
 from fuchsiahatch_http1.server_state import ServerLimits
+from fuchsiahatch_http1.sockets import SLOW_CALLER_TIMEOUT_MS, UNACKNOWLEDGED_TIMEOUT_MS
 from tests.gateway.sites import until
 from tests.loopback import run
 
@@ -189,6 +190,17 @@
 
 
 class TestSlowCallers(ClosingCase):
+    async def receive_bodies(self, caller, size):
+        received = 0
+        while received < size and (piece := await caller.receive()):
+            received += piece.count(b"x")
+        return received
+
+    def timeout_ms(self):
+        (connection,) = self.server.connections
+        handle = connection.transport.getHandle()
+        return handle.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+
     def test_large_answers_to_slow_callers_leave_no_connection(self):
         # A transport never closes while its producer is registered and paused.
         async def ask(port):
@@ -241,6 +253,46 @@
 
         self.assertEqual(self.play(play), 4 * [SMALL_BYTES])
 
+    def test_a_caller_that_sends_its_next_request_before_it_reads_gets_both(self):
+        # The next request must not shorten the time for the answer before it.
+        async def small_and_short(exchange):
+            self.handled += 1
+            size = SMALL_BYTES if self.handled == 1 else 1
+            exchange.respond(200, (), b"x" * size)
+
+        async def play():
+            port = await self.serve(small_and_short)
+            async with Caller(port, receive_bytes=4_096) as caller:
+                for count in (1, 2):
+                    await caller.send(GET)
+                    await until(lambda count=count: self.handled == count)
+                await asyncio.sleep(4.5)
+                return await self.receive_bodies(caller, SMALL_BYTES + 1)
+
+        self.assertEqual(self.play(play), SMALL_BYTES + 1)
+
+    def test_the_longer_time_ends_once_the_answer_before_is_read(self):
+        # An unreachable caller that waits for its next answer is found in 3 s again.
+        async def small_once(exchange):
+            self.handled += 1
+            if self.handled == 2:
+                await asyncio.Event().wait()
+            exchange.respond(200, (), b"x" * SMALL_BYTES)
+
+        async def play():
+            port = await self.serve(small_once)
+            async with Caller(port, receive_bytes=4_096) as caller:
+                await caller.send(GET)
+                await caller.send(GET)
+                await until(lambda: self.handled == 2)
+                before = self.timeout_ms()
+                await self.receive_bodies(caller, SMALL_BYTES)
+                await until(lambda: self.timeout_ms() != before, 2.0)
+                return before, self.timeout_ms()
+
+        expected = SLOW_CALLER_TIMEOUT_MS, UNACKNOWLEDGED_TIMEOUT_MS
+        self.assertEqual(self.play(play), expected)
+
     def test_a_caller_that_pauses_in_a_stream_gets_it_whole(self):
         async def streams(exchange):
             exchange.start(200, ())
