A stop keeps the sockets of callers that haven't read their answer yet

What callers saw: a caller that was busy or held up around a SIGTERM, and sent its next request before it had read the end of a finished answer, got a reset (EPIPE). One that looks for an error before it reads dropped the end of the answer.

Cause: "acknowledged by the kernel" was taken for "read by the caller". At the stop an idle connection was closed whole, and the connection of an answer that ended later was closed 1 s behind the last acknowledged byte. What a caller sends on a closed socket is reset.

Change: an idle connection has its sending side ended at once; what crosses that stays unread as before, and each 100 ms the kernel is asked (poll, without reading) whether the caller has left. While the server leaves, a closing connection stays for 2.5 s (LEAVING_LINGER_MS) behind the last acknowledged byte unless its caller has closed; else for 1 s as before.

Evidence: the three tests of TestLateReaders failed before (error 32 in place of 0), with callers held up for 0.3 s and for 2 s. They pass now, with five of what an idle connection's caller sees and how long it is waited for, and test_closing, test_connection_ends, test_connections, test_stop_report, test_stopping_entry, test_given_up_upstreams, test_connection_metrics, daemon test_entry, test_stops, test_slow_callers and test_stop_lookups, all unchanged.

Why it holds: a socket is closed while its caller may still read only behind the bound, which is longer than the longest hold-up known. Idle connections end within 2.6 s of the SIGTERM, about when the entry stops to accept connections; a caller that closes is seen within 0.1 s.

--- a/packages/http1/src/fuchsiahatch_http1/caller_transport.py
+++ b/packages/http1/src/fuchsiahatch_http1/caller_transport.py
@@ -1,6 +1,8 @@
 """TCP transport of a caller's connection, which tells how the connection ends."""
 
 import errno
+import select
+import socket
 import typing as t
 
 from twisted.internet import main, tcp
@@ -14,6 +16,8 @@
     errno.EPIPE: PeerEnd.RESET,
     errno.ETIMEDOUT: PeerEnd.TIMED_OUT,
 }
+#: Tells that the peer has ended its sending side; unknown to some platforms.
+_PEER_CLOSED = getattr(select, "POLLRDHUP", select.POLLHUP)
 _NOT_READY = (errno.EWOULDBLOCK, errno.ENOBUFS)
 
 
@@ -55,6 +59,18 @@
         except OSError as fault:
             return self._note_fault(fault) or 0
 
+    def look_for_peer_end(self) -> PeerEnd:
+        """Return and note how the peer has ended the connection, without reading."""
+        poll = select.poll()
+        poll.register(self.socket, _PEER_CLOSED)
+        events = sum(events for _, events in poll.poll(0))
+        if events & select.POLLERR:
+            code = self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            self.peer_end = _PEER_ENDS.get(code, PeerEnd.FAILED)
+        elif events:
+            self.peer_end = PeerEnd.CLOSED
+        return self.peer_end
+
     def connectionLost(self, reason: Failure) -> None:
         """Note what the socket's queues hold, then close it."""
         if hasattr(self, "socket"):
--- a/packages/http1/src/fuchsiahatch_http1/lingering_close.py
+++ b/packages/http1/src/fuchsiahatch_http1/lingering_close.py
@@ -4,11 +4,19 @@
 
 from twisted.internet import reactor
 
-from fuchsiahatch_http1.socket_queues import buffered_bytes, unsent_bytes
+from fuchsiahatch_http1.connection_states import PeerEnd
+from fuchsiahatch_http1.socket_queues import (
+    buffered_bytes,
+    received_bytes,
+    unsent_bytes,
+)
 
-#: Time for which received bytes are read and discarded once the peer has acknowledged
-#: everything that was sent.
+#: Time for which the socket stays open once the peer's kernel has acknowledged
+#: everything that was sent. The peer itself may not have read it yet.
 LINGER_MS = 1_000
+#: The same while the server leaves, as callers then send on without having been told
+#: of the close. Longer than a caller's process is held up.
+LEAVING_LINGER_MS = 2_500
 #: Interval at which it is checked whether that is so.
 POLL_INTERVAL_MS = 100
 
@@ -20,6 +28,10 @@
     ----------
     transport : twisted.internet.interfaces.ITCPTransport
         Its protocol must discard what is received from now on.
+    linger_ms : int
+        Maximum time behind the last acknowledged byte.
+    reads : bool, optional
+        Whether received bytes are read. What stays unread is handled by nobody.
 
     Notes
     -----
@@ -27,15 +39,26 @@
     the peer hasn't read yet. This is the order of RFC 9112, section 9.6.
     """
 
-    __slots__ = ("_acknowledged_s", "_peer_closed", "_timer", "_transport")
+    __slots__ = (
+        "_acknowledged_s",
+        "_linger_ms",
+        "_peer_closed",
+        "_reads",
+        "_timer",
+        "_transport",
+    )
 
-    def __init__(self, transport: t.Any) -> None:
+    def __init__(self, transport: t.Any, linger_ms: int, *, reads: bool = True) -> None:
         self._transport = transport
+        self._linger_ms = linger_ms
+        self._reads = reads
         self._acknowledged_s: float | None = None
         self._peer_closed = False
         # A transport whose producer is paused never closes.
         transport.unregisterProducer()
         transport.loseWriteConnection()
+        if not reads:
+            transport.pauseProducing()
         self._timer = self._schedule()
 
     def note_peer_closed(self) -> None:
@@ -63,9 +86,22 @@
             # Nobody reads the socket any more, so that a reset would go unnoticed. The
             # kernel sends the rest of its queue after the close.
             return not buffered_bytes(self._transport)
+        if not self._reads and self._has_left():
+            return True
         if unsent_bytes(self._transport):
             return False
         if self._acknowledged_s is None:
             self._acknowledged_s = reactor.seconds()
         waited_s = reactor.seconds() - self._acknowledged_s
-        return waited_s >= LINGER_MS / 1000
+        return waited_s >= self._linger_ms / 1000
+
+    def _has_left(self) -> bool:
+        """Look whether the peer has ended a connection that isn't read.
+
+        One with unread bytes may have ended its sending side alone, and the reset of a
+        close would discard what it hasn't read.
+        """
+        peer_end = self._transport.look_for_peer_end()
+        if peer_end is PeerEnd.CLOSED:
+            return not received_bytes(self._transport)
+        return peer_end is not PeerEnd.OPEN
--- a/packages/http1/src/fuchsiahatch_http1/server_connection.py
+++ b/packages/http1/src/fuchsiahatch_http1/server_connection.py
@@ -20,7 +20,11 @@
 )
 from fuchsiahatch_http1.connection_trace import ConnectionTrace
 from fuchsiahatch_http1.exchange import Exchange
-from fuchsiahatch_http1.lingering_close import LingeringClose
+from fuchsiahatch_http1.lingering_close import (
+    LEAVING_LINGER_MS,
+    LINGER_MS,
+    LingeringClose,
+)
 from fuchsiahatch_http1.slow_callers import SlowCallerTimeout
 from fuchsiahatch_http1.socket_queues import (
     buffered_bytes,
@@ -224,7 +228,8 @@
         elif self.unsent_bytes:
             self._close(CloseReason.IDLE)
         else:
-            self._close_unread(CloseReason.IDLE)
+            # A request that crosses the close stays unread.
+            self._close(CloseReason.IDLE, reads=False)
 
     def abort(self, reason: CloseReason = CloseReason.RESET) -> None:
         """Reset the connection."""
@@ -354,7 +359,7 @@
             self.send(h11.EndOfMessage())
         self._close(reason)
 
-    def _close(self, reason: CloseReason) -> None:
+    def _close(self, reason: CloseReason, *, reads: bool = True) -> None:
         if self.lost or self._is_closing:
             return
         self._note_close(reason)
@@ -362,15 +367,8 @@
         self._request = None
         self._task = None
         self._writable.set()
-        self._closing = LingeringClose(self.transport)
-
-    def _close_unread(self, reason: CloseReason) -> None:
-        """Close at once: a request that crosses the close stays unread."""
-        self._note_close(reason)
-        self._clear_timer()
-        self.transport.unregisterProducer()
-        self.transport.pauseProducing()
-        self.transport.loseConnection()
+        linger_ms = LEAVING_LINGER_MS if self._server.leaving else LINGER_MS
+        self._closing = LingeringClose(self.transport, linger_ms, reads=reads)
 
     def _note_close(self, reason: CloseReason) -> None:
         if self._is_closing:
