Events before a suspension count for the attempt that goes on

What callers would see: a stream that was continued behind a refused move, and whose rank group then crashed, isn't resumed though an attempt is left. Found by reading.

Cause: a continued attempt counted its events from its continuation, so that one which had relayed events before seemed to have crashed its group before any.

Change: the time at which the attempt was sent counts. The new test failed before.

--- a/packages/gateway/src/fuchsiahatch_gateway/attempt_types.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempt_types.py
@@ -152,6 +152,8 @@
         this one is awaited, this one may be withdrawn.
     on_relay : callable
         Called before the beginning of a plain answer is relayed.
+    sent_ms : int
+        When it began.
     connection : ClientConnection or None
         The connection that it was sent on; None before that.
     head : Head or None
@@ -180,6 +182,7 @@
     urgency: int | None = None
     suspended: "Attempt | None" = None
     on_relay: t.Callable[[], None] = lambda: None
+    sent_ms: int = 0
     connection: "ClientConnection | None" = None
     head: "Head | None" = None
     partial: bytes = b""
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -253,10 +253,9 @@
         job.ending = None
         if len(job.tried) >= job.match.route.max_attempts:
             attempt.silence_ms = None
-        sent_ms = self._clock.now_ms()
         continued = continue_attempt(job.exchange, self._pool, attempt)
         outcome = await self._await_outcome(job, attempt, continued)
-        self._note_outcome(job, attempt.upstream, outcome, sent_ms, True)
+        self._note_outcome(job, attempt.upstream, outcome, attempt.sent_ms, True)
         await self._note_answer_or_crash(job, attempt.upstream, outcome)
         return outcome
 
@@ -475,6 +474,7 @@
             job.priority_class if self._routes.has_classes(job.service) else None,
             job.suspended,
             lambda: self._drop_suspended(job),
+            sent_ms,
         )
         was_started = job.exchange.started
         may_have_run = True
--- a/tests/gateway/test_suspended_attempts.py
+++ b/tests/gateway/test_suspended_attempts.py
@@ -4,6 +4,7 @@
 
 from fuchsiahatch_gateway.answer_relay import MAX_KEPT_BODY_BYTES
 from fuchsiahatch_gateway.crashing_requests import CrashingRequests
+from fuchsiahatch_gateway.delivery import Delivery
 from fuchsiahatch_standins.scripted_upstream import encode_head
 from tests.gateway.sites import (
     ROUTES,
@@ -11,6 +12,7 @@
     answers,
     event_ids,
     make_configuration,
+    refuses,
     until,
     upstream,
     waits,
@@ -23,6 +25,8 @@
 from tests.loopback import run
 
 DEADLINE_MS = 4_000
+#: Silence behind which a stream moves.
+SILENT_S = 1.3
 LONG_BODY = b"x" * (MAX_KEPT_BODY_BYTES + 1)
 
 
@@ -104,6 +108,26 @@
         self.check_whole(reply)
         self.assertEqual(self.received, 0)
 
+    def test_events_before_the_suspension_count_for_the_attempt_that_goes_on(self):
+        # Without them, a crash of its rank group would forbid to resume the stream.
+        async def breaks_off(request, wire):
+            await wire.begin_stream(request)
+            await wire.event(1)
+            await asyncio.sleep(SILENT_S)
+            wire.reset()
+
+        outcomes = []
+        note = Delivery._note_answer_or_crash
+
+        async def keep(delivery, job, upstream, outcome):
+            outcomes.append(outcome)
+            await note(delivery, job, upstream, outcome)
+
+        with mock.patch.object(Delivery, "_note_answer_or_crash", keep):
+            self.ask(breaks_off, refuses())
+        relayed = [one.events_relayed for one in outcomes]
+        self.assertEqual(relayed, [True, False, True])
+
     def test_an_upstream_that_was_merely_slower_has_not_failed(self):
         self.check_whole(self.ask(streams_with_silence(), waits))
         self.assertEqual(self.other_failures, 0)
