A deployment run that ends early ends its own processes and says not run

Cause: a SIGTERM, a SIGINT or a fault of the driver left its entries and agents running, tasks of a disturbance could start an entry behind the end, and an unknown option was told only after a whole run.

Change: signals cancel the run once, it cleans up and exits with 3; nothing is started while it ends; options are checked before anything is started (2, coded). A finding says what excuses a cut, and the report counts excused cuts for themselves.

Evidence: test_early_ends, test_options and test_findings pass; SIGTERM and SIGINT are sent to a run with all disturbances, and none of its processes is left.

--- a/tests/deployment/deployment.py
+++ b/tests/deployment/deployment.py
@@ -69,11 +69,13 @@
 
     async def close(self):
         """End everything that was started."""
-        for place in self.places.entries:
-            self.programs.signal(place.name, signal.SIGKILL)
-        await self._end_upstreams()
-        await self.programs.end_all()
-        await self.store.close()
+        try:
+            for place in self.places.entries:
+                self.programs.signal(place.name, signal.SIGKILL)
+            await self._end_upstreams()
+        finally:
+            await self.programs.end_all()
+            await self.store.close()
 
     def configure(self):
         """Write the next version of the configuration."""
--- a/tests/deployment/disturbances.py
+++ b/tests/deployment/disturbances.py
@@ -69,17 +69,29 @@
         self._until_s = 0.0
         self._taken = set()
         self._incarnations = {}
+        self._tasks = []
         self.stops, self.mishaps = [], []
 
     async def play(self, until_s):
         """Play all kinds that are chosen until a time by `time.monotonic`."""
         self._until_s = until_s
         loops = [
-            play(self, random.Random(f"{self._seed} {name}"))
+            self._begin(play(self, random.Random(f"{self._seed} {name}")))
             for name, play in KINDS.items()
             if name in self._chosen and play is not None
         ]
-        await asyncio.gather(*loops)
+        try:
+            await asyncio.gather(*loops)
+        finally:
+            for task in self._tasks:
+                task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _begin(self, work):
+        """Begin a part that ends with `play` at the latest."""
+        task = asyncio.ensure_future(work)
+        self._tasks.append(task)
+        return task
 
     @property
     def _is_over(self):
@@ -112,7 +124,7 @@
                 if not await self._wait_for_next(rng, gap_s):
                     break
                 if place not in self._taken:
-                    stopping.append(asyncio.ensure_future(self._stop(place, rng)))
+                    stopping.append(self._begin(self._stop(place, rng)))
             await asyncio.gather(*stopping)
             await self._wait(rng, BETWEEN_ROUNDS_S)
 
@@ -128,7 +140,7 @@
         if again:
             delay_s = again_s - RELOAD_S[0]
             besides.append(self._signal_later(place, signal.SIGTERM, delay_s))
-        tasks = [asyncio.ensure_future(one) for one in besides]
+        tasks = [self._begin(one) for one in besides]
         await asyncio.sleep(-RELOAD_S[0])
         manner = " ".join(["stop", *["again"] * again, *["reload"] * reload])
         stop = Stop(place.ip, manner, time.monotonic())
--- a/tests/deployment/findings.py
+++ b/tests/deployment/findings.py
@@ -31,12 +31,15 @@
     runs : list of dict
     planned : bool
         Whether it counts against the code: a broken promise, or a cut around a stop.
+    excuse : str
+        Why a cut is allowed; none for one around a stop, or one without a reason.
     """
 
     fault: str
     sending: dict
     runs: list
     planned: bool = True
+    excuse: str = ""
 
 
 class Examiner:
@@ -105,21 +108,22 @@
         if sending["ended_by"] == "caller":
             return None
         state = "had answered whole" if runs[-1]["ending"] == "whole" else "was at work"
-        planned = self._is_planned(sending, runs, kind)
-        where = "around a stop" if planned else "away from stops, or excused"
+        excuse = self._find_excuse(sending, runs, kind)
+        planned = not excuse and self.find_stop(sending) is not None
+        where = "around a stop" if planned else excuse or "away from stops"
         fault = f"was cut by {sending['ending']} when its upstream {state}, {where}"
-        return Finding(fault, sending, runs, planned)
+        return Finding(fault, sending, runs, planned, excuse)
 
-    def _is_planned(self, sending, runs, kind):
-        ended_s = sending["ended_s"]
-        stop = self.find_stop(sending)
-        if stop is None or self._is_excused(sending):
-            return False
+    def _find_excuse(self, sending, runs, kind):
+        ended_s, stop = sending["ended_s"], self.find_stop(sending)
+        if self._is_unplanned(sending):
+            return "around a kill or freeze"
         if ended_s - sending["sent_s"] >= kind.time_limit_ms / 1000 - LIMIT_SLACK_S:
-            return False
+            return "at its time limit"
+        if stop is None or sending["sent_s"] > stop.began_s + SENT_LATEST_S:
+            return ""
         last_part_s = stop.began_s + self._grace_s * (1 - LAST_PART)
-        long_ago = sending["sent_s"] <= stop.began_s + SENT_LATEST_S
-        return not (long_ago and runs[-1]["ended_s"] >= last_part_s)
+        return "at the end of the grace" * (runs[-1]["ended_s"] >= last_part_s)
 
     def find_stop(self, sending):
         """Return the stop of its entry around which a sending ended, or None."""
@@ -132,7 +136,7 @@
         )
         return next(around, None)
 
-    def _is_excused(self, sending):
+    def _is_unplanned(self, sending):
         return any(
             mishap.kind in UNPLANNED
             and mishap.name == sending["entry"]
--- a/tests/deployment/programs.py
+++ b/tests/deployment/programs.py
@@ -32,6 +32,7 @@
         self.folder = folder
         self._path = _make_python_path(tree)
         self.processes = {}
+        self._started, self._ending = [], False
 
     def start_role(self, role, node, settings):
         """Start an entry or an agent, as it is deployed."""
@@ -55,6 +56,8 @@
         return path
 
     def _start(self, name, command, changes, stdin):
+        if self._ending:
+            raise NotRunError(f"{name} isn't started, as the run is ending")
         try:
             with open(self.log_path(name), "ab") as log:
                 process = subprocess.Popen(
@@ -68,6 +71,7 @@
         except OSError as fault:
             raise NotRunError(f"{name} can't be started: {fault}") from fault
         self.processes[name] = process
+        self._started.append(process)
         return process
 
     def log_path(self, name):
@@ -105,15 +109,22 @@
         return True
 
     async def end_all(self):
-        """Kill what still runs, and wait for it."""
-        for process in self.processes.values():
+        """Kill what still runs, wait for it, and start nothing more."""
+        self._ending = True
+        for process in self._started:
             if process.poll() is None:
                 process.send_signal(signal.SIGKILL)
-        for name, process in self.processes.items():
-            await self.until_ended(name, limit_s=5.0)
+        for process in self._started:
+            while process.poll() is None:
+                await asyncio.sleep(POLL_S)
             if process.stdin is not None:
                 process.stdin.close()
 
+    @property
+    def left(self):
+        """Ids of the processes that still run, of all that were started."""
+        return [one.pid for one in self._started if one.poll() is None]
+
 
 def _make_python_path(tree):
     sources = sorted(tree.glob("packages/*/src"))
--- a/tests/deployment/report.py
+++ b/tests/deployment/report.py
@@ -75,11 +75,13 @@
     return {
         "plan": plan,
         "passed": not counted and not stop_faults,
+        "played": count_played(sendings, disturbances),
         "requests": _count_requests(sendings),
         "first_byte_ms": _first_byte_ms(sendings),
         "cuts": {
             "around_stops": sum("cut" in one.fault for one in counted),
-            "elsewhere": len(findings) - len(counted),
+            "elsewhere": sum(not one.planned and not one.excuse for one in findings),
+            "excused": sum(bool(one.excuse) for one in findings),
         },
         "stops": {
             "count": len(stops),
@@ -93,6 +95,7 @@
         "findings": [
             {
                 "fault": one.fault,
+                "planned": one.planned,
                 "named_in_a_line": lines.name(one.sending["request"]),
                 "sending": one.sending,
                 "runs": one.runs,
@@ -103,6 +106,40 @@
     }
 
 
+def count_played(sendings, disturbances):
+    """Return how much of what the run is for took place.
+
+    Parameters
+    ----------
+    sendings : list of dict
+    disturbances : Disturbances
+
+    Returns
+    -------
+    dict of str to int
+    """
+    stops = disturbances.stops
+    return {
+        "sendings": len(sendings),
+        "streams_across_a_stop": sum(is_across(one, stops) for one in sendings),
+        "stops": len(stops),
+        "pauses": sum(one.kind == "pause" for one in disturbances.mishaps),
+    }
+
+
+def is_across(sending, stops):
+    """Return whether a whole stream was in progress at the SIGTERM of its entry."""
+    return (
+        sending["whole"]
+        and sending["events"] > 0
+        and any(
+            stop.ip == sending["entry"]
+            and sending["sent_s"] < stop.began_s < sending["ended_s"]
+            for stop in stops
+        )
+    )
+
+
 def _count_requests(sendings):
     counts = collections.defaultdict(collections.Counter)
     for one in sendings:
@@ -128,7 +165,7 @@
     """Return the page of a report."""
     rows = [f"{'passed' if report['passed'] else 'FAILED'}: {report['plan']}"]
     rows += [f"  {kind}: {count}" for kind, count in report["requests"].items()]
-    for name in ("first_byte_ms", "cuts", "stops", "mishaps", "lines"):
+    for name in ("played", "first_byte_ms", "cuts", "stops", "mishaps", "lines"):
         rows.append(f"{name.replace('_', ' ')}: {report[name]}")
     for finding in report["findings"][:MOST_SHOWN]:
         named = "named" if finding["named_in_a_line"] else "not named in any line"
--- a/tests/deployment/soak.py
+++ b/tests/deployment/soak.py
@@ -20,12 +20,12 @@
 from tests.deployment.addresses import DIRECTORY_PORT, FRONT_PORT, Places
 from tests.deployment.configurations import HOST, KEY
 from tests.deployment.deployment import UPSTREAMS, Deployment
-from tests.deployment.disturbances import KINDS, Disturbances
+from tests.deployment.disturbances import Disturbances
+from tests.deployment.early_ends import run_until_end
 from tests.deployment.findings import Examiner
-from tests.deployment.layout import read_layout
-from tests.deployment.programs import ROOT, NotRunError, Programs
+from tests.deployment.options import read_options
+from tests.deployment.programs import NotRunError, Programs
 from tests.deployment.report import Lines, make_report, to_text
-from tests.loopback import run
 
 #: Time for which callers go on before the first disturbance.
 LEAD_S = 3.0
@@ -44,27 +44,29 @@
 
     Parameters
     ----------
-    seed : int
-    minutes : float
-        Time in which disturbances happen.
-    layout : Layout
-    chosen : list of str
-        Names of the disturbances.
+    options : Options
     folder : pathlib.Path
         Folder of settings and logs.
-    tree : pathlib.Path
-        Root of the repository whose load balancer runs.
     show : callable
         Called with the progress as a text.
+
+    Attributes
+    ----------
+    programs : Programs
+    disturbances : Disturbances
     """
 
-    def __init__(self, seed, minutes, layout, chosen, folder, tree, show):
-        self._seed, self._minutes, self._layout = seed, minutes, layout
-        self._chosen, self._show = chosen, show
-        self.places = Places(layout, seed)
-        self._programs = Programs(folder, tree)
-        self._deployment = Deployment(layout, self.places, self._programs, seed)
-        self.disturbances = Disturbances(self._deployment, seed, chosen)
+    def __init__(self, options, folder, show):
+        self._options, self._show = options, show
+        self._seed, self._layout = options.seed, options.layout
+        self.places = Places(self._layout, self._seed)
+        self.programs = Programs(folder, options.tree)
+        self._deployment = Deployment(
+            self._layout, self.places, self.programs, self._seed
+        )
+        self.disturbances = Disturbances(
+            self._deployment, self._seed, options.disturbances
+        )
         self._callers = []
         self.sendings, self.runs, self.lines, self.problems = [], [], None, []
 
@@ -77,17 +79,22 @@
         """
         try:
             await self._deployment.start()
-            began_s = time.monotonic()
-            ends_s = began_s + LEAD_S + 60 * self._minutes
-            self._start_callers(ends_s)
-            progress = asyncio.ensure_future(self._show_progress(began_s, ends_s))
+            await self._play_load()
+        finally:
+            await self._deployment.close()
+        self._read_logs()
+
+    async def _play_load(self):
+        began_s = time.monotonic()
+        ends_s = began_s + LEAD_S + 60 * self._options.minutes
+        self._start_callers(ends_s)
+        progress = asyncio.ensure_future(self._show_progress(began_s, ends_s))
+        try:
             await asyncio.sleep(LEAD_S)
             await self.disturbances.play(ends_s)
             await self._until_callers_ended(ends_s)
-            progress.cancel()
         finally:
-            await self._deployment.close()
-        self._read_logs()
+            progress.cancel()
 
     def _start_callers(self, ends_s):
         layout = self._layout
@@ -113,12 +120,12 @@
                 "ends_at_s": ends_s,
                 "busy": number == CALLER_PROCESSES - 1,
             }
-            self._programs.start_module(name, "tests.deployment.callers", settings)
+            self.programs.start_module(name, "tests.deployment.callers", settings)
 
     async def _until_callers_ended(self, ends_s):
         for name in self._callers:
             left_s = ends_s + LAST_REQUESTS_S - time.monotonic()
-            if not await self._programs.until_ended(name, max(0.0, left_s)):
+            if not await self.programs.until_ended(name, max(0.0, left_s)):
                 self.problems.append(f"{name} didn't end")
 
     async def _show_progress(self, began_s, ends_s):
@@ -130,8 +137,8 @@
 
     def _read_logs(self):
         lines = []
-        for name in self._programs.processes:
-            documents, others = self._programs.read_lines(name)
+        for name in self.programs.processes:
+            documents, others = self.programs.read_lines(name)
             if name in self._callers:
                 self.sendings += documents
             elif name == UPSTREAMS:
@@ -146,7 +153,7 @@
         if not self.sendings:
             raise NotRunError(f"no request was sent: {self.problems}")
 
-    def make_report(self, plan):
+    def make_report(self):
         """Return the report."""
         examiner = Examiner(
             self._layout,
@@ -158,7 +165,13 @@
         nodes = {one.ip: one.name for one in self.places.entries}
         grace_s = self._layout.stop_grace_s + 0.1
         report = make_report(
-            plan, self.sendings, findings, self.disturbances, self.lines, nodes, grace_s
+            self._options.plan,
+            self.sendings,
+            findings,
+            self.disturbances,
+            self.lines,
+            nodes,
+            grace_s,
         )
         return {**report, "problems": self.problems}
 
@@ -170,73 +183,22 @@
     return {name: fields[name] for name in (*kept, *more, "work_ms")}
 
 
-def choose(only, without):
-    """Return the names of the disturbances that are to happen.
-
-    Parameters
-    ----------
-    only, without : str or sequence of str
-        Names with commas between; none in `only` stands for all.
-
-    Raises
-    ------
-    SettingsError
-    """
-    wanted, unwanted = _split(only) or list(KINDS), _split(without)
-    for name in (*wanted, *unwanted):
-        if name not in KINDS:
-            raise SettingsError("disturbances", name, f"one of {', '.join(KINDS)}")
-    return [name for name in wanted if name not in unwanted]
-
-
-def _split(names):
-    return names.split(",") if isinstance(names, str) and names else list(names or ())
-
+def read_command_line():
+    """Return the options; unknown ones end the process before anything is started."""
+    return fire.Fire(read_options, serialize=lambda _: None)
 
-def main(
-    seed=1,
-    minutes=1.0,
-    deployment="six_entries",
-    only="",
-    without="",
-    tree="",
-    folder="",
-    report="",
-):
-    """Play one seed; exit with 1 if something doesn't hold, 3 if it couldn't be run.
 
-    Parameters
-    ----------
-    seed : int
-    minutes : float
-    deployment : str
-        Name or path of a settings file.
-    only, without : str
-        Disturbances to play, or to leave out.
-    tree : str
-        Root of the repository whose load balancer runs; this one by default.
-    folder : str
-        Where settings and logs are kept; they are removed by default.
-    report : str
-        Path of the report as JSON.
-    """
-    plan = {
-        "seed": seed,
-        "minutes": minutes,
-        "deployment": deployment,
-        "disturbances": choose(only, without),
-    }
-    layout = read_layout(deployment)
+def main():
+    """Play one seed and print its page."""
+    options = read_command_line()
     with tempfile.TemporaryDirectory() as temporary:
-        logs = pathlib.Path(folder or temporary)
+        logs = options.folder or pathlib.Path(temporary)
         logs.mkdir(parents=True, exist_ok=True)
-        root = pathlib.Path(tree).resolve() if tree else ROOT
-        chosen = plan["disturbances"]
-        soak = Soak(seed, minutes, layout, chosen, logs, root, _show)
-        run(soak.play(), limit_s=START_AND_END_S + 60 * minutes)
-    document = soak.make_report(plan)
-    if report:
-        pathlib.Path(report).write_text(json.dumps(document, indent=1), "utf-8")
+        soak = Soak(options, logs, _show)
+        run_until_end(soak.play(), START_AND_END_S + 60 * options.minutes)
+    document = soak.make_report()
+    if options.report:
+        options.report.write_text(json.dumps(document, indent=1), "utf-8")
     print("\n" + to_text(document))
     sys.exit(0 if document["passed"] else EXIT_FAILED)
 
@@ -247,10 +209,10 @@
 
 if __name__ == "__main__":
     try:
-        fire.Fire(main)
+        main()
     except SettingsError as fault:
         print(f"deployment soak: {fault}", file=sys.stderr)
         sys.exit(EXIT_USAGE)
     except NotRunError as fault:
-        print(f"deployment soak: not run: {fault}", file=sys.stderr)
+        print(f"\ndeployment soak: not run: {fault}", file=sys.stderr)
         sys.exit(EXIT_NOT_RUN)
--- a/tests/deployment/test_findings.py
+++ b/tests/deployment/test_findings.py
@@ -47,17 +47,19 @@
         for stopped_s in (91.9, 101.1):
             with self.subTest(stopped_s):
                 (found,) = examine(make_sending(), [make_run()], stopped_s)
-                self.assertFalse(found.planned)
+                self.assertEqual((found.planned, found.excuse), (False, ""))
 
     def test_a_kill_excuses_a_cut(self):
         kill = Mishap("kill", ENTRY, 100.5, 101.5)
         (found,) = examine(make_sending(), [make_run()], mishaps=[kill])
         self.assertFalse(found.planned)
+        self.assertIn("kill", found.excuse)
 
     def test_the_time_limit_excuses_a_cut(self):
         sending = make_sending(sent_s=93.0)
         (found,) = examine(sending, [make_run()])
         self.assertFalse(found.planned)
+        self.assertIn("time limit", found.excuse)
 
     def test_a_caller_that_leaves_is_no_cut(self):
         sending = make_sending(ending="left", ended_by="caller")
