A test of broken-off large answers doesn't depend on time

The test failed once beside other work (502 in place of 200 for an answer without framing), and passed in the next run. Cause: its upstream reset the connection 50 ms behind its last byte. A reset drops what is still in the sender's queue, so that an entry that reads late has less than the 1 MiB from which on an answer is relayed. With 0 ms in place of 50 the test fails in the same way in all nine cases.

The upstream resets now once all is acknowledged. What is asked of the answer is unchanged.

--- a/packages/standins/src/fuchsiahatch_standins/scripted_upstream.py
+++ b/packages/standins/src/fuchsiahatch_standins/scripted_upstream.py
@@ -7,14 +7,18 @@
 import asyncio
 import collections.abc
 import dataclasses
+import fcntl
 import itertools
 import socket
 import struct
+import termios
 import typing as t
 
 import h11
 
 SIGNATURE = "sig-1"
+ACKNOWLEDGED_POLL_INTERVAL_MS = 5
+_INT = struct.Struct("i")
 Script = t.Callable[["Received", "Wire"], t.Awaitable[None]]
 
 
@@ -69,6 +73,15 @@
         """Send the clean end of a stream."""
         await self.raw(b"0\r\n\r\n")
 
+    async def acknowledged(self) -> None:
+        """Wait until the other side's kernel has all that was sent.
+
+        A reset drops what it hasn't.
+        """
+        handle = self._writer.get_extra_info("socket")
+        while self._writer.transport.get_write_buffer_size() or _queued_bytes(handle):
+            await asyncio.sleep(ACKNOWLEDGED_POLL_INTERVAL_MS / 1000)
+
     def reset(self) -> None:
         """Reset the connection, unless it is closed already."""
         if self._writer.is_closing():
@@ -82,6 +95,12 @@
         self._writer.close()
 
 
+def _queued_bytes(handle: socket.socket) -> int:
+    """Return the bytes in a socket's send queue."""
+    answer = fcntl.ioctl(handle.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
+    return _INT.unpack(answer)[0]
+
+
 def encode_head(
     request_id: str,
     status: int,
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -48,7 +48,7 @@
             chunked = framing is Framing.CHUNKED
             await wire.raw(b"%x\r\n%b\r\n" % (len(piece), piece) if chunked else piece)
         if not end:
-            await asyncio.sleep(0.05)
+            await wire.acknowledged()
             wire.reset()
         elif framing is Framing.CHUNKED:
             await wire.end_stream()
