--- a/tests/deployment/caller_records.py
+++ b/tests/deployment/caller_records.py
@@ -37,6 +37,8 @@
         1 for the first sending of a request, one more for each further one.
     on_kept : bool
         Whether the connection had carried a request before.
+    until_s : float
+        End of the time limit, which counts from the request's first sending.
     sent_s, read_s : float
         When the first byte was sent, and when the last one was seen acknowledged.
     first_byte_s, last_byte_s, ended_s : float
@@ -69,6 +71,7 @@
     local_port: int = 0
     number: int = 1
     on_kept: bool = False
+    until_s: float = 0.0
     sent_s: float = 0.0
     read_s: float = 0.0
     first_byte_s: float = 0.0
--- a/tests/deployment/caller_sendings.py
+++ b/tests/deployment/caller_sendings.py
@@ -60,6 +60,7 @@
             number=request.tries,
             on_kept=channel.answers > 0,
             last_event=request.last_event,
+            until_s=request.until_s,
             manner=str(manners),
         )
         self.may_keep = False
