The deployment's test asks that no upstream is given up in vain, in place of a count

What is asked is that a server's silence is no reason to end an answer: no finding, at a stop or elsewhere, may have a line that says so. Also: the limits of a job's phases know a suspended attempt.

--- a/tests/deployment/test_soak.py
+++ b/tests/deployment/test_soak.py
@@ -22,9 +22,9 @@
 DISTURBANCES = "stops,configurations,shift,pause"
 TREE = os.environ.get("DEPLOYMENT_TREE", "")
 LIMIT_S = 200.0
-#: Most streams that are cut away from stops, without an excuse; where streams of a
-#: group that pauses are reset, there are 8 or more.
-MOST_CUT_ELSEWHERE = 4
+#: Ends of requests whose upstream was given up though nothing was wrong with it; none
+#: may end so, at any time.
+GIVEN_UP = ("silent for", "moved from")
 #: Least that each run plays, also on a machine with four times its cores to do.
 LEAST_PLAYED = {
     "sendings": 1000,
@@ -40,8 +40,13 @@
         found = [one["fault"] for one in report["findings"] if one["planned"]]
         self.assertEqual(found, [], "\n" + to_text(report))
         self.assertEqual(report["problems"], [], "\n" + to_text(report))
-        cut = report["cuts"]["elsewhere"]
-        self.assertLessEqual(cut, MOST_CUT_ELSEWHERE, "\n" + to_text(report))
+        given_up = [
+            end
+            for one in report["findings"]
+            for end in one["ends"]
+            if any(reason in end for reason in GIVEN_UP)
+        ]
+        self.assertEqual(given_up, [], "\n" + to_text(report))
         for name, least in LEAST_PLAYED.items():
             with self.subTest(name):
                 self.assertGreaterEqual(report["played"][name], least)
--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -1,10 +1,18 @@
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
 from fuchsiahatch_gateway.jobs import patience_ms, silence_ms, wait_ms
 
 
-def job(objective_ms=500, gap_ms=120, stream=True, tried=(), repeatable=True):
+def job(
+    objective_ms=500,
+    gap_ms=120,
+    stream=True,
+    tried=(),
+    repeatable=True,
+    suspended=None,
+):
     route = SimpleNamespace(
         objective_ms=objective_ms,
         gap_ms=gap_ms,
@@ -15,6 +23,7 @@
         match=SimpleNamespace(route=route),
         events=object() if stream else None,
         tried=list(tried),
+        suspended=suspended,
         arrived_ms=1_000,
         ends_ms=9_000,
     )
@@ -51,3 +60,4 @@
         self.assertEqual(silence_ms(job(), 8_000), 1_000)
         self.assertIsNone(silence_ms(job(tried=["a", "b"]), 8_000))
         self.assertIsNone(silence_ms(job(repeatable=False), 8_000))
+        self.assertIsNone(silence_ms(job(suspended=mock.Mock()), 8_000))
