The test of a stopped caller stops it for longer than the present linger

What it guards is a caller that is still stopped as its connection is closed: its time is the linger and 1 s now. What is asked of the answer, and that the close comes before, is unchanged.

--- a/tests/http1/test_leaving.py
+++ b/tests/http1/test_leaving.py
@@ -9,6 +9,7 @@
 import time
 import unittest
 
+from fuchsiahatch_http1.lingering_close import LEAVING_LINGER_MS
 from fuchsiahatch_http1.server import HttpServer
 from tests.http1.test_closing import Caller
 from tests.loopback import run
@@ -24,7 +25,7 @@
 #: Pause of a caller that reads late, beyond the answer's end.
 LATE_S = 0.03
 #: Time for which a caller's process is stopped: longer than a close lingers.
-STOPPED_S = 2.0
+STOPPED_S = LEAVING_LINGER_MS / 1000 + 1.0
 
 #: A caller whose process can be stopped: it tells that it has sent its request, and
 #: writes what it receives.
