One reading of a socket's send queue; what a suspended attempt is watched for

The stand-in upstream read the kernel's send queue by a copy of the call that socket_queues has. No change of behaviour. test_endless_answers, test_late_readers, test_connection_ends, test_stop_report, test_moved_streams: passed.

--- a/packages/gateway/src/fuchsiahatch_gateway/attempt_types.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempt_types.py
@@ -148,8 +148,8 @@
     urgency : int or None
         Priority class that the upstream is told; None to tell it none.
     suspended : Attempt or None
-        An earlier attempt whose upstream was silent; if that goes on while the head of
-        this one is awaited, this one may be withdrawn.
+        An earlier attempt whose upstream was silent; if that goes on before the first
+        event of this one, this one is given up.
     on_relay : callable
         Called before the beginning of a plain answer is relayed.
     sent_ms : int
--- a/packages/http1/src/fuchsiahatch_http1/socket_queues.py
+++ b/packages/http1/src/fuchsiahatch_http1/socket_queues.py
@@ -1,6 +1,7 @@
 """Bytes that wait in a transport's buffer and in the kernel's queues of its socket."""
 
 import fcntl
+import socket
 import struct
 import termios
 import typing as t
@@ -28,11 +29,19 @@
     return _queued_bytes(transport, termios.FIONREAD)
 
 
+def bytes_to_send(handle: socket.socket) -> int:
+    """Return the bytes in the kernel's send queue of a socket."""
+    return _read_queue(handle, termios.TIOCOUTQ)
+
+
 def _queued_bytes(transport: t.Any, request: int) -> int:
     try:
-        answer = fcntl.ioctl(transport.getHandle().fileno(), request, bytes(_INT.size))
+        return _read_queue(transport.getHandle(), request)
     except (AttributeError, OSError):
         # A connection that is closed has no socket any more.
         return 0
-    (queued,) = _INT.unpack(answer)
+
+
+def _read_queue(handle: socket.socket, request: int) -> int:
+    (queued,) = _INT.unpack(fcntl.ioctl(handle.fileno(), request, bytes(_INT.size)))
     return queued
--- a/packages/standins/src/fuchsiahatch_standins/scripted_upstream.py
+++ b/packages/standins/src/fuchsiahatch_standins/scripted_upstream.py
@@ -7,18 +7,17 @@
 import asyncio
 import collections.abc
 import dataclasses
-import fcntl
 import itertools
 import socket
 import struct
-import termios
 import typing as t
 
 import h11
 
+from fuchsiahatch_http1.socket_queues import bytes_to_send
+
 SIGNATURE = "sig-1"
 ACKNOWLEDGED_POLL_INTERVAL_MS = 5
-_INT = struct.Struct("i")
 Script = t.Callable[["Received", "Wire"], t.Awaitable[None]]
 
 
@@ -79,7 +78,7 @@
         A reset drops what it hasn't.
         """
         handle = self._writer.get_extra_info("socket")
-        while self._writer.transport.get_write_buffer_size() or _queued_bytes(handle):
+        while self._writer.transport.get_write_buffer_size() or bytes_to_send(handle):
             await asyncio.sleep(ACKNOWLEDGED_POLL_INTERVAL_MS / 1000)
 
     def reset(self) -> None:
@@ -95,12 +94,6 @@
         self._writer.close()
 
 
-def _queued_bytes(handle: socket.socket) -> int:
-    """Return the bytes in a socket's send queue."""
-    answer = fcntl.ioctl(handle.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
-    return _INT.unpack(answer)[0]
-
-
 def encode_head(
     request_id: str,
     status: int,
