A promised retry is known by its upstream alone

The record around it had one field. No change of behaviour. test_given_up_upstreams, test_suspended_attempts, test_jobs, test_paused_groups, test_moved_streams, test_encoded_forms, test_delivery_search: passed.

--- a/packages/gateway/src/fuchsiahatch_gateway/jobs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/jobs.py
@@ -13,7 +13,7 @@
     from fuchsiahatch_gateway.event_stream import EventSplitter
     from fuchsiahatch_gateway.fingerprints import Fingerprints
     from fuchsiahatch_gateway.kept_bytes import Reservation
-    from fuchsiahatch_gateway.promised_retries import PromisedRetry
+    from fuchsiahatch_gateway.known_upstream import Upstream
     from fuchsiahatch_gateway.routes import Match
     from fuchsiahatch_http1.answers import Bound
     from fuchsiahatch_http1.client import ClientConnection
@@ -88,8 +88,9 @@
         Bounds that answers of its upstreams have reached.
     suspended : Attempt or None
         An attempt whose upstream was silent, until another upstream has answered.
-    promised : PromisedRetry or None
-        What it holds for its next attempt while it gives up an upstream.
+    promised : Upstream or None
+        Where it holds a slot, with a retry of the budget, while it gives up another
+        upstream.
     """
 
     exchange: "Exchange"
@@ -116,7 +117,7 @@
     ending: "Ending | None" = None
     bounds: "list[Bound]" = dataclasses.field(default_factory=list)
     suspended: "Attempt | None" = None
-    promised: "PromisedRetry | None" = None
+    promised: "Upstream | None" = None
 
     def traits(self, confined_to: str = "") -> RequestTraits:
         """Return what the choice of an upstream may know of the request.
--- a/packages/gateway/src/fuchsiahatch_gateway/promised_retries.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/promised_retries.py
@@ -1,6 +1,5 @@
 """Retries that requests hold before they give up their upstreams."""
 
-import dataclasses
 import typing as t
 
 if t.TYPE_CHECKING:
@@ -11,19 +10,6 @@
     from fuchsiahatch_gateway.retry_budget import RetryBudget
 
 
-@dataclasses.dataclass(frozen=True, slots=True, eq=False)
-class PromisedRetry:
-    """A retry that has been taken from the budget, and its slot.
-
-    Attributes
-    ----------
-    upstream : Upstream
-        Where the slot is reserved.
-    """
-
-    upstream: "Upstream"
-
-
 class PromisedRetries:
     """Takes the retry and the slot of a request that is about to give up its upstream.
 
@@ -53,7 +39,7 @@
         if upstream is None:
             return False
         self._budget.spend(job.service)
-        job.promised = PromisedRetry(upstream)
+        job.promised = upstream
         return True
 
     def claim(self, job: "Job") -> "Upstream | None":
@@ -61,8 +47,8 @@
 
         The retry stays spent.
         """
-        promised, job.promised = job.promised, None
-        return None if promised is None else promised.upstream
+        upstream, job.promised = job.promised, None
+        return upstream
 
     def drop(self, job: "Job") -> None:
         """Give back what a request holds, as it goes on without another attempt."""
