The test of paused groups gives its streams time for their pause

Cause: the test's, not the balancer's. Its route has 1.5 s for a request, whatever deadline the caller names, and its streams pause for 1.4 s; 100 ms were left for 24 requests to begin. With a pause of 1.49 s it failed alone on an idle machine with the same 20 streams, 4 to 23: those that move are done before, those that wait are cut at the route's time.

Change: the route has the deadline that the test names, 6 s. The check is as before.

--- a/tests/gateway/sites.py
+++ b/tests/gateway/sites.py
@@ -129,6 +129,12 @@
             ),
         )
 
+    async def limit_time(self, timeout_ms):
+        """Give each request so much time, by the next version of the configuration."""
+        routes = [{**route, "timeoutMs": timeout_ms} for route in ROUTES]
+        self.store.put("op/config", make_configuration(2, routes))
+        await until(lambda: self.entry.routes.configuration.version == 2)
+
     async def ask(self, path, **options):
         return await ask(self.port, path, **options)
 
