A crashed stand-in that is closed doesn't listen again in a later test

Cause: not the server's. A MortalUpstream that has crashed listens again 0.2 to 3 s later, also when its test and its site are over: a task of its own outlives both, and all tests share one loop. The socket that it opened was counted by a test that ran then. Which test runs behind which depends on the order in which the file system lists folders, so that a fresh clone has another order.

Evidence: TestEntry.test_a_stream_with_events_is_resumed_in_the_other_group and then the failed test eight times in one run: the fourth one fails with just that line. With the change all eight pass, and test_mortal_upstreams, which failed before (2 incarnations for 1). test_upstream_crashes, test_crashing_parts, test_crashing_requests, test_truncated_streams: passed.

Change: close is for good; only the crash itself leads to a restart.

--- a/tests/gateway/mortal_upstreams.py
+++ b/tests/gateway/mortal_upstreams.py
@@ -54,6 +54,7 @@
         self.script = script or answers()
         self.incarnations, self.port = 0, 0
         self._writers = set()
+        self._is_closed = False
 
     async def start(self):
         self.port = await self.listen(port=self.port)
@@ -66,14 +67,21 @@
 
     async def end(self):
         """Close everything as a crashed process does, and restart after `back_s`."""
-        await self.close()
+        await super().close()
         for writer in self._writers:
             writer.close()
         former = self.instance
         await asyncio.sleep(self.back_s)
+        if self._is_closed:
+            return
         self.site.store.remove(f"servers/{former}")
         await self.start()
 
+    async def close(self):
+        """Close for good; an upstream that has crashed doesn't restart."""
+        self._is_closed = True
+        await super().close()
+
     async def _end_later(self):
         await asyncio.sleep(self.crash_after_s)
         await self.end()
