Tests run in the order of their names

What a test leaves behind meets whatever runs next, and nose2 lists folders in the order of the file system: a fresh clone runs another order than the tree in which the tests passed.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -83,7 +83,7 @@
         module=None,
         argv=[*arguments, *sys.argv[1:]],
         exit=False,
-        plugins=["outcomes"],
+        plugins=["outcomes", "sorted_order"],
     )
     _end_reactor()
     return collections.Counter(OUTCOMES.values())
