A begun stream that is merely suspected isn't cut for want of another attempt

What callers saw: a stream that had begun, and whose resume waited at another upstream, was reset as its request became a crash suspect.

Cause: `withdraw_suspects` ended the attempt of each suspect that isn't admitted at its upstream, without asking whether an attempt, a retry and a slot were left. Where none was, the stream had nothing to go on with.

Change: a suspect whose caller has had events is withdrawn only once it holds a retry and a slot where it may go. One that is held is withdrawn at once, as before, and so is a suspect that hasn't begun: `test_a_suspected_part_that_waits_at_the_other_group_is_withdrawn` asks for that, and its caller gets a status.

Why it holds: `PromisedRetries.take` gives the retry and the slot to the request itself, and drops both where it goes on without them.

--- a/packages/gateway/src/fuchsiahatch_gateway/attempt_types.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempt_types.py
@@ -135,7 +135,8 @@
         While the head of the answer is awaited, holds a function that withdraws the
         request unless it `may_stay`.
     may_stay : callable
-        Returns whether the request may still begin at the upstream.
+        Returns whether the request may still begin at the upstream; takes the retry
+        that a withdrawn one needs.
     used_connections : list of ClientConnection
         Those that earlier attempts of this request were sent on; extended by this one.
     still_works : coroutine function
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -436,12 +436,16 @@
     def _may_stay(self, job: Job, upstream: "Upstream") -> bool:
         """Return whether a request that hasn't begun may still begin at its upstream.
 
-        One that is only suspected is withdrawn only if it may be repeated elsewhere.
+        One that is only suspected is withdrawn only if it may be repeated elsewhere. If
+        its caller has events of it, it takes another attempt before, as its stream
+        would be cut without one.
         """
         if self._crashing.held_ms(job.fingerprints):
             return False
         admitted = self._traits(job).admits(upstream.group)
-        return admitted or not job.match.route.repeatable
+        if admitted or not job.match.route.repeatable:
+            return True
+        return job.exchange.started and not self._promise_retry(job)
 
     async def _attempt(self, job: Job, upstream: "Upstream") -> Outcome:
         sent_ms = self._clock.now_ms()
