A suspended attempt that hasn't begun is withdrawn with its request

What upstreams saw: a request that was held, or confined to another rank group, and that a silent upstream still queued while another one had it, began there later and could crash it. Found by reading.

Cause: an attempt can be withdrawn while its head is awaited. Nobody awaits that of a suspended one.

Change: the requests with a suspended attempt are known. As requests become suspects, an attempt of which nothing has arrived is cancelled if its request is held, or if its group isn't admitted and the caller has no event yet; one of a begun stream stays, as nothing else may be left to go on with.

Evidence: both new tests of test_suspended_attempts failed with the call left out (the connection of the silent upstream wasn't ended in time) and pass with it, with the eight others and those of test_suspected_streams.

Why it holds: whatever takes a suspended attempt from its request also takes the request out of the set, so that each attempt is continued, or dropped with its slot, once.

--- a/packages/gateway/src/fuchsiahatch_gateway/attempt_types.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/attempt_types.py
@@ -203,3 +203,8 @@
         """Whether more of the answer has arrived since the attempt was suspended."""
         unread = b"" if self.connection is None else self.connection.unread
         return bool(unread) if self.head is None else shows_progress(unread)
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether any of the answer has arrived since the attempt was sent."""
+        return self.head is not None or self.has_progress
--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -108,6 +108,7 @@
         "_rng",
         "_routes",
         "_stop_admission",
+        "_suspending",
         "_withdrawals",
     )
 
@@ -144,6 +145,8 @@
         self._clock = clock
         self._rng = rng
         self._withdrawals: set[t.Callable[[], None]] = set()
+        #: Requests with a suspended attempt.
+        self._suspending: set[Job] = set()
         self._errors = ErrorAnswers(routes, log, clock, rng)
 
     async def handle(self, exchange: "Exchange") -> None:
@@ -191,6 +194,8 @@
         """Withdraw what may crash its upstream from those that haven't begun it."""
         for withdraw in tuple(self._withdrawals):
             withdraw()
+        for job in tuple(self._suspending):
+            self._withdraw_suspended(job)
 
     def _admit(self, exchange: "Exchange", arrived_ms: int) -> Job:
         try:
@@ -249,7 +254,7 @@
         """
         self._promises.drop(job)
         self._log.note_continued(job, attempt.upstream)
-        job.suspended = None
+        self._take_suspended(job)
         job.ending = None
         if len(job.tried) >= job.match.route.max_attempts:
             attempt.silence_ms = None
@@ -271,12 +276,32 @@
         finally:
             if outcome is not None and outcome.is_suspended:
                 job.suspended = attempt
+                self._suspending.add(job)
             else:
                 self._placer.release(attempt.upstream)
 
+    def _take_suspended(self, job: Job) -> Attempt | None:
+        """Return the suspended attempt of a request, which has none any more."""
+        attempt, job.suspended = job.suspended, None
+        self._suspending.discard(job)
+        return attempt
+
+    def _withdraw_suspended(self, job: Job) -> None:
+        """Withdraw a suspended attempt that may begin, and crash its upstream.
+
+        A suspect whose caller has events of it keeps what may go on with them.
+        """
+        attempt = job.suspended
+        if attempt is None or attempt.has_begun:
+            return
+        if self._crashing.held_ms(job.fingerprints) or not (
+            job.exchange.started or self._is_admitted(job, attempt.upstream)
+        ):
+            self._drop_suspended(job)
+
     def _drop_suspended(self, job: Job) -> None:
         """Cancel a suspended attempt: its upstream stops working on the request."""
-        attempt, job.suspended = job.suspended, None
+        attempt = self._take_suspended(job)
         if attempt is not None:
             assert attempt.connection is not None
             attempt.connection.abort()
@@ -442,11 +467,14 @@
         """
         if self._crashing.held_ms(job.fingerprints):
             return False
-        admitted = self._traits(job).admits(upstream.group)
-        if admitted or not job.match.route.repeatable:
+        if self._is_admitted(job, upstream) or not job.match.route.repeatable:
             return True
         return job.exchange.started and not self._promise_retry(job)
 
+    def _is_admitted(self, job: Job, upstream: "Upstream") -> bool:
+        """Return whether an upstream's rank group may be sent a request."""
+        return self._traits(job).admits(upstream.group)
+
     async def _attempt(self, job: Job, upstream: "Upstream") -> Outcome:
         sent_ms = self._clock.now_ms()
         left_ms = job.ends_ms - sent_ms
--- a/tests/gateway/test_suspended_attempts.py
+++ b/tests/gateway/test_suspended_attempts.py
@@ -35,6 +35,11 @@
     await asyncio.sleep(30)
 
 
+async def answers_late(request, wire):
+    await asyncio.sleep(SILENT_S)
+    await wire.answer(request)
+
+
 async def breaks_off_long_answer(request, wire):
     headers = {"Content-Type": "text/plain"}
     await wire.raw(encode_head(request.request_id, 200, None, headers))
@@ -44,7 +49,7 @@
 
 
 class TestSuspendedAttempts(unittest.TestCase):
-    def ask(self, first, second, path="/chat/", on_silent=None):
+    def ask(self, first, second, path="/chat/", on_silent=None, on_moved=None):
         """Send a request to one upstream, let it move to another."""
 
         async def play():
@@ -60,6 +65,9 @@
                 await until(lambda: "i-other" in known)
                 if on_silent is not None:
                     on_silent(site)
+                if on_moved is not None:
+                    await until(lambda: other.received)
+                    await on_moved(site, silent)
                 reply = await asking
                 self.assertEqual({one.local_requests for one in known.values()}, {0})
                 now_ms = site.entry._clock.now_ms()
@@ -131,3 +139,35 @@
     def test_an_upstream_that_was_merely_slower_has_not_failed(self):
         self.check_whole(self.ask(streams_with_silence(), waits))
         self.assertEqual(self.other_failures, 0)
+
+    async def check_withdrawn(self, site, silent):
+        self.is_suspected = True
+        site.entry.delivery.withdraw_suspects()
+        await until(lambda: silent.left, limit_s=0.5)
+
+    def ask_suspected(self, name, value, first, second, check):
+        """Let a request move, and make it a suspect before anything has come."""
+        self.is_suspected = False
+        former = getattr(CrashingRequests, name)
+
+        def method(requests, request):
+            return value if self.is_suspected else former(requests, request)
+
+        with mock.patch.object(CrashingRequests, name, method):
+            return self.ask(first, second, "/safe/", on_moved=check)
+
+    def test_a_suspended_attempt_that_has_not_begun_is_withdrawn_as_it_is_held(self):
+        reply = self.ask_suspected(
+            "held_ms", 10_000, waits, answers_late, self.check_withdrawn
+        )
+        self.assertEqual(reply.status, 502)
+
+    def test_a_suspended_attempt_that_has_not_begun_is_withdrawn_as_a_suspect(self):
+        async def check(site, silent):
+            site.entry.fleet.upstreams["i-other"].group = "g-crashed"
+            await self.check_withdrawn(site, silent)
+
+        reply = self.ask_suspected(
+            "confined_to", "g-crashed", waits, answers_late, check
+        )
+        self.assertEqual((reply.status, reply.body), (200, b"ok"))
