A retry that wasn't sent is given back to the budget

What callers saw: nothing at once. A request that took a retry, and whose next attempt wasn't sent (its first upstream went on, the request became held, no connection could be opened), kept the retry, so that others found none left in that window.

Cause: a promised retry counted as used as soon as its slot was claimed, and only a wait for a slot that failed gave it back.

Change: the request holds the retry until an attempt is sent, and gives it back as its suspended attempt is continued, or as it ends.

Evidence: two new tests of test_suspended_attempts failed before (1 retry spent, none sent) and pass now; a retry that the other upstream refused stays spent, before and now, as a refused arrival counts. test_suspended_attempts, test_given_up_upstreams and test_moved_streams: 25 passed.

Why it holds: an attempt that was sent, or was cancelled behind its send, clears the held retry; every other way leads to the two places that refund.

--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -189,6 +189,7 @@
         finally:
             self._drop_suspended(job)
             self._promises.drop(job)
+            self._promises.refund(job)
 
     def withdraw_suspects(self) -> None:
         """Withdraw what may crash its upstream from those that haven't begun it."""
@@ -253,6 +254,7 @@
         that changes its map, where another upstream refuses the request.
         """
         self._promises.drop(job)
+        self._promises.refund(job)
         self._log.note_continued(job, attempt.upstream)
         self._take_suspended(job)
         job.ending = None
@@ -405,19 +407,17 @@
             self._check_stop(job)
         elif self._latest_start_ms(job) < self._clock.now_ms():
             return None
-        # Without a connection nothing was sent, so the next attempt isn't a retry.
-        is_retry = outcome.result is not Result.UNSENT
-        if not is_retry:
+        # Without a connection nothing was sent, so the next attempt isn't a retry, or
+        # it has the retry of this one.
+        if outcome.result is Result.UNSENT:
             self._promises.drop(job)
-        elif job.promised is None and not self._budget.spend(job.service):
+        elif not self._promises.spend(job):
             return None
         self._log.note_retry(job, upstream, outcome)
         try:
             return await self._acquire_slot(job)
-        except BaseException as fault:
-            if is_retry:
-                self._budget.refund(job.service)
-            if isinstance(fault, RefusedError) and outcome.result is Result.ANSWERED:
+        except RefusedError:
+            if outcome.result is Result.ANSWERED:
                 return None
             raise
 
@@ -525,6 +525,7 @@
             may_have_run = outcome.result in (Result.ANSWERED, Result.BROKEN)
         except asyncio.CancelledError:
             if len(job.used_connections) > earlier_sends:
+                self._promises.note_sent(job)
                 self._crashes.note_abandoned(job.fingerprints, upstream, job.ends_ms)
             raise
         finally:
@@ -534,6 +535,8 @@
         if outcome.result is Result.UNSENT:
             job.unsent += 1
             job.tried.pop()
+        else:
+            self._promises.note_sent(job)
         self._note_outcome(job, upstream, outcome, sent_ms, was_started)
         return outcome
 
--- a/packages/gateway/src/fuchsiahatch_gateway/jobs.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/jobs.py
@@ -91,6 +91,9 @@
     promised : Upstream or None
         Where it holds a slot, with a retry of the budget, while it gives up another
         upstream.
+    holds_retry : bool
+        Whether a retry of the budget was taken for its next attempt, which isn't sent
+        yet.
     """
 
     exchange: "Exchange"
@@ -118,6 +121,7 @@
     bounds: "list[Bound]" = dataclasses.field(default_factory=list)
     suspended: "Attempt | None" = None
     promised: "Upstream | None" = None
+    holds_retry: bool = False
 
     def traits(self, confined_to: str = "") -> RequestTraits:
         """Return what the choice of an upstream may know of the request.
--- a/packages/gateway/src/fuchsiahatch_gateway/promised_retries.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/promised_retries.py
@@ -45,14 +45,32 @@
     def claim(self, job: "Job") -> "Upstream | None":
         """Return the upstream of a request's promised slot, which is the request's now.
 
-        The retry stays spent.
+        The retry is the next attempt's.
         """
         upstream, job.promised = job.promised, None
+        if upstream is not None:
+            job.holds_retry = True
         return upstream
 
+    def spend(self, job: "Job") -> bool:
+        """Take a retry for a request that holds none; return whether it has one now."""
+        if job.promised is None and not job.holds_retry:
+            job.holds_retry = self._budget.spend(job.service)
+        return job.promised is not None or job.holds_retry
+
+    def note_sent(self, job: "Job") -> None:
+        """Note that an attempt was sent, and has used the retry that it needed."""
+        job.holds_retry = False
+
+    def refund(self, job: "Job") -> None:
+        """Give back a retry with which no attempt was sent, as none will be."""
+        if job.holds_retry:
+            job.holds_retry = False
+            self._budget.refund(job.service)
+
     def drop(self, job: "Job") -> None:
         """Give back what a request holds, as it goes on without another attempt."""
-        upstream = self.claim(job)
+        upstream, job.promised = job.promised, None
         if upstream is not None:
             self._budget.refund(job.service)
             self._placer.release_unused(upstream)
--- a/tests/gateway/test_suspended_attempts.py
+++ b/tests/gateway/test_suspended_attempts.py
@@ -171,3 +171,25 @@
             "confined_to", "g-crashed", waits, answers_late, check
         )
         self.assertEqual((reply.status, reply.body), (200, b"ok"))
+
+    def test_a_retry_that_was_not_sent_is_refunded_as_the_first_upstream_goes_on(self):
+        def may_send(delivery, job, *_):
+            return job.suspended is None
+
+        with mock.patch.object(Delivery, "_may_send", may_send):
+            self.check_whole(self.ask(streams_with_silence(), waits))
+        self.assertEqual((self.received, self.spent), (0, 0))
+
+    def test_a_retry_of_a_held_request_that_was_not_sent_is_refunded(self):
+        with mock.patch.object(CrashingRequests, "held_ms", lambda *_: self.held_ms):
+            self.held_ms = 0
+
+            def hold(site):
+                self.held_ms = 10_000
+
+            self.ask(streams_with_silence(), streams_on(), on_silent=hold)
+        self.assertEqual((self.received, self.spent), (0, 0))
+
+    def test_a_retry_that_the_other_upstream_refused_stays_spent(self):
+        self.check_whole(self.ask(streams_with_silence(), refuses()))
+        self.assertEqual((self.received, self.spent), (1, 1))
