--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -108,6 +108,7 @@
         "_rng",
         "_routes",
         "_stop_admission",
+        "_suspending",
         "_withdrawals",
     )
 
@@ -144,6 +145,8 @@
         self._clock = clock
         self._rng = rng
         self._withdrawals: set[t.Callable[[], None]] = set()
+        #: Requests with a suspended attempt.
+        self._suspending: set[Job] = set()
         self._errors = ErrorAnswers(routes, log, clock, rng)
 
     async def handle(self, exchange: "Exchange") -> None:
@@ -186,11 +189,14 @@
         finally:
             self._drop_suspended(job)
             self._promises.drop(job)
+            self._promises.refund(job)
 
     def withdraw_suspects(self) -> None:
         """Withdraw what may crash its upstream from those that haven't begun it."""
         for withdraw in tuple(self._withdrawals):
             withdraw()
+        for job in tuple(self._suspending):
+            self._withdraw_suspended(job)
 
     def _admit(self, exchange: "Exchange", arrived_ms: int) -> Job:
         try:
@@ -248,8 +254,9 @@
         that changes its map, where another upstream refuses the request.
         """
         self._promises.drop(job)
+        self._promises.refund(job)
         self._log.note_continued(job, attempt.upstream)
-        job.suspended = None
+        self._take_suspended(job)
         job.ending = None
         if len(job.tried) >= job.match.route.max_attempts:
             attempt.silence_ms = None
@@ -271,12 +278,32 @@
         finally:
             if outcome is not None and outcome.is_suspended:
                 job.suspended = attempt
+                self._suspending.add(job)
             else:
                 self._placer.release(attempt.upstream)
 
+    def _take_suspended(self, job: Job) -> Attempt | None:
+        """Return the suspended attempt of a request, which has none any more."""
+        attempt, job.suspended = job.suspended, None
+        self._suspending.discard(job)
+        return attempt
+
+    def _withdraw_suspended(self, job: Job) -> None:
+        """Withdraw a suspended attempt that may begin, and crash its upstream.
+
+        A suspect whose caller has events of it keeps what may go on with them.
+        """
+        attempt = job.suspended
+        if attempt is None or attempt.has_begun:
+            return
+        if self._crashing.held_ms(job.fingerprints) or not (
+            job.exchange.started or self._is_admitted(job, attempt.upstream)
+        ):
+            self._drop_suspended(job)
+
     def _drop_suspended(self, job: Job) -> None:
         """Cancel a suspended attempt: its upstream stops working on the request."""
-        attempt, job.suspended = job.suspended, None
+        attempt = self._take_suspended(job)
         if attempt is not None:
             assert attempt.connection is not None
             attempt.connection.abort()
@@ -380,19 +407,17 @@
             self._check_stop(job)
         elif self._latest_start_ms(job) < self._clock.now_ms():
             return None
-        # Without a connection nothing was sent, so the next attempt isn't a retry.
-        is_retry = outcome.result is not Result.UNSENT
-        if not is_retry:
+        # Without a connection nothing was sent, so the next attempt isn't a retry, or
+        # it has the retry of this one.
+        if outcome.result is Result.UNSENT:
             self._promises.drop(job)
-        elif job.promised is None and not self._budget.spend(job.service):
+        elif not self._promises.spend(job):
             return None
         self._log.note_retry(job, upstream, outcome)
         try:
             return await self._acquire_slot(job)
-        except BaseException as fault:
-            if is_retry:
-                self._budget.refund(job.service)
-            if isinstance(fault, RefusedError) and outcome.result is Result.ANSWERED:
+        except RefusedError:
+            if outcome.result is Result.ANSWERED:
                 return None
             raise
 
@@ -436,12 +461,19 @@
     def _may_stay(self, job: Job, upstream: "Upstream") -> bool:
         """Return whether a request that hasn't begun may still begin at its upstream.
 
-        One that is only suspected is withdrawn only if it may be repeated elsewhere.
+        One that is only suspected is withdrawn only if it may be repeated elsewhere. If
+        its caller has events of it, it takes another attempt before, as its stream
+        would be cut without one.
         """
         if self._crashing.held_ms(job.fingerprints):
             return False
-        admitted = self._traits(job).admits(upstream.group)
-        return admitted or not job.match.route.repeatable
+        if self._is_admitted(job, upstream) or not job.match.route.repeatable:
+            return True
+        return job.exchange.started and not self._promise_retry(job)
+
+    def _is_admitted(self, job: Job, upstream: "Upstream") -> bool:
+        """Return whether an upstream's rank group may be sent a request."""
+        return self._traits(job).admits(upstream.group)
 
     async def _attempt(self, job: Job, upstream: "Upstream") -> Outcome:
         sent_ms = self._clock.now_ms()
@@ -493,6 +525,7 @@
             may_have_run = outcome.result in (Result.ANSWERED, Result.BROKEN)
         except asyncio.CancelledError:
             if len(job.used_connections) > earlier_sends:
+                self._promises.note_sent(job)
                 self._crashes.note_abandoned(job.fingerprints, upstream, job.ends_ms)
             raise
         finally:
@@ -502,6 +535,8 @@
         if outcome.result is Result.UNSENT:
             job.unsent += 1
             job.tried.pop()
+        else:
+            self._promises.note_sent(job)
         self._note_outcome(job, upstream, outcome, sent_ms, was_started)
         return outcome
 
