The reactor's timers count by the steady clock

What callers saw: behind a step of the host's time of day forward, the connections that linger behind an answer were closed at once, and a caller that sent on before it had read lost the end of a finished answer to the reset. Behind a step back they stayed open for as long as the step, and so did idle and header timeouts, so that a stop could last its whole grace.

Cause: Twisted's reactor reads time.time for callLater and reactor.seconds, while asyncio's timers and our Clock are steady. All timers of http1 and two of the entry are the reactor's.

The mend: one reactor whose seconds are the time of its loop, installed by both roles, the operators' command and the tests. Its timers are scheduled on that same loop, so that the two can't differ.

Looked for elsewhere: the loop's time (steady), Clock (steady). The time of day is still read where another host's is compared with it: an upstream's start time (cold starts, what it stated before a restart). The former path's daemon and the stand-ins keep Twisted's reactor.

--- a/packages/gateway/src/fuchsiahatch_gateway/inspection.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/inspection.py
@@ -8,7 +8,6 @@
 
 import fire
 from fire import decorators
-from twisted.internet import asyncioreactor
 
 from fuchsiahatch_adapter.configuration import decode_configuration
 from fuchsiahatch_adapter.names import (
@@ -29,6 +28,7 @@
 )
 from fuchsiahatch_gateway.explain import explain, read_lines
 from fuchsiahatch_gateway.losses import describe_losses
+from fuchsiahatch_http1.steady_reactor import install_reactor
 
 if t.TYPE_CHECKING:
     from fuchsiahatch_adapter.store import StoreClient
@@ -165,7 +165,7 @@
 ) -> dict[str, t.Any]:
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
-    asyncioreactor.install(loop)
+    install_reactor(loop)
     from twisted.internet import reactor
 
     from fuchsiahatch_adapter.store import StoreClient
--- a/packages/gateway/src/fuchsiahatch_gateway/main.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/main.py
@@ -38,12 +38,11 @@
     # These imports take most of the start, and come after the callers' socket is open.
     import asyncio
 
-    from twisted.internet import asyncioreactor
+    from fuchsiahatch_http1.steady_reactor import install_reactor
 
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
-    # Must precede any module that imports the reactor, which would install another one.
-    asyncioreactor.install(loop)
+    install_reactor(loop)
     from twisted.internet import reactor
 
     reactor.startRunning(installSignalHandlers=False)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -3,11 +3,11 @@
 import asyncio
 import typing as t
 
-from twisted.internet import asyncioreactor
+from fuchsiahatch_http1.steady_reactor import install_reactor
 
 LOOP = asyncio.new_event_loop()
 asyncio.set_event_loop(LOOP)
-asyncioreactor.install(LOOP)
+install_reactor(LOOP)
 
 from twisted.internet import endpoints, reactor  # noqa: E402
 from twisted.web.server import Site  # noqa: E402
