A whole stream isn't cut as its entry was held up at its end

What callers saw: streams that had reached them whole, several at once and on upstreams of any zone, ended as broken: reset, or without their last chunk. Such a stream has neither a length nor chunks, and ends with its upstream's connection.

Cause: the entry asks then whether the upstream still works, by a new connection, within 60 ms, twice. The time ran on while the entry itself was held up. Behind that the connection was there, but the overdue timer cancelled the probe before its task had read it: an upstream that works counted as unreachable. All streams that end while the entry is late share the verdict.

Evidence: the test, in which the entry is held up for 120 ms in each probe, fails on the code before (a stream of 4 events isn't whole) and passes now.

Why it holds: the time is waited for in four parts. A hold-up makes one of them pass, and the loop reads what has come before the next one is over. While the process isn't held up, the bound is 60 ms as before.

--- a/packages/gateway/src/fuchsiahatch_gateway/upstream_crashes.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/upstream_crashes.py
@@ -17,6 +17,9 @@
 #: Time for which an upstream is probed whether it still listens. After its process has
 #: ended the host refuses within some ms; an unreachable host doesn't respond.
 PROBE_TIMEOUT_MS = 60
+#: Parts of that time, one after the other. While this process is held up, one of them
+#: passes, and the response that has come meanwhile is still read.
+PROBE_PARTS = 4
 #: Probes of an upstream that doesn't respond, before an answer that only its connection
 #: ended counts as broken; the first packet of a connection may be lost.
 MAX_PROBES = 2
@@ -293,12 +296,20 @@
         return probe
 
     async def _probe(self, upstream: "Upstream") -> Reachability:
-        address = upstream.entry.address
-        try:
-            async with asyncio.timeout(PROBE_TIMEOUT_MS / 1000):
-                reachability = await self._probe_address(address.ip, address.port)
-        except TimeoutError:
-            return Reachability.UNREACHABLE
+        reachability = await self._reach(upstream)
         if reachability is Reachability.REFUSED and self._would_crash(upstream):
             self.note_ended(upstream.incarnation)
         return reachability
+
+    async def _reach(self, upstream: "Upstream") -> Reachability:
+        address = upstream.entry.address
+        reaching = asyncio.ensure_future(self._probe_address(address.ip, address.port))
+        try:
+            for _ in range(PROBE_PARTS):
+                part_s = PROBE_TIMEOUT_MS / PROBE_PARTS / 1000
+                done, _ = await asyncio.wait({reaching}, timeout=part_s)
+                if done:
+                    return reaching.result()
+            return Reachability.UNREACHABLE
+        finally:
+            reaching.cancel()
--- a/tests/gateway/test_truncated_streams.py
+++ b/tests/gateway/test_truncated_streams.py
@@ -1,4 +1,5 @@
 import asyncio
+import time
 import unittest
 from unittest import mock
 
@@ -9,6 +10,7 @@
 from fuchsiahatch_gateway.datagrams import LoadReport
 from fuchsiahatch_gateway.event_stream import MAX_EVENT_BYTES
 from fuchsiahatch_gateway.request_metrics import RequestMetrics
+from fuchsiahatch_gateway.upstream_crashes import PROBE_TIMEOUT_MS
 from tests.gateway.mortal_upstreams import MortalUpstream
 from tests.gateway.sites import (
     Site,
@@ -88,6 +90,24 @@
                 )
                 self.assertEqual(sends, 1)
 
+    def test_whole_streams_are_complete_though_the_entry_is_held_up_at_their_end(self):
+        held_up_s = 2 * PROBE_TIMEOUT_MS / 1000
+
+        async def play():
+            async with Site(upstream(unframed(b"".join(EVENTS)))) as site:
+                probe = site.entry.pool.probe
+
+                async def probe_late(ip, port):
+                    asyncio.get_running_loop().call_soon(time.sleep, held_up_s)
+                    return await probe(ip, port)
+
+                site.entry.crashes._probe_address = probe_late
+                asked = (site.ask("/brief/", request_id=f"q-{at}") for at in range(2))
+                return await asyncio.gather(*asked)
+
+        for reply in run(play()):
+            self.assertEqual((event_ids(reply.body), reply.whole), ([1, 2, 3, 4], True))
+
     def test_a_reset_between_two_events_does_not_complete_a_stream(self):
         reply, _ = run(ask("/brief/", unframed(b"".join(EVENTS[:2]), "reset")))
         self.assertFalse(reply.whole)
