A long failure of a request that may not be repeated reaches its caller

What callers saw: 502 in place of their upstream's own answer, where that was a 5xx of over 1 MiB to a request that may be sent to a second upstream only if the first one hasn't run it.

Cause: such an answer is dropped if the request can be retried now. `_promise_retry` asked that with the state of the attempts before: that the one in progress may have run the request is noted at its end. So the answer was dropped, the retry promised, and then refused.

Why it holds: the question counts the attempt in progress as one that may have run, as the decision behind it does.

--- a/packages/gateway/src/fuchsiahatch_gateway/delivery.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/delivery.py
@@ -1,6 +1,7 @@
 """Handles a caller's request from its arrival to its answer."""
 
 import asyncio
+import dataclasses
 import math
 import random
 import typing as t
@@ -541,6 +542,8 @@
     def _promise_retry(self, job: Job) -> bool:
         """Take another attempt for a request, if it would be made now."""
         progress = self._progress(job, Outcome(Result.BROKEN))
+        # The attempt in progress counts, which isn't noted in the job until its end.
+        progress = dataclasses.replace(progress, may_have_run=True)
         if decide(Result.BROKEN, progress) is not Step.RETRY:
             return False
         if self._latest_start_ms(job) < self._clock.now_ms():
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -227,6 +227,16 @@
         reply = run(ask("/hold/", Endless(500), answers()))
         self.assertEqual((reply.status, reply.whole, reply.sends), (500, False, 1))
 
+    def test_a_long_failure_that_can_not_be_retried_is_relayed(self):
+        async def fails(request, wire):
+            await wire.raw(encode_any_head(request.request_id, length, len(LARGE), 500))
+            await wire.raw(LARGE)
+
+        length = Framing.LENGTH
+        reply = run(ask("/twice/", fails))
+        self.assertEqual((reply.status, reply.whole, reply.sends), (500, True, 1))
+        self.assertEqual(len(reply.body), len(LARGE))
+
     def test_an_answer_to_another_request_with_such_a_body_breaks_the_attempt(self):
         endless = Endless(request_id="q-other")
         reply = run(ask("/safe/", endless, answers()))
