A probe that may be late asks in the same order as before

The decision is the same one.

Change: the probe is awaited where it was; a chain of timers ends the wait once its four parts have passed one after the other.

--- a/packages/gateway/src/fuchsiahatch_gateway/upstream_crashes.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/upstream_crashes.py
@@ -6,6 +6,7 @@
 import typing as t
 
 from fuchsiahatch_core.events import Event, log_event
+from fuchsiahatch_gateway.silence_limit import expire
 from fuchsiahatch_http1.pool import Reachability
 
 if t.TYPE_CHECKING:
@@ -303,13 +304,21 @@
 
     async def _reach(self, upstream: "Upstream") -> Reachability:
         address = upstream.entry.address
-        reaching = asyncio.ensure_future(self._probe_address(address.ip, address.port))
+        loop = asyncio.get_running_loop()
+        part_s = PROBE_TIMEOUT_MS / PROBE_PARTS / 1000
+
+        def end_part(parts_left: int) -> None:
+            nonlocal timer
+            if parts_left:
+                timer = loop.call_later(part_s, end_part, parts_left - 1)
+            else:
+                expire(limit)
+
+        timer = loop.call_later(part_s, end_part, PROBE_PARTS - 1)
         try:
-            for _ in range(PROBE_PARTS):
-                part_s = PROBE_TIMEOUT_MS / PROBE_PARTS / 1000
-                done, _ = await asyncio.wait({reaching}, timeout=part_s)
-                if done:
-                    return reaching.result()
+            async with asyncio.timeout(None) as limit:
+                return await self._probe_address(address.ip, address.port)
+        except TimeoutError:
             return Reachability.UNREACHABLE
         finally:
-            reaching.cancel()
+            timer.cancel()
