Failing test: a caller that ends its sending side behind its request gets no answer

What callers see: one that closes its sending side behind a whole request and reads on gets the end of its connection in place of an answer, a few ms later.

Cause: the entry takes the end of the caller's side for its departure. A close of both sides looks the same until something is written, and upstreams must stop working for callers that have left.

Weighed, not built: to go on until the next bytes are written, which a plain request does only at its end; to write an informational head as a probe, which not all callers bear.

--- a/tests/http1/test_closing.py
+++ b/tests/http1/test_closing.py
@@ -188,6 +188,19 @@
 
         self.assertEqual(len(self.play(play).partition(b"\r\n\r\n")[2]), HUGE_BYTES)
 
+    def test_a_caller_that_ends_its_sending_side_behind_its_request_is_answered(self):
+        async def answers_later(exchange):
+            await asyncio.sleep(0.1)
+            exchange.respond(200, (), b"x" * SMALL_BYTES)
+
+        async def play():
+            async with Caller(await self.serve(answers_later)) as caller:
+                await caller.send(GET)
+                caller.socket.shutdown(socket.SHUT_WR)
+                return await caller.receive_all()
+
+        self.assertEqual(len(self.play(play).partition(b"\r\n\r\n")[2]), SMALL_BYTES)
+
 
 class TestSlowCallers(ClosingCase):
     async def receive_bodies(self, caller, size):
