--- a/tests/tools/test_run_tests.py
+++ b/tests/tools/test_run_tests.py
@@ -25,6 +25,13 @@
         self.assertEqual(run_tests.find_stale(FLAKY, set(), {"c"}), ["b"])
 
 
+class TestMostKnownRed(unittest.TestCase):
+    def test_tests_of_an_issue_that_may_have_many_do_not_count(self):
+        lines = "a, cause, seen, issue 78\nb, cause, seen, issue 7\n"
+        known = run_tests.parse_known_red(lines)
+        self.assertEqual(run_tests.count_limited(known), 1)
+
+
 class TestReviewCases(unittest.TestCase):
     LINES = "review/1, cause, command, seen, issue\n\na, cause, command, seen, issue\n"
 
