Requests sent ahead are held within a bound, and parsed in turns

Cause: bytes sent ahead were counted only while an answer was in progress, anew behind each answer, while what had been counted stayed unparsed; the next request was read though the answers before hadn't left the process; and one received segment of tiny requests or chunks was parsed in one turn of the loop.

While a request is answered the socket is read as before, as the caller's end is seen there.

--- a/packages/http1/src/fuchsiahatch_http1/caller_transport.py
+++ b/packages/http1/src/fuchsiahatch_http1/caller_transport.py
@@ -9,7 +9,11 @@
 from twisted.python.failure import Failure
 
 from fuchsiahatch_http1.connection_states import PeerEnd
-from fuchsiahatch_http1.socket_queues import received_bytes, unsent_bytes
+from fuchsiahatch_http1.socket_queues import (
+    buffered_bytes,
+    received_bytes,
+    unsent_bytes,
+)
 
 _PEER_ENDS = {
     errno.ECONNRESET: PeerEnd.RESET,
@@ -21,6 +25,10 @@
 _NOT_READY = (errno.EWOULDBLOCK, errno.ENOBUFS)
 
 
+def _ignore_flush() -> None:
+    """Do nothing when the buffer is empty."""
+
+
 class CallerTransport(tcp.Server):
     """A server's side of a TCP connection.
 
@@ -31,6 +39,8 @@
     unacknowledged_bytes, unread_bytes : int
         Bytes that were sent and not acknowledged, and that were received and not read,
         when the socket was closed; 0 before.
+    on_flushed : callable
+        Called when all that was written has been given to the kernel.
 
     Notes
     -----
@@ -41,6 +51,14 @@
     peer_end = PeerEnd.OPEN
     unacknowledged_bytes = 0
     unread_bytes = 0
+    on_flushed: t.Callable[[], None] = staticmethod(_ignore_flush)
+
+    def doWrite(self) -> t.Any:
+        """Write once, and tell when the buffer has become empty."""
+        result = super().doWrite()
+        if not buffered_bytes(self):
+            self.on_flushed()
+        return result
 
     def doRead(self) -> t.Any:
         """Read once, and note what has ended the peer's side."""
--- a/packages/http1/src/fuchsiahatch_http1/server.py
+++ b/packages/http1/src/fuchsiahatch_http1/server.py
@@ -15,7 +15,12 @@
     OpenRequest,
 )
 from fuchsiahatch_http1.server_connection import ServerConnection
-from fuchsiahatch_http1.server_state import Handler, ServerLimits, ServerState
+from fuchsiahatch_http1.server_state import (
+    CallerShare,
+    Handler,
+    ServerLimits,
+    ServerState,
+)
 from fuchsiahatch_http1.sockets import BACKLOG
 
 if t.TYPE_CHECKING:
@@ -32,10 +37,21 @@
     handle : coroutine function
         Answers an exchange; cancelled when the caller disconnects.
     limits : ServerLimits, optional
+    share : CallerShare, optional
+        Of the process; a server without one shares with no other.
     """
 
-    def __init__(self, handle: Handler, limits: ServerLimits | None = None) -> None:
-        self._state = ServerState(handle, limits or ServerLimits())
+    def __init__(
+        self,
+        handle: Handler,
+        limits: ServerLimits | None = None,
+        share: CallerShare | None = None,
+    ) -> None:
+        self._state = ServerState(
+            handle,
+            limits or ServerLimits(),
+            share=share or CallerShare(),
+        )
         self._port: IListeningPort | None = None
 
     @property
--- a/packages/http1/src/fuchsiahatch_http1/server_connection.py
+++ b/packages/http1/src/fuchsiahatch_http1/server_connection.py
@@ -25,6 +25,7 @@
     LINGER_MS,
     LingeringClose,
 )
+from fuchsiahatch_http1.request_reader import Part, RequestReader, RequestRefused
 from fuchsiahatch_http1.slow_callers import SlowCallerTimeout
 from fuchsiahatch_http1.socket_queues import (
     buffered_bytes,
@@ -40,8 +41,11 @@
 if t.TYPE_CHECKING:
     from fuchsiahatch_http1.server_state import ServerState
 
-#: Maximum bytes of further requests received while one is being answered.
+#: Maximum bytes of further requests held while one is being answered.
 MAX_PIPELINED_BYTES = 65_536
+#: Parts of requests, as heads and chunks, that are parsed of one connection before
+#: others have their turn. A single read may hold ten thousand of them.
+MAX_PARTS_AT_ONCE = 16
 #: Time for the first request on a connection that is opened while the server leaves.
 LEAVING_HEADER_MS = 500
 _UNAVAILABLE = 503
@@ -61,14 +65,13 @@
         self._conn = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.limits.header_bytes
         )
-        self._request: h11.Request | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._reader = RequestReader(self._conn, server.limits)
         self._task: asyncio.Task[None] | None = None
         self._timer: t.Any = None
         self._writable = asyncio.Event()
         self._writable.set()
-        self._pipelined_bytes = 0
+        self._is_paused = False
+        self._awaits_turn = False
         self._answer_bytes = 0
         self._began_s = 0.0
         self._arrived_while_leaving = False
@@ -88,6 +91,10 @@
         """Whether a request is being read or answered."""
         return self._request is not None or self._task is not None
 
+    @property
+    def _request(self) -> h11.Request | None:
+        return self._reader.request
+
     @property
     def _reads(self) -> bool:
         """Whether the next bytes received belong to a request that is served."""
@@ -145,6 +152,7 @@
     def connectionMade(self) -> None:
         """Set up the connection and wait for a request."""
         set_options(self.transport)
+        self.transport.on_flushed = self._note_flushed
         self._slowness = SlowCallerTimeout(self.transport)
         self.transport.registerProducer(self, True)
         self._server.connections.add(self)
@@ -154,20 +162,18 @@
         self._set_timer(header_ms)
 
     def dataReceived(self, data: bytes) -> None:
-        """Parse received bytes; reset a connection that pipelines too many.
+        """Read on; reset a connection that sends too much ahead.
 
         What comes while the connection closes is discarded.
         """
         if self._is_closing:
             self._trace.discarded_bytes += len(data)
             return
-        if self._task is not None:
-            self._pipelined_bytes += len(data)
-            if self._pipelined_bytes > MAX_PIPELINED_BYTES:
-                self.abort(CloseReason.PIPELINED)
-                return
-        self._conn.receive_data(data)
-        self._read_events()
+        self._reader.receive(data)
+        if self._reads:
+            self._go_on()
+        elif self._reader.unparsed_bytes > MAX_PIPELINED_BYTES:
+            self.abort(CloseReason.PIPELINED)
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
         """Cancel the handler of a caller that has disconnected.
@@ -227,7 +233,7 @@
         """
         if self.busy or self.lost or self._is_closing:
             return
-        if self._conn.trailing_data[0] or received_bytes(self.transport):
+        if self._reader.has_unparsed or received_bytes(self.transport):
             self._set_timer(self._server.limits.header_ms)
         elif self.unsent_bytes:
             self._close(CloseReason.IDLE)
@@ -287,7 +293,7 @@
         # The handler returns by itself; a close that its answer requested must not
         # cancel it.
         self._task = None
-        self._request = None
+        self._reader.request = None
         if self.lost:
             return
         self._slowness.extend(self._answer_bytes, FINISHED_ANSWER_BYTES)
@@ -297,50 +303,89 @@
             return
         if self._conn.our_state is h11.DONE and self._conn.their_state is h11.DONE:
             self._conn.start_next_cycle()
-            self._pipelined_bytes = 0
             self._set_timer(self._server.limits.idle_ms)
-            reactor.callLater(0, self._read_events)
+            if self._reader.has_unparsed:
+                self._await_turn()
             return
         self._close(CloseReason.ANSWERED)
 
-    def _read_events(self) -> None:
+    def _go_on(self) -> None:
+        """Parse received bytes, unless the answers before haven't left the process.
+
+        Then the socket isn't read either, and the caller can send no more before it
+        receives what it has asked for.
+        """
+        if not self._reads or self._awaits_turn:
+            return
+        if buffered_bytes(self.transport) and self._request is None:
+            self._pause()
+            return
+        self._parse()
+
+    def _parse(self) -> None:
+        """Parse some parts; the others wait for their turn, with the socket unread."""
         try:
-            while self._reads:
-                event = self._conn.next_event()
-                if event is h11.NEED_DATA or event is h11.PAUSED:
-                    break
-                self._handle_event(event)
-        except h11.RemoteProtocolError as fault:
-            self._reject(fault.error_status_hint or 400)
-        if self._reads and self._conn.they_are_waiting_for_100_continue:
-            self.send(h11.InformationalResponse(status_code=100, headers=[]))
-
-    def _handle_event(self, event: t.Any) -> None:
-        if isinstance(event, h11.Request):
-            self._slowness.end_once_received()
-            self._request = event
-            self._began_s = reactor.seconds()
-            self._arrived_while_leaving = self._server.leaving
-            self._answer_bytes = 0
-            self._body = []
-            self._body_bytes = 0
-            self._set_timer(self._server.limits.idle_ms)
-        elif isinstance(event, h11.Data):
-            self._body_bytes += len(event.data)
-            if self._body_bytes > self._server.limits.body_bytes:
-                self._reject(413)
-                return
-            self._body.append(bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage):
+            for _ in range(MAX_PARTS_AT_ONCE):
+                if not self._reads:
+                    return
+                if not self._read_part():
+                    return
+            self._await_turn()
+        except RequestRefused as refusal:
+            self._reject(refusal.status)
+
+    def _read_part(self) -> bool:
+        """Parse one part; return False if more bytes must arrive first."""
+        part = self._reader.read_part()
+        if part is Part.HEAD:
+            self._begin_request()
+        elif part is Part.END:
             self._start_handler()
-        elif isinstance(event, h11.ConnectionClosed):
-            self._close(CloseReason.CALLER)
+        elif part is Part.NOTHING:
+            self._resume()
+            if self._conn.they_are_waiting_for_100_continue:
+                self.send(h11.InformationalResponse(status_code=100, headers=[]))
+        return part is not Part.NOTHING
+
+    def _await_turn(self) -> None:
+        if self._awaits_turn:
+            return
+        self._pause()
+        self._awaits_turn = True
+        self._server.share.turns.add(self._take_turn)
+
+    def _note_flushed(self) -> None:
+        """Go on with requests that came before the answers had left."""
+        if self._is_paused and self._reads:
+            self._await_turn()
+
+    def _take_turn(self) -> None:
+        self._awaits_turn = False
+        self._go_on()
+
+    def _pause(self) -> None:
+        if not self._is_paused:
+            self._is_paused = True
+            self.transport.pauseProducing()
+
+    def _resume(self) -> None:
+        if self._is_paused:
+            self._is_paused = False
+            self.transport.resumeProducing()
+
+    def _begin_request(self) -> None:
+        self._slowness.end_once_received()
+        self._began_s = reactor.seconds()
+        self._arrived_while_leaving = self._server.leaving
+        self._answer_bytes = 0
+        self._set_timer(self._server.limits.idle_ms)
 
     def _start_handler(self) -> None:
         assert self._request is not None
         self._clear_timer()
-        exchange = Exchange(self, self._request, b"".join(self._body))
-        self._body = []
+        # A caller that leaves is seen only while its socket is read.
+        self._resume()
+        exchange = Exchange(self, self._request, self._reader.take_body())
         self._task = asyncio.get_running_loop().create_task(
             self._server.handle(exchange)
         )
@@ -368,9 +413,10 @@
             return
         self._note_close(reason)
         self._clear_timer()
-        self._request = None
+        self._reader.forget()
         self._task = None
         self._writable.set()
+        self._resume()
         linger_ms = LEAVING_LINGER_MS if self._server.leaving else LINGER_MS
         self._closing = LingeringClose(self.transport, linger_ms, reads=reads)
 
@@ -406,7 +452,7 @@
         self._timer = None
         if self._request is not None:
             self._reject(408, CloseReason.TIMED_OUT)
-        elif self._conn.trailing_data[0]:
+        elif self._reader.has_unparsed:
             self._close(CloseReason.IDLE)
         else:
             self.close_if_idle()
--- a/packages/http1/src/fuchsiahatch_http1/server_state.py
+++ b/packages/http1/src/fuchsiahatch_http1/server_state.py
@@ -3,12 +3,15 @@
 import dataclasses
 import typing as t
 
+from twisted.internet import reactor
+
 from fuchsiahatch_http1.connection_states import (
     ClosedConnection,
     CloseReason,
     CutRequest,
 )
 from fuchsiahatch_http1.exchange import Exchange
+from fuchsiahatch_http1.turns import Turns
 
 Handler = t.Callable[[Exchange], t.Coroutine[t.Any, t.Any, None]]
 
@@ -31,6 +34,23 @@
     """Do nothing when a request is cut."""
 
 
+def _schedule_soon(call: t.Callable[[], None]) -> None:
+    reactor.callLater(0, call)
+
+
+@dataclasses.dataclass(slots=True)
+class CallerShare:
+    """What all servers of a process share out among their callers.
+
+    Attributes
+    ----------
+    turns : Turns
+        Of connections that have more to parse.
+    """
+
+    turns: Turns = dataclasses.field(default_factory=lambda: Turns(_schedule_soon))
+
+
 @dataclasses.dataclass(slots=True)
 class ServerState:
     """State of a server that its connections use.
@@ -51,6 +71,7 @@
         Each is called once for each connection whose socket has been closed.
     connections : set
         The open ones.
+    share : CallerShare
     """
 
     handle: Handler
@@ -62,3 +83,4 @@
         default_factory=list
     )
     connections: set[t.Any] = dataclasses.field(default_factory=set)
+    share: CallerShare = dataclasses.field(default_factory=CallerShare)
