Callers' connections have a limit, and the longest idle gives way

Cause: no server counted its connections.

Now each has a limit that follows the settings' descriptors and memory: callers half of the sockets, readiness and lookup an eighth, metrics a thirty-second; the rest is for upstreams and the store. For a new connection beyond it the one is reset that has been idle for the longest time, then one that is closing, then one whose request isn't whole; one that is answered never, so that no request that may have run loses its answer. Without any of these the new one is reset.

--- a/packages/gateway/src/fuchsiahatch_gateway/caller_limits.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/caller_limits.py
@@ -1,6 +1,7 @@
 """What a process may hold for its callers, from what its host gives to it."""
 
 import dataclasses
+import resource
 import typing as t
 
 from fuchsiahatch_gateway.kept_bytes import MAX_KEPT_BYTES
@@ -14,6 +15,19 @@
 RECEIVED_SHARE = 0.25
 #: Share of it for what is kept of answers to them.
 KEPT_SHARE = 0.2
+#: Shares of its sockets for connections of callers, for lookups and readiness checks,
+#: and for metrics. The rest is for connections to upstreams and the store.
+CALLERS_SHARE = 0.5
+SIDE_CALLS_SHARE = 0.125
+METRICS_SHARE = 0.03125
+#: Memory of a connection with a short request and its answer.
+CONNECTION_BYTES = 65_536
+#: Share of a process's memory for the connections of callers.
+CONNECTIONS_SHARE = 0.4
+#: Fewest connections of each kind, however few the sockets are.
+MIN_CONNECTIONS = 4
+#: Descriptors that are counted on where the kernel has no limit.
+MAX_DESCRIPTORS = 65_536
 #: Limits of requests that have no body.
 SIDE_CALL_LIMITS = ServerLimits(body_bytes=0)
 
@@ -26,17 +40,41 @@
     ----------
     received_bytes, kept_bytes : int
         Of requests, and of answers.
+    caller_connections, side_connections, metrics_connections : int
+        Open connections of callers, of lookups and readiness checks, and for metrics.
     """
 
     received_bytes: int
     kept_bytes: int
+    caller_connections: int
+    side_connections: int
+    metrics_connections: int
 
 
 def caller_limits(settings: "NodeSettings") -> CallerLimits:
     """Return the limits of a process."""
+    sockets = settings.max_sockets or _allowed_descriptors()
     memory_bytes = settings.memory_bytes
-    if memory_bytes is None:
-        return CallerLimits(DEFAULT_MAX_BYTES, MAX_KEPT_BYTES)
+    callers = _share_of(sockets, CALLERS_SHARE)
+    received_bytes, kept_bytes = DEFAULT_MAX_BYTES, MAX_KEPT_BYTES
+    if memory_bytes is not None:
+        received_bytes = int(RECEIVED_SHARE * memory_bytes)
+        kept_bytes = int(KEPT_SHARE * memory_bytes)
+        affordable = int(CONNECTIONS_SHARE * memory_bytes / CONNECTION_BYTES)
+        callers = max(min(callers, affordable), MIN_CONNECTIONS)
     return CallerLimits(
-        int(RECEIVED_SHARE * memory_bytes), int(KEPT_SHARE * memory_bytes)
+        received_bytes,
+        kept_bytes,
+        callers,
+        _share_of(sockets, SIDE_CALLS_SHARE),
+        _share_of(sockets, METRICS_SHARE),
     )
+
+
+def _share_of(sockets: int, share: float) -> int:
+    return max(int(share * sockets), MIN_CONNECTIONS)
+
+
+def _allowed_descriptors() -> int:
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return soft if soft != resource.RLIM_INFINITY else MAX_DESCRIPTORS
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -228,12 +228,14 @@
         self.callers = HttpServer(
             self.delivery.handle,
             share=process.share,
+            max_connections=process.limits.caller_connections,
         )
         ConnectionMetrics(process.registry).observe(self.callers)
         self.side_calls = HttpServer(
             self._answer_side_call,
             SIDE_CALL_LIMITS,
             process.share,
+            process.limits.side_connections,
         )
         self.store.on_restored = self._note_restored
         self._handlers: dict[type, t.Callable[[t.Any, Peer], None]] = {
--- a/packages/gateway/src/fuchsiahatch_gateway/entry_gauges.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry_gauges.py
@@ -82,4 +82,9 @@
         "Bytes that are held of callers' requests.",
         lambda: process.share.received.total_bytes,
     )
+    add(
+        "fuchsiahatch_caller_connections",
+        "Open connections of callers.",
+        lambda: len(entry.callers.connections),
+    )
     add("fuchsiahatch_log_dropped", "Lines.", lambda: process.log.dropped)
--- a/packages/gateway/src/fuchsiahatch_gateway/process.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/process.py
@@ -112,7 +112,12 @@
 
     async def serve_metrics(self) -> None:
         """Start the metrics server."""
-        server = HttpServer(self._answer_metrics, SIDE_CALL_LIMITS, self.share)
+        server = HttpServer(
+            self._answer_metrics,
+            SIDE_CALL_LIMITS,
+            self.share,
+            self.limits.metrics_connections,
+        )
         self.servers.append(server)
         await server.listen(self.settings.ip, METRICS_PORT)
 
--- a/packages/http1/src/fuchsiahatch_http1/connection_states.py
+++ b/packages/http1/src/fuchsiahatch_http1/connection_states.py
@@ -28,6 +28,7 @@
     FAILED = "failed"
     CALLER = "by the caller"
     END = "at the end"
+    CROWDED = "for another one"
 
 
 class Limit(enum.StrEnum):
@@ -37,6 +38,8 @@
     ----------
     MEMORY
         What is held of all callers' requests.
+    CONNECTIONS
+        Open connections.
     BODY
         Length of a body.
     PIECES
@@ -48,6 +51,7 @@
     """
 
     MEMORY = "memory"
+    CONNECTIONS = "connections"
     BODY = "body"
     PIECES = "pieces"
     HEADERS = "headers"
--- a/packages/http1/src/fuchsiahatch_http1/server.py
+++ b/packages/http1/src/fuchsiahatch_http1/server.py
@@ -14,8 +14,10 @@
     CutRequest,
     OpenRequest,
 )
+from fuchsiahatch_http1.open_connections import OpenConnections
 from fuchsiahatch_http1.server_connection import ServerConnection
 from fuchsiahatch_http1.server_state import (
+    DEFAULT_MAX_CONNECTIONS,
     CallerShare,
     Handler,
     ServerLimits,
@@ -39,6 +41,7 @@
     limits : ServerLimits, optional
     share : CallerShare, optional
         Of the process; a server without one shares with no other.
+    max_connections : int, optional
     """
 
     def __init__(
@@ -46,11 +49,13 @@
         handle: Handler,
         limits: ServerLimits | None = None,
         share: CallerShare | None = None,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
     ) -> None:
         self._state = ServerState(
             handle,
             limits or ServerLimits(),
             share=share or CallerShare(),
+            max_connections=max_connections,
         )
         self._port: IListeningPort | None = None
 
@@ -60,7 +65,7 @@
         return self._state.limits
 
     @property
-    def connections(self) -> set[ServerConnection]:
+    def connections(self) -> OpenConnections:
         """The open connections."""
         return self._state.connections
 
--- a/packages/http1/src/fuchsiahatch_http1/server_connection.py
+++ b/packages/http1/src/fuchsiahatch_http1/server_connection.py
@@ -164,12 +164,25 @@
         self.transport.on_flushed = self._note_flushed
         self._slowness = SlowCallerTimeout(self.transport)
         self.transport.registerProducer(self, True)
-        self._server.connections.add(self)
+        self._make_room()
+        if self._is_closing:
+            return
+        self._note_state()
         header_ms = self._server.limits.header_ms
         if self._server.leaving:
             header_ms = min(header_ms, LEAVING_HEADER_MS)
         self._set_timer(header_ms)
 
+    def _make_room(self) -> None:
+        """Reset another connection, or this one, if there are too many."""
+        connections = self._server.connections
+        if len(connections) >= self._server.max_connections:
+            self._server.share.on_limit(Limit.CONNECTIONS)
+            (connections.choose_to_close() or self).abort(CloseReason.CROWDED)
+
+    def _note_state(self) -> None:
+        self._server.connections.note(self, self.state)
+
     def dataReceived(self, data: bytes) -> None:
         """Read on; reset a connection that sends too much ahead.
 
@@ -259,6 +272,7 @@
         """Reset the connection."""
         if not self.lost:
             self._note_close(reason)
+            self._server.connections.note_reset(self)
             self.transport.abortConnection()
 
     def cut(self) -> None:
@@ -317,6 +331,7 @@
             return
         if self._conn.our_state is h11.DONE and self._conn.their_state is h11.DONE:
             self._conn.start_next_cycle()
+            self._note_state()
             self._set_timer(self._server.limits.idle_ms)
             if self._reader.has_unparsed:
                 self._await_turn()
@@ -415,6 +430,7 @@
         self._arrived_while_leaving = self._server.leaving
         self._answer_bytes = 0
         self._set_timer(self._server.limits.idle_ms)
+        self._note_state()
 
     def _start_handler(self) -> None:
         assert self._request is not None
@@ -430,6 +446,7 @@
         self._task = asyncio.get_running_loop().create_task(
             self._server.handle(exchange)
         )
+        self._note_state()
         self._task.add_done_callback(self._check_handler)
         self._task.add_done_callback(
             lambda _, length=len(body): self._received.end_handling(length)
@@ -470,6 +487,7 @@
         self._closing = LingeringClose(
             self.transport, linger_ms, self._server.share.discards, reads=reads
         )
+        self._note_state()
 
     def _forget(self) -> None:
         self._reader.forget()
--- a/packages/http1/src/fuchsiahatch_http1/server_state.py
+++ b/packages/http1/src/fuchsiahatch_http1/server_state.py
@@ -13,9 +13,13 @@
 )
 from fuchsiahatch_http1.discarding import DiscardLimit
 from fuchsiahatch_http1.exchange import Exchange
+from fuchsiahatch_http1.open_connections import OpenConnections
 from fuchsiahatch_http1.received_bytes import ReceivedBytes
 from fuchsiahatch_http1.turns import Turns
 
+#: Open connections of a server, where the host's descriptors aren't known.
+DEFAULT_MAX_CONNECTIONS = 1_024
+
 Handler = t.Callable[[Exchange], t.Coroutine[t.Any, t.Any, None]]
 
 
@@ -88,8 +92,9 @@
         Called with each request whose connection ends before its answer.
     on_closed : list of callable
         Each is called once for each connection whose socket has been closed.
-    connections : set
-        The open ones.
+    connections : OpenConnections
+    max_connections : int
+        Beyond them another one is closed for each new one.
     share : CallerShare
     """
 
@@ -101,5 +106,6 @@
     on_closed: list[t.Callable[[ClosedConnection], None]] = dataclasses.field(
         default_factory=list
     )
-    connections: set[t.Any] = dataclasses.field(default_factory=set)
+    connections: OpenConnections = dataclasses.field(default_factory=OpenConnections)
+    max_connections: int = DEFAULT_MAX_CONNECTIONS
     share: CallerShare = dataclasses.field(default_factory=CallerShare)
--- a/tests/http1/test_limits.py
+++ b/tests/http1/test_limits.py
@@ -38,14 +38,14 @@
 class Served:
     """A server with few limits, and callers on plain sockets."""
 
-    def __init__(self, handle=None, **limits):
+    def __init__(self, handle=None, max_connections=100, **limits):
         self.limited = collections.Counter()
         self.handled = []
         self.share = CallerShare(
             received=ReceivedBytes(MAX_BYTES), on_limit=self._note_limit
         )
         self.server = HttpServer(
-            handle or self._answer, ServerLimits(**limits), self.share
+            handle or self._answer, ServerLimits(**limits), self.share, max_connections
         )
         self.writers = []
 
@@ -290,6 +290,72 @@
         self.assertGreater(iterations, 40)
 
 
+class TestConnections(unittest.TestCase):
+    async def is_open(self, reader):
+        try:
+            async with asyncio.timeout(0.2):
+                return bool(await reader.read(1))
+        except TimeoutError:
+            return True
+        except ConnectionResetError:
+            return False
+
+    def test_the_longest_idle_one_is_closed_for_a_new_one(self):
+        async def play():
+            async with Served(max_connections=3) as served:
+                readers = []
+                for _ in range(3):
+                    readers.append((await served.open())[0])
+                    await asyncio.sleep(0.02)
+                status = await served.ask(GET)
+                return status, [await self.is_open(one) for one in readers]
+
+        self.assertEqual(run(play()), (200, [False, True, True]))
+
+    def test_many_at_once_close_one_each(self):
+        async def play():
+            async with Served(max_connections=5) as served:
+                opened = [served.open() for _ in range(40)]
+                readers = [one[0] for one in await asyncio.gather(*opened)]
+                await until(lambda: len(served.server.connections) == 5)
+                await asyncio.sleep(0.05)
+                status = await served.ask(GET)
+                count = sum([await self.is_open(one) for one in readers])
+                return status, count, len(served.server.connections)
+
+        self.assertEqual(run(play(), 40), (200, 4, 4))
+
+    def test_one_that_is_answered_is_never_closed_for_another(self):
+        async def play():
+            release = asyncio.Event()
+
+            async def waits(exchange):
+                await release.wait()
+                exchange.respond(200)
+
+            async with Served(waits, max_connections=2) as served:
+                asking = [asyncio.ensure_future(served.ask(GET)) for _ in range(2)]
+                await until(lambda: served.server.busy == 2)
+                refused = await served.ask(GET)
+                release.set()
+                return refused, await asyncio.gather(*asking), served.limited
+
+        expected = (0, [200, 200], {Limit.CONNECTIONS: 1})
+        self.assertEqual(run(play()), expected)
+
+    def test_a_body_that_comes_slowly_gives_way_to_a_new_connection(self):
+        async def play():
+            async with Served(max_connections=2) as served:
+                for _ in range(2):
+                    await served.open(post(1_000, b"x"))
+                await until(lambda: served.server.busy == 2)
+                return await served.ask(GET), served.share.received.total_bytes
+
+        status, held_bytes = run(play())
+        self.assertEqual(status, 200)
+        self.assertLessEqual(held_bytes, 2)
+
+
 class Holder:
     """A connection that gives way at once."""
 
