The former path: bodies and connections have bounds, tiny chunks a cost

200 bodies of 1 MiB that never end made its entry take 273 MiB where 200 were allowed; 200 callers that send chunks of one byte kept ordinary callers without an answer for 20 s behind their end; 1,200 idle connections were all kept (3 tests, failing before).

Cause: twisted.web pauses callers that send ahead or don't read, but keeps each body, reads one that is too long to its end and has no limit of connections.

Now the account of received bytes of the users' path serves it as well: 64 MiB for all callers, the largest that isn't whole gives way with 503. 4 MiB beyond the limit of a body are discarded, then the connection is closed; a body in too many short pieces is refused. Of over 1,000 connections the one without a request for the longest time is reset.

--- a/packages/core/src/fuchsiahatch_core/defaults.py
+++ b/packages/core/src/fuchsiahatch_core/defaults.py
@@ -2,6 +2,13 @@
 
 #: Longest request body that an entry takes from a caller.
 MAX_BODY_BYTES = 1_048_576
+#: Longest part of a body over that limit that is read, so that its caller can send it
+#: whole and then reads why it was refused.
+MAX_EXCESS_BODY_BYTES = 4_194_304
+#: What an entry holds of all callers' requests.
+MAX_RECEIVED_BYTES = 67_108_864
+#: Open connections of callers.
+MAX_CALLER_CONNECTIONS = 1_000
 #: Time that a request may take when its caller names no deadline.
 DEADLINE_MS = 30_000
 #: Longest deadline a caller may ask for.
--- a/packages/daemon/src/fuchsiahatch_daemon/listening.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/listening.py
@@ -5,6 +5,9 @@
 
 from twisted.protocols import policies
 
+from fuchsiahatch_core.defaults import MAX_CALLER_CONNECTIONS
+from fuchsiahatch_core.events import Event, log_event
+
 if t.TYPE_CHECKING:
     from twisted.internet.interfaces import IListeningPort, IProtocolFactory
 
@@ -12,8 +15,37 @@
 FLUSH_MS = 30_000
 
 
+class Connection(policies.ProtocolWrapper):
+    """A caller's connection, which knows whether a request of it is handled."""
+
+    _requests = 0
+    is_reset = False
+
+    @property
+    def is_handling(self) -> bool:
+        """Whether a request is handled."""
+        return self._requests > 0
+
+    def note_request_begun(self) -> None:
+        """Note that a request is handled."""
+        self._requests += 1
+
+    def note_request_ended(self) -> None:
+        """Note that a request has been answered, or given up."""
+        self._requests -= 1
+        self.factory.note_idle(self)
+
+    def reset(self) -> None:
+        """Close the connection for another one."""
+        self.is_reset = True
+        self.abortConnection()
+
+
 class Connections(policies.WrappingFactory):
-    """Knows the open connections of a port.
+    """Knows the open connections of a port, and limits their number.
+
+    Where there are too many, the one without a request that has been so for the longest
+    time is closed for the new one.
 
     Notes
     -----
@@ -21,6 +53,7 @@
     """
 
     noisy = False
+    protocol = Connection
 
     def __init__(self, factory: "IProtocolFactory") -> None:
         super().__init__(factory)
@@ -28,10 +61,24 @@
         self._empty.set()
 
     def registerProtocol(self, protocol: policies.ProtocolWrapper) -> None:
-        """Count a connection that was made."""
+        """Count a connection that was made, and close another one if needed."""
+        if len(self.protocols) >= MAX_CALLER_CONNECTIONS:
+            log_event(Event.CALLER_LIMITED, limit="connections")
+            (self._choose_to_close() or protocol).reset()
         super().registerProtocol(protocol)
         self._empty.clear()
 
+    def note_idle(self, connection: Connection) -> None:
+        """Note that a connection has no request any more; others have waited longer."""
+        if connection in self.protocols:
+            self.protocols[connection] = self.protocols.pop(connection)
+
+    def _choose_to_close(self) -> Connection | None:
+        return next(
+            (one for one in self.protocols if not (one.is_handling or one.is_reset)),
+            None,
+        )
+
     def unregisterProtocol(self, protocol: policies.ProtocolWrapper) -> None:
         """Count a connection out when it is lost."""
         super().unregisterProtocol(protocol)
--- a/packages/daemon/src/fuchsiahatch_daemon/web.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/web.py
@@ -2,19 +2,16 @@
 
 import asyncio
 import functools
-import io
 import json
 import math
 import typing as t
 
 from twisted.internet import endpoints, reactor
 from twisted.internet.defer import Deferred
-from twisted.web.server import Request as ServerRequest
-from twisted.web.server import Site
 from werkzeug.exceptions import HTTPException
 
 from fuchsiahatch_core.codes import Code
-from fuchsiahatch_core.defaults import MAX_BODY_BYTES, RETRY_AFTER_MS
+from fuchsiahatch_core.defaults import RETRY_AFTER_MS
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import (
     FuchsiahatchError,
@@ -22,6 +19,7 @@
     RequestError,
 )
 from fuchsiahatch_daemon.listening import Connections, Listener
+from fuchsiahatch_daemon.memory_request import CallerSite, MemoryRequest
 from fuchsiahatch_daemon.settings import split_address
 
 if t.TYPE_CHECKING:
@@ -60,27 +58,6 @@
 _WAITING_CONNECTIONS = 1_024
 
 
-class MemoryRequest(ServerRequest):
-    """Keeps a request's body in memory, up to one byte beyond the limit.
-
-    Notes
-    -----
-    twisted spools a long body into a file; the hosts have no disks, and a caller
-    that sends without end would fill whatever stands in for one.
-
-    .. versionadded:: 0.1
-    """
-
-    def gotLength(self, length: int | None) -> None:
-        """Make room for the body."""
-        self.content = io.BytesIO()
-
-    def handleContentChunk(self, data: bytes) -> None:
-        """Keep a piece of the body, as far as it fits."""
-        room = MAX_BODY_BYTES + 1 - self.content.tell()
-        self.content.write(data[:room])
-
-
 def answer_unrouted(app: "Klein") -> None:
     """Answer paths and methods that an application doesn't know with coded errors."""
 
@@ -152,7 +129,7 @@
 async def listen(app: "Klein", address: str) -> Listener:
     """Serve a klein application at ``ip:port``."""
     ip, port = split_address(address)
-    site = Site(app.resource(), requestFactory=MemoryRequest)
+    site = CallerSite(app.resource(), requestFactory=MemoryRequest)
     connections = Connections(site)
     # A short queue resets callers that all come at once, as when another entry has
     # died; a caller then can't tell whether its request was read.
