A caller that ends its sending side behind its request is answered

Cause: the end of a caller's bytes was taken for its close, as the two can't be told apart until something is written, and the work for a caller that has left must stop within half a second.

Now an answer within 150 ms is simply sent. Then an interim answer (100, RFC 9110, 15.2) is, which draws a reset from a closed socket and nothing from one whose sending side alone is closed; the kernel is asked for the reset each 20 ms, as the socket isn't read any more. HTTP/1.0, and answers whose head has been sent: as before.

--- a/packages/http1/src/fuchsiahatch_http1/server_connection.py
+++ b/packages/http1/src/fuchsiahatch_http1/server_connection.py
@@ -22,6 +22,7 @@
 )
 from fuchsiahatch_http1.connection_trace import ConnectionTrace
 from fuchsiahatch_http1.exchange import Exchange
+from fuchsiahatch_http1.half_close import HalfClose
 from fuchsiahatch_http1.lingering_close import (
     LEAVING_LINGER_MS,
     LINGER_MS,
@@ -50,6 +51,7 @@
 MAX_PARTS_AT_ONCE = 16
 #: Time for the first request on a connection that is opened while the server leaves.
 LEAVING_HEADER_MS = 500
+_CONTINUE = 100
 _UNAVAILABLE = 503
 #: Bounds of the time after which callers that there was no room for may come again.
 #: Most requests have ended by then, and not all of them come at the same time.
@@ -89,6 +91,7 @@
         self._ends_with_connection = False
         self._trace = ConnectionTrace()
         self._closing: LingeringClose | None = None
+        self._half_close: HalfClose | None = None
         self.lost = False
 
     @property
@@ -212,6 +215,8 @@
         self._writable.set()
         self._clear_timer()
         self._slowness.stop()
+        if self._half_close is not None:
+            self._half_close.stop()
         self._forget()
         if self._closing is not None:
             self._closing.stop()
@@ -225,14 +230,33 @@
         """Treat the end of a caller's requests as its close, unless an answer remains.
 
         A caller that knows that its answer is the last may close its sending side
-        before it has received all of it.
+        before it has received all of it, or any of it.
         """
         if self._closing is None and not self.busy and buffered_bytes(self.transport):
             self._close(CloseReason.CALLER)
         if self._closing is not None:
             self._closing.note_peer_closed()
+        elif self._can_send_interim:
+            self._half_close = HalfClose(self.transport, self._send_interim, self._lose)
         else:
-            self.transport.connectionLost(Failure(error.ConnectionDone()))
+            self._lose()
+
+    @property
+    def _can_send_interim(self) -> bool:
+        """Whether an interim answer may be sent; callers of HTTP/1.0 know none."""
+        return (
+            self._task is not None
+            and self._conn.our_state is h11.SEND_RESPONSE
+            and self._conn.their_http_version != b"1.0"
+        )
+
+    def _send_interim(self) -> None:
+        if self._can_send_interim:
+            interim = h11.InformationalResponse(status_code=_CONTINUE, headers=[])
+            self.transport.write(self._conn.send(interim))
+
+    def _lose(self) -> None:
+        self.transport.connectionLost(Failure(error.ConnectionDone()))
 
     def writeConnectionLost(self) -> None:
         """Do nothing: the sending side has ended as `LingeringClose` asked."""
@@ -335,6 +359,8 @@
             self._set_timer(self._server.limits.idle_ms)
             if self._reader.has_unparsed:
                 self._await_turn()
+            elif self._half_close is not None:
+                self._close(CloseReason.CALLER)
             return
         self._close(CloseReason.ANSWERED)
 
@@ -373,11 +399,17 @@
         elif part is Part.END:
             self._start_handler()
         elif part is Part.NOTHING:
-            self._resume()
-            if self._conn.they_are_waiting_for_100_continue:
-                self.send(h11.InformationalResponse(status_code=100, headers=[]))
+            self._wait_for_more()
         return part is not Part.NOTHING
 
+    def _wait_for_more(self) -> None:
+        if self._half_close is not None:
+            self._close(CloseReason.CALLER)
+            return
+        self._resume()
+        if self._conn.they_are_waiting_for_100_continue:
+            self.send(h11.InformationalResponse(status_code=_CONTINUE, headers=[]))
+
     def _await_turn(self) -> None:
         if self._awaits_turn:
             return
@@ -415,7 +447,7 @@
         self._reject(_UNAVAILABLE, headers=[(b"retry-after", retry_after)])
 
     def _pause(self) -> None:
-        if not self._is_paused:
+        if not self._is_paused and self._half_close is None:
             self._is_paused = True
             self.transport.pauseProducing()
 
@@ -488,6 +520,9 @@
             self.transport, linger_ms, self._server.share.discards, reads=reads
         )
         self._note_state()
+        if self._half_close is not None:
+            self._half_close.stop()
+            self._closing.note_peer_closed()
 
     def _forget(self) -> None:
         self._reader.forget()
--- a/tests/http1/test_closing.py
+++ b/tests/http1/test_closing.py
@@ -201,6 +201,68 @@
 
         self.assertEqual(len(self.play(play).partition(b"\r\n\r\n")[2]), SMALL_BYTES)
 
+    def test_it_is_answered_behind_an_interim_answer_if_that_takes_longer(self):
+        async def answers_later(exchange):
+            await asyncio.sleep(0.4)
+            exchange.respond(200, (), b"x" * SMALL_BYTES)
+
+        async def play():
+            async with Caller(await self.serve(answers_later)) as caller:
+                await caller.send(GET)
+                caller.socket.shutdown(socket.SHUT_WR)
+                return await caller.receive_all()
+
+        interim, _, answer = self.play(play).partition(b"\r\n\r\n")
+        self.assertEqual(interim.split()[1], b"100")
+        self.assertEqual(len(answer.partition(b"\r\n\r\n")[2]), SMALL_BYTES)
+
+    def test_the_work_for_a_caller_that_has_left_stops_within_half_a_second(self):
+        ended = []
+
+        async def works(exchange):
+            try:
+                await asyncio.Event().wait()
+            finally:
+                ended.append(time.monotonic())
+
+        async def play():
+            async with Caller(await self.serve(works)) as caller:
+                await caller.send(GET)
+                await until(lambda: self.server.busy)
+            left_s = time.monotonic()
+            await until(lambda: ended)
+            return ended[0] - left_s
+
+        self.assertLess(self.play(play), 0.5)
+
+    def test_a_caller_of_the_old_version_that_ends_its_sending_side_has_left(self):
+        async def works(exchange):
+            await asyncio.Event().wait()
+
+        async def play():
+            async with Caller(await self.serve(works)) as caller:
+                await caller.send(GET.replace(b"1.1", b"1.0"))
+                await until(lambda: self.server.busy)
+                caller.socket.shutdown(socket.SHUT_WR)
+                return await caller.receive_all()
+
+        self.assertEqual(self.play(play), b"")
+
+    def test_requests_sent_ahead_of_the_end_of_the_sending_side_are_answered(self):
+        async def answers_later(exchange):
+            await asyncio.sleep(0.05)
+            exchange.respond(200, (), b"x" * SMALL_BYTES)
+
+        async def play():
+            async with Caller(await self.serve(answers_later)) as caller:
+                await caller.send(GET * 3)
+                caller.socket.shutdown(socket.SHUT_WR)
+                data = await caller.receive_all()
+            await until(lambda: not self.server.connections)
+            return data
+
+        self.assertEqual(self.play(play).count(b"x" * SMALL_BYTES), 3)
+
 
 class TestSlowCallers(ClosingCase):
     async def receive_bodies(self, caller, size):
