A field of a log line has a longest text

A caller's id may be as long as a whole head, and 200 lines a second with one of 16 kB each were 3 MB a second of log. Found by reading; the test failed before (16,000 characters in one field). Fields are cut at 1,024 characters now.

--- a/packages/gateway/src/fuchsiahatch_gateway/log.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/log.py
@@ -8,6 +8,8 @@
 
 #: Lines above this rate are dropped and counted.
 MAX_LINES_PER_S = 200
+#: Longest text of a field; what callers send, as an id, may be in it.
+MAX_FIELD_CHARACTERS = 1_024
 
 
 class LineWriter:
@@ -57,6 +59,9 @@
             return
         message.pop("task_uuid", None)
         message.pop("task_level", None)
+        for name, value in message.items():
+            if isinstance(value, str) and len(value) > MAX_FIELD_CHARACTERS:
+                message[name] = value[:MAX_FIELD_CHARACTERS]
         message["t_ms"] = now_ms
         if self.dropped:
             message["dropped_lines"] = self.dropped
--- a/tests/gateway/test_small_parts.py
+++ b/tests/gateway/test_small_parts.py
@@ -22,7 +22,11 @@
     encode,
 )
 from fuchsiahatch_gateway.event_stream import EventSplitter
-from fuchsiahatch_gateway.log import MAX_LINES_PER_S, LineWriter
+from fuchsiahatch_gateway.log import (
+    MAX_FIELD_CHARACTERS,
+    MAX_LINES_PER_S,
+    LineWriter,
+)
 from fuchsiahatch_gateway.lookups import EntryRecord, choose_addresses
 
 
@@ -166,6 +170,12 @@
         last = os.read(self.reader, 1_000_000).splitlines()[-1]
         self.assertEqual(orjson.loads(last)["dropped_lines"], 5)
 
+    def test_a_long_field_is_cut(self):
+        # An id may be as long as a whole head.
+        self.log({"request": "x" * 16_000, "event": 1})
+        line = orjson.loads(os.read(self.reader, 1_000_000))
+        self.assertEqual(len(line["request"]), MAX_FIELD_CHARACTERS)
+
     def test_blocked_reader_does_not_block_the_writer(self):
         # A write to a full pipe blocks the process until its reader continues, and
         # requests wait for seconds meanwhile.
