A connection that has ended leaves the queue of turns

Found by reading: callers that come again as often as they are reset added up to a hundred turns in each iteration of the loop, of which four were taken, those of connections that had ended among them; the queue, and what it keeps of each connection, would grow for as long as they go on.

Where the settings give no descriptors, at most 65,536 are counted on. Each server has limits of its own for calls without a body.

--- a/packages/gateway/src/fuchsiahatch_gateway/caller_limits.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/caller_limits.py
@@ -26,10 +26,8 @@
 CONNECTIONS_SHARE = 0.4
 #: Fewest connections of each kind, however few the sockets are.
 MIN_CONNECTIONS = 4
-#: Descriptors that are counted on where the kernel has no limit.
+#: Descriptors that are counted on at most where the settings give none.
 MAX_DESCRIPTORS = 65_536
-#: Limits of requests that have no body.
-SIDE_CALL_LIMITS = ServerLimits(body_bytes=0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,10 +69,15 @@
     )
 
 
+def side_call_limits() -> ServerLimits:
+    """Return the limits of requests that have no body."""
+    return ServerLimits(body_bytes=0)
+
+
 def _share_of(sockets: int, share: float) -> int:
     return max(int(share * sockets), MIN_CONNECTIONS)
 
 
 def _allowed_descriptors() -> int:
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return soft if soft != resource.RLIM_INFINITY else MAX_DESCRIPTORS
+    return min(soft, MAX_DESCRIPTORS) if soft > 0 else MAX_DESCRIPTORS
--- a/packages/gateway/src/fuchsiahatch_gateway/entry.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/entry.py
@@ -17,7 +17,7 @@
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_gateway.allowed_regions import AllowedRegions
 from fuchsiahatch_gateway.backoffs import Backoffs
-from fuchsiahatch_gateway.caller_limits import SIDE_CALL_LIMITS
+from fuchsiahatch_gateway.caller_limits import side_call_limits
 from fuchsiahatch_gateway.cold_starts import ColdStarts
 from fuchsiahatch_gateway.connection_metrics import ConnectionMetrics
 from fuchsiahatch_gateway.crash_messages import Clearance, CrashNotice
@@ -233,7 +233,7 @@
         ConnectionMetrics(process.registry).observe(self.callers)
         self.side_calls = HttpServer(
             self._answer_side_call,
-            SIDE_CALL_LIMITS,
+            side_call_limits(),
             process.share,
             process.limits.side_connections,
         )
--- a/packages/gateway/src/fuchsiahatch_gateway/process.py
+++ b/packages/gateway/src/fuchsiahatch_gateway/process.py
@@ -17,7 +17,7 @@
 from fuchsiahatch_core.clock import Clock
 from fuchsiahatch_core.events import Event, log_event
 from fuchsiahatch_core.exceptions import SettingsError
-from fuchsiahatch_gateway.caller_limits import SIDE_CALL_LIMITS, caller_limits
+from fuchsiahatch_gateway.caller_limits import caller_limits, side_call_limits
 from fuchsiahatch_gateway.limit_metrics import LimitMetrics
 from fuchsiahatch_gateway.log import LineWriter
 from fuchsiahatch_gateway.loop_watch import LoopWatch
@@ -114,7 +114,7 @@
         """Start the metrics server."""
         server = HttpServer(
             self._answer_metrics,
-            SIDE_CALL_LIMITS,
+            side_call_limits(),
             self.share,
             self.limits.metrics_connections,
         )
--- a/packages/http1/src/fuchsiahatch_http1/server_connection.py
+++ b/packages/http1/src/fuchsiahatch_http1/server_connection.py
@@ -525,6 +525,7 @@
             self._closing.note_peer_closed()
 
     def _forget(self) -> None:
+        self._server.share.turns.discard(self._take_turn)
         self._reader.forget()
         self._held_bytes = 0
         self._received.note_dropped(self)
--- a/packages/http1/src/fuchsiahatch_http1/turns.py
+++ b/packages/http1/src/fuchsiahatch_http1/turns.py
@@ -1,6 +1,5 @@
 """Shares the event loop among connections that have more to parse than one turn."""
 
-import collections
 import typing as t
 
 Schedule = t.Callable[[t.Callable[[], None]], t.Any]
@@ -26,13 +25,17 @@
     def __init__(self, schedule: Schedule) -> None:
         self._schedule = schedule
         self._is_scheduled = False
-        self._waiting: collections.deque[t.Callable[[], None]] = collections.deque()
+        self._waiting: dict[t.Callable[[], None], None] = {}
 
     def add(self, go_on: t.Callable[[], None]) -> None:
         """Call a function once it has its turn."""
-        self._waiting.append(go_on)
+        self._waiting[go_on] = None
         self._schedule_next()
 
+    def discard(self, go_on: t.Callable[[], None]) -> None:
+        """Don't call a function any more, whose connection has ended."""
+        self._waiting.pop(go_on, None)
+
     def _schedule_next(self) -> None:
         if self._waiting and not self._is_scheduled:
             self._is_scheduled = True
@@ -42,6 +45,10 @@
         self._is_scheduled = False
         try:
             for _ in range(min(MAX_AT_ONCE, len(self._waiting))):
-                self._waiting.popleft()()
+                go_on = next(iter(self._waiting), None)
+                if go_on is None:
+                    return
+                del self._waiting[go_on]
+                go_on()
         finally:
             self._schedule_next()
--- a/tests/http1/test_limits.py
+++ b/tests/http1/test_limits.py
@@ -272,6 +272,33 @@
         scheduled.pop(0)()
         self.assertEqual(called, [1])
 
+    def test_one_that_has_ended_waits_no_more(self):
+        # They outnumber the others where callers come again as often as they are reset.
+        scheduled, called = [], []
+        turns = Turns(scheduled.append)
+        calls = [lambda number=number: called.append(number) for number in range(100)]
+        for call in calls:
+            turns.add(call)
+        for call in calls[:-1]:
+            turns.discard(call)
+        scheduled.pop()()
+        self.assertEqual(called, [99])
+        self.assertFalse(scheduled)
+
+    def test_a_connection_that_was_reset_leaves_the_queue(self):
+        async def play():
+            async with Served() as served:
+                chunks = b"1\r\nx\r\n" * 4_000
+                for _ in range(20):
+                    await served.open(CHUNKED + chunks)
+                await until(lambda: served.server.busy == 20)
+                for connection in tuple(served.server.connections):
+                    connection.abort()
+                await until(lambda: not served.server.connections)
+                return len(served.share.turns._waiting)
+
+        self.assertEqual(run(play()), 0)
+
     def test_much_that_came_at_once_is_parsed_in_several_iterations(self):
         async def play():
             async with Served() as served:
