--- a/packages/http1/src/fuchsiahatch_http1/server_connection.py
+++ b/packages/http1/src/fuchsiahatch_http1/server_connection.py
@@ -23,12 +23,13 @@
 from fuchsiahatch_http1.connection_trace import ConnectionTrace
 from fuchsiahatch_http1.exchange import Exchange
 from fuchsiahatch_http1.half_close import HalfClose
+from fuchsiahatch_http1.intake import Intake
 from fuchsiahatch_http1.lingering_close import (
     LEAVING_LINGER_MS,
     LINGER_MS,
     LingeringClose,
 )
-from fuchsiahatch_http1.request_reader import Part, RequestReader, RequestRefused
+from fuchsiahatch_http1.request_reader import RequestReader, RequestRefused
 from fuchsiahatch_http1.slow_callers import SlowCallerTimeout
 from fuchsiahatch_http1.socket_queues import (
     buffered_bytes,
@@ -46,9 +47,6 @@
 
 #: Maximum bytes of further requests held while one is being answered.
 MAX_PIPELINED_BYTES = 65_536
-#: Parts of requests, as heads and chunks, that are parsed of one connection before
-#: others have their turn. A single read may hold ten thousand of them.
-MAX_PARTS_AT_ONCE = 16
 #: Time for the first request on a connection that is opened while the server leaves.
 LEAVING_HEADER_MS = 500
 _CONTINUE = 100
@@ -76,13 +74,11 @@
         self._reader = RequestReader(
             self._conn, server.limits, self._received.max_body_bytes
         )
-        self._held_bytes = 0
+        self._intake = Intake(self, self._reader, server.share)
         self._task: asyncio.Task[None] | None = None
         self._timer: t.Any = None
         self._writable = asyncio.Event()
         self._writable.set()
-        self._is_paused = False
-        self._awaits_turn = False
         self._answer_bytes = 0
         self._began_s = 0.0
         self._arrived_while_leaving = False
@@ -108,7 +104,7 @@
         return self._reader.request
 
     @property
-    def _reads(self) -> bool:
+    def reads(self) -> bool:
         """Whether the next bytes received belong to a request that is served."""
         return not self.lost and not self._is_closing and self._task is None
 
@@ -164,7 +160,7 @@
     def connectionMade(self) -> None:
         """Set up the connection and wait for a request."""
         set_options(self.transport)
-        self.transport.on_flushed = self._note_flushed
+        self.transport.on_flushed = self._intake.note_flushed
         self._slowness = SlowCallerTimeout(self.transport)
         self.transport.registerProducer(self, True)
         self._make_room()
@@ -197,12 +193,12 @@
                 self._closing.note_discarded(len(data))
             return
         self._reader.receive(data)
-        if self._reads:
-            self._go_on()
+        if self.reads:
+            self._intake.go_on()
         elif self._reader.unparsed_bytes > MAX_PIPELINED_BYTES:
             self._server.share.on_limit(Limit.PIPELINED)
             self.abort(CloseReason.PIPELINED)
-        self._note_held()
+        self._intake.note_held()
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
         """Cancel the handler of a caller that has disconnected.
@@ -217,7 +213,7 @@
         self._slowness.stop()
         if self._half_close is not None:
             self._half_close.stop()
-        self._forget()
+        self._intake.forget()
         if self._closing is not None:
             self._closing.stop()
         self._server.connections.discard(self)
@@ -237,6 +233,7 @@
         if self._closing is not None:
             self._closing.note_peer_closed()
         elif self._can_send_interim:
+            self._intake.has_ended = True
             self._half_close = HalfClose(self.transport, self._send_interim, self._lose)
         else:
             self._lose()
@@ -358,81 +355,21 @@
             self._note_state()
             self._set_timer(self._server.limits.idle_ms)
             if self._reader.has_unparsed:
-                self._await_turn()
+                self._intake.await_turn()
             elif self._half_close is not None:
                 self._close(CloseReason.CALLER)
             return
         self._close(CloseReason.ANSWERED)
 
-    def _go_on(self) -> None:
-        """Parse received bytes, unless the answers before haven't left the process.
-
-        Then the socket isn't read either, and the caller can send no more before it
-        receives what it has asked for.
-        """
-        if not self._reads or self._awaits_turn:
-            return
-        if buffered_bytes(self.transport) and self._request is None:
-            self._pause()
-            return
-        self._parse()
-
-    def _parse(self) -> None:
-        """Parse some parts; the others wait for their turn, with the socket unread."""
-        try:
-            for _ in range(MAX_PARTS_AT_ONCE):
-                if not self._reads:
-                    return
-                if not self._read_part():
-                    return
-            self._await_turn()
-        except RequestRefused as refusal:
-            if refusal.limit is not None:
-                self._server.share.on_limit(refusal.limit)
-            self._reject(refusal.status)
-
-    def _read_part(self) -> bool:
-        """Parse one part; return False if more bytes must arrive first."""
-        part = self._reader.read_part()
-        if part is Part.HEAD:
-            self._begin_request()
-        elif part is Part.END:
-            self._start_handler()
-        elif part is Part.NOTHING:
-            self._wait_for_more()
-        return part is not Part.NOTHING
-
-    def _wait_for_more(self) -> None:
+    def wait_for_more(self) -> None:
+        """Let the caller send the rest; close if it can't."""
         if self._half_close is not None:
             self._close(CloseReason.CALLER)
             return
-        self._resume()
+        self._intake.resume()
         if self._conn.they_are_waiting_for_100_continue:
             self.send(h11.InformationalResponse(status_code=_CONTINUE, headers=[]))
 
-    def _await_turn(self) -> None:
-        if self._awaits_turn:
-            return
-        self._pause()
-        self._awaits_turn = True
-        self._server.share.turns.add(self._take_turn)
-
-    def _note_flushed(self) -> None:
-        """Go on with requests that came before the answers had left."""
-        if self._is_paused and self._reads:
-            self._await_turn()
-
-    def _take_turn(self) -> None:
-        self._awaits_turn = False
-        self._go_on()
-        self._note_held()
-
-    def _note_held(self) -> None:
-        held_bytes = self._reader.held_bytes
-        if held_bytes != self._held_bytes:
-            self._held_bytes = held_bytes
-            self._received.note_held(self, held_bytes)
-
     def give_way(self) -> None:
         """Refuse a request that isn't whole, as the process has no room for it."""
         if self._task is None:
@@ -446,17 +383,14 @@
         retry_after = b"%.2f" % random.uniform(*_RETRY_AFTER_S)
         self._reject(_UNAVAILABLE, headers=[(b"retry-after", retry_after)])
 
-    def _pause(self) -> None:
-        if not self._is_paused and self._half_close is None:
-            self._is_paused = True
-            self.transport.pauseProducing()
+    def refuse(self, refusal: RequestRefused) -> None:
+        """Refuse a request that is invalid or over a limit, and close."""
+        if refusal.limit is not None:
+            self._server.share.on_limit(refusal.limit)
+        self._reject(refusal.status)
 
-    def _resume(self) -> None:
-        if self._is_paused:
-            self._is_paused = False
-            self.transport.resumeProducing()
-
-    def _begin_request(self) -> None:
+    def begin_request(self) -> None:
+        """Begin the time of a request, whose head has been read."""
         self._slowness.end_once_received()
         self._began_s = reactor.seconds()
         self._arrived_while_leaving = self._server.leaving
@@ -464,13 +398,14 @@
         self._set_timer(self._server.limits.idle_ms)
         self._note_state()
 
-    def _start_handler(self) -> None:
+    def handle_request(self) -> None:
+        """Start the handler of a whole request, if there is room for its body."""
         assert self._request is not None
         self._clear_timer()
         # A caller that leaves is seen only while its socket is read.
-        self._resume()
+        self._intake.resume()
         body = self._reader.take_body()
-        self._note_held()
+        self._intake.note_held()
         if not self._received.begin_handling(self, len(body)):
             self._refuse_without_room()
             return
@@ -511,10 +446,10 @@
             return
         self._note_close(reason)
         self._clear_timer()
-        self._forget()
+        self._intake.forget()
         self._task = None
         self._writable.set()
-        self._resume()
+        self._intake.resume()
         linger_ms = LEAVING_LINGER_MS if self._server.leaving else LINGER_MS
         self._closing = LingeringClose(
             self.transport, linger_ms, self._server.share.discards, reads=reads
@@ -524,12 +459,6 @@
             self._half_close.stop()
             self._closing.note_peer_closed()
 
-    def _forget(self) -> None:
-        self._server.share.turns.discard(self._take_turn)
-        self._reader.forget()
-        self._held_bytes = 0
-        self._received.note_dropped(self)
-
     def _note_close(self, reason: CloseReason) -> None:
         if self._is_closing:
             return
--- a/tests/http1/test_limits.py
+++ b/tests/http1/test_limits.py
@@ -7,6 +7,7 @@
 
 from fuchsiahatch_http1 import discarding
 from fuchsiahatch_http1.connection_states import CloseReason, Limit
+from fuchsiahatch_http1.intake import MAX_PARTS_AT_ONCE
 from fuchsiahatch_http1.received_bytes import (
     HANDLED_COPIES,
     SMALL_BODY_BYTES,
@@ -14,10 +15,7 @@
 )
 from fuchsiahatch_http1.request_reader import FREE_PIECES
 from fuchsiahatch_http1.server import HttpServer
-from fuchsiahatch_http1.server_connection import (
-    MAX_PARTS_AT_ONCE,
-    MAX_PIPELINED_BYTES,
-)
+from fuchsiahatch_http1.server_connection import MAX_PIPELINED_BYTES
 from fuchsiahatch_http1.server_state import CallerShare, ServerLimits
 from fuchsiahatch_http1.turns import MAX_AT_ONCE, Turns
 from tests.gateway.sites import until
