The former path counts out what it held of a request that has ended

Each request of the former path logged an unhandled error, and its body was counted as held for ever; behind 64 MiB of bodies all would have been refused. It is remembered now. Two of three new tests failed before (10,000 bytes held behind a caller that had left; a wait in vain behind an answer); all pass.

--- a/packages/daemon/src/fuchsiahatch_daemon/memory_request.py
+++ b/packages/daemon/src/fuchsiahatch_daemon/memory_request.py
@@ -75,16 +75,17 @@
         """Handle the request, whose body is whole, if there is room for it."""
         if self._is_refused:
             return
-        self._received.note_dropped(self)
+        # The request has no channel any more when it ends.
+        received, connection = self._received, self.channel.transport
+        received.note_dropped(self)
         body_bytes = self.content.tell()
-        if not self._received.begin_handling(self, body_bytes):
+        if not received.begin_handling(self, body_bytes):
             self._refuse(_UNAVAILABLE)
             return
-        connection = self.channel.transport
         connection.note_request_begun()
 
         def end(result: t.Any) -> None:
-            self._received.end_handling(body_bytes)
+            received.end_handling(body_bytes)
             connection.note_request_ended()
 
         self.notifyFinish().addBoth(end)
--- a/tests/daemon/test_listening.py
+++ b/tests/daemon/test_listening.py
@@ -3,8 +3,10 @@
 import unittest
 
 from klein import Klein
+from twisted.internet.defer import Deferred
 
 from fuchsiahatch_daemon import web
+from tests.gateway.sites import until
 from tests.loopback import LOOP, run
 
 ANSWER = b"where the front sits " * 200_000
@@ -17,6 +19,14 @@
     def brief(request):
         return ANSWER
 
+    @app.route("/wait", methods=["POST"])
+    def wait(request):
+        return Deferred()
+
+    @app.route("/count", methods=["POST"])
+    def count(request):
+        return str(len(request.content.read()))
+
     return app
 
 
@@ -64,3 +74,57 @@
             writer.close()
 
         run(work())
+
+
+class TestReceivedBytes(unittest.TestCase):
+    """What is held of a request is counted out however it ends.
+
+    It was counted on for ever, so that all bodies would have been refused in the end.
+    """
+
+    def held_behind(self, act):
+        """Return what is held behind a caller's acts and its close."""
+
+        async def play():
+            address = free_address()
+            listener = await web.listen(make_app(), address)
+            connections = listener._connections
+            received = connections.wrappedFactory.received
+            ip, port = address.split(":")
+            reader, writer = await asyncio.open_connection(ip, int(port))
+            await act(reader, writer, received)
+            writer.transport.abort()
+            await until(lambda: not connections.protocols)
+            held_bytes = received.total_bytes
+            await listener.close()
+            return held_bytes
+
+        return run(play())
+
+    def post(self, path, length, sent):
+        head = f"POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n"
+        return head.encode() + b"x" * sent
+
+    def test_behind_an_answer(self):
+        async def act(reader, writer, received):
+            for _ in range(2):
+                writer.write(self.post("/count", 5_000, 5_000))
+                answer = await reader.readuntil(b"5000")
+                self.assertIn(b" 200 ", answer)
+                await until(lambda: not received.total_bytes)
+
+        self.assertEqual(self.held_behind(act), 0)
+
+    def test_behind_a_caller_that_leaves_within_its_body(self):
+        async def act(reader, writer, received):
+            writer.write(self.post("/count", 5_000, 4_000))
+            await until(lambda: received.total_bytes == 4_000)
+
+        self.assertEqual(self.held_behind(act), 0)
+
+    def test_behind_a_caller_that_leaves_before_its_answer(self):
+        async def act(reader, writer, received):
+            writer.write(self.post("/wait", 5_000, 5_000))
+            await until(lambda: received.total_bytes == 10_000)
+
+        self.assertEqual(self.held_behind(act), 0)
