--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -290,7 +290,7 @@
 
 class TestMemoryOfAllAnswers(unittest.TestCase):
     def ask_without_memory(self, path, *scripts):
-        with mock.patch.object(entry, "KeptBytes", lambda: KeptBytes(0)):
+        with mock.patch.object(entry, "KeptBytes", lambda max_bytes: KeptBytes(0)):
             return run(ask(path, *scripts))
 
     def test_an_answer_without_room_is_relayed_as_it_comes(self):
