--- a/review/kit_2.py
+++ b/review/kit_2.py
@@ -23,6 +23,8 @@
 HOST = "ficu95.example"
 KEY = "n2ctnfzs989anu6wsjnb"
 FRONT, READY, DIRECTORY, APP, STORE = 8227, 8220, 8224, 8300, 8223
+#: Time after which a case is given up.
+LIMIT_S = 100
 #: As in the settings of a small deployment (`DEPLOY.md`).
 BOUNDS = {
     "stableWindowMs": 3000,
@@ -45,12 +47,16 @@
 
 @dataclasses.dataclass
 class Message:
-    """A request or an answer that was read from a connection."""
+    """A request or an answer that was read from a connection.
+
+    `via` is the address of ours that a request came to.
+    """
 
     start: str
     headers: list
     body: bytes = b""
     complete: bool = True
+    via: str = ""
 
     def header(self, name):
         """Return the first value of a header, or None."""
@@ -126,7 +132,7 @@
         self._open = set()
 
     async def listen(self, ip, port):
-        """Accept connections."""
+        """Accept connections, at one address or at several."""
         self._server = await asyncio.start_server(self._handle, ip, port)
 
     def close(self):
@@ -142,6 +148,7 @@
             while (request := await read_message(reader)) is not None:
                 if not request.complete:
                     break
+                request.via = writer.get_extra_info("sockname")[0]
                 await self.serve(request, reader, writer)
                 await writer.drain()
                 if writer.is_closing():
@@ -460,6 +467,8 @@
         self._net = f"127.{random.randint(64, 250)}.{random.randint(1, 250)}"
         self.entry_ips = [f"{self._net}.{10 + n}" for n in range(entries)]
         self.store_ip = f"{self._net}.2"
+        #: Addresses at which the store is reached by some machines alone.
+        self.store_ips = {}
         self.store = Store(self.record)
         self.servers = []
         self.processes = {}
@@ -509,7 +518,7 @@
             "faultTolerance": {"machines": 2, "zones": 0, "regions": 0},
             "bounds": BOUNDS,
             "platform": {
-                "address": f"{self.store_ip}:{STORE}",
+                "address": f"{self.store_ips.get(ip, self.store_ip)}:{STORE}",
                 "form": "kv",
                 "writesPerS": 400,
                 "readsPerS": 2000,
@@ -573,7 +582,7 @@
 
     async def begin(self, configuration, agents=False):
         """Start the store, the servers and the entries, and wait for these."""
-        await self.store.listen(self.store_ip, STORE)
+        await self.store.listen([self.store_ip, *self.store_ips.values()], STORE)
         self._tasks.append(asyncio.ensure_future(self.store.tick_forever()))
         self.store.put("op/config", configuration)
         for server in self.servers:
@@ -662,7 +671,7 @@
     }
 
 
-def run_case(play, folder, limit_s=110):
+def run_case(play, folder, entries=2):
     """Play a case and exit: 1 if the rule was broken, 0 if it held, 2 otherwise.
 
     Parameters
@@ -671,14 +680,14 @@
         Given a deployment and whether there is a disruption; returns whether the rule
         held.
     folder : pathlib.Path
-    limit_s : float, optional
+    entries : int, optional
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
-        deployment = Deployment(folder)
+        deployment = Deployment(folder, entries)
         try:
-            async with asyncio.timeout(limit_s):
+            async with asyncio.timeout(LIMIT_S):
                 return await play(deployment, trouble)
         finally:
             await deployment.end()
